lib: decisions and state of the thin whole path

Admission, choice of a runner, retry budget, request states, claims of keys, owner table, membership, lease, orders, roles, configuration and its spreading, and the operators' language, each as a state machine that is fed events and the time.

--- /dev/null
+++ b/lib/src/baseline.rs
@@ -0,0 +1,46 @@
+//! Naive ways to choose a runner, kept to compare with.
+
+use std::time::Instant;
+
+use rand::{Rng, RngExt as _};
+
+use crate::choose::{Choice, Setting, predict};
+use crate::runner::{View, Work};
+
+/// Any runner that takes work, each with the same chance.
+pub fn random<R: Rng>(views: &[View], now: Instant, rng: &mut R) -> Option<usize> {
+    let usable = views.iter().filter(|v| v.takes_work(now)).count();
+    if usable == 0 {
+        return None;
+    }
+    let nth = rng.random_range(0..usable);
+    (0..views.len()).filter(|at| views[*at].takes_work(now)).nth(nth)
+}
+
+/// The next runner in turn after `last`.
+pub fn round_robin(views: &[View], now: Instant, last: &mut usize) -> Option<usize> {
+    let places = (1..=views.len()).map(|step| (*last + step) % views.len());
+    let found = places.into_iter().find(|at| views[*at].takes_work(now))?;
+    *last = found;
+    Some(found)
+}
+
+/// The runner with the least load by its last report.
+pub fn least_reported(views: &[View], now: Instant) -> Option<usize> {
+    (0..views.len())
+        .filter(|at| views[*at].takes_work(now))
+        .min_by_key(|at| views[*at].report.running + views[*at].report.waiting)
+}
+
+/// The best prediction of all runners, without sampling and with allocation at each step: the
+/// version that [`crate::choose::choose`] must agree with where it compares all.
+pub fn best_of_all(views: &[View], work: &Work, now: Instant, setting: Setting) -> Option<Choice> {
+    let mut choices: Vec<Choice> = Vec::new();
+    for (at, view) in views.iter().enumerate() {
+        if view.takes_work(now) {
+            choices.push(Choice { at, prediction: predict(view, work, now, setting) });
+        }
+    }
+    choices.sort_by(|a, b| a.prediction.last.total_cmp(&b.prediction.last));
+    choices.first().copied()
+}
--- /dev/null
+++ b/lib/src/config/change.rs
@@ -0,0 +1,219 @@
+//! A change to the configuration: a batch of edits that lands whole or not at all.
+//!
+//! A change is prepared against the snapshot that its author saw. When other changes have landed
+//! since, it is rebased onto them unless one of them wrote what this change read or wrote. The
+//! idea that a mere overlap in time need not abort is that of MaaT (Mahmoud and others, VLDB
+//! 2014), applied to a single head object; docs/design/configuration.md has the measurement.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use thiserror::Error;
+
+use super::head::{Applied, Head};
+use super::object::ObjectError;
+use super::record::{Assignment, Field, Key, Kind, Record};
+use super::snapshot::Snapshot;
+use crate::id::{Generation, Name};
+
+/// One edit of one object.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Edit {
+    /// Makes a new object.
+    Create {
+        /// The object.
+        key: Key,
+        /// Its fields.
+        fields: Vec<Assignment>,
+    },
+    /// Sets fields of an object that is there.
+    Set {
+        /// The object.
+        key: Key,
+        /// The fields to set.
+        fields: Vec<Assignment>,
+    },
+    /// Takes an object away.
+    Delete {
+        /// The object.
+        key: Key,
+    },
+    /// Puts an object back as it was, or takes it away where it was not. Only undo makes these.
+    Restore {
+        /// The object.
+        key: Key,
+        /// The object as it was.
+        record: Option<Arc<Record>>,
+    },
+}
+
+impl Edit {
+    /// The object that is edited.
+    pub fn key(&self) -> &Key {
+        match self {
+            Edit::Create { key, .. }
+            | Edit::Set { key, .. }
+            | Edit::Delete { key }
+            | Edit::Restore { key, .. } => key,
+        }
+    }
+}
+
+/// Why a change is refused. Nothing of it is in force anywhere.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum ChangeError {
+    /// An object that should be made is already there.
+    #[error("{0} exists already")]
+    Exists(Key),
+    /// An object that should be edited is not there.
+    #[error("{0} does not exist")]
+    Absent(Key),
+    /// The configuration after the change would not be right.
+    #[error("the change leaves the configuration wrong: {}", list(.0))]
+    Invalid(Vec<ObjectError>),
+    /// Another change wrote what this one read or wrote.
+    #[error("{key} was changed by {author} in generation {generation} after you looked")]
+    Conflict {
+        /// The object that both touch.
+        key: Key,
+        /// Who made the other change.
+        author: Name,
+        /// The generation of the other change.
+        generation: Generation,
+    },
+    /// So many changes have landed that the conflict can no longer be judged.
+    #[error("generation {0} is too old to change; look again and repeat the command")]
+    TooOld(Generation),
+}
+
+fn list(errors: &[ObjectError]) -> String {
+    let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
+    lines.join("; ")
+}
+
+/// What a change read and wrote, by object.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Footprint {
+    /// The objects on which its being right depends.
+    pub read: BTreeSet<Key>,
+    /// The objects that it writes.
+    pub wrote: BTreeSet<Key>,
+}
+
+impl Footprint {
+    /// The first object of `other` that this footprint touches.
+    pub fn overlap(&self, other: &Applied) -> Option<Key> {
+        other.wrote.iter().find(|k| self.read.contains(k) || self.wrote.contains(k)).cloned()
+    }
+}
+
+/// A change that has been applied to a snapshot but not yet to the head.
+#[derive(Clone, Debug)]
+pub struct Prepared {
+    /// The configuration after the change.
+    pub snapshot: Snapshot,
+    /// What it read and wrote.
+    pub footprint: Footprint,
+}
+
+/// Applies `edits` to `base`.
+///
+/// # Errors
+/// The first edit that cannot be made, or all that is wrong with the result.
+pub fn prepare(base: &Snapshot, edits: &[Edit]) -> Result<Prepared, ChangeError> {
+    let mut records = base.records.clone();
+    let mut footprint = Footprint::default();
+    for edit in edits {
+        apply(&mut records, edit)?;
+        footprint.wrote.insert(edit.key().clone());
+    }
+    let generation = base.generation.next();
+    let snapshot =
+        Snapshot::build(generation, records, Some(base)).map_err(ChangeError::Invalid)?;
+    for key in &footprint.wrote {
+        let Some(object) = snapshot.object(key.kind, &key.name) else { continue };
+        footprint.read.extend(object.references().into_iter().map(|(_, target)| target));
+    }
+    Ok(Prepared { snapshot, footprint })
+}
+
+fn apply(records: &mut BTreeMap<Key, Arc<Record>>, edit: &Edit) -> Result<(), ChangeError> {
+    match edit {
+        Edit::Create { key, fields } => {
+            if records.contains_key(key) {
+                return Err(ChangeError::Exists(key.clone()));
+            }
+            let mut record = Record::new(key.clone());
+            assign(&mut record, fields);
+            records.insert(key.clone(), Arc::new(record));
+        }
+        Edit::Set { key, fields } => {
+            let Some(record) = records.get_mut(key) else {
+                return Err(ChangeError::Absent(key.clone()));
+            };
+            assign(Arc::make_mut(record), fields);
+        }
+        Edit::Delete { key } => {
+            if records.remove(key).is_none() {
+                return Err(ChangeError::Absent(key.clone()));
+            }
+        }
+        Edit::Restore { key, record: Some(record) } => {
+            records.insert(key.clone(), record.clone());
+        }
+        Edit::Restore { key, record: None } => {
+            records.remove(key);
+        }
+    }
+    Ok(())
+}
+
+fn assign(record: &mut Record, fields: &[Assignment]) {
+    for assignment in fields {
+        record.set(assignment.field, assignment.value.clone());
+    }
+}
+
+/// Checks that nothing which landed between `base` and `head` touches `footprint`. The result of a
+/// rebased change is checked again as a whole, so this is about intent and not about validity.
+///
+/// # Errors
+/// [`ChangeError::Conflict`] with the other change, or [`ChangeError::TooOld`].
+pub fn check_conflict(
+    footprint: &Footprint,
+    base: Generation,
+    head: &Head,
+) -> Result<(), ChangeError> {
+    let Some(others) = head.since(base) else {
+        return Err(ChangeError::TooOld(base));
+    };
+    for other in others {
+        if let Some(key) = footprint.overlap(other) {
+            return Err(ChangeError::Conflict {
+                key,
+                author: other.author.clone(),
+                generation: other.generation,
+            });
+        }
+    }
+    Ok(())
+}
+
+/// The edits that take `from` to `to` for the objects that differ.
+pub fn difference(from: &Snapshot, to: &Snapshot) -> Vec<Edit> {
+    let keys: BTreeSet<&Key> = from.records.keys().chain(to.records.keys()).collect();
+    let differs = |key: &&Key| from.records.get(*key) != to.records.get(*key);
+    keys.into_iter()
+        .filter(differs)
+        .map(|key| Edit::Restore { key: key.clone(), record: to.records.get(key).cloned() })
+        .collect()
+}
+
+/// The edit that gives a runner its admission state.
+pub fn admission(runner: Name, state: super::object::Admission) -> Edit {
+    let key = Key { kind: Kind::Runner, name: runner };
+    let value = SmolStr::new_static(state.into());
+    Edit::Set { key, fields: vec![Assignment { field: Field::State, value }] }
+}
--- /dev/null
+++ b/lib/src/config/mod.rs
@@ -0,0 +1,9 @@
+//! The configuration: what operators create and change, checked as a whole, kept as immutable
+//! snapshots that follow one another by generation.
+
+pub mod change;
+pub mod chunk;
+pub mod head;
+pub mod object;
+pub mod record;
+pub mod snapshot;
--- /dev/null
+++ b/lib/src/hash.rs
@@ -0,0 +1,87 @@
+//! Hashes: SHA-256 for content addresses and keys, XXH3 for placement.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+use smol_str::SmolStr;
+use subtle::ConstantTimeEq;
+use thiserror::Error;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The length of a digest in bytes.
+pub const DIGEST_LEN: usize = 32;
+
+/// A SHA-256 digest, written as 64 hexadecimal digits.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+#[serde(try_from = "SmolStr", into = "SmolStr")]
+pub struct Digest(pub [u8; DIGEST_LEN]);
+
+/// Text that is not a digest.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("a digest is {} hexadecimal digits", DIGEST_LEN * 2)]
+pub struct DigestError;
+
+impl Digest {
+    /// The digest of `bytes`.
+    pub fn of(bytes: &[u8]) -> Self {
+        Self(Sha256::digest(bytes).into())
+    }
+
+    /// Whether two digests are equal, in a time that does not depend on where they differ.
+    pub fn matches(&self, other: &Digest) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for byte in self.0 {
+            write!(f, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
+
+impl FromStr for Digest {
+    type Err = DigestError;
+
+    fn from_str(text: &str) -> Result<Self, DigestError> {
+        if text.len() != DIGEST_LEN * 2 || !text.is_ascii() {
+            return Err(DigestError);
+        }
+        let mut bytes = [0; DIGEST_LEN];
+        for (byte, pair) in bytes.iter_mut().zip(text.as_bytes().chunks(2)) {
+            let pair = std::str::from_utf8(pair).map_err(|_| DigestError)?;
+            *byte = u8::from_str_radix(pair, 16).map_err(|_| DigestError)?;
+        }
+        Ok(Self(bytes))
+    }
+}
+
+impl TryFrom<SmolStr> for Digest {
+    type Error = DigestError;
+
+    fn try_from(text: SmolStr) -> Result<Self, DigestError> {
+        text.parse()
+    }
+}
+
+impl From<Digest> for SmolStr {
+    fn from(digest: Digest) -> SmolStr {
+        SmolStr::new(digest.to_string())
+    }
+}
+
+/// A hash for placement, the same in every process and release.
+pub fn place(seed: u64, bytes: &[u8]) -> u64 {
+    xxh3_64_with_seed(bytes, seed)
+}
+
+/// The weight of `member` for `duty` in rendezvous hashing; the highest weight has the duty.
+pub fn rendezvous(duty: u64, member: &[u8]) -> u64 {
+    place(duty, member)
+}
--- /dev/null
+++ b/lib/src/lib.rs
@@ -0,0 +1,25 @@
+//! The core of sardinepick: decisions and state, without sockets, files, clocks or randomness of
+//! its own. Each part is a state machine that is fed events and the time, and gives back actions.
+
+pub mod admit;
+pub mod baseline;
+pub mod budget;
+pub mod choose;
+pub mod claim;
+pub mod clock;
+pub mod config;
+pub mod directory;
+pub mod hash;
+pub mod id;
+pub mod language;
+pub mod lease;
+pub mod member;
+pub mod order;
+pub mod outcome;
+pub mod owner;
+pub mod query;
+pub mod role;
+pub mod runner;
+pub mod spread;
+pub mod supply;
+pub mod unit;
--- /dev/null
+++ b/lib/src/member.rs
@@ -0,0 +1,616 @@
+//! Membership: which nodes there are, and which of them are well.
+//!
+//! Each node probes one other a second, in a shuffled round, and passes on a few news with every
+//! message, so that the cost for a node does not grow with their number. A node that does not
+//! answer is asked through others before it is suspected, and a suspected one has time to object
+//! before it is taken for gone. A node that was itself paused finds its probes unanswered through
+//! its own fault, so after a pause it suspects nobody. Nodes taken for gone are probed now and
+//! then, since two regions that lost each other must find together again. The platform's VM list,
+//! which lags, is one input among others.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use rand::seq::SliceRandom as _;
+use rand::{Rng, RngExt as _};
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use strum::{Display, EnumString, FromRepr, IntoStaticStr};
+
+use crate::id::{Generation, Incarnation, Name, Version};
+
+/// How often a node probes another.
+pub const PERIOD: Duration = Duration::from_secs(1);
+/// How long a probe may go unanswered before others are asked to probe.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// How many others are asked to probe.
+pub const HELPERS: usize = 3;
+/// How long a suspected node has to object.
+pub const SUSPICION: Duration = Duration::from_secs(4);
+/// How often a node that is taken for gone is probed.
+pub const HEAL_PERIOD: Duration = Duration::from_secs(5);
+/// How long a node that is taken for gone is remembered. Longer than regions lose each other.
+pub const REMEMBERED: Duration = Duration::from_secs(2 * 3600);
+/// How much news goes with a message at the most.
+pub const NEWS: usize = 6;
+/// How often a piece of news is passed on, times the logarithm of the number of nodes.
+pub const REPEATS: u32 = 3;
+/// A tick that comes so much late means that this process was paused.
+pub const PAUSE: Duration = Duration::from_millis(1500);
+
+/// The state of a node; a later one outweighs an earlier one of the same serial.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    EnumString,
+    Eq,
+    FromRepr,
+    Hash,
+    IntoStaticStr,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    Deserialize,
+)]
+#[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
+#[repr(u8)]
+pub enum State {
+    /// It has no configuration yet and takes no callers.
+    Joining,
+    /// It takes callers.
+    Serving,
+    /// It finishes what it has.
+    Leaving,
+    /// It did not answer and may object.
+    Suspected,
+    /// It has ended, or cannot be reached by anyone.
+    Gone,
+}
+
+/// Where a node can be reached.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
+pub struct Addresses {
+    /// For other nodes: datagrams and calls.
+    pub peer: SocketAddr,
+    /// For callers.
+    pub front: SocketAddr,
+}
+
+/// News about one node.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Update {
+    /// The node.
+    pub name: Name,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Goes up whenever the node itself says something new about itself.
+    pub serial: u32,
+    /// Its state.
+    pub state: State,
+    /// Where it can be reached.
+    pub addresses: Addresses,
+    /// Where it stands.
+    pub data_centre: Name,
+}
+
+impl Update {
+    fn outweighs(&self, other: &Update) -> bool {
+        let rank = |u: &Update| (u.incarnation, u.serial, u.state);
+        rank(self) > rank(other)
+    }
+}
+
+/// What a node says of itself with every message.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// The generation that it has in force.
+    pub generation: Generation,
+    /// The version of the table of owners that it has.
+    pub table: Version,
+    /// How many requests it has.
+    pub load: u32,
+}
+
+/// What a message is for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Purpose {
+    /// Asks for an answer.
+    Ping,
+    /// Answers a ping.
+    Ack,
+    /// Asks the receiver to ping another.
+    Relay {
+        /// The node to ping.
+        target: Name,
+        /// Where it is.
+        address: SocketAddr,
+    },
+    /// Only carries news.
+    News,
+}
+
+/// A message between nodes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Message {
+    /// What it is for.
+    pub purpose: Purpose,
+    /// Matches an answer to its question.
+    pub sequence: u64,
+    /// Who sends it.
+    pub from: Name,
+    /// What the sender says of itself.
+    pub status: Status,
+    /// News.
+    pub news: SmallVec<[Update; NEWS]>,
+}
+
+/// A message with its address.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Outgoing {
+    /// Where to.
+    pub to: SocketAddr,
+    /// The message.
+    pub message: Message,
+}
+
+/// What is known of another node.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// The newest news.
+    pub update: Update,
+    /// Since when it has this state, here.
+    pub since: Instant,
+    /// When it was last heard itself.
+    pub heard: Option<Instant>,
+    /// What it last said of itself.
+    pub status: Status,
+    /// The VM list names it as leaving.
+    pub listed_leaving: bool,
+    /// The VM list has named it, and then no longer did.
+    pub unlisted: bool,
+}
+
+impl Peer {
+    /// Whether callers may be sent there.
+    pub fn takes_callers(&self) -> bool {
+        self.update.state == State::Serving && !self.listed_leaving
+    }
+
+    /// Whether it takes part in duties.
+    pub fn is_active(&self) -> bool {
+        matches!(self.update.state, State::Serving | State::Leaving | State::Joining)
+    }
+}
+
+/// One line of the platform's VM list.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Vm {
+    /// The VM, named as its node.
+    pub name: Name,
+    /// Where its node hears other nodes.
+    pub address: SocketAddr,
+    /// It is being taken away.
+    pub leaving: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Probe {
+    target: Name,
+    sequence: u64,
+    sent: Instant,
+    relayed: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Relay {
+    sequence: u64,
+    asker: SocketAddr,
+    asker_sequence: u64,
+    sent: Instant,
+}
+
+#[derive(Clone, Debug)]
+struct Rumour {
+    update: Update,
+    sent: u32,
+}
+
+/// What one node knows of all nodes.
+#[derive(Clone, Debug)]
+pub struct Members {
+    me: Update,
+    status: Status,
+    peers: BTreeMap<Name, Peer>,
+    seeds: Vec<SocketAddr>,
+    round: Vec<Name>,
+    probe: Option<Probe>,
+    relays: Vec<Relay>,
+    rumours: Vec<Rumour>,
+    sequence: u64,
+    last_tick: Option<Instant>,
+    last_probe: Option<Instant>,
+    last_heal: Option<Instant>,
+    active: usize,
+}
+
+impl Members {
+    /// The membership of a node that has just been started and knows the addresses of `seeds`.
+    pub fn new(me: Update, seeds: Vec<SocketAddr>) -> Self {
+        Self {
+            me,
+            status: Status::default(),
+            peers: BTreeMap::new(),
+            seeds,
+            round: Vec::new(),
+            probe: None,
+            relays: Vec::new(),
+            rumours: Vec::new(),
+            sequence: 0,
+            last_tick: None,
+            last_probe: None,
+            last_heal: None,
+            active: 0,
+        }
+    }
+
+    /// What this node says of itself.
+    pub fn me(&self) -> &Update {
+        &self.me
+    }
+
+    /// The other nodes, by name.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    /// Another node.
+    pub fn peer(&self, name: &Name) -> Option<&Peer> {
+        self.peers.get(name)
+    }
+
+    /// The names of the nodes that take part in duties, this one included.
+    pub fn active(&self) -> impl Iterator<Item = &Name> {
+        let peers = self.peers.values().filter(|p| p.is_active()).map(|p| &p.update.name);
+        std::iter::once(&self.me.name).chain(peers)
+    }
+
+    /// The names of the nodes that take callers; this one too if it does.
+    pub fn serving(&self) -> impl Iterator<Item = &Name> {
+        let me = (self.me.state == State::Serving).then_some(&self.me.name);
+        let peers = self.peers.values().filter(|p| p.takes_callers()).map(|p| &p.update.name);
+        me.into_iter().chain(peers)
+    }
+
+    /// Whether a node's process in this life is known to have ended: its VM has left the list, or
+    /// the node has been started again. Silence is no proof.
+    pub fn is_ended(&self, name: &Name, incarnation: Incarnation) -> bool {
+        if *name == self.me.name {
+            return incarnation < self.me.incarnation;
+        }
+        let Some(peer) = self.peers.get(name) else { return false };
+        let restarted = peer.update.incarnation > incarnation;
+        restarted || (peer.unlisted && peer.update.state == State::Gone)
+    }
+
+    /// Sets what this node says of itself with each message.
+    pub fn set_status(&mut self, status: Status) {
+        self.status = status;
+    }
+
+    /// Sets this node's own state and tells the others.
+    pub fn set_state(&mut self, state: State) {
+        if self.me.state == state {
+            return;
+        }
+        self.me.state = state;
+        self.announce();
+    }
+
+    fn announce(&mut self) {
+        self.me.serial += 1;
+        let me = self.me.clone();
+        self.spread(me);
+    }
+
+    /// Takes in the platform's list.
+    pub fn take_list(&mut self, now: Instant, vms: &[Vm]) {
+        for peer in self.peers.values_mut() {
+            let listed = vms.iter().find(|vm| vm.name == peer.update.name);
+            match listed {
+                Some(vm) => {
+                    peer.listed_leaving = vm.leaving;
+                    peer.unlisted = false;
+                }
+                None => peer.unlisted = true,
+            }
+        }
+        // A suspected node that is no longer listed need not be waited for.
+        let ended: Vec<Update> = self
+            .peers
+            .values()
+            .filter(|p| p.unlisted && p.update.state == State::Suspected)
+            .map(|p| Update { state: State::Gone, ..p.update.clone() })
+            .collect();
+        for update in ended {
+            self.learn(now, update);
+        }
+        let known = |vm: &&Vm| vm.name == self.me.name || self.peers.contains_key(&vm.name);
+        self.seeds = vms.iter().filter(|vm| !known(vm)).map(|vm| vm.address).collect();
+    }
+
+    /// What to send at `now`. Call it about ten times a second.
+    pub fn tick<R: Rng>(&mut self, now: Instant, rng: &mut R) -> Vec<Outgoing> {
+        let paused = self.last_tick.is_some_and(|last| now > last + PAUSE);
+        self.last_tick = Some(now);
+        if paused {
+            self.forgive(now);
+        }
+        self.active = self.active().count();
+        let mut out = Vec::new();
+        self.check_probe(now, rng, &mut out);
+        self.check_suspects(now);
+        self.relays.retain(|r| now < r.sent + PERIOD);
+        let due = self.last_probe.is_none_or(|last| now >= last + PERIOD);
+        if due && self.probe.is_none() {
+            self.last_probe = Some(now);
+            self.start_probe(now, rng, &mut out);
+        }
+        self.heal(now, rng, &mut out);
+        out
+    }
+
+    /// After a pause of this process: what it did not hear then says nothing about others.
+    fn forgive(&mut self, now: Instant) {
+        self.probe = None;
+        for peer in self.peers.values_mut() {
+            if peer.update.state == State::Suspected {
+                peer.since = now;
+            }
+        }
+    }
+
+    fn check_probe<R: Rng>(&mut self, now: Instant, rng: &mut R, out: &mut Vec<Outgoing>) {
+        let Some(probe) = self.probe.clone() else { return };
+        if now >= probe.sent + PERIOD {
+            self.probe = None;
+            self.suspect(now, &probe.target);
+        } else if !probe.relayed && now >= probe.sent + PROBE_TIMEOUT {
+            self.ask_helpers(&probe, rng, out);
+            self.probe = Some(Probe { relayed: true, ..probe });
+        }
+    }
+
+    fn ask_helpers<R: Rng>(&mut self, probe: &Probe, rng: &mut R, out: &mut Vec<Outgoing>) {
+        let Some(target) = self.peers.get(&probe.target) else { return };
+        let address = target.update.addresses.peer;
+        let mut helpers: Vec<SocketAddr> = self
+            .peers
+            .values()
+            .filter(|p| p.is_active() && p.update.name != probe.target)
+            .map(|p| p.update.addresses.peer)
+            .collect();
+        let (chosen, _) = helpers.partial_shuffle(rng, HELPERS);
+        let chosen: SmallVec<[SocketAddr; HELPERS]> = chosen.iter().copied().collect();
+        for to in chosen {
+            let purpose = Purpose::Relay { target: probe.target.clone(), address };
+            self.push(out, to, purpose, probe.sequence);
+        }
+    }
+
+    fn suspect(&mut self, now: Instant, name: &Name) {
+        let Some(peer) = self.peers.get(name) else { return };
+        if peer.is_active() {
+            let update = Update { state: State::Suspected, ..peer.update.clone() };
+            self.learn(now, update);
+        }
+    }
+
+    fn check_suspects(&mut self, now: Instant) {
+        let over = |p: &&Peer| p.update.state == State::Suspected && now >= p.since + SUSPICION;
+        let gone: Vec<Update> = self
+            .peers
+            .values()
+            .filter(over)
+            .map(|p| Update { state: State::Gone, ..p.update.clone() })
+            .collect();
+        for update in gone {
+            self.learn(now, update);
+        }
+        self.peers.retain(|_, p| p.update.state != State::Gone || now < p.since + REMEMBERED);
+    }
+
+    fn start_probe<R: Rng>(&mut self, now: Instant, rng: &mut R, out: &mut Vec<Outgoing>) {
+        if let Some(seed) = self.seeds.pop() {
+            // A seed has no name yet, so its silence is not held against it.
+            self.push(out, seed, Purpose::Ping, 0);
+        }
+        while let Some(target) = self.next_in_round(rng) {
+            let Some(peer) = self.peers.get(&target) else { continue };
+            if !peer.is_active() && peer.update.state != State::Suspected {
+                continue;
+            }
+            let to = peer.update.addresses.peer;
+            self.sequence += 1;
+            let sequence = self.sequence;
+            self.probe = Some(Probe { target, sequence, sent: now, relayed: false });
+            self.push(out, to, Purpose::Ping, sequence);
+            return;
+        }
+    }
+
+    fn next_in_round<R: Rng>(&mut self, rng: &mut R) -> Option<Name> {
+        if self.round.is_empty() {
+            self.round = self
+                .peers
+                .values()
+                .filter(|p| p.update.state != State::Gone)
+                .map(|p| p.update.name.clone())
+                .collect();
+            self.round.shuffle(rng);
+        }
+        self.round.pop()
+    }
+
+    fn heal<R: Rng>(&mut self, now: Instant, rng: &mut R, out: &mut Vec<Outgoing>) {
+        if self.last_heal.is_some_and(|last| now < last + HEAL_PERIOD) {
+            return;
+        }
+        self.last_heal = Some(now);
+        let gone: Vec<SocketAddr> = self
+            .peers
+            .values()
+            .filter(|p| p.update.state == State::Gone && !p.unlisted)
+            .map(|p| p.update.addresses.peer)
+            .collect();
+        if !gone.is_empty() {
+            let to = gone[rng.random_range(0..gone.len())];
+            self.push(out, to, Purpose::Ping, 0);
+        }
+    }
+
+    fn push(&mut self, out: &mut Vec<Outgoing>, to: SocketAddr, purpose: Purpose, sequence: u64) {
+        let message = self.message(purpose, sequence);
+        out.push(Outgoing { to, message });
+    }
+
+    fn message(&mut self, purpose: Purpose, sequence: u64) -> Message {
+        let news = self.pick_news();
+        Message { purpose, sequence, from: self.me.name.clone(), status: self.status, news }
+    }
+
+    /// This node's own news first, so that a stranger learns who speaks; then the news that has
+    /// been passed on least.
+    fn pick_news(&mut self) -> SmallVec<[Update; NEWS]> {
+        let mut news = SmallVec::new();
+        news.push(self.me.clone());
+        let limit = REPEATS * (usize::BITS - self.active.leading_zeros()).max(1);
+        self.rumours.sort_by_key(|r| r.sent);
+        for rumour in self.rumours.iter_mut().take(NEWS - 1) {
+            rumour.sent += 1;
+            news.push(rumour.update.clone());
+        }
+        self.rumours.retain(|r| r.sent < limit);
+        news
+    }
+
+    fn spread(&mut self, update: Update) {
+        self.rumours.retain(|r| r.update.name != update.name);
+        self.rumours.push(Rumour { update, sent: 0 });
+    }
+
+    /// Messages that carry news at once to `count` nodes drawn at random, as when a new generation
+    /// is in force here.
+    pub fn tell<R: Rng>(&mut self, count: usize, rng: &mut R) -> Vec<Outgoing> {
+        let mut targets: Vec<SocketAddr> = self
+            .peers
+            .values()
+            .filter(|p| p.is_active())
+            .map(|p| p.update.addresses.peer)
+            .collect();
+        let (chosen, _) = targets.partial_shuffle(rng, count);
+        let chosen: SmallVec<[SocketAddr; 8]> = chosen.iter().copied().collect();
+        let mut out = Vec::new();
+        for to in chosen {
+            self.push(&mut out, to, Purpose::News, 0);
+        }
+        out
+    }
+
+    /// Takes in a message that came from `source`.
+    pub fn receive(&mut self, now: Instant, source: SocketAddr, message: Message) -> Vec<Outgoing> {
+        let mut out = Vec::new();
+        for update in message.news {
+            self.learn(now, update);
+        }
+        if let Some(peer) = self.peers.get_mut(&message.from) {
+            peer.heard = Some(now);
+            peer.status = message.status;
+        }
+        match message.purpose {
+            Purpose::Ping => self.push(&mut out, source, Purpose::Ack, message.sequence),
+            Purpose::Ack => self.take_ack(&message.from, message.sequence, &mut out),
+            Purpose::Relay { address, .. } => {
+                self.sequence += 1;
+                let sequence = self.sequence;
+                self.relays.push(Relay {
+                    sequence,
+                    asker: source,
+                    asker_sequence: message.sequence,
+                    sent: now,
+                });
+                self.push(&mut out, address, Purpose::Ping, sequence);
+            }
+            Purpose::News => {}
+        }
+        out
+    }
+
+    fn take_ack(&mut self, from: &Name, sequence: u64, out: &mut Vec<Outgoing>) {
+        if self.probe.as_ref().is_some_and(|p| p.sequence == sequence) {
+            self.probe = None;
+            return;
+        }
+        // An ack to a ping that was sent for another node is passed on under its own sequence.
+        let Some(at) = self.relays.iter().position(|r| r.sequence == sequence) else { return };
+        let relay = self.relays.swap_remove(at);
+        debug_assert_ne!(*from, self.me.name);
+        self.push(out, relay.asker, Purpose::Ack, relay.asker_sequence);
+    }
+
+    /// Takes in a whole list of nodes, as a node that joins gets it from the first it reaches.
+    pub fn take_all(&mut self, now: Instant, updates: Vec<Update>) {
+        for update in updates {
+            self.learn(now, update);
+        }
+    }
+
+    /// All that this node knows, for one that joins.
+    pub fn all(&self) -> Vec<Update> {
+        let peers = self.peers.values().map(|p| p.update.clone());
+        std::iter::once(self.me.clone()).chain(peers).collect()
+    }
+
+    fn learn(&mut self, now: Instant, update: Update) {
+        if update.name == self.me.name {
+            self.object(&update);
+            return;
+        }
+        let Some(peer) = self.peers.get_mut(&update.name) else {
+            // A node that is first heard of as gone is not worth remembering.
+            if update.state != State::Gone {
+                let peer = Peer {
+                    update: update.clone(),
+                    since: now,
+                    heard: None,
+                    status: Status::default(),
+                    listed_leaving: false,
+                    unlisted: false,
+                };
+                self.peers.insert(update.name.clone(), peer);
+                self.spread(update);
+            }
+            return;
+        };
+        if update.outweighs(&peer.update) {
+            if update.state != peer.update.state || update.incarnation != peer.update.incarnation {
+                peer.since = now;
+            }
+            peer.update = update.clone();
+            self.spread(update);
+        }
+    }
+
+    /// Contradicts news that takes this life of this node for suspected or gone.
+    fn object(&mut self, update: &Update) {
+        let same_life = update.incarnation == self.me.incarnation;
+        if same_life && update.state >= State::Suspected && update.serial >= self.me.serial {
+            self.me.serial = update.serial;
+            self.announce();
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/owner.rs
@@ -0,0 +1,176 @@
+//! Which node owns a request key.
+//!
+//! A request that must not run twice carries a key. Each key has exactly one owner in history: the
+//! owner is worked out from the key and the *birth version*, the version of the owner table that
+//! was in force when the caller looked up its addresses for the first attempt. The member list of
+//! a version never changes once the platform's store has accepted it, so no two nodes can both
+//! own a key, whatever they believe about each other, and no lease or clock is needed.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::hash::{place, rendezvous};
+use crate::id::{Incarnation, Name, Version};
+
+const KEY_SEED: u64 = 0x6f77_6e65;
+
+/// One life of a node, as the owner of keys.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct Member {
+    /// The node.
+    pub name: Name,
+    /// Its life: a node that was started again has lost its records and is another member.
+    pub incarnation: Incarnation,
+    /// Where other nodes reach it.
+    pub address: SocketAddr,
+}
+
+/// The members of one version.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Roll {
+    /// The version.
+    pub version: Version,
+    /// Its members, sorted.
+    pub members: Arc<Vec<Member>>,
+}
+
+/// The versions that are still of use, oldest first. Kept in one object of the store.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(try_from = "Stored", into = "Stored")]
+pub struct Table {
+    /// The rolls, with versions that follow one another.
+    pub rolls: VecDeque<Roll>,
+}
+
+/// How many versions are kept. A key whose birth version is older is refused. The table's writer
+/// adds a version at most every [`SHORTEST_STEP`], so a key lives for two minutes at the least.
+pub const KEPT: usize = 24;
+
+/// The shortest time between two versions.
+pub const SHORTEST_STEP: Duration = Duration::from_secs(5);
+
+/// The longest time between two versions: without new ones, old records would never be dropped.
+pub const LONGEST_STEP: Duration = Duration::from_secs(120);
+
+/// The table as it is written: each member once, and the rolls by their places. At 550 members and
+/// 24 versions this is some 120 KB, where whole rolls would exceed the platform's megabyte.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Stored {
+    members: Vec<Member>,
+    rolls: Vec<StoredRoll>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct StoredRoll {
+    version: Version,
+    members: Vec<u32>,
+}
+
+/// A stored table that names members it does not have, or whose versions do not follow one another.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("the table of owners is damaged at version {0}")]
+pub struct TableError(pub Version);
+
+impl From<Table> for Stored {
+    fn from(table: Table) -> Self {
+        let mut places: BTreeMap<&Member, u32> = BTreeMap::new();
+        for member in table.rolls.iter().flat_map(|r| r.members.iter()) {
+            let next = places.len() as u32;
+            places.entry(member).or_insert(next);
+        }
+        let roll = |r: &Roll| StoredRoll {
+            version: r.version,
+            members: r.members.iter().map(|m| places[m]).collect(),
+        };
+        let rolls = table.rolls.iter().map(roll).collect();
+        let mut ranked: Vec<(&Member, u32)> = places.into_iter().collect();
+        ranked.sort_by_key(|(_, place)| *place);
+        Self { members: ranked.into_iter().map(|(m, _)| m.clone()).collect(), rolls }
+    }
+}
+
+impl TryFrom<Stored> for Table {
+    type Error = TableError;
+
+    fn try_from(stored: Stored) -> Result<Self, TableError> {
+        let mut rolls: VecDeque<Roll> = VecDeque::new();
+        for roll in stored.rolls {
+            let follows = rolls.back().is_none_or(|last| last.version.next() == roll.version);
+            let found = |at: &u32| stored.members.get(*at as usize).cloned();
+            let members: Option<Vec<Member>> = roll.members.iter().map(found).collect();
+            let members = members.filter(|_| follows).ok_or(TableError(roll.version))?;
+            rolls.push_back(Roll { version: roll.version, members: Arc::new(members) });
+        }
+        Ok(Self { rolls })
+    }
+}
+
+impl Table {
+    /// The newest version, or nought for an empty table.
+    pub fn newest(&self) -> Version {
+        self.rolls.back().map_or(Version(0), |r| r.version)
+    }
+
+    /// The oldest version that is kept.
+    pub fn floor(&self) -> Version {
+        self.rolls.front().map_or(Version(0), |r| r.version)
+    }
+
+    /// The roll of a version.
+    pub fn roll(&self, version: Version) -> Option<&Roll> {
+        let first = self.floor().0;
+        let at = version.0.checked_sub(first)?;
+        self.rolls.get(usize::try_from(at).ok()?)
+    }
+
+    /// The owner of a key that was born under `version`.
+    pub fn owner(&self, key: &str, version: Version) -> Option<&Member> {
+        let hash = place(KEY_SEED, key.as_bytes());
+        let members = &self.roll(version)?.members;
+        members.iter().max_by_key(|m| rendezvous(hash, m.name.as_str().as_bytes()))
+    }
+
+    /// The table with one more version.
+    pub fn follow(&self, mut members: Vec<Member>) -> Self {
+        members.sort();
+        let mut rolls = self.rolls.clone();
+        rolls.push_back(Roll { version: self.newest().next(), members: Arc::new(members) });
+        while rolls.len() > KEPT {
+            rolls.pop_front();
+        }
+        Self { rolls }
+    }
+
+    /// The versions after `since` only.
+    pub fn after(&self, since: Version) -> Self {
+        Self { rolls: self.rolls.iter().filter(|r| r.version > since).cloned().collect() }
+    }
+
+    /// Takes in newer versions. Those of `other` that do not follow on are left out, unless it
+    /// goes back as far as a whole table does.
+    pub fn merge(&self, other: &Table) -> Self {
+        if other.newest() <= self.newest() {
+            return self.clone();
+        }
+        if self.rolls.is_empty() || other.floor() > self.newest().next() {
+            return other.clone();
+        }
+        let newer = other.after(self.newest());
+        let mut rolls = self.rolls.clone();
+        rolls.extend(newer.rolls);
+        while rolls.len() > KEPT {
+            rolls.pop_front();
+        }
+        Self { rolls }
+    }
+
+    /// The members of the newest version.
+    pub fn members(&self) -> &[Member] {
+        self.rolls.back().map(|r| r.members.as_slice()).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/lib/src/runner.rs
@@ -0,0 +1,212 @@
+//! What a node knows of the runners of one service: their late reports, corrected by what it sent
+//! them since.
+
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::config::object::{Admission, Role};
+use crate::hash::place;
+use crate::id::Name;
+use crate::unit::{TokenRate, Tokens};
+
+/// How many prompt prefixes are remembered for each runner.
+pub const HINTS: usize = 64;
+
+/// How long a cache hint is believed without being renewed.
+pub const HINT_LIFE: Duration = Duration::from_secs(60);
+
+const PREFIX_SEED: u64 = 0x7072_6566;
+
+/// The rates that are assumed until a runner has reported its own.
+pub const DEFAULT_PREFILL_RATE: TokenRate = TokenRate(8_000);
+/// As [`DEFAULT_PREFILL_RATE`], for the output tokens of one request.
+pub const DEFAULT_DECODE_RATE: TokenRate = TokenRate(40);
+
+/// The hash of the start of a prompt, by which cached prompts are found again.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Prefix(pub u64);
+
+/// How many bytes of a prompt are hashed: long enough to tell brand manuals apart.
+pub const PREFIX_BYTES: usize = 512;
+
+impl Prefix {
+    /// The prefix of a prompt.
+    pub fn of(prompt: &str) -> Self {
+        let end = prompt.len().min(PREFIX_BYTES);
+        Self(place(PREFIX_SEED, &prompt.as_bytes()[..end]))
+    }
+}
+
+/// What a request asks of a runner.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Work {
+    /// The prompt's length.
+    pub prompt: Tokens,
+    /// The expected length of the output.
+    pub output: Tokens,
+    /// The start of the prompt.
+    pub prefix: Prefix,
+    /// How much of the prompt a runner with this prefix has cached.
+    pub cached: Tokens,
+}
+
+/// A runner's own word of its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Requests under way.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Prompt tokens not yet processed.
+    pub backlog: Tokens,
+    /// Prompt tokens it processes a second.
+    pub prefill_rate: TokenRate,
+    /// Output tokens a second of one request.
+    pub decode_rate: TokenRate,
+    /// The role it works in.
+    pub role: Role,
+    /// It wants no new work.
+    pub leaving: bool,
+}
+
+/// A remembered prompt prefix.
+#[derive(Clone, Copy, Debug)]
+struct Hint {
+    prefix: Prefix,
+    at: Instant,
+}
+
+/// What a node knows of one runner.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// Its name.
+    pub name: Name,
+    /// What operators want of it.
+    pub state: Admission,
+    /// It said itself that it leaves, or refused work as one that leaves.
+    pub leaving: bool,
+    /// Until when it is left alone after a fault.
+    pub avoid_until: Option<Instant>,
+    /// Faults one after the other.
+    pub faults: u32,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// Its last report.
+    pub report: Report,
+    /// When the report was true.
+    pub reported: Option<Instant>,
+    /// Requests of this node that it has.
+    pub in_flight: u32,
+    /// Requests that this node has sent it since the report.
+    pub sent: u32,
+    /// Prompt tokens that this node has sent it since the report.
+    pub sent_tokens: u32,
+    hints: SmallVec<[Hint; 4]>,
+}
+
+/// How long a runner is left alone after its first fault; it doubles with each further one.
+pub const FIRST_AVOID: Duration = Duration::from_millis(500);
+/// The longest time a runner is left alone.
+pub const LONGEST_AVOID: Duration = Duration::from_secs(15);
+
+impl View {
+    /// A runner of which nothing has been heard yet.
+    pub fn new(name: Name, slots: u32, state: Admission) -> Self {
+        Self {
+            name,
+            state,
+            leaving: false,
+            avoid_until: None,
+            faults: 0,
+            slots,
+            report: Report {
+                prefill_rate: DEFAULT_PREFILL_RATE,
+                decode_rate: DEFAULT_DECODE_RATE,
+                ..Report::default()
+            },
+            reported: None,
+            in_flight: 0,
+            sent: 0,
+            sent_tokens: 0,
+            hints: SmallVec::new(),
+        }
+    }
+
+    /// Whether new work may go there at `now`.
+    pub fn takes_work(&self, now: Instant) -> bool {
+        let avoided = self.avoid_until.is_some_and(|until| now < until);
+        self.state == Admission::Ready && !self.leaving && !avoided
+    }
+
+    /// Takes in a report that was true at `at`. An older report than the last is left out, so
+    /// that reports that overtake one another cannot bring an old load back.
+    pub fn take_report(&mut self, at: Instant, report: Report) -> bool {
+        if self.reported.is_some_and(|last| at <= last) {
+            return false;
+        }
+        self.report = report;
+        self.reported = Some(at);
+        self.leaving = report.leaving;
+        self.sent = 0;
+        self.sent_tokens = 0;
+        true
+    }
+
+    /// Notes that work went there.
+    pub fn note_sent(&mut self, work: &Work) {
+        self.in_flight += 1;
+        self.sent += 1;
+        self.sent_tokens = self.sent_tokens.saturating_add(work.prompt.0);
+    }
+
+    /// Notes that a request ended well.
+    pub fn note_done(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.faults = 0;
+        self.avoid_until = None;
+    }
+
+    /// Notes that a request ended without blame, such as one that its caller gave up.
+    pub fn note_ended(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Notes a fault, after which the runner is left alone for a while.
+    pub fn note_fault(&mut self, now: Instant) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        let factor = 1 << self.faults.min(8);
+        self.faults += 1;
+        self.avoid_until = Some(now + (FIRST_AVOID * factor).min(LONGEST_AVOID));
+    }
+
+    /// Notes that the runner has this prefix cached.
+    pub fn note_cached(&mut self, prefix: Prefix, at: Instant) {
+        match self.hints.iter_mut().find(|h| h.prefix == prefix) {
+            Some(hint) => hint.at = at,
+            None => {
+                if self.hints.len() >= HINTS {
+                    self.hints.remove(0);
+                }
+                self.hints.push(Hint { prefix, at });
+            }
+        }
+    }
+
+    /// Notes that the runner has dropped this prefix.
+    pub fn note_evicted(&mut self, prefix: Prefix) {
+        self.hints.retain(|h| h.prefix != prefix);
+    }
+
+    /// Whether the runner probably still has this prefix.
+    pub fn has_cached(&self, prefix: Prefix, now: Instant) -> bool {
+        let fresh = |h: &Hint| now.saturating_duration_since(h.at) < HINT_LIFE;
+        self.hints.iter().any(|h| h.prefix == prefix && fresh(h))
+    }
+
+    /// The age of the last report.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.reported.map(|at| now.saturating_duration_since(at))
+    }
+}
--- /dev/null
+++ b/lib/src/supply.rs
@@ -0,0 +1,43 @@
+//! Which nodes use a runner, and which of them observes its load for the others.
+//!
+//! If every node heard of all 1,600 runners each second, reports of some 24 bytes would come to
+//! 38 KB/s, three times what a node may spend. So each runner is used by a fixed number of nodes,
+//! drawn by rendezvous hashing; the first of them asks the runner for its load and passes it on to
+//! the others. When a node comes or goes, only its own places move.
+
+use crate::hash::{place, rendezvous};
+use crate::id::Name;
+
+/// How many nodes use one runner. With 550 nodes and 1,600 runners a node uses 64 runners.
+pub const SHARERS: usize = 22;
+
+const SUPPLY_SEED: u64 = 0x7375_7070;
+
+/// The nodes that use `runner`, the observer first. `out` is emptied and filled, so that the
+/// caller can keep its storage.
+pub fn sharers<'a>(runner: &Name, nodes: &'a [Name], out: &mut Vec<&'a Name>) {
+    let duty = place(SUPPLY_SEED, runner.as_str().as_bytes());
+    out.clear();
+    out.extend(nodes.iter());
+    out.sort_by_cached_key(|n| std::cmp::Reverse(rendezvous(duty, n.as_str().as_bytes())));
+    out.truncate(SHARERS);
+}
+
+/// The node that has a duty among `nodes`, by rendezvous hashing.
+pub fn holder<'a>(duty: &str, nodes: impl Iterator<Item = &'a Name>) -> Option<&'a Name> {
+    let duty = place(SUPPLY_SEED, duty.as_bytes());
+    nodes.max_by_key(|n| rendezvous(duty, n.as_str().as_bytes()))
+}
+
+/// The first `count` nodes for a duty, the first in charge.
+pub fn holders<'a>(
+    duty: &str,
+    nodes: impl Iterator<Item = &'a Name>,
+    count: usize,
+) -> Vec<&'a Name> {
+    let duty = place(SUPPLY_SEED, duty.as_bytes());
+    let mut ranked: Vec<&Name> = nodes.collect();
+    ranked.sort_by_cached_key(|n| std::cmp::Reverse(rendezvous(duty, n.as_str().as_bytes())));
+    ranked.truncate(count);
+    ranked
+}
