--- /dev/null
+++ b/wire/src/gossip.rs
@@ -0,0 +1,143 @@
+//! Datagrams of the membership.
+
+use std::net::SocketAddr;
+
+use prost::Message as _;
+use sardinepick_lib::id::{Generation, Incarnation, Name, Version};
+use sardinepick_lib::member::{Addresses, Message, Purpose, State, Status, Update};
+
+use crate::error::WireError;
+use crate::generated as pb;
+
+/// What a datagram carries.
+#[derive(Clone, Debug)]
+pub enum Datagram {
+    /// A message of the membership.
+    Gossip(Box<Message>),
+    /// Loads of runners.
+    Loads(Vec<crate::load::Load>),
+}
+
+impl Datagram {
+    /// The datagram as bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        let body = match self {
+            Datagram::Gossip(message) => pb::datagram::Body::Gossip(message.as_ref().into()),
+            Datagram::Loads(loads) => pb::datagram::Body::Loads(pb::Loads {
+                loads: loads.iter().map(pb::Load::from).collect(),
+            }),
+        };
+        pb::Datagram { body: Some(body) }.encode_to_vec()
+    }
+
+    /// Reads a datagram.
+    ///
+    /// # Errors
+    /// The bytes are not one, or it says what it may not.
+    pub fn decode(bytes: &[u8]) -> Result<Self, WireError> {
+        let datagram =
+            pb::Datagram::decode(bytes).map_err(|error| WireError::Decode(error.to_string()))?;
+        match datagram.body.ok_or(WireError::Missing("body"))? {
+            pb::datagram::Body::Gossip(gossip) => {
+                gossip.try_into().map(Box::new).map(Datagram::Gossip)
+            }
+            pb::datagram::Body::Loads(loads) => {
+                let loads = loads.loads.into_iter().map(TryInto::try_into);
+                loads.collect::<Result<_, _>>().map(Datagram::Loads)
+            }
+        }
+    }
+}
+
+fn name(text: &str) -> Result<Name, WireError> {
+    text.parse().map_err(|_| WireError::Value("name"))
+}
+
+fn address(text: &str) -> Result<SocketAddr, WireError> {
+    text.parse().map_err(|_| WireError::Value("address"))
+}
+
+impl From<&Update> for pb::Update {
+    fn from(update: &Update) -> Self {
+        Self {
+            name: update.name.to_string(),
+            incarnation: update.incarnation.0,
+            serial: update.serial,
+            state: update.state as u32,
+            peer_address: update.addresses.peer.to_string(),
+            front_address: update.addresses.front.to_string(),
+            data_centre: update.data_centre.to_string(),
+        }
+    }
+}
+
+impl TryFrom<pb::Update> for Update {
+    type Error = WireError;
+
+    fn try_from(update: pb::Update) -> Result<Self, WireError> {
+        let state = u8::try_from(update.state).ok().and_then(State::from_repr);
+        Ok(Self {
+            name: name(&update.name)?,
+            incarnation: Incarnation(update.incarnation),
+            serial: update.serial,
+            state: state.ok_or(WireError::Value("state"))?,
+            addresses: Addresses {
+                peer: address(&update.peer_address)?,
+                front: address(&update.front_address)?,
+            },
+            data_centre: name(&update.data_centre)?,
+        })
+    }
+}
+
+impl From<&Message> for pb::Gossip {
+    fn from(message: &Message) -> Self {
+        let (purpose, target, relay) = match &message.purpose {
+            Purpose::Ping => (pb::Purpose::Ping, String::new(), String::new()),
+            Purpose::Ack => (pb::Purpose::Ack, String::new(), String::new()),
+            Purpose::News => (pb::Purpose::News, String::new(), String::new()),
+            Purpose::Relay { target, address } => {
+                (pb::Purpose::Relay, target.to_string(), address.to_string())
+            }
+        };
+        Self {
+            purpose: purpose.into(),
+            sequence: message.sequence,
+            from: message.from.to_string(),
+            generation: message.status.generation.0,
+            load: message.status.load,
+            table: message.status.table.0,
+            relay_target: target,
+            relay_address: relay,
+            news: message.news.iter().map(pb::Update::from).collect(),
+        }
+    }
+}
+
+impl TryFrom<pb::Gossip> for Message {
+    type Error = WireError;
+
+    fn try_from(gossip: pb::Gossip) -> Result<Self, WireError> {
+        let purpose = match gossip.purpose() {
+            pb::Purpose::Ping => Purpose::Ping,
+            pb::Purpose::Ack => Purpose::Ack,
+            pb::Purpose::News => Purpose::News,
+            pb::Purpose::Relay => Purpose::Relay {
+                target: name(&gossip.relay_target)?,
+                address: address(&gossip.relay_address)?,
+            },
+            pb::Purpose::Unspecified => return Err(WireError::Missing("purpose")),
+        };
+        Ok(Self {
+            purpose,
+            sequence: gossip.sequence,
+            from: name(&gossip.from)?,
+            status: Status {
+                generation: Generation(gossip.generation),
+                table: Version(gossip.table),
+                load: gossip.load,
+            },
+            news: gossip.news.into_iter().map(TryInto::try_into).collect::<Result<_, _>>()?,
+        })
+    }
+}
--- /dev/null
+++ b/wire/src/lib.rs
@@ -0,0 +1,15 @@
+//! Messages between the nodes of sardinepick, and their conversion to and from the core's types.
+
+/// The code generated from `proto/peer.proto`.
+#[allow(clippy::all, clippy::pedantic, missing_docs)]
+pub mod generated {
+    include!("generated/sardinepick.wire.rs");
+}
+
+pub mod claim;
+pub mod error;
+pub mod gossip;
+pub mod load;
+
+pub use generated::peers_client::PeersClient;
+pub use generated::peers_server::{Peers, PeersServer};
