--- /dev/null
+++ b/node/src/lib.rs
@@ -0,0 +1,22 @@
+//! A node of sardinepick: sockets, timers and the platform around the core.
+
+pub mod authority;
+pub mod claims;
+pub mod clock;
+pub mod configuration;
+pub mod dump;
+pub mod explain;
+pub mod front;
+pub mod logging;
+pub mod metrics;
+pub mod node;
+pub mod path;
+pub mod peer;
+pub mod pool;
+pub mod rows;
+pub mod run;
+pub mod settings;
+pub mod store;
+pub mod tables;
+pub mod upstream;
+pub mod write;
--- /dev/null
+++ b/node/src/main.rs
@@ -0,0 +1,97 @@
+//! `sardinepickd`, a node of sardinepick.
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use getopts::Options;
+use sardinepick_node::clock::Boot;
+use sardinepick_node::settings::Settings;
+use sardinepick_node::{logging, run};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// The exit code for a wrong call, as in BSD's sysexits.
+const USAGE: u8 = 64;
+/// The exit code for wrong settings.
+const CONFIG: u8 = 78;
+/// The exit code for an address that cannot be had.
+const UNAVAILABLE: u8 = 69;
+/// The exit code after requests were cut.
+const CUT: u8 = 75;
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("s", "settings", "the settings file", "FILE");
+    options.optflag("c", "check", "check the settings and end");
+    options.optflag("h", "help", "print this help");
+    options.optflag("V", "version", "print the version");
+    options
+}
+
+fn main() -> ExitCode {
+    let options = options();
+    let matches = match options.parse(std::env::args().skip(1)) {
+        Ok(matches) => matches,
+        Err(error) => {
+            eprintln!("sardinepickd: {error}; see --help");
+            return ExitCode::from(USAGE);
+        }
+    };
+    if matches.opt_present("help") {
+        print!("{}", options.usage("Usage: sardinepickd --settings FILE"));
+        return ExitCode::SUCCESS;
+    }
+    if matches.opt_present("version") {
+        println!("sardinepickd {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(file) = matches.opt_str("settings") else {
+        eprintln!("sardinepickd: --settings FILE is needed; see --help");
+        return ExitCode::from(USAGE);
+    };
+    let settings = match Settings::read(Path::new(&file)) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(CONFIG);
+        }
+    };
+    if matches.opt_present("check") {
+        println!("{file}: the settings are right");
+        return ExitCode::SUCCESS;
+    }
+    logging::start(settings.log_level, settings.log_format);
+    match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime.block_on(serve(settings)),
+        Err(error) => {
+            eprintln!("sardinepickd: starting the runtime: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Waits for the next signal that asks the process to end.
+async fn asked(terminate: &mut Signal, interrupt: &mut Signal) {
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
+async fn serve(settings: Settings) -> ExitCode {
+    let signals = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
+    let (Ok(mut terminate), Ok(mut interrupt)) = signals else {
+        eprintln!("sardinepickd: cannot listen for signals");
+        return ExitCode::FAILURE;
+    };
+    let running = match run::start(settings, Arc::new(Boot::default())).await {
+        Ok(running) => running,
+        Err(error) => {
+            eprintln!("sardinepickd: {error}");
+            return ExitCode::from(UNAVAILABLE);
+        }
+    };
+    asked(&mut terminate, &mut interrupt).await;
+    let stopped = running.stop(asked(&mut terminate, &mut interrupt)).await;
+    if stopped.cut > 0 { ExitCode::from(CUT) } else { ExitCode::SUCCESS }
+}
--- /dev/null
+++ b/node/src/peer/client.rs
@@ -0,0 +1,239 @@
+//! Calls to other nodes.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use prost::Message as _;
+use sardinepick_lib::claim::{Claim, Verdict};
+use sardinepick_lib::config::chunk::Chunk;
+use sardinepick_lib::config::head::Head;
+use sardinepick_lib::hash::Digest;
+use sardinepick_lib::id::{Generation, Version};
+use sardinepick_lib::member::Update;
+use sardinepick_lib::owner::Table;
+use sardinepick_wire::error::WireError;
+use sardinepick_wire::{PeersClient, generated as pb};
+use strum::{Display, IntoStaticStr};
+use thiserror::Error;
+use tonic::transport::{Channel, Endpoint};
+
+use crate::metrics::Metrics;
+
+/// How long a call to another node may take.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The largest message that is taken, in bytes: a handful of chunks.
+pub const MAX_MESSAGE: usize = 8 << 20;
+
+/// A step of the work with another node.
+#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Step {
+    /// Claiming a key.
+    Claim,
+    /// Telling what came of a claim.
+    End,
+    /// Fetching the head.
+    Head,
+    /// Fetching chunks.
+    Chunks,
+    /// Fetching the membership.
+    Members,
+    /// Fetching live rows.
+    Rows,
+    /// Fetching newer versions of the table of owners.
+    Table,
+    /// Asking for the generation.
+    Status,
+}
+
+/// Why a call to another node failed.
+#[derive(Debug, Error)]
+pub enum PeerError {
+    /// The call failed; the other node may have acted on it.
+    #[error("{step} at {peer}: {status}")]
+    Call {
+        /// The step.
+        step: Step,
+        /// The other node.
+        peer: SocketAddr,
+        /// What the transport says.
+        status: Box<tonic::Status>,
+    },
+    /// The answer does not say what it should.
+    #[error("{step} at {peer}: {source}")]
+    Answer {
+        /// The step.
+        step: Step,
+        /// The other node.
+        peer: SocketAddr,
+        /// What is wrong with it.
+        source: WireError,
+    },
+}
+
+/// Connections to other nodes, made when they are first used.
+#[derive(Debug)]
+pub struct Peers {
+    channels: Mutex<HashMap<SocketAddr, Channel>>,
+    metrics: Metrics,
+}
+
+impl Peers {
+    /// No connections yet.
+    pub fn new(metrics: Metrics) -> Self {
+        Self { channels: Mutex::new(HashMap::new()), metrics }
+    }
+
+    fn client(&self, peer: SocketAddr) -> PeersClient<Channel> {
+        let mut channels = self.channels.lock().expect("no holder of the channels' lock panics");
+        let channel = channels.entry(peer).or_insert_with(|| {
+            Endpoint::from_shared(format!("http://{peer}"))
+                .expect("a socket address makes a URI")
+                .connect_timeout(CALL_TIMEOUT)
+                .timeout(CALL_TIMEOUT)
+                .tcp_nodelay(true)
+                .connect_lazy()
+        });
+        PeersClient::new(channel.clone()).max_decoding_message_size(MAX_MESSAGE)
+    }
+
+    /// Forgets connections to nodes that are not among `known`.
+    pub fn keep_only(&self, known: &[SocketAddr]) {
+        let mut channels = self.channels.lock().expect("no holder of the channels' lock panics");
+        channels.retain(|address, _| known.contains(address));
+    }
+
+    fn count(&self, step: Step, sent: usize, received: usize) {
+        let kind: &str = step.into();
+        let bytes = &self.metrics.peer_bytes;
+        bytes.with_label_values(&[kind, "out"]).inc_by(sent as u64);
+        bytes.with_label_values(&[kind, "in"]).inc_by(received as u64);
+    }
+
+    fn settle<T: prost::Message>(
+        &self,
+        step: Step,
+        peer: SocketAddr,
+        sent: usize,
+        result: Result<tonic::Response<T>, tonic::Status>,
+    ) -> Result<T, PeerError> {
+        match result {
+            Ok(response) => {
+                let message = response.into_inner();
+                self.count(step, sent, message.encoded_len());
+                Ok(message)
+            }
+            Err(status) => {
+                self.count(step, sent, 0);
+                Err(PeerError::Call { step, peer, status: Box::new(status) })
+            }
+        }
+    }
+
+    /// Claims a key at its owner.
+    ///
+    /// # Errors
+    /// The owner may have granted the claim without our knowing.
+    pub async fn claim(&self, peer: SocketAddr, claim: &Claim) -> Result<Verdict, PeerError> {
+        let request = pb::ClaimRequest::from(claim);
+        let sent = request.encoded_len();
+        let result = self.client(peer).claim(request).await;
+        let reply = self.settle(Step::Claim, peer, sent, result)?;
+        reply.try_into().map_err(|source| PeerError::Answer { step: Step::Claim, peer, source })
+    }
+
+    /// Tells a key's owner what came of a claim.
+    ///
+    /// # Errors
+    /// The owner may not know.
+    pub async fn end(&self, peer: SocketAddr, request: pb::EndRequest) -> Result<(), PeerError> {
+        let sent = request.encoded_len();
+        let result = self.client(peer).end(request).await;
+        self.settle(Step::End, peer, sent, result).map(|_| ())
+    }
+
+    /// Fetches the head that is in force at another node.
+    ///
+    /// # Errors
+    /// The node does not answer, or not with a head.
+    pub async fn head(&self, peer: SocketAddr) -> Result<Head, PeerError> {
+        let result = self.client(peer).head(pb::Empty {}).await;
+        let reply = self.settle(Step::Head, peer, 0, result)?;
+        serde_json::from_slice(&reply.head).map_err(|error| PeerError::Answer {
+            step: Step::Head,
+            peer,
+            source: WireError::Decode(error.to_string()),
+        })
+    }
+
+    /// Fetches chunks; those that the node does not have are left out.
+    ///
+    /// # Errors
+    /// The node does not answer, or with other bytes than were asked for.
+    pub async fn chunks(
+        &self,
+        peer: SocketAddr,
+        digests: &[Digest],
+    ) -> Result<Vec<Chunk>, PeerError> {
+        let digests: Vec<Vec<u8>> = digests.iter().map(|d| d.0.to_vec()).collect();
+        let request = pb::ChunksRequest { digests };
+        let sent = request.encoded_len();
+        let result = self.client(peer).chunks(request).await;
+        let reply = self.settle(Step::Chunks, peer, sent, result)?;
+        Ok(reply.chunks.into_iter().map(Chunk::new).collect())
+    }
+
+    /// Fetches the membership as another node knows it.
+    ///
+    /// # Errors
+    /// The node does not answer, or with news that are not.
+    pub async fn members(&self, peer: SocketAddr) -> Result<Vec<Update>, PeerError> {
+        let result = self.client(peer).members(pb::Empty {}).await;
+        let reply = self.settle(Step::Members, peer, 0, result)?;
+        let members = reply.members.into_iter().map(TryInto::try_into);
+        members.collect::<Result<_, _>>().map_err(|source| PeerError::Answer {
+            step: Step::Members,
+            peer,
+            source,
+        })
+    }
+
+    /// Fetches live rows of a subject.
+    ///
+    /// # Errors
+    /// The node does not answer.
+    pub async fn rows(&self, peer: SocketAddr, subject: &str) -> Result<Vec<pb::Row>, PeerError> {
+        let request = pb::RowsRequest { subject: subject.to_owned() };
+        let sent = request.encoded_len();
+        let result = self.client(peer).rows(request).await;
+        self.settle(Step::Rows, peer, sent, result).map(|reply| reply.rows)
+    }
+
+    /// Fetches the versions of the table of owners after `since`.
+    ///
+    /// # Errors
+    /// The node does not answer, or not with a table.
+    pub async fn table(&self, peer: SocketAddr, since: Version) -> Result<Table, PeerError> {
+        let request = pb::TableRequest { since: since.0 };
+        let sent = request.encoded_len();
+        let result = self.client(peer).table(request).await;
+        let reply = self.settle(Step::Table, peer, sent, result)?;
+        serde_json::from_slice(&reply.table).map_err(|error| PeerError::Answer {
+            step: Step::Table,
+            peer,
+            source: WireError::Decode(error.to_string()),
+        })
+    }
+
+    /// Asks for the generation in force at another node.
+    ///
+    /// # Errors
+    /// The node does not answer.
+    pub async fn generation(&self, peer: SocketAddr) -> Result<Generation, PeerError> {
+        let result = self.client(peer).status(pb::Empty {}).await;
+        self.settle(Step::Status, peer, 0, result).map(|reply| Generation(reply.generation))
+    }
+}
--- /dev/null
+++ b/node/src/settings.rs
@@ -0,0 +1,315 @@
+//! The settings of a node, read from an INI file and checked as a whole.
+
+use std::fmt::Display;
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+use std::str::FromStr;
+use std::time::Duration;
+
+use ini::Ini;
+use log::LevelFilter;
+use sardinepick_lib::config::object::span;
+use sardinepick_lib::hash::Digest;
+use sardinepick_lib::id::Name;
+use sardinepick_lib::lease::Term;
+use strum::{Display, EnumString};
+use thiserror::Error;
+
+/// One mistake in a settings file.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("{file}: [{section}] {key}: {problem}; accepted: {accepted}")]
+pub struct Mistake {
+    /// The file.
+    pub file: String,
+    /// The section.
+    pub section: String,
+    /// The key.
+    pub key: String,
+    /// What is wrong.
+    pub problem: String,
+    /// The accepted form.
+    pub accepted: String,
+}
+
+/// Why settings are not taken.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("{file}: cannot be read: {source}")]
+    Read {
+        /// The file.
+        file: String,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// The file is not INI.
+    #[error("{file}: line {line}, column {column}: {message}")]
+    Form {
+        /// The file.
+        file: String,
+        /// The line, from 1.
+        line: usize,
+        /// The column.
+        column: usize,
+        /// What the reader says.
+        message: String,
+    },
+    /// The file has mistakes; all of them.
+    #[error("{}", .0.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))]
+    Mistakes(Vec<Mistake>),
+}
+
+/// How log lines are written.
+#[derive(Clone, Copy, Debug, Default, Display, EnumString, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum LogFormat {
+    /// For people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// The settings of a node.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The name of the node, as in the platform's VM list.
+    pub name: Name,
+    /// Its data centre.
+    pub data_centre: Name,
+    /// Where callers and operators reach it.
+    pub front: SocketAddr,
+    /// Where other nodes reach it, by datagram and call.
+    pub peer: SocketAddr,
+    /// The platform's object API and VM list.
+    pub platform: SocketAddr,
+    /// Where other nodes are looked for until the VM list has been read.
+    pub seeds: Vec<SocketAddr>,
+    /// The digest of a key that administers as long as no operator is configured.
+    pub bootstrap_key: Option<Digest>,
+    /// How large a request body may be, in bytes.
+    pub max_body: usize,
+    /// How many requests of one service may wait at this node.
+    pub queue: usize,
+    /// How long the body of a request may take to arrive.
+    pub body_timeout: Duration,
+    /// How long callers may keep a listing.
+    pub validity: Duration,
+    /// How long a graceful shutdown may take before it cuts.
+    pub shutdown_limit: Duration,
+    /// How often runners are asked for their load.
+    pub load_period: Duration,
+    /// How long an upstream may leave a request without a sign of life.
+    pub stall_timeout: Duration,
+    /// How long a connection to an upstream may take.
+    pub connect_timeout: Duration,
+    /// How long a call to the platform may take.
+    pub platform_timeout: Duration,
+    /// How often the platform's VM list is read.
+    pub list_period: Duration,
+    /// The lease on services.
+    pub term: Term,
+    /// The least severe log lines that are written.
+    pub log_level: LevelFilter,
+    /// How they are written.
+    pub log_format: LogFormat,
+}
+
+const SECTIONS: [(&str, &[&str]); 6] = [
+    ("node", &["name", "data_centre", "front", "peer", "seeds"]),
+    ("platform", &["address", "timeout", "list_period"]),
+    ("administration", &["bootstrap_key"]),
+    ("limits", &["max_body", "queue", "body_timeout", "validity", "shutdown_limit"]),
+    ("upstream", &["load_period", "stall_timeout", "connect_timeout", "lease_ttl", "lease_margin"]),
+    ("log", &["level", "format"]),
+];
+
+const NAME_FORM: &str = "a name of a-z, 0-9, '-', '_' and '.'";
+const ADDRESS_FORM: &str = "an IP address and port such as 10.0.0.7:8000";
+const SPAN_FORM: &str = "a time such as 500ms, 30s or 5m";
+const BYTES_FORM: &str = "a number of bytes from 1024 to 67108864";
+const QUEUE_FORM: &str = "a whole number from 1 to 1000000";
+const LEVEL_FORM: &str = "off, error, warn, info, debug or trace";
+const FORMAT_FORM: &str = "text or json";
+const KEY_FORM: &str = "the SHA-256 of a key, 64 hexadecimal digits";
+
+/// Reads values and collects mistakes.
+struct Reader<'a> {
+    file: &'a str,
+    ini: &'a Ini,
+    mistakes: Vec<Mistake>,
+}
+
+impl Reader<'_> {
+    fn mistake(&mut self, section: &str, key: &str, problem: String, accepted: &str) {
+        self.mistakes.push(Mistake {
+            file: self.file.to_owned(),
+            section: section.to_owned(),
+            key: key.to_owned(),
+            problem,
+            accepted: accepted.to_owned(),
+        });
+    }
+
+    fn optional<T>(
+        &mut self,
+        section: &str,
+        key: &str,
+        accepted: &str,
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
+        let value = self.ini.get_from(Some(section), key)?.trim().to_owned();
+        let parsed = parse(&value);
+        if parsed.is_none() {
+            self.mistake(section, key, format!("{value:?} is not accepted"), accepted);
+        }
+        parsed
+    }
+
+    fn required<T>(
+        &mut self,
+        section: &str,
+        key: &str,
+        accepted: &str,
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
+        if self.ini.get_from(Some(section), key).is_none() {
+            self.mistake(section, key, "is not set".to_owned(), accepted);
+            return None;
+        }
+        self.optional(section, key, accepted, parse)
+    }
+
+    fn span(&mut self, section: &str, key: &str, default: Duration) -> Duration {
+        let accepted = |text: &str| span(text).filter(|s| !s.is_zero());
+        self.optional(section, key, SPAN_FORM, accepted).unwrap_or(default)
+    }
+
+    fn check_names(&mut self) {
+        for (section, properties) in self.ini {
+            let section = section.unwrap_or_default();
+            let known = SECTIONS.iter().find(|(name, _)| *name == section);
+            let Some((_, keys)) = known else {
+                for (key, _) in properties {
+                    let names: Vec<&str> = SECTIONS.iter().map(|(name, _)| *name).collect();
+                    let accepted = format!("sections {}", names.join(", "));
+                    self.mistake(section, key, "is in no known section".to_owned(), &accepted);
+                }
+                continue;
+            };
+            for (key, _) in properties {
+                if !keys.contains(&key) {
+                    let accepted = format!("keys {}", keys.join(", "));
+                    self.mistake(section, key, "is not a known key".to_owned(), &accepted);
+                }
+            }
+        }
+    }
+}
+
+fn parsed<T: FromStr>(text: &str) -> Option<T> {
+    text.parse().ok()
+}
+
+fn usable_address(text: &str) -> Option<SocketAddr> {
+    let address: SocketAddr = text.parse().ok()?;
+    let wildcard = match address.ip() {
+        IpAddr::V4(ip) => ip.is_unspecified(),
+        IpAddr::V6(ip) => ip.is_unspecified(),
+    };
+    (!wildcard).then_some(address)
+}
+
+fn addresses(text: &str) -> Option<Vec<SocketAddr>> {
+    text.split(',').map(str::trim).filter(|t| !t.is_empty()).map(parsed).collect()
+}
+
+fn within<T: FromStr + PartialOrd + Display + Copy>(text: &str, least: T, most: T) -> Option<T> {
+    parsed(text).filter(|value| *value >= least && *value <= most)
+}
+
+const LEAST_BODY: usize = 1024;
+const MOST_BODY: usize = 64 << 20;
+const MOST_QUEUE: usize = 1_000_000;
+
+impl Settings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    /// Everything that is wrong with it, at once.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| SettingsError::Read { file: file.clone(), source })?;
+        Self::parse(&file, &text)
+    }
+
+    /// Checks the text of a file.
+    ///
+    /// # Errors
+    /// Everything that is wrong with it, at once.
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
+        let ini = Ini::load_from_str(text).map_err(|error| SettingsError::Form {
+            file: file.to_owned(),
+            line: error.line,
+            column: error.col,
+            message: error.msg.to_string(),
+        })?;
+        let mut r = Reader { file, ini: &ini, mistakes: Vec::new() };
+        r.check_names();
+        let settings = collect(&mut r);
+        match settings {
+            Some(settings) if r.mistakes.is_empty() => Ok(settings),
+            _ => Err(SettingsError::Mistakes(r.mistakes)),
+        }
+    }
+}
+
+fn collect(r: &mut Reader<'_>) -> Option<Settings> {
+    let name = r.required("node", "name", NAME_FORM, parsed);
+    let data_centre = r.required("node", "data_centre", NAME_FORM, parsed);
+    let front = r.required("node", "front", ADDRESS_FORM, usable_address);
+    let peer = r.required("node", "peer", ADDRESS_FORM, usable_address);
+    let seeds = r.optional("node", "seeds", "addresses with ',' between them", addresses);
+    let platform = r.required("platform", "address", ADDRESS_FORM, usable_address);
+    let platform_timeout = r.span("platform", "timeout", Duration::from_secs(2));
+    let list_period = r.span("platform", "list_period", Duration::from_secs(2));
+    let bootstrap_key = r.optional("administration", "bootstrap_key", KEY_FORM, parsed);
+    let max_body =
+        r.optional("limits", "max_body", BYTES_FORM, |t| within(t, LEAST_BODY, MOST_BODY));
+    let queue = r.optional("limits", "queue", QUEUE_FORM, |t| within(t, 1, MOST_QUEUE));
+    let body_timeout = r.span("limits", "body_timeout", Duration::from_secs(20));
+    let validity = r.span("limits", "validity", sardinepick_lib::directory::VALIDITY);
+    let shutdown_limit = r.span("limits", "shutdown_limit", Duration::from_secs(120));
+    let load_period = r.span("upstream", "load_period", Duration::from_secs(1));
+    let stall_timeout = r.span("upstream", "stall_timeout", Duration::from_secs(10));
+    let connect_timeout = r.span("upstream", "connect_timeout", Duration::from_secs(1));
+    let term = Term {
+        ttl: r.span("upstream", "lease_ttl", Term::default().ttl),
+        margin: r.span("upstream", "lease_margin", Term::default().margin),
+    };
+    let log_level = r.optional("log", "level", LEVEL_FORM, parsed);
+    let log_format = r.optional("log", "format", FORMAT_FORM, parsed);
+    Some(Settings {
+        name: name?,
+        data_centre: data_centre?,
+        front: front?,
+        peer: peer?,
+        platform: platform?,
+        seeds: seeds.unwrap_or_default(),
+        bootstrap_key,
+        max_body: max_body.unwrap_or(1 << 20),
+        queue: queue.unwrap_or(10_000),
+        body_timeout,
+        validity,
+        shutdown_limit,
+        load_period,
+        stall_timeout,
+        connect_timeout,
+        platform_timeout,
+        list_period,
+        term,
+        log_level: log_level.unwrap_or(LevelFilter::Info),
+        log_format: log_format.unwrap_or_default(),
+    })
+}
--- /dev/null
+++ b/node/src/store.rs
@@ -0,0 +1,306 @@
+//! The platform's object API and VM list, behind one interface, and their HTTP form.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use prometheus::IntCounterVec;
+use sardinepick_lib::lease::Revision;
+use sardinepick_lib::member::Vm;
+use serde::Deserialize;
+use smol_str::SmolStr;
+use strum::{Display, IntoStaticStr};
+use thiserror::Error;
+
+/// A step of the work with the platform.
+#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Step {
+    /// Reading an object.
+    Get,
+    /// Writing an object.
+    Put,
+    /// Removing an object.
+    Delete,
+    /// Listing objects.
+    List,
+    /// Waiting for changes.
+    Watch,
+    /// Reading the VM list.
+    Vms,
+}
+
+/// Why a call to the platform failed.
+#[derive(Clone, Debug, Error)]
+pub enum StoreError {
+    /// The object has another revision than expected: nothing was written.
+    #[error("{step} {object} at {peer}: the object has another revision")]
+    Conflict {
+        /// The step.
+        step: Step,
+        /// The object.
+        object: SmolStr,
+        /// The platform.
+        peer: SocketAddr,
+    },
+    /// The platform could not be reached: nothing was written.
+    #[error("{step} {object} at {peer}: not reached: {detail}")]
+    Unreachable {
+        /// The step.
+        step: Step,
+        /// The object.
+        object: SmolStr,
+        /// The platform.
+        peer: SocketAddr,
+        /// What the transport says.
+        detail: SmolStr,
+    },
+    /// No answer came. A write may have taken effect.
+    #[error("{step} {object} at {peer}: no answer: {detail}")]
+    Lost {
+        /// The step.
+        step: Step,
+        /// The object.
+        object: SmolStr,
+        /// The platform.
+        peer: SocketAddr,
+        /// What the transport says.
+        detail: SmolStr,
+    },
+    /// The platform refused the call: nothing was written.
+    #[error("{step} {object} at {peer}: refused with {status}")]
+    Refused {
+        /// The step.
+        step: Step,
+        /// The object.
+        object: SmolStr,
+        /// The platform.
+        peer: SocketAddr,
+        /// Its HTTP status.
+        status: u16,
+    },
+}
+
+impl StoreError {
+    /// Whether a write that failed so may have taken effect.
+    pub fn may_have_written(&self) -> bool {
+        matches!(self, StoreError::Lost { .. })
+    }
+}
+
+/// An object with its revision.
+#[derive(Clone, Debug)]
+pub struct Object {
+    /// The revision.
+    pub revision: Revision,
+    /// The value.
+    pub value: Bytes,
+}
+
+/// A changed object as a watch tells it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Changed {
+    /// The object.
+    pub name: SmolStr,
+    /// Its revision.
+    pub revision: u64,
+}
+
+/// The platform's service.
+#[async_trait]
+pub trait Store: Send + Sync {
+    /// Reads an object; `None` if there is none.
+    async fn get(&self, object: &str) -> Result<Option<Object>, StoreError>;
+
+    /// Writes an object if it has the expected revision, or does not exist where none is expected.
+    async fn put(
+        &self,
+        object: &str,
+        expected: Option<Revision>,
+        value: Bytes,
+    ) -> Result<Revision, StoreError>;
+
+    /// Removes an object, whatever its revision.
+    async fn delete(&self, object: &str) -> Result<(), StoreError>;
+
+    /// Names the objects below a prefix.
+    async fn list(&self, prefix: &str) -> Result<Vec<Changed>, StoreError>;
+
+    /// Waits up to `wait` for objects below a prefix to change after a revision.
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Vec<Changed>, StoreError>;
+
+    /// Reads the VM list.
+    async fn vms(&self) -> Result<Vec<Vm>, StoreError>;
+}
+
+/// The platform's service over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpStore {
+    peer: SocketAddr,
+    timeout: Duration,
+    client: Client<HttpConnector, Full<Bytes>>,
+    calls: IntCounterVec,
+}
+
+impl HttpStore {
+    /// The platform at `peer`, with its calls counted by step in `calls`.
+    pub fn new(peer: SocketAddr, timeout: Duration, calls: IntCounterVec) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(timeout));
+        connector.set_nodelay(true);
+        let client =
+            Client::builder(TokioExecutor::new()).pool_timer(TokioTimer::new()).build(connector);
+        Self { peer, timeout, client, calls }
+    }
+
+    fn request(&self, method: Method, path: &str, body: Bytes) -> Request<Full<Bytes>> {
+        let uri = format!("http://{}{path}", self.peer);
+        Request::builder()
+            .method(method)
+            .uri(uri)
+            .body(Full::new(body))
+            .expect("object names are made of characters that paths allow")
+    }
+
+    async fn call(
+        &self,
+        step: Step,
+        object: &str,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<(Response<()>, Bytes), StoreError> {
+        let name: &str = step.into();
+        self.calls.with_label_values(&[name]).inc();
+        let lost = |detail: String| StoreError::Lost {
+            step,
+            object: SmolStr::new(object),
+            peer: self.peer,
+            detail: SmolStr::new(detail),
+        };
+        let exchange = async {
+            let response: Response<Incoming> =
+                self.client.request(request).await.map_err(|error| {
+                    if error.is_connect() {
+                        StoreError::Unreachable {
+                            step,
+                            object: SmolStr::new(object),
+                            peer: self.peer,
+                            detail: SmolStr::new(error.to_string()),
+                        }
+                    } else {
+                        lost(error.to_string())
+                    }
+                })?;
+            let (parts, body) = response.into_parts();
+            let body = body.collect().await.map_err(|error| lost(error.to_string()))?;
+            Ok((Response::from_parts(parts, ()), body.to_bytes()))
+        };
+        let (head, body) = match tokio::time::timeout(timeout, exchange).await {
+            Ok(done) => done?,
+            Err(_) => return Err(lost(format!("none within {timeout:?}"))),
+        };
+        let status = head.status();
+        if status == StatusCode::PRECONDITION_FAILED {
+            return Err(StoreError::Conflict {
+                step,
+                object: SmolStr::new(object),
+                peer: self.peer,
+            });
+        }
+        if status.is_server_error() {
+            return Err(lost(format!("status {status}")));
+        }
+        if status.is_success() || status == StatusCode::NOT_FOUND {
+            return Ok((head, body));
+        }
+        let status = status.as_u16();
+        Err(StoreError::Refused { step, object: SmolStr::new(object), peer: self.peer, status })
+    }
+
+    async fn read_json<T: for<'de> Deserialize<'de>>(
+        &self,
+        step: Step,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<T, StoreError> {
+        let request = self.request(Method::GET, path, Bytes::new());
+        let (_, body) = self.call(step, path, request, timeout).await?;
+        serde_json::from_slice(&body).map_err(|error| StoreError::Lost {
+            step,
+            object: SmolStr::new(path),
+            peer: self.peer,
+            detail: SmolStr::new(error.to_string()),
+        })
+    }
+}
+
+fn revision(head: &Response<()>) -> Revision {
+    let text = head.headers().get(header::ETAG).and_then(|v| v.to_str().ok());
+    Revision(text.and_then(|t| t.parse().ok()).unwrap_or_default())
+}
+
+#[async_trait]
+impl Store for HttpStore {
+    async fn get(&self, object: &str) -> Result<Option<Object>, StoreError> {
+        let request = self.request(Method::GET, &format!("/v1/objects/{object}"), Bytes::new());
+        let (head, value) = self.call(Step::Get, object, request, self.timeout).await?;
+        if head.status() == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        Ok(Some(Object { revision: revision(&head), value }))
+    }
+
+    async fn put(
+        &self,
+        object: &str,
+        expected: Option<Revision>,
+        value: Bytes,
+    ) -> Result<Revision, StoreError> {
+        let mut request = self.request(Method::PUT, &format!("/v1/objects/{object}"), value);
+        match expected {
+            Some(revision) => request.headers_mut().insert(header::IF_MATCH, revision.0.into()),
+            None => {
+                request.headers_mut().insert(header::IF_NONE_MATCH, HeaderValue::from_static("*"))
+            }
+        };
+        let (head, _) = self.call(Step::Put, object, request, self.timeout).await?;
+        Ok(revision(&head))
+    }
+
+    async fn delete(&self, object: &str) -> Result<(), StoreError> {
+        let path = format!("/v1/objects/{object}");
+        let request = self.request(Method::DELETE, &path, Bytes::new());
+        self.call(Step::Delete, object, request, self.timeout).await.map(|_| ())
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<Changed>, StoreError> {
+        self.read_json(Step::List, &format!("/v1/list?prefix={prefix}"), self.timeout).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Vec<Changed>, StoreError> {
+        let millis = wait.as_millis();
+        let path = format!("/v1/watch?prefix={prefix}&after={}&timeout_ms={millis}", after.0);
+        self.read_json(Step::Watch, &path, self.timeout + wait).await
+    }
+
+    async fn vms(&self) -> Result<Vec<Vm>, StoreError> {
+        self.read_json(Step::Vms, "/v1/vms", self.timeout).await
+    }
+}
--- /dev/null
+++ b/node/src/upstream/chunk.rs
@@ -0,0 +1,103 @@
+//! One event of a streamed completion, read by hand since there is one for each token.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::de::{Deserializer, IgnoredAny, MapAccess, SeqAccess, Visitor};
+use smol_str::SmolStr;
+
+/// What the proxy needs of an event: the first choice. Everything else is passed over.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Chunk {
+    /// The text.
+    pub text: SmolStr,
+    /// The place of the token in the answer, where the engine says it.
+    pub offset: Option<u64>,
+    /// Why the answer ends.
+    pub finish_reason: Option<SmolStr>,
+}
+
+impl<'de> Deserialize<'de> for Chunk {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_map(EventVisitor)
+    }
+}
+
+struct EventVisitor;
+
+impl<'de> Visitor<'de> for EventVisitor {
+    type Value = Chunk;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("an event with choices")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Chunk, A::Error> {
+        let mut chunk = None;
+        while let Some(key) = map.next_key::<SmolStr>()? {
+            if key == "choices" {
+                chunk = map.next_value::<Choices>()?.0;
+            } else {
+                map.next_value::<IgnoredAny>()?;
+            }
+        }
+        chunk.ok_or_else(|| serde::de::Error::custom("no choice"))
+    }
+}
+
+struct Choices(Option<Chunk>);
+
+impl<'de> Deserialize<'de> for Choices {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_seq(ChoicesVisitor)
+    }
+}
+
+struct ChoicesVisitor;
+
+impl<'de> Visitor<'de> for ChoicesVisitor {
+    type Value = Choices;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a list of choices")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Choices, A::Error> {
+        let first = seq.next_element::<Choice>()?.map(|choice| choice.0);
+        while seq.next_element::<IgnoredAny>()?.is_some() {}
+        Ok(Choices(first))
+    }
+}
+
+struct Choice(Chunk);
+
+impl<'de> Deserialize<'de> for Choice {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_map(ChoiceVisitor)
+    }
+}
+
+struct ChoiceVisitor;
+
+impl<'de> Visitor<'de> for ChoiceVisitor {
+    type Value = Choice;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a choice")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Choice, A::Error> {
+        let mut chunk = Chunk::default();
+        while let Some(key) = map.next_key::<SmolStr>()? {
+            match key.as_str() {
+                "text" => chunk.text = map.next_value()?,
+                "offset" => chunk.offset = map.next_value()?,
+                "finish_reason" => chunk.finish_reason = map.next_value()?,
+                _ => {
+                    map.next_value::<IgnoredAny>()?;
+                }
+            }
+        }
+        Ok(Choice(chunk))
+    }
+}
--- /dev/null
+++ b/testutils/examples/generate_wire.rs
@@ -0,0 +1,9 @@
+//! Writes `wire/src/generated` anew from `wire/proto/peer.proto`. Run it after a change to that
+//! file: `cargo run -p sardinepick-testutils --example generate_wire`.
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let wire = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../wire");
+    let descriptors = protox::compile(["peer.proto"], [wire.join("proto")])?;
+    tonic_prost_build::configure().out_dir(wire.join("src/generated")).compile_fds(descriptors)?;
+    Ok(())
+}
--- /dev/null
+++ b/testutils/src/caller.rs
@@ -0,0 +1,271 @@
+//! A caller: it looks up addresses, keeps them for as long as it may, and asks.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eventsource_stream::Eventsource as _;
+use futures_util::StreamExt as _;
+use http::{Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyDataStream, BodyExt as _, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Deserialize;
+use thiserror::Error;
+
+use crate::invariant::Seen;
+
+/// Why a caller got nothing.
+#[derive(Debug, Error)]
+pub enum CallError {
+    /// No connection, or it broke off.
+    #[error("calling {peer}: {detail}")]
+    Transport {
+        /// The node.
+        peer: SocketAddr,
+        /// What the transport says.
+        detail: String,
+    },
+    /// The answer is not what the protocol has.
+    #[error("answer of {peer}: {detail}")]
+    Form {
+        /// The node.
+        peer: SocketAddr,
+        /// What is wrong.
+        detail: String,
+    },
+}
+
+/// The answer to a look-up.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Listing {
+    /// The addresses to use.
+    pub addresses: Vec<SocketAddr>,
+    /// For how long, in milliseconds.
+    pub valid_ms: u64,
+    /// The epoch to send with requests that must not run twice.
+    pub epoch: u64,
+}
+
+/// One attempt at a request that must not run twice.
+#[derive(Clone, Debug)]
+pub struct Keyed<'a> {
+    /// The key.
+    pub key: &'a str,
+    /// The attempt, from 1.
+    pub attempt: u64,
+    /// The epoch of the first attempt's listing.
+    pub epoch: u64,
+}
+
+/// A caller with its account's key.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    client: Client<HttpConnector, Full<Bytes>>,
+    key: String,
+}
+
+/// What came of a request, with the refusal's time to come back.
+#[derive(Clone, Debug)]
+pub struct Told {
+    /// What was seen.
+    pub seen: Seen,
+    /// The status; nought where the connection broke off before it.
+    pub status: u16,
+    /// When to come back.
+    pub after: Option<Duration>,
+    /// The body of a refusal.
+    pub body: String,
+}
+
+impl Caller {
+    /// A caller of the account with this key.
+    pub fn new(key: &str) -> Self {
+        let client = Client::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .build(HttpConnector::new());
+        Self { client, key: key.to_owned() }
+    }
+
+    /// Sends any request.
+    ///
+    /// # Errors
+    /// No connection, or it broke off before an answer.
+    pub async fn send(
+        &self,
+        peer: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&str, String)],
+        body: impl Into<Bytes>,
+    ) -> Result<Response<Incoming>, CallError> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{peer}{path}"))
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.key))
+            .header(header::CONTENT_TYPE, "application/json");
+        for (name, value) in headers {
+            request = request.header(*name, value);
+        }
+        let request = request.body(Full::new(body.into())).expect("tests make valid requests");
+        self.client
+            .request(request)
+            .await
+            .map_err(|error| CallError::Transport { peer, detail: error.to_string() })
+    }
+
+    /// Sends a request and reads its whole answer.
+    ///
+    /// # Errors
+    /// No connection, or it broke off.
+    pub async fn ask(
+        &self,
+        peer: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&str, String)],
+        body: impl Into<Bytes>,
+    ) -> Result<(StatusCode, String), CallError> {
+        let response = self.send(peer, method, path, headers, body).await?;
+        let status = response.status();
+        let body = read(peer, response).await?;
+        Ok((status, body))
+    }
+
+    /// Looks up the addresses to use.
+    ///
+    /// # Errors
+    /// No connection, or an answer that is not a listing.
+    pub async fn look_up(&self, peer: SocketAddr) -> Result<Listing, CallError> {
+        let (_, body) = self.ask(peer, Method::GET, "/v1/addresses", &[], "").await?;
+        serde_json::from_str(&body)
+            .map_err(|error| CallError::Form { peer, detail: format!("{error}: {body}") })
+    }
+
+    /// Streams a completion and reads it to its end.
+    pub async fn complete(
+        &self,
+        peer: SocketAddr,
+        model: &str,
+        id: &str,
+        prompt: &str,
+        tokens: u64,
+    ) -> Told {
+        let body = serde_json::json!({
+            "model": model, "prompt": prompt, "max_tokens": tokens, "stream": true,
+        });
+        let headers = [("x-request-id", id.to_owned())];
+        let sent = self.send(peer, Method::POST, "/v1/completions", &headers, body.to_string());
+        match sent.await {
+            Ok(response) if response.status().is_success() => read_stream(response).await,
+            Ok(response) => refusal(peer, response).await,
+            Err(error) => cut(error.to_string()),
+        }
+    }
+
+    /// Posts to a plain service.
+    pub async fn post(
+        &self,
+        peer: SocketAddr,
+        service: &str,
+        body: &str,
+        keyed: Option<&Keyed<'_>>,
+    ) -> Told {
+        let mut headers = Vec::new();
+        if let Some(keyed) = keyed {
+            headers.push(("idempotency-key", keyed.key.to_owned()));
+            headers.push(("x-sardinepick-attempt", keyed.attempt.to_string()));
+            headers.push(("x-sardinepick-epoch", keyed.epoch.to_string()));
+        }
+        let path = format!("/services/{service}/orders");
+        match self.send(peer, Method::POST, &path, &headers, body.to_owned()).await {
+            Ok(response) if response.status().is_success() => {
+                let status = response.status().as_u16();
+                match read(peer, response).await {
+                    Ok(text) => {
+                        Told { seen: Seen::Answer(text), status, after: None, body: String::new() }
+                    }
+                    Err(error) => cut(error.to_string()),
+                }
+            }
+            Ok(response) => refusal(peer, response).await,
+            Err(error) => cut(error.to_string()),
+        }
+    }
+
+    /// Carries out a command of the operators' language, waiting for all nodes.
+    ///
+    /// # Errors
+    /// No connection, or it broke off.
+    pub async fn command(
+        &self,
+        peer: SocketAddr,
+        text: &str,
+    ) -> Result<(StatusCode, serde_json::Value), CallError> {
+        let body = serde_json::json!({ "text": text }).to_string();
+        let (status, body) = self.ask(peer, Method::POST, "/admin/v1/command", &[], body).await?;
+        let value = serde_json::from_str(&body).unwrap_or(serde_json::Value::String(body));
+        Ok((status, value))
+    }
+}
+
+fn cut(detail: String) -> Told {
+    Told { seen: Seen::Cut, status: 0, after: None, body: detail }
+}
+
+async fn read(peer: SocketAddr, response: Response<Incoming>) -> Result<String, CallError> {
+    let body = response
+        .into_body()
+        .collect()
+        .await
+        .map_err(|error| CallError::Transport { peer, detail: error.to_string() })?;
+    Ok(String::from_utf8_lossy(&body.to_bytes()).into_owned())
+}
+
+async fn refusal(peer: SocketAddr, response: Response<Incoming>) -> Told {
+    let status = response.status().as_u16();
+    let text = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok());
+    let seen = match text("x-sardinepick-run") {
+        Some("not_run") => Seen::RefusedNotRun,
+        _ => Seen::RefusedUnknown,
+    };
+    let after = text("retry-after-ms").and_then(|v| v.parse().ok()).map(Duration::from_millis);
+    let body = read(peer, response).await.unwrap_or_default();
+    Told { seen, status, after, body }
+}
+
+#[derive(Deserialize)]
+struct Event {
+    choices: Vec<Choice>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    text: String,
+}
+
+/// Reads a stream as a client does: only the closing event makes it whole.
+async fn read_stream(response: Response<Incoming>) -> Told {
+    let status = response.status().as_u16();
+    let mut events = BodyDataStream::new(response.into_body()).eventsource();
+    let mut text = String::new();
+    while let Some(event) = events.next().await {
+        let event = match event {
+            Ok(event) => event,
+            Err(error) => return cut(error.to_string()),
+        };
+        if event.event == "error" {
+            return Told { seen: Seen::Cut, status, after: None, body: event.data };
+        }
+        if event.data == "[DONE]" {
+            return Told { seen: Seen::Answer(text), status, after: None, body: String::new() };
+        }
+        match serde_json::from_str::<Event>(&event.data) {
+            Ok(event) => text.extend(event.choices.into_iter().map(|c| c.text)),
+            Err(error) => return cut(error.to_string()),
+        }
+    }
+    cut("the stream ended without its closing event".to_owned())
+}
--- /dev/null
+++ b/testutils/src/engine.rs
@@ -0,0 +1,376 @@
+//! A stand-in for a model engine: batches continuously, answers by a fixed rule from the prompt,
+//! and can be told to fail in all the ways that engines do.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::StreamExt as _;
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use sardinepick_lib::config::object::Role;
+use sardinepick_lib::hash::place;
+use sardinepick_lib::id::Epoch;
+use sardinepick_lib::order::{Condition, Id, Order};
+use sardinepick_lib::runner::Report;
+use sardinepick_lib::unit::{TokenRate, Tokens};
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+
+use crate::server::{Body, Cut, Server, answer, json, read};
+
+/// How fast an engine is.
+#[derive(Clone, Copy, Debug)]
+pub struct Speed {
+    /// Prompt tokens a second.
+    pub prefill: u32,
+    /// Output tokens a second of one request.
+    pub decode: u32,
+    /// How long a role change takes.
+    pub away: Duration,
+}
+
+impl Default for Speed {
+    fn default() -> Self {
+        Self { prefill: 20_000, decode: 400, away: Duration::from_millis(300) }
+    }
+}
+
+/// How an engine fails.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// It takes connections and answers nothing.
+    pub hang: bool,
+    /// It breaks streams off after so many tokens.
+    pub cut_after: Option<u64>,
+    /// It ends streams without their closing frame after so many tokens.
+    pub end_after: Option<u64>,
+    /// It refuses new work as one that leaves.
+    pub leaving: bool,
+    /// It refuses new work without having started it.
+    pub refuse: bool,
+    /// It answers with the answer to another prompt.
+    pub cross: bool,
+    /// It loses the answers to orders after taking them.
+    pub lose_order_answers: bool,
+    /// It does not look at fencing numbers.
+    pub ignore_fencing: bool,
+}
+
+/// A completion as the published protocol has it, with the extensions that engines offer.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct Completion {
+    /// The model.
+    pub model: String,
+    /// The prompt.
+    pub prompt: String,
+    /// How many tokens to make.
+    pub max_tokens: u64,
+    /// Whether to stream.
+    pub stream: bool,
+    /// The token to go on from.
+    pub resume_from: u64,
+    /// The caller's name for the request.
+    pub request_id: String,
+}
+
+#[derive(Debug)]
+struct Inner {
+    role: Role,
+    changing: bool,
+    last: Option<Id>,
+    done: HashSet<Id>,
+    fence: Epoch,
+    running: u32,
+    backlog: u64,
+    faults: Faults,
+    started: HashMap<String, u32>,
+    orders: Vec<Order>,
+    conflicts: u32,
+    tokens: u64,
+}
+
+/// An engine.
+#[derive(Debug)]
+pub struct Engine {
+    inner: Arc<Mutex<Inner>>,
+    server: Server,
+}
+
+/// Token `index` of the answer to `prompt`.
+pub fn token(prompt: &str, index: u64) -> String {
+    let hash = place(index, prompt.as_bytes());
+    format!(" t{:x}", hash & 0xffff)
+}
+
+/// The whole answer to `prompt`.
+pub fn expected(prompt: &str, tokens: u64) -> String {
+    (0..tokens).map(|index| token(prompt, index)).collect()
+}
+
+/// A rough count of the tokens of a text, as the engines count them.
+pub fn prompt_tokens(prompt: &str) -> u64 {
+    prompt.len().div_ceil(4) as u64
+}
+
+impl Engine {
+    /// Starts an engine.
+    ///
+    /// # Errors
+    /// The address cannot be listened at.
+    pub async fn start(address: SocketAddr, role: Role, speed: Speed) -> std::io::Result<Self> {
+        let inner = Arc::new(Mutex::new(Inner {
+            role,
+            changing: false,
+            last: None,
+            done: HashSet::new(),
+            fence: Epoch(0),
+            running: 0,
+            backlog: 0,
+            faults: Faults::default(),
+            started: HashMap::new(),
+            orders: Vec::new(),
+            conflicts: 0,
+            tokens: 0,
+        }));
+        let state = inner.clone();
+        let server =
+            Server::start(address, move |request| handle(state.clone(), speed, request)).await?;
+        Ok(Self { inner, server })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address
+    }
+
+    /// Dies, breaking off all that is under way.
+    pub fn kill(&self) {
+        self.server.stop();
+    }
+
+    /// Sets how it fails.
+    pub fn set_faults(&self, faults: Faults) {
+        self.inner.lock().expect("engine lock").faults = faults;
+    }
+
+    /// How often the request of this name was started from its first token.
+    pub fn started(&self, request_id: &str) -> u32 {
+        let inner = self.inner.lock().expect("engine lock");
+        inner.started.get(request_id).copied().unwrap_or(0)
+    }
+
+    /// Requests under way.
+    pub fn running(&self) -> u32 {
+        self.inner.lock().expect("engine lock").running
+    }
+
+    /// The orders that it took, in order.
+    pub fn orders(&self) -> Vec<Order> {
+        self.inner.lock().expect("engine lock").orders.clone()
+    }
+
+    /// Orders that came while another change was under way or with an older fencing number than
+    /// one that was obeyed.
+    pub fn conflicts(&self) -> u32 {
+        self.inner.lock().expect("engine lock").conflicts
+    }
+
+    /// The role it works in.
+    pub fn role(&self) -> Role {
+        self.inner.lock().expect("engine lock").role
+    }
+
+    /// Output tokens made so far.
+    pub fn tokens(&self) -> u64 {
+        self.inner.lock().expect("engine lock").tokens
+    }
+}
+
+type State = Arc<Mutex<Inner>>;
+
+async fn handle(
+    state: State,
+    speed: Speed,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Cut> {
+    if state.lock().expect("engine lock").faults.hang {
+        std::future::pending::<()>().await;
+    }
+    let (parts, body) = request.into_parts();
+    let body = read(body).await?;
+    match parts.uri.path() {
+        "/v1/completions" => complete(state, speed, &body).await,
+        "/v1/load" => Ok(json(StatusCode::OK, &report(&state, speed))),
+        "/v1/condition" => Ok(json(StatusCode::OK, &condition(&state))),
+        "/v1/orders" => order(&state, speed, &body),
+        _ => Ok(answer(StatusCode::NOT_FOUND, "no such path")),
+    }
+}
+
+fn report(state: &State, speed: Speed) -> Report {
+    let inner = state.lock().expect("engine lock");
+    Report {
+        running: inner.running,
+        waiting: 0,
+        backlog: Tokens(inner.backlog as u32),
+        prefill_rate: TokenRate(speed.prefill),
+        decode_rate: TokenRate(speed.decode),
+        role: inner.role,
+        leaving: inner.faults.leaving,
+    }
+}
+
+fn condition(state: &State) -> Condition {
+    let inner = state.lock().expect("engine lock");
+    Condition {
+        role: inner.role,
+        changing: inner.changing,
+        last: inner.last.clone(),
+        fence: inner.fence,
+    }
+}
+
+fn order(state: &State, speed: Speed, body: &[u8]) -> Result<Response<Body>, Cut> {
+    let Ok(order) = serde_json::from_slice::<Order>(body) else {
+        return Ok(answer(StatusCode::BAD_REQUEST, "not an order"));
+    };
+    let mut inner = state.lock().expect("engine lock");
+    let stale = order.epoch < inner.fence;
+    if stale && !inner.faults.ignore_fencing {
+        return Ok(answer(StatusCode::CONFLICT, "an old fencing number"));
+    }
+    if !inner.done.contains(&order.id) {
+        if stale || inner.changing {
+            inner.conflicts += 1;
+        }
+        inner.fence = inner.fence.max(order.epoch);
+        inner.done.insert(order.id.clone());
+        inner.last = Some(order.id.clone());
+        inner.role = order.role;
+        inner.changing = true;
+        inner.orders.push(order);
+        let state = state.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(speed.away).await;
+            state.lock().expect("engine lock").changing = false;
+        });
+    } else {
+        inner.fence = inner.fence.max(order.epoch);
+    }
+    if inner.faults.lose_order_answers {
+        return Err(Cut);
+    }
+    Ok(answer(StatusCode::OK, "taken"))
+}
+
+/// Counts a request as running for as long as it lives.
+struct Running(State);
+
+impl Running {
+    fn new(state: &State) -> Self {
+        state.lock().expect("engine lock").running += 1;
+        Self(state.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.lock().expect("engine lock").running -= 1;
+    }
+}
+
+fn unstarted(detail: &'static str, leaving: bool) -> Response<Body> {
+    let mut response = answer(StatusCode::SERVICE_UNAVAILABLE, detail);
+    response.headers_mut().insert("x-not-run", HeaderValue::from_static("true"));
+    if leaving {
+        response.headers_mut().insert("x-leaving", HeaderValue::from_static("true"));
+    }
+    response
+}
+
+async fn complete(state: State, speed: Speed, body: &[u8]) -> Result<Response<Body>, Cut> {
+    let Ok(completion) = serde_json::from_slice::<Completion>(body) else {
+        return Ok(answer(StatusCode::BAD_REQUEST, "not a completion"));
+    };
+    let faults = {
+        let mut inner = state.lock().expect("engine lock");
+        let faults = inner.faults;
+        if faults.leaving {
+            return Ok(unstarted("leaving", true));
+        }
+        if faults.refuse || inner.changing {
+            return Ok(unstarted("not now", false));
+        }
+        if completion.resume_from == 0 {
+            *inner.started.entry(completion.request_id.clone()).or_default() += 1;
+        }
+        inner.backlog += prompt_tokens(&completion.prompt);
+        faults
+    };
+    let running = Running::new(&state);
+    let work = prompt_tokens(&completion.prompt);
+    let wait = work as f64 / f64::from(speed.prefill);
+    tokio::time::sleep(Duration::from_secs_f64(wait)).await;
+    {
+        let mut inner = state.lock().expect("engine lock");
+        inner.backlog = inner.backlog.saturating_sub(work);
+    }
+    let (sender, receiver) = mpsc::channel(16);
+    tokio::spawn(stream(state, speed, completion, faults, sender, running));
+    let frames = ReceiverStream::new(receiver).map(|r| r.map(Frame::data));
+    let mut response = Response::new(BodyExt::boxed(StreamBody::new(frames)));
+    let kind = HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(http::header::CONTENT_TYPE, kind);
+    Ok(response)
+}
+
+async fn stream(
+    state: State,
+    speed: Speed,
+    completion: Completion,
+    faults: Faults,
+    sender: mpsc::Sender<Result<Bytes, Cut>>,
+    _running: Running,
+) {
+    let pause = Duration::from_secs_f64(1.0 / f64::from(speed.decode));
+    let prompt = if faults.cross { "another prompt" } else { &completion.prompt };
+    for index in completion.resume_from..completion.max_tokens {
+        let made = index - completion.resume_from;
+        if faults.cut_after == Some(made) {
+            let _ = sender.send(Err(Cut)).await;
+            return;
+        }
+        if faults.end_after == Some(made) {
+            return;
+        }
+        let text = token(prompt, index);
+        let event = serde_json::json!({
+            "id": completion.request_id,
+            "object": "text_completion",
+            "choices": [{"index": 0, "text": text, "offset": index, "finish_reason": null}],
+        });
+        state.lock().expect("engine lock").tokens += 1;
+        if sender.send(Ok(Bytes::from(format!("data: {event}\n\n")))).await.is_err() {
+            return;
+        }
+        if !pause.is_zero() && speed.decode < FASTEST_PACED {
+            tokio::time::sleep(pause).await;
+        }
+    }
+    let event = serde_json::json!({
+        "id": completion.request_id,
+        "object": "text_completion",
+        "choices": [{"index": 0, "text": "", "finish_reason": "length"}],
+    });
+    let _ = sender.send(Ok(Bytes::from(format!("data: {event}\n\n")))).await;
+    let _ = sender.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await;
+}
+
+/// From this rate on tokens are made without a pause between them, for measuring others.
+const FASTEST_PACED: u32 = 100_000;
--- /dev/null
+++ b/testutils/src/platform.rs
@@ -0,0 +1,268 @@
+//! A stand-in for the platform: the object API with versions, conditional updates and watches, the
+//! VM list and the weight store.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use sardinepick_lib::member::Vm;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout};
+
+use crate::server::{Body, Cut, Server, answer, json, read};
+
+/// The largest value that is held.
+pub const MAX_VALUE: usize = 1 << 20;
+
+#[derive(Clone, Debug)]
+struct Stored {
+    revision: u64,
+    value: Bytes,
+}
+
+/// How the platform fails.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// It answers nothing.
+    pub down: bool,
+    /// It answers so much later.
+    pub delay: Duration,
+    /// The answers to so many of the next writes are lost after the write has taken effect.
+    pub lose_answers: u32,
+    /// So many of the next watches return without having seen anything.
+    pub miss_watches: u32,
+}
+
+/// How often the platform was called.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Calls {
+    /// Reads, lists and looks at the VM list.
+    pub reads: u64,
+    /// Writes that were tried.
+    pub writes: u64,
+    /// Watches that were begun.
+    pub watches: u64,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    objects: BTreeMap<String, Stored>,
+    revision: u64,
+    vms: Vec<Vm>,
+    faults: Faults,
+    calls: Calls,
+    weight_loads: u32,
+}
+
+/// The platform.
+#[derive(Debug)]
+pub struct Platform {
+    inner: Arc<Mutex<Inner>>,
+    changed: watch::Sender<u64>,
+    server: Server,
+}
+
+/// One line of a list or watch.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Line {
+    name: String,
+    revision: u64,
+}
+
+impl Platform {
+    /// Starts the platform on a free port of `ip`.
+    ///
+    /// # Errors
+    /// No port can be had.
+    pub async fn start(address: SocketAddr) -> std::io::Result<Self> {
+        let inner = Arc::new(Mutex::new(Inner::default()));
+        let (changed, _) = watch::channel(0);
+        let state = inner.clone();
+        let sender = changed.clone();
+        let server =
+            Server::start(address, move |request| handle(state.clone(), sender.clone(), request))
+                .await?;
+        Ok(Self { inner, changed, server })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address
+    }
+
+    /// Sets how it fails.
+    pub fn set_faults(&self, faults: Faults) {
+        self.inner.lock().expect("platform lock").faults = faults;
+        self.changed.send_modify(|_| {});
+    }
+
+    /// Sets the VM list.
+    pub fn set_vms(&self, vms: Vec<Vm>) {
+        self.inner.lock().expect("platform lock").vms = vms;
+    }
+
+    /// How often it was called.
+    pub fn calls(&self) -> Calls {
+        self.inner.lock().expect("platform lock").calls
+    }
+
+    /// The value of an object.
+    pub fn object(&self, name: &str) -> Option<Bytes> {
+        let inner = self.inner.lock().expect("platform lock");
+        inner.objects.get(name).map(|o| o.value.clone())
+    }
+
+    /// The names of all objects below `prefix`.
+    pub fn names(&self, prefix: &str) -> Vec<String> {
+        let inner = self.inner.lock().expect("platform lock");
+        inner.objects.keys().filter(|n| n.starts_with(prefix)).cloned().collect()
+    }
+}
+
+type State = Arc<Mutex<Inner>>;
+type Changed = watch::Sender<u64>;
+
+async fn handle(
+    state: State,
+    changed: Changed,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Cut> {
+    let faults = state.lock().expect("platform lock").faults;
+    if faults.down {
+        return Err(Cut);
+    }
+    tokio::time::sleep(faults.delay).await;
+    let (parts, body) = request.into_parts();
+    let path = parts.uri.path().to_owned();
+    let query = parts.uri.query().unwrap_or_default().to_owned();
+    if let Some(name) = path.strip_prefix("/v1/objects/") {
+        let value = read(body).await?;
+        return object(&state, &changed, &parts.method, name, &parts.headers, value);
+    }
+    match path.as_str() {
+        "/v1/list" => Ok(list(&state, &parameter(&query, "prefix"))),
+        "/v1/watch" => watch_objects(&state, &changed, &query).await,
+        "/v1/vms" => {
+            let mut inner = state.lock().expect("platform lock");
+            inner.calls.reads += 1;
+            Ok(json(StatusCode::OK, &inner.vms))
+        }
+        _ if path.starts_with("/v1/weights/") => {
+            state.lock().expect("platform lock").weight_loads += 1;
+            Ok(answer(StatusCode::OK, "weights"))
+        }
+        _ => Ok(answer(StatusCode::NOT_FOUND, "no such path")),
+    }
+}
+
+fn parameter(query: &str, name: &str) -> String {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.filter(|(n, _)| *n == name).map(|(_, v)| v.to_owned()).next().unwrap_or_default()
+}
+
+fn object(
+    state: &State,
+    changed: &Changed,
+    method: &Method,
+    name: &str,
+    headers: &HeaderMap,
+    value: Bytes,
+) -> Result<Response<Body>, Cut> {
+    let mut inner = state.lock().expect("platform lock");
+    if method == Method::GET {
+        inner.calls.reads += 1;
+        return Ok(match inner.objects.get(name) {
+            Some(stored) => with_revision(stored.value.clone(), stored.revision),
+            None => answer(StatusCode::NOT_FOUND, "no such object"),
+        });
+    }
+    inner.calls.writes += 1;
+    if value.len() > MAX_VALUE {
+        return Ok(answer(StatusCode::PAYLOAD_TOO_LARGE, "more than a megabyte"));
+    }
+    let now = inner.objects.get(name).map(|o| o.revision);
+    if !condition_holds(headers, now) {
+        return Ok(answer(StatusCode::PRECONDITION_FAILED, "another revision"));
+    }
+    inner.revision += 1;
+    let revision = inner.revision;
+    if method == Method::DELETE {
+        inner.objects.remove(name);
+    } else {
+        inner.objects.insert(name.to_owned(), Stored { revision, value });
+    }
+    changed.send_replace(revision);
+    if inner.faults.lose_answers > 0 {
+        inner.faults.lose_answers -= 1;
+        return Err(Cut);
+    }
+    Ok(with_revision(Bytes::new(), revision))
+}
+
+fn condition_holds(headers: &HeaderMap, now: Option<u64>) -> bool {
+    let text = |name| headers.get(name).and_then(|v: &http::HeaderValue| v.to_str().ok());
+    if text(http::header::IF_NONE_MATCH) == Some("*") {
+        return now.is_none();
+    }
+    match text(http::header::IF_MATCH) {
+        Some(revision) => now.is_some_and(|now| revision == now.to_string()),
+        None => true,
+    }
+}
+
+fn with_revision(value: Bytes, revision: u64) -> Response<Body> {
+    let mut response = answer(StatusCode::OK, value);
+    response.headers_mut().insert(http::header::ETAG, revision.into());
+    response
+}
+
+fn lines(inner: &Inner, prefix: &str, after: u64) -> Vec<Line> {
+    let below = inner.objects.iter().filter(|(n, o)| n.starts_with(prefix) && o.revision > after);
+    below.map(|(n, o)| Line { name: n.clone(), revision: o.revision }).collect()
+}
+
+fn list(state: &State, prefix: &str) -> Response<Body> {
+    let mut inner = state.lock().expect("platform lock");
+    inner.calls.reads += 1;
+    json(StatusCode::OK, &lines(&inner, prefix, 0))
+}
+
+async fn watch_objects(
+    state: &State,
+    changed: &Changed,
+    query: &str,
+) -> Result<Response<Body>, Cut> {
+    let prefix = parameter(query, "prefix");
+    let after = parameter(query, "after").parse().unwrap_or(0);
+    let wait = Duration::from_millis(parameter(query, "timeout_ms").parse().unwrap_or(0));
+    let until = Instant::now() + wait;
+    let mut changes = changed.subscribe();
+    {
+        let mut inner = state.lock().expect("platform lock");
+        inner.calls.watches += 1;
+        if inner.faults.miss_watches > 0 {
+            inner.faults.miss_watches -= 1;
+            return Ok(json(StatusCode::OK, &Vec::<Line>::new()));
+        }
+    }
+    loop {
+        changes.mark_unchanged();
+        let found = {
+            let inner = state.lock().expect("platform lock");
+            if inner.faults.down {
+                return Err(Cut);
+            }
+            lines(&inner, &prefix, after)
+        };
+        let left = until.saturating_duration_since(Instant::now());
+        if !found.is_empty() || left.is_zero() {
+            return Ok(json(StatusCode::OK, &found));
+        }
+        let _ = timeout(left, changes.changed()).await;
+    }
+}
--- /dev/null
+++ b/testutils/src/server.rs
@@ -0,0 +1,118 @@
+//! A small HTTP server for stand-ins, which can break connections off as a dying process does.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// The connection is broken off in place of an answer or of the rest of one.
+#[derive(Clone, Copy, Debug, Error)]
+#[error("broken off on purpose")]
+pub struct Cut;
+
+/// The body of an answer, which may break off.
+pub type Body = BoxBody<Bytes, Cut>;
+
+/// A body with all of its bytes at hand.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).map_err(|never: Infallible| match never {}).boxed()
+}
+
+/// An answer with a status and a whole body.
+pub fn answer(status: StatusCode, bytes: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(full(bytes));
+    *response.status_mut() = status;
+    response
+}
+
+/// An answer with JSON.
+pub fn json(status: StatusCode, value: &impl serde::Serialize) -> Response<Body> {
+    let bytes = serde_json::to_vec(value).expect("stand-ins answer with JSON types");
+    let mut response = answer(status, bytes);
+    let json = http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(http::header::CONTENT_TYPE, json);
+    response
+}
+
+/// A server that runs until it is dropped or stopped.
+#[derive(Debug)]
+pub struct Server {
+    /// Where it listens.
+    pub address: SocketAddr,
+    stop: watch::Sender<bool>,
+}
+
+impl Server {
+    /// Listens at `address` and answers each request by `handler`.
+    ///
+    /// # Errors
+    /// The address cannot be listened at.
+    pub async fn start<H, F>(address: SocketAddr, handler: H) -> std::io::Result<Self>
+    where
+        H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+        F: Future<Output = Result<Response<Body>, Cut>> + Send + 'static,
+    {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let (stop, stopped) = watch::channel(false);
+        tokio::spawn(accept(listener, Arc::new(handler), stopped));
+        Ok(Self { address, stop })
+    }
+
+    /// Breaks off all connections and stops listening, as a killed process does.
+    pub fn stop(&self) {
+        self.stop.send_replace(true);
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+async fn accept<H, F>(listener: TcpListener, handler: Arc<H>, mut stopped: watch::Receiver<bool>)
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Result<Response<Body>, Cut>> + Send + 'static,
+{
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopped.wait_for(|stop| *stop) => return,
+        };
+        let Ok((stream, _)) = accepted else { continue };
+        let _ = stream.set_nodelay(true);
+        let handler = handler.clone();
+        let mut stopped = stopped.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request| handler(request));
+            let builder = auto::Builder::new(TokioExecutor::new());
+            let connection = builder.serve_connection(TokioIo::new(stream), service);
+            tokio::select! {
+                _ = connection => {}
+                _ = stopped.wait_for(|stop| *stop) => {}
+            }
+        });
+    }
+}
+
+/// Reads a whole body.
+///
+/// # Errors
+/// The caller broke off.
+pub async fn read(body: Incoming) -> Result<Bytes, Cut> {
+    body.collect().await.map(http_body_util::Collected::to_bytes).map_err(|_| Cut)
+}
