choose: stop nodes from swamping the runner that looked idle

Cause: with reports a second late, every node corrected the same difference at once; counting only what was sent after a report arrived also forgot the requests that the report was too old to show. Change: own load exact and counted for all sharers, others' part smoothed over 10 s, a random part of a quarter of one request's wait, few compared.

--- a/lib/src/baseline.rs
+++ b/lib/src/baseline.rs
@@ -4,7 +4,7 @@
 
 use rand::{Rng, RngExt as _};
 
-use crate::choose::{Choice, Setting, predict};
+use crate::choose::{Setting, rank};
 use crate::runner::{View, Work};
 
 /// Any runner that takes work, each with the same chance.
@@ -32,15 +32,21 @@
         .min_by_key(|at| views[*at].report.running + views[*at].report.waiting)
 }
 
-/// The best prediction of all runners, without sampling and with allocation at each step: the
-/// version that [`crate::choose::choose`] must agree with where it compares all.
-pub fn best_of_all(views: &[View], work: &Work, now: Instant, setting: Setting) -> Option<Choice> {
-    let mut choices: Vec<Choice> = Vec::new();
+/// The best rank of all runners, without sampling, by sorting all: the version that
+/// [`crate::choose::choose`] must agree with where it compares all.
+pub fn best_of_all<R: Rng>(
+    views: &[View],
+    work: &Work,
+    now: Instant,
+    setting: Setting,
+    rng: &mut R,
+) -> Option<usize> {
+    let mut ranked: Vec<(f64, usize)> = Vec::new();
     for (at, view) in views.iter().enumerate() {
         if view.takes_work(now) {
-            choices.push(Choice { at, prediction: predict(view, work, now, setting) });
+            ranked.push((rank(view, work, now, setting, rng.random()), at));
         }
     }
-    choices.sort_by(|a, b| a.prediction.last.total_cmp(&b.prediction.last));
-    choices.first().copied()
+    ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+    ranked.first().map(|(_, at)| *at)
 }
--- a/lib/src/choose.rs
+++ b/lib/src/choose.rs
@@ -1,10 +1,18 @@
 //! The choice of a runner for a request, by predicted completion.
 //!
 //! Load reports are late, so every node sees the same runner as idle at the same time; nodes that
-//! all send there at once swamp it. Three things prevent this: each node adds to a report what it
-//! has sent since, scaled by how many nodes share the runner; it compares only a few runners taken
-//! at random, so that two nodes seldom compare the same ones; and it adds those that probably have
-//! the prompt cached.
+//! all send there at once swamp it, and with reports a second old the naive choice by the last
+//! report is far worse than no choice at all (docs/design/choosing.md has the figures). Four things
+//! prevent this:
+//!
+//! - A node's own part of a runner's load is known exactly and without delay. It counts as often as
+//!   there are nodes that share the runner, since what one node does, all do on average.
+//! - The part of others is smoothed over a time much longer than any delay, so that it tells lasting
+//!   differences between runners and not the waves that the nodes themselves make.
+//! - A random part of one request's wait is added to each rank. Own numbers are small and often
+//!   equal, and without it all nodes would break their ties in the same way.
+//! - Where there are many runners only a few taken at random are compared, with those that probably
+//!   have the prompt cached.
 
 use std::time::Instant;
 
@@ -12,7 +20,7 @@
 use smallvec::SmallVec;
 
 use crate::hash::place;
-use crate::runner::{View, Work};
+use crate::runner::{Load, View, Work};
 
 /// How many runners are compared besides those with the prompt cached.
 pub const SAMPLE: usize = 4;
@@ -21,20 +29,35 @@
 pub const AFFINE: usize = 2;
 
 /// Up to this number of runners all are compared.
-pub const COMPARE_ALL: usize = 8;
+pub const COMPARE_ALL: usize = 32;
 
 /// What the choice depends on besides the runners.
 #[derive(Clone, Copy, Debug)]
 pub struct Setting {
-    /// How many nodes send work to these runners.
+    /// How many nodes send work to each of these runners.
     pub sharers: u32,
     /// How many runners are compared.
     pub sample: usize,
+    /// How long a request stays at a runner on average, in seconds.
+    pub stay: f64,
 }
 
 impl Default for Setting {
     fn default() -> Self {
-        Self { sharers: 1, sample: SAMPLE }
+        Self { sharers: 1, sample: SAMPLE, stay: FIRST_STAY }
+    }
+}
+
+/// What is assumed of a request's stay until some have ended, in seconds.
+const FIRST_STAY: f64 = 2.0;
+
+/// The gain with which the average stay follows what is seen.
+const STAY_GAIN: f64 = 0.02;
+
+impl Setting {
+    /// Learns from a request that stayed for `stay` seconds.
+    pub fn learn_stay(&mut self, stay: f64) {
+        self.stay += (stay - self.stay) * STAY_GAIN;
     }
 }
 
@@ -58,35 +81,47 @@
 
 /// Predicts the course of `work` at `view`.
 pub fn predict(view: &View, work: &Work, now: Instant, setting: Setting) -> Prediction {
-    let report = &view.report;
-    let age = view.age(now).map_or(0.0, |age| age.as_secs_f64());
-    let prefill_rate = f64::from(report.prefill_rate.0.max(1));
-    let decode_rate = f64::from(report.decode_rate.0.max(1));
+    let load = Load {
+        requests: f64::from(view.in_flight) + view.others.requests,
+        backlog: view.own_backlog as f64 + view.others.backlog,
+    };
+    course(view, load, work, now, setting)
+}
 
-    // Own dispatches since the report are known; those of the other sharers are taken to be alike.
-    let sharers = f64::from(setting.sharers);
-    let sent_tokens = f64::from(view.sent_tokens) * sharers;
-    let sent = f64::from(view.sent) * sharers;
-    let drained = age * prefill_rate;
-    let backlog = (f64::from(report.backlog.0) + sent_tokens - drained).max(0.0);
+/// The course of `work` at a runner that has `load`.
+fn course(view: &View, load: Load, work: &Work, now: Instant, setting: Setting) -> Prediction {
+    let prefill_rate = f64::from(view.report.prefill_rate.0.max(1));
+    let decode_rate = f64::from(view.report.decode_rate.0.max(1));
     let cached = if view.has_cached(work.prefix, now) { work.cached.0 } else { 0 };
     let prompt = f64::from(work.prompt.0.saturating_sub(cached));
 
     // A request that finds all slots taken waits until one of them is done.
     let slots = f64::from(view.slots.max(1));
     let output_time = f64::from(work.output.0) / decode_rate;
-    let finished = age * slots / output_time.max(0.05);
-    let load = f64::from(report.running + report.waiting) + sent - finished.min(sent * 0.5);
-    let load = load.max(f64::from(view.in_flight));
-    let rounds = ((load + 1.0 - slots) / slots).max(0.0);
-    let slot_wait = rounds * output_time;
+    let rounds = ((load.requests + 1.0 - slots) / slots).max(0.0);
+    let slot_wait = rounds * setting.stay;
 
     // More requests in a batch slow each other a little even while slots are free.
-    let crowding = (load / slots).min(1.0) * CROWDING * output_time;
-    let first = (backlog + prompt) / prefill_rate + slot_wait;
+    let crowding = (load.requests / slots).min(1.0) * CROWDING * output_time;
+    let first = (load.backlog + prompt) / prefill_rate + slot_wait;
     Prediction { first, last: first + output_time + crowding }
 }
 
+/// The rank of a runner for `work`, in seconds; the lowest is chosen. `draw` is a random number
+/// from 0 to 1.
+pub fn rank(view: &View, work: &Work, now: Instant, setting: Setting, draw: f64) -> f64 {
+    let sharers = f64::from(setting.sharers);
+    let load = Load {
+        requests: f64::from(view.in_flight) * sharers + view.others.requests,
+        backlog: view.own_backlog as f64 * sharers + view.others.backlog,
+    };
+    let unit = setting.stay / f64::from(view.slots.max(1)) * sharers;
+    course(view, load, work, now, setting).last + draw * unit * DITHER
+}
+
+/// The random part of a rank, in waits that one request of each sharer makes for others.
+const DITHER: f64 = 0.25;
+
 /// By how much a full batch is slower than an empty one; breaks ties in favour of empty runners.
 const CROWDING: f64 = 0.25;
 
@@ -99,12 +134,30 @@
     skip: &[usize],
     rng: &mut R,
 ) -> Option<Choice> {
-    let candidates = candidates(views, work, now, setting, skip, rng);
-    best(views, work, now, setting, &candidates)
-        .or_else(|| best_of_all(views, work, now, setting, skip))
+    let sampled = candidates(views, work, now, setting, skip, rng);
+    let found = best(views, work, now, setting, sampled.iter().copied(), rng);
+    if found.is_some() {
+        return found;
+    }
+    // The sample had no usable runner; none is overlooked as long as one is left.
+    let usable = |at: &usize| views[*at].takes_work(now) && !skip.contains(at);
+    best(views, work, now, setting, (0..views.len()).filter(usable), rng)
+}
+
+fn best<R: Rng>(
+    views: &[View],
+    work: &Work,
+    now: Instant,
+    setting: Setting,
+    places: impl Iterator<Item = usize>,
+    rng: &mut R,
+) -> Option<Choice> {
+    let ranked = places.map(|at| (rank(&views[at], work, now, setting, rng.random()), at));
+    let (_, at) = ranked.min_by(|a, b| a.0.total_cmp(&b.0))?;
+    Some(Choice { at, prediction: predict(&views[at], work, now, setting) })
 }
 
-type Places = SmallVec<[usize; 16]>;
+type Places = SmallVec<[usize; COMPARE_ALL]>;
 
 fn candidates<R: Rng>(
     views: &[View],
@@ -136,30 +189,3 @@
     }
     places
 }
-
-fn best(
-    views: &[View],
-    work: &Work,
-    now: Instant,
-    setting: Setting,
-    places: &[usize],
-) -> Option<Choice> {
-    let predicted = places
-        .iter()
-        .map(|at| Choice { at: *at, prediction: predict(&views[*at], work, now, setting) });
-    predicted.min_by(|a, b| a.prediction.last.total_cmp(&b.prediction.last))
-}
-
-/// The fall-back when the sample has no usable runner: none is overlooked as long as one is left.
-fn best_of_all(
-    views: &[View],
-    work: &Work,
-    now: Instant,
-    setting: Setting,
-    skip: &[usize],
-) -> Option<Choice> {
-    (0..views.len())
-        .filter(|at| views[*at].takes_work(now) && !skip.contains(at))
-        .map(|at| Choice { at, prediction: predict(&views[at], work, now, setting) })
-        .min_by(|a, b| a.prediction.last.total_cmp(&b.prediction.last))
-}
--- a/lib/src/runner.rs
+++ b/lib/src/runner.rs
@@ -1,6 +1,7 @@
 //! What a node knows of the runners of one service: their late reports, corrected by what it sent
 //! them since.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
@@ -78,7 +79,37 @@
     at: Instant,
 }
 
+/// How many own events are remembered for one runner. At the size to design for a node sends a
+/// runner about one request a second, so they reach back further than any report is late.
+const EVENTS: usize = 64;
+
+/// Over which time the part of others is smoothed: much longer than reports are late, and shorter
+/// than a lasting difference between runners may be left alone.
+pub const SMOOTHING: Duration = Duration::from_secs(10);
+
+/// A change of what this node has at a runner.
+#[derive(Clone, Copy, Debug)]
+struct OwnEvent {
+    at: Instant,
+    requests: i32,
+    tokens: i64,
+}
+
+/// An amount of work at a runner: requests, and prompt tokens that are not yet processed.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Requests, under way or waiting.
+    pub requests: f64,
+    /// Prompt tokens not yet processed.
+    pub backlog: f64,
+}
+
 /// What a node knows of one runner.
+///
+/// A report is late, and what this node has sent or seen ended since it was true is known exactly.
+/// So a report is taken apart into this node's own part at that time, worked out from its own
+/// events, and the part of all others. The own part is replaced by the own part of now; the part of
+/// others is smoothed.
 #[derive(Clone, Debug)]
 pub struct View {
     /// Its name.
@@ -99,10 +130,11 @@
     pub reported: Option<Instant>,
     /// Requests of this node that it has.
     pub in_flight: u32,
-    /// Requests that this node has sent it since the report.
-    pub sent: u32,
-    /// Prompt tokens that this node has sent it since the report.
-    pub sent_tokens: u32,
+    /// Prompt tokens of this node's requests whose first token has not come.
+    pub own_backlog: u64,
+    /// What it has of other nodes, smoothed over [`SMOOTHING`].
+    pub others: Load,
+    events: VecDeque<OwnEvent>,
     hints: SmallVec<[Hint; 4]>,
 }
 
@@ -128,8 +160,9 @@
             },
             reported: None,
             in_flight: 0,
-            sent: 0,
-            sent_tokens: 0,
+            own_backlog: 0,
+            others: Load::default(),
+            events: VecDeque::new(),
             hints: SmallVec::new(),
         }
     }
@@ -146,36 +179,68 @@
         if self.reported.is_some_and(|last| at <= last) {
             return false;
         }
+        let own = self.own_at(at);
+        let requests = f64::from(report.running + report.waiting);
+        let others = Load {
+            requests: (requests - own.requests).max(0.0),
+            backlog: (f64::from(report.backlog.0) - own.backlog).max(0.0),
+        };
+        let gain = self.reported.map_or(1.0, |last| {
+            let passed = at.saturating_duration_since(last).as_secs_f64();
+            1.0 - (-passed / SMOOTHING.as_secs_f64()).exp()
+        });
+        self.others.requests += (others.requests - self.others.requests) * gain;
+        self.others.backlog += (others.backlog - self.others.backlog) * gain;
         self.report = report;
         self.reported = Some(at);
         self.leaving = report.leaving;
-        self.sent = 0;
-        self.sent_tokens = 0;
         true
     }
 
+    /// What this node had there at `at`, by taking back what happened since.
+    fn own_at(&self, at: Instant) -> Load {
+        let mut requests = i64::from(self.in_flight);
+        let mut tokens = i64::try_from(self.own_backlog).unwrap_or(i64::MAX);
+        for event in self.events.iter().rev().take_while(|e| e.at > at) {
+            requests -= i64::from(event.requests);
+            tokens -= event.tokens;
+        }
+        Load { requests: requests.max(0) as f64, backlog: tokens.max(0) as f64 }
+    }
+
+    fn note(&mut self, at: Instant, requests: i32, tokens: i64) {
+        if self.events.len() >= EVENTS {
+            self.events.pop_front();
+        }
+        self.events.push_back(OwnEvent { at, requests, tokens });
+        self.in_flight = self.in_flight.saturating_add_signed(requests);
+        self.own_backlog = self.own_backlog.saturating_add_signed(tokens);
+    }
+
     /// Notes that work went there.
-    pub fn note_sent(&mut self, work: &Work) {
-        self.in_flight += 1;
-        self.sent += 1;
-        self.sent_tokens = self.sent_tokens.saturating_add(work.prompt.0);
+    pub fn note_sent(&mut self, now: Instant, work: &Work) {
+        self.note(now, 1, i64::from(work.prompt.0));
     }
 
-    /// Notes that a request ended well.
-    pub fn note_done(&mut self) {
-        self.in_flight = self.in_flight.saturating_sub(1);
-        self.faults = 0;
-        self.avoid_until = None;
+    /// Notes that the first token of `work` has come: its prompt is processed.
+    pub fn note_first(&mut self, now: Instant, work: &Work) {
+        self.note(now, 0, -i64::from(work.prompt.0));
+    }
+
+    /// Notes that a request ended without blame, such as one that its caller gave up. `pending`
+    /// are its prompt tokens if its first token had not come.
+    pub fn note_ended(&mut self, now: Instant, pending: Tokens) {
+        self.note(now, -1, -i64::from(pending.0));
     }
 
-    /// Notes that a request ended without blame, such as one that its caller gave up.
-    pub fn note_ended(&mut self) {
-        self.in_flight = self.in_flight.saturating_sub(1);
+    /// Notes that the runner answers well.
+    pub fn note_well(&mut self) {
+        self.faults = 0;
+        self.avoid_until = None;
     }
 
     /// Notes a fault, after which the runner is left alone for a while.
     pub fn note_fault(&mut self, now: Instant) {
-        self.in_flight = self.in_flight.saturating_sub(1);
         let factor = 1 << self.faults.min(8);
         self.faults += 1;
         self.avoid_until = Some(now + (FIRST_AVOID * factor).min(LONGEST_AVOID));
--- a/node/src/front/plain.rs
+++ b/node/src/front/plain.rs
@@ -283,7 +283,7 @@
             let left = until.saturating_duration_since(node.clock.now());
             let failed = match timeout(left, self.send(&ticket)).await {
                 Ok(Ok(answered)) => {
-                    ticket.done(work.prefix);
+                    ticket.done();
                     permit.note_finished();
                     state.close(attempt);
                     return Ok(answered);
--- a/node/src/path.rs
+++ b/node/src/path.rs
@@ -267,15 +267,15 @@
     /// Tries runners until the answer is whole. `None` means that the caller has gone.
     async fn attempts(&mut self) -> Result<Option<SmolStr>, Denied> {
         loop {
-            let Some(ticket) = self.pool.bind(&self.work, &self.tried) else {
+            let Some(mut ticket) = self.pool.bind(&self.work, &self.tried) else {
                 let run = self.request.refuse();
                 return Err(Denied { run, cause: Cause::NoRunner, after: DEFAULT_AFTER });
             };
             self.request.bind();
             self.tried.push(ticket.runner.clone());
-            let (fault, leaving) = match self.attempt(&ticket).await {
+            let (fault, leaving) = match self.attempt(&mut ticket).await {
                 End::Whole(reason) => {
-                    ticket.done(self.work.prefix);
+                    ticket.done();
                     return Ok(Some(reason));
                 }
                 End::CallerGone => return Ok(None),
@@ -318,7 +318,7 @@
         self.deadline.saturating_duration_since(self.node.clock.now())
     }
 
-    async fn attempt(&mut self, ticket: &Ticket) -> End {
+    async fn attempt(&mut self, ticket: &mut Ticket) -> End {
         let peer = Peer { name: ticket.runner.clone(), address: ticket.address };
         let attempt = self.request.send();
         let node = self.node.clone();
@@ -334,12 +334,18 @@
                 Err(_) => return End::Late,
             },
         };
-        self.read(&peer, attempt, frames).await
+        self.read(ticket, &peer, attempt, frames).await
     }
 
     /// Passes the frames of one attempt on. The stall timeout bounds the wait for each, so that a
     /// runner that hangs is given up long before the deadline.
-    async fn read(&mut self, peer: &Peer, attempt: Attempt, mut frames: Frames) -> End {
+    async fn read(
+        &mut self,
+        ticket: &mut Ticket,
+        peer: &Peer,
+        attempt: Attempt,
+        mut frames: Frames,
+    ) -> End {
         let stall = self.node.settings.stall_timeout;
         let mut reason = SmolStr::default();
         loop {
@@ -358,6 +364,7 @@
             match frame {
                 Frame::Token { index, text } => match self.request.frame(attempt, index) {
                     Verdict::Pass => {
+                        ticket.note_first();
                         self.note_token();
                         if self.sender.send(Part::Token(text)).await.is_err() {
                             return End::CallerGone;
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -15,6 +15,7 @@
 use sardinepick_lib::id::{Name, RequestId};
 use sardinepick_lib::role::{Demand, Estimate};
 use sardinepick_lib::runner::{Prefix, Report, View, Work};
+use sardinepick_lib::unit::{Percent, Tokens};
 use smallvec::SmallVec;
 use tokio::sync::oneshot;
 
@@ -84,7 +85,7 @@
             views: Vec::new(),
             places: HashMap::new(),
             setting: choose::Setting::default(),
-            budget: Budget::new(sardinepick_lib::unit::Percent(0), now),
+            budget: Budget::new(Percent(0), now),
             waiting: HashMap::new(),
             output_part: 1.0,
             arrived: Demand::default(),
@@ -145,12 +146,7 @@
     pub fn estimate_work(&self, prompt: u32, max_tokens: u32, prefix: Prefix) -> Work {
         let inner = self.lock();
         let output = (f64::from(max_tokens) * inner.output_part).ceil().max(1.0) as u32;
-        Work {
-            prompt: sardinepick_lib::unit::Tokens(prompt),
-            output: sardinepick_lib::unit::Tokens(output),
-            prefix,
-            cached: sardinepick_lib::unit::Tokens(prompt / 2),
-        }
+        Work { prompt: Tokens(prompt), output: Tokens(output), prefix, cached: Tokens(prompt / 2) }
     }
 
     /// How long `work` occupies a place.
@@ -271,7 +267,7 @@
             tried.iter().filter_map(|n| inner.places.get(n)).map(|p| p.view).collect();
         let choice = choose::choose(&inner.views, work, now, inner.setting, &skip, &mut inner.rng)?;
         let view = &mut inner.views[choice.at];
-        view.note_sent(work);
+        view.note_sent(now, work);
         let runner = view.name.clone();
         let address = inner.places.get(&runner)?.address;
         Some(Ticket {
@@ -279,7 +275,10 @@
             runner,
             address,
             prediction: choice.prediction,
-            settled: false,
+            work: *work,
+            sent: now,
+            first: None,
+            fault: false,
         })
     }
 
@@ -304,9 +303,9 @@
     pub fn take_report(&self, runner: &Name, age: Duration, report: Report) {
         let now = self.clock.now();
         let at = now.checked_sub(age).unwrap_or(now);
-        self.with_view(runner, |view| {
-            view.take_report(at, report);
-        });
+        let mut inner = self.lock();
+        let Some(place) = inner.places.get(runner).map(|p| p.view) else { return };
+        inner.views[place].take_report(at, report);
     }
 
     /// Notes that a runner said itself that it leaves.
@@ -318,7 +317,6 @@
     pub fn note_unreachable(&self, runner: &Name) {
         let now = self.clock.now();
         self.with_view(runner, |view| {
-            view.in_flight += 1;
             view.note_fault(now);
         });
     }
@@ -440,7 +438,7 @@
     }
 }
 
-/// One attempt at one runner. Dropping it without a word counts as an end without blame.
+/// One attempt at one runner. Dropping it ends the attempt, without blame unless a fault was told.
 pub struct Ticket {
     pool: Arc<Pool>,
     /// The runner.
@@ -449,39 +447,55 @@
     pub address: SocketAddr,
     /// What was predicted.
     pub prediction: Prediction,
-    settled: bool,
+    work: Work,
+    sent: Instant,
+    first: Option<Instant>,
+    fault: bool,
 }
 
 impl Ticket {
+    /// The first token has come.
+    pub fn note_first(&mut self) {
+        let now = self.pool.clock.now();
+        if self.first.replace(now).is_some() {
+            return;
+        }
+        let mut inner = self.pool.lock();
+        let Some(at) = inner.places.get(&self.runner).map(|p| p.view) else { return };
+        inner.views[at].note_first(now, &self.work);
+        inner.views[at].note_cached(self.work.prefix, now);
+    }
+
     /// The attempt was answered whole.
-    pub fn done(mut self, prefix: Prefix) {
+    pub fn done(self) {
         let now = self.pool.clock.now();
-        self.settled = true;
-        self.pool.with_view(&self.runner, |view| {
-            view.note_done();
-            view.note_cached(prefix, now);
-        });
+        let stayed = now.saturating_duration_since(self.sent).as_secs_f64();
+        let mut inner = self.pool.lock();
+        inner.setting.learn_stay(stayed);
+        if let Some(at) = inner.places.get(&self.runner).map(|p| p.view) {
+            inner.views[at].note_well();
+        }
     }
 
     /// The attempt failed through the runner.
     pub fn fault(mut self, leaving: bool) {
-        let now = self.pool.clock.now();
-        self.settled = true;
-        self.pool.with_view(&self.runner, |view| {
-            if leaving {
-                view.note_ended();
-                view.leaving = true;
-            } else {
-                view.note_fault(now);
-            }
-        });
+        self.fault = !leaving;
+        if leaving {
+            self.pool.note_leaving(&self.runner);
+        }
     }
 }
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        if !self.settled {
-            self.pool.with_view(&self.runner, View::note_ended);
-        }
+        let now = self.pool.clock.now();
+        let pending = if self.first.is_some() { Tokens(0) } else { self.work.prompt };
+        let fault = self.fault;
+        self.pool.with_view(&self.runner, |view| {
+            view.note_ended(now, pending);
+            if fault {
+                view.note_fault(now);
+            }
+        });
     }
 }
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod cluster;
 pub mod engine;
 pub mod invariant;
+pub mod measure;
 pub mod plain;
 pub mod platform;
 pub mod server;
