role: measure roles under shifting mixes against plans that know the future

Fluid fake of engines, nine mixes, three services; ways: no change, a threshold rule, the policy at three prices, a searched offline plan, and an ideal fleet as the upper bound. Bounds are held by a test (6 s).

--- a/testutils/benches/decisions.rs
+++ b/testutils/benches/decisions.rs
@@ -6,7 +6,8 @@
 
 fn main() -> ExitCode {
     let bounds = include_str!("../../bench/bounds.ini");
-    if figure::report(&decisions(), bounds, "decisions") {
+    let plans = !std::env::args().any(|a| a == "--quick");
+    if figure::report(&decisions(plans), bounds, "decisions") {
         ExitCode::SUCCESS
     } else {
         ExitCode::FAILURE
--- a/testutils/src/measure/mod.rs
+++ b/testutils/src/measure/mod.rs
@@ -4,14 +4,19 @@
 pub mod choosing;
 pub mod figure;
 pub mod fleet;
+pub mod mixes;
+pub mod offline;
+pub mod roles;
 pub mod waking;
 
 use figure::Figure;
 
-/// All figures about decisions.
-pub fn decisions() -> Vec<Figure> {
+/// All figures about decisions; with those of plans that know the future, which take minutes, if
+/// wanted.
+pub fn decisions(with_offline: bool) -> Vec<Figure> {
     let mut figures = Vec::new();
     figures.extend(choosing::measure());
     figures.extend(waking::measure());
+    figures.extend(roles::measure(with_offline));
     figures
 }
