member: let regions that lost each other find together again

Cause, found by stepping 6 to 150 nodes: a node taken for gone never learnt of it, and what it said of itself weighed no more than what was concluded, so the regions stayed apart (heal: never). Change: whoever speaks and is taken for gone is told so and contradicts; a list from another node is not passed on; 12 pieces of news a message in place of 6; a new generation is told to 6 in place of 3.

--- a/lib/src/member.rs
+++ b/lib/src/member.rs
@@ -33,9 +33,11 @@
 /// How long a node that is taken for gone is remembered. Longer than regions lose each other.
 pub const REMEMBERED: Duration = Duration::from_secs(2 * 3600);
 /// How much news goes with a message at the most.
-pub const NEWS: usize = 6;
+pub const NEWS: usize = 12;
 /// How often a piece of news is passed on, times the logarithm of the number of nodes.
 pub const REPEATS: u32 = 3;
+/// How often all nodes are looked through for suspicions that are over.
+pub const SCAN_PERIOD: Duration = Duration::from_millis(500);
 /// A tick that comes so much late means that this process was paused.
 pub const PAUSE: Duration = Duration::from_millis(1500);
 
@@ -146,7 +148,7 @@
     /// What the sender says of itself.
     pub status: Status,
     /// News.
-    pub news: SmallVec<[Update; NEWS]>,
+    pub news: SmallVec<[Update; 4]>,
 }
 
 /// A message with its address.
@@ -235,6 +237,7 @@
     last_tick: Option<Instant>,
     last_probe: Option<Instant>,
     last_heal: Option<Instant>,
+    last_scan: Option<Instant>,
     active: usize,
 }
 
@@ -254,6 +257,7 @@
             last_tick: None,
             last_probe: None,
             last_heal: None,
+            last_scan: None,
             active: 0,
         }
     }
@@ -350,10 +354,13 @@
         if paused {
             self.forgive(now);
         }
-        self.active = self.active().count();
         let mut out = Vec::new();
         self.check_probe(now, rng, &mut out);
-        self.check_suspects(now);
+        if self.last_scan.is_none_or(|last| now >= last + SCAN_PERIOD) {
+            self.last_scan = Some(now);
+            self.active = self.active().count();
+            self.check_suspects(now);
+        }
         self.relays.retain(|r| now < r.sent + PERIOD);
         let due = self.last_probe.is_none_or(|last| now >= last + PERIOD);
         if due && self.probe.is_none() {
@@ -485,7 +492,7 @@
 
     /// This node's own news first, so that a stranger learns who speaks; then the news that has
     /// been passed on least.
-    fn pick_news(&mut self) -> SmallVec<[Update; NEWS]> {
+    fn pick_news(&mut self) -> SmallVec<[Update; 4]> {
         let mut news = SmallVec::new();
         news.push(self.me.clone());
         let limit = REPEATS * (usize::BITS - self.active.leading_zeros()).max(1);
@@ -531,6 +538,7 @@
             peer.heard = Some(now);
             peer.status = message.status;
         }
+        self.tell_mistaken(source, &message.from, &mut out);
         match message.purpose {
             Purpose::Ping => self.push(&mut out, source, Purpose::Ack, message.sequence),
             Purpose::Ack => self.take_ack(&message.from, message.sequence, &mut out),
@@ -550,6 +558,23 @@
         out
     }
 
+    /// Tells a node that speaks, and is taken for suspected or gone here, that it is.
+    ///
+    /// Without this, regions that lost each other never find together again: what the other says of
+    /// itself weighs no more than what was concluded about it, and it does not know that it has to
+    /// contradict.
+    fn tell_mistaken(&mut self, source: SocketAddr, from: &Name, out: &mut Vec<Outgoing>) {
+        let Some(peer) = self.peers.get(from) else { return };
+        if peer.update.state < State::Suspected {
+            return;
+        }
+        let update = peer.update.clone();
+        let mut message = self.message(Purpose::News, 0);
+        message.news.truncate(NEWS - 1);
+        message.news.push(update);
+        out.push(Outgoing { to: source, message });
+    }
+
     fn take_ack(&mut self, from: &Name, sequence: u64, out: &mut Vec<Outgoing>) {
         if self.probe.as_ref().is_some_and(|p| p.sequence == sequence) {
             self.probe = None;
@@ -563,10 +588,14 @@
     }
 
     /// Takes in a whole list of nodes, as a node that joins gets it from the first it reaches.
+    ///
+    /// It is not passed on: whoever gave it has done so.
     pub fn take_all(&mut self, now: Instant, updates: Vec<Update>) {
+        let rumours = std::mem::take(&mut self.rumours);
         for update in updates {
             self.learn(now, update);
         }
+        self.rumours = rumours;
     }
 
     /// All that this node knows, for one that joins.
--- a/node/src/peer/gossip.rs
+++ b/node/src/peer/gossip.rs
@@ -25,7 +25,7 @@
 const MAX_DATAGRAM: usize = 2048;
 
 /// To how many nodes a new generation is told at once.
-const TELL: usize = 3;
+const TELL: usize = 6;
 
 /// What a datagram costs beyond its content: the heads of UDP and IP.
 const HEADS: usize = 28;
