--- a/lib/src/lease.rs
+++ b/lib/src/lease.rs
@@ -58,7 +58,7 @@
 }
 
 /// What a lease wants done.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub enum Action {
     /// Read the object.
     Read,
--- a/lib/src/order.rs
+++ b/lib/src/order.rs
@@ -73,7 +73,7 @@
 }
 
 /// What a desk wants done.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub enum Action {
     /// Write the intent if the stored one has the expected revision.
     Write {
