node: bring failures about on the whole path

Cut, short, crossed and hanging streams, true refusals, a leaving runner, a caller that hangs up, an order cut after its effect, an owner killed, the platform down, lost answers to a change, racing operators, bad input: 13 tests with invariant checks over what callers saw and back ends did. Crossed streams were passed on before: nothing compared an event's request with the one asked; now an event of another request ends the attempt.

--- a/node/src/upstream/chunk.rs
+++ b/node/src/upstream/chunk.rs
@@ -9,6 +9,8 @@
 /// What the proxy needs of an event: the first choice. Everything else is passed over.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Chunk {
+    /// The request that the event belongs to, where the engine says it.
+    pub id: Option<SmolStr>,
     /// The text.
     pub text: SmolStr,
     /// The place of the token in the answer, where the engine says it.
@@ -33,15 +35,20 @@
     }
 
     fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Chunk, A::Error> {
-        let mut chunk = None;
+        let mut chunk: Option<Chunk> = None;
+        let mut id = None;
         while let Some(key) = map.next_key::<SmolStr>()? {
-            if key == "choices" {
-                chunk = map.next_value::<Choices>()?.0;
-            } else {
-                map.next_value::<IgnoredAny>()?;
+            match key.as_str() {
+                "choices" => chunk = map.next_value::<Choices>()?.0,
+                "id" => id = map.next_value()?,
+                _ => {
+                    map.next_value::<IgnoredAny>()?;
+                }
             }
         }
-        chunk.ok_or_else(|| serde::de::Error::custom("no choice"))
+        chunk
+            .map(|chunk| Chunk { id, ..chunk })
+            .ok_or_else(|| serde::de::Error::custom("no choice"))
     }
 }
 
--- a/node/src/upstream/completions.rs
+++ b/node/src/upstream/completions.rs
@@ -135,7 +135,10 @@
 }
 
 /// Turns one event into frames. An event may carry a token and the reason of the end.
-fn frames(peer: &Peer, data: &str, next: &mut u64) -> Result<Vec<Frame>, Fault> {
+///
+/// An event that names another request is part of a crossed answer: passing it on would give a
+/// caller what belongs to another.
+fn frames(peer: &Peer, id: &str, data: &str, next: &mut u64) -> Result<Vec<Frame>, Fault> {
     if data == DONE {
         return Ok(vec![Frame::Close]);
     }
@@ -143,6 +146,10 @@
         peer: peer.name.clone(),
         detail: SmolStr::new(error.to_string()),
     })?;
+    if chunk.id.as_ref().is_some_and(|named| named != id) {
+        let detail = SmolStr::new_static("an event of another request");
+        return Err(Fault::Wrong { peer: peer.name.clone(), detail });
+    }
     let mut frames = Vec::with_capacity(2);
     if !chunk.text.is_empty() {
         let index = chunk.offset.unwrap_or(*next);
@@ -157,13 +164,14 @@
 
 fn read_events(
     peer: Peer,
+    id: SmolStr,
     body: Incoming,
     first: u64,
 ) -> impl Stream<Item = Result<Frame, Fault>> + Send {
     let events = BodyDataStream::new(body).eventsource();
     let mut next = first;
     let frames = events.map(move |event| match event {
-        Ok(event) => frames(&peer, &event.data, &mut next),
+        Ok(event) => frames(&peer, &id, &event.data, &mut next),
         Err(error) => Err(broken(&peer, error.to_string())),
     });
     frames.map_ok(|frames| futures_util::stream::iter(frames.into_iter().map(Ok))).try_flatten()
@@ -191,7 +199,12 @@
         if !response.status().is_success() {
             return Err(failure(peer, response.status(), response.headers()));
         }
-        let events = read_events(peer.clone(), response.into_body(), completion.resume_from);
+        let events = read_events(
+            peer.clone(),
+            completion.id.clone(),
+            response.into_body(),
+            completion.resume_from,
+        );
         Ok(events.boxed())
     }
 
--- /dev/null
+++ b/node/tests/failures.rs
@@ -0,0 +1,320 @@
+//! Failures brought about on the whole path, each with what callers and back ends must see.
+
+use std::time::Duration;
+
+use http::Method;
+use sardinepick_lib::config::object::Role;
+use sardinepick_lib::hash::Digest;
+use sardinepick_testutils::caller::{Caller, Keyed};
+use sardinepick_testutils::cluster::{Cluster, Plan, free_address, own_ip, wait_ready, wait_until};
+use sardinepick_testutils::engine::{Engine, Faults, Speed, expected};
+use sardinepick_testutils::invariant::{Seen, check_call, check_completion};
+use sardinepick_testutils::plain::{self, Plain};
+use sardinepick_testutils::platform;
+
+const KEY: &str = "clerk-key";
+const TOKENS: u64 = 20;
+const PROMPT: &str = "how many eggs for forty rooms?";
+
+struct Set {
+    cluster: Cluster,
+    engines: Vec<Engine>,
+    plain: Plain,
+    caller: Caller,
+}
+
+async fn set(nodes: usize, engines: usize) -> Set {
+    let plain = Plain::start(free_address(own_ip())).await.expect("a free address");
+    let key = Digest::of(KEY.as_bytes());
+    let mut config = format!(
+        "begin; create model telraad-7b version = 3; \
+         create service telraad model = telraad-7b, deadline = 8s; \
+         create service ontbijtbord form = plain, deadline = 3s; \
+         create runner ontbijtbord-1 service = ontbijtbord, address = {}, data_centre = zaal-dom; \
+         create account clerk key = {key}, rate = 1000, burst = 1000, concurrency = 100; ",
+        plain.address()
+    );
+    let mut started = Vec::new();
+    for at in 0..engines {
+        let address = free_address(own_ip());
+        let engine = Engine::start(address, Role::Mixed, Speed::default()).await;
+        started.push(engine.expect("a free address"));
+        config += &format!(
+            "create runner telraad-{at} service = telraad, address = {address}, \
+             data_centre = zaal-dom, fencing = checked; "
+        );
+    }
+    config += "commit";
+    let cluster = Cluster::start(nodes, &["zaal-dom"], &config).await;
+    Set { cluster, engines: started, plain, caller: Caller::new(KEY) }
+}
+
+impl Set {
+    /// Makes one completion, checks the promises, and gives what the caller saw.
+    async fn complete(&self, id: &str) -> Seen {
+        let front = self.cluster.front(0);
+        let told = self.caller.complete(front, "telraad", id, PROMPT, TOKENS).await;
+        let starts = self.engines.iter().map(|e| e.started(id)).sum();
+        let violation = check_completion(id, PROMPT, TOKENS, &told.seen, starts);
+        assert_eq!(violation, None);
+        told.seen
+    }
+
+    fn all(&self, faults: Faults) {
+        for engine in &self.engines {
+            engine.set_faults(faults);
+        }
+    }
+}
+
+fn is_whole(seen: &Seen) -> bool {
+    matches!(seen, Seen::Answer(text) if *text == expected(PROMPT, TOKENS))
+}
+
+/// Symptom: an answer stops in the middle. Sequence: the runner breaks the stream off after five
+/// tokens. Cause: it died. The answer must go on elsewhere without a gap or a double.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_cut_goes_on_elsewhere() {
+    let set = set(1, 2).await;
+    set.engines[0].set_faults(Faults { cut_after: Some(5), ..Faults::default() });
+    for n in 0..6 {
+        assert!(is_whole(&set.complete(&format!("cut-{n}")).await));
+    }
+}
+
+/// Symptom: a short answer is taken for a whole one. Sequence: the only runner ends its stream
+/// after five tokens without the closing frame, and so do its next attempts. Cause: a crash between
+/// two tokens looks like an end. The caller must know that the answer is not whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_without_closing_frame_no_success() {
+    let set = set(1, 1).await;
+    set.all(Faults { end_after: Some(5), ..Faults::default() });
+    assert!(matches!(set.complete("short").await, Seen::Cut));
+}
+
+/// Symptom: a caller gets another's answer. Sequence: a runner answers with the events of another
+/// request. Cause: it crossed two streams. Nothing of it may reach the caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_crossed_never_passed_on() {
+    let set = set(1, 2).await;
+    set.engines[0].set_faults(Faults { cross: true, ..Faults::default() });
+    for n in 0..6 {
+        assert!(is_whole(&set.complete(&format!("cross-{n}")).await));
+    }
+}
+
+/// Symptom: a caller waits to its deadline. Sequence: a runner takes connections and answers
+/// nothing. Cause: it hangs. The request must be answered by another within the deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn runner_hangs_another_answers() {
+    let set = set(1, 2).await;
+    set.engines[0].set_faults(Faults { hang: true, ..Faults::default() });
+    for n in 0..2 {
+        assert!(is_whole(&set.complete(&format!("hang-{n}")).await));
+    }
+}
+
+/// Symptom: a refusal says not run, and it has run. Sequence: all runners refuse unstarted; then
+/// all break off. Cause: a refusal that is decided by where the error was seen. The first must say
+/// not run, the second must not.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusals_are_true() {
+    let set = set(1, 2).await;
+    set.all(Faults { refuse: true, ..Faults::default() });
+    assert!(matches!(set.complete("refused").await, Seen::RefusedNotRun));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    set.all(Faults { cut_after: Some(0), ..Faults::default() });
+    assert!(matches!(set.complete("broken").await, Seen::RefusedUnknown | Seen::Cut));
+}
+
+/// Symptom: work goes to a runner that leaves. Sequence: a runner refuses as one that leaves.
+/// Cause: lists of the platform lag. Its own word must be enough, and cost the caller nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn runner_leaving_by_its_own_word() {
+    let set = set(1, 2).await;
+    set.engines[0].set_faults(Faults { leaving: true, ..Faults::default() });
+    for n in 0..4 {
+        assert!(is_whole(&set.complete(&format!("leave-{n}")).await));
+    }
+}
+
+/// Symptom: an engine works for a caller that has gone. Sequence: a caller hangs up in the middle
+/// of a long answer. Cause: the hang-up is not passed on.
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_hangs_up_engine_freed() {
+    let set = set(1, 1).await;
+    let caller = set.caller.clone();
+    let front = set.cluster.front(0);
+    let call =
+        tokio::spawn(async move { caller.complete(front, "telraad", "gone", PROMPT, 2_000).await });
+    wait_until("the engine works", || async { set.engines[0].running() == 1 }).await;
+    call.abort();
+    wait_until("the engine is free", || async { set.engines[0].running() == 0 }).await;
+}
+
+/// Symptom: bread is ordered twice. Sequence: the service breaks off after the order took effect;
+/// the caller repeats it, to another node. Cause: the lost answer says nothing about the effect.
+#[tokio::test(flavor = "multi_thread")]
+async fn order_cut_after_effect_never_twice() {
+    let set = set(2, 1).await;
+    let listing = set.caller.look_up(set.cluster.front(0)).await.expect("a listing");
+    set.plain.set_faults(plain::Faults { cut_after_effect: true, ..plain::Faults::default() });
+    let mut seen = Vec::new();
+    for attempt in 1..=3 {
+        let keyed = Keyed { key: "bread-1", attempt, epoch: listing.epoch };
+        let front = set.cluster.front(attempt as usize % 2);
+        let told = set.caller.post(front, "ontbijtbord", "bread", Some(&keyed)).await;
+        seen.push(told.seen);
+        set.plain.set_faults(plain::Faults::default());
+    }
+    assert_eq!(check_call("bread-1", &seen, set.plain.effects("bread")), None);
+    assert_eq!(set.plain.effects("bread"), 1);
+    assert!(seen.iter().all(|s| matches!(s, Seen::RefusedUnknown)), "{seen:?}");
+}
+
+/// Symptom: bread is ordered twice. Sequence: an order is answered, every node that may own its key
+/// but one is killed, and the caller repeats the order there. Cause: the records died with their
+/// owner. The repeat must be answered with the outcome or as unknown, never run.
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_killed_repeat_not_run() {
+    let mut set = set(3, 1).await;
+    let listing = set.caller.look_up(set.cluster.front(0)).await.expect("a listing");
+    for n in 0..6 {
+        let (key, body) = (format!("k{n}"), format!("bread {n}"));
+        let keyed = Keyed { key: &key, attempt: 1, epoch: listing.epoch };
+        let told = set.caller.post(set.cluster.front(0), "ontbijtbord", &body, Some(&keyed)).await;
+        assert!(matches!(told.seen, Seen::Answer(_)), "{told:?}");
+    }
+    for at in 1..3 {
+        set.cluster.nodes[at].take().expect("the node runs").kill();
+    }
+    let mut unknown = 0;
+    for n in 0..6 {
+        let (key, body) = (format!("k{n}"), format!("bread {n}"));
+        let keyed = Keyed { key: &key, attempt: 2, epoch: listing.epoch };
+        let told = set.caller.post(set.cluster.front(0), "ontbijtbord", &body, Some(&keyed)).await;
+        unknown += u32::from(matches!(told.seen, Seen::RefusedUnknown));
+        assert!(!matches!(told.seen, Seen::RefusedNotRun), "{told:?}");
+        assert_eq!(set.plain.effects(&body), 1);
+    }
+    assert!(unknown > 0, "no key had its owner killed, so nothing was shown");
+}
+
+/// Symptom: nothing works while the platform is down. Sequence: the platform goes down; callers
+/// ask; an operator changes something; a node starts. Cause: the platform has outages. Serving goes
+/// on, the change is truly refused, and the node starts from its peers.
+#[tokio::test(flavor = "multi_thread")]
+async fn platform_down_serving_goes_on() {
+    let set = set(2, 1).await;
+    set.cluster.platform.set_faults(platform::Faults { down: true, ..Default::default() });
+    assert!(is_whole(&set.complete("down").await));
+
+    let command = "set service telraad priority = high";
+    let answer = set.cluster.operator.command(set.cluster.front(0), command).await;
+    let (status, value) = answer.expect("the node answers");
+    assert_eq!(status.as_u16(), 503, "{value}");
+
+    let mut plan = Plan::new("entry-9", "zaal-dom", set.cluster.platform.address());
+    plan.extra = String::new();
+    let ini = plan.ini().replace(
+        &format!("peer = {}", plan.peer),
+        &format!("peer = {}\nseeds = {}", plan.peer, set.cluster.plans[0].peer),
+    );
+    let settings = sardinepick_node::settings::Settings::parse("entry-9", &ini);
+    let clock = std::sync::Arc::new(sardinepick_node::clock::Boot::default());
+    let late = sardinepick_node::run::start(settings.expect("right settings"), clock);
+    let late = late.await.expect("free addresses");
+    wait_ready(plan.front).await;
+    assert_eq!(
+        late.node.config.load().generation,
+        set.cluster.node(0).node.config.load().generation
+    );
+
+    set.cluster.platform.set_faults(platform::Faults::default());
+    set.cluster.change(command).await;
+}
+
+/// Symptom: a change is applied twice, or reported as failed and is in force. Sequence: the answers
+/// to writes are lost after they took effect. Cause: the network. The change must be settled by its
+/// identity and be in force once.
+#[tokio::test(flavor = "multi_thread")]
+async fn change_answer_lost_settled() {
+    let set = set(2, 1).await;
+    let before = set.cluster.node(0).node.config.load().generation.0;
+    // Three chunks and the head are written; every one of the answers is lost in some round.
+    for lost in 1..=4 {
+        set.cluster
+            .platform
+            .set_faults(platform::Faults { lose_answers: lost, ..Default::default() });
+        let text = format!("set service telraad deadline = {lost}s");
+        let answer = set.cluster.operator.command(set.cluster.front(1), &text).await;
+        let (status, _) = answer.expect("the node answers");
+        if !status.is_success() {
+            // A chunk's answer was lost: truly not applied, so the repeat applies it.
+            set.cluster.platform.set_faults(platform::Faults::default());
+            set.cluster.change(&text).await;
+        }
+    }
+    let after = set.cluster.node(0).node.config.load().generation.0;
+    wait_until("both nodes have the last change", || async {
+        let of = |at: usize| set.cluster.node(at).node.config.load().generation.0;
+        of(0) == before + 4 && of(1) == before + 4
+    })
+    .await;
+    assert!(after <= before + 4);
+}
+
+/// Symptom: one operator's change silently undoes another's. Sequence: two operators look, then
+/// change the same runner; others change different things. Cause: commands that do not say what
+/// they were made for. The conflict is refused with the other's name; the rest lands.
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_race_conflict_named() {
+    let set = set(2, 2).await;
+    let base = set.cluster.node(0).node.config.load().generation.0;
+    let command = |at: usize, text: &str| {
+        let body = serde_json::json!({ "text": text, "base": base }).to_string();
+        let operator = set.cluster.operator.clone();
+        let front = set.cluster.front(at);
+        async move { operator.ask(front, Method::POST, "/admin/v1/command", &[], body).await }
+    };
+    let (first, _) = command(0, "drain runner telraad-0").await.expect("an answer");
+    assert!(first.is_success());
+    let (other, _) = command(1, "drain runner telraad-1").await.expect("an answer");
+    assert!(other.is_success(), "an unrelated change must land");
+    let (same, body) = command(1, "set runner telraad-0 slots = 5").await.expect("an answer");
+    assert_eq!(same.as_u16(), 409);
+    assert!(body.contains("runner telraad-0 was changed by bootstrap"), "{body}");
+}
+
+/// Symptom: wrong requests bring a node down or are answered without a reason. Sequence: each kind
+/// of wrong request. Cause: callers make mistakes. Each is told what is wrong, and where.
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_input_told_what_and_where() {
+    let set = set(1, 1).await;
+    let front = set.cluster.front(0);
+    let long = "x".repeat(2 << 20);
+    let cases = [
+        ("/v1/completions", "{", 400, "the body"),
+        ("/v1/completions", r#"{"model":"nope","prompt":"a"}"#, 404, "no model nope"),
+        ("/v1/completions", r#"{"model":"telraad","prompt":""}"#, 400, "prompt"),
+        (
+            "/v1/completions",
+            r#"{"model":"telraad","prompt":"a","max_tokens":0}"#,
+            400,
+            "max_tokens",
+        ),
+        ("/v1/chat/completions", r#"{"model":"telraad","messages":[]}"#, 400, "messages"),
+        ("/services/nope/x", "", 404, "no plain service"),
+        ("/v1/completions", long.as_str(), 413, "more than"),
+    ];
+    for (path, body, status, says) in cases {
+        let answer = set.caller.ask(front, Method::POST, path, &[], body.to_owned()).await;
+        let (got, text) = answer.expect("an answer");
+        assert_eq!((got.as_u16(), text.contains(says)), (status, true), "{path}: {text}");
+    }
+    let stranger = Caller::new("not-a-key");
+    let (status, _) =
+        stranger.ask(front, Method::GET, "/v1/models", &[], "").await.expect("an answer");
+    assert_eq!(status.as_u16(), 401);
+    assert!(is_whole(&set.complete("after").await));
+}
--- a/testutils/src/engine.rs
+++ b/testutils/src/engine.rs
@@ -340,6 +340,7 @@
 ) {
     let pause = Duration::from_secs_f64(1.0 / f64::from(speed.decode));
     let prompt = if faults.cross { "another prompt" } else { &completion.prompt };
+    let id = if faults.cross { "another request" } else { &completion.request_id };
     for index in completion.resume_from..completion.max_tokens {
         let made = index - completion.resume_from;
         if faults.cut_after == Some(made) {
@@ -351,7 +352,7 @@
         }
         let text = token(prompt, index);
         let event = serde_json::json!({
-            "id": completion.request_id,
+            "id": id,
             "object": "text_completion",
             "choices": [{"index": 0, "text": text, "offset": index, "finish_reason": null}],
         });
@@ -364,7 +365,7 @@
         }
     }
     let event = serde_json::json!({
-        "id": completion.request_id,
+        "id": id,
         "object": "text_completion",
         "choices": [{"index": 0, "text": "", "finish_reason": "length"}],
     });
