--- /dev/null
+++ b/node/tests/processes.rs
@@ -0,0 +1,242 @@
+//! The real program as nine processes under steady load, while one is killed and one paused every
+//! few seconds and runners are drained and re-roled throughout.
+//!
+//! It takes some ten seconds; `SARDINEPICK_RUN_SECONDS` makes it longer.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use sardinepick_lib::config::object::Role;
+use sardinepick_lib::hash::Digest;
+use sardinepick_testutils::caller::{Caller, Keyed};
+use sardinepick_testutils::cluster::{
+    ADMIN_KEY, Plan, free_address, own_ip, wait_ready, wait_until,
+};
+use sardinepick_testutils::engine::{Engine, Speed};
+use sardinepick_testutils::invariant::{Seen, Violation, check_call, check_completion};
+use sardinepick_testutils::plain::Plain;
+use sardinepick_testutils::platform::Platform;
+use sardinepick_testutils::process::Daemon;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+const EXE: &str = env!("CARGO_BIN_EXE_sardinepickd");
+const NODES: usize = 9;
+const ENGINES: usize = 6;
+const CALLERS: usize = 24;
+const TOKENS: u64 = 30;
+const KEY: &str = "clerk-key";
+const DEFAULT_SECONDS: u64 = 9;
+
+#[derive(Debug, Default)]
+struct Tally {
+    answered: u64,
+    not_run: u64,
+    unknown: u64,
+    cut: u64,
+    violations: Vec<Violation>,
+}
+
+impl Tally {
+    fn count(&mut self, seen: &Seen) {
+        match seen {
+            Seen::Answer(_) => self.answered += 1,
+            Seen::RefusedNotRun => self.not_run += 1,
+            Seen::RefusedUnknown => self.unknown += 1,
+            Seen::Cut => self.cut += 1,
+        }
+    }
+
+    fn add(&mut self, other: Tally) {
+        self.answered += other.answered;
+        self.not_run += other.not_run;
+        self.unknown += other.unknown;
+        self.cut += other.cut;
+        self.violations.extend(other.violations);
+    }
+}
+
+struct Back {
+    engines: Vec<Engine>,
+    plain: Plain,
+}
+
+fn config(back: &Back) -> String {
+    let key = Digest::of(KEY.as_bytes());
+    let mut config = format!(
+        "begin; create model telraad-7b version = 3; \
+         create service telraad model = telraad-7b, deadline = 8s; \
+         create service ontbijtbord form = plain, deadline = 3s; \
+         create runner ontbijtbord-1 service = ontbijtbord, address = {}, data_centre = zaal-dom; \
+         create account clerk key = {key}, rate = 10000, burst = 10000, concurrency = 1000; ",
+        back.plain.address()
+    );
+    for (at, engine) in back.engines.iter().enumerate() {
+        config += &format!(
+            "create runner telraad-{at} service = telraad, address = {}, \
+             data_centre = zaal-dom, fencing = checked, slots = 32; ",
+            engine.address()
+        );
+    }
+    config + "commit"
+}
+
+/// Asks any of the nodes for addresses until one answers.
+async fn look_up(caller: &Caller, fronts: &[SocketAddr], from: usize) -> (SocketAddr, u64) {
+    for turn in 0.. {
+        let front = fronts[(from + turn) % fronts.len()];
+        let asked = tokio::time::timeout(Duration::from_millis(500), caller.look_up(front)).await;
+        if let Ok(Ok(listing)) = asked
+            && let Some(address) = listing.addresses.first()
+        {
+            return (*address, listing.epoch);
+        }
+    }
+    unreachable!("the loop does not end")
+}
+
+/// One caller: completions and orders in turn until told to stop. An order that got no answer is
+/// repeated once under its key.
+async fn call(
+    at: usize,
+    fronts: Arc<Vec<SocketAddr>>,
+    back: Arc<Back>,
+    stop: Arc<AtomicBool>,
+) -> Tally {
+    let caller = Caller::new(KEY);
+    let mut tally = Tally::default();
+    for n in 0.. {
+        if stop.load(Ordering::Relaxed) {
+            break;
+        }
+        let (front, epoch) = look_up(&caller, &fronts, at + n).await;
+        let id = format!("call-{at}-{n}");
+        if n % 3 < 2 {
+            let prompt = format!("{id}: how many eggs? {}", "rooms ".repeat(n % 50));
+            let ask = caller.complete(front, "telraad", &id, &prompt, TOKENS);
+            let Ok(told) = tokio::time::timeout(Duration::from_secs(10), ask).await else {
+                tally.cut += 1;
+                continue;
+            };
+            let starts = back.engines.iter().map(|e| e.started(&id)).sum();
+            tally.count(&told.seen);
+            tally.violations.extend(check_completion(&id, &prompt, TOKENS, &told.seen, starts));
+            continue;
+        }
+        let mut seen = Vec::new();
+        for attempt in 1..=2 {
+            let (front, _) = look_up(&caller, &fronts, at + n + attempt as usize).await;
+            let keyed = Keyed { key: &id, attempt, epoch };
+            let ask = caller.post(front, "ontbijtbord", &id, Some(&keyed));
+            let told = tokio::time::timeout(Duration::from_secs(5), ask).await;
+            let one = told.map_or(Seen::Cut, |told| told.seen);
+            let again = !matches!(one, Seen::Answer(_));
+            seen.push(one);
+            if !again {
+                break;
+            }
+        }
+        tally.count(seen.last().expect("there was an attempt"));
+        tally.violations.extend(check_call(&id, &seen, back.plain.effects(&id)));
+    }
+    tally
+}
+
+/// Symptom: under churn an answer is wrong, a refusal false, or an order doubled. Sequence: nodes
+/// are killed, paused and started again, runners drained and re-roled, all under load. Cause: any of
+/// these two together may hit a request in any of its states.
+#[tokio::test(flavor = "multi_thread")]
+async fn nine_processes_under_churn() {
+    let seconds = std::env::var("SARDINEPICK_RUN_SECONDS").ok().and_then(|s| s.parse().ok());
+    let span = Duration::from_secs(seconds.unwrap_or(DEFAULT_SECONDS));
+    let platform = Platform::start(free_address(own_ip())).await.expect("a free address");
+    let mut engines = Vec::new();
+    for _ in 0..ENGINES {
+        let engine = Engine::start(free_address(own_ip()), Role::Mixed, Speed::default()).await;
+        engines.push(engine.expect("a free address"));
+    }
+    let plain = Plain::start(free_address(own_ip())).await.expect("a free address");
+    let back = Arc::new(Back { engines, plain });
+    let plan = |at| Plan::new(&format!("entry-{at}"), "zaal-dom", platform.address());
+    let plans: Vec<Plan> = (0..NODES).map(plan).collect();
+    platform.set_vms(plans.iter().map(Plan::vm).collect());
+    let start = |plan: &Plan| Daemon::start(Path::new(EXE), plan);
+    let mut daemons: Vec<Daemon> = plans.iter().map(start).collect();
+    let operator = Caller::new(ADMIN_KEY);
+    wait_until("the first change is taken", || async {
+        let made = operator.command(plans[0].front, &config(&back)).await;
+        made.is_ok_and(|(status, _)| status.is_success())
+    })
+    .await;
+    for plan in &plans {
+        wait_ready(plan.front).await;
+    }
+
+    let fronts: Arc<Vec<SocketAddr>> = Arc::new(plans.iter().map(|p| p.front).collect());
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut calls = JoinSet::new();
+    for at in 0..CALLERS {
+        calls.spawn(call(at, fronts.clone(), back.clone(), stop.clone()));
+    }
+    let until = Instant::now() + span;
+    let mut turn = 0;
+    let (mut kills, mut pauses, mut changes) = (0, 0, 0);
+    while Instant::now() < until {
+        let (victim, sleeper) = (1 + turn % (NODES - 1), 1 + (turn + 4) % (NODES - 1));
+        daemons[victim].kill();
+        daemons[sleeper].pause();
+        kills += 1;
+        pauses += 1;
+        let runner = turn % ENGINES;
+        let role = if turn % 2 == 0 { "decode" } else { "mixed" };
+        let commands = [
+            format!("drain runner telraad-{runner}"),
+            format!("set runner telraad-{} role = {role}", (runner + 1) % ENGINES),
+        ];
+        for command in &commands {
+            let made = operator.command(plans[0].front, command).await;
+            changes += u32::from(made.is_ok_and(|(status, _)| status.is_success()));
+        }
+        sleep(Duration::from_millis(1500)).await;
+        daemons[sleeper].resume();
+        daemons[victim] = start(&plans[victim]);
+        let resume = format!("resume runner telraad-{runner}");
+        let _ = operator.command(plans[0].front, &resume).await;
+        turn += 1;
+    }
+    stop.store(true, Ordering::Relaxed);
+    let mut tally = Tally::default();
+    while let Some(done) = calls.join_next().await {
+        tally.add(done.expect("callers do not panic"));
+    }
+    let usage: Vec<_> = daemons.iter().map(Daemon::usage).collect();
+    let conflicts: u32 = back.engines.iter().map(Engine::conflicts).sum();
+    println!(
+        "{kills} kills, {pauses} pauses, {changes} changes: {} answered, {} refused not run, \
+         {} refused unknown, {} cut, {conflicts} conflicting orders, {} violations; \
+         memory at the most {} KB",
+        tally.answered,
+        tally.not_run,
+        tally.unknown,
+        tally.cut,
+        tally.violations.len(),
+        usage.iter().map(|u| u.rss_kb).max().unwrap_or(0),
+    );
+    assert_eq!(tally.violations, []);
+    assert_eq!(back.plain.doubled(), Vec::<String>::new());
+    assert_eq!(conflicts, 0);
+    assert!(tally.answered > 100, "hardly anything was answered: {tally:?}");
+    assert!(changes > 0);
+
+    // Every planned stop is graceful: asked to end, a node ends with code 0.
+    daemons[0].terminate();
+    let daemon = std::sync::Mutex::new(daemons.remove(0));
+    wait_until("the node has ended", || async {
+        daemon.lock().expect("not poisoned").ended().is_some()
+    })
+    .await;
+    assert_eq!(daemon.lock().expect("not poisoned").ended(), Some(Some(0)));
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod measure;
 pub mod plain;
 pub mod platform;
+pub mod process;
 pub mod server;
