--- a/lib/src/supply.rs
+++ b/lib/src/supply.rs
@@ -5,6 +5,8 @@
 //! drawn by rendezvous hashing; the first of them asks the runner for its load and passes it on to
 //! the others. When a node comes or goes, only its own places move.
 
+use std::time::Duration;
+
 use crate::hash::{place, rendezvous};
 use crate::id::Name;
 
@@ -23,6 +25,14 @@
     out.truncate(SHARERS);
 }
 
+/// How often loads are asked for and passed on, where few nodes do it every `base`. Where runners
+/// have their full number of sharers, a node sends and receives up to 14 KB/s at a second's period,
+/// more than it may; at two seconds it is half of that. The choice of runners does not suffer: it is
+/// as good with reports five seconds late as with one (docs/design/choosing.md).
+pub fn load_period(nodes: usize, base: Duration) -> Duration {
+    if nodes > SHARERS { base * 2 } else { base }
+}
+
 /// The node that has a duty among `nodes`, by rendezvous hashing.
 pub fn holder<'a>(duty: &str, nodes: impl Iterator<Item = &'a Name>) -> Option<&'a Name> {
     let duty = place(SUPPLY_SEED, duty.as_bytes());
--- a/node/src/peer/gossip.rs
+++ b/node/src/peer/gossip.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sardinepick_lib::config::object::Form;
 use sardinepick_lib::id::Name;
 use sardinepick_lib::member::{Outgoing, Status};
-use sardinepick_lib::supply;
+use sardinepick_lib::{role, supply};
 use sardinepick_wire::gossip::Datagram;
 use sardinepick_wire::load::{LOADS, Load, RunnerHash};
 use tokio::net::UdpSocket;
@@ -144,12 +144,29 @@
 /// Observes the runners for which this node is the first sharer, and passes their loads on to the
 /// other sharers, until the node stops.
 pub async fn observe(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    let mut samples = interval(role::SAMPLE_PERIOD);
+    samples.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut asked: Option<Instant> = None;
     let mut ticks = interval(node.settings.load_period);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             () = node.stopped() => return,
-            _ = ticks.tick() => observe_once(&node, &socket).await,
+            _ = samples.tick() => {
+                for pool in node.pools() {
+                    pool.sample_demand();
+                }
+            }
+            _ = ticks.tick() => {
+                let nodes = node.members().active().count();
+                let period = supply::load_period(nodes, node.settings.load_period);
+                let now = node.clock.now();
+                // A tick may come a little early, so three quarters of the period must have passed.
+                if asked.is_none_or(|at| now >= at + period * 3 / 4) {
+                    asked = Some(now);
+                    observe_once(&node, &socket).await;
+                }
+            }
         }
     }
 }
@@ -186,9 +203,6 @@
 /// Asks each observed runner at once, and sends each other sharer what it needs in as few
 /// datagrams as will do: the heads of a datagram are as long as a load.
 async fn observe_once(node: &Arc<Node>, socket: &UdpSocket) {
-    for pool in node.pools() {
-        pool.sample_demand();
-    }
     let asked = observed(node).into_iter().map(|observed| ask(node, observed));
     let loads = futures_util::future::join_all(asked).await;
     let mut by_node: BTreeMap<Name, Vec<Load>> = BTreeMap::new();
--- /dev/null
+++ b/node/tests/settings.rs
@@ -0,0 +1,58 @@
+//! The worked settings of both deployments, and what is said of wrong ones.
+
+use std::path::{Path, PathBuf};
+
+use expect_test::expect;
+use sardinepick_lib::config::change::prepare;
+use sardinepick_lib::config::snapshot::Snapshot;
+use sardinepick_lib::language::{Statement, parse};
+use sardinepick_node::settings::Settings;
+
+fn deployment(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../settings").join(name)
+}
+
+fn check_deployment(name: &str, services: [&str; 2], runners: [usize; 2]) {
+    for at in 1..=8 {
+        let file = deployment(name).join(format!("entry-{at}.ini"));
+        let settings = Settings::read(&file).expect("a worked example is right");
+        assert_eq!(settings.name.as_str(), format!("entry-{at}"));
+    }
+    let text = std::fs::read_to_string(deployment(name).join("first.txt")).expect("it is there");
+    let statements = parse(&text).expect("it is in the language");
+    let [Statement::Change(edits)] = statements.as_slice() else {
+        panic!("one batch, not {statements:?}");
+    };
+    let snapshot = prepare(&Snapshot::default(), edits).expect("it is right").snapshot;
+    for (service, count) in services.into_iter().zip(runners) {
+        let service = service.parse().expect("a right name");
+        assert_eq!(snapshot.runners(&service).count(), count);
+    }
+}
+
+#[test]
+fn worked_examples_van_houtkamp() {
+    check_deployment("van-houtkamp", ["telraad", "ontbijtbord"], [9, 4]);
+}
+
+#[test]
+fn worked_examples_profiltryckeri() {
+    check_deployment("profiltryckeri", ["tryckassistent", "orderdisk"], [18, 4]);
+}
+
+#[test]
+fn parse_all_mistakes_at_once() {
+    let text = "[node]\nname = Entry 1\nfront = somewhere\npeer = 0.0.0.0:1\ncolour = red\n\
+                [limits]\nqueue = 0\n[kitchen]\neggs = 12\n";
+    let error = Settings::parse("wrong.ini", text).expect_err("it is wrong");
+    expect![[r#"
+        wrong.ini: [node] colour: is not a known key; accepted: keys name, data_centre, front, peer, seeds
+        wrong.ini: [kitchen] eggs: is in no known section; accepted: sections node, platform, administration, limits, upstream, log
+        wrong.ini: [node] name: "Entry 1" is not accepted; accepted: a name of a-z, 0-9, '-', '_' and '.'
+        wrong.ini: [node] data_centre: is not set; accepted: a name of a-z, 0-9, '-', '_' and '.'
+        wrong.ini: [node] front: "somewhere" is not accepted; accepted: an IP address and port such as 10.0.0.7:8000
+        wrong.ini: [node] peer: "0.0.0.0:1" is not accepted; accepted: an IP address and port such as 10.0.0.7:8000
+        wrong.ini: [platform] address: is not set; accepted: an IP address and port such as 10.0.0.7:8000
+        wrong.ini: [limits] queue: "0" is not accepted; accepted: a whole number from 1 to 1000000"#]]
+    .assert_eq(&error.to_string());
+}
--- a/testutils/src/measure/mod.rs
+++ b/testutils/src/measure/mod.rs
@@ -9,6 +9,7 @@
 pub mod offline;
 pub mod races;
 pub mod roles;
+pub mod scale;
 pub mod waking;
 
 use figure::Figure;
--- a/testutils/tests/bounds.rs
+++ b/testutils/tests/bounds.rs
@@ -1,7 +1,7 @@
 //! The bounds of the exact figures, held in every test run.
 
-use sardinepick_testutils::measure::decisions;
 use sardinepick_testutils::measure::figure::{Figure, check, read_bounds};
+use sardinepick_testutils::measure::{decisions, scale};
 
 const BOUNDS: &str = include_str!("../../bench/bounds.ini");
 
@@ -12,6 +12,13 @@
     assert!(broken.is_empty(), "{broken:#?}");
 }
 
+#[test]
+fn scale_within_bounds() {
+    let bounds = read_bounds(BOUNDS, "scale").expect("the bounds can be read");
+    let broken = check(&scale::measure(), &bounds);
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
 #[test]
 fn check_out_of_bound_and_unmeasured() {
     let bounds = read_bounds("[some]\na = 1..2\nb = 0..\n", "some").expect("right bounds");
