authority: empty an engine before it changes its role

Cause: an order left as soon as its intent was written, and an engine that goes away drops its streams; more than the retry budget grants, so that a planned change cut requests. Change: the holder reserves the runner at its sharers (a datagram, renewed twice a second), waits until the engine is idle, at the most a minute, then orders; it stays reserved until the engine is back. The stand-in now drops its streams when it changes, and a test holds 30 long streams through a re-role: all whole, none resumed.

--- a/testutils/examples/generate_wire.rs
+++ b/cli/examples/generate_wire.rs
@@ -1,5 +1,7 @@
+//! It stands here since this package does not need the code that it writes.
+//!
 //! Writes `wire/src/generated` anew from `wire/proto/peer.proto`. Run it after a change to that
-//! file: `cargo run -p sardinepick-testutils --example generate_wire`.
+//! file: `cargo run -p sardinepick-cli --example generate_wire`.
 
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     let wire = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../wire");
--- a/lib/src/order.rs
+++ b/lib/src/order.rs
@@ -160,6 +160,11 @@
         self.wanted.is_some() || !matches!(self.step, Step::Idle)
     }
 
+    /// Whether the next thing to do is to send an order, for which the engine must be idle.
+    pub fn is_about_to_send(&self) -> bool {
+        self.step == Step::Ready
+    }
+
     /// Asks for a role. Only one order is under way for a runner; false if it is not taken.
     pub fn want(&mut self, id: Id, role: Role) -> bool {
         if self.is_busy() {
--- a/lib/src/runner.rs
+++ b/lib/src/runner.rs
@@ -118,6 +118,8 @@
     pub state: Admission,
     /// It said itself that it leaves, or refused work as one that leaves.
     pub leaving: bool,
+    /// Until when it gets no new work since it is about to be away for a planned change.
+    pub reserved_until: Option<Instant>,
     /// Until when it is left alone after a fault.
     pub avoid_until: Option<Instant>,
     /// Faults one after the other.
@@ -150,6 +152,7 @@
             name,
             state,
             leaving: false,
+            reserved_until: None,
             avoid_until: None,
             faults: 0,
             slots,
@@ -169,8 +172,9 @@
 
     /// Whether new work may go there at `now`.
     pub fn takes_work(&self, now: Instant) -> bool {
-        let avoided = self.avoid_until.is_some_and(|until| now < until);
-        self.state == Admission::Ready && !self.leaving && !avoided
+        let before = |until: Option<Instant>| until.is_some_and(|until| now < until);
+        let left_alone = before(self.avoid_until) || before(self.reserved_until);
+        self.state == Admission::Ready && !self.leaving && !left_alone
     }
 
     /// Takes in a report that was true at `at`. An older report than the last is left out, so
--- a/node/src/authority.rs
+++ b/node/src/authority.rs
@@ -15,6 +15,7 @@
 use smol_str::format_smolstr;
 
 use crate::node::Node;
+use crate::peer::gossip;
 use crate::pool::Peek;
 use crate::store::StoreError;
 use crate::upstream::Peer;
@@ -37,6 +38,18 @@
 /// The shortest time between two changes of one engine.
 const DWELL: Duration = Duration::from_secs(60);
 
+/// How often the sharers of a runner that is emptied are told so.
+const RESERVE_PERIOD: Duration = Duration::from_millis(500);
+
+/// For how long each telling holds: two may be lost.
+const RESERVE_SPAN: Duration = Duration::from_millis(1800);
+
+/// How long the sharers have to hear of it before the runner's emptiness is believed.
+const SETTLE: Duration = Duration::from_millis(300);
+
+/// How long a runner may take to become empty. After that its streams go on elsewhere.
+const EMPTY_LIMIT: Duration = Duration::from_secs(60);
+
 /// What is known here of one service's authority, for operators.
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -110,9 +123,17 @@
     desks: HashMap<Name, Desk>,
     configured: HashMap<Name, Role>,
     changed: HashMap<Name, Instant>,
+    emptying: HashMap<Name, Emptying>,
     next_order: u64,
 }
 
+/// A runner that is emptied before a role change, and left alone until it is back.
+#[derive(Clone, Copy, Debug)]
+struct Emptying {
+    began: Instant,
+    told: Instant,
+}
+
 impl Desks {
     fn new(node: Arc<Node>, service: Name) -> Self {
         let me = Holder { name: node.settings.name.clone(), incarnation: node.incarnation };
@@ -125,6 +146,7 @@
             desks: HashMap::new(),
             configured: HashMap::new(),
             changed: HashMap::new(),
+            emptying: HashMap::new(),
             next_order: 0,
         }
     }
@@ -312,8 +334,61 @@
         }
     }
 
+    /// Empties a runner before a role change: its sharers give it no new work, and the order waits
+    /// until it has finished what it has. True once it is empty.
+    ///
+    /// Without this an engine that goes away cuts all of its streams at once. They would go on
+    /// elsewhere, but a whole engine's streams are more than the retry budget grants, and callers
+    /// would see a planned change cut their requests.
+    async fn empty(&mut self, runner: &Runner) -> bool {
+        let now = self.node.clock.now();
+        let fresh = Emptying { began: now, told: now };
+        let first = !self.emptying.contains_key(&runner.name);
+        let emptying = self.emptying.entry(runner.name.clone()).or_insert(fresh);
+        let began = emptying.began;
+        if first || now >= emptying.told + RESERVE_PERIOD {
+            emptying.told = now;
+            gossip::reserve(&self.node, &runner.name, RESERVE_SPAN).await;
+        }
+        if now < began + SETTLE {
+            return false;
+        }
+        if now >= began + EMPTY_LIMIT {
+            log::warn!(runner:% = runner.name; "a runner did not become empty before its role change");
+            return true;
+        }
+        let peer = Peer { name: runner.name.clone(), address: runner.address };
+        let load = self.node.engine.load(&peer).await;
+        load.is_ok_and(|report| report.running + report.waiting == 0)
+    }
+
+    /// Keeps new work from a runner until it is back from its role change.
+    async fn await_return(&mut self, runner: &Runner) {
+        let Some(emptying) = self.emptying.get(&runner.name).copied() else { return };
+        let now = self.node.clock.now();
+        if now < emptying.told + RESERVE_PERIOD {
+            return;
+        }
+        let peer = Peer { name: runner.name.clone(), address: runner.address };
+        let away = self.node.engine.condition(&peer).await.is_ok_and(|c| c.changing);
+        if away {
+            gossip::reserve(&self.node, &runner.name, RESERVE_SPAN).await;
+            self.emptying.insert(runner.name.clone(), Emptying { told: now, ..emptying });
+        } else {
+            self.emptying.remove(&runner.name);
+        }
+    }
+
     async fn step_desk(&mut self, runner: &Runner) {
         let node = self.node.clone();
+        match self.desks.get(&runner.name) {
+            Some(desk) if desk.is_about_to_send() => {
+                if !self.empty(runner).await {
+                    return;
+                }
+            }
+            _ => self.await_return(runner).await,
+        }
         let desk =
             self.desks.entry(runner.name.clone()).or_insert_with(|| Desk::new(runner.fencing));
         let peer = Peer { name: runner.name.clone(), address: runner.address };
@@ -330,8 +405,7 @@
                 order::Action::Write { expected, intent } => {
                     let revision = write_intent(&node, &runner.name, expected, &intent).await;
                     desk.take_written(revision);
-                    let now = node.clock.now();
-                    desk.poll(now, self.lease.authority(now), self.lease.is_doubtful())
+                    None
                 }
                 order::Action::Ask => match node.engine.condition(&peer).await {
                     Ok(condition) => desk.take_condition(&condition),
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::UNIX_EPOCH;
 
 use arc_swap::ArcSwap;
@@ -19,6 +19,7 @@
 use sardinepick_lib::owner::{Member, Table};
 use sardinepick_lib::spread::Spreader;
 use sardinepick_lib::supply;
+use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
 
 use crate::authority::Authority;
@@ -61,6 +62,7 @@
     pub installed: Notify,
     /// Signals that there is something to fetch.
     pub wanted: Notify,
+    socket: OnceLock<Arc<UdpSocket>>,
     members: Mutex<Members>,
     spreader: Mutex<Spreader>,
     register: Mutex<Register>,
@@ -101,6 +103,7 @@
             next_request: AtomicU64::new(1),
             next_claim: AtomicU64::new(1),
             stop: watch::channel(false).0,
+            socket: OnceLock::new(),
             config: ArcSwap::default(),
             table: ArcSwap::default(),
             table_wanted: Wanted::default(),
@@ -118,6 +121,16 @@
         }
     }
 
+    /// The socket for datagrams, once the node has begun to work.
+    pub fn socket(&self) -> Option<&Arc<UdpSocket>> {
+        self.socket.get()
+    }
+
+    /// Gives the node its socket for datagrams; a second one is left out.
+    pub fn set_socket(&self, socket: Arc<UdpSocket>) {
+        let _ = self.socket.set(socket);
+    }
+
     /// The membership.
     pub fn members(&self) -> MutexGuard<'_, Members> {
         self.members.lock().expect("no holder of the members' lock panics")
--- a/node/src/peer/gossip.rs
+++ b/node/src/peer/gossip.rs
@@ -9,7 +9,7 @@
 use sardinepick_lib::id::Name;
 use sardinepick_lib::member::{Outgoing, Status};
 use sardinepick_lib::{role, supply};
-use sardinepick_wire::gossip::Datagram;
+use sardinepick_wire::gossip::{Datagram, Reserve};
 use sardinepick_wire::load::{LOADS, Load, RunnerHash};
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
@@ -101,6 +101,7 @@
             send_all(node, socket, out).await;
         }
         Datagram::Loads(loads) => take_loads(node, &loads),
+        Datagram::Reserve(reserve) => take_reserve(node, &reserve),
     }
 }
 
@@ -115,10 +116,40 @@
     }
 }
 
+fn take_reserve(node: &Node, reserve: &Reserve) {
+    let span = reserve.span.min(LONGEST_RESERVE);
+    for pool in node.pools() {
+        for (runner, _) in pool.runners() {
+            if reserve.runners.contains(&RunnerHash::from(&runner)) {
+                pool.reserve(&runner, span);
+            }
+        }
+    }
+}
+
+/// The longest time for which one message reserves a runner: whoever reserves must go on saying so.
+const LONGEST_RESERVE: Duration = Duration::from_secs(10);
+
+/// Has all nodes that use a runner give it no new work for `span`.
+pub async fn reserve(node: &Node, runner: &Name, span: Duration) {
+    let nodes: Vec<Name> = node.members().active().cloned().collect();
+    let mut sharing = Vec::new();
+    supply::sharers(runner, &nodes, &mut sharing);
+    let reserve = Reserve { runners: vec![RunnerHash::from(runner)], span };
+    take_reserve(node, &reserve);
+    let Some(socket) = node.socket() else { return };
+    for other in sharing {
+        if let Some(to) = node.peer_address(other) {
+            send(node, socket, to, &Datagram::Reserve(reserve.clone())).await;
+        }
+    }
+}
+
 fn kind(datagram: &Datagram) -> &'static str {
     match datagram {
         Datagram::Gossip(_) => "gossip",
         Datagram::Loads(_) => "loads",
+        Datagram::Reserve(_) => "reserve",
     }
 }
 
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -313,6 +313,12 @@
         self.with_view(runner, |view| view.leaving = true);
     }
 
+    /// Gives a runner no new work for `span`.
+    pub fn reserve(&self, runner: &Name, span: Duration) {
+        let until = self.clock.now() + span;
+        self.with_view(runner, |view| view.reserved_until = Some(until));
+    }
+
     /// Notes that a runner cannot be reached.
     pub fn note_unreachable(&self, runner: &Name) {
         let now = self.clock.now();
--- a/node/src/run.rs
+++ b/node/src/run.rs
@@ -85,6 +85,7 @@
     let listener = TcpListener::bind(address).await.map_err(failed)?;
     let socket = Arc::new(UdpSocket::bind(address).await.map_err(failed)?);
     let node = Arc::new(Node::new(settings, clock, store, engine, metrics));
+    node.set_socket(socket.clone());
     let front_address = node.settings.front;
     let callers = TcpListener::bind(front_address)
         .await
--- a/node/tests/failures.rs
+++ b/node/tests/failures.rs
@@ -152,6 +152,33 @@
     wait_until("the engine is free", || async { set.engines[0].running() == 0 }).await;
 }
 
+/// Symptom: callers see their answers cut when an operator re-roles an engine. Sequence: many
+/// streams are under way, the engine is ordered to another role and drops what it has. Cause: the
+/// order did not wait for the engine to become empty.
+#[tokio::test(flavor = "multi_thread")]
+async fn role_change_cuts_no_stream() {
+    let set = set(2, 2).await;
+    let mut calls = tokio::task::JoinSet::new();
+    for n in 0..30 {
+        let (caller, front) = (set.caller.clone(), set.cluster.front(n % 2));
+        calls.spawn(async move {
+            caller.complete(front, "telraad", &format!("role-{n}"), PROMPT, 400).await.seen
+        });
+    }
+    wait_until("the engine works", || async { set.engines[0].running() > 4 }).await;
+    set.cluster.change("set runner telraad-0 role = decode").await;
+    while let Some(seen) = calls.join_next().await {
+        let seen = seen.expect("callers do not panic");
+        assert!(matches!(&seen, Seen::Answer(text) if *text == expected(PROMPT, 400)), "{seen:?}");
+    }
+    wait_until("the engine has its role", || async { set.engines[0].role() == Role::Decode }).await;
+    let retries = |at: usize| {
+        let metrics = &set.cluster.node(at).node.metrics;
+        metrics.retries.with_label_values(&["resume"]).get()
+    };
+    assert_eq!(retries(0) + retries(1), 0, "no stream had to go on elsewhere");
+}
+
 /// Symptom: bread is ordered twice. Sequence: the service breaks off after the order took effect;
 /// the caller repeats it, to another node. Cause: the lost answer says nothing about the effect.
 #[tokio::test(flavor = "multi_thread")]
--- a/testutils/src/engine.rs
+++ b/testutils/src/engine.rs
@@ -343,7 +343,9 @@
     let id = if faults.cross { "another request" } else { &completion.request_id };
     for index in completion.resume_from..completion.max_tokens {
         let made = index - completion.resume_from;
-        if faults.cut_after == Some(made) {
+        // An engine that is away for a role change does not go on with what it had.
+        let away = state.lock().expect("engine lock").changing;
+        if away || faults.cut_after == Some(made) {
             let _ = sender.send(Err(Cut)).await;
             return;
         }
--- a/wire/src/gossip.rs
+++ b/wire/src/gossip.rs
@@ -1,6 +1,7 @@
 //! Datagrams of the membership.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use prost::Message as _;
 use sardinepick_lib::id::{Generation, Incarnation, Name, Version};
@@ -8,6 +9,16 @@
 
 use crate::error::WireError;
 use crate::generated as pb;
+use crate::load::RunnerHash;
+
+/// Runners that get no new work for a while, as they are about to be away for a planned change.
+#[derive(Clone, Debug)]
+pub struct Reserve {
+    /// The runners.
+    pub runners: Vec<RunnerHash>,
+    /// For how long.
+    pub span: Duration,
+}
 
 /// What a datagram carries.
 #[derive(Clone, Debug)]
@@ -16,6 +27,8 @@
     Gossip(Box<Message>),
     /// Loads of runners.
     Loads(Vec<crate::load::Load>),
+    /// Runners that get no new work for a while.
+    Reserve(Reserve),
 }
 
 impl Datagram {
@@ -26,6 +39,10 @@
             Datagram::Loads(loads) => pb::datagram::Body::Loads(pb::Loads {
                 loads: loads.iter().map(pb::Load::from).collect(),
             }),
+            Datagram::Reserve(reserve) => pb::datagram::Body::Reserve(pb::Reserve {
+                runners: reserve.runners.iter().map(|r| r.0).collect(),
+                for_ms: u32::try_from(reserve.span.as_millis()).unwrap_or(u32::MAX),
+            }),
         };
         pb::Datagram { body: Some(body) }.encode_to_vec()
     }
@@ -41,6 +58,10 @@
             pb::datagram::Body::Gossip(gossip) => {
                 gossip.try_into().map(Box::new).map(Datagram::Gossip)
             }
+            pb::datagram::Body::Reserve(reserve) => Ok(Datagram::Reserve(Reserve {
+                runners: reserve.runners.into_iter().map(RunnerHash).collect(),
+                span: Duration::from_millis(u64::from(reserve.for_ms)),
+            })),
             pb::datagram::Body::Loads(loads) => {
                 let loads = loads.loads.into_iter().map(TryInto::try_into);
                 loads.collect::<Result<_, _>>().map(Datagram::Loads)
