--- a/lib/src/member.rs
+++ b/lib/src/member.rs
@@ -160,6 +160,16 @@
     pub message: Message,
 }
 
+/// The reads of the VM list a period that all nodes make together, at the most about: the
+/// platform's rates grow more slowly than the fleet.
+pub const LIST_READERS: usize = 20;
+
+/// How often one of `nodes` nodes reads the VM list, where few do it every `base`.
+pub fn list_period(nodes: usize, base: Duration) -> Duration {
+    let factor = nodes.div_ceil(LIST_READERS).max(1);
+    base * u32::try_from(factor).unwrap_or(u32::MAX)
+}
+
 /// What is known of another node.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -333,16 +343,27 @@
                 None => peer.unlisted = true,
             }
         }
-        // A suspected node that is no longer listed need not be waited for.
-        let ended: Vec<Update> = self
+        // A suspected node that is no longer listed need not be waited for. One that is named as
+        // leaving is told of to the others, as few nodes look at the list at a time.
+        let news: Vec<Update> = self
             .peers
             .values()
-            .filter(|p| p.unlisted && p.update.state == State::Suspected)
-            .map(|p| Update { state: State::Gone, ..p.update.clone() })
+            .filter_map(|p| {
+                let state = match p.update.state {
+                    State::Suspected if p.unlisted => State::Gone,
+                    State::Serving if p.listed_leaving => State::Leaving,
+                    _ => return None,
+                };
+                Some(Update { state, ..p.update.clone() })
+            })
             .collect();
-        for update in ended {
+        for update in news {
             self.learn(now, update);
         }
+        let me_leaving = vms.iter().any(|vm| vm.name == self.me.name && vm.leaving);
+        if me_leaving && self.me.state == State::Serving {
+            self.set_state(State::Leaving);
+        }
         let known = |vm: &&Vm| vm.name == self.me.name || self.peers.contains_key(&vm.name);
         self.seeds = vms.iter().filter(|vm| !known(vm)).map(|vm| vm.address).collect();
     }
--- /dev/null
+++ b/lib/tests/membership.rs
@@ -0,0 +1,132 @@
+//! Membership: what is concluded from silence, lists and objections.
+
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+use sardinepick_lib::id::{Incarnation, Name};
+use sardinepick_lib::member::{
+    Addresses, Members, PAUSE, PERIOD, SUSPICION, State, Update, Vm, list_period,
+};
+
+fn update(at: u8) -> Update {
+    let address = format!("127.0.0.{at}:9000").parse().expect("a right address");
+    Update {
+        name: format!("entry-{at}").parse().expect("a right name"),
+        incarnation: Incarnation(1),
+        serial: 1,
+        state: State::Serving,
+        addresses: Addresses { peer: address, front: address },
+        data_centre: "hall-a".parse().expect("a right name"),
+    }
+}
+
+fn pair() -> (Members, Members, Instant) {
+    let now = Instant::now();
+    let mut a = Members::new(update(1), Vec::new());
+    let mut b = Members::new(update(2), Vec::new());
+    a.take_all(now, vec![update(2)]);
+    b.take_all(now, vec![update(1)]);
+    (a, b, now)
+}
+
+fn state(members: &Members, at: u8) -> State {
+    members.peer(&update(at).name).expect("it is known").update.state
+}
+
+/// Lets `members` tick for `span` with nobody answering.
+fn silence(members: &mut Members, now: &mut Instant, span: Duration) {
+    let mut rng = StdRng::seed_from_u64(1);
+    let end = *now + span;
+    while *now < end {
+        *now += Duration::from_millis(100);
+        members.tick(*now, &mut rng);
+    }
+}
+
+#[test]
+fn tick_silent_peer_suspected_then_gone() {
+    let (mut a, _, mut now) = pair();
+    silence(&mut a, &mut now, PERIOD * 3);
+    assert_eq!(state(&a, 2), State::Suspected);
+    silence(&mut a, &mut now, SUSPICION + PERIOD);
+    assert_eq!(state(&a, 2), State::Gone);
+    assert!(!a.is_ended(&update(2).name, Incarnation(1)), "silence is no proof");
+}
+
+/// Symptom: after a pause a node takes all others for gone. Sequence: it is suspended between a
+/// probe and its answer, and resumed. Cause: its own pause looks like their silence.
+#[test]
+fn tick_own_pause_suspects_nobody() {
+    let (mut a, _, mut now) = pair();
+    let mut rng = StdRng::seed_from_u64(1);
+    a.tick(now, &mut rng);
+    now += PAUSE * 20;
+    a.tick(now, &mut rng);
+    assert_eq!(state(&a, 2), State::Serving);
+}
+
+/// Symptom: regions that lost each other stay apart for ever. Sequence: each takes the other for
+/// gone; the network comes back. Cause: neither learns that it was taken for gone.
+#[test]
+fn receive_from_gone_peer_told_and_contradicts() {
+    let (mut a, mut b, mut now) = pair();
+    silence(&mut a, &mut now, PERIOD * 3 + SUSPICION * 2);
+    assert_eq!(state(&a, 2), State::Gone);
+    let mut rng = StdRng::seed_from_u64(2);
+    let address = |at| update(at).addresses.peer;
+    for out in b.tick(now, &mut rng) {
+        for answer in a.receive(now, address(2), out.message) {
+            for contradiction in b.receive(now, address(1), answer.message) {
+                a.receive(now, address(2), contradiction.message);
+            }
+        }
+    }
+    for out in b.tell(1, &mut rng) {
+        a.receive(now, address(2), out.message);
+    }
+    assert_eq!(state(&a, 2), State::Serving);
+}
+
+#[test]
+fn take_list_leaving_and_unlisted() {
+    let (mut a, mut b, mut now) = pair();
+    let vm = |at: u8, leaving| {
+        let Update { name, addresses, .. } = update(at);
+        Vm { name, address: addresses.peer, leaving }
+    };
+    a.take_list(now, &[vm(1, false), vm(2, true)]);
+    assert_eq!(state(&a, 2), State::Leaving);
+    assert!(!a.serving().any(|n| *n == update(2).name), "it gets no new callers");
+    b.take_list(now, &[vm(1, false), vm(2, true)]);
+    assert_eq!(b.me().state, State::Leaving, "it leaves by itself");
+
+    silence(&mut a, &mut now, PERIOD * 3);
+    a.take_list(now, &[vm(1, false)]);
+    assert_eq!(state(&a, 2), State::Gone);
+    assert!(a.is_ended(&update(2).name, Incarnation(1)), "it has left the list");
+}
+
+#[test]
+fn list_period_total_bounded() {
+    let base = Duration::from_secs(2);
+    for nodes in [1, 9, 20, 150, 550] {
+        let reads = nodes as f64 / list_period(nodes, base).as_secs_f64();
+        assert!(reads <= 10.0, "{nodes} nodes read {reads} times a second");
+    }
+}
+
+#[test]
+fn holders_move_only_with_their_member() {
+    let names: Vec<Name> =
+        (1..60).map(|at| format!("entry-{at}").parse().expect("a right name")).collect();
+    let (mut before, mut after) = (Vec::new(), Vec::new());
+    for runner in 0..200 {
+        let runner: Name = format!("runner-{runner}").parse().expect("a right name");
+        sardinepick_lib::supply::sharers(&runner, &names, &mut before);
+        sardinepick_lib::supply::sharers(&runner, &names[1..], &mut after);
+        let kept = before.iter().filter(|n| after.contains(n)).count();
+        let lost = usize::from(before.contains(&&names[0]));
+        assert_eq!(kept, before.len() - lost, "only the place of the one that left moves");
+    }
+}
--- a/node/benches/processes.rs
+++ b/node/benches/processes.rs
@@ -42,7 +42,10 @@
     }
     config += "commit";
     // The deployment's own periods, not the short ones of tests.
-    let plan = |at: usize| Plan::new(&format!("entry-{at}"), "a", platform.address());
+    let plan = |at: usize| {
+        let plan = Plan::new(&format!("entry-{at}"), "a", platform.address());
+        Plan { hurried: false, ..plan }
+    };
     let plans: Vec<Plan> = (0..count).map(plan).collect();
     platform.set_vms(plans.iter().map(Plan::vm).collect());
     let daemons: Vec<Daemon> = plans.iter().map(|p| Daemon::start(Path::new(EXE), p)).collect();
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -52,6 +52,7 @@
     waiting: HashMap<RequestId, Waiter>,
     output_part: f64,
     arrived: Demand,
+    nodes: u32,
     estimate: Estimate,
     rng: StdRng,
 }
@@ -89,6 +90,7 @@
             waiting: HashMap::new(),
             output_part: 1.0,
             arrived: Demand::default(),
+            nodes: 1,
             estimate: Estimate::default(),
             rng: StdRng::seed_from_u64(seed),
         };
@@ -132,6 +134,7 @@
         inner.views = views;
         inner.places = places;
         inner.setting.sharers = sharers;
+        inner.nodes = nodes;
         let places = (slots * f64::from(OVERCOMMIT)).ceil().max(1.0) as u32;
         let share = 1000_u32.div_ceil(nodes.max(1)).saturating_mul(SHARE_SLACK).min(1000);
         inner.gate.set(Setting { places, queue, share });
@@ -172,7 +175,11 @@
         let now = self.clock.now();
         let mut inner = self.lock();
         let arrived = std::mem::take(&mut inner.arrived);
-        inner.estimate.take(now, arrived);
+        // Look-ups spread the callers evenly, so what comes here comes to every other node as well.
+        // Roles are decided for the whole service: one node's part alone would look like idleness.
+        let nodes = f64::from(inner.nodes);
+        let all = Demand { prefill: arrived.prefill * nodes, decode: arrived.decode * nodes };
+        inner.estimate.take(now, all);
         inner.gate.forget(now, IDLE_ACCOUNT);
     }
 
--- a/node/src/run.rs
+++ b/node/src/run.rs
@@ -5,7 +5,7 @@
 
 use dropshot::HttpServer;
 use sardinepick_lib::clock::Clock;
-use sardinepick_lib::member::State;
+use sardinepick_lib::member::{State, list_period};
 use thiserror::Error;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::JoinHandle;
@@ -143,7 +143,7 @@
         }
         tokio::select! {
             () = node.stopped() => return,
-            () = sleep(node.settings.list_period) => {}
+            () = sleep(list_period(before.len(), node.settings.list_period)) => {}
         }
     }
 }
--- a/testutils/src/cluster.rs
+++ b/testutils/src/cluster.rs
@@ -62,6 +62,8 @@
     pub platform: SocketAddr,
     /// Further lines of the settings file.
     pub extra: String,
+    /// Whether periods are short, as tests want them, or those of a deployment.
+    pub hurried: bool,
 }
 
 impl Plan {
@@ -75,12 +77,21 @@
             peer: free_address(ip),
             platform,
             extra: String::new(),
+            hurried: true,
         }
     }
 
     /// The settings file.
     pub fn ini(&self) -> String {
         let key = Digest::of(ADMIN_KEY.as_bytes());
+        if !self.hurried {
+            return format!(
+                "[node]\nname = {}\ndata_centre = {}\nfront = {}\npeer = {}\n\n\
+                 [platform]\naddress = {}\n\n[administration]\nbootstrap_key = {key}\n\n\
+                 [log]\nlevel = warn\n\n{}\n",
+                self.name, self.data_centre, self.front, self.peer, self.platform, self.extra,
+            );
+        }
         format!(
             "[node]\nname = {}\ndata_centre = {}\nfront = {}\npeer = {}\n\n\
              [platform]\naddress = {}\ntimeout = 1s\nlist_period = 200ms\n\n\
