member: exchange whole lists where there is more news than room

A data centre or region that goes or comes back makes more news than messages carry. With more than 40 waiting, a node exchanges its whole list with one other every 5 s.

--- a/lib/src/member.rs
+++ b/lib/src/member.rs
@@ -36,6 +36,10 @@
 pub const NEWS: usize = 12;
 /// How often a piece of news is passed on, times the logarithm of the number of nodes.
 pub const REPEATS: u32 = 3;
+/// More waiting news than these make whole lists worth exchanging.
+pub const MANY_NEWS: usize = 40;
+/// How often whole lists are exchanged then. At 550 nodes a list has some 40 KB.
+pub const EXCHANGE_PERIOD: Duration = Duration::from_secs(5);
 /// How often all nodes are looked through for suspicions that are over.
 pub const SCAN_PERIOD: Duration = Duration::from_millis(500);
 /// A tick that comes so much late means that this process was paused.
@@ -248,6 +252,7 @@
     last_probe: Option<Instant>,
     last_heal: Option<Instant>,
     last_scan: Option<Instant>,
+    last_exchange: Option<Instant>,
     active: usize,
 }
 
@@ -268,6 +273,7 @@
             last_probe: None,
             last_heal: None,
             last_scan: None,
+            last_exchange: None,
             active: 0,
         }
     }
@@ -619,6 +625,27 @@
         self.rumours = rumours;
     }
 
+    /// The node to exchange whole lists with at `now`, if there is more news than messages have room
+    /// for.
+    ///
+    /// When a data centre or a region goes or comes back, hundreds of news wait for room in messages,
+    /// and nodes disagree for minutes. Whole lists end that in a few rounds; their period keeps their
+    /// cost within a node's bytes.
+    pub fn exchange_with<R: Rng>(&mut self, now: Instant, rng: &mut R) -> Option<SocketAddr> {
+        let due = self.last_exchange.is_none_or(|last| now >= last + EXCHANGE_PERIOD);
+        if !due || self.rumours.len() < MANY_NEWS {
+            return None;
+        }
+        self.last_exchange = Some(now);
+        let active: Vec<SocketAddr> = self
+            .peers
+            .values()
+            .filter(|p| p.is_active())
+            .map(|p| p.update.addresses.peer)
+            .collect();
+        (!active.is_empty()).then(|| active[rng.random_range(0..active.len())])
+    }
+
     /// All that this node knows, for one that joins.
     pub fn all(&self) -> Vec<Update> {
         let peers = self.peers.values().map(|p| p.update.clone());
--- a/node/src/peer/client.rs
+++ b/node/src/peer/client.rs
@@ -186,13 +186,19 @@
         Ok(reply.chunks.into_iter().map(Chunk::new).collect())
     }
 
-    /// Fetches the membership as another node knows it.
+    /// Exchanges whole lists of the membership with another node.
     ///
     /// # Errors
     /// The node does not answer, or with news that are not.
-    pub async fn members(&self, peer: SocketAddr) -> Result<Vec<Update>, PeerError> {
-        let result = self.client(peer).members(pb::Empty {}).await;
-        let reply = self.settle(Step::Members, peer, 0, result)?;
+    pub async fn members(
+        &self,
+        peer: SocketAddr,
+        all: &[Update],
+    ) -> Result<Vec<Update>, PeerError> {
+        let request = pb::MembersReply { members: all.iter().map(pb::Update::from).collect() };
+        let sent = request.encoded_len();
+        let result = self.client(peer).members(request).await;
+        let reply = self.settle(Step::Members, peer, sent, result)?;
         let members = reply.members.into_iter().map(TryInto::try_into);
         members.collect::<Result<_, _>>().map_err(|source| PeerError::Answer {
             step: Step::Members,
--- a/node/src/peer/gossip.rs
+++ b/node/src/peer/gossip.rs
@@ -52,8 +52,15 @@
     Status { generation: node.config.load().generation, table: node.table.load().newest(), load }
 }
 
-async fn tick(node: &Node, socket: &UdpSocket) {
+async fn tick(node: &Arc<Node>, socket: &UdpSocket) {
     let now = node.clock.now();
+    let with = {
+        let mut rng = node.rng();
+        node.members().exchange_with(now, &mut *rng)
+    };
+    if let Some(with) = with {
+        tokio::spawn(exchange(node.clone(), with));
+    }
     let out = {
         let status = status(node);
         let mut rng = node.rng();
@@ -64,6 +71,18 @@
     send_all(node, socket, out).await;
 }
 
+/// Exchanges whole lists of the membership with another node.
+async fn exchange(node: Arc<Node>, with: SocketAddr) {
+    let all = node.members().all();
+    match node.peers.members(with, &all).await {
+        Ok(updates) => {
+            let now = node.clock.now();
+            node.members().take_all(now, updates);
+        }
+        Err(error) => log::debug!(error:% = error; "exchanging the membership"),
+    }
+}
+
 /// Tells a few nodes at once that this node has a new generation.
 pub async fn tell(node: &Node, socket: &UdpSocket) {
     let out = {
--- a/node/src/peer/server.rs
+++ b/node/src/peer/server.rs
@@ -84,8 +84,17 @@
         Ok(Response::new(pb::ChunksReply { chunks }))
     }
 
-    async fn members(&self, _: Request<pb::Empty>) -> Result<Response<pb::MembersReply>, Status> {
-        let all = self.node.members().all();
+    async fn members(
+        &self,
+        request: Request<pb::MembersReply>,
+    ) -> Result<Response<pb::MembersReply>, Status> {
+        let updates = request.into_inner().members.into_iter().map(TryInto::try_into);
+        let updates = updates.collect::<Result<Vec<_>, _>>().map_err(invalid)?;
+        let now = self.node.clock.now();
+        let mut members = self.node.members();
+        let all = members.all();
+        members.take_all(now, updates);
+        drop(members);
         let members = all.iter().map(pb::Update::from).collect();
         Ok(Response::new(pb::MembersReply { members }))
     }
--- a/testutils/src/measure/nodes.rs
+++ b/testutils/src/measure/nodes.rs
@@ -175,6 +175,7 @@
                 self.nodes[at].members.set_status(status);
                 let out = self.nodes[at].members.tick(self.now, &mut self.rng);
                 self.send(at, out);
+                self.exchange(at);
                 self.fetch(at);
             }
             Event::Deliver { to, source, message } => {
@@ -210,6 +211,26 @@
         }
     }
 
+    /// Exchanges whole lists, both ways, where the membership asks for it. The call between the nodes
+    /// is taken as one step; its bytes are counted.
+    fn exchange(&mut self, at: usize) {
+        let Some(with) = self.nodes[at].members.exchange_with(self.now, &mut self.rng) else {
+            return;
+        };
+        let other = index(with);
+        if !self.nodes[other].up || self.lost(at, other) {
+            return;
+        }
+        let (mine, theirs) = (self.nodes[at].members.all(), self.nodes[other].members.all());
+        let bytes = ((mine.len() + theirs.len()) * UPDATE_BYTES) as u64;
+        for node in [at, other] {
+            self.nodes[node].sent += bytes / 2;
+            self.nodes[node].received += bytes / 2;
+        }
+        self.nodes[other].members.take_all(self.now, mine);
+        self.nodes[at].members.take_all(self.now, theirs);
+    }
+
     fn fetch(&mut self, at: usize) {
         let Some(action) = self.nodes[at].spreader.poll(self.now) else { return };
         let source = match &action {
@@ -325,6 +346,9 @@
 /// How many nodes are asked for their view at the most, about.
 const OBSERVERS: usize = 50;
 
+/// The bytes of one line of a list, about.
+const UPDATE_BYTES: usize = 70;
+
 const SETTLE: Duration = Duration::from_secs(10);
 const WATCHED: Duration = Duration::from_secs(30);
 
