--- a/lib/src/config/chunk.rs
+++ b/lib/src/config/chunk.rs
@@ -13,8 +13,8 @@
 use crate::hash::{Digest, place};
 
 /// How many buckets objects fall into. At 6,800 accounts and 1,600 runners of some 200 bytes a
-/// bucket has about 27 KB, far below the platform's megabyte.
-pub const BUCKETS: usize = 64;
+/// bucket has some 15 KB, far below the platform's megabyte, and the root 9 KB.
+pub const BUCKETS: usize = 128;
 
 /// The largest value that the platform's service holds, in bytes.
 pub const MAX_VALUE: usize = 1 << 20;
--- a/lib/src/config/head.rs
+++ b/lib/src/config/head.rs
@@ -13,8 +13,8 @@
 use crate::id::{Generation, Name};
 
 /// How many of the newest changes the head names itself, so that a lost answer is settled by one
-/// read. At 1,800 changes a day these reach back more than an hour on average.
-pub const RECENT: usize = 96;
+/// read. At 1,800 changes a day these reach back more than half an hour on average.
+pub const RECENT: usize = 48;
 
 /// The identity of one change, made by whoever asks for it. Repeating it never applies it twice.
 ///
--- a/lib/src/config/mod.rs
+++ b/lib/src/config/mod.rs
@@ -2,8 +2,10 @@
 //! snapshots that follow one another by generation.
 
 pub mod change;
+pub mod choice;
 pub mod chunk;
 pub mod head;
 pub mod object;
+pub mod read;
 pub mod record;
 pub mod snapshot;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod language;
 pub mod lease;
 pub mod member;
+pub mod news;
 pub mod order;
 pub mod outcome;
 pub mod owner;
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -8,7 +8,7 @@
 
 use ini::Ini;
 use log::LevelFilter;
-use sardinepick_lib::config::object::span;
+use sardinepick_lib::config::read::span;
 use sardinepick_lib::hash::Digest;
 use sardinepick_lib::id::Name;
 use sardinepick_lib::lease::Term;
