--- a/lib/src/config/head.rs
+++ b/lib/src/config/head.rs
@@ -87,6 +87,10 @@
     pub root: Digest,
     /// The newest changes, oldest first.
     pub recent: VecDeque<Applied>,
+    /// How often unused chunks have been swept. A sweep writes the head before it removes anything,
+    /// so that a writer which looked before it has to look again.
+    #[serde(default)]
+    pub sweeps: u64,
 }
 
 /// A change that was applied.
@@ -136,7 +140,13 @@
         while recent.len() > RECENT {
             recent.pop_front();
         }
-        Self { generation: operation.generation, operation: digest, root: operation.root, recent }
+        Self {
+            generation: operation.generation,
+            operation: digest,
+            root: operation.root,
+            recent,
+            sweeps: self.sweeps,
+        }
     }
 
     /// The application of `change`, if it is among the newest.
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod run;
 pub mod settings;
 pub mod store;
+pub mod sweep;
 pub mod tables;
 pub mod upstream;
 pub mod write;
--- a/node/src/run.rs
+++ b/node/src/run.rs
@@ -18,7 +18,7 @@
 use crate::settings::Settings;
 use crate::store::HttpStore;
 use crate::upstream::completions::Completions;
-use crate::{authority, configuration, tables};
+use crate::{authority, configuration, sweep, tables};
 
 /// Why a node does not start.
 #[derive(Debug, Error)]
@@ -99,6 +99,7 @@
     tokio::spawn(configuration::fetch(node.clone(), socket));
     tokio::spawn(tables::run(node.clone()));
     tokio::spawn(authority::run(node.clone()));
+    tokio::spawn(sweep::run(node.clone()));
     tokio::spawn(keep_members(node.clone()));
     tokio::spawn(pump(node.clone()));
     log::info!(
--- a/node/src/store.rs
+++ b/node/src/store.rs
@@ -127,8 +127,8 @@
         value: Bytes,
     ) -> Result<Revision, StoreError>;
 
-    /// Removes an object, whatever its revision.
-    async fn delete(&self, object: &str) -> Result<(), StoreError>;
+    /// Removes an object if it has the expected revision.
+    async fn delete(&self, object: &str, expected: Revision) -> Result<(), StoreError>;
 
     /// Names the objects below a prefix.
     async fn list(&self, prefix: &str) -> Result<Vec<Changed>, StoreError>;
@@ -279,9 +279,10 @@
         Ok(revision(&head))
     }
 
-    async fn delete(&self, object: &str) -> Result<(), StoreError> {
+    async fn delete(&self, object: &str, expected: Revision) -> Result<(), StoreError> {
         let path = format!("/v1/objects/{object}");
-        let request = self.request(Method::DELETE, &path, Bytes::new());
+        let mut request = self.request(Method::DELETE, &path, Bytes::new());
+        request.headers_mut().insert(header::IF_MATCH, expected.0.into());
         self.call(Step::Delete, object, request, self.timeout).await.map(|_| ())
     }
 
--- a/node/src/write.rs
+++ b/node/src/write.rs
@@ -286,7 +286,12 @@
     let mut found = Vec::new();
     let mut next = Some(head.operation);
     while let (Some(digest), true) = (next, found.len() < limit) {
-        let chunk = read_chunks(node, &[digest]).await?.remove(0);
+        let chunk = match read_chunks(node, &[digest]).await {
+            Ok(mut chunks) => chunks.remove(0),
+            // What is older has been swept.
+            Err(FetchError::Missing(_)) => break,
+            Err(error) => return Err(error),
+        };
         let operation: Operation = chunk.read().map_err(spread)?;
         next = operation.parent;
         found.push(operation);
@@ -325,7 +330,7 @@
         generation: operation.generation,
         operation: digest,
         root: operation.root,
-        recent: std::collections::VecDeque::new(),
+        ..Head::default()
     };
     load(node, &head).await.map(|installed| installed.snapshot)
 }
--- a/node/tests/failures.rs
+++ b/node/tests/failures.rs
@@ -345,3 +345,35 @@
     assert_eq!(status.as_u16(), 401);
     assert!(is_whole(&set.complete("after").await));
 }
+
+/// Symptom: the configuration in force names chunks that are gone. Sequence: a writer looks at the
+/// head and is paused; unused chunks are swept; the writer goes on. Cause: its chunks were unused
+/// when the sweep looked. The writer's update must be refused, and what is in force stay whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn sweep_paused_writer_refused_and_live_kept() {
+    use sardinepick_node::configuration::{HEAD, read_head};
+
+    let set = set(1, 1).await;
+    for seconds in 1..=6 {
+        set.cluster.change(&format!("set service telraad deadline = {seconds}s")).await;
+    }
+    let node = &set.cluster.node(0).node;
+    let (looked, head) =
+        read_head(node).await.expect("the store answers").expect("there is a head");
+    let before = set.cluster.platform.names("chunks/").len();
+    let removed = sardinepick_node::sweep::sweep(node, 1).await.expect("the store answers");
+    assert!(removed > 0);
+    assert_eq!(set.cluster.platform.names("chunks/").len(), before - removed);
+
+    let late = serde_json::to_vec(&head).expect("a head is JSON");
+    let refused = node.store.put(HEAD, Some(looked), late.into()).await;
+    assert!(refused.is_err(), "the paused writer must begin anew");
+
+    // A node that knows nobody has only the store to read the configuration from.
+    let plan = Plan::new("entry-9", "elsewhere", set.cluster.platform.address());
+    set.cluster.platform.set_vms(vec![plan.vm()]);
+    let late = plan.start().await;
+    wait_ready(plan.front).await;
+    assert_eq!(late.node.config.load().generation, node.config.load().generation);
+    set.cluster.change("set service telraad deadline = 9s").await;
+}
