query: ask every node for its live rows

Runners, accounts and leases were shown as the node asked knew them; now requests under way are added up, the youngest report holds, and nodes that do not answer are named. A test shows the sum and a dead node's name.

--- a/node/src/front/admin.rs
+++ b/node/src/front/admin.rs
@@ -22,9 +22,10 @@
 
 use super::account::{self, Operator};
 use super::{Answer, Context};
+use crate::explain;
+use crate::gather::gather;
 use crate::node::Node;
 use crate::write::{self, Body as Change, Wanted, WriteError};
-use crate::{explain, rows};
 
 /// How long a command waits for all nodes unless it says otherwise.
 const DEFAULT_WAIT: Duration = Duration::from_secs(12);
@@ -250,8 +251,16 @@
 ) -> Result<Outcome, HttpError> {
     let rows = |table: Table| Ok(Outcome::Rows(table.into()));
     match statement {
-        Statement::Show(query) => rows(query::show(&query, rows::live(node, query.subject))),
-        Statement::Count(count) => rows(query::count(&count, &rows::live(node, count.subject))),
+        Statement::Show(query) => {
+            let gathered = gather(node, query.subject).await;
+            let table = query::show(&query, gathered.rows);
+            rows(Table { missing: gathered.missing, ..table })
+        }
+        Statement::Count(count) => {
+            let gathered = gather(node, count.subject).await;
+            let table = query::count(&count, &gathered.rows);
+            rows(Table { missing: gathered.missing, ..table })
+        }
         Statement::History(limit) => {
             let limit = limit.unwrap_or(DEFAULT_HISTORY);
             rows(history(node, limit).await.map_err(|error| write_error(&error.into()))?)
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod dump;
 pub mod explain;
 pub mod front;
+pub mod gather;
 pub mod logging;
 pub mod metrics;
 pub mod node;
--- a/node/tests/failures.rs
+++ b/node/tests/failures.rs
@@ -377,3 +377,32 @@
     assert_eq!(late.node.config.load().generation, node.config.load().generation);
     set.cluster.change("set service telraad deadline = 9s").await;
 }
+
+/// Symptom: operators see a part of what is under way and take it for all. Sequence: requests run at
+/// one node, another is asked; then the first one dies. Cause: only the node asked answers. The sum
+/// must be shown, and a node that does not answer named.
+#[tokio::test(flavor = "multi_thread")]
+async fn show_runners_of_all_nodes() {
+    let mut set = set(2, 1).await;
+    let (caller, front) = (set.caller.clone(), set.cluster.front(1));
+    let call =
+        tokio::spawn(
+            async move { caller.complete(front, "telraad", "shown", PROMPT, 1_500).await },
+        );
+    wait_until("the engine works", || async { set.engines[0].running() == 1 }).await;
+    let show = "show runners (name, in_flight) where service = telraad";
+    let (_, value) =
+        set.cluster.operator.command(set.cluster.front(0), show).await.expect("an answer");
+    let rows = &value["results"][0]["rows"];
+    assert_eq!(rows["rows"], serde_json::json!([["telraad-0", "1"]]), "{value}");
+    assert_eq!(rows["missing"], serde_json::json!([]));
+    call.abort();
+    set.cluster.nodes[1].take().expect("the node runs").kill();
+    wait_until("the dead node is named", || async {
+        let asked = set.cluster.operator.command(set.cluster.front(0), show).await;
+        asked.is_ok_and(|(_, v)| {
+            v["results"][0]["rows"]["missing"] == serde_json::json!(["entry-2"])
+        })
+    })
+    .await;
+}
