--- a/lib/src/config/choice.rs
+++ b/lib/src/config/choice.rs
@@ -30,6 +30,8 @@
     };
 }
 
+pub(crate) use choice;
+
 choice!(
     /// How urgent work is; the later ones go first.
     #[derive(Default)]
--- a/lib/src/directory.rs
+++ b/lib/src/directory.rs
@@ -4,10 +4,9 @@
 use std::time::Duration;
 
 use rand::{Rng, RngExt as _};
-use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use crate::id::{Name, Version};
+use crate::id::Name;
 
 /// How long callers may keep an answer. A node that leaves goes on taking callers for this long
 /// after it is out of the answers.
@@ -29,17 +28,6 @@
     pub load: u32,
 }
 
-/// An answer.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Listing {
-    /// The addresses to use, the preferred first.
-    pub addresses: SmallVec<[SocketAddr; ADDRESSES]>,
-    /// For how long, in milliseconds.
-    pub valid_ms: u64,
-    /// The version to send with requests that must not run twice.
-    pub epoch: Version,
-}
-
 /// Picks addresses for a caller. Nodes of the caller's data centre come first; among equals the
 /// better of two drawn at random wins, so that callers that ask in the same second are spread out
 /// even though the loads are late.
--- a/lib/src/runner.rs
+++ b/lib/src/runner.rs
@@ -263,11 +263,6 @@
         }
     }
 
-    /// Notes that the runner has dropped this prefix.
-    pub fn note_evicted(&mut self, prefix: Prefix) {
-        self.hints.retain(|h| h.prefix != prefix);
-    }
-
     /// Whether the runner probably still has this prefix.
     pub fn has_cached(&self, prefix: Prefix, now: Instant) -> bool {
         let fresh = |h: &Hint| now.saturating_duration_since(h.at) < HINT_LIFE;
--- a/lib/src/unit.rs
+++ b/lib/src/unit.rs
@@ -48,10 +48,3 @@
     /// A share in hundredths.
     Percent, u32
 );
-
-impl Tokens {
-    /// The seconds that these tokens take at `rate`; a rate of nought counts as one token a second.
-    pub fn seconds_at(self, rate: TokenRate) -> f64 {
-        f64::from(self.0) / f64::from(rate.0.max(1))
-    }
-}
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -326,14 +326,6 @@
         self.with_view(runner, |view| view.reserved_until = Some(until));
     }
 
-    /// Notes that a runner cannot be reached.
-    pub fn note_unreachable(&self, runner: &Name) {
-        let now = self.clock.now();
-        self.with_view(runner, |view| {
-            view.note_fault(now);
-        });
-    }
-
     fn with_view(&self, runner: &Name, change: impl FnOnce(&mut View)) {
         let mut inner = self.lock();
         let Some(at) = inner.places.get(runner).map(|p| p.view) else { return };
