--- a/testutils/src/measure/scale.rs
+++ b/testutils/src/measure/scale.rs
@@ -151,6 +151,47 @@
     (mean, most, f64::from(used.iter().max().copied().unwrap_or(0)))
 }
 
+/// A straight line through points, and how far the points lie from it at the most, as a part of
+/// their value.
+struct Line {
+    slope: f64,
+    residual: f64,
+}
+
+fn fit(points: &[(f64, f64)]) -> Line {
+    let count = points.len() as f64;
+    let mean = |of: fn(&(f64, f64)) -> f64| points.iter().map(of).sum::<f64>() / count;
+    let (x, y) = (mean(|p| p.0), mean(|p| p.1));
+    let covariance: f64 = points.iter().map(|p| (p.0 - x) * (p.1 - y)).sum();
+    let variance: f64 = points.iter().map(|p| (p.0 - x) * (p.0 - x)).sum();
+    let slope = covariance / variance;
+    let off = |p: &(f64, f64)| ((y + slope * (p.0 - x)) - p.1).abs() / p.1;
+    Line { slope, residual: points.iter().map(off).fold(0.0, f64::max) }
+}
+
+/// Lines through what should grow with one thing only.
+fn fits(figures: &[Figure]) -> Vec<Figure> {
+    let nodes: fn(&Size) -> usize = |s| s.nodes;
+    let objects: fn(&Size) -> usize = |s| s.accounts + s.runners;
+    let cases = [
+        ("table_bytes", "node", nodes),
+        ("table_step_bytes", "node", nodes),
+        ("config_bytes", "object", objects),
+    ];
+    let mut fitted = Vec::new();
+    for (what, per, of) in cases {
+        let value = |size: &Size| {
+            let name = format!("scale.{}.{what}", size.nodes);
+            figures.iter().find(|f| f.name == name).map_or(0.0, |f| f.value)
+        };
+        let points: Vec<(f64, f64)> = SIZES.iter().map(|s| (of(s) as f64, value(s))).collect();
+        let line = fit(&points);
+        fitted.push(Figure::new(format!("scale.fit.{what}.per_{per}"), line.slope));
+        fitted.push(Figure::new(format!("scale.fit.{what}.residual"), line.residual));
+    }
+    fitted
+}
+
 /// The figures.
 pub fn measure() -> Vec<Figure> {
     let mut figures = Vec::new();
@@ -174,5 +215,7 @@
         add("config_chunk_bytes_most", sizes.max().unwrap_or(0) as f64);
         add("config_root_bytes", Chunk::write(&root).bytes.len() as f64);
     }
+    let fitted = fits(&figures);
+    figures.extend(fitted);
     figures
 }
