--- a/node/tests/failures.rs
+++ b/node/tests/failures.rs
@@ -406,3 +406,18 @@
     })
     .await;
 }
+
+/// Symptom: clients that speak HTTP/2 get nothing. Sequence: such a client looks up, streams and
+/// calls a plain service. Cause: paths that only one version of HTTP goes through.
+#[tokio::test(flavor = "multi_thread")]
+async fn http2_cleartext_served() {
+    let set = set(1, 1).await;
+    let (caller, front) = (Caller::over_http2(KEY), set.cluster.front(0));
+    let listing = caller.look_up(front).await.expect("a listing");
+    assert!(listing.addresses.contains(&front));
+    let told = caller.complete(front, "telraad", "h2", PROMPT, TOKENS).await;
+    assert!(is_whole(&told.seen), "{told:?}");
+    let told = caller.post(front, "ontbijtbord", "eggs", None).await;
+    assert!(matches!(told.seen, Seen::Answer(_)), "{told:?}");
+    assert_eq!(set.plain.effects("eggs"), 1);
+}
--- a/testutils/src/caller.rs
+++ b/testutils/src/caller.rs
@@ -89,6 +89,13 @@
         Self { client, key: key.to_owned() }
     }
 
+    /// A caller that speaks HTTP/2 without TLS.
+    pub fn over_http2(key: &str) -> Self {
+        let client =
+            Client::builder(TokioExecutor::new()).http2_only(true).build(HttpConnector::new());
+        Self { client, key: key.to_owned() }
+    }
+
     /// Sends any request.
     ///
     /// # Errors
