--- a/lib/src/config/snapshot.rs
+++ b/lib/src/config/snapshot.rs
@@ -20,6 +20,9 @@
     objects: BTreeMap<Key, Arc<Object>>,
     /// The runners of each service, in the order of their names.
     runners: HashMap<Name, Vec<Arc<Object>>>,
+    /// The policies, in the order of their names: each request looks through them, and must not look
+    /// through all accounts and runners to find them.
+    policies: Vec<Arc<Object>>,
     /// The accounts by the digest of their key.
     keys: HashMap<Digest, Key>,
 }
@@ -58,8 +61,14 @@
         if !errors.is_empty() {
             return Err(errors);
         }
-        let mut snapshot =
-            Self { generation, records, objects, runners: HashMap::new(), keys: HashMap::new() };
+        let mut snapshot = Self {
+            generation,
+            records,
+            objects,
+            runners: HashMap::new(),
+            policies: Vec::new(),
+            keys: HashMap::new(),
+        };
         snapshot.index();
         Ok(snapshot)
     }
@@ -81,7 +90,8 @@
                 Object::Operator(operator) => {
                     self.keys.insert(operator.key, object.key());
                 }
-                Object::Model(_) | Object::Service(_) | Object::Policy(_) => {}
+                Object::Policy(_) => self.policies.push(object.clone()),
+                Object::Model(_) | Object::Service(_) => {}
             }
         }
     }
@@ -155,7 +165,7 @@
         service: &'a Name,
         account: &'a Name,
     ) -> impl Iterator<Item = &'a Policy> {
-        self.objects().filter_map(move |o| match o {
+        self.policies.iter().filter_map(move |o| match o.as_ref() {
             Object::Policy(p)
                 if p.service.as_ref().is_none_or(|s| s == service)
                     && p.account.as_ref().is_none_or(|a| a == account) =>
