--- /dev/null
+++ b/lib/src/fleet/gate.rs
@@ -0,0 +1,113 @@
+//! The gate: whether a request starts now, and in which class, or is refused at once.
+//!
+//! The load it answers: bursts in which the prompts of a few seconds need more reading than the
+//! runners can do in time. Work that can be on time starts in the class of its route's rank. Work
+//! that cannot starts behind all of it, on what is left over, as long as an answer can still be of
+//! use; if even that is out of reach, it is refused at once, while the caller can still do
+//! something else, and is told when the backlog will have gone.
+//!
+//! Nothing waits at the node. Work waits at the runner that will do it, in the order of the
+//! classes of all nodes together, so no node holds a place that another could use better.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt as _};
+use strum::{Display, IntoStaticStr};
+
+use super::load::Class;
+use super::route::Route;
+
+/// What counts for a request at the gate.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// The class if it can be on time.
+    pub class: Class,
+    /// What is left of the time within which it is on time; none if that is over.
+    pub objective: Option<Duration>,
+    /// What is left of the time that the caller waits.
+    pub left: Duration,
+    /// How long the caller bears to hear nothing.
+    pub patience: Duration,
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Reason {
+    /// The answer would come too late to be of use.
+    Late,
+    /// No runner of the service is left.
+    NoRunner,
+    /// The node knows no configuration yet.
+    NoConfiguration,
+    /// The retry budget is spent.
+    Budget,
+    /// The runners that were tried refused it.
+    Shed,
+}
+
+/// The part of the objective that a predicted first answer may use up: the rest covers the
+/// prediction's error.
+const ON_TIME: f64 = 0.9;
+/// The part of the caller's patience and time that late work may use up before its first answer.
+const STILL_OF_USE: f64 = 0.6;
+/// A caller bears to hear nothing for the longest of: this time,
+const PATIENCE: Duration = Duration::from_secs(2);
+/// so many objectives,
+const PATIENCE_OBJECTIVES: u32 = 4;
+/// so many of the pauses that its route allows (platform's protocol, for all three).
+const PATIENCE_PAUSES: u32 = 8;
+
+impl Terms {
+    /// The terms of a request on `route` whose caller waits for `left` from now on.
+    ///
+    /// A caller that comes back after a refusal gives less time than the route does; what is
+    /// missing it has waited already, and its answer is on time by its first attempt.
+    pub fn new(route: &Route, left: Duration) -> Self {
+        let left = left.min(route.timeout);
+        let waited = route.timeout.saturating_sub(left);
+        let patience = if route.kind.is_stream() {
+            PATIENCE
+                .max(route.objective * PATIENCE_OBJECTIVES)
+                .max(route.pause * PATIENCE_PAUSES)
+        } else {
+            left
+        };
+        Self {
+            class: Class::of_rank(route.rank),
+            objective: route.objective.checked_sub(waited).filter(|o| !o.is_zero()),
+            left,
+            patience,
+        }
+    }
+
+    /// Judges work whose first answer is predicted in `first` seconds in its own class.
+    pub fn on_time(&self, first: f64) -> bool {
+        self.objective.is_some_and(|o| first <= o.as_secs_f64() * ON_TIME)
+    }
+
+    /// Judges work whose first answer is predicted in `first` seconds in the class of late work.
+    pub fn of_use(&self, first: f64) -> bool {
+        first <= self.left.min(self.patience).as_secs_f64() * STILL_OF_USE
+    }
+
+    /// When a refused caller should come back: when the work that waits now will be done, spread so
+    /// that those refused together do not come back together, and within the time in which the
+    /// caller still heeds it.
+    pub fn come_back<R: Rng>(&self, first: f64, rng: &mut R) -> Duration {
+        let goal = self.objective.unwrap_or(self.left / 4).as_secs_f64() / 2.0;
+        let until = (first - goal).max(SHORTEST_RETURN) * rng.random_range(0.8..1.4);
+        let most = self.left.as_secs_f64() / 3.0;
+        Duration::from_secs_f64(until.min(most).max(0.001))
+    }
+}
+
+/// The shortest time after which a refused caller is asked back, in seconds: a few steps of an
+/// engine, so that it is not the same moment.
+const SHORTEST_RETURN: f64 = 0.1;
+
+/// How urgent work of a class is to a runner, from 0 (first) to 9. The gaps leave room for work
+/// that goes on after a failure.
+pub fn urgency(class: Class) -> u8 {
+    if class == Class::LATE { 8 } else { 1 + 2 * class.index() as u8 }
+}
--- /dev/null
+++ b/lib/src/fleet/mod.rs
@@ -0,0 +1,15 @@
+//! The serving core on a platform that keeps configuration and runners: routes, runners, the
+//! choice among them, and the gate before them.
+
+pub mod budget;
+pub mod cache;
+pub mod engine;
+pub mod event;
+pub mod gate;
+pub mod health;
+pub mod load;
+pub mod place;
+pub mod register;
+pub mod roster;
+pub mod route;
+pub mod runner;
--- /dev/null
+++ b/lib/src/fleet/place.rs
@@ -0,0 +1,247 @@
+//! Where a request goes: the choice of runners by predicted first answer.
+//!
+//! A prompt can be read by a prefill runner and go on at a decode runner, or be read and answered
+//! by one decode runner, more slowly. For each way the time until the first event is predicted from
+//! what waits there, from what of the prompt is kept there, and from the runner's pace. To that the
+//! reading time is added once more, as the delay that the work makes for others: without it a busy
+//! fleet would read shared prompts again at every idle runner, and so make itself slower.
+
+use std::time::Instant;
+
+use rand::{Rng, RngExt as _};
+use strum::{Display, IntoStaticStr};
+
+use super::engine::{Engine, Stage, Work, first_event_time, prefill_time};
+use super::load::{Class, Load};
+use super::register::Register;
+use super::runner::Runner;
+use crate::hash::rendezvous;
+use crate::id::{DataCentre, RunnerId, ServiceId};
+
+/// The way a generation takes.
+#[derive(Clone, Debug, Display, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Plan {
+    /// One runner reads and answers.
+    Whole {
+        /// It.
+        runner: RunnerId,
+    },
+    /// One runner reads, another answers.
+    Split {
+        /// The one that reads.
+        prefill: RunnerId,
+        /// The one that answers.
+        decode: RunnerId,
+    },
+}
+
+/// A choice with what is predicted of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placement {
+    /// The way.
+    pub plan: Plan,
+    /// Until the first event, in seconds from now.
+    pub first: f64,
+    /// Until the prompt is read, in seconds from now.
+    pub read: f64,
+    /// Prompt tokens to read.
+    pub fresh: u64,
+}
+
+/// What the choice is made for.
+#[derive(Clone, Copy, Debug)]
+pub struct Question<'a> {
+    /// The service.
+    pub service: &'a ServiceId,
+    /// The class in which the work would wait.
+    pub class: Class,
+    /// The data centre of this node.
+    pub home: &'a DataCentre,
+    /// Runners that are not to be taken.
+    pub skip: &'a [RunnerId],
+    /// The time.
+    pub now: Instant,
+}
+
+/// How much of its reading time a request is charged for the delay it makes for others.
+const DELAY_OF_OTHERS: f64 = 1.0;
+/// What a runner's failures add, in seconds for a share of one: as much as a lost second.
+const FAILURE_COST: f64 = 1.0;
+/// The advantage of a chain's home where nobody keeps it yet, in seconds. With it all nodes begin a
+/// new chain at one runner, also before they have heard of each other's choice.
+const HOME_ADVANTAGE: f64 = 0.02;
+/// The random part, in seconds, by which nodes with like pictures part at ties.
+const DITHER: f64 = 0.004;
+/// What another data centre adds, in seconds: the way there and back, and its price in bytes.
+const DISTANCE: f64 = 0.004;
+/// How much longer an event takes at a runner that also reads prompts: one piece for each of its
+/// tokens.
+const INTERLEAVED_TOKENS: u64 = 256;
+/// Tokens of one event.
+const EVENT_TOKENS: f64 = 10.0;
+
+struct Candidate<'a> {
+    runner: &'a Runner,
+    load: Load,
+}
+
+fn candidates<'a>(register: &'a Register, question: &Question<'a>) -> Vec<Candidate<'a>> {
+    let left = |r: &&Runner| !question.skip.contains(&r.entry.id);
+    let usable = |r: &&Runner| r.takes_work(question.now);
+    let all = || register.of(question.service).filter(left);
+    let with_load = |runner: &'a Runner| Candidate { runner, load: runner.load(question.now) };
+    let good: Vec<Candidate<'a>> = all().filter(usable).map(with_load).collect();
+    if good.is_empty() {
+        // A runner on trial is still better than a refusal.
+        return all().filter(|r| r.is_last_resort()).map(with_load).collect();
+    }
+    good
+}
+
+impl Candidate<'_> {
+    fn cost(&self, question: &Question<'_>, draw: f64) -> f64 {
+        let distance =
+            if self.runner.entry.data_centre == *question.home { 0.0 } else { DISTANCE };
+        self.runner.health.failing() * FAILURE_COST + distance + draw * DITHER
+    }
+
+    /// Until the first event once the prompt is there, in seconds.
+    fn first_event(&self) -> f64 {
+        let pieces = if self.load.ahead(Class::LATE) > 0 {
+            EVENT_TOKENS * prefill_time(Stage::Decode, INTERLEAVED_TOKENS, 0, 0)
+        } else {
+            0.0
+        };
+        first_event_time(self.load.requests) + pieces
+    }
+}
+
+/// The reading of a prompt at one candidate.
+struct Reading<'a, 'b> {
+    at: &'b Candidate<'a>,
+    /// Until it is read, in seconds.
+    read: f64,
+    fresh: u64,
+    /// What the choice compares, in seconds.
+    rank: f64,
+}
+
+fn reading<'a, 'b>(
+    at: &'b Candidate<'a>,
+    question: &Question<'_>,
+    work: &Work,
+    draw: f64,
+) -> Reading<'a, 'b> {
+    let cached = at.runner.cache.cached(&work.chain).min(work.prompt);
+    let fresh = work.prompt - cached;
+    let time = at.runner.reading(&at.load, fresh, cached);
+    let read = at.runner.wait(&at.load, question.class) + time;
+    let rank = read + time * DELAY_OF_OTHERS + at.cost(question, draw);
+    Reading { at, read, fresh, rank }
+}
+
+/// Chooses for a generation, or none if no runner of the service can run it.
+pub fn generation<R: Rng>(
+    register: &Register,
+    question: &Question<'_>,
+    engine: &Engine,
+    work: &Work,
+    rng: &mut R,
+) -> Option<Placement> {
+    let all = candidates(register, question);
+    let stage = |stage| all.iter().filter(move |c| c.runner.entry.stage == Some(stage));
+    let room = |c: &&Candidate<'_>| c.runner.has_room(&c.load, engine, work.footprint());
+    let makers: Vec<&Candidate<'_>> = {
+        let roomy: Vec<_> = stage(Stage::Decode).filter(room).collect();
+        if roomy.is_empty() { stage(Stage::Decode).collect() } else { roomy }
+    };
+    let home = home(stage(Stage::Prefill), work);
+    let reader = stage(Stage::Prefill)
+        .map(|c| {
+            let mut reading = reading(c, question, work, rng.random());
+            if home == Some(&c.runner.entry.id) {
+                reading.rank -= HOME_ADVANTAGE;
+            }
+            reading
+        })
+        .min_by(|a, b| a.rank.total_cmp(&b.rank));
+    let split = reader.and_then(|reader| split(&reader, &makers, question, engine, work, rng));
+    let whole = makers
+        .iter()
+        .map(|c| {
+            let reading = reading(c, question, work, rng.random());
+            let first = c.first_event();
+            (reading.rank + first, reading.read + first, reading)
+        })
+        .min_by(|a, b| a.0.total_cmp(&b.0));
+    let whole = whole.map(|(rank, first, reading)| {
+        let plan = Plan::Whole { runner: reading.at.runner.entry.id.clone() };
+        (rank, Placement { plan, first, read: reading.read, fresh: reading.fresh })
+    });
+    match (split, whole) {
+        (Some(split), Some(whole)) => Some(if split.0 <= whole.0 { split.1 } else { whole.1 }),
+        (one, other) => one.or(other).map(|(_, placement)| placement),
+    }
+}
+
+fn split<R: Rng>(
+    reader: &Reading<'_, '_>,
+    makers: &[&Candidate<'_>],
+    question: &Question<'_>,
+    engine: &Engine,
+    work: &Work,
+    rng: &mut R,
+) -> Option<(f64, Placement)> {
+    let from = &reader.at.runner.entry;
+    let (rank, first, maker) = makers
+        .iter()
+        .map(|c| {
+            let near = c.runner.entry.data_centre == from.data_centre;
+            let first = c.first_event() + engine.transfer_time(work.prompt, near);
+            (first + c.cost(question, rng.random()), first, c)
+        })
+        .min_by(|a, b| a.0.total_cmp(&b.0))?;
+    let plan = Plan::Split { prefill: from.id.clone(), decode: maker.runner.entry.id.clone() };
+    let placement =
+        Placement { plan, first: reader.read + first, read: reader.read, fresh: reader.fresh };
+    Some((reader.rank + rank, placement))
+}
+
+/// The home of a chain among runners: the same at every node that sees the same runners.
+fn home<'a>(
+    runners: impl Iterator<Item = &'a Candidate<'a>>,
+    work: &Work,
+) -> Option<&'a RunnerId> {
+    let root = work.chain.root().0;
+    let ids = runners.map(|c| &c.runner.entry.id);
+    ids.max_by_key(|id| rendezvous(root, id.as_str().as_bytes()))
+}
+
+/// A choice for a plain request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plain {
+    /// The runner.
+    pub runner: RunnerId,
+    /// Until the answer, in seconds from now.
+    pub answer: f64,
+}
+
+/// Chooses for a plain request, or none if the service has no runner.
+pub fn plain<R: Rng>(
+    register: &Register,
+    question: &Question<'_>,
+    rng: &mut R,
+) -> Option<Plain> {
+    let all = candidates(register, question);
+    let ranked = all.iter().map(|c| {
+        let slots = f64::from(c.runner.entry.slots.max(1));
+        let ahead = (f64::from(c.load.requests) + 1.0 - slots).max(0.0);
+        let answer = c.runner.answer_time * (1.0 + ahead / slots);
+        // Equal runners are told apart by how full they are, so that bursts spread.
+        let fullness = f64::from(c.load.requests) / slots * c.runner.answer_time;
+        (answer + fullness + c.cost(question, rng.random()), answer, c)
+    });
+    let (_, answer, best) = ranked.min_by(|a, b| a.0.total_cmp(&b.0))?;
+    Some(Plain { runner: best.runner.entry.id.clone(), answer })
+}
--- /dev/null
+++ b/lib/src/fleet/register.rs
@@ -0,0 +1,205 @@
+//! All runners that a node knows, by the platform's register.
+//!
+//! The platform forgets a runner that has been silent, also while its store is away and hears
+//! nobody. Runners that lapsed so are back within two seconds of the store's return, so an entry
+//! that is missing at the first look after an outage is doubted and not dropped at once: dropping
+//! all runners of a service when the store comes back would refuse requests that could be served.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use super::cache::Part;
+use super::load::{Class, Load};
+use super::runner::{Entry, Runner, State, Tag};
+use crate::id::{NodeId, RunnerId, ServiceId};
+
+/// How long a runner whose entry lapsed while the store was away is kept (users' letter: entries
+/// are back within about two seconds of the store's return).
+pub const DOUBT: Duration = Duration::from_millis(2_200);
+
+/// What a change of the register did.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// A runner that was not known.
+    Added,
+    /// A runner that takes no new work any more.
+    Leaving,
+    /// A runner whose entry is missing; it is kept for a while.
+    Doubted,
+    /// A runner that is gone.
+    Removed,
+    /// Another change.
+    Updated,
+    /// Nothing new.
+    None,
+}
+
+/// The runners.
+#[derive(Clone, Debug, Default)]
+pub struct Register {
+    runners: HashMap<RunnerId, Runner>,
+    tags: HashMap<Tag, RunnerId>,
+    doubted: HashMap<RunnerId, Instant>,
+}
+
+impl Register {
+    /// Takes in an entry. One that is older than what is known changes nothing.
+    pub fn apply(&mut self, entry: Entry) -> Change {
+        self.doubted.remove(&entry.id);
+        let Some(runner) = self.runners.get_mut(&entry.id) else {
+            self.tags.insert(Tag::of(&entry.id), entry.id.clone());
+            self.runners.insert(entry.id.clone(), Runner::new(entry));
+            return Change::Added;
+        };
+        if entry.revision <= runner.entry.revision {
+            return Change::None;
+        }
+        let leaves = runner.entry.state == State::Ready && entry.state == State::Draining;
+        let turned = runner.entry.stage != entry.stage;
+        runner.entry = entry;
+        if turned {
+            runner.pace = super::engine::Pace::default();
+        }
+        if leaves { Change::Leaving } else { Change::Updated }
+    }
+
+    /// Takes in that an entry is gone. In doubt, because the store has been away, the runner is
+    /// kept until its time is over.
+    pub fn remove(&mut self, id: &RunnerId, in_doubt: bool, now: Instant) -> Change {
+        let Some(runner) = self.runners.get(id) else { return Change::None };
+        if in_doubt && runner.is_last_resort() {
+            self.doubted.entry(id.clone()).or_insert(now + DOUBT);
+            return Change::Doubted;
+        }
+        self.drop_runner(id);
+        Change::Removed
+    }
+
+    fn drop_runner(&mut self, id: &RunnerId) {
+        self.doubted.remove(id);
+        self.runners.remove(id);
+        self.tags.remove(&Tag::of(id));
+    }
+
+    /// Takes in a whole list: entries that are not in it are gone.
+    pub fn replace(
+        &mut self,
+        entries: Vec<Entry>,
+        in_doubt: bool,
+        now: Instant,
+    ) -> Vec<(RunnerId, Change)> {
+        let missing: Vec<RunnerId> =
+            self.runners.keys().filter(|id| !entries.iter().any(|e| e.id == **id)).cloned().collect();
+        let mut changes: Vec<(RunnerId, Change)> = Vec::new();
+        for entry in entries {
+            let id = entry.id.clone();
+            changes.push((id, self.apply(entry)));
+        }
+        for id in missing {
+            let change = self.remove(&id, in_doubt, now);
+            changes.push((id, change));
+        }
+        changes.retain(|(_, change)| *change != Change::None);
+        changes
+    }
+
+    /// Drops doubted runners whose time is over, and names them.
+    pub fn expire(&mut self, now: Instant) -> Vec<RunnerId> {
+        let over: Vec<RunnerId> =
+            self.doubted.iter().filter(|(_, until)| **until <= now).map(|(id, _)| id.clone()).collect();
+        for id in &over {
+            self.drop_runner(id);
+        }
+        over
+    }
+
+    /// A runner.
+    pub fn get(&self, id: &RunnerId) -> Option<&Runner> {
+        self.runners.get(id)
+    }
+
+    /// A runner, to be changed.
+    pub fn get_mut(&mut self, id: &RunnerId) -> Option<&mut Runner> {
+        self.runners.get_mut(id)
+    }
+
+    /// All runners.
+    pub fn runners(&self) -> impl Iterator<Item = &Runner> {
+        self.runners.values()
+    }
+
+    /// The runners of a service.
+    pub fn of<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a Runner> {
+        self.runners.values().filter(move |r| r.entry.service == *service)
+    }
+
+    /// Notes that work begins at a runner: `fresh` prompt tokens to read, `footprint` of memory.
+    pub fn begin(&mut self, id: &RunnerId, share: Share, now: Instant) {
+        let Some(runner) = self.runners.get_mut(id) else { return };
+        runner.health.note_sent(now);
+        runner.own.requests += 1;
+        runner.own.tokens += share.footprint;
+        runner.own.backlog[share.class.index()] += share.fresh;
+    }
+
+    /// Notes that the prompt of work under way has been read.
+    pub fn note_read(&mut self, id: &RunnerId, share: Share) {
+        let Some(runner) = self.runners.get_mut(id) else { return };
+        let backlog = &mut runner.own.backlog[share.class.index()];
+        *backlog = backlog.saturating_sub(share.fresh);
+    }
+
+    /// Notes that work has ended.
+    pub fn end(&mut self, id: &RunnerId, share: Share) {
+        let Some(runner) = self.runners.get_mut(id) else { return };
+        runner.own.requests = runner.own.requests.saturating_sub(1);
+        runner.own.tokens = runner.own.tokens.saturating_sub(share.footprint);
+    }
+
+    /// Takes in what another node has under way at runners; one that it does not name has nothing.
+    pub fn take_report(&mut self, node: &NodeId, loads: &[(Tag, Load)], now: Instant) {
+        for runner in self.runners.values_mut() {
+            runner.others.take(node, Load::default(), now);
+        }
+        for (tag, load) in loads {
+            let runner = self.tags.get(tag).and_then(|id| self.runners.get_mut(id));
+            if let Some(runner) = runner {
+                runner.others.take(node, *load, now);
+            }
+        }
+    }
+
+    /// Takes in that a runner reads a part for another node.
+    pub fn take_reading(&mut self, reading: Reading, now: Instant) {
+        let runner = self.tags.get(&reading.runner).and_then(|id| self.runners.get_mut(id));
+        if let Some(runner) = runner {
+            runner.cache.note_part(reading.part, now);
+        }
+    }
+
+    /// What this node has under way, by runner.
+    pub fn own_loads(&self) -> Vec<(Tag, Load)> {
+        let busy = self.runners.values().filter(|r| !r.own.is_empty());
+        busy.map(|r| (Tag::of(&r.entry.id), r.own)).collect()
+    }
+}
+
+/// What one piece of work takes of a runner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Share {
+    /// The class in which it waits.
+    pub class: Class,
+    /// Prompt tokens to read.
+    pub fresh: u64,
+    /// Memory, in tokens.
+    pub footprint: u64,
+}
+
+/// A part of a prompt at a runner, as nodes tell each other.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Reading {
+    /// The runner that reads it.
+    pub runner: Tag,
+    /// The part.
+    pub part: Part,
+}
--- /dev/null
+++ b/lib/src/fleet/roster.rs
@@ -0,0 +1,170 @@
+//! The nodes that serve together: who is there, who takes callers, who is heard.
+//!
+//! Nodes learn of one another from the platform's store once, at their start, and from then on from
+//! each other's beats. A beat that stays away takes a node out of the answers to callers within
+//! [`SILENCE`]; a node that leaves says so in a beat.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::id::{ConfigVersion, DataCentre, Incarnation, NodeId, Revision};
+
+/// Beats that may be missed before a node is left out.
+pub const BEATS_MISSED: u32 = 6;
+/// The shortest time between beats. A load report of this age errs by a tenth of the objective.
+pub const SHORTEST_BEAT: Duration = Duration::from_millis(100);
+/// The most beats that one node takes in a second; more nodes beat more slowly. At 120 beats of
+/// about 400 bytes a node receives 48 KB/s and spends about 0.4% of a core.
+pub const MOST_BEATS: usize = 120;
+
+/// For how many times the silence that takes a node out of the answers it is still sent every beat.
+const GREETED_SILENCES: u32 = 5;
+
+/// How a node stands towards callers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Standing {
+    /// It knows no configuration yet.
+    #[default]
+    Starting,
+    /// It takes callers.
+    Ready,
+    /// It finishes what it has.
+    Leaving,
+}
+
+/// A node as others know it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Contact {
+    /// Its name.
+    pub id: NodeId,
+    /// Its process, by the time it started.
+    pub incarnation: Incarnation,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Where callers reach it.
+    pub front: SocketAddr,
+    /// Where other nodes reach it.
+    pub peer: SocketAddr,
+}
+
+/// What a beat says besides who sends it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Status {
+    /// How the node stands.
+    pub standing: Standing,
+    /// The version of its configuration.
+    pub version: ConfigVersion,
+    /// Up to which change it knows the register of runners.
+    pub register: Revision,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    contact: Contact,
+    status: Status,
+    heard: Option<Instant>,
+}
+
+/// The other nodes.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    members: HashMap<NodeId, Member>,
+}
+
+/// The time between beats for a number of nodes.
+pub fn beat_period(nodes: usize) -> Duration {
+    let seconds = nodes as f64 / MOST_BEATS as f64;
+    Duration::from_secs_f64(seconds).max(SHORTEST_BEAT)
+}
+
+impl Roster {
+    /// Takes in a node that was read from the store or named by another; nothing is heard of it
+    /// yet. True if it was not known.
+    pub fn introduce(&mut self, contact: Contact) -> bool {
+        match self.members.get_mut(&contact.id) {
+            Some(member) if member.contact.incarnation >= contact.incarnation => false,
+            _ => {
+                let member = Member { contact, status: Status::default(), heard: None };
+                self.members.insert(member.contact.id.clone(), member);
+                true
+            }
+        }
+    }
+
+    /// Takes in a beat. True if the node was not known or has started anew.
+    pub fn take_beat(&mut self, contact: Contact, status: Status, now: Instant) -> bool {
+        let known = self.members.get(&contact.id);
+        if known.is_some_and(|m| m.contact.incarnation > contact.incarnation) {
+            return false;
+        }
+        let new = known.is_none_or(|m| m.contact.incarnation < contact.incarnation);
+        let member = Member { contact, status, heard: Some(now) };
+        self.members.insert(member.contact.id.clone(), member);
+        new
+    }
+
+    /// All nodes that were ever known, this one not among them.
+    pub fn known(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Where all known nodes are reached.
+    pub fn peers(&self) -> impl Iterator<Item = SocketAddr> {
+        self.members.values().map(|m| m.contact.peer)
+    }
+
+    /// Where the nodes are reached that have been heard lately, however they stand.
+    pub fn heard(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
+        let silence = self.silence() * GREETED_SILENCES;
+        let heard =
+            move |m: &&Member| m.heard.is_some_and(|at| now.saturating_duration_since(at) <= silence);
+        self.members.values().filter(heard).map(|m| m.contact.peer)
+    }
+
+    /// What a node said last of itself.
+    pub fn status(&self, id: &NodeId) -> Option<Status> {
+        self.members.get(id).map(|m| m.status)
+    }
+
+    /// All known nodes.
+    pub fn contacts(&self) -> impl Iterator<Item = &Contact> {
+        self.members.values().map(|m| &m.contact)
+    }
+
+    fn silence(&self) -> Duration {
+        beat_period(self.members.len()) * BEATS_MISSED
+    }
+
+    /// The nodes that take callers and have been heard.
+    pub fn fronts(&self, now: Instant) -> Vec<&Contact> {
+        let silence = self.silence();
+        let heard = |m: &&Member| {
+            m.status.standing == Standing::Ready
+                && m.heard.is_some_and(|at| now.saturating_duration_since(at) <= silence)
+        };
+        self.members.values().filter(heard).map(|m| &m.contact).collect()
+    }
+
+    /// A node heard lately that knows a newer configuration or register than `mine`.
+    pub fn ahead(&self, mine: Status, now: Instant) -> Option<(&Contact, Status)> {
+        let silence = self.silence();
+        let newer = |m: &&Member| {
+            let heard = m.heard.is_some_and(|at| now.saturating_duration_since(at) <= silence);
+            heard && (m.status.version > mine.version || m.status.register > mine.register)
+        };
+        let best = self.members.values().filter(newer);
+        best.max_by_key(|m| (m.status.version, m.status.register)).map(|m| (&m.contact, m.status))
+    }
+
+    /// Forgets nodes that have been silent for `limit`, for good as far as this node knows.
+    pub fn forget(&mut self, now: Instant, limit: Duration) -> Vec<NodeId> {
+        let gone = |m: &Member| m.heard.is_some_and(|at| now.saturating_duration_since(at) > limit);
+        let ids: Vec<NodeId> =
+            self.members.iter().filter(|(_, m)| gone(m)).map(|(id, _)| id.clone()).collect();
+        for id in &ids {
+            self.members.remove(id);
+        }
+        ids
+    }
+}
--- /dev/null
+++ b/lib/src/fleet/runner.rs
@@ -0,0 +1,150 @@
+//! One runner as a node sees it.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use strum::{Display, EnumString, IntoStaticStr};
+
+use super::cache::Cache;
+use super::engine::{Engine, Pace, Stage, prefill_time, step_time};
+use super::health::Record;
+use super::load::{Class, Load, Others};
+use crate::hash::place;
+use crate::id::{DataCentre, Revision, RunnerId, ServiceId};
+
+/// Whether a runner takes new work, in its own words.
+#[derive(Clone, Copy, Debug, Display, EnumString, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum State {
+    /// It does.
+    Ready,
+    /// It is about to leave.
+    Draining,
+}
+
+/// What the platform's register says of a runner.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// This life of it.
+    pub id: RunnerId,
+    /// Its service.
+    pub service: ServiceId,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Whether it takes new work.
+    pub state: State,
+    /// Its stage, for model engines.
+    pub stage: Option<Stage>,
+    /// Requests at once.
+    pub slots: u32,
+    /// Orders it has accepted.
+    pub orders: u64,
+    /// The change by which the entry came to be as it is.
+    pub revision: Revision,
+}
+
+/// A hash of a runner's id, by which nodes name it to each other in few bytes. Two runners with one
+/// tag would share a load report, which is a hint and no more.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct Tag(pub u64);
+
+impl Tag {
+    /// The tag of a runner.
+    pub fn of(id: &RunnerId) -> Self {
+        Self(place(0, id.as_str().as_bytes()))
+    }
+}
+
+/// A runner: its entry, and what this node knows besides.
+#[derive(Clone, Debug)]
+pub struct Runner {
+    /// The platform's entry.
+    pub entry: Entry,
+    /// Its health.
+    pub health: Record,
+    /// What this node has under way there.
+    pub own: Load,
+    /// What other nodes have under way there.
+    pub others: Others,
+    /// What it probably keeps of prompts.
+    pub cache: Cache,
+    /// How its speed differs from the model's.
+    pub pace: Pace,
+    /// The mean time of a plain answer, in seconds.
+    pub answer_time: f64,
+}
+
+/// What is assumed of a plain answer's time until some have come, in seconds (users' sheets: 15 ms
+/// of work).
+const FIRST_ANSWER_TIME: f64 = 0.015;
+/// The gain with which the mean time follows what is seen.
+const ANSWER_GAIN: f64 = 0.1;
+/// The tokens whose reading time gives the rate at which a backlog shrinks.
+const RATE_SAMPLE: u64 = 8_192;
+
+impl Runner {
+    /// A runner of which only the entry is known.
+    pub fn new(entry: Entry) -> Self {
+        Self {
+            entry,
+            health: Record::default(),
+            own: Load::default(),
+            others: Others::default(),
+            cache: Cache::default(),
+            pace: Pace::default(),
+            answer_time: FIRST_ANSWER_TIME,
+        }
+    }
+
+    /// Whether new work may go there.
+    pub fn takes_work(&self, now: Instant) -> bool {
+        self.entry.state == State::Ready && self.health.takes_work(now)
+    }
+
+    /// Whether it could do work at all if no better one were left.
+    pub fn is_last_resort(&self) -> bool {
+        self.entry.state == State::Ready && !self.health.is_gone()
+    }
+
+    /// The rate at which it reads prompts, in tokens a second.
+    pub fn prefill_rate(&self) -> f64 {
+        let Some(stage) = self.entry.stage else { return 1.0 };
+        let time = prefill_time(stage, RATE_SAMPLE, 0, self.own.requests);
+        RATE_SAMPLE as f64 / (time * self.pace.factor())
+    }
+
+    /// What all nodes together have under way there.
+    pub fn load(&self, now: Instant) -> Load {
+        let mut load = self.others.sum(now, self.prefill_rate());
+        load.add(&self.own);
+        load
+    }
+
+    /// How long new work of `class` waits before its prompt is begun, in seconds.
+    pub fn wait(&self, load: &Load, class: Class) -> f64 {
+        load.ahead(class) as f64 / self.prefill_rate()
+    }
+
+    /// How long it takes to read `fresh` tokens after `cached` ones once begun, in seconds.
+    pub fn reading(&self, load: &Load, fresh: u64, cached: u64) -> f64 {
+        let Some(stage) = self.entry.stage else { return 0.0 };
+        prefill_time(stage, fresh, cached, load.requests) * self.pace.factor()
+    }
+
+    /// How long one step takes there, in seconds.
+    pub fn step(&self, load: &Load) -> f64 {
+        step_time(load.requests) * self.pace.factor()
+    }
+
+    /// Whether `tokens` more fit into its memory beside what is under way.
+    pub fn has_room(&self, load: &Load, engine: &Engine, tokens: u64) -> bool {
+        load.requests < engine.slots && load.tokens + tokens <= engine.memory / 10 * 9
+    }
+
+    /// Learns from a plain answer that took `seconds`.
+    pub fn learn_answer(&mut self, seconds: f64) {
+        self.answer_time += (seconds - self.answer_time) * ANSWER_GAIN;
+    }
+}
--- a/lib/src/id.rs
+++ b/lib/src/id.rs
@@ -88,6 +88,87 @@
     }
 }
 
+/// Declares a newtype over text that others give, such as an id drawn by the platform. Nothing is
+/// asked of its characters, so that no id a deployment may draw is refused; only its length is
+/// bounded, so that a broken sender cannot fill the memory.
+macro_rules! given {
+    ($(#[$meta:meta])* $name:ident) => {
+        $(#[$meta])*
+        #[derive(
+            Clone, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+        )]
+        #[serde(try_from = "SmolStr", into = "SmolStr")]
+        pub struct $name(SmolStr);
+
+        impl $name {
+            /// The id as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.pad(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = NameError;
+
+            fn from_str(text: &str) -> Result<Self, NameError> {
+                match text.len() {
+                    0 => Err(NameError::Empty),
+                    1..=MAX_GIVEN_LEN => Ok(Self(SmolStr::new(text))),
+                    len => Err(NameError::TooLong(len)),
+                }
+            }
+        }
+
+        impl TryFrom<SmolStr> for $name {
+            type Error = NameError;
+
+            fn try_from(text: SmolStr) -> Result<Self, NameError> {
+                text.parse()
+            }
+        }
+
+        impl TryFrom<&str> for $name {
+            type Error = NameError;
+
+            fn try_from(text: &str) -> Result<Self, NameError> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for SmolStr {
+            fn from(id: $name) -> SmolStr {
+                id.0
+            }
+        }
+    };
+}
+
+/// The longest id of another's making that is accepted, in bytes.
+pub const MAX_GIVEN_LEN: usize = 256;
+
+given!(
+    /// One life of a runner, as the platform names it.
+    RunnerId
+);
+given!(
+    /// A service, as the platform's configuration names it.
+    ServiceId
+);
+given!(
+    /// A node, as its settings name it.
+    NodeId
+);
+given!(
+    /// A data centre.
+    DataCentre
+);
+
 /// Declares a counter-like newtype over `u64` with `Display`, `FromStr` and `next`.
 macro_rules! counter {
     ($(#[$meta:meta])* $name:ident) => {
@@ -125,6 +206,14 @@
     /// The number of an accepted configuration; it only ever goes up.
     Generation
 );
+counter!(
+    /// The version of the platform's configuration; it only ever goes up, in uneven steps.
+    ConfigVersion
+);
+counter!(
+    /// The place of a change in the platform's one order of changes.
+    Revision
+);
 counter!(
     /// The number of a lease's holding; each new holder has a higher one. It is the fencing number
     /// that goes with every order to an engine.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod config;
 pub mod directory;
+pub mod fleet;
 pub mod hash;
 pub mod id;
 pub mod language;
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod pool;
 pub mod rows;
 pub mod run;
+pub mod serve;
 pub mod settings;
 pub mod store;
 pub mod sweep;
--- a/node/src/logging.rs
+++ b/node/src/logging.rs
@@ -1,6 +1,12 @@
-//! Log lines with key-value fields, and the bridge from dropshot's logger.
+//! Log lines with key-value fields on standard output, and the bridge from dropshot's logger.
+//!
+//! A line is handed to a thread that writes; where that thread's reader is slow, lines are dropped
+//! and counted, so that no request ever waits for the reader of the log.
 
-use std::io::Write as _;
+use std::io::{self, Write};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::Arc;
 
 use env_logger::fmt::Formatter;
 use log::kv::{Error, Key, Value, VisitSource};
@@ -9,10 +15,90 @@
 
 use crate::settings::LogFormat;
 
-/// Starts logging to standard error. A second start in one process is left out.
-pub fn start(level: LevelFilter, format: LogFormat) {
+/// How many lines may wait for the thread that writes. At 40 lines a second of 300 bytes, and ten
+/// times that under load, this is ten seconds and 1.2 MB.
+const LINES_AHEAD: usize = 4_096;
+
+/// Lines that were dropped since the start of the process.
+#[derive(Clone, Debug, Default)]
+pub struct Dropped(Arc<AtomicU64>);
+
+impl Dropped {
+    /// How many.
+    pub fn count(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// The end of the queue at which lines go in.
+struct Queue {
+    lines: SyncSender<Vec<u8>>,
+    dropped: Dropped,
+}
+
+impl Write for Queue {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if self.lines.try_send(bytes.to_vec()).is_err() {
+            self.dropped.0.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes lines as they come, those that wait together in one go, and says how many were dropped
+/// as soon as there is room again.
+fn write_lines(lines: &Receiver<Vec<u8>>, dropped: &Dropped, mut out: impl Write) {
+    let mut told = 0;
+    while let Ok(mut batch) = lines.recv() {
+        while let Ok(more) = lines.try_recv() {
+            batch.extend_from_slice(&more);
+        }
+        let count = dropped.count();
+        if count > told {
+            let line = json!({"level": "WARN", "message": "log lines dropped", "lines": count - told});
+            batch.extend_from_slice(format!("{line}\n").as_bytes());
+            told = count;
+        }
+        if out.write_all(&batch).and_then(|()| out.flush()).is_err() {
+            // Nobody reads any more; the lines have nowhere to go.
+            return;
+        }
+    }
+}
+
+/// A writer that never blocks, over a thread that writes to `out`.
+///
+/// # Errors
+/// The thread cannot be started.
+pub fn queue(out: impl Write + Send + 'static) -> io::Result<(impl Write + Send, Dropped)> {
+    let (sender, receiver) = sync_channel(LINES_AHEAD);
+    let dropped = Dropped::default();
+    let counted = dropped.clone();
+    std::thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(move || write_lines(&receiver, &counted, out))?;
+    Ok((Queue { lines: sender, dropped: dropped.clone() }, dropped))
+}
+
+/// Starts logging to standard output. A second start in one process is left out. Gives the count of
+/// lines that are dropped.
+pub fn start(level: LevelFilter, format: LogFormat) -> Dropped {
     let mut builder = env_logger::Builder::new();
-    builder.filter_level(level);
+    builder.filter_level(level).write_style(env_logger::WriteStyle::Never);
+    let dropped = match queue(io::stdout()) {
+        Ok((queue, dropped)) => {
+            builder.target(env_logger::Target::Pipe(Box::new(queue)));
+            dropped
+        }
+        Err(error) => {
+            eprintln!("sardinepickd: no thread for the log, it goes to standard error: {error}");
+            Dropped::default()
+        }
+    };
     // Libraries speak at their own levels; of the chatty ones only warnings are wanted.
     for chatty in ["hyper", "h2", "tower", "tonic", "hyper_util", "dropshot"] {
         builder.filter_module(chatty, level.min(LevelFilter::Warn));
@@ -23,13 +109,19 @@
     if builder.try_init().is_err() {
         log::debug!("logging was started before");
     }
+    dropped
 }
 
 struct Fields(Map<String, serde_json::Value>);
 
 impl<'kvs> VisitSource<'kvs> for Fields {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        self.0.insert(key.to_string(), json!(value.to_string()));
+        let value = match (value.to_u64(), value.to_bool()) {
+            (Some(number), _) => json!(number),
+            (None, Some(truth)) => json!(truth),
+            (None, None) => json!(value.to_string()),
+        };
+        self.0.insert(key.to_string(), value);
         Ok(())
     }
 }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -7,7 +7,7 @@
 use getopts::Options;
 use sardinepick_node::clock::Boot;
 use sardinepick_node::settings::Settings;
-use sardinepick_node::{logging, run};
+use sardinepick_node::{logging, run, serve};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// The exit code for a wrong call, as in BSD's sysexits.
@@ -22,6 +22,7 @@
 fn options() -> Options {
     let mut options = Options::new();
     options.optopt("s", "settings", "the settings file", "FILE");
+    options.optflag("", "serve", "serve on a platform that keeps configuration and runners");
     options.optflag("c", "check", "check the settings and end");
     options.optflag("h", "help", "print this help");
     options.optflag("V", "version", "print the version");
@@ -49,6 +50,9 @@
         eprintln!("sardinepickd: --settings FILE is needed; see --help");
         return ExitCode::from(USAGE);
     };
+    if matches.opt_present("serve") {
+        return serve_on_platform(&file, matches.opt_present("check"));
+    }
     let settings = match Settings::read(Path::new(&file)) {
         Ok(settings) => settings,
         Err(error) => {
@@ -70,6 +74,62 @@
     }
 }
 
+/// Runs a node on a platform that keeps configuration and runners. One thread does all the work: an
+/// entry VM has a part of one core, and threads would only wake each other.
+fn serve_on_platform(file: &str, check: bool) -> ExitCode {
+    let settings = match serve::settings::Settings::read(Path::new(file)) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(CONFIG);
+        }
+    };
+    if check {
+        println!("{file}: the settings are right");
+        return ExitCode::SUCCESS;
+    }
+    logging::start(settings.log_level, settings.log_format);
+    match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime.block_on(run_on_platform(file, settings)),
+        Err(error) => {
+            eprintln!("sardinepickd: starting the runtime: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run_on_platform(file: &str, settings: serve::settings::Settings) -> ExitCode {
+    let signals = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+        signal(SignalKind::hangup()),
+    );
+    let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) = signals else {
+        eprintln!("sardinepickd: cannot listen for signals");
+        return ExitCode::FAILURE;
+    };
+    let clock = Arc::new(Boot::default());
+    let running = match serve::run::start(settings, clock, serve::metrics::Metrics::default()).await
+    {
+        Ok(running) => running,
+        Err(error) => {
+            eprintln!("sardinepickd: {error}");
+            return ExitCode::from(UNAVAILABLE);
+        }
+    };
+    loop {
+        tokio::select! {
+            _ = hangup.recv() => running.reload(Path::new(file)),
+            () = asked(&mut terminate, &mut interrupt) => break,
+        }
+    }
+    let cut = tokio::select! {
+        cut = running.stop() => cut,
+        _ = interrupt.recv() => 1,
+    };
+    if cut > 0 { ExitCode::from(CUT) } else { ExitCode::SUCCESS }
+}
+
 /// Waits for the next signal that asks the process to end.
 async fn asked(terminate: &mut Signal, interrupt: &mut Signal) {
     tokio::select! {
--- /dev/null
+++ b/node/src/serve/beat.rs
@@ -0,0 +1,137 @@
+//! Beats between nodes: who is there, what each has under way, what each knows.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sardinepick_lib::fleet::roster::beat_period;
+use sardinepick_wire::beat::{Beat, MOST_BYTES, MOST_LOADS, MOST_READINGS};
+use tokio::net::UdpSocket;
+use tokio::time::{Instant, sleep_until};
+
+use crate::serve::shared::Shared;
+
+/// Every how many beats nodes are greeted that have not been heard for long: they may be back.
+const GREETING: u64 = 20;
+/// The longest pause between beats of a node that has nothing under way, in beats.
+const IDLE_BEATS: u64 = 4;
+/// How long an unheard node keeps its part of the shared allowances.
+const FORGET: Duration = Duration::from_secs(600);
+
+/// Sends beats until the process ends.
+pub async fn send(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let mut count: u64 = 0;
+    let mut was_busy = false;
+    let mut next = Instant::now();
+    loop {
+        let urgent = tokio::select! {
+            () = sleep_until(next) => false,
+            () = shared.beat_now.notified() => true,
+        };
+        next = Instant::now() + beat_period(shared.roster().known());
+        count += 1;
+        let loads = shared.register().own_loads();
+        let busy = !loads.is_empty();
+        // The first idle beat says that the load is gone; after it one in a few is enough.
+        if !urgent && !busy && !was_busy && !count.is_multiple_of(IDLE_BEATS) {
+            continue;
+        }
+        was_busy = busy;
+        let beat = Beat {
+            contact: shared.me.clone(),
+            status: shared.status(),
+            loads: loads.into_iter().take(MOST_LOADS).collect(),
+            readings: shared.take_readings(MOST_READINGS),
+            answer: count == 1,
+        };
+        let targets = targets(&shared, count);
+        for target in targets {
+            transmit(&shared, &socket, &beat, target).await;
+        }
+        let now = shared.clock.now();
+        let mut roster = shared.roster();
+        for id in roster.forget(now, FORGET) {
+            log::info!(node:% = id; "node forgotten");
+        }
+        shared.metrics.nodes.set(roster.fronts(now).len() as i64);
+    }
+}
+
+/// Whom to send a beat: the nodes heard lately, and now and then all that were ever known.
+fn targets(shared: &Shared, count: u64) -> Vec<SocketAddr> {
+    let now = shared.clock.now();
+    let roster = shared.roster();
+    let everyone = count.is_multiple_of(GREETING) || count < IDLE_BEATS;
+    let mut targets: Vec<SocketAddr> =
+        if everyone { roster.peers().collect() } else { roster.heard(now).collect() };
+    if targets.is_empty() || everyone {
+        let seeds = shared.settings.seeds.iter().copied();
+        targets.extend(seeds.filter(|seed| *seed != shared.me.peer));
+    }
+    targets.sort_unstable();
+    targets.dedup();
+    targets
+}
+
+async fn transmit(shared: &Shared, socket: &UdpSocket, beat: &Beat, target: SocketAddr) {
+    let bytes = beat.encode();
+    shared.metrics.beat_bytes.with_label_values(&["sent"]).inc_by(bytes.len() as u64);
+    if let Err(error) = socket.send_to(&bytes, target).await {
+        log::debug!(peer:% = target, error:% = error; "sending a beat");
+    }
+}
+
+/// Takes beats until the process ends.
+pub async fn receive(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let mut buffer = [0; MOST_BYTES * 2];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => {
+                let counter = shared.metrics.beat_bytes.with_label_values(&["received"]);
+                counter.inc_by(length as u64);
+                match Beat::decode(&buffer[..length]) {
+                    Ok(beat) => take(&shared, &socket, &beat).await,
+                    Err(error) => log::warn!(peer:% = from, error:% = error; "beat is not taken"),
+                }
+            }
+            Err(error) => log::debug!(error:% = error; "receiving a beat"),
+        }
+    }
+}
+
+async fn take(shared: &Shared, socket: &UdpSocket, beat: &Beat) {
+    if beat.contact.id == shared.me.id {
+        return;
+    }
+    let now = shared.clock.now();
+    let id = &beat.contact.id;
+    let (new, ahead) = {
+        let mut roster = shared.roster();
+        let was = roster.status(id);
+        let new = roster.take_beat(beat.contact.clone(), beat.status, now);
+        if was.is_none_or(|was| was.standing != beat.status.standing) {
+            log::info!(node:% = id, standing:? = beat.status.standing; "node heard");
+        }
+        (new, roster.ahead(shared.status(), now).is_some())
+    };
+    {
+        let mut register = shared.register();
+        register.take_report(id, &beat.loads, now);
+        for reading in &beat.readings {
+            register.take_reading(*reading, now);
+        }
+    }
+    if ahead {
+        shared.behind.notify_one();
+    }
+    if new || beat.answer {
+        let mine = Beat {
+            contact: shared.me.clone(),
+            status: shared.status(),
+            loads: Vec::new(),
+            readings: Vec::new(),
+            answer: false,
+        };
+        transmit(shared, socket, &mine, beat.contact.peer).await;
+    }
+}
--- /dev/null
+++ b/node/src/serve/connection.rs
@@ -0,0 +1,221 @@
+//! Connections to runners and to the store, kept for reuse.
+//!
+//! One request at a time goes over a connection. The connection that has been idle longest is taken
+//! first: a runner that sends a second answer late sends it while the connection is idle, and the
+//! client closes it then, before the stray bytes can meet another request.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::response::Parts;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use sardinepick_lib::clock::Clock;
+use sardinepick_platform::answer::keep_alive;
+use socket2::SockRef;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::serve::metrics::Metrics;
+
+/// Why there is no answer.
+#[derive(Debug, Error)]
+pub enum SendError {
+    /// No connection could be made: nothing was sent.
+    #[error("connecting to {peer}: {detail}")]
+    Connect {
+        /// The other side.
+        peer: SocketAddr,
+        /// What the system says.
+        detail: String,
+    },
+    /// A kept connection had been closed before anything was sent.
+    #[error("sending to {peer}: the connection had been closed")]
+    Unsent {
+        /// The other side.
+        peer: SocketAddr,
+    },
+    /// The connection broke after something may have been sent.
+    #[error("answer of {peer} broke off: {detail}")]
+    Broken {
+        /// The other side.
+        peer: SocketAddr,
+        /// What the client says.
+        detail: String,
+    },
+}
+
+impl SendError {
+    /// Whether it is certain that the other side has not got the request.
+    pub fn proves_unsent(&self) -> bool {
+        matches!(self, SendError::Connect { .. } | SendError::Unsent { .. })
+    }
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+
+struct Idle {
+    sender: Sender,
+    until: std::time::Instant,
+}
+
+/// How long a connection is kept idle where the other side does not say. Shorter than any timeout
+/// seen, so that a request does not meet the other side's close.
+const DEFAULT_IDLE: Duration = Duration::from_secs(3);
+/// How much earlier than the other side a connection is given up.
+const IDLE_MARGIN: Duration = Duration::from_millis(500);
+/// How long the kernel waits for the acknowledgement of sent bytes before it gives a connection up:
+/// a silent path is noticed even when nothing is expected to come back.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(3);
+/// The most idle connections that are kept to one address.
+const MOST_IDLE: usize = 32;
+
+/// All connections of this node.
+pub struct Connections {
+    idle: Mutex<HashMap<SocketAddr, VecDeque<Idle>>>,
+    clock: Arc<dyn Clock>,
+    metrics: Metrics,
+}
+
+/// An answer whose body is still to be read.
+pub struct Answer {
+    /// Its head.
+    pub head: Parts,
+    /// Its body.
+    pub body: Incoming,
+    /// The connection it came over.
+    pub lease: Lease,
+}
+
+/// A connection in use. Dropping it closes the connection, which tells a runner to stop.
+pub struct Lease {
+    connections: Arc<Connections>,
+    address: SocketAddr,
+    sender: Sender,
+    keep: Option<Duration>,
+}
+
+impl Lease {
+    /// Gives the connection back for reuse, once the whole answer has been read.
+    pub fn give_back(self) {
+        let Some(keep) = self.keep.and_then(|keep| keep.checked_sub(IDLE_MARGIN)) else { return };
+        let until = self.connections.clock.now() + keep;
+        let mut idle = self.connections.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let queue = idle.entry(self.address).or_default();
+        if queue.len() < MOST_IDLE {
+            queue.push_back(Idle { sender: self.sender, until });
+        }
+    }
+}
+
+impl Connections {
+    /// No connections yet.
+    pub fn new(clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
+        Self { idle: Mutex::new(HashMap::new()), clock, metrics }
+    }
+
+    /// Sends a request and waits for the head of its answer. `connecting` bounds the time for a new
+    /// connection.
+    ///
+    /// # Errors
+    /// There is no answer.
+    pub async fn send(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        connecting: Duration,
+    ) -> Result<Answer, SendError> {
+        let mut request = request.map(Full::new);
+        while let Some(mut sender) = self.take_idle(address) {
+            match sender.try_send_request(request).await {
+                Ok(response) => return Ok(self.answer(address, sender, response)),
+                Err(mut error) => match error.take_message() {
+                    // Nothing of it had been sent: the next connection gets it.
+                    Some(unsent) => request = unsent,
+                    None => return Err(broken(address, error.error())),
+                },
+            }
+        }
+        let mut sender = self.connect(address, connecting).await?;
+        match sender.try_send_request(request).await {
+            Ok(response) => Ok(self.answer(address, sender, response)),
+            Err(mut error) => match error.take_message() {
+                Some(_) => Err(SendError::Unsent { peer: address }),
+                None => Err(broken(address, error.error())),
+            },
+        }
+    }
+
+    fn answer(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        sender: Sender,
+        response: Response<Incoming>,
+    ) -> Answer {
+        let (head, body) = response.into_parts();
+        let keep = keep_alive(&head.headers, DEFAULT_IDLE);
+        let lease = Lease { connections: self.clone(), address, sender, keep };
+        Answer { head, body, lease }
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
+        let now = self.clock.now();
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let queue = idle.get_mut(&address)?;
+        while let Some(next) = queue.pop_front() {
+            if next.until > now && next.sender.is_ready() {
+                return Some(next.sender);
+            }
+        }
+        None
+    }
+
+    /// Closes idle connections whose time is over, and those to addresses not in `wanted`.
+    pub fn tidy(&self, wanted: impl Fn(&SocketAddr) -> bool) {
+        let now = self.clock.now();
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain(|address, queue| {
+            queue.retain(|i| i.until > now && !i.sender.is_closed());
+            !queue.is_empty() && wanted(address)
+        });
+    }
+
+    async fn connect(&self, address: SocketAddr, limit: Duration) -> Result<Sender, SendError> {
+        let failed = |detail: String| SendError::Connect { peer: address, detail };
+        self.metrics.connections.inc();
+        let stream = match timeout(limit, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(failed(error.to_string())),
+            Err(_) => return Err(failed(format!("no answer within {limit:?}"))),
+        };
+        prepare(&stream);
+        let (sender, connection) =
+            handshake(TokioIo::new(stream)).await.map_err(|e| failed(e.to_string()))?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!(peer:% = address, error:% = error; "a connection ended");
+            }
+        });
+        Ok(sender)
+    }
+}
+
+fn broken(peer: SocketAddr, error: &hyper::Error) -> SendError {
+    SendError::Broken { peer, detail: error.to_string() }
+}
+
+/// Sets a connection so that small writes leave at once and a silent path is noticed.
+pub fn prepare(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let set = stream.set_nodelay(true).and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)));
+    if let Err(error) = set {
+        log::debug!(error:% = error; "setting a connection's options");
+    }
+}
--- /dev/null
+++ b/node/src/serve/metrics.rs
@@ -0,0 +1,152 @@
+//! Counters and histograms of a serving node, in the form that Prometheus reads.
+
+use prometheus::core::Collector;
+use prometheus::{
+    Encoder as _, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
+};
+
+/// The metrics of one node.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by route, kind, outcome and reason.
+    pub requests: IntCounterVec,
+    /// Seconds until the first byte of the answer's content, by kind and outcome.
+    pub first: HistogramVec,
+    /// Seconds between events of a stream.
+    pub pause: HistogramVec,
+    /// Calls to runners by runner and how they ended.
+    pub calls: IntCounterVec,
+    /// Generations by the way they took.
+    pub plans: IntCounterVec,
+    /// Extra arrivals by what the budget said.
+    pub extras: IntCounterVec,
+    /// Connections made.
+    pub connections: IntCounter,
+    /// Calls to the store by purpose and how they ended.
+    pub store_calls: IntCounterVec,
+    /// Bytes of beats by direction.
+    pub beat_bytes: IntCounterVec,
+    /// Log lines that were dropped because their reader was slow.
+    pub lines_dropped: IntCounter,
+    /// Requests under way.
+    pub under_way: IntGauge,
+    /// The version of the configuration in force.
+    pub version: IntGauge,
+    /// Runners known, by state.
+    pub runners: IntGaugeVec,
+    /// Other nodes heard lately.
+    pub nodes: IntGauge,
+    /// Milliseconds since the store last answered, by what was followed.
+    pub belief_age: IntGaugeVec,
+}
+
+const FIRST_BUCKETS: [f64; 12] =
+    [0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0];
+const PAUSE_BUCKETS: [f64; 8] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 2.0];
+
+/// Makes and registers metrics.
+struct Maker(Registry);
+
+impl Maker {
+    /// A registration fails only for a wrong or repeated name, and the names are all below.
+    fn keep<T: Collector + Clone + 'static>(&self, made: prometheus::Result<T>) -> T {
+        let made = made.expect("the names of metrics are right");
+        self.0.register(Box::new(made.clone())).expect("each metric has a name of its own");
+        made
+    }
+
+    fn counters(&self, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+        self.keep(IntCounterVec::new(Opts::new(name, help), labels))
+    }
+
+    fn counter(&self, name: &str, help: &str) -> IntCounter {
+        self.keep(IntCounter::new(name, help))
+    }
+
+    fn gauge(&self, name: &str, help: &str) -> IntGauge {
+        self.keep(IntGauge::new(name, help))
+    }
+
+    fn gauges(&self, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+        self.keep(IntGaugeVec::new(Opts::new(name, help), labels))
+    }
+
+    fn times(&self, name: &str, help: &str, buckets: &[f64], labels: &[&str]) -> HistogramVec {
+        let opts = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+        self.keep(HistogramVec::new(opts, labels))
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let m = Maker(Registry::new());
+        Self {
+            requests: m.counters(
+                "sardinepick_requests_total",
+                "Requests by how they ended",
+                &["route", "kind", "outcome", "reason"],
+            ),
+            first: m.times(
+                "sardinepick_first_byte_seconds",
+                "Seconds until the first of an answer's content",
+                &FIRST_BUCKETS,
+                &["kind", "outcome"],
+            ),
+            pause: m.times(
+                "sardinepick_event_pause_seconds",
+                "Seconds between events of a stream",
+                &PAUSE_BUCKETS,
+                &["route"],
+            ),
+            calls: m.counters(
+                "sardinepick_runner_calls_total",
+                "Calls to runners by how they ended",
+                &["runner", "step", "outcome"],
+            ),
+            plans: m.counters("sardinepick_plans_total", "Generations by their way", &["plan"]),
+            extras: m.counters(
+                "sardinepick_extra_arrivals_total",
+                "Arrivals beyond the first, by what the budget said",
+                &["service", "granted"],
+            ),
+            connections: m
+                .counter("sardinepick_connections_total", "Connections made to runners and store"),
+            store_calls: m.counters(
+                "sardinepick_store_calls_total",
+                "Calls to the store",
+                &["purpose", "outcome"],
+            ),
+            beat_bytes: m.counters(
+                "sardinepick_beat_bytes_total",
+                "Bytes of beats between nodes",
+                &["direction"],
+            ),
+            lines_dropped: m
+                .counter("sardinepick_log_lines_dropped_total", "Log lines dropped"),
+            under_way: m.gauge("sardinepick_under_way", "Requests under way"),
+            version: m
+                .gauge("sardinepick_configuration_version", "Version of the configuration"),
+            runners: m.gauges("sardinepick_runners", "Runners known", &["state"]),
+            nodes: m.gauge("sardinepick_nodes", "Other nodes heard lately"),
+            belief_age: m.gauges(
+                "sardinepick_belief_age_milliseconds",
+                "Time since the store last answered",
+                &["what"],
+            ),
+            registry: m.0,
+        }
+    }
+}
+
+impl Metrics {
+    /// All metrics as text.
+    pub fn text(&self) -> Vec<u8> {
+        let mut out = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut out) {
+            log::error!(error:% = error; "writing metrics");
+        }
+        out
+    }
+}
--- /dev/null
+++ b/node/src/serve/mod.rs
@@ -0,0 +1,21 @@
+//! Serving on a platform that keeps configuration and runners.
+//!
+//! Every node is alike. It follows the platform's store, tells the other nodes what it has under
+//! way, and takes requests: a route, the gate, a choice of runners, and an answer that is whole, or
+//! a refusal that is true.
+
+pub mod answer;
+pub mod beat;
+pub mod connection;
+pub mod follow;
+pub mod generation;
+pub mod listener;
+pub mod metrics;
+pub mod peer;
+pub mod plain;
+pub mod request;
+pub mod run;
+pub mod settings;
+pub mod shared;
+pub mod store;
+pub mod ticket;
--- /dev/null
+++ b/node/src/serve/plain.rs
@@ -0,0 +1,283 @@
+//! A plain request's way: one runner after another, as far as it may be repeated.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use http::response::Parts;
+use http_body_util::{BodyExt as _, Limited};
+use sardinepick_lib::fleet::gate::Reason;
+use sardinepick_lib::fleet::health::Outcome;
+use sardinepick_lib::fleet::load::Class;
+use sardinepick_lib::fleet::place::{self, Question};
+use sardinepick_lib::fleet::register::Share;
+use sardinepick_lib::id::RunnerId;
+use sardinepick_platform::answer::{Verdict, judge};
+use sardinepick_platform::runner::{Call, Step as Ask, request as call_request};
+use smallvec::SmallVec;
+use tokio::time::timeout;
+
+use crate::serve::answer::{Body, Refusal, pass_on, whole};
+use crate::serve::connection::Answer;
+use crate::serve::request::{End, Request, UnderWay};
+use crate::serve::shared::Shared;
+use crate::serve::ticket::{Step, Ticket};
+
+/// How long a connection to a runner may take. One way between data centres is at most a few
+/// milliseconds, and a runner takes one to accept.
+pub const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+/// The most calls for one request, those included that reached nobody.
+const MOST_CALLS: u32 = 6;
+/// How many mean answer times a runner may take before a request that may be repeated goes
+/// elsewhere.
+const PATIENCE: f64 = 5.0;
+/// The largest answer that is held whole before it is passed on.
+const LARGEST: usize = 16 << 20;
+
+/// What one call came to.
+enum Came {
+    /// A whole answer of the runner.
+    Whole(Parts, Bytes),
+    /// The runner has not run it.
+    NotRun {
+        /// Whether a runner has read it, which counts as an arrival.
+        arrived: bool,
+    },
+    /// It may have run.
+    Doubt,
+    /// No sign within the time it was given.
+    Silent,
+}
+
+/// Answers a plain request.
+pub async fn answer(shared: &Arc<Shared>, request: &Request, _under_way: UnderWay) -> Response<Body> {
+    let mut way = Way { shared, request, tried: SmallVec::new(), calls: 0, arrivals: 0, runs: 0 };
+    let end = way.run().await;
+    let runner = way.tried.last().map(RunnerId::as_str).unwrap_or_default();
+    let mut line = End { runner, tries: way.calls, ..End::default() };
+    match end {
+        Ok((head, body)) => {
+            line.status = head.status.as_u16();
+            line.outcome = if head.status.is_success() { "answered" } else { "failed" };
+            let took = shared.clock.now().saturating_duration_since(request.arrived);
+            let labels = [request.route.kind.into(), line.outcome];
+            shared.metrics.first.with_label_values(&labels).observe(took.as_secs_f64());
+            request.log_end(shared, &line);
+            pass_on(&head, whole(body))
+        }
+        Err(refusal) => {
+            line.status = refusal.status().as_u16();
+            line.outcome = "refused";
+            line.reason = refusal.reason();
+            request.log_end(shared, &line);
+            refusal.answer()
+        }
+    }
+}
+
+struct Way<'a> {
+    shared: &'a Arc<Shared>,
+    request: &'a Request,
+    tried: SmallVec<[RunnerId; 4]>,
+    /// Calls made.
+    calls: u32,
+    /// Calls that a runner has read, or may have.
+    arrivals: u32,
+    /// Calls that a runner has run, or may have.
+    runs: u32,
+}
+
+impl Way<'_> {
+    async fn run(&mut self) -> Result<(Parts, Bytes), Refusal> {
+        let mut failed: Option<(Parts, Bytes)> = None;
+        loop {
+            let now = self.shared.clock.now();
+            let left = self.request.left(now);
+            if left.is_zero() {
+                return failed.ok_or_else(|| self.give_up(Reason::Late));
+            }
+            let Some(choice) = self.choose() else {
+                return failed.ok_or_else(|| self.give_up(Reason::NoRunner));
+            };
+            let terms = self.request.terms(now);
+            if self.calls == 0 && !terms.on_time(choice.answer) && !terms.of_use(choice.answer) {
+                let after = terms.come_back(choice.answer, &mut *self.shared.rng());
+                return Err(Refusal::NotRun(Reason::Late, after));
+            }
+            if self.arrivals > 0 && !self.shared.take_extra(&self.request.service) {
+                return failed.ok_or_else(|| self.give_up(Reason::Budget));
+            }
+            self.calls += 1;
+            let last = !self.is_repeatable() || self.runs + 1 >= self.request.route.most_attempts;
+            match self.call(&choice.runner, left, last).await {
+                Came::Whole(head, body) => {
+                    let good = !head.status.is_server_error();
+                    if good || !self.may_run_again() {
+                        return Ok((head, body));
+                    }
+                    failed = Some((head, body));
+                }
+                Came::NotRun { arrived } => self.arrivals += u32::from(arrived),
+                Came::Doubt if self.may_run_again() => {}
+                Came::Silent if self.may_run_again() => {}
+                Came::Doubt => return failed.ok_or(Refusal::Broken),
+                Came::Silent => return failed.ok_or(Refusal::Late),
+            }
+            self.tried.push(choice.runner);
+            if self.calls >= MOST_CALLS {
+                return failed.ok_or_else(|| self.give_up(Reason::Shed));
+            }
+        }
+    }
+
+    /// Whether another run is allowed after one that has begun, or may have.
+    fn may_run_again(&self) -> bool {
+        self.is_repeatable() && self.runs < self.request.route.most_attempts
+    }
+
+    fn is_repeatable(&self) -> bool {
+        self.request.route.kind.may_repeat()
+    }
+
+    /// The truth about a request that is given up.
+    fn give_up(&self, reason: Reason) -> Refusal {
+        if self.runs > 0 {
+            return if reason == Reason::Late { Refusal::Late } else { Refusal::Broken };
+        }
+        let now = self.shared.clock.now();
+        let after = self.request.terms(now).come_back(0.0, &mut *self.shared.rng());
+        Refusal::NotRun(reason, after)
+    }
+
+    fn choose(&self) -> Option<place::Plain> {
+        let question = Question {
+            service: &self.request.service,
+            class: Class::of_rank(self.request.route.rank),
+            home: &self.shared.me.data_centre,
+            skip: &self.tried,
+            now: self.shared.clock.now(),
+        };
+        place::plain(&self.shared.register(), &question, &mut *self.shared.rng())
+    }
+
+    async fn call(&mut self, id: &RunnerId, left: Duration, last: bool) -> Came {
+        let class = Class::of_rank(self.request.route.rank);
+        let share = Share { class, fresh: 0, footprint: 0 };
+        let mut ticket = Ticket::new(self.shared, id, Step::Plain, share);
+        let Some((address, mean)) =
+            self.shared.register().get(id).map(|r| (r.entry.address, r.answer_time))
+        else {
+            return Came::NotRun { arrived: false };
+        };
+        let request = self.request;
+        let call = Call { runner: id, left, urgency: None, step: Ask::Run, last_event: None };
+        let outgoing = call_request(
+            &request.method,
+            &request.uri,
+            &request.headers,
+            request.body.clone(),
+            &call,
+        );
+        let objective = request.route.objective;
+        let patience = Duration::from_secs_f64(mean * PATIENCE).max(objective / 2);
+        let limit = if last { left } else { left.min(patience) };
+        // From here on the request may run.
+        self.runs += 1;
+        let sent = self.shared.connections.send(address, outgoing, CONNECT_LIMIT);
+        match timeout(limit, async { self.finish(id, sent.await?).await }).await {
+            Ok(Ok(came)) => {
+                let outcome = match &came {
+                    Came::Whole(head, _) if head.status.is_server_error() => Outcome::Failed,
+                    Came::Whole(..) => Outcome::Answered,
+                    Came::NotRun { .. } => Outcome::Failed,
+                    Came::Doubt | Came::Silent => Outcome::Broken,
+                };
+                if let (Came::Whole(..), Some(runner)) =
+                    (&came, self.shared.register().get_mut(id))
+                {
+                    runner.learn_answer(ticket.held().as_secs_f64());
+                }
+                match &came {
+                    Came::NotRun { .. } => self.runs -= 1,
+                    _ => self.arrivals += 1,
+                }
+                ticket.conclude(outcome);
+                came
+            }
+            Ok(Err(error)) => {
+                ticket.conclude(Outcome::Broken);
+                log::info!(
+                    request:% = request.id, runner:% = id, address:% = address, error:% = error,
+                    unsent = error.proves_unsent(); "call failed"
+                );
+                if error.proves_unsent() {
+                    self.runs -= 1;
+                    return Came::NotRun { arrived: false };
+                }
+                self.arrivals += 1;
+                Came::Doubt
+            }
+            Err(_) => {
+                self.arrivals += 1;
+                ticket.conclude(Outcome::Broken);
+                log::info!(
+                    request:% = request.id, runner:% = id, address:% = address,
+                    waited_ms = limit.as_millis() as u64; "call without an answer"
+                );
+                Came::Silent
+            }
+        }
+    }
+
+    /// Judges an answer and reads it whole.
+    async fn finish(
+        &self,
+        id: &RunnerId,
+        answer: Answer,
+    ) -> Result<Came, crate::serve::connection::SendError> {
+        let request = self.request;
+        let verdict = judge(answer.head.status, &answer.head.headers, &request.id);
+        match verdict {
+            Verdict::Ran => {}
+            Verdict::OtherInstance | Verdict::NotRun => {
+                if verdict == Verdict::OtherInstance
+                    && let Some(runner) = self.shared.register().get_mut(id)
+                {
+                    runner.health.note(Outcome::Gone, self.shared.clock.now());
+                }
+                log::info!(
+                    request:% = request.id, runner:% = id, status = answer.head.status.as_u16();
+                    "runner did not run it"
+                );
+                if Limited::new(answer.body, LARGEST).collect().await.is_ok() {
+                    answer.lease.give_back();
+                }
+                return Ok(Came::NotRun { arrived: verdict == Verdict::NotRun });
+            }
+            Verdict::Foreign => {
+                log::warn!(request:% = request.id, runner:% = id; "answer to another request");
+                return Ok(Came::Doubt);
+            }
+        }
+        match Limited::new(answer.body, LARGEST).collect().await {
+            Ok(body) => {
+                answer.lease.give_back();
+                if promises_not_run(answer.head.status) {
+                    // Only the runner's own word proves it, and it is missing.
+                    return Ok(Came::Doubt);
+                }
+                Ok(Came::Whole(answer.head, body.to_bytes()))
+            }
+            Err(error) => {
+                log::info!(request:% = request.id, runner:% = id, error:% = error; "answer cut");
+                Ok(Came::Doubt)
+            }
+        }
+    }
+}
+
+/// Statuses that promise callers that a request has not run.
+pub fn promises_not_run(status: http::StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
--- /dev/null
+++ b/node/src/serve/request.rs
@@ -0,0 +1,188 @@
+//! A caller's request: read within its limits, given a route, and passed to its way.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Response, Uri, header};
+use http_body_util::{BodyExt as _, Limited};
+use hyper::body::Incoming;
+use rand::RngExt as _;
+use sardinepick_lib::fleet::engine::Engine;
+use sardinepick_lib::fleet::gate::{Reason, Terms};
+use sardinepick_lib::fleet::route::{Configuration, Route};
+use sardinepick_lib::id::ServiceId;
+use sardinepick_platform::caller::{self, Ask};
+use sardinepick_platform::runner::forwarded;
+use smol_str::SmolStr;
+use tokio::time::timeout;
+
+use crate::serve::answer::{Body, Refusal};
+use crate::serve::shared::Shared;
+use crate::serve::{generation, plain};
+
+/// When to come back to a node that knows no configuration yet.
+const UNTIL_CONFIGURED: Duration = Duration::from_millis(500);
+
+/// A request on its way.
+pub struct Request {
+    /// The caller's id for this attempt.
+    pub id: SmolStr,
+    /// Its route.
+    pub route: Route,
+    /// The service that its route leads it to.
+    pub service: ServiceId,
+    /// What the service's runners are if they are model engines.
+    pub engine: Option<Engine>,
+    /// How many connections one runner of the service takes.
+    pub most_connections: u32,
+    /// What the caller says of it.
+    pub ask: Ask,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// The headers that go on to a runner.
+    pub headers: HeaderMap,
+    /// Its whole body.
+    pub body: Bytes,
+    /// When its head had been read.
+    pub arrived: Instant,
+    /// When its time is over: the caller's, or the route's if that is shorter.
+    pub until: Instant,
+    /// The configuration it is handled by.
+    pub configuration: Arc<Configuration>,
+}
+
+impl Request {
+    /// What is left of its time.
+    pub fn left(&self, now: Instant) -> Duration {
+        self.until.saturating_duration_since(now)
+    }
+
+    /// Its terms at the gate.
+    pub fn terms(&self, now: Instant) -> Terms {
+        Terms::new(&self.route, self.left(now))
+    }
+
+    /// Writes the line that says how it ended, and counts it.
+    pub fn log_end(&self, shared: &Shared, end: &End<'_>) {
+        let now = shared.clock.now();
+        let took = now.saturating_duration_since(self.arrived);
+        let labels =
+            [self.route.name.as_str(), self.route.kind.into(), end.outcome, end.reason];
+        shared.metrics.requests.with_label_values(&labels).inc();
+        log::info!(
+            request:% = self.id, route:% = self.route.name, service:% = self.service,
+            version:% = self.configuration.version, runner = end.runner, tries = end.tries,
+            status = end.status, reason = end.reason,
+            took_ms = took.as_millis() as u64, left_ms = self.left(now).as_millis() as u64,
+            events = end.events; "request {}", end.outcome
+        );
+    }
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct End<'a> {
+    /// In one word.
+    pub outcome: &'static str,
+    /// Why.
+    pub reason: &'static str,
+    /// The status that the caller got; none if it had left.
+    pub status: u16,
+    /// The runner that was tried last.
+    pub runner: &'a str,
+    /// How many calls were made.
+    pub tries: u32,
+    /// How many events were passed on.
+    pub events: u64,
+}
+
+/// Answers a caller's request.
+pub async fn answer(shared: &Arc<Shared>, request: http::Request<Incoming>) -> Response<Body> {
+    let arrived = shared.clock.now();
+    let (head, body) = request.into_parts();
+    let ask = caller::read(&head.headers);
+    let refuse = |refusal: Refusal| {
+        let id = ask.id.as_deref().unwrap_or_default();
+        let version = shared.configuration.load().as_ref().map(|c| c.version).unwrap_or_default();
+        let labels = ["", "", "refused", refusal.reason()];
+        shared.metrics.requests.with_label_values(&labels).inc();
+        log::info!(
+            request = id, path = head.uri.path(), version:% = version,
+            reason = refusal.reason(), status = refusal.status().as_u16(); "request refused"
+        );
+        refusal.answer()
+    };
+    let Some(configuration) = shared.configuration.load_full() else {
+        return refuse(Refusal::NotRun(Reason::NoConfiguration, UNTIL_CONFIGURED));
+    };
+    let host = head.headers.get(header::HOST).and_then(|v| v.to_str().ok());
+    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
+    let Some(route) = configuration.route(host, head.uri.path()).cloned() else {
+        return refuse(Refusal::NoRoute);
+    };
+    let Some(id) = ask.id.clone() else {
+        return refuse(Refusal::Malformed);
+    };
+    let allowed = ask.deadline.map_or(route.timeout, |d| d.min(route.timeout));
+    let body = match read_body(body, configuration.limits.body, allowed).await {
+        Ok(body) => body,
+        Err(refusal) => return refuse(refusal),
+    };
+    let draw: f64 = shared.rng().random();
+    let service = route.service(draw).clone();
+    let known = configuration.service(&service);
+    let request = Request {
+        id,
+        engine: known.and_then(|s| s.engine),
+        most_connections: known.map_or(u32::MAX, |s| s.most_connections),
+        service,
+        ask,
+        method: head.method,
+        uri: head.uri,
+        headers: forwarded(&head.headers),
+        body,
+        arrived,
+        until: arrived + allowed,
+        route,
+        configuration,
+    };
+    shared.note_request(&request.service);
+    let under_way = UnderWay::new(shared);
+    if request.engine.is_some() || request.route.kind.is_stream() {
+        generation::answer(shared, request, under_way).await
+    } else {
+        plain::answer(shared, &request, under_way).await
+    }
+}
+
+async fn read_body(body: Incoming, most: usize, limit: Duration) -> Result<Bytes, Refusal> {
+    use hyper::body::Body as _;
+    if body.size_hint().lower() > most as u64 {
+        return Err(Refusal::TooLarge);
+    }
+    match timeout(limit, Limited::new(body, most).collect()).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Refusal::TooLarge),
+        Ok(Err(_)) => Err(Refusal::Malformed),
+        Err(_) => Err(Refusal::Expired),
+    }
+}
+
+/// Counts a request as under way until it is dropped.
+pub struct UnderWay(Arc<Shared>);
+
+impl UnderWay {
+    fn new(shared: &Arc<Shared>) -> Self {
+        shared.metrics.under_way.inc();
+        Self(shared.clone())
+    }
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        self.0.metrics.under_way.dec();
+    }
+}
--- /dev/null
+++ b/node/src/serve/run.rs
@@ -0,0 +1,134 @@
+//! Starting and stopping a serving node.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sardinepick_lib::clock::Clock;
+use sardinepick_lib::fleet::roster::Standing;
+use thiserror::Error;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::serve::listener::{self, Closing, Port};
+use crate::serve::metrics::Metrics;
+use crate::serve::settings::Settings;
+use crate::serve::shared::Shared;
+use crate::serve::{beat, follow, peer};
+
+/// Why a node does not start.
+#[derive(Debug, Error)]
+#[error("listening for {what} at {address}: {source}")]
+pub struct StartError {
+    /// What was to be listened for.
+    what: &'static str,
+    /// The address.
+    address: SocketAddr,
+    /// What the system says.
+    source: std::io::Error,
+}
+
+/// A node at work.
+pub struct Running {
+    /// What its parts share.
+    pub shared: Arc<Shared>,
+    closing: watch::Sender<bool>,
+}
+
+/// The part of the grace after which a stopping node closes its connections: by then no caller that
+/// heeds a look-up's validity, even three times over, connects to it any more.
+const OPEN_PART: f64 = 0.76;
+/// The part of the grace after which the node ends whatever is under way.
+const END_PART: f64 = 0.96;
+/// How often a stopping node looks whether it is done.
+const STOP_PERIOD: Duration = Duration::from_millis(20);
+
+async fn listen(what: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.map_err(|source| StartError { what, address, source })
+}
+
+/// Starts a node.
+///
+/// # Errors
+/// One of its addresses cannot be listened at.
+pub async fn start(
+    settings: Settings,
+    clock: Arc<dyn Clock>,
+    metrics: Metrics,
+) -> Result<Running, StartError> {
+    let peer_address = settings.peer;
+    let ports = [
+        (Port::Front, listen("callers", settings.front).await?),
+        (Port::Ready, listen("the platform", settings.ready).await?),
+        (Port::Lookup, listen("look-ups", settings.lookup).await?),
+        (Port::Metrics, listen("metrics", settings.metrics).await?),
+    ];
+    let peers = listen("other nodes", peer_address).await?;
+    let socket = UdpSocket::bind(peer_address)
+        .await
+        .map_err(|source| StartError { what: "beats", address: peer_address, source })?;
+    let socket = Arc::new(socket);
+    let shared = Arc::new(Shared::new(settings, clock, metrics));
+    let (closing, staying) = (watch::Sender::new(false), watch::Sender::new(false));
+    for (port, listener) in ports {
+        // The platform asks whether the node is ready until the very end.
+        let switch = if port == Port::Front { &closing } else { &staying };
+        tokio::spawn(listener::run(shared.clone(), port, listener, Closing::of(switch)));
+    }
+    tokio::spawn(peer::serve(shared.clone(), peers));
+    tokio::spawn(peer::learn(shared.clone()));
+    tokio::spawn(beat::receive(shared.clone(), socket.clone()));
+    tokio::spawn(beat::send(shared.clone(), socket));
+    tokio::spawn(follow::configuration(shared.clone()));
+    tokio::spawn(follow::register(shared.clone()));
+    tokio::spawn(follow::join(shared.clone()));
+    tokio::spawn(follow::tidy(shared.clone()));
+    log::info!(
+        node:% = shared.me.id, data_centre:% = shared.me.data_centre, front:% = shared.me.front,
+        peer:% = shared.me.peer, version = env!("CARGO_PKG_VERSION"); "started"
+    );
+    Ok(Running { shared, closing })
+}
+
+impl Running {
+    /// Reads the settings anew, and says in the log what of it takes effect. Addresses and names
+    /// stay as they are until the next start: connections and other nodes hold on to them.
+    pub fn reload(&self, file: &Path) {
+        match Settings::read(file) {
+            Ok(settings) => {
+                log::set_max_level(settings.log_level);
+                let rest = Settings { log_level: self.shared.settings.log_level, ..settings };
+                let pending = rest != self.shared.settings;
+                log::info!(log_level:% = log::max_level(), at_next_start = pending; "reloaded");
+            }
+            Err(error) => log::error!(error:% = error; "settings are not taken"),
+        }
+    }
+
+    /// Stops gracefully: leaves the look-ups, goes on serving those who still come, closes
+    /// connections as they fall idle, and ends when nothing is under way or the grace is over.
+    /// Gives the number of requests that were cut.
+    pub async fn stop(self) -> u64 {
+        let shared = self.shared;
+        let grace = shared.settings.grace;
+        let began = Instant::now();
+        let under_way = || u64::try_from(shared.metrics.under_way.get()).unwrap_or(0);
+        log::info!(node:% = shared.me.id, under_way = under_way(); "leaving");
+        shared.standing.send_replace(Standing::Leaving);
+        shared.beat_now.notify_one();
+        sleep_until(began + grace.mul_f64(OPEN_PART)).await;
+        self.closing.send_replace(true);
+        let end = began + grace.mul_f64(END_PART);
+        while Instant::now() < end {
+            sleep(STOP_PERIOD).await;
+            if under_way() == 0 {
+                break;
+            }
+        }
+        let cut = under_way();
+        log::info!(node:% = shared.me.id, cut = cut; "stopped");
+        cut
+    }
+}
--- /dev/null
+++ b/node/src/serve/settings.rs
@@ -0,0 +1,135 @@
+//! The settings of a node that serves on the platform.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::str::FromStr;
+use std::time::Duration;
+
+use log::LevelFilter;
+use sardinepick_lib::fleet::budget::Bounds;
+use sardinepick_lib::id::{DataCentre, NodeId};
+
+use crate::settings::{
+    ADDRESS_FORM, FORMAT_FORM, LEVEL_FORM, LogFormat, Reader, Sections, SettingsError, addresses,
+    parse_sections, parsed, read_file, usable_address, within,
+};
+
+/// The settings.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The name of the node.
+    pub name: NodeId,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Where callers reach it.
+    pub front: SocketAddr,
+    /// Where it is asked whether it takes callers.
+    pub ready: SocketAddr,
+    /// Where callers ask where to connect.
+    pub lookup: SocketAddr,
+    /// Where other nodes reach it.
+    pub peer: SocketAddr,
+    /// Where its metrics and its state are read.
+    pub metrics: SocketAddr,
+    /// Where other nodes may be reached while the store is away.
+    pub seeds: Vec<SocketAddr>,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// The bounds of the retry budget of a service, over all nodes.
+    pub budget: Bounds,
+    /// How long a node may take to stop.
+    pub grace: Duration,
+    /// The longest time for which callers heed an answer where to connect.
+    pub longest_validity: Duration,
+    /// The least severe log lines that are written.
+    pub log_level: LevelFilter,
+    /// How they are written.
+    pub log_format: LogFormat,
+}
+
+const SECTIONS: [(&str, &[&str]); 5] = [
+    ("node", &["name", "data_centre", "front", "ready", "lookup", "peer", "metrics", "seeds"]),
+    ("store", &["address"]),
+    ("retry", &["ratio", "allowance", "window_s"]),
+    ("stop", &["grace_s", "longest_validity_s"]),
+    ("log", &["level", "format"]),
+];
+
+const ID_FORM: &str = "text of 1 to 256 bytes";
+const RATIO_FORM: &str = "a number from 0 to 10";
+const ALLOWANCE_FORM: &str = "a number from 0 to 1000000";
+const SECONDS_FORM: &str = "a number of seconds from 0.1 to 3600";
+
+/// Bounds for where the platform sets none: a fifth of the requests and ten besides, in ten
+/// seconds.
+const DEFAULT_BOUNDS: Bounds =
+    Bounds { ratio: 0.2, allowance: 10.0, window: Duration::from_secs(10) };
+/// The time to stop where the platform sets none.
+const DEFAULT_GRACE: Duration = Duration::from_secs(8);
+/// The validity of a look-up where the platform sets none.
+const DEFAULT_VALIDITY: Duration = Duration::from_secs(5);
+
+fn seconds(text: &str) -> Option<Duration> {
+    within(text, 0.1, 3600.0).map(Duration::from_secs_f64)
+}
+
+fn given<T: FromStr>(text: &str) -> Option<T> {
+    parsed(text)
+}
+
+impl Settings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    /// Everything that is wrong with it, at once.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let (file, text) = read_file(path)?;
+        Self::parse(&file, &text)
+    }
+
+    /// Checks the text of a file.
+    ///
+    /// # Errors
+    /// Everything that is wrong with it, at once.
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
+        let sections: &Sections = &SECTIONS;
+        parse_sections(file, text, sections, collect)
+    }
+}
+
+fn collect(r: &mut Reader<'_>) -> Option<Settings> {
+    let name = r.required("node", "name", ID_FORM, given);
+    let data_centre = r.required("node", "data_centre", ID_FORM, given);
+    let mut address = |key| r.required("node", key, ADDRESS_FORM, usable_address);
+    let (front, ready, lookup) = (address("front"), address("ready"), address("lookup"));
+    let (peer, metrics) = (address("peer"), address("metrics"));
+    let seeds = r.optional("node", "seeds", "addresses with ',' between them", addresses);
+    let store = r.required("store", "address", ADDRESS_FORM, usable_address);
+    let ratio = r.optional("retry", "ratio", RATIO_FORM, |t| within(t, 0.0, 10.0));
+    let allowance = r.optional("retry", "allowance", ALLOWANCE_FORM, |t| within(t, 0.0, 1e6));
+    let window = r.optional("retry", "window_s", SECONDS_FORM, seconds);
+    let grace = r.optional("stop", "grace_s", SECONDS_FORM, seconds);
+    let validity = r.optional("stop", "longest_validity_s", SECONDS_FORM, seconds);
+    let log_level = r.optional("log", "level", LEVEL_FORM, parsed);
+    let log_format = r.optional("log", "format", FORMAT_FORM, parsed);
+    Some(Settings {
+        name: name?,
+        data_centre: data_centre?,
+        front: front?,
+        ready: ready?,
+        lookup: lookup?,
+        peer: peer?,
+        metrics: metrics?,
+        seeds: seeds.unwrap_or_default(),
+        store: store?,
+        budget: Bounds {
+            ratio: ratio.unwrap_or(DEFAULT_BOUNDS.ratio),
+            allowance: allowance.unwrap_or(DEFAULT_BOUNDS.allowance),
+            window: window.unwrap_or(DEFAULT_BOUNDS.window),
+        },
+        grace: grace.unwrap_or(DEFAULT_GRACE),
+        longest_validity: validity.unwrap_or(DEFAULT_VALIDITY),
+        log_level: log_level.unwrap_or(LevelFilter::Info),
+        log_format: log_format.unwrap_or(LogFormat::Json),
+    })
+}
--- /dev/null
+++ b/node/src/serve/shared.rs
@@ -0,0 +1,205 @@
+//! What the parts of a serving node share.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Instant, UNIX_EPOCH};
+
+use arc_swap::ArcSwapOption;
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+use sardinepick_lib::clock::Clock;
+use sardinepick_lib::fleet::budget::Budget;
+use sardinepick_lib::fleet::register::{Reading, Register};
+use sardinepick_lib::fleet::roster::{Contact, Roster, Standing, Status};
+use sardinepick_lib::fleet::route::Configuration;
+use sardinepick_lib::hash::place;
+use sardinepick_lib::id::{Incarnation, Revision, ServiceId};
+use sardinepick_platform::store::Object;
+use smol_str::SmolStr;
+use tokio::sync::{Notify, watch};
+
+use crate::serve::connection::Connections;
+use crate::serve::metrics::Metrics;
+use crate::serve::settings::Settings;
+use crate::serve::store::Client;
+
+/// What this node has read from the store, or been told by a node that has.
+#[derive(Clone, Debug, Default)]
+pub struct Knowledge {
+    /// The object that holds the configuration.
+    pub configuration: Option<Object>,
+    /// The objects of the register of runners.
+    pub runners: BTreeMap<SmolStr, Object>,
+    /// The change up to which the register is known.
+    pub register: Revision,
+    /// The last change up to which something in the register was different. Nodes compare this
+    /// one: what they know can be the same though one has heard from the store later.
+    pub changed: Revision,
+}
+
+/// What the parts share.
+pub struct Shared {
+    /// The settings.
+    pub settings: Settings,
+    /// The clock, which counts suspension.
+    pub clock: Arc<dyn Clock>,
+    /// This node as others know it.
+    pub me: Contact,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// The configuration in force. A request takes it once and keeps it to its end.
+    pub configuration: ArcSwapOption<Configuration>,
+    /// Connections to runners and the store.
+    pub connections: Arc<Connections>,
+    /// The store.
+    pub store: Client,
+    /// How this node stands towards callers.
+    pub standing: watch::Sender<Standing>,
+    /// Signals that something is known that other nodes know better.
+    pub behind: Notify,
+    /// Signals that a beat should go out now.
+    pub beat_now: Notify,
+    register: Mutex<Register>,
+    roster: Mutex<Roster>,
+    knowledge: Mutex<Knowledge>,
+    budgets: Mutex<HashMap<ServiceId, Budget>>,
+    readings: Mutex<Vec<Reading>>,
+    rng: Mutex<StdRng>,
+    began: Instant,
+}
+
+/// A lock whose holders do not panic in the middle of a change; if one did, what it guards is still
+/// a hint or is replaced as a whole.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// The most readings that are kept for the next beat.
+const MOST_READINGS: usize = 256;
+
+impl Shared {
+    /// A node that has not begun to work.
+    pub fn new(settings: Settings, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
+        let since = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let incarnation = Incarnation(u64::try_from(since.as_micros()).unwrap_or(u64::MAX));
+        let me = Contact {
+            id: settings.name.clone(),
+            incarnation,
+            data_centre: settings.data_centre.clone(),
+            front: settings.front,
+            peer: settings.peer,
+        };
+        let seed = place(incarnation.0, settings.name.as_str().as_bytes());
+        let connections = Arc::new(Connections::new(clock.clone(), metrics.clone()));
+        Self {
+            store: Client::new(settings.store, connections.clone(), metrics.clone()),
+            connections,
+            began: clock.now(),
+            me,
+            metrics,
+            configuration: ArcSwapOption::empty(),
+            standing: watch::channel(Standing::Starting).0,
+            behind: Notify::new(),
+            beat_now: Notify::new(),
+            register: Mutex::default(),
+            roster: Mutex::default(),
+            knowledge: Mutex::default(),
+            budgets: Mutex::default(),
+            readings: Mutex::default(),
+            rng: Mutex::new(StdRng::seed_from_u64(seed)),
+            settings,
+            clock,
+        }
+    }
+
+    /// The runners.
+    pub fn register(&self) -> MutexGuard<'_, Register> {
+        lock(&self.register)
+    }
+
+    /// The other nodes.
+    pub fn roster(&self) -> MutexGuard<'_, Roster> {
+        lock(&self.roster)
+    }
+
+    /// What is known from the store.
+    pub fn knowledge(&self) -> MutexGuard<'_, Knowledge> {
+        lock(&self.knowledge)
+    }
+
+    /// Random numbers.
+    pub fn rng(&self) -> MutexGuard<'_, StdRng> {
+        lock(&self.rng)
+    }
+
+    /// How this node stands and what it knows.
+    pub fn status(&self) -> Status {
+        Status {
+            standing: *self.standing.borrow(),
+            version: self.configuration.load().as_ref().map(|c| c.version).unwrap_or_default(),
+            register: self.knowledge().changed,
+        }
+    }
+
+    /// Whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        *self.standing.borrow() == Standing::Ready
+    }
+
+    /// Turns from starting to ready once there is a configuration and a register.
+    pub fn note_knowledge(&self) {
+        let known = self.configuration.load().is_some() && self.knowledge().register > Revision(0);
+        let turned = self.standing.send_if_modified(|standing| {
+            let turns = known && *standing == Standing::Starting;
+            if turns {
+                *standing = Standing::Ready;
+            }
+            turns
+        });
+        if turned {
+            log::info!(node:% = self.me.id; "ready for callers");
+            self.beat_now.notify_one();
+        }
+    }
+
+    /// Notes a request for a service, which earns a part of an extra arrival.
+    pub fn note_request(&self, service: &ServiceId) {
+        let now = self.clock.now();
+        self.with_budget(service, |budget| budget.note_request(now));
+    }
+
+    /// Takes an extra arrival out of the budget of a service.
+    pub fn take_extra(&self, service: &ServiceId) -> bool {
+        let now = self.clock.now();
+        let nodes = self.roster().known() + 1;
+        let granted = self.with_budget(service, |budget| budget.take(now, nodes));
+        let label = if granted { "yes" } else { "no" };
+        self.metrics.extras.with_label_values(&[service.as_str(), label]).inc();
+        granted
+    }
+
+    fn with_budget<T>(&self, service: &ServiceId, change: impl FnOnce(&mut Budget) -> T) -> T {
+        let mut budgets = lock(&self.budgets);
+        if !budgets.contains_key(service) {
+            let budget = Budget::new(self.settings.budget, self.began);
+            budgets.insert(service.clone(), budget);
+        }
+        change(budgets.get_mut(service).expect("it was just put there"))
+    }
+
+    /// Notes prompts that runners read for this node, to be told with the next beat.
+    pub fn note_readings(&self, more: impl Iterator<Item = Reading>) {
+        let mut readings = lock(&self.readings);
+        readings.extend(more);
+        // Readings are hints; of too many the oldest are the least worth.
+        let over = readings.len().saturating_sub(MOST_READINGS);
+        readings.drain(..over);
+    }
+
+    /// Takes up to `most` readings that were not told yet.
+    pub fn take_readings(&self, most: usize) -> Vec<Reading> {
+        let mut readings = lock(&self.readings);
+        let count = readings.len().min(most);
+        readings.drain(..count).collect()
+    }
+}
--- /dev/null
+++ b/node/src/serve/store.rs
@@ -0,0 +1,202 @@
+//! Calls to the platform's store, each bounded in time and counted.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt as _, Limited};
+use sardinepick_lib::id::Revision;
+use sardinepick_platform::store::{self, Changes, Object, Page, Refused};
+use strum::{Display, IntoStaticStr};
+use thiserror::Error;
+use tokio::time::timeout;
+
+use crate::serve::connection::{Connections, SendError};
+use crate::serve::metrics::Metrics;
+
+/// Why a call gave nothing.
+#[derive(Debug, Error)]
+pub enum StoreError {
+    /// The store answered, and refused.
+    #[error("{purpose}: {refused}")]
+    Refused {
+        /// What the call was for.
+        purpose: Purpose,
+        /// The refusal.
+        refused: Refused,
+    },
+    /// The store did not answer.
+    #[error("{purpose}: {source}")]
+    Send {
+        /// What the call was for.
+        purpose: Purpose,
+        /// What went wrong.
+        source: SendError,
+    },
+    /// The answer did not come whole.
+    #[error("{purpose}: the answer broke off: {detail}")]
+    Broken {
+        /// What the call was for.
+        purpose: Purpose,
+        /// What went wrong.
+        detail: String,
+    },
+    /// The answer did not come in time.
+    #[error("{purpose}: no answer within {limit:?}")]
+    Late {
+        /// What the call was for.
+        purpose: Purpose,
+        /// The time it had.
+        limit: Duration,
+    },
+}
+
+impl StoreError {
+    /// Whether the store has forgotten the history that was asked for.
+    pub fn is_forgotten(&self) -> bool {
+        matches!(self, StoreError::Refused { refused: Refused::Forgotten, .. })
+    }
+}
+
+/// What a call is for.
+#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Purpose {
+    /// Reading the configuration.
+    Configuration,
+    /// Waiting for another configuration.
+    ConfigurationWatch,
+    /// Reading the register of runners.
+    Register,
+    /// Waiting for a change of the register.
+    RegisterWatch,
+    /// Reading who the nodes are.
+    Nodes,
+    /// Writing this node's entry.
+    NodeWrite,
+}
+
+/// How long a call other than a watch may take. The store answers in 4 ms (users' sheets), and in
+/// 60 to 75 times that when it is slow.
+const CALL_LIMIT: Duration = Duration::from_millis(1_200);
+/// How long a connection to the store may take.
+const CONNECT_LIMIT: Duration = Duration::from_millis(800);
+/// What a watch may take beyond its wait.
+const WATCH_SLACK: Duration = Duration::from_millis(700);
+/// The largest answer: a page of about a megabyte, with room.
+const LARGEST: usize = 8 << 20;
+
+/// The client.
+pub struct Client {
+    address: SocketAddr,
+    connections: Arc<Connections>,
+    metrics: Metrics,
+}
+
+impl Client {
+    /// A client for the store at `address`.
+    pub fn new(address: SocketAddr, connections: Arc<Connections>, metrics: Metrics) -> Self {
+        Self { address, connections, metrics }
+    }
+
+    /// Reads all objects of a kind, page by page, and the revision of the first page. Changes made
+    /// while the pages are read come again through the watch that follows.
+    ///
+    /// # Errors
+    /// A page cannot be read.
+    pub async fn list(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+    ) -> Result<(Vec<Object>, Revision), StoreError> {
+        let mut objects = Vec::new();
+        let mut as_of = None;
+        let mut after = None;
+        loop {
+            let request = store::list(self.address, kind, after.as_deref());
+            let page: Page = self.call(purpose, request, CALL_LIMIT, store::read_page).await?;
+            let first = *as_of.get_or_insert(page.as_of);
+            objects.extend(page.objects);
+            match page.next {
+                Some(next) => after = Some(next),
+                None => return Ok((objects, first)),
+            }
+        }
+    }
+
+    /// Waits for changes of a kind after `from`.
+    ///
+    /// # Errors
+    /// The watch was cut, refused, or too late.
+    pub async fn watch(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        from: Revision,
+        wait: Duration,
+    ) -> Result<Changes, StoreError> {
+        let request = store::watch(self.address, kind, from, wait);
+        self.call(purpose, request, wait + WATCH_SLACK, store::read_changes).await
+    }
+
+    /// Writes an object, new or in place of whatever is there.
+    ///
+    /// # Errors
+    /// It cannot be written.
+    pub async fn put(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        name: &str,
+        content: &serde_json::Value,
+    ) -> Result<(), StoreError> {
+        let request = store::create(self.address, kind, name, content);
+        let created = self.call(purpose, request, CALL_LIMIT, store::read_write).await;
+        let Err(StoreError::Refused { refused: Refused::Conflict(Some(object)), .. }) = &created
+        else {
+            return created;
+        };
+        let request = store::replace(self.address, kind, name, object.revision, content);
+        self.call(purpose, request, CALL_LIMIT, store::read_write).await
+    }
+
+    async fn call<T>(
+        &self,
+        purpose: Purpose,
+        request: Request<Bytes>,
+        limit: Duration,
+        read: impl Fn(StatusCode, &[u8]) -> Result<T, Refused>,
+    ) -> Result<T, StoreError> {
+        let result = match timeout(limit, self.exchange(purpose, request)).await {
+            Ok(Ok((status, body))) => {
+                read(status, &body).map_err(|refused| StoreError::Refused { purpose, refused })
+            }
+            Ok(Err(error)) => Err(error),
+            Err(_) => Err(StoreError::Late { purpose, limit }),
+        };
+        let outcome = match &result {
+            Ok(_) => "answered",
+            Err(StoreError::Refused { .. }) => "refused",
+            Err(StoreError::Send { .. } | StoreError::Broken { .. }) => "broken",
+            Err(StoreError::Late { .. }) => "late",
+        };
+        self.metrics.store_calls.with_label_values(&[purpose.into(), outcome]).inc();
+        result
+    }
+
+    async fn exchange(
+        &self,
+        purpose: Purpose,
+        request: Request<Bytes>,
+    ) -> Result<(StatusCode, Bytes), StoreError> {
+        let answer = self.connections.send(self.address, request, CONNECT_LIMIT).await;
+        let answer = answer.map_err(|source| StoreError::Send { purpose, source })?;
+        let status = answer.head.status;
+        let body = Limited::new(answer.body, LARGEST).collect().await;
+        let body = body.map_err(|e| StoreError::Broken { purpose, detail: e.to_string() })?;
+        answer.lease.give_back();
+        Ok((status, body.to_bytes()))
+    }
+}
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -124,24 +124,58 @@
     ("log", &["level", "format"]),
 ];
 
-const NAME_FORM: &str = "a name of a-z, 0-9, '-', '_' and '.'";
-const ADDRESS_FORM: &str = "an IP address and port such as 10.0.0.7:8000";
-const SPAN_FORM: &str = "a time such as 500ms, 30s or 5m";
+pub(crate) const NAME_FORM: &str = "a name of a-z, 0-9, '-', '_' and '.'";
+pub(crate) const ADDRESS_FORM: &str = "an IP address and port such as 10.0.0.7:8000";
+pub(crate) const SPAN_FORM: &str = "a time such as 500ms, 30s or 5m";
 const BYTES_FORM: &str = "a number of bytes from 1024 to 67108864";
 const QUEUE_FORM: &str = "a whole number from 1 to 1000000";
-const LEVEL_FORM: &str = "off, error, warn, info, debug or trace";
-const FORMAT_FORM: &str = "text or json";
+pub(crate) const LEVEL_FORM: &str = "off, error, warn, info, debug or trace";
+pub(crate) const FORMAT_FORM: &str = "text or json";
 const KEY_FORM: &str = "the SHA-256 of a key, 64 hexadecimal digits";
 
 /// Reads values and collects mistakes.
-struct Reader<'a> {
+pub(crate) struct Reader<'a> {
     file: &'a str,
     ini: &'a Ini,
     mistakes: Vec<Mistake>,
 }
 
+/// The sections of a settings file and the keys of each.
+pub(crate) type Sections = [(&'static str, &'static [&'static str])];
+
+/// Reads the text of a settings file whole: `collect` takes the values, and all mistakes are found
+/// at once.
+pub(crate) fn parse_sections<T>(
+    file: &str,
+    text: &str,
+    sections: &Sections,
+    collect: impl FnOnce(&mut Reader<'_>) -> Option<T>,
+) -> Result<T, SettingsError> {
+    let ini = Ini::load_from_str(text).map_err(|error| SettingsError::Form {
+        file: file.to_owned(),
+        line: error.line,
+        column: error.col,
+        message: error.msg.to_string(),
+    })?;
+    let mut r = Reader { file, ini: &ini, mistakes: Vec::new() };
+    r.check_names(sections);
+    match collect(&mut r) {
+        Some(settings) if r.mistakes.is_empty() => Ok(settings),
+        _ => Err(SettingsError::Mistakes(r.mistakes)),
+    }
+}
+
+/// The text of a settings file.
+pub(crate) fn read_file(path: &Path) -> Result<(String, String), SettingsError> {
+    let file = path.display().to_string();
+    match std::fs::read_to_string(path) {
+        Ok(text) => Ok((file, text)),
+        Err(source) => Err(SettingsError::Read { file, source }),
+    }
+}
+
 impl Reader<'_> {
-    fn mistake(&mut self, section: &str, key: &str, problem: String, accepted: &str) {
+    pub(crate) fn mistake(&mut self, section: &str, key: &str, problem: String, accepted: &str) {
         self.mistakes.push(Mistake {
             file: self.file.to_owned(),
             section: section.to_owned(),
@@ -151,7 +185,7 @@
         });
     }
 
-    fn optional<T>(
+    pub(crate) fn optional<T>(
         &mut self,
         section: &str,
         key: &str,
@@ -166,7 +200,7 @@
         parsed
     }
 
-    fn required<T>(
+    pub(crate) fn required<T>(
         &mut self,
         section: &str,
         key: &str,
@@ -180,18 +214,18 @@
         self.optional(section, key, accepted, parse)
     }
 
-    fn span(&mut self, section: &str, key: &str, default: Duration) -> Duration {
+    pub(crate) fn span(&mut self, section: &str, key: &str, default: Duration) -> Duration {
         let accepted = |text: &str| span(text).filter(|s| !s.is_zero());
         self.optional(section, key, SPAN_FORM, accepted).unwrap_or(default)
     }
 
-    fn check_names(&mut self) {
+    fn check_names(&mut self, sections: &Sections) {
         for (section, properties) in self.ini {
             let section = section.unwrap_or_default();
-            let known = SECTIONS.iter().find(|(name, _)| *name == section);
+            let known = sections.iter().find(|(name, _)| *name == section);
             let Some((_, keys)) = known else {
                 for (key, _) in properties {
-                    let names: Vec<&str> = SECTIONS.iter().map(|(name, _)| *name).collect();
+                    let names: Vec<&str> = sections.iter().map(|(name, _)| *name).collect();
                     let accepted = format!("sections {}", names.join(", "));
                     self.mistake(section, key, "is in no known section".to_owned(), &accepted);
                 }
@@ -207,11 +241,11 @@
     }
 }
 
-fn parsed<T: FromStr>(text: &str) -> Option<T> {
+pub(crate) fn parsed<T: FromStr>(text: &str) -> Option<T> {
     text.parse().ok()
 }
 
-fn usable_address(text: &str) -> Option<SocketAddr> {
+pub(crate) fn usable_address(text: &str) -> Option<SocketAddr> {
     let address: SocketAddr = text.parse().ok()?;
     let wildcard = match address.ip() {
         IpAddr::V4(ip) => ip.is_unspecified(),
@@ -220,11 +254,11 @@
     (!wildcard).then_some(address)
 }
 
-fn addresses(text: &str) -> Option<Vec<SocketAddr>> {
+pub(crate) fn addresses(text: &str) -> Option<Vec<SocketAddr>> {
     text.split(',').map(str::trim).filter(|t| !t.is_empty()).map(parsed).collect()
 }
 
-fn within<T: FromStr + PartialOrd + Display + Copy>(text: &str, least: T, most: T) -> Option<T> {
+pub(crate) fn within<T: FromStr + PartialOrd + Display + Copy>(text: &str, least: T, most: T) -> Option<T> {
     parsed(text).filter(|value| *value >= least && *value <= most)
 }
 
@@ -238,9 +272,7 @@
     /// # Errors
     /// Everything that is wrong with it, at once.
     pub fn read(path: &Path) -> Result<Self, SettingsError> {
-        let file = path.display().to_string();
-        let text = std::fs::read_to_string(path)
-            .map_err(|source| SettingsError::Read { file: file.clone(), source })?;
+        let (file, text) = read_file(path)?;
         Self::parse(&file, &text)
     }
 
@@ -249,19 +281,7 @@
     /// # Errors
     /// Everything that is wrong with it, at once.
     pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
-        let ini = Ini::load_from_str(text).map_err(|error| SettingsError::Form {
-            file: file.to_owned(),
-            line: error.line,
-            column: error.col,
-            message: error.msg.to_string(),
-        })?;
-        let mut r = Reader { file, ini: &ini, mistakes: Vec::new() };
-        r.check_names();
-        let settings = collect(&mut r);
-        match settings {
-            Some(settings) if r.mistakes.is_empty() => Ok(settings),
-            _ => Err(SettingsError::Mistakes(r.mistakes)),
-        }
+        parse_sections(file, text, &SECTIONS, collect)
     }
 }
 
--- /dev/null
+++ b/wire/src/beat.rs
@@ -0,0 +1,138 @@
+//! Beats: the datagrams by which nodes that serve together know of each other.
+
+use prost::Message as _;
+use sardinepick_lib::fleet::cache::{ChainKey, Part};
+use sardinepick_lib::fleet::load::{CLASSES, Load};
+use sardinepick_lib::fleet::register::Reading;
+use sardinepick_lib::fleet::roster::{Contact, Standing, Status};
+use sardinepick_lib::fleet::runner::Tag;
+use sardinepick_lib::id::{ConfigVersion, Incarnation, Revision};
+
+use crate::error::WireError;
+use crate::fleet as pb;
+
+/// The most bytes of a beat, so that it travels in one packet.
+pub const MOST_BYTES: usize = 1_400;
+/// The most loads in one beat, at about 22 bytes each.
+pub const MOST_LOADS: usize = 36;
+/// The most readings in one beat, at about 22 bytes each.
+pub const MOST_READINGS: usize = 20;
+
+/// One beat.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Beat {
+    /// The sender.
+    pub contact: Contact,
+    /// How it stands and what it knows.
+    pub status: Status,
+    /// What it has under way, by runner.
+    pub loads: Vec<(Tag, Load)>,
+    /// Prompts that it has had read since its last beat.
+    pub readings: Vec<Reading>,
+    /// Whether it wants a beat at once.
+    pub answer: bool,
+}
+
+impl Beat {
+    /// The beat as bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        let contact = &self.contact;
+        let beat = pb::Beat {
+            node: contact.id.to_string(),
+            incarnation: contact.incarnation.0,
+            data_centre: contact.data_centre.to_string(),
+            front: contact.front.to_string(),
+            peer: contact.peer.to_string(),
+            standing: standing(self.status.standing).into(),
+            version: self.status.version.0,
+            register: self.status.register.0,
+            loads: self.loads.iter().map(load).collect(),
+            readings: self.readings.iter().map(reading).collect(),
+            answer: self.answer,
+        };
+        beat.encode_to_vec()
+    }
+
+    /// Reads a beat.
+    ///
+    /// # Errors
+    /// The bytes are not one, or it says what it may not.
+    pub fn decode(bytes: &[u8]) -> Result<Self, WireError> {
+        let beat =
+            pb::Beat::decode(bytes).map_err(|error| WireError::Decode(error.to_string()))?;
+        let status = Status {
+            standing: match beat.standing() {
+                pb::Standing::Starting => Standing::Starting,
+                pb::Standing::Ready => Standing::Ready,
+                pb::Standing::Leaving => Standing::Leaving,
+            },
+            version: ConfigVersion(beat.version),
+            register: Revision(beat.register),
+        };
+        let contact = Contact {
+            id: beat.node.as_str().try_into().map_err(|_| WireError::Value("node"))?,
+            incarnation: Incarnation(beat.incarnation),
+            data_centre: beat
+                .data_centre
+                .as_str()
+                .try_into()
+                .map_err(|_| WireError::Value("data centre"))?,
+            front: beat.front.parse().map_err(|_| WireError::Value("front"))?,
+            peer: beat.peer.parse().map_err(|_| WireError::Value("peer"))?,
+        };
+        Ok(Self {
+            contact,
+            status,
+            loads: beat.loads.iter().map(read_load).collect::<Result<_, _>>()?,
+            readings: beat.readings.iter().map(read_reading).collect(),
+            answer: beat.answer,
+        })
+    }
+}
+
+fn standing(standing: Standing) -> pb::Standing {
+    match standing {
+        Standing::Starting => pb::Standing::Starting,
+        Standing::Ready => pb::Standing::Ready,
+        Standing::Leaving => pb::Standing::Leaving,
+    }
+}
+
+fn load((tag, load): &(Tag, Load)) -> pb::Load {
+    pb::Load {
+        runner: tag.0,
+        requests: load.requests,
+        backlog: load.backlog.to_vec(),
+        tokens: load.tokens,
+    }
+}
+
+/// The most that is believed of one node's work at one runner; sums of such numbers stay in range.
+const MOST_TOKENS: u64 = 1 << 40;
+/// The most requests that are believed of one node at one runner.
+const MOST_REQUESTS: u32 = 1 << 20;
+
+fn read_load(load: &pb::Load) -> Result<(Tag, Load), WireError> {
+    if load.backlog.len() != CLASSES {
+        return Err(WireError::Value("backlog"));
+    }
+    let mut backlog = [0; CLASSES];
+    for (into, from) in backlog.iter_mut().zip(&load.backlog) {
+        *into = (*from).min(MOST_TOKENS);
+    }
+    let requests = load.requests.min(MOST_REQUESTS);
+    Ok((Tag(load.runner), Load { requests, backlog, tokens: load.tokens.min(MOST_TOKENS) }))
+}
+
+fn reading(reading: &Reading) -> pb::Reading {
+    pb::Reading {
+        runner: reading.runner.0,
+        part: reading.part.key.0,
+        tokens: reading.part.tokens,
+    }
+}
+
+fn read_reading(reading: &pb::Reading) -> Reading {
+    let part = Part { key: ChainKey(reading.part), tokens: reading.tokens.min(MOST_TOKENS) };
+    Reading { runner: Tag(reading.runner), part }
+}
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -6,6 +6,13 @@
     include!("generated/sardinepick.wire.rs");
 }
 
+/// The code generated from `proto/fleet.proto`.
+#[allow(clippy::all, clippy::pedantic, missing_docs)]
+pub mod fleet {
+    include!("generated/sardinepick.fleet.rs");
+}
+
+pub mod beat;
 pub mod claim;
 pub mod error;
 pub mod gossip;
