place: some decode runners read nothing, late work stays off prefill runners

Cause: a runner that has begun a prompt reads it to its end, and what comes meanwhile waits, a KV cache from elsewhere too. Reads at prefill runners took 100 ms (median of the most urgent class), the first event 240 ms more, since the decode runners were reading late and long prompts. Also: engine times from an idle fleet (36 ms to start, events begin with the first token), doubt of lapsed entries counted from the store's return as any follower sees it. Ruled out: the order at prefill runners, which follows the classes.

--- a/lib/src/fleet/cache.rs
+++ b/lib/src/fleet/cache.rs
@@ -23,7 +23,9 @@
 }
 
 /// A hash of a chain's start up to one part.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
+)]
 #[serde(transparent)]
 pub struct ChainKey(pub u64);
 
--- a/lib/src/fleet/engine.rs
+++ b/lib/src/fleet/engine.rs
@@ -53,15 +53,14 @@
 const DECODE_SLOWDOWN: f64 = 2.0;
 /// How much smaller its pieces are (platform's protocol: a quarter).
 const DECODE_CHUNK: f64 = CHUNK / 4.0;
-/// The first event: its fixed delay and one stride of tokens, in steps beyond the first
-/// (fitted to first events seen on calm days).
-const FIRST_EVENT: f64 = 0.031;
-/// Tokens in one event (configuration's default stride).
-const STRIDE: f64 = 10.0;
-/// Setting up one transfer between runners, in seconds (fitted as above).
-const TRANSFER_SETUP: f64 = 0.008;
-
-/// How long an engine needs to read `fresh` tokens after `cached` ones, alone, in seconds.
+/// The fixed delay from the arrival of a prompt to its first token, in seconds (an idle engine's
+/// answer to the shortest prompts, less the way there and back).
+const START: f64 = 0.036;
+/// Setting up one transfer between runners, in seconds (an idle engine's first event after a prompt
+/// that was read elsewhere, less the transfer).
+const TRANSFER_SETUP: f64 = 0.010;
+
+/// How long an engine is busy with reading `fresh` tokens after `cached` ones, in seconds.
 pub fn prefill_time(stage: Stage, fresh: u64, cached: u64, running: u32) -> f64 {
     let (fresh, cached) = (fresh as f64, cached as f64);
     let pairs = fresh * (cached + fresh / 2.0) / 1e6;
@@ -80,9 +79,9 @@
     STEP + f64::from(running) * STEP_PER_REQUEST
 }
 
-/// How long it takes from a read prompt to the first event, in seconds.
-pub fn first_event_time(running: u32) -> f64 {
-    FIRST_EVENT + STRIDE * step_time(running)
+/// The fixed delay before the first token of a prompt, in seconds.
+pub fn start_time() -> f64 {
+    START
 }
 
 impl Engine {
--- a/lib/src/fleet/gate.rs
+++ b/lib/src/fleet/gate.rs
@@ -67,9 +67,7 @@
         let left = left.min(route.timeout);
         let waited = route.timeout.saturating_sub(left);
         let patience = if route.kind.is_stream() {
-            PATIENCE
-                .max(route.objective * PATIENCE_OBJECTIVES)
-                .max(route.pause * PATIENCE_PAUSES)
+            PATIENCE.max(route.objective * PATIENCE_OBJECTIVES).max(route.pause * PATIENCE_PAUSES)
         } else {
             left
         };
--- a/lib/src/fleet/load.rs
+++ b/lib/src/fleet/load.rs
@@ -38,6 +38,8 @@
     pub requests: u32,
     /// Prompt tokens sent and not yet known to be read, by class.
     pub backlog: [u64; CLASSES],
+    /// Prompts of which these are, by class.
+    pub unread: [u32; CLASSES],
     /// Memory that the requests take, in tokens.
     pub tokens: u64,
 }
@@ -53,6 +55,15 @@
         self.backlog[..=class.index()].iter().sum()
     }
 
+    /// The prompt tokens that probably go before new work of `class` though they are less urgent: a
+    /// runner that has begun a prompt reads it to its end, and on average half of it is left.
+    pub fn begun(&self, class: Class) -> u64 {
+        let behind = class.index() + 1;
+        let prompts: u32 = self.unread[behind..].iter().sum();
+        let tokens: u64 = self.backlog[behind..].iter().sum();
+        tokens / u64::from(prompts.max(1)) / 2
+    }
+
     /// Adds another load.
     pub fn add(&mut self, other: &Load) {
         self.requests += other.requests;
@@ -60,6 +71,9 @@
         for (mine, more) in self.backlog.iter_mut().zip(other.backlog) {
             *mine += more;
         }
+        for (mine, more) in self.unread.iter_mut().zip(other.unread) {
+            *mine += more;
+        }
     }
 }
 
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 pub mod gate;
 pub mod health;
 pub mod load;
+pub mod outage;
 pub mod place;
 pub mod register;
 pub mod roster;
--- a/lib/src/fleet/place.rs
+++ b/lib/src/fleet/place.rs
@@ -11,11 +11,11 @@
 use rand::{Rng, RngExt as _};
 use strum::{Display, IntoStaticStr};
 
-use super::engine::{Engine, Stage, Work, first_event_time, prefill_time};
+use super::engine::{Engine, Stage, Work, prefill_time, start_time};
 use super::load::{Class, Load};
 use super::register::Register;
 use super::runner::Runner;
-use crate::hash::rendezvous;
+use crate::hash::{place, rendezvous};
 use crate::id::{DataCentre, RunnerId, ServiceId};
 
 /// The way a generation takes.
@@ -75,11 +75,8 @@
 const DITHER: f64 = 0.004;
 /// What another data centre adds, in seconds: the way there and back, and its price in bytes.
 const DISTANCE: f64 = 0.004;
-/// How much longer an event takes at a runner that also reads prompts: one piece for each of its
-/// tokens.
+/// The piece of a prompt that a runner reads between two steps.
 const INTERLEAVED_TOKENS: u64 = 256;
-/// Tokens of one event.
-const EVENT_TOKENS: f64 = 10.0;
 
 struct Candidate<'a> {
     runner: &'a Runner,
@@ -101,19 +98,16 @@
 
 impl Candidate<'_> {
     fn cost(&self, question: &Question<'_>, draw: f64) -> f64 {
-        let distance =
-            if self.runner.entry.data_centre == *question.home { 0.0 } else { DISTANCE };
+        let distance = if self.runner.entry.data_centre == *question.home { 0.0 } else { DISTANCE };
         self.runner.health.failing() * FAILURE_COST + distance + draw * DITHER
     }
 
-    /// Until the first event once the prompt is there, in seconds.
+    /// Until the first event once the prompt is there, in seconds: one step, longer by a piece of a
+    /// prompt where prompts are read too.
     fn first_event(&self) -> f64 {
-        let pieces = if self.load.ahead(Class::LATE) > 0 {
-            EVENT_TOKENS * prefill_time(Stage::Decode, INTERLEAVED_TOKENS, 0, 0)
-        } else {
-            0.0
-        };
-        first_event_time(self.load.requests) + pieces
+        let reads = self.load.ahead(Class::LATE) > 0;
+        let piece = if reads { prefill_time(Stage::Decode, INTERLEAVED_TOKENS, 0, 0) } else { 0.0 };
+        self.runner.step(&self.load) + piece
     }
 }
 
@@ -136,11 +130,51 @@
     let cached = at.runner.cache.cached(&work.chain).min(work.prompt);
     let fresh = work.prompt - cached;
     let time = at.runner.reading(&at.load, fresh, cached);
-    let read = at.runner.wait(&at.load, question.class) + time;
+    let read = at.runner.wait(&at.load, question.class) + time + start_time();
     let rank = read + time * DELAY_OF_OTHERS + at.cost(question, draw);
     Reading { at, read, fresh, rank }
 }
 
+/// The parts that the decode runners of a service have while prefill runners read for them.
+///
+/// A runner that has begun a prompt reads it to its end, and what comes meanwhile, a KV cache from
+/// elsewhere too, waits for its first token. One long prompt so delays every stream that begins at
+/// its runner. Some decode runners therefore read nothing, and the others take whole requests.
+struct Lanes<'a, 'b> {
+    /// Those that only go on from what was read elsewhere.
+    decode: Vec<&'b Candidate<'a>>,
+    /// Those that read and answer.
+    whole: Vec<&'b Candidate<'a>>,
+}
+
+/// The share of the decode runners that read nothing. Two of five carry the streams of the users'
+/// sheets at twice their usual rate with less than 60 at once each.
+const DECODE_ONLY: f64 = 0.4;
+
+fn lanes<'a, 'b>(
+    all: &'b [Candidate<'a>],
+    question: &Question<'_>,
+    engine: &Engine,
+    work: &Work,
+) -> Lanes<'a, 'b> {
+    let is = |stage| move |c: &&Candidate<'_>| c.runner.entry.stage == Some(stage);
+    let mut whole: Vec<&Candidate<'_>> = all.iter().filter(is(Stage::Decode)).collect();
+    let mut decode = Vec::new();
+    if all.iter().any(|c| is(Stage::Prefill)(&c)) {
+        // The same at every node that sees the same runners, whatever their number.
+        let service = place(0, question.service.as_str().as_bytes());
+        whole.sort_by_key(|c| rendezvous(service, c.runner.entry.id.as_str().as_bytes()));
+        let count = (whole.len() as f64 * DECODE_ONLY).ceil() as usize;
+        decode = whole.split_off(whole.len() - count);
+    }
+    let room = |c: &&&Candidate<'_>| c.runner.has_room(&c.load, engine, work.footprint());
+    let roomy: Vec<_> = decode.iter().filter(room).copied().collect();
+    if whole.is_empty() {
+        whole.clone_from(&decode);
+    }
+    Lanes { decode: if roomy.is_empty() { decode } else { roomy }, whole }
+}
+
 /// Chooses for a generation, or none if no runner of the service can run it.
 pub fn generation<R: Rng>(
     register: &Register,
@@ -150,14 +184,14 @@
     rng: &mut R,
 ) -> Option<Placement> {
     let all = candidates(register, question);
-    let stage = |stage| all.iter().filter(move |c| c.runner.entry.stage == Some(stage));
-    let room = |c: &&Candidate<'_>| c.runner.has_room(&c.load, engine, work.footprint());
-    let makers: Vec<&Candidate<'_>> = {
-        let roomy: Vec<_> = stage(Stage::Decode).filter(room).collect();
-        if roomy.is_empty() { stage(Stage::Decode).collect() } else { roomy }
-    };
-    let home = home(stage(Stage::Prefill), work);
-    let reader = stage(Stage::Prefill)
+    let lanes = lanes(&all, question, engine, work);
+    // Late work, which is mostly long, would stand before the urgent work of half a second.
+    let reads = question.class != Class::LATE || lanes.whole.is_empty();
+    let prefill = |c: &&Candidate<'_>| reads && c.runner.entry.stage == Some(Stage::Prefill);
+    let home = home(all.iter().filter(prefill), work);
+    let reader = all
+        .iter()
+        .filter(prefill)
         .map(|c| {
             let mut reading = reading(c, question, work, rng.random());
             if home == Some(&c.runner.entry.id) {
@@ -166,8 +200,10 @@
             reading
         })
         .min_by(|a, b| a.rank.total_cmp(&b.rank));
-    let split = reader.and_then(|reader| split(&reader, &makers, question, engine, work, rng));
-    let whole = makers
+    let split =
+        reader.and_then(|reader| split(&reader, &lanes.decode, question, engine, work, rng));
+    let whole = lanes
+        .whole
         .iter()
         .map(|c| {
             let reading = reading(c, question, work, rng.random());
@@ -198,7 +234,8 @@
         .iter()
         .map(|c| {
             let near = c.runner.entry.data_centre == from.data_centre;
-            let first = c.first_event() + engine.transfer_time(work.prompt, near);
+            let wait = c.runner.wait(&c.load, question.class);
+            let first = wait + c.first_event() + engine.transfer_time(work.prompt, near);
             (first + c.cost(question, rng.random()), first, c)
         })
         .min_by(|a, b| a.0.total_cmp(&b.0))?;
@@ -209,10 +246,7 @@
 }
 
 /// The home of a chain among runners: the same at every node that sees the same runners.
-fn home<'a>(
-    runners: impl Iterator<Item = &'a Candidate<'a>>,
-    work: &Work,
-) -> Option<&'a RunnerId> {
+fn home<'a>(runners: impl Iterator<Item = &'a Candidate<'a>>, work: &Work) -> Option<&'a RunnerId> {
     let root = work.chain.root().0;
     let ids = runners.map(|c| &c.runner.entry.id);
     ids.max_by_key(|id| rendezvous(root, id.as_str().as_bytes()))
@@ -228,11 +262,7 @@
 }
 
 /// Chooses for a plain request, or none if the service has no runner.
-pub fn plain<R: Rng>(
-    register: &Register,
-    question: &Question<'_>,
-    rng: &mut R,
-) -> Option<Plain> {
+pub fn plain<R: Rng>(register: &Register, question: &Question<'_>, rng: &mut R) -> Option<Plain> {
     let all = candidates(register, question);
     let ranked = all.iter().map(|c| {
         let slots = f64::from(c.runner.entry.slots.max(1));
--- a/lib/src/fleet/register.rs
+++ b/lib/src/fleet/register.rs
@@ -6,17 +6,13 @@
 //! all runners of a service when the store comes back would refuse requests that could be served.
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use super::cache::Part;
 use super::load::{Class, Load};
 use super::runner::{Entry, Runner, State, Tag};
 use crate::id::{NodeId, RunnerId, ServiceId};
 
-/// How long a runner whose entry lapsed while the store was away is kept (users' letter: entries
-/// are back within about two seconds of the store's return).
-pub const DOUBT: Duration = Duration::from_millis(2_200);
-
 /// What a change of the register did.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Change {
@@ -63,12 +59,14 @@
         if leaves { Change::Leaving } else { Change::Updated }
     }
 
-    /// Takes in that an entry is gone. In doubt, because the store has been away, the runner is
-    /// kept until its time is over.
-    pub fn remove(&mut self, id: &RunnerId, in_doubt: bool, now: Instant) -> Change {
+    /// Takes in that an entry is gone. Where that is in doubt, because the store has been away, the
+    /// runner is kept until the doubt is over.
+    pub fn remove(&mut self, id: &RunnerId, doubt: Option<Instant>) -> Change {
         let Some(runner) = self.runners.get(id) else { return Change::None };
-        if in_doubt && runner.is_last_resort() {
-            self.doubted.entry(id.clone()).or_insert(now + DOUBT);
+        if let Some(until) = doubt
+            && runner.is_last_resort()
+        {
+            self.doubted.entry(id.clone()).or_insert(until);
             return Change::Doubted;
         }
         self.drop_runner(id);
@@ -85,18 +83,21 @@
     pub fn replace(
         &mut self,
         entries: Vec<Entry>,
-        in_doubt: bool,
-        now: Instant,
+        doubt: Option<Instant>,
     ) -> Vec<(RunnerId, Change)> {
-        let missing: Vec<RunnerId> =
-            self.runners.keys().filter(|id| !entries.iter().any(|e| e.id == **id)).cloned().collect();
+        let missing: Vec<RunnerId> = self
+            .runners
+            .keys()
+            .filter(|id| !entries.iter().any(|e| e.id == **id))
+            .cloned()
+            .collect();
         let mut changes: Vec<(RunnerId, Change)> = Vec::new();
         for entry in entries {
             let id = entry.id.clone();
             changes.push((id, self.apply(entry)));
         }
         for id in missing {
-            let change = self.remove(&id, in_doubt, now);
+            let change = self.remove(&id, doubt);
             changes.push((id, change));
         }
         changes.retain(|(_, change)| *change != Change::None);
@@ -105,8 +106,12 @@
 
     /// Drops doubted runners whose time is over, and names them.
     pub fn expire(&mut self, now: Instant) -> Vec<RunnerId> {
-        let over: Vec<RunnerId> =
-            self.doubted.iter().filter(|(_, until)| **until <= now).map(|(id, _)| id.clone()).collect();
+        let over: Vec<RunnerId> = self
+            .doubted
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
         for id in &over {
             self.drop_runner(id);
         }
@@ -140,6 +145,7 @@
         runner.own.requests += 1;
         runner.own.tokens += share.footprint;
         runner.own.backlog[share.class.index()] += share.fresh;
+        runner.own.unread[share.class.index()] += 1;
     }
 
     /// Notes that the prompt of work under way has been read.
@@ -147,6 +153,8 @@
         let Some(runner) = self.runners.get_mut(id) else { return };
         let backlog = &mut runner.own.backlog[share.class.index()];
         *backlog = backlog.saturating_sub(share.fresh);
+        let unread = &mut runner.own.unread[share.class.index()];
+        *unread = unread.saturating_sub(1);
     }
 
     /// Notes that work has ended.
--- a/lib/src/fleet/roster.rs
+++ b/lib/src/fleet/roster.rs
@@ -117,8 +117,9 @@
     /// Where the nodes are reached that have been heard lately, however they stand.
     pub fn heard(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
         let silence = self.silence() * GREETED_SILENCES;
-        let heard =
-            move |m: &&Member| m.heard.is_some_and(|at| now.saturating_duration_since(at) <= silence);
+        let heard = move |m: &&Member| {
+            m.heard.is_some_and(|at| now.saturating_duration_since(at) <= silence)
+        };
         self.members.values().filter(heard).map(|m| m.contact.peer)
     }
 
--- a/lib/src/fleet/runner.rs
+++ b/lib/src/fleet/runner.rs
@@ -124,7 +124,7 @@
 
     /// How long new work of `class` waits before its prompt is begun, in seconds.
     pub fn wait(&self, load: &Load, class: Class) -> f64 {
-        load.ahead(class) as f64 / self.prefill_rate()
+        (load.ahead(class) + load.begun(class)) as f64 / self.prefill_rate()
     }
 
     /// How long it takes to read `fresh` tokens after `cached` ones once begun, in seconds.
--- a/node/src/logging.rs
+++ b/node/src/logging.rs
@@ -4,9 +4,9 @@
 //! and counted, so that no request ever waits for the reader of the log.
 
 use std::io::{self, Write};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::sync::Arc;
 
 use env_logger::fmt::Formatter;
 use log::kv::{Error, Key, Value, VisitSource};
@@ -59,7 +59,8 @@
         }
         let count = dropped.count();
         if count > told {
-            let line = json!({"level": "WARN", "message": "log lines dropped", "lines": count - told});
+            let line =
+                json!({"level": "WARN", "message": "log lines dropped", "lines": count - told});
             batch.extend_from_slice(format!("{line}\n").as_bytes());
             told = count;
         }
--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -214,7 +214,8 @@
 /// Sets a connection so that small writes leave at once and a silent path is noticed.
 pub fn prepare(stream: &TcpStream) {
     let socket = SockRef::from(stream);
-    let set = stream.set_nodelay(true).and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)));
+    let set =
+        stream.set_nodelay(true).and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)));
     if let Err(error) = set {
         log::debug!(error:% = error; "setting a connection's options");
     }
--- a/node/src/serve/follow.rs
+++ b/node/src/serve/follow.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use rand::RngExt as _;
+use sardinepick_lib::fleet::outage::pause;
 use sardinepick_lib::fleet::register::Change as Changed;
 use sardinepick_lib::fleet::runner::{Entry, State};
 use sardinepick_lib::id::{Revision, RunnerId};
@@ -22,79 +23,65 @@
 /// How long a watch waits for a change. Longer waits cost fewer calls; a connection that has gone
 /// silent is noticed only after one, and a leaving runner must get nothing after two seconds.
 const WATCH_WAIT: Duration = Duration::from_secs(3);
-/// The pauses after the first failure and after many, doubled from one to the next.
-const PAUSES: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(800));
-/// How long after the store's return entries that are missing are doubted.
-const RETURN: Duration = Duration::from_millis(2_200);
+/// The part of a pause after which history that is gone is read anew: a runner may have left in it.
+const FORGOTTEN_PAUSE_PART: u32 = 4;
 /// How often lapsed entries and idle connections are looked through.
 const TIDY_PERIOD: Duration = Duration::from_millis(250);
 
-/// Whether the store has been away lately, as one follower has seen.
-#[derive(Debug, Default)]
-struct Outage {
+/// One thing that is followed.
+struct Follower {
+    shared: Arc<Shared>,
+    what: &'static str,
+    /// Calls in a row without an answer.
     failures: u32,
-    began: Option<Instant>,
-    returned: Option<Instant>,
+    /// From where to go on; none if all has to be read.
+    from: Option<Revision>,
 }
 
-impl Outage {
-    /// Notes a failure and gives the pause before the next try.
-    fn note_failure(&mut self, now: Instant, draw: f64) -> Duration {
-        self.began.get_or_insert(now);
-        let pause = PAUSES.0 * 2u32.saturating_pow(self.failures.min(10));
-        self.failures += 1;
-        // Nodes that fail together must not come back together.
-        pause.min(PAUSES.1).mul_f64(0.5 + draw)
+impl Follower {
+    fn new(shared: Arc<Shared>, what: &'static str) -> Self {
+        Self { shared, what, failures: 0, from: None }
     }
 
-    /// Notes an answer; true if it ends an outage.
-    fn note_answer(&mut self, now: Instant) -> bool {
+    /// Notes an answer, with the place from which to go on.
+    fn note_answer(&mut self, as_of: Revision) {
         self.failures = 0;
-        let ended = self.began.take().is_some();
-        if ended {
-            self.returned = Some(now);
+        self.from = Some(as_of);
+        self.shared.metrics.belief_age.with_label_values(&[self.what]).set(0);
+        let now = self.shared.clock.now();
+        if let Some(away) = self.shared.outage().note_answer(now) {
+            log::info!(what = self.what, away_ms = away.as_millis() as u64; "store regained");
         }
-        ended
-    }
-
-    /// Whether a missing entry may have lapsed while the store was away.
-    fn doubts(&self, now: Instant) -> bool {
-        let lately = |at: Instant| now.saturating_duration_since(at) < RETURN;
-        self.began.is_some() || self.returned.is_some_and(lately)
-    }
-}
-
-/// Notes a failure in the log and waits.
-async fn back_off(shared: &Shared, what: &'static str, outage: &mut Outage, error: &StoreError) {
-    let draw: f64 = shared.rng().random();
-    let first = outage.began.is_none();
-    let pause = outage.note_failure(shared.clock.now(), draw);
-    if first {
-        log::warn!(what = what, error:% = error, pause_ms = pause.as_millis() as u64; "store lost");
-    } else {
-        log::debug!(what = what, error:% = error, failures = outage.failures; "store still away");
     }
-    shared.behind.notify_one();
-    sleep(pause).await;
-}
 
-fn note_answer(shared: &Shared, what: &'static str, outage: &mut Outage) {
-    let began = outage.began;
-    let now = shared.clock.now();
-    if outage.note_answer(now) {
-        let away = began.map(|at| now.saturating_duration_since(at)).unwrap_or_default();
-        log::info!(what = what, away_ms = away.as_millis() as u64; "store regained");
+    /// Notes a failure in the log and waits. After it all is read anew: the answer to a list comes
+    /// at once, while a watch that meets a silent path would hang for its whole wait.
+    async fn back_off(&mut self, error: &StoreError) {
+        let forgotten = error.is_forgotten();
+        self.from = None;
+        self.failures += 1;
+        let draw: f64 = self.shared.rng().random();
+        let pause = pause(self.failures, draw);
+        // A store that has forgotten its history is not away.
+        let first = !forgotten && self.shared.outage().note_failure(self.shared.clock.now());
+        if first || forgotten {
+            log::warn!(
+                what = self.what, error:% = error, pause_ms = pause.as_millis() as u64;
+                "store {}", if forgotten { "forgot its history" } else { "lost" }
+            );
+        } else {
+            log::debug!(what = self.what, error:% = error, failures = self.failures; "store away");
+        }
+        self.shared.behind.notify_one();
+        sleep(if forgotten { pause / FORGOTTEN_PAUSE_PART } else { pause }).await;
     }
-    shared.metrics.belief_age.with_label_values(&[what]).set(0);
 }
 
 /// Follows the configuration until the process ends.
 pub async fn configuration(shared: Arc<Shared>) {
-    const WHAT: &str = "configuration";
-    let mut outage = Outage::default();
-    let mut from: Option<Revision> = None;
+    let mut follower = Follower::new(shared.clone(), "configuration");
     loop {
-        let result = match from {
+        let read = match follower.from {
             None => shared.store.list(Purpose::Configuration, config::KIND).await,
             Some(from) => {
                 let purpose = Purpose::ConfigurationWatch;
@@ -108,20 +95,14 @@
                 })
             }
         };
-        match result {
+        match read {
             Ok((objects, as_of)) => {
-                note_answer(&shared, WHAT, &mut outage);
-                from = Some(as_of);
+                follower.note_answer(as_of);
                 for object in objects {
                     install(&shared, object, "store");
                 }
             }
-            Err(error) => {
-                if error.is_forgotten() {
-                    from = None;
-                }
-                back_off(&shared, WHAT, &mut outage, &error).await;
-            }
+            Err(error) => follower.back_off(&error).await,
         }
     }
 }
@@ -155,39 +136,29 @@
 
 /// Follows the register of runners until the process ends.
 pub async fn register(shared: Arc<Shared>) {
-    const WHAT: &str = "register";
-    let mut outage = Outage::default();
-    let mut known = false;
+    let mut follower = Follower::new(shared.clone(), "register");
     loop {
-        let from = shared.knowledge().register;
-        let failed = if known {
-            let purpose = Purpose::RegisterWatch;
-            match shared.store.watch(purpose, RUNNERS, from, WATCH_WAIT).await {
-                Ok(brought) => {
-                    note_answer(&shared, WHAT, &mut outage);
-                    let doubted = outage.doubts(shared.clock.now());
-                    take_changes(&shared, brought.changes, brought.as_of, doubted);
-                    None
-                }
-                Err(error) => Some(error),
+        let result = match follower.from {
+            None => {
+                let listed = shared.store.list(Purpose::Register, RUNNERS).await;
+                listed.map(|(objects, as_of)| {
+                    follower.note_answer(as_of);
+                    let doubt = shared.outage().doubt(shared.clock.now());
+                    take_list(&shared, objects, as_of, doubt, "store");
+                })
             }
-        } else {
-            match shared.store.list(Purpose::Register, RUNNERS).await {
-                Ok((objects, as_of)) => {
-                    note_answer(&shared, WHAT, &mut outage);
-                    let doubted = outage.doubts(shared.clock.now());
-                    take_list(&shared, objects, as_of, doubted, "store");
-                    known = true;
-                    None
-                }
-                Err(error) => Some(error),
+            Some(from) => {
+                let purpose = Purpose::RegisterWatch;
+                let brought = shared.store.watch(purpose, RUNNERS, from, WATCH_WAIT).await;
+                brought.map(|brought| {
+                    follower.note_answer(brought.as_of);
+                    let doubt = shared.outage().doubt(shared.clock.now());
+                    take_changes(&shared, brought.changes, brought.as_of, doubt);
+                })
             }
         };
-        if let Some(error) = failed {
-            if error.is_forgotten() {
-                known = false;
-            }
-            back_off(&shared, WHAT, &mut outage, &error).await;
+        if let Err(error) = result {
+            follower.back_off(&error).await;
         }
     }
 }
@@ -214,8 +185,7 @@
     log::info!(runner:% = id, revision:% = revision, source = source; "{what}");
 }
 
-fn take_changes(shared: &Shared, changes: Vec<Change>, as_of: Revision, doubted: bool) {
-    let now = shared.clock.now();
+fn take_changes(shared: &Shared, changes: Vec<Change>, as_of: Revision, doubt: Option<Instant>) {
     let any = !changes.is_empty();
     for change in changes {
         match change {
@@ -230,7 +200,7 @@
             Change::Gone(name) => {
                 shared.knowledge().runners.remove(&name);
                 if let Ok(id) = RunnerId::try_from(name) {
-                    let changed = shared.register().remove(&id, doubted, now);
+                    let changed = shared.register().remove(&id, doubt);
                     log_change(&id, changed, as_of, "store");
                 }
             }
@@ -250,10 +220,9 @@
     shared: &Shared,
     objects: Vec<Object>,
     as_of: Revision,
-    doubted: bool,
+    doubt: Option<Instant>,
     source: &'static str,
 ) {
-    let now = shared.clock.now();
     let mut knowledge = shared.knowledge();
     if as_of < knowledge.register {
         return;
@@ -264,7 +233,7 @@
     let entries = objects.iter().filter_map(entry).collect();
     knowledge.runners = objects.into_iter().map(|o| (o.name.clone(), o)).collect();
     drop(knowledge);
-    let changes = shared.register().replace(entries, doubted, now);
+    let changes = shared.register().replace(entries, doubt);
     if changes.iter().any(|(_, change)| matches!(change, Changed::Removed | Changed::Doubted)) {
         shared.knowledge().changed = as_of;
     }
@@ -276,7 +245,7 @@
 
 /// Writes this node's entry and learns of the others; tries until both are done.
 pub async fn join(shared: Arc<Shared>) {
-    let mut outage = Outage::default();
+    let mut follower = Follower::new(shared.clone(), "nodes");
     let content = encode_node(&shared.me);
     loop {
         match try_join(&shared, &content).await {
@@ -285,7 +254,7 @@
                 shared.beat_now.notify_one();
                 return;
             }
-            Err(error) => back_off(&shared, "nodes", &mut outage, &error).await,
+            Err(error) => follower.back_off(&error).await,
         }
     }
 }
--- a/node/src/serve/generation.rs
+++ b/node/src/serve/generation.rs
@@ -57,11 +57,7 @@
 const LEAST_LEFT: Duration = Duration::from_millis(150);
 
 /// Answers a generation.
-pub async fn answer(
-    shared: &Arc<Shared>,
-    request: Request,
-    under_way: UnderWay,
-) -> Response<Body> {
+pub async fn answer(shared: &Arc<Shared>, request: Request, under_way: UnderWay) -> Response<Body> {
     let (head, answer) = oneshot::channel();
     let way = Way {
         shared: shared.clone(),
@@ -291,11 +287,8 @@
         );
         match &placement.plan {
             Plan::Whole { runner } => {
-                let share = Share {
-                    class,
-                    fresh: placement.fresh,
-                    footprint: self.work.footprint(),
-                };
+                let share =
+                    Share { class, fresh: placement.fresh, footprint: self.work.footprint() };
                 let runner = runner.clone();
                 self.run_at(&runner, Ask::Run, share, &placement).await
             }
@@ -356,6 +349,11 @@
         match result {
             Ok(handle) => {
                 ticket.conclude(Outcome::Answered);
+                log::info!(
+                    request:% = self.request.id, runner:% = id, fresh = placement.fresh,
+                    predicted_ms = millis(placement.read),
+                    held_ms = ticket.held().as_millis() as u64; "prompt read"
+                );
                 self.learn(id, placement.read, ticket.held());
                 self.note_cached(id);
                 Ok(Some(handle))
@@ -434,7 +432,8 @@
         let is_whole = step == Ask::Run;
         let outgoing = self.outgoing(id, step, share.class, left);
         // A run that may be repeated is not left with a runner that gives no sign of life.
-        let limit = if self.is_repeatable() { left.min(self.silence(placement.first)) } else { left };
+        let limit =
+            if self.is_repeatable() { left.min(self.silence(placement.first)) } else { left };
         self.runs += 1;
         self.arrivals += 1;
         let sent = self.shared.connections.send(address, outgoing, CONNECT_LIMIT);
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -42,8 +42,7 @@
     pub belief_age: IntGaugeVec,
 }
 
-const FIRST_BUCKETS: [f64; 12] =
-    [0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0];
+const FIRST_BUCKETS: [f64; 12] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0];
 const PAUSE_BUCKETS: [f64; 8] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 2.0];
 
 /// Makes and registers metrics.
@@ -123,11 +122,9 @@
                 "Bytes of beats between nodes",
                 &["direction"],
             ),
-            lines_dropped: m
-                .counter("sardinepick_log_lines_dropped_total", "Log lines dropped"),
+            lines_dropped: m.counter("sardinepick_log_lines_dropped_total", "Log lines dropped"),
             under_way: m.gauge("sardinepick_under_way", "Requests under way"),
-            version: m
-                .gauge("sardinepick_configuration_version", "Version of the configuration"),
+            version: m.gauge("sardinepick_configuration_version", "Version of the configuration"),
             runners: m.gauges("sardinepick_runners", "Runners known", &["state"]),
             nodes: m.gauge("sardinepick_nodes", "Other nodes heard lately"),
             belief_age: m.gauges(
--- a/node/src/serve/peer.rs
+++ b/node/src/serve/peer.rs
@@ -118,7 +118,8 @@
     let (register, changed) = (Revision(knowledge.register), Revision(knowledge.changed));
     if changed > shared.knowledge().changed {
         let objects = knowledge.runners.into_iter().map(from_wire).collect();
-        take_list(shared, objects, register, true, "node");
+        let doubt = shared.outage().doubt(shared.clock.now());
+        take_list(shared, objects, register, doubt, "node");
         shared.knowledge().changed = changed;
     }
 }
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -51,7 +51,11 @@
 }
 
 /// Answers a plain request.
-pub async fn answer(shared: &Arc<Shared>, request: &Request, _under_way: UnderWay) -> Response<Body> {
+pub async fn answer(
+    shared: &Arc<Shared>,
+    request: &Request,
+    _under_way: UnderWay,
+) -> Response<Body> {
     let mut way = Way { shared, request, tried: SmallVec::new(), calls: 0, arrivals: 0, runs: 0 };
     let end = way.run().await;
     let runner = way.tried.last().map(RunnerId::as_str).unwrap_or_default();
@@ -193,8 +197,7 @@
                     Came::NotRun { .. } => Outcome::Failed,
                     Came::Doubt | Came::Silent => Outcome::Broken,
                 };
-                if let (Came::Whole(..), Some(runner)) =
-                    (&came, self.shared.register().get_mut(id))
+                if let (Came::Whole(..), Some(runner)) = (&came, self.shared.register().get_mut(id))
                 {
                     runner.learn_answer(ticket.held().as_secs_f64());
                 }
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -69,8 +69,7 @@
     pub fn log_end(&self, shared: &Shared, end: &End<'_>) {
         let now = shared.clock.now();
         let took = now.saturating_duration_since(self.arrived);
-        let labels =
-            [self.route.name.as_str(), self.route.kind.into(), end.outcome, end.reason];
+        let labels = [self.route.name.as_str(), self.route.kind.into(), end.outcome, end.reason];
         shared.metrics.requests.with_label_values(&labels).inc();
         log::info!(
             request:% = self.id, route:% = self.route.name, service:% = self.service,
--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -66,9 +66,11 @@
         (Port::Metrics, listen("metrics", settings.metrics).await?),
     ];
     let peers = listen("other nodes", peer_address).await?;
-    let socket = UdpSocket::bind(peer_address)
-        .await
-        .map_err(|source| StartError { what: "beats", address: peer_address, source })?;
+    let socket = UdpSocket::bind(peer_address).await.map_err(|source| StartError {
+        what: "beats",
+        address: peer_address,
+        source,
+    })?;
     let socket = Arc::new(socket);
     let shared = Arc::new(Shared::new(settings, clock, metrics));
     let (closing, staying) = (watch::Sender::new(false), watch::Sender::new(false));
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -9,6 +9,7 @@
 use rand::rngs::StdRng;
 use sardinepick_lib::clock::Clock;
 use sardinepick_lib::fleet::budget::Budget;
+use sardinepick_lib::fleet::outage::Outage;
 use sardinepick_lib::fleet::register::{Reading, Register};
 use sardinepick_lib::fleet::roster::{Contact, Roster, Standing, Status};
 use sardinepick_lib::fleet::route::Configuration;
@@ -62,6 +63,7 @@
     register: Mutex<Register>,
     roster: Mutex<Roster>,
     knowledge: Mutex<Knowledge>,
+    outage: Mutex<Outage>,
     budgets: Mutex<HashMap<ServiceId, Budget>>,
     readings: Mutex<Vec<Reading>>,
     rng: Mutex<StdRng>,
@@ -104,6 +106,7 @@
             register: Mutex::default(),
             roster: Mutex::default(),
             knowledge: Mutex::default(),
+            outage: Mutex::default(),
             budgets: Mutex::default(),
             readings: Mutex::default(),
             rng: Mutex::new(StdRng::seed_from_u64(seed)),
@@ -127,6 +130,11 @@
         lock(&self.knowledge)
     }
 
+    /// Whether the store is away, as all that follow it have seen.
+    pub fn outage(&self) -> MutexGuard<'_, Outage> {
+        lock(&self.outage)
+    }
+
     /// Random numbers.
     pub fn rng(&self) -> MutexGuard<'_, StdRng> {
         lock(&self.rng)
--- a/node/src/serve/store.rs
+++ b/node/src/serve/store.rs
@@ -80,9 +80,9 @@
 
 /// How long a call other than a watch may take. The store answers in 4 ms (users' sheets), and in
 /// 60 to 75 times that when it is slow.
-const CALL_LIMIT: Duration = Duration::from_millis(1_200);
+const CALL_LIMIT: Duration = Duration::from_millis(700);
 /// How long a connection to the store may take.
-const CONNECT_LIMIT: Duration = Duration::from_millis(800);
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 /// What a watch may take beyond its wait.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 /// The largest answer: a page of about a megabyte, with room.
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -258,7 +258,11 @@
     text.split(',').map(str::trim).filter(|t| !t.is_empty()).map(parsed).collect()
 }
 
-pub(crate) fn within<T: FromStr + PartialOrd + Display + Copy>(text: &str, least: T, most: T) -> Option<T> {
+pub(crate) fn within<T: FromStr + PartialOrd + Display + Copy>(
+    text: &str,
+    least: T,
+    most: T,
+) -> Option<T> {
     parsed(text).filter(|value| *value >= least && *value <= most)
 }
 
--- a/wire/src/beat.rs
+++ b/wire/src/beat.rs
@@ -58,8 +58,7 @@
     /// # Errors
     /// The bytes are not one, or it says what it may not.
     pub fn decode(bytes: &[u8]) -> Result<Self, WireError> {
-        let beat =
-            pb::Beat::decode(bytes).map_err(|error| WireError::Decode(error.to_string()))?;
+        let beat = pb::Beat::decode(bytes).map_err(|error| WireError::Decode(error.to_string()))?;
         let status = Status {
             standing: match beat.standing() {
                 pb::Standing::Starting => Standing::Starting,
@@ -104,6 +103,7 @@
         requests: load.requests,
         backlog: load.backlog.to_vec(),
         tokens: load.tokens,
+        unread: load.unread.to_vec(),
     }
 }
 
@@ -113,23 +113,24 @@
 const MOST_REQUESTS: u32 = 1 << 20;
 
 fn read_load(load: &pb::Load) -> Result<(Tag, Load), WireError> {
-    if load.backlog.len() != CLASSES {
+    if load.backlog.len() != CLASSES || load.unread.len() != CLASSES {
         return Err(WireError::Value("backlog"));
     }
     let mut backlog = [0; CLASSES];
     for (into, from) in backlog.iter_mut().zip(&load.backlog) {
         *into = (*from).min(MOST_TOKENS);
     }
+    let mut unread = [0; CLASSES];
+    for (into, from) in unread.iter_mut().zip(&load.unread) {
+        *into = (*from).min(MOST_REQUESTS);
+    }
     let requests = load.requests.min(MOST_REQUESTS);
-    Ok((Tag(load.runner), Load { requests, backlog, tokens: load.tokens.min(MOST_TOKENS) }))
+    let tokens = load.tokens.min(MOST_TOKENS);
+    Ok((Tag(load.runner), Load { requests, backlog, unread, tokens }))
 }
 
 fn reading(reading: &Reading) -> pb::Reading {
-    pb::Reading {
-        runner: reading.runner.0,
-        part: reading.part.key.0,
-        tokens: reading.part.tokens,
-    }
+    pb::Reading { runner: reading.runner.0, part: reading.part.key.0, tokens: reading.part.tokens }
 }
 
 fn read_reading(reading: &pb::Reading) -> Reading {
