--- a/lib/src/fleet/gate.rs
+++ b/lib/src/fleet/gate.rs
@@ -50,7 +50,9 @@
 /// prediction's error.
 const ON_TIME: f64 = 0.9;
 /// The part of the caller's patience and time that late work may use up before its first answer.
-const STILL_OF_USE: f64 = 0.6;
+const STILL_OF_USE: f64 = 0.85;
+/// The part of it that late work may wait before its prompt is begun.
+const LATE_WAIT: f64 = 0.3;
 /// A caller bears to hear nothing for the longest of: this time,
 const PATIENCE: Duration = Duration::from_secs(2);
 /// so many objectives,
@@ -84,9 +86,13 @@
         self.objective.is_some_and(|o| first <= o.as_secs_f64() * ON_TIME)
     }
 
-    /// Judges work whose first answer is predicted in `first` seconds in the class of late work.
-    pub fn of_use(&self, first: f64) -> bool {
-        first <= self.left.min(self.patience).as_secs_f64() * STILL_OF_USE
+    /// Judges late work: its first answer is predicted in `first` seconds, of which it would wait
+    /// for `wait` seconds. The wait is bounded more narrowly than the whole, so that long prompts
+    /// find a place as often as short ones; a bound on the whole alone would fill up with short
+    /// ones and turn every long one away.
+    pub fn of_use(&self, first: f64, wait: f64) -> bool {
+        let bearable = self.left.min(self.patience).as_secs_f64();
+        first <= bearable * STILL_OF_USE && wait <= bearable * LATE_WAIT
     }
 
     /// When a refused caller should come back: when the work that waits now will be done, spread so
--- a/lib/src/fleet/place.rs
+++ b/lib/src/fleet/place.rs
@@ -45,6 +45,8 @@
     pub first: f64,
     /// Until the prompt is read, in seconds from now.
     pub read: f64,
+    /// Until the reading begins, in seconds from now.
+    pub wait: f64,
     /// Prompt tokens to read.
     pub fresh: u64,
 }
@@ -116,6 +118,8 @@
     at: &'b Candidate<'a>,
     /// Until it is read, in seconds.
     read: f64,
+    /// Until it is begun, in seconds.
+    wait: f64,
     fresh: u64,
     /// What the choice compares, in seconds.
     rank: f64,
@@ -130,26 +134,37 @@
     let cached = at.runner.cache.cached(&work.chain).min(work.prompt);
     let fresh = work.prompt - cached;
     let time = at.runner.reading(&at.load, fresh, cached);
-    let read = at.runner.wait(&at.load, question.class) + time + start_time();
+    let wait = at.runner.wait(&at.load, question.class);
+    let read = wait + time + start_time();
     let rank = read + time * DELAY_OF_OTHERS + at.cost(question, draw);
-    Reading { at, read, fresh, rank }
+    Reading { at, read, wait, fresh, rank }
 }
 
-/// The parts that the decode runners of a service have while prefill runners read for them.
+/// The parts that the runners of a service have while some read for others.
 ///
 /// A runner that has begun a prompt reads it to its end, and what comes meanwhile, a KV cache from
 /// elsewhere too, waits for its first token. One long prompt so delays every stream that begins at
-/// its runner. Some decode runners therefore read nothing, and the others take whole requests.
+/// its runner. Some decode runners therefore read nothing, and late work, which is mostly long, is
+/// read by a part of the others alone.
 struct Lanes<'a, 'b> {
-    /// Those that only go on from what was read elsewhere.
+    /// Decode runners that only go on from what was read elsewhere.
     decode: Vec<&'b Candidate<'a>>,
-    /// Those that read and answer.
+    /// Decode runners that read and answer.
     whole: Vec<&'b Candidate<'a>>,
+    /// Prefill runners for work that can be on time.
+    prefill: Vec<&'b Candidate<'a>>,
+    /// Prefill runners for late work; work that can be on time may go there too.
+    late: Vec<&'b Candidate<'a>>,
 }
 
 /// The share of the decode runners that read nothing. Two of five carry the streams of the users'
 /// sheets at twice their usual rate with less than 60 at once each.
 const DECODE_ONLY: f64 = 0.4;
+/// The share of the reading that late work may take. In bursts a third of the tokens that are asked
+/// for cannot be read in time.
+const LATE_SHARE: f64 = 0.35;
+/// What a decode runner reads against a prefill runner: half the speed in a quarter of the pieces.
+const WHOLE_SPEED: f64 = 0.4;
 
 fn lanes<'a, 'b>(
     all: &'b [Candidate<'a>],
@@ -157,22 +172,33 @@
     engine: &Engine,
     work: &Work,
 ) -> Lanes<'a, 'b> {
-    let is = |stage| move |c: &&Candidate<'_>| c.runner.entry.stage == Some(stage);
-    let mut whole: Vec<&Candidate<'_>> = all.iter().filter(is(Stage::Decode)).collect();
+    // The same at every node that sees the same runners, whatever their number.
+    let service = place(0, question.service.as_str().as_bytes());
+    let of_stage = |stage| {
+        let mut some: Vec<&Candidate<'_>> =
+            all.iter().filter(|c| c.runner.entry.stage == Some(stage)).collect();
+        some.sort_by_key(|c| rendezvous(service, c.runner.entry.id.as_str().as_bytes()));
+        some
+    };
+    let (mut prefill, mut whole) = (of_stage(Stage::Prefill), of_stage(Stage::Decode));
     let mut decode = Vec::new();
-    if all.iter().any(|c| is(Stage::Prefill)(&c)) {
-        // The same at every node that sees the same runners, whatever their number.
-        let service = place(0, question.service.as_str().as_bytes());
-        whole.sort_by_key(|c| rendezvous(service, c.runner.entry.id.as_str().as_bytes()));
+    if !prefill.is_empty() {
         let count = (whole.len() as f64 * DECODE_ONLY).ceil() as usize;
         decode = whole.split_off(whole.len() - count);
     }
+    let reads_whole = whole.len() as f64 * WHOLE_SPEED;
+    let for_late = (prefill.len() as f64 + reads_whole) * LATE_SHARE - reads_whole;
+    let count = (for_late.max(0.0).round() as usize).min(prefill.len().saturating_sub(1));
+    let late = prefill.split_off(prefill.len() - count);
     let room = |c: &&&Candidate<'_>| c.runner.has_room(&c.load, engine, work.footprint());
     let roomy: Vec<_> = decode.iter().filter(room).copied().collect();
-    if whole.is_empty() {
+    if !roomy.is_empty() {
+        decode = roomy;
+    }
+    if whole.is_empty() && late.is_empty() {
         whole.clone_from(&decode);
     }
-    Lanes { decode: if roomy.is_empty() { decode } else { roomy }, whole }
+    Lanes { decode, whole, prefill, late }
 }
 
 /// Chooses for a generation, or none if no runner of the service can run it.
@@ -185,13 +211,10 @@
 ) -> Option<Placement> {
     let all = candidates(register, question);
     let lanes = lanes(&all, question, engine, work);
-    // Late work, which is mostly long, would stand before the urgent work of half a second.
-    let reads = question.class != Class::LATE || lanes.whole.is_empty();
-    let prefill = |c: &&Candidate<'_>| reads && c.runner.entry.stage == Some(Stage::Prefill);
-    let home = home(all.iter().filter(prefill), work);
-    let reader = all
-        .iter()
-        .filter(prefill)
+    let on_time = if question.class == Class::LATE { &[][..] } else { &lanes.prefill[..] };
+    let readers = || on_time.iter().chain(&lanes.late);
+    let home = home(readers().copied(), work);
+    let reader = readers()
         .map(|c| {
             let mut reading = reading(c, question, work, rng.random());
             if home == Some(&c.runner.entry.id) {
@@ -213,7 +236,8 @@
         .min_by(|a, b| a.0.total_cmp(&b.0));
     let whole = whole.map(|(rank, first, reading)| {
         let plan = Plan::Whole { runner: reading.at.runner.entry.id.clone() };
-        (rank, Placement { plan, first, read: reading.read, fresh: reading.fresh })
+        let Reading { read, wait, fresh, .. } = reading;
+        (rank, Placement { plan, first, read, wait, fresh })
     });
     match (split, whole) {
         (Some(split), Some(whole)) => Some(if split.0 <= whole.0 { split.1 } else { whole.1 }),
@@ -240,8 +264,8 @@
         })
         .min_by(|a, b| a.0.total_cmp(&b.0))?;
     let plan = Plan::Split { prefill: from.id.clone(), decode: maker.runner.entry.id.clone() };
-    let placement =
-        Placement { plan, first: reader.read + first, read: reader.read, fresh: reader.fresh };
+    let Reading { read, wait, fresh, .. } = *reader;
+    let placement = Placement { plan, first: read + first, read, wait, fresh };
     Some((reader.rank + rank, placement))
 }
 
--- a/lib/src/fleet/register.rs
+++ b/lib/src/fleet/register.rs
@@ -9,6 +9,8 @@
 use std::time::Instant;
 
 use super::cache::Part;
+use super::engine::Pace;
+use super::health::Record;
 use super::load::{Class, Load};
 use super::runner::{Entry, Runner, State, Tag};
 use crate::id::{NodeId, RunnerId, ServiceId};
@@ -54,7 +56,10 @@
         let turned = runner.entry.stage != entry.stage;
         runner.entry = entry;
         if turned {
-            runner.pace = super::engine::Pace::default();
+            // What was learned of it in its other stage says nothing of this one.
+            runner.pace = Pace::default();
+            runner.health = Record::default();
+            runner.cache.clear();
         }
         if leaves { Change::Leaving } else { Change::Updated }
     }
--- a/node/src/serve/generation.rs
+++ b/node/src/serve/generation.rs
@@ -25,7 +25,7 @@
 use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_lib::id::RunnerId;
 use sardinepick_platform::answer::{Verdict, is_stream, judge};
-use sardinepick_platform::runner::{self, Call, Handle, Step as Ask};
+use sardinepick_platform::runner::{self, Call, Handle, Step as Ask, read_handle as decode_handle};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 use tokio::sync::{mpsc, oneshot};
@@ -251,7 +251,7 @@
             return Ok((placement, terms.class));
         }
         let late = self.place(Class::LATE);
-        let late = late.filter(|p| self.runs > 0 || terms.of_use(p.first));
+        let late = late.filter(|p| self.runs > 0 || terms.of_use(p.first, p.wait));
         match late {
             Some(placement) => Ok((placement, Class::LATE)),
             None => {
@@ -339,7 +339,7 @@
         let request_id = self.request.id.clone();
         let reading = async {
             let answer = sent.await.map_err(|e| e.to_string())?;
-            read_handle(&request_id, address, answer).await
+            read_handle(id, &request_id, address, answer).await
         };
         let result = tokio::select! {
             () = self.caller.left() => return Err(Stop::CallerLeft),
@@ -466,7 +466,7 @@
                 return Ok(if over { Came::Late } else { Came::Broken });
             }
         };
-        match judge(answer.head.status, &answer.head.headers, &self.request.id) {
+        match judge(answer.head.status, &answer.head.headers, id, &self.request.id) {
             Verdict::Ran if answer.head.status.is_success() && is_stream(&answer.head.headers) => {
                 let predicted = is_whole.then_some(placement.first);
                 self.stream(&mut ticket, answer, predicted).await
@@ -673,11 +673,12 @@
 
 /// Reads the answer of a runner that was to read a prompt.
 async fn read_handle(
+    runner: &RunnerId,
     request: &str,
     address: std::net::SocketAddr,
     answer: Answer,
 ) -> Result<Handle, String> {
-    let verdict = judge(answer.head.status, &answer.head.headers, request);
+    let verdict = judge(answer.head.status, &answer.head.headers, runner, request);
     let status = answer.head.status;
     let body: Result<_, _> = Limited::<Incoming>::new(answer.body, LARGEST).collect().await;
     let body = body.map_err(|e| format!("the answer broke off: {e}"))?.to_bytes();
@@ -688,7 +689,7 @@
     if !status.is_success() {
         return Err(format!("status {status}"));
     }
-    runner::read_handle(address, &body).map_err(|e| e.to_string())
+    decode_handle(address, &body).map_err(|e| e.to_string())
 }
 
 /// A KV cache that nobody has taken yet. It is freed when it is dropped, so that it does not hold a
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -105,7 +105,8 @@
                 return failed.ok_or_else(|| self.give_up(Reason::NoRunner));
             };
             let terms = self.request.terms(now);
-            if self.calls == 0 && !terms.on_time(choice.answer) && !terms.of_use(choice.answer) {
+            if self.calls == 0 && !terms.on_time(choice.answer) && !terms.of_use(choice.answer, 0.0)
+            {
                 let after = terms.come_back(choice.answer, &mut *self.shared.rng());
                 return Err(Refusal::NotRun(Reason::Late, after));
             }
@@ -240,7 +241,7 @@
         answer: Answer,
     ) -> Result<Came, crate::serve::connection::SendError> {
         let request = self.request;
-        let verdict = judge(answer.head.status, &answer.head.headers, &request.id);
+        let verdict = judge(answer.head.status, &answer.head.headers, id, &request.id);
         match verdict {
             Verdict::Ran => {}
             Verdict::OtherInstance | Verdict::NotRun => {
