order: runners change stage with the demand, under a lease

Cause: reading binds. Four prefill runners read 206,000 tokens a second under load and five decode runners much less than half of that each, while two of them carry all streams. Change: lib balance decides how many runners read; one node at a time, by a lease in the store, gives the orders, after the runner's own report (the register's seq counts its writes, not orders: every order that trusted it got 409). Runners on their way get no new work, all nodes hear of it by beats.

--- a/lib/src/fleet/place.rs
+++ b/lib/src/fleet/place.rs
@@ -157,9 +157,10 @@
     late: Vec<&'b Candidate<'a>>,
 }
 
-/// The share of the decode runners that read nothing. Two of five carry the streams of the users'
-/// sheets at twice their usual rate with less than 60 at once each.
-const DECODE_ONLY: f64 = 0.4;
+/// The share of the decode runners that read nothing, and the share of all runners that they are at
+/// the least. Two of nine carry the streams of the users' sheets at twice their usual rate with less
+/// than 60 at once each.
+const DECODE_ONLY: (f64, f64) = (0.4, 0.2);
 /// The share of the reading that late work may take. In bursts a third of the tokens that are asked
 /// for cannot be read in time.
 const LATE_SHARE: f64 = 0.35;
@@ -183,7 +184,9 @@
     let (mut prefill, mut whole) = (of_stage(Stage::Prefill), of_stage(Stage::Decode));
     let mut decode = Vec::new();
     if !prefill.is_empty() {
-        let count = (whole.len() as f64 * DECODE_ONLY).ceil() as usize;
+        let of_decode = (whole.len() as f64 * DECODE_ONLY.0).ceil();
+        let of_all = ((whole.len() + prefill.len()) as f64 * DECODE_ONLY.1).ceil();
+        let count = (of_decode.max(of_all) as usize).min(whole.len());
         decode = whole.split_off(whole.len() - count);
     }
     let reads_whole = whole.len() as f64 * WHOLE_SPEED;
--- a/lib/src/fleet/register.rs
+++ b/lib/src/fleet/register.rs
@@ -60,6 +60,7 @@
             runner.pace = Pace::default();
             runner.health = Record::default();
             runner.cache.clear();
+            runner.reserved = None;
         }
         if leaves { Change::Leaving } else { Change::Updated }
     }
@@ -190,6 +191,16 @@
         }
     }
 
+    /// Keeps new work from runners that are on their way to another stage.
+    pub fn reserve(&mut self, tags: &[Tag], until: Instant) {
+        for tag in tags {
+            let runner = self.tags.get(tag).and_then(|id| self.runners.get_mut(id));
+            if let Some(runner) = runner {
+                runner.reserved = Some(until);
+            }
+        }
+    }
+
     /// What this node has under way, by runner.
     pub fn own_loads(&self) -> Vec<(Tag, Load)> {
         let busy = self.runners.values().filter(|r| !r.own.is_empty());
--- a/lib/src/fleet/runner.rs
+++ b/lib/src/fleet/runner.rs
@@ -39,8 +39,6 @@
     pub stage: Option<Stage>,
     /// Requests at once.
     pub slots: u32,
-    /// Orders it has accepted.
-    pub orders: u64,
     /// The change by which the entry came to be as it is.
     pub revision: Revision,
 }
@@ -74,6 +72,8 @@
     pub pace: Pace,
     /// The mean time of a plain answer, in seconds.
     pub answer_time: f64,
+    /// Until when it gets no new work, since it is on its way to another stage.
+    pub reserved: Option<Instant>,
 }
 
 /// What is assumed of a plain answer's time until some have come, in seconds (users' sheets: 15 ms
@@ -95,12 +95,14 @@
             cache: Cache::default(),
             pace: Pace::default(),
             answer_time: FIRST_ANSWER_TIME,
+            reserved: None,
         }
     }
 
     /// Whether new work may go there.
     pub fn takes_work(&self, now: Instant) -> bool {
-        self.entry.state == State::Ready && self.health.takes_work(now)
+        let reserved = self.reserved.is_some_and(|until| now < until);
+        self.entry.state == State::Ready && !reserved && self.health.takes_work(now)
     }
 
     /// Whether it could do work at all if no better one were left.
--- a/lib/src/lease.rs
+++ b/lib/src/lease.rs
@@ -13,11 +13,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use crate::id::{Epoch, Incarnation, Name};
-
-/// The revision of an object in the store, by which updates are conditional.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct Revision(pub u64);
+use crate::id::{Epoch, Incarnation, Name, Revision};
 
 /// One life of a node, as the holder of leases.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
--- a/lib/src/order.rs
+++ b/lib/src/order.rs
@@ -14,7 +14,7 @@
 
 use crate::config::object::{Fencing, Role};
 use crate::id::Epoch;
-use crate::lease::Revision;
+use crate::id::Revision;
 
 /// The identity of an order; an engine does an order of the same identity once.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
--- a/lib/tests/authority_model.rs
+++ b/lib/tests/authority_model.rs
@@ -11,8 +11,9 @@
 use std::time::{Duration, Instant};
 
 use sardinepick_lib::config::object::{Fencing, Role};
+use sardinepick_lib::id::Revision;
 use sardinepick_lib::id::{Epoch, Incarnation};
-use sardinepick_lib::lease::{self, Holder, Lease, Revision, Term, Written};
+use sardinepick_lib::lease::{self, Holder, Lease, Term, Written};
 use sardinepick_lib::order::{self, Answer, Condition, Desk, Id, Intent, Order};
 
 const TERM: Term = Term { ttl: Duration::from_secs(4), margin: Duration::from_secs(1) };
--- a/node/src/configuration.rs
+++ b/node/src/configuration.rs
@@ -9,7 +9,7 @@
 use sardinepick_lib::config::head::Head;
 use sardinepick_lib::hash::Digest;
 use sardinepick_lib::id::Name;
-use sardinepick_lib::lease::Revision;
+use sardinepick_lib::id::Revision;
 use sardinepick_lib::member::State;
 use sardinepick_lib::spread::{Action, Source, SpreadError};
 use sardinepick_lib::supply;
--- a/node/src/serve/beat.rs
+++ b/node/src/serve/beat.rs
@@ -18,6 +18,9 @@
 /// How long an unheard node keeps its part of the shared allowances.
 const FORGET: Duration = Duration::from_secs(600);
 
+/// How long a runner gets no new work after a beat that says it is on its way to another stage.
+const RESERVED: Duration = Duration::from_millis(1_000);
+
 /// Sends beats until the process ends.
 pub async fn send(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut count: u64 = 0;
@@ -43,6 +46,7 @@
             loads: loads.into_iter().take(MOST_LOADS).collect(),
             readings: shared.take_readings(MOST_READINGS),
             answer: count == 1,
+            away: shared.away(),
         };
         let targets = targets(&shared, count);
         for target in targets {
@@ -117,6 +121,7 @@
     {
         let mut register = shared.register();
         register.take_report(id, &beat.loads, now);
+        register.reserve(&beat.away, now + RESERVED);
         for reading in &beat.readings {
             register.take_reading(*reading, now);
         }
@@ -131,6 +136,7 @@
             loads: Vec::new(),
             readings: Vec::new(),
             answer: false,
+            away: Vec::new(),
         };
         transmit(shared, socket, &mine, beat.contact.peer).await;
     }
--- a/node/src/serve/generation.rs
+++ b/node/src/serve/generation.rs
@@ -246,6 +246,10 @@
         let Some(placement) = self.place(terms.class) else {
             return Err(Stop::Refuse(self.give_up(Reason::NoRunner)));
         };
+        if self.calls == 0 {
+            let mut demand = self.shared.demand();
+            demand.entry(self.request.service.clone()).or_default().note(placement.fresh);
+        }
         // A stream that has begun goes on in its class: the caller is reading it.
         if self.events > 0 || terms.on_time(placement.first) {
             return Ok((placement, terms.class));
--- a/node/src/serve/mod.rs
+++ b/node/src/serve/mod.rs
@@ -11,6 +11,7 @@
 pub mod generation;
 pub mod listener;
 pub mod metrics;
+pub mod order;
 pub mod peer;
 pub mod plain;
 pub mod request;
--- /dev/null
+++ b/node/src/serve/order.rs
@@ -0,0 +1,394 @@
+//! Orders to runners: who may give them, and which are given.
+//!
+//! One node at a time holds the authority, a lease in the platform's store. It is taken only when
+//! there is something to order, and kept until two holders' orders cannot follow each other too
+//! closely. The right is looked at again as the last thing before an order leaves, by a clock that
+//! counts suspension. An order whose answer is lost may be carried out seconds later: it names how
+//! many orders the runner had accepted before, so that it cannot undo a later one, and the runner
+//! gets no other order meanwhile.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http_body_util::{BodyExt as _, Limited};
+use sardinepick_lib::fleet::balance::{Change, DWELL, Division, decide};
+use sardinepick_lib::fleet::engine::Stage;
+use sardinepick_lib::fleet::load::Load;
+use sardinepick_lib::fleet::route::Configuration;
+use sardinepick_lib::fleet::runner::{Entry, Runner, Tag};
+use sardinepick_lib::hash::{place, rendezvous};
+use sardinepick_lib::id::{Epoch, Name, RunnerId, ServiceId};
+use sardinepick_lib::lease::{Action, Holder, Lease, Record, Term, Written};
+use sardinepick_platform::order::{LEASES, Order, Reply, Report, ask, read_report, reply, request};
+use sardinepick_platform::store::Refused;
+use tokio::time::{sleep, timeout};
+
+use crate::serve::plain::CONNECT_LIMIT;
+use crate::serve::shared::Shared;
+use crate::serve::store::{Purpose, StoreError};
+
+/// How often the need for orders is looked at.
+const PERIOD: Duration = Duration::from_millis(250);
+/// How often a node that wants the lease reads it while another holds it.
+const READ_PERIOD: Duration = Duration::from_millis(1_500);
+/// How long a lease holds without renewal.
+const TTL: Duration = Duration::from_secs(4);
+/// How much longer than the turns of two holders a challenger waits, for a renewal under way.
+const TURN_MARGIN: Duration = Duration::from_millis(500);
+/// How long the lease is kept after the last wish for an order.
+const KEPT: Duration = Duration::from_secs(5);
+/// How long an order may take to be answered.
+const ORDER_LIMIT: Duration = Duration::from_millis(500);
+/// How long the other nodes are given to hear that a runner is to get no new work.
+const NOTICE: Duration = Duration::from_millis(150);
+/// How long an order without an answer may still be carried out (users' sheets: 2 to 12 s).
+const PENDING: Duration = Duration::from_secs(13);
+/// The name of the lease.
+const LEASE: &str = "runners";
+/// The largest answer to an order that is read.
+const LARGEST: usize = 64 << 10;
+
+/// An order that was given.
+#[derive(Clone, Copy, Debug)]
+struct Given {
+    at: Instant,
+    to: Stage,
+    /// Until when the runner counts as on its way.
+    until: Instant,
+    /// Whether it has said so. Until it does, it works on as before, perhaps for seconds.
+    answered: bool,
+}
+
+struct Desk {
+    shared: Arc<Shared>,
+    lease: Lease,
+    term: Term,
+    given: HashMap<RunnerId, Given>,
+    wished: Option<Instant>,
+    ordered: Option<Instant>,
+    read: Option<Instant>,
+}
+
+/// Looks after orders until the process ends.
+pub async fn run(shared: Arc<Shared>) {
+    let name: Name = match shared.me.id.as_str().parse() {
+        Ok(name) => name,
+        Err(error) => {
+            log::error!(node:% = shared.me.id, error:% = error; "this node gives no orders");
+            return;
+        }
+    };
+    let holder = Holder { name, incarnation: shared.me.incarnation };
+    let term = Term { ttl: TTL, margin: shared.settings.turns + TURN_MARGIN };
+    let lease = Lease::new(holder);
+    let given = HashMap::new();
+    let mut desk = Desk { shared, lease, term, given, wished: None, ordered: None, read: None };
+    loop {
+        sleep(PERIOD).await;
+        desk.turn().await;
+    }
+}
+
+impl Desk {
+    async fn turn(&mut self) {
+        let now = self.shared.clock.now();
+        let Some(configuration) = self.shared.configuration.load_full() else { return };
+        self.forget(now);
+        let leads = leads(&self.shared, now);
+        let wishes = self.wishes(&configuration, now);
+        if leads && !wishes.is_empty() {
+            self.wished = Some(now);
+        }
+        self.keep_lease(now, leads).await;
+        if !leads {
+            return;
+        }
+        for (service, change) in wishes {
+            if self.lease.authority(self.shared.clock.now()).is_some() {
+                self.carry_out(&service, change).await;
+            }
+        }
+    }
+
+    /// Drops what is known of orders that have been carried out or are past being so.
+    fn forget(&mut self, now: Instant) {
+        let register = self.shared.register();
+        self.given.retain(|id, given| {
+            let dwells = now.saturating_duration_since(given.at) < DWELL;
+            dwells && register.get(id).is_some()
+        });
+        let away = |(id, given): (&RunnerId, &Given)| {
+            let stage = register.get(id)?.entry.stage;
+            let away = given.answered && stage != Some(given.to) && now < given.until;
+            away.then(|| Tag::of(id))
+        };
+        let tags: Vec<Tag> = self.given.iter().filter_map(away).collect();
+        drop(register);
+        self.shared.register().reserve(&tags, now + PERIOD * 2);
+        self.shared.set_away(tags);
+    }
+
+    /// The changes that the demand calls for, by service.
+    fn wishes(&self, configuration: &Configuration, now: Instant) -> Vec<(ServiceId, Change)> {
+        let nodes = self.shared.roster().fronts(now).len() + 1;
+        let mut wishes = Vec::new();
+        for service in configuration.services() {
+            let Some(engine) = service.engine else { continue };
+            let (division, load) = self.division(&service.name, now);
+            let mut demands = self.shared.demand();
+            let demand = demands.entry(service.name.clone()).or_default();
+            demand.tick(now, f64::from(load.requests), load.tokens as f64);
+            if let Some(change) = decide(division, demand, nodes, engine.memory) {
+                wishes.push((service.name.clone(), change));
+            }
+        }
+        wishes
+    }
+
+    /// The runners of a service by stage, and what its decode runners have under way.
+    fn division(&self, service: &ServiceId, now: Instant) -> (Division, Load) {
+        let mut division = Division::default();
+        let mut sum = Load::default();
+        let register = self.shared.register();
+        for runner in register.of(service) {
+            if self.is_away(&runner.entry, now) {
+                division.away += 1;
+            } else if runner.takes_work(now) {
+                match runner.entry.stage {
+                    Some(Stage::Prefill) => division.prefill += 1,
+                    Some(Stage::Decode) => {
+                        division.decode += 1;
+                        sum.add(&runner.load(now));
+                    }
+                    None => {}
+                }
+            }
+        }
+        (division, sum)
+    }
+
+    fn is_away(&self, entry: &Entry, now: Instant) -> bool {
+        let given = self.given.get(&entry.id);
+        given.is_some_and(|given| entry.stage != Some(given.to) && now < given.until)
+    }
+
+    /// Takes, renews or gives back the lease.
+    async fn keep_lease(&mut self, now: Instant, leads: bool) {
+        let within = |at: Option<Instant>, span| {
+            at.is_some_and(|at| now.saturating_duration_since(at) < span)
+        };
+        let wanted = leads && within(self.wished, KEPT);
+        // Whoever comes next may order at once what was given back, so it is kept for a turn.
+        let wanted = wanted || within(self.ordered, self.term.margin);
+        let mine = self.lease.authority(now).is_some();
+        if !wanted && !mine {
+            return;
+        }
+        if self.lease.wants_settling() {
+            self.read_lease().await;
+        }
+        if !mine && !within(self.read, READ_PERIOD) {
+            self.lease.want_read();
+        }
+        // A read is followed by what it allows.
+        for _ in 0..2 {
+            match self.lease.poll(now, self.term, wanted, |_| false) {
+                Some(Action::Read) => self.read_lease().await,
+                Some(Action::Write { expected, record }) => {
+                    self.write_lease(expected, &record).await;
+                }
+                None => return,
+            }
+        }
+    }
+
+    async fn read_lease(&mut self) {
+        let result = self.shared.store.get(Purpose::Lease, LEASES, LEASE).await;
+        let now = self.shared.clock.now();
+        self.read = Some(now);
+        let found = match result {
+            Ok(None) => None,
+            Ok(Some(object)) => match serde_json::from_slice::<Record>(&object.content) {
+                Ok(record) => Some((object.revision, record)),
+                Err(error) => {
+                    log::error!(error:% = error; "the lease cannot be read");
+                    return;
+                }
+            },
+            Err(error) => {
+                log::info!(error:% = error; "lease not read");
+                self.lease.want_read();
+                return;
+            }
+        };
+        self.lease.take_read(now, self.term, found);
+    }
+
+    async fn write_lease(
+        &mut self,
+        expected: Option<sardinepick_lib::id::Revision>,
+        record: &Record,
+    ) {
+        let store = &self.shared.store;
+        let content = serde_json::json!(record);
+        let result = match expected {
+            None => store.create(Purpose::Lease, LEASES, LEASE, &content).await,
+            Some(was) => store.replace(Purpose::Lease, LEASES, LEASE, was, &content).await,
+        };
+        let now = self.shared.clock.now();
+        let written = match result {
+            Ok(object) => Written::Done(object.revision),
+            Err(StoreError::Refused {
+                refused: Refused::Conflict(_) | Refused::Missing, ..
+            }) => Written::Conflict,
+            Err(error) => {
+                log::info!(error:% = error; "lease not known to be written");
+                Written::Lost
+            }
+        };
+        log::info!(
+            epoch:% = record.epoch, beat = record.beat, released = record.holder.is_none(),
+            written:? = written; "lease written"
+        );
+        self.lease.take_written(now, self.term, written);
+    }
+
+    async fn carry_out(&mut self, service: &ServiceId, change: Change) {
+        let chosen = self.choose(service, change);
+        if chosen.is_empty() {
+            return;
+        }
+        let now = self.shared.clock.now();
+        for entry in &chosen {
+            let given = Given { at: now, to: change.to, until: now + PENDING, answered: true };
+            self.given.insert(entry.id.clone(), given);
+        }
+        self.forget(now);
+        sleep(NOTICE).await;
+        for entry in chosen {
+            self.give(&entry, change.to).await;
+        }
+    }
+
+    /// The runners that lose least by the change: those with the least under way.
+    fn choose(&self, service: &ServiceId, change: Change) -> Vec<Entry> {
+        let now = self.shared.clock.now();
+        let from = match change.to {
+            Stage::Prefill => Stage::Decode,
+            Stage::Decode => Stage::Prefill,
+        };
+        let register = self.shared.register();
+        let fits = |runner: &&Runner| {
+            let stage = runner.entry.stage == Some(from);
+            stage && runner.takes_work(now) && !self.given.contains_key(&runner.entry.id)
+        };
+        let mut fitting: Vec<&Runner> = register.of(service).filter(fits).collect();
+        fitting.sort_by_key(|r| (r.load(now).requests, r.cache.tokens()));
+        fitting.iter().take(change.count).map(|r| r.entry.clone()).collect()
+    }
+
+    async fn give(&mut self, entry: &Entry, to: Stage) {
+        // A runner is asked, and never assumed, to be as it was.
+        let report = match self.ask(entry).await {
+            Ok(report) if !report.busy && report.stage == entry.stage => report,
+            Ok(report) => {
+                log::info!(runner:% = entry.id, report:? = report; "order not given");
+                self.withdraw(entry);
+                return;
+            }
+            Err(detail) => {
+                log::info!(runner:% = entry.id, error = detail; "order not given");
+                self.withdraw(entry);
+                return;
+            }
+        };
+        let Some(epoch) = self.lease.authority(self.shared.clock.now()) else {
+            log::info!(runner:% = entry.id; "order not given: the authority is over");
+            self.withdraw(entry);
+            return;
+        };
+        let outcome = self.send(entry, to, epoch, report.accepted).await;
+        let now = self.shared.clock.now();
+        self.ordered = Some(now);
+        log::info!(
+            runner:% = entry.id, stage:% = to, epoch:% = epoch, accepted = report.accepted,
+            reply = outcome.map_or("none", Into::into); "order given"
+        );
+        match outcome {
+            Some(Reply::Accepted | Reply::Holds) => {}
+            None => {
+                if let Some(given) = self.given.get_mut(&entry.id) {
+                    given.answered = false;
+                }
+            }
+            Some(Reply::Busy | Reply::Fenced | Reply::OtherInstance | Reply::Refused) => {
+                self.withdraw(entry);
+            }
+        }
+    }
+
+    /// Lets a runner work on that was to be changed, and leaves it alone for a while.
+    fn withdraw(&mut self, entry: &Entry) {
+        let now = self.shared.clock.now();
+        if let Some(given) = self.given.get_mut(&entry.id) {
+            given.until = now;
+        }
+    }
+
+    async fn ask(&self, entry: &Entry) -> Result<Report, String> {
+        let asked = async {
+            let outgoing = ask(&entry.id, entry.address);
+            let sent = self.shared.connections.send(entry.address, outgoing, CONNECT_LIMIT);
+            let answer = sent.await.map_err(|e| e.to_string())?;
+            let status = answer.head.status;
+            let body = Limited::new(answer.body, LARGEST).collect().await;
+            let body = body.map_err(|e| e.to_string())?.to_bytes();
+            answer.lease.give_back();
+            if !status.is_success() {
+                return Err(format!("status {status}"));
+            }
+            read_report(&body).map_err(|e| e.to_string())
+        };
+        let late = |_| Err(format!("no report within {ORDER_LIMIT:?}"));
+        timeout(ORDER_LIMIT, asked).await.unwrap_or_else(late)
+    }
+
+    async fn send(&self, entry: &Entry, to: Stage, epoch: Epoch, accepted: u64) -> Option<Reply> {
+        let order = Order {
+            runner: &entry.id,
+            address: entry.address,
+            stage: to,
+            holder: &self.shared.me.id,
+            epoch,
+            accepted,
+        };
+        let sent = self.shared.connections.send(entry.address, request(&order), CONNECT_LIMIT);
+        match timeout(ORDER_LIMIT, sent).await {
+            Ok(Ok(answer)) => {
+                let reply = reply(answer.head.status);
+                if Limited::new(answer.body, LARGEST).collect().await.is_ok() {
+                    answer.lease.give_back();
+                }
+                Some(reply)
+            }
+            Ok(Err(error)) => {
+                log::info!(runner:% = entry.id, error:% = error; "order without an answer");
+                None
+            }
+            Err(_) => None,
+        }
+    }
+}
+
+/// Whether this node is the one that looks after orders: the same one for all nodes that hear each
+/// other. Where they do not, the lease decides.
+fn leads(shared: &Shared, now: Instant) -> bool {
+    if !shared.is_ready() {
+        return false;
+    }
+    let duty = place(0, LEASE.as_bytes());
+    let rank = |id: &str| rendezvous(duty, id.as_bytes());
+    let mine = rank(shared.me.id.as_str());
+    shared.roster().fronts(now).iter().all(|other| rank(other.id.as_str()) < mine)
+}
--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -16,7 +16,7 @@
 use crate::serve::metrics::Metrics;
 use crate::serve::settings::Settings;
 use crate::serve::shared::Shared;
-use crate::serve::{beat, follow, peer};
+use crate::serve::{beat, follow, order, peer};
 
 /// Why a node does not start.
 #[derive(Debug, Error)]
@@ -87,6 +87,7 @@
     tokio::spawn(follow::register(shared.clone()));
     tokio::spawn(follow::join(shared.clone()));
     tokio::spawn(follow::tidy(shared.clone()));
+    tokio::spawn(order::run(shared.clone()));
     log::info!(
         node:% = shared.me.id, data_centre:% = shared.me.data_centre, front:% = shared.me.front,
         peer:% = shared.me.peer, version = env!("CARGO_PKG_VERSION"); "started"
--- a/node/src/serve/settings.rs
+++ b/node/src/serve/settings.rs
@@ -41,23 +41,27 @@
     pub grace: Duration,
     /// The longest time for which callers heed an answer where to connect.
     pub longest_validity: Duration,
+    /// How long two holders' orders to one runner must be apart.
+    pub turns: Duration,
     /// The least severe log lines that are written.
     pub log_level: LevelFilter,
     /// How they are written.
     pub log_format: LogFormat,
 }
 
-const SECTIONS: [(&str, &[&str]); 5] = [
+const SECTIONS: [(&str, &[&str]); 6] = [
     ("node", &["name", "data_centre", "front", "ready", "lookup", "peer", "metrics", "seeds"]),
     ("store", &["address"]),
     ("retry", &["ratio", "allowance", "window_s"]),
     ("stop", &["grace_s", "longest_validity_s"]),
+    ("orders", &["turns_ms"]),
     ("log", &["level", "format"]),
 ];
 
 const ID_FORM: &str = "text of 1 to 256 bytes";
 const RATIO_FORM: &str = "a number from 0 to 10";
 const ALLOWANCE_FORM: &str = "a number from 0 to 1000000";
+const MILLIS_FORM: &str = "a whole number of milliseconds from 1 to 3600000";
 const SECONDS_FORM: &str = "a number of seconds from 0.1 to 3600";
 
 /// Bounds for where the platform sets none: a fifth of the requests and ten besides, in ten
@@ -66,6 +70,8 @@
     Bounds { ratio: 0.2, allowance: 10.0, window: Duration::from_secs(10) };
 /// The time to stop where the platform sets none.
 const DEFAULT_GRACE: Duration = Duration::from_secs(8);
+/// The time between two holders' orders where the platform sets none.
+const DEFAULT_TURNS: Duration = Duration::from_secs(3);
 /// The validity of a look-up where the platform sets none.
 const DEFAULT_VALIDITY: Duration = Duration::from_secs(5);
 
@@ -110,6 +116,7 @@
     let window = r.optional("retry", "window_s", SECONDS_FORM, seconds);
     let grace = r.optional("stop", "grace_s", SECONDS_FORM, seconds);
     let validity = r.optional("stop", "longest_validity_s", SECONDS_FORM, seconds);
+    let turns = r.optional("orders", "turns_ms", MILLIS_FORM, |t| within(t, 1, 3_600_000));
     let log_level = r.optional("log", "level", LEVEL_FORM, parsed);
     let log_format = r.optional("log", "format", FORMAT_FORM, parsed);
     Some(Settings {
@@ -129,6 +136,7 @@
         },
         grace: grace.unwrap_or(DEFAULT_GRACE),
         longest_validity: validity.unwrap_or(DEFAULT_VALIDITY),
+        turns: turns.map_or(DEFAULT_TURNS, Duration::from_millis),
         log_level: log_level.unwrap_or(LevelFilter::Info),
         log_format: log_format.unwrap_or(LogFormat::Json),
     })
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -8,11 +8,13 @@
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
 use sardinepick_lib::clock::Clock;
+use sardinepick_lib::fleet::balance::Demand;
 use sardinepick_lib::fleet::budget::Budget;
 use sardinepick_lib::fleet::outage::Outage;
 use sardinepick_lib::fleet::register::{Reading, Register};
 use sardinepick_lib::fleet::roster::{Contact, Roster, Standing, Status};
 use sardinepick_lib::fleet::route::Configuration;
+use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_lib::hash::place;
 use sardinepick_lib::id::{Incarnation, Revision, ServiceId};
 use sardinepick_platform::store::Object;
@@ -66,6 +68,8 @@
     outage: Mutex<Outage>,
     budgets: Mutex<HashMap<ServiceId, Budget>>,
     readings: Mutex<Vec<Reading>>,
+    demand: Mutex<HashMap<ServiceId, Demand>>,
+    away: Mutex<Vec<Tag>>,
     rng: Mutex<StdRng>,
     began: Instant,
 }
@@ -109,6 +113,8 @@
             outage: Mutex::default(),
             budgets: Mutex::default(),
             readings: Mutex::default(),
+            demand: Mutex::default(),
+            away: Mutex::default(),
             rng: Mutex::new(StdRng::seed_from_u64(seed)),
             settings,
             clock,
@@ -195,6 +201,25 @@
         change(budgets.get_mut(service).expect("it was just put there"))
     }
 
+    /// What is asked of the services, as this node sees it.
+    pub fn demand(&self) -> MutexGuard<'_, HashMap<ServiceId, Demand>> {
+        lock(&self.demand)
+    }
+
+    /// Runners that are on their way to another stage by this node's orders.
+    pub fn away(&self) -> Vec<Tag> {
+        lock(&self.away).clone()
+    }
+
+    /// Replaces the runners that are on their way; all nodes hear of a new one at once.
+    pub fn set_away(&self, tags: Vec<Tag>) {
+        let mut away = lock(&self.away);
+        if *away != tags {
+            *away = tags;
+            self.beat_now.notify_one();
+        }
+    }
+
     /// Notes prompts that runners read for this node, to be told with the next beat.
     pub fn note_readings(&self, more: impl Iterator<Item = Reading>) {
         let mut readings = lock(&self.readings);
--- a/node/src/serve/store.rs
+++ b/node/src/serve/store.rs
@@ -76,6 +76,8 @@
     Nodes,
     /// Writing this node's entry.
     NodeWrite,
+    /// Reading or writing the authority over runners.
+    Lease,
 }
 
 /// How long a call other than a watch may take. The store answers in 4 ms (users' sheets), and in
@@ -152,14 +154,61 @@
         name: &str,
         content: &serde_json::Value,
     ) -> Result<(), StoreError> {
-        let request = store::create(self.address, kind, name, content);
-        let created = self.call(purpose, request, CALL_LIMIT, store::read_write).await;
+        let created = self.create(purpose, kind, name, content).await;
         let Err(StoreError::Refused { refused: Refused::Conflict(Some(object)), .. }) = &created
         else {
-            return created;
+            return created.map(|_| ());
         };
-        let request = store::replace(self.address, kind, name, object.revision, content);
-        self.call(purpose, request, CALL_LIMIT, store::read_write).await
+        self.replace(purpose, kind, name, object.revision, content).await.map(|_| ())
+    }
+
+    /// Reads one object; none if there is none.
+    ///
+    /// # Errors
+    /// It cannot be read.
+    pub async fn get(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        name: &str,
+    ) -> Result<Option<Object>, StoreError> {
+        let request = store::get(self.address, kind, name);
+        match self.call(purpose, request, CALL_LIMIT, store::read_object).await {
+            Ok(object) => Ok(Some(object)),
+            Err(StoreError::Refused { refused: Refused::Missing, .. }) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Writes an object that must not be there yet.
+    ///
+    /// # Errors
+    /// It is there, or cannot be written.
+    pub async fn create(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        name: &str,
+        content: &serde_json::Value,
+    ) -> Result<Object, StoreError> {
+        let request = store::create(self.address, kind, name, content);
+        self.call(purpose, request, CALL_LIMIT, store::read_object).await
+    }
+
+    /// Replaces an object that must still have the revision `was`.
+    ///
+    /// # Errors
+    /// It is another one by now, or cannot be written.
+    pub async fn replace(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        name: &str,
+        was: Revision,
+        content: &serde_json::Value,
+    ) -> Result<Object, StoreError> {
+        let request = store::replace(self.address, kind, name, was, content);
+        self.call(purpose, request, CALL_LIMIT, store::read_object).await
     }
 
     async fn call<T>(
--- a/node/src/store.rs
+++ b/node/src/store.rs
@@ -12,7 +12,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use prometheus::IntCounterVec;
-use sardinepick_lib::lease::Revision;
+use sardinepick_lib::id::Revision;
 use sardinepick_lib::member::Vm;
 use serde::Deserialize;
 use smol_str::SmolStr;
--- a/node/src/sweep.rs
+++ b/node/src/sweep.rs
@@ -14,7 +14,7 @@
 use sardinepick_lib::config::chunk::Root;
 use sardinepick_lib::config::head::Head;
 use sardinepick_lib::hash::Digest;
-use sardinepick_lib::lease::Revision;
+use sardinepick_lib::id::Revision;
 use sardinepick_lib::supply;
 
 use crate::configuration::{FetchError, HEAD, read_chunks, read_head};
--- a/node/src/tables.rs
+++ b/node/src/tables.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use sardinepick_lib::id::Revision;
 use sardinepick_lib::id::{Name, Version};
-use sardinepick_lib::lease::Revision;
 use sardinepick_lib::member::State;
 use sardinepick_lib::owner::{LONGEST_STEP, Member, SHORTEST_STEP, Table};
 use sardinepick_lib::supply;
--- a/node/src/write.rs
+++ b/node/src/write.rs
@@ -14,8 +14,8 @@
 use sardinepick_lib::config::chunk::{Chunk, Root, join};
 use sardinepick_lib::config::head::{ChangeId, Head, Operation};
 use sardinepick_lib::config::snapshot::Snapshot;
+use sardinepick_lib::id::Revision;
 use sardinepick_lib::id::{Generation, Name};
-use sardinepick_lib::lease::Revision;
 use sardinepick_lib::spread::Installed;
 use smol_str::SmolStr;
 use thiserror::Error;
--- a/wire/src/beat.rs
+++ b/wire/src/beat.rs
@@ -31,6 +31,8 @@
     pub readings: Vec<Reading>,
     /// Whether it wants a beat at once.
     pub answer: bool,
+    /// Runners that are on their way to another stage, by the sender's orders.
+    pub away: Vec<Tag>,
 }
 
 impl Beat {
@@ -49,6 +51,7 @@
             loads: self.loads.iter().map(load).collect(),
             readings: self.readings.iter().map(reading).collect(),
             answer: self.answer,
+            away: self.away.iter().map(|tag| tag.0).collect(),
         };
         beat.encode_to_vec()
     }
@@ -85,6 +88,7 @@
             loads: beat.loads.iter().map(read_load).collect::<Result<_, _>>()?,
             readings: beat.readings.iter().map(read_reading).collect(),
             answer: beat.answer,
+            away: beat.away.into_iter().map(Tag).collect(),
         })
     }
 }
