--- a/node/src/serve/generation.rs
+++ b/node/src/serve/generation.rs
@@ -68,6 +68,7 @@
         tried: SmallVec::new(),
         calls: 0,
         arrivals: 0,
+        has_read: false,
         runs: 0,
         doubt: false,
         events: 0,
@@ -129,8 +130,10 @@
     tried: SmallVec<[RunnerId; 4]>,
     /// Calls made.
     calls: u32,
-    /// Calls that a runner has got, beyond a first reading of the prompt.
+    /// Calls that a runner has got and that count towards the retry budget.
     arrivals: u32,
+    /// A runner has read the prompt for another one.
+    has_read: bool,
     /// Calls that a runner has run, or may have.
     runs: u32,
     /// A run may have begun and did not end whole.
@@ -287,9 +290,6 @@
 
     async fn attempt(&mut self) -> Result<Came, Stop> {
         let (placement, class) = self.admit()?;
-        if self.arrivals > 0 && !self.shared.take_extra(&self.request.service) {
-            return Err(Stop::Refuse(self.give_up(Reason::Budget)));
-        }
         self.plan = (&placement.plan).into();
         self.shared.metrics.plans.with_label_values(&[self.plan]).inc();
         log::info!(
@@ -336,6 +336,15 @@
         came
     }
 
+    /// Pays for one more arrival at a runner. A request's first is free, and so is the first reading
+    /// of its prompt that a runner takes up; a second reading counts like a second run.
+    fn pay(&mut self) -> Result<(), Stop> {
+        if self.arrivals == 0 || self.shared.take_extra(&self.request.service) {
+            return Ok(());
+        }
+        Err(Stop::Refuse(self.give_up(Reason::Budget)))
+    }
+
     /// Has the prompt read at a prefill runner. None if it was not.
     async fn read_at(
         &mut self,
@@ -343,6 +352,7 @@
         share: Share,
         placement: &Placement,
     ) -> Result<Option<Handle>, Stop> {
+        self.pay()?;
         let left = self.request.left(self.shared.clock.now());
         let mut ticket = Ticket::new(&self.shared, id, Step::Read, share);
         self.calls += 1;
@@ -363,6 +373,8 @@
         let result = result.unwrap_or_else(|_| Err(format!("no answer within {limit:?}")));
         match result {
             Ok(handle) => {
+                self.arrivals += u32::from(self.has_read);
+                self.has_read = true;
                 ticket.conclude(Outcome::Answered);
                 log::info!(
                     request:% = self.request.id, runner:% = id, fresh = placement.fresh,
@@ -374,7 +386,6 @@
                 Ok(Some(handle))
             }
             Err(detail) => {
-                // Only the first reading that a runner takes up is free of the budget.
                 self.arrivals += 1;
                 ticket.conclude(Outcome::Broken);
                 log::info!(
@@ -439,6 +450,7 @@
         share: Share,
         placement: &Placement,
     ) -> Result<Came, Stop> {
+        self.pay()?;
         self.tried.push(id.clone());
         let left = self.request.left(self.shared.clock.now());
         let mut ticket = Ticket::new(&self.shared, id, Step::Run, share);
--- a/node/src/serve/listener.rs
+++ b/node/src/serve/listener.rs
@@ -19,9 +19,9 @@
 use crate::serve::request;
 use crate::serve::shared::Shared;
 
-/// How long callers may keep an answer where to connect. Some keep it three times as long, and a
-/// stopping node must have lost them all before its grace is over.
-const VALIDITY: Duration = Duration::from_secs(2);
+/// How long callers may keep an answer where to connect. Some keep it three times as long. A stopping
+/// node must have lost them all early enough to finish what they sent last.
+const VALIDITY: Duration = Duration::from_secs(1);
 /// The most addresses in an answer (platform's protocol).
 const MOST_ADDRESSES: usize = 64;
 /// How long to wait after a connection could not be accepted: without descriptors every try fails
--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -38,8 +38,9 @@
 }
 
 /// The part of the grace after which a stopping node closes its connections: by then no caller that
-/// heeds a look-up's validity, even three times over, connects to it any more.
-const OPEN_PART: f64 = 0.76;
+/// heeds a look-up's validity, even three times over, connects to it any more, and more than half of
+/// the grace is left for what was sent last.
+const OPEN_PART: f64 = 0.42;
 /// The part of the grace after which the node ends whatever is under way.
 const END_PART: f64 = 0.96;
 /// How often a stopping node looks whether it is done.
--- /dev/null
+++ b/testutils/src/fleet/deployment.rs
@@ -0,0 +1,197 @@
+//! A deployment: a store, runners and nodes in one process, for tests.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::LevelFilter;
+use sardinepick_lib::clock::System;
+use sardinepick_lib::fleet::budget::Bounds;
+use sardinepick_node::serve::metrics::Metrics;
+use sardinepick_node::serve::run::{self, Running};
+use sardinepick_node::serve::settings::Settings;
+use sardinepick_node::settings::LogFormat;
+use serde_json::{Value, json};
+
+use crate::cluster::{free_address, own_ip, wait_until};
+use crate::fleet::caller::{Ask, Caller, Told};
+use crate::fleet::runner::{Kind, Runner};
+use crate::fleet::store::Store;
+
+/// The data centre of nodes and runners that a test does not place itself.
+pub const HOME: &str = "zaal-dom";
+/// The service of model engines.
+pub const MODEL: &str = "telraad";
+/// The plain service.
+pub const PLAIN: &str = "ontbijtbord";
+
+/// A deployment.
+pub struct Deployment {
+    /// The store.
+    pub store: Store,
+    /// The runners, in the order of their start.
+    pub runners: Vec<Runner>,
+    /// The nodes.
+    pub nodes: Vec<Running>,
+    /// A caller.
+    pub caller: Caller,
+}
+
+fn route(name: &str, prefix: &str, kind: &str, service: &str, attempts: u32) -> Value {
+    json!({
+        "name": name, "host": "kitchen.example", "pathPrefix": prefix, "kind": kind,
+        "timeoutMs": 3000, "targetLatencyMs": 500, "priority": 1, "service": service,
+        "maxAttempts": attempts, "sticky": false, "resumable": kind == "streaming" && attempts > 1,
+        "targetGapMs": 200,
+    })
+}
+
+/// The configuration with the usual routes: `/board/` idempotent, `/eggs/` not, `/count/` a stream
+/// that may be gone on with, `/tally/` one that may not.
+pub fn configuration(version: u64) -> Value {
+    json!({
+        "version": version,
+        "routes": [
+            route("board", "/board/", "idempotent", PLAIN, 3),
+            route("eggs", "/eggs/", "non_idempotent", PLAIN, 1),
+            route("count", "/count/", "streaming", MODEL, 3),
+            route("tally", "/tally/", "streaming", MODEL, 1),
+        ],
+        "services": [
+            {"name": MODEL, "healthPath": "/health", "maxConns": 100, "engine": {
+                "slots": 64, "kvTokens": 800_000, "kvTokenBytes": 18_432, "linkMbps": 350_000.0,
+                "handleTtlS": 5.0, "switchS": 3.0}},
+            {"name": PLAIN, "healthPath": "/health", "maxConns": 96},
+        ],
+        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 65_536, "headerTimeoutMs": 3_000,
+            "idleTimeoutMs": 15_000},
+    })
+}
+
+/// The settings of a node.
+pub fn settings(name: &str, store: SocketAddr, seeds: Vec<SocketAddr>) -> Settings {
+    let address = || free_address(own_ip());
+    Settings {
+        name: name.parse().expect("a name"),
+        data_centre: HOME.parse().expect("a data centre"),
+        front: address(),
+        ready: address(),
+        lookup: address(),
+        peer: address(),
+        metrics: address(),
+        seeds,
+        store,
+        budget: Bounds { ratio: 0.2, allowance: 50.0, window: Duration::from_millis(300) },
+        grace: Duration::from_secs(2),
+        longest_validity: Duration::from_secs(5),
+        turns: Duration::from_millis(300),
+        log_level: LevelFilter::Info,
+        log_format: LogFormat::Json,
+    }
+}
+
+impl Deployment {
+    /// A store with a configuration, and no runners or nodes yet.
+    ///
+    /// # Panics
+    /// No address is free.
+    pub async fn new() -> Self {
+        let store = Store::start(free_address(own_ip())).await.expect("a free address");
+        store.put("config", "main", configuration(1));
+        Self { store, runners: Vec::new(), nodes: Vec::new(), caller: Caller::default() }
+    }
+
+    /// Adds runners of the plain service.
+    pub async fn with_plain(mut self, count: usize) -> Self {
+        for _ in 0..count {
+            self.add_runner(PLAIN, None).await;
+        }
+        self
+    }
+
+    /// Adds model engines by stage.
+    pub async fn with_engines(mut self, prefill: usize, decode: usize) -> Self {
+        for _ in 0..prefill {
+            self.add_runner(MODEL, Some("prefill")).await;
+        }
+        for _ in 0..decode {
+            self.add_runner(MODEL, Some("decode")).await;
+        }
+        self
+    }
+
+    /// Adds nodes, and waits until all take callers and know each other.
+    ///
+    /// # Panics
+    /// A node does not start.
+    pub async fn with_nodes(mut self, count: usize) -> Self {
+        for at in 0..count {
+            let seeds = self.nodes.iter().map(|node| node.shared.me.peer).collect();
+            self.add_node(&format!("edge-{at}"), seeds).await;
+        }
+        self.wait_ready().await;
+        self
+    }
+
+    /// Starts a runner.
+    ///
+    /// # Panics
+    /// No address is free.
+    pub async fn add_runner(&mut self, service: &str, stage: Option<&'static str>) -> Runner {
+        let id = format!("i-{}", self.runners.len());
+        let kind =
+            Kind { service: service.to_owned(), data_centre: HOME.to_owned(), stage, events: 12 };
+        let address = free_address(own_ip());
+        let runner = Runner::start(&id, address, kind, &self.store).await.expect("a free address");
+        self.runners.push(runner.clone());
+        runner
+    }
+
+    /// Starts a node.
+    ///
+    /// # Panics
+    /// It does not start.
+    pub async fn add_node(&mut self, name: &str, seeds: Vec<SocketAddr>) {
+        let settings = settings(name, self.store.address(), seeds);
+        let clock = Arc::new(System);
+        let node = run::start(settings, clock, Metrics::default()).await.expect("free addresses");
+        self.nodes.push(node);
+    }
+
+    /// Waits until all nodes take callers, hear each other, and know all runners.
+    pub async fn wait_ready(&self) {
+        let others = self.nodes.len().saturating_sub(1);
+        let runners = self.runners.len();
+        wait_until("all nodes are ready", async || {
+            self.nodes.iter().all(|node| {
+                let shared = &node.shared;
+                let now = shared.clock.now();
+                let heard = shared.roster().fronts(now).len();
+                shared.is_ready()
+                    && heard >= others
+                    && shared.register().runners().count() == runners
+            })
+        })
+        .await;
+    }
+
+    /// Where callers reach a node.
+    pub fn front(&self, at: usize) -> SocketAddr {
+        self.nodes[at].shared.me.front
+    }
+
+    /// Sends a request to a node.
+    pub async fn send(&self, at: usize, ask: &Ask<'_>) -> Told {
+        self.caller.send(self.front(at), ask).await
+    }
+
+    /// Sends a request without anything unusual about it.
+    pub async fn ask(&self, path: &str, id: &str) -> Told {
+        self.send(0, &Ask::new(path, id)).await
+    }
+
+    /// How often a request ran, over all runners.
+    pub fn ran(&self, id: &str) -> usize {
+        self.runners.iter().map(|runner| runner.ran(id)).sum()
+    }
+}
--- /dev/null
+++ b/testutils/src/fleet/mod.rs
@@ -0,0 +1,7 @@
+//! Stand-ins for the users' platform in its published protocol: the store of objects, runners of
+//! plain services and model engines, callers, and a node among them.
+
+pub mod caller;
+pub mod deployment;
+pub mod runner;
+pub mod store;
--- /dev/null
+++ b/testutils/src/fleet/store.rs
@@ -0,0 +1,324 @@
+//! A stand-in for the platform's store of objects.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::server::{Body, Cut, Server, answer, json as json_answer, read};
+
+/// How the store fails.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Fault {
+    /// It does not.
+    #[default]
+    None,
+    /// It answers 503.
+    Busy,
+    /// It answers nothing.
+    Silent,
+    /// It breaks connections off.
+    Reset,
+}
+
+/// How many objects one page of a list holds.
+const PAGE: usize = 50;
+/// How many changes are remembered.
+const HISTORY: usize = 1_000;
+
+#[derive(Clone, Debug)]
+struct Event {
+    revision: u64,
+    kind: String,
+    object: Value,
+    tombstone: bool,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    objects: BTreeMap<(String, String), Value>,
+    events: VecDeque<Event>,
+    /// Changes up to this one are forgotten.
+    forgotten: u64,
+    revision: u64,
+    fault: Fault,
+    /// Answers to so many of the next writes are lost, though they are done.
+    lose: u32,
+    calls: u64,
+    refused: u64,
+    /// Calls a second; none for no limit.
+    rate: Option<u32>,
+    window: Option<(Instant, u32)>,
+}
+
+/// The store.
+#[derive(Clone, Debug)]
+pub struct Store {
+    inner: Arc<Mutex<Inner>>,
+    changed: watch::Sender<u64>,
+    server: Arc<Server>,
+}
+
+type State = (Arc<Mutex<Inner>>, watch::Sender<u64>);
+
+fn lock(inner: &Mutex<Inner>) -> std::sync::MutexGuard<'_, Inner> {
+    inner.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Store {
+    /// Starts an empty store.
+    ///
+    /// # Errors
+    /// The address cannot be listened at.
+    pub async fn start(address: SocketAddr) -> std::io::Result<Self> {
+        let inner = Arc::new(Mutex::new(Inner::default()));
+        let changed = watch::Sender::new(0);
+        let state: State = (inner.clone(), changed.clone());
+        let handler = move |request| handle(state.clone(), request);
+        let server = Arc::new(Server::start(address, handler).await?);
+        Ok(Self { inner, changed, server })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address
+    }
+
+    /// Makes it fail.
+    pub fn set_fault(&self, fault: Fault) {
+        lock(&self.inner).fault = fault;
+    }
+
+    /// Loses the answers to so many of the next writes.
+    pub fn lose_answers(&self, count: u32) {
+        lock(&self.inner).lose = count;
+    }
+
+    /// Bounds the calls of a second.
+    pub fn set_rate(&self, rate: u32) {
+        lock(&self.inner).rate = Some(rate);
+    }
+
+    /// Forgets all history: watches from before get 410.
+    pub fn compact(&self) {
+        let mut inner = lock(&self.inner);
+        inner.forgotten = inner.revision;
+        inner.events.clear();
+        drop(inner);
+        self.changed.send_modify(|n| *n += 1);
+    }
+
+    /// Calls so far, and those refused for the rate.
+    pub fn calls(&self) -> (u64, u64) {
+        let inner = lock(&self.inner);
+        (inner.calls, inner.refused)
+    }
+
+    /// Writes an object as the operator or a runner does.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        lock(&self.inner).put(kind, name, spec);
+        self.changed.send_modify(|n| *n += 1);
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        lock(&self.inner).remove(kind, name);
+        self.changed.send_modify(|n| *n += 1);
+    }
+
+    /// The content of an object.
+    pub fn get(&self, kind: &str, name: &str) -> Option<Value> {
+        let inner = lock(&self.inner);
+        let object = inner.objects.get(&(kind.to_owned(), name.to_owned()))?;
+        Some(object["spec"].clone())
+    }
+}
+
+impl Inner {
+    fn put(&mut self, kind: &str, name: &str, spec: Value) -> Value {
+        let key = (kind.to_owned(), name.to_owned());
+        if let Some(known) = self.objects.get(&key)
+            && known["spec"] == spec
+        {
+            return known.clone();
+        }
+        self.revision += 1;
+        let object = json!({
+            "metadata": {"name": name, "revision": self.revision, "created": 1,
+                "finalizers": [], "deleting": false},
+            "spec": spec, "status": null,
+        });
+        self.objects.insert(key, object.clone());
+        self.note(kind, object.clone(), false);
+        object
+    }
+
+    fn remove(&mut self, kind: &str, name: &str) {
+        if let Some(object) = self.objects.remove(&(kind.to_owned(), name.to_owned())) {
+            self.revision += 1;
+            self.note(kind, object, true);
+        }
+    }
+
+    fn note(&mut self, kind: &str, object: Value, tombstone: bool) {
+        let kind = kind.to_owned();
+        self.events.push_back(Event { revision: self.revision, kind, object, tombstone });
+        if self.events.len() > HISTORY
+            && let Some(event) = self.events.pop_front()
+        {
+            self.forgotten = event.revision;
+        }
+    }
+
+    /// Whether a call is beyond the rate.
+    fn is_over(&mut self) -> bool {
+        let Some(rate) = self.rate else { return false };
+        let now = Instant::now();
+        let (began, count) = self.window.get_or_insert((now, 0));
+        if now.duration_since(*began) >= Duration::from_secs(1) {
+            (*began, *count) = (now, 0);
+        }
+        *count += 1;
+        *count > rate
+    }
+
+    fn since(&self, kind: &str, from: u64) -> Vec<Value> {
+        let new = self.events.iter().filter(|e| e.kind == kind && e.revision > from);
+        new.map(|e| json!({"tombstone": e.tombstone, "object": e.object})).collect()
+    }
+}
+
+async fn handle(state: State, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+    let (inner, changed) = state;
+    let (fault, over) = {
+        let mut inner = lock(&inner);
+        inner.calls += 1;
+        let over = inner.is_over();
+        inner.refused += u64::from(over);
+        (inner.fault, over)
+    };
+    match fault {
+        Fault::None if over => return Ok(answer(StatusCode::TOO_MANY_REQUESTS, "")),
+        Fault::None => {}
+        Fault::Busy => return Ok(answer(StatusCode::SERVICE_UNAVAILABLE, "")),
+        Fault::Silent => {
+            sleep(Duration::from_secs(60)).await;
+            return Err(Cut);
+        }
+        Fault::Reset => return Err(Cut),
+    }
+    let (head, body) = request.into_parts();
+    let path = head.uri.path().trim_start_matches("/api/objects/").to_owned();
+    let query = head.uri.query().unwrap_or_default().to_owned();
+    let body = read(body).await?;
+    let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let (kind, name) = match path.split_once('/') {
+        Some((kind, name)) => (kind.to_owned(), Some(name.to_owned())),
+        None => (path, None),
+    };
+    let response = match (&head.method, &name) {
+        (&Method::GET, None) if parameter(&query, "watch").is_some() => {
+            return watch_changes(&inner, &changed, &kind, &query).await;
+        }
+        (&Method::GET, None) => list(&lock(&inner), &kind, &query),
+        (&Method::GET, Some(name)) => get(&lock(&inner), &kind, name),
+        _ => {
+            let response = write(&mut lock(&inner), &head.method, &kind, name.as_deref(), &body);
+            changed.send_modify(|n| *n += 1);
+            let mut inner = lock(&inner);
+            if inner.lose > 0 {
+                inner.lose -= 1;
+                return Err(Cut);
+            }
+            response
+        }
+    };
+    Ok(response)
+}
+
+fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.filter(|(key, _)| *key == name).map(|(_, value)| value).next()
+}
+
+fn list(inner: &Inner, kind: &str, query: &str) -> Response<Body> {
+    let after = parameter(query, "after").unwrap_or_default();
+    let of_kind = inner.objects.iter().filter(|((k, name), _)| k == kind && name.as_str() > after);
+    let all: Vec<&Value> = of_kind.map(|(_, object)| object).collect();
+    let items: Vec<&Value> = all.iter().take(PAGE).copied().collect();
+    let body = json!({"items": items, "hasMore": all.len() > PAGE, "asOf": inner.revision});
+    json_answer(StatusCode::OK, &body)
+}
+
+fn get(inner: &Inner, kind: &str, name: &str) -> Response<Body> {
+    match inner.objects.get(&(kind.to_owned(), name.to_owned())) {
+        Some(object) => json_answer(StatusCode::OK, object),
+        None => answer(StatusCode::NOT_FOUND, ""),
+    }
+}
+
+fn write(
+    inner: &mut Inner,
+    method: &Method,
+    kind: &str,
+    name: Option<&str>,
+    body: &Value,
+) -> Response<Body> {
+    let named = body["metadata"]["name"].as_str();
+    let Some(name) = name.or(named).map(str::to_owned) else {
+        return answer(StatusCode::BAD_REQUEST, "");
+    };
+    let known = inner.objects.get(&(kind.to_owned(), name.clone())).cloned();
+    let expected = body["metadata"]["revision"].as_u64();
+    let revision = known.as_ref().and_then(|o| o["metadata"]["revision"].as_u64());
+    match (method, known) {
+        (&Method::POST, Some(known)) => json_answer(StatusCode::CONFLICT, &known),
+        (&Method::PUT, None) => answer(StatusCode::NOT_FOUND, ""),
+        (&Method::PUT, Some(known)) if expected.is_some() && expected != revision => {
+            json_answer(StatusCode::CONFLICT, &known)
+        }
+        (&Method::POST | &Method::PUT, _) => {
+            json_answer(StatusCode::OK, &inner.put(kind, &name, body["spec"].clone()))
+        }
+        (&Method::DELETE, _) => {
+            inner.remove(kind, &name);
+            answer(StatusCode::OK, "")
+        }
+        _ => answer(StatusCode::METHOD_NOT_ALLOWED, ""),
+    }
+}
+
+async fn watch_changes(
+    inner: &Mutex<Inner>,
+    changed: &watch::Sender<u64>,
+    kind: &str,
+    query: &str,
+) -> Result<Response<Body>, Cut> {
+    let number = |name| parameter(query, name).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
+    let (from, wait) = (number("watch"), Duration::from_millis(number("waitMs").min(30_000)));
+    let until = Instant::now() + wait;
+    let mut changes = changed.subscribe();
+    loop {
+        changes.borrow_and_update();
+        {
+            let inner = lock(inner);
+            if from < inner.forgotten {
+                return Ok(answer(StatusCode::GONE, ""));
+            }
+            let events = inner.since(kind, from);
+            if !events.is_empty() || Instant::now() >= until {
+                let body = json!({"events": events, "asOf": inner.revision});
+                return Ok(json_answer(StatusCode::OK, &body));
+            }
+        }
+        let left = until.saturating_duration_since(Instant::now());
+        // Whether a change came or the wait is over, the next round looks.
+        let _ = timeout(left, changes.changed()).await;
+    }
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod cluster;
 pub mod engine;
+pub mod fleet;
 pub mod invariant;
 pub mod measure;
 pub mod plain;
