--- a/lib/src/fleet/event.rs
+++ b/lib/src/fleet/event.rs
@@ -62,7 +62,7 @@
 
 fn id(event: &[u8]) -> Option<SmolStr> {
     let lines = event.split(|byte| *byte == b'\n');
-    let values = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let text = std::str::from_utf8(values.last()?).ok()?;
+    let mut values = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let text = std::str::from_utf8(values.next_back()?).ok()?;
     Some(SmolStr::new(text.trim()))
 }
--- a/lib/src/fleet/register.rs
+++ b/lib/src/fleet/register.rs
@@ -170,10 +170,13 @@
         runner.own.tokens = runner.own.tokens.saturating_sub(share.footprint);
     }
 
-    /// Takes in what another node has under way at runners; one that it does not name has nothing.
-    pub fn take_report(&mut self, node: &NodeId, loads: &[(Tag, Load)], now: Instant) {
-        for runner in self.runners.values_mut() {
-            runner.others.take(node, Load::default(), now);
+    /// Takes in what another node has under way at runners. Unless `more` says that an earlier part
+    /// named others, one that is not named has nothing.
+    pub fn take_report(&mut self, node: &NodeId, loads: &[(Tag, Load)], more: bool, now: Instant) {
+        if !more {
+            for runner in self.runners.values_mut() {
+                runner.others.take(node, Load::default(), now);
+            }
         }
         for (tag, load) in loads {
             let runner = self.tags.get(tag).and_then(|id| self.runners.get_mut(id));
--- a/node/src/serve/beat.rs
+++ b/node/src/serve/beat.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sardinepick_lib::fleet::load::Load;
 use sardinepick_lib::fleet::roster::beat_period;
+use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_wire::beat::{Beat, MOST_BYTES, MOST_LOADS, MOST_READINGS};
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep_until};
@@ -40,17 +42,11 @@
             continue;
         }
         was_busy = busy;
-        let beat = Beat {
-            contact: shared.me.clone(),
-            status: shared.status(),
-            loads: loads.into_iter().take(MOST_LOADS).collect(),
-            readings: shared.take_readings(MOST_READINGS),
-            answer: count == 1,
-            away: shared.away(),
-        };
         let targets = targets(&shared, count);
-        for target in targets {
-            transmit(&shared, &socket, &beat, target).await;
+        for beat in beats(&shared, &loads, count == 1) {
+            for target in &targets {
+                transmit(&shared, &socket, &beat, *target).await;
+            }
         }
         let now = shared.clock.now();
         let mut roster = shared.roster();
@@ -61,6 +57,22 @@
     }
 }
 
+/// The datagrams of one beat: as many as the loads fill.
+fn beats(shared: &Shared, loads: &[(Tag, Load)], answer: bool) -> Vec<Beat> {
+    let first = loads.len().min(MOST_LOADS);
+    let parts = std::iter::once(&loads[..first]).chain(loads[first..].chunks(MOST_LOADS));
+    let beat = |(at, loads): (usize, &[(Tag, Load)])| Beat {
+        contact: shared.me.clone(),
+        status: shared.status(),
+        loads: loads.to_vec(),
+        readings: shared.take_readings(MOST_READINGS),
+        answer,
+        away: shared.away(),
+        more: at > 0,
+    };
+    parts.enumerate().map(beat).collect()
+}
+
 /// Whom to send a beat: the nodes heard lately, and now and then all that were ever known.
 fn targets(shared: &Shared, count: u64) -> Vec<SocketAddr> {
     let now = shared.clock.now();
@@ -120,7 +132,7 @@
     };
     {
         let mut register = shared.register();
-        register.take_report(id, &beat.loads, now);
+        register.take_report(id, &beat.loads, beat.more, now);
         register.reserve(&beat.away, now + RESERVED);
         for reading in &beat.readings {
             register.take_reading(*reading, now);
@@ -137,6 +149,7 @@
             readings: Vec::new(),
             answer: false,
             away: Vec::new(),
+            more: false,
         };
         transmit(shared, socket, &mine, beat.contact.peer).await;
     }
--- a/node/tests/serve.rs
+++ b/node/tests/serve.rs
@@ -28,7 +28,7 @@
     assert_eq!(told.status, Some(StatusCode::OK));
     assert_eq!(told.text(), "answer to r1");
     assert!(told.whole && told.header("response-signature").is_some());
-    let seen = set.runners.iter().flat_map(|r| r.seen()).find(|s| s.id == "r1").expect("it ran");
+    let seen = set.runners.iter().flat_map(Runner::seen).find(|s| s.id == "r1").expect("it ran");
     assert_eq!((seen.path.as_str(), &seen.body[..]), ("/board/today?room=4", &b"a brief"[..]));
 }
 
@@ -291,9 +291,8 @@
         stage: Some("decode"),
         events: 1,
     };
-    let start =
-        sardinepick_testutils::fleet::runner::Runner::start("i-new", address, kind, &set.store);
-    let new = start.await.expect("the address is free again");
+    let new =
+        Runner::start("i-new", address, kind, &set.store).await.expect("the address is free again");
     set.runners.push(new);
     for n in 0..6 {
         let id = format!("egg-{n}");
@@ -343,13 +342,13 @@
 #[tokio::test]
 async fn configuration_older_not_taken() {
     let set = Deployment::new().await.with_plain(1).await.with_nodes(1).await;
-    set.store.put("config", "main", configuration(7));
+    set.store.put("config", "main", &configuration(7));
     let shared = &set.nodes[0].shared;
     let version = || shared.configuration.load().as_ref().map(|c| c.version.0);
     wait_until("version 7 is in force", async || version() == Some(7)).await;
     let seen = shared.metrics.store_calls.with_label_values(&["configuration_watch", "answered"]);
     let before = seen.get();
-    set.store.put("config", "main", configuration(6));
+    set.store.put("config", "main", &configuration(6));
     wait_until("the older one was seen", async || seen.get() > before).await;
     assert_eq!(version(), Some(7));
 }
@@ -357,7 +356,7 @@
 #[tokio::test]
 async fn store_forgets_history_read_anew() {
     let set = Deployment::new().await.with_plain(1).await.with_nodes(1).await;
-    set.store.put("config", "main", configuration(3));
+    set.store.put("config", "main", &configuration(3));
     set.store.compact();
     let shared = &set.nodes[0].shared;
     let version = || shared.configuration.load().as_ref().map(|c| c.version.0);
@@ -435,7 +434,7 @@
     let set = Deployment::new().await.with_engines(1, 5).await.with_nodes(3).await;
     let headers =
         [("model", "m"), ("token-count", "90000,80"), ("prompt-prefix", "5c1e:40000,91bd:50000")];
-    let given = || set.runners.iter().flat_map(|r| r.orders()).collect::<Vec<_>>();
+    let given = || set.runners.iter().flat_map(Runner::orders).collect::<Vec<_>>();
     wait_until("an order is given", async || {
         for n in 0..6 {
             let headers = &headers;
--- a/testutils/src/fleet/deployment.rs
+++ b/testutils/src/fleet/deployment.rs
@@ -97,7 +97,7 @@
     /// No address is free.
     pub async fn new() -> Self {
         let store = Store::start(free_address(own_ip())).await.expect("a free address");
-        store.put("config", "main", configuration(1));
+        store.put("config", "main", &configuration(1));
         Self { store, runners: Vec::new(), nodes: Vec::new(), caller: Caller::default() }
     }
 
--- a/testutils/src/fleet/runner.rs
+++ b/testutils/src/fleet/runner.rs
@@ -149,7 +149,7 @@
                 "models": [], "seq": inner.entry_writes,
             })
         };
-        self.store.put("servers", &self.id, entry);
+        self.store.put("servers", &self.id, &entry);
     }
 
     /// Says that it is about to leave.
--- a/testutils/src/fleet/store.rs
+++ b/testutils/src/fleet/store.rs
@@ -121,7 +121,7 @@
     }
 
     /// Writes an object as the operator or a runner does.
-    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+    pub fn put(&self, kind: &str, name: &str, spec: &Value) {
         lock(&self.inner).put(kind, name, spec);
         self.changed.send_modify(|n| *n += 1);
     }
@@ -141,10 +141,10 @@
 }
 
 impl Inner {
-    fn put(&mut self, kind: &str, name: &str, spec: Value) -> Value {
+    fn put(&mut self, kind: &str, name: &str, spec: &Value) -> Value {
         let key = (kind.to_owned(), name.to_owned());
         if let Some(known) = self.objects.get(&key)
-            && known["spec"] == spec
+            && known["spec"] == *spec
         {
             return known.clone();
         }
@@ -284,7 +284,7 @@
             json_answer(StatusCode::CONFLICT, &known)
         }
         (&Method::POST | &Method::PUT, _) => {
-            json_answer(StatusCode::OK, &inner.put(kind, &name, body["spec"].clone()))
+            json_answer(StatusCode::OK, &inner.put(kind, &name, &body["spec"]))
         }
         (&Method::DELETE, _) => {
             inner.remove(kind, &name);
--- a/wire/src/beat.rs
+++ b/wire/src/beat.rs
@@ -13,10 +13,10 @@
 
 /// The most bytes of a beat, so that it travels in one packet.
 pub const MOST_BYTES: usize = 1_400;
-/// The most loads in one beat, at about 22 bytes each.
-pub const MOST_LOADS: usize = 36;
-/// The most readings in one beat, at about 22 bytes each.
-pub const MOST_READINGS: usize = 20;
+/// The most loads in one datagram, at up to 36 bytes each.
+pub const MOST_LOADS: usize = 20;
+/// The most readings in one datagram, at up to 25 bytes each.
+pub const MOST_READINGS: usize = 16;
 
 /// One beat.
 #[derive(Clone, Debug, PartialEq)]
@@ -33,6 +33,8 @@
     pub answer: bool,
     /// Runners that are on their way to another stage, by the sender's orders.
     pub away: Vec<Tag>,
+    /// Whether the loads go on from an earlier datagram of the same beat.
+    pub more: bool,
 }
 
 impl Beat {
@@ -52,6 +54,7 @@
             readings: self.readings.iter().map(reading).collect(),
             answer: self.answer,
             away: self.away.iter().map(|tag| tag.0).collect(),
+            more: self.more,
         };
         beat.encode_to_vec()
     }
@@ -89,6 +92,7 @@
             readings: beat.readings.iter().map(read_reading).collect(),
             answer: beat.answer,
             away: beat.away.into_iter().map(Tag).collect(),
+            more: beat.more,
         })
     }
 }
