follow: a few nodes follow the store, the others learn differences from them

Change: three nodes follow, chosen by hash among those that are heard and that the store serves; a change goes to all by a beat at once, and who is behind asks for the difference. Decode runners are made at once where none is left.

--- a/lib/src/fleet/balance.rs
+++ b/lib/src/fleet/balance.rs
@@ -114,6 +114,8 @@
     pub to: Stage,
     /// How many.
     pub count: usize,
+    /// Whether streams cannot go on without it.
+    pub urgent: bool,
 }
 
 /// Decides on a change. `nodes` is how many nodes see a like part of the demand, `memory` a runner's
@@ -126,15 +128,17 @@
     }
     let may_be_away = ((all as f64 * AWAY.0) as usize).max(AWAY.1);
     let free = may_be_away.saturating_sub(away);
-    if free == 0 {
-        return None;
-    }
     let nodes = nodes as f64;
     let by_streams = demand.mean_streams * nodes / STREAMS;
     let by_memory = demand.mean_held * nodes / (memory as f64 * MEMORY_PART).max(1.0);
     let carrying = (by_streams.max(by_memory).ceil() as usize).max(FEWEST_DECODE);
-    if carrying > division.decode + division.to_decode && division.prefill > 1 {
-        return Some(Change { to: Stage::Decode, count: 1 });
+    let decode = division.decode + division.to_decode;
+    if carrying > decode && division.prefill > 1 {
+        // Without decode runners nothing is served, whatever was changed last.
+        let urgent = decode < FEWEST_DECODE;
+        let missing = if urgent { FEWEST_DECODE - decode } else { 1 };
+        let count = missing.min(division.prefill - 1);
+        return Some(Change { to: Stage::Decode, count, urgent });
     }
     let floor = (all as f64 * LEAST_DECODE).ceil() as usize;
     let needed = (demand.rate * nodes / READ_RATE).ceil() as usize;
@@ -142,5 +146,5 @@
     let spare = division.decode.saturating_sub(carrying.max(floor));
     let have = division.prefill + division.to_prefill;
     let count = wanted.saturating_sub(have).min(free).min(spare);
-    (count > 0).then_some(Change { to: Stage::Prefill, count })
+    (count > 0).then_some(Change { to: Stage::Prefill, count, urgent: false })
 }
--- a/lib/src/fleet/roster.rs
+++ b/lib/src/fleet/roster.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::id::{ConfigVersion, DataCentre, Incarnation, NodeId, Revision};
+use crate::id::{ConfigVersion, DataCentre, Incarnation, Mark, NodeId};
 
 /// Beats that may be missed before a node is left out.
 pub const BEATS_MISSED: u32 = 6;
@@ -21,6 +21,11 @@
 /// For how many times the silence that takes a node out of the answers it is still sent every beat.
 const GREETED_SILENCES: u32 = 5;
 
+/// Beats that may be missed before another node takes over what a node does for all, and the
+/// shortest silence after which it does.
+const BEATS_FOR_DUTY: u32 = 2;
+const SHORTEST_FOR_DUTY: Duration = Duration::from_millis(600);
+
 /// How a node stands towards callers.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Standing {
@@ -55,8 +60,10 @@
     pub standing: Standing,
     /// The version of its configuration.
     pub version: ConfigVersion,
-    /// Up to which change it knows the register of runners.
-    pub register: Revision,
+    /// How new its knowledge of the register of runners is.
+    pub register: Mark,
+    /// Whether the platform's store serves it.
+    pub served: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -123,6 +130,18 @@
         self.members.values().filter(heard).map(|m| m.contact.peer)
     }
 
+    /// The nodes that the store serves, of those heard within the last few beats. A node that has
+    /// gone must be missed sooner here than in the answers to callers: until then nobody may watch
+    /// the store.
+    pub fn served(&self, now: Instant) -> impl Iterator<Item = &NodeId> {
+        let silence = (beat_period(self.members.len()) * BEATS_FOR_DUTY).max(SHORTEST_FOR_DUTY);
+        let serving = move |m: &&Member| {
+            let heard = m.heard.is_some_and(|at| now.saturating_duration_since(at) <= silence);
+            heard && m.status.served
+        };
+        self.members.values().filter(serving).map(|m| &m.contact.id)
+    }
+
     /// What a node said last of itself.
     pub fn status(&self, id: &NodeId) -> Option<Status> {
         self.members.get(id).map(|m| m.status)
--- a/node/src/serve/beat.rs
+++ b/node/src/serve/beat.rs
@@ -37,8 +37,10 @@
         count += 1;
         let loads = shared.register().own_loads();
         let busy = !loads.is_empty();
-        // The first idle beat says that the load is gone; after it one in a few is enough.
-        if !urgent && !busy && !was_busy && !count.is_multiple_of(IDLE_BEATS) {
+        // The first idle beat says that the load is gone; after it one in a few is enough, but for
+        // nodes that follow the store for all: another must step in soon where one has gone.
+        let quiet = !urgent && !busy && !was_busy && !shared.follows();
+        if quiet && !count.is_multiple_of(IDLE_BEATS) {
             continue;
         }
         was_busy = busy;
--- a/node/src/serve/follow.rs
+++ b/node/src/serve/follow.rs
@@ -1,9 +1,10 @@
 //! Following the platform's store: the configuration and the register of runners.
 //!
-//! Each is read once and then watched. A watch that is cut goes on where it was; history that is
-//! gone is read anew; while the store is away, other nodes that are served are asked
-//! (`peer.rs`). Nothing older than what is known is ever taken.
+//! Each is read once and then watched. After a watch that fails all is read anew. A few nodes follow
+//! the store; the others learn from them (`peer.rs`), also while the store turns them away. Nothing
+//! older than what is known is ever taken.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -11,12 +12,14 @@
 use sardinepick_lib::fleet::outage::pause;
 use sardinepick_lib::fleet::register::Change as Changed;
 use sardinepick_lib::fleet::runner::{Entry, State};
-use sardinepick_lib::id::{Revision, RunnerId};
+use sardinepick_lib::id::{Mark, Revision, RunnerId};
 use sardinepick_platform::config::{self, decode};
 use sardinepick_platform::discovery::{NODES, RUNNERS, decode_node, decode_runner, encode_node};
 use sardinepick_platform::store::{Change, Object};
+use smol_str::SmolStr;
 use tokio::time::sleep;
 
+use crate::serve::knowledge::{Difference, mark, revision};
 use crate::serve::shared::Shared;
 use crate::serve::store::{Purpose, StoreError};
 
@@ -25,6 +28,8 @@
 const WATCH_WAIT: Duration = Duration::from_secs(3);
 /// The part of a pause after which history that is gone is read anew: a runner may have left in it.
 const FORGOTTEN_PAUSE_PART: u32 = 4;
+/// How often a node that does not follow the store looks whether it should.
+const DUTY_PERIOD: Duration = Duration::from_millis(100);
 /// How often lapsed entries and idle connections are looked through.
 const TIDY_PERIOD: Duration = Duration::from_millis(250);
 
@@ -43,8 +48,23 @@
         Self { shared, what, failures: 0, from: None }
     }
 
+    /// Waits while other nodes follow the store for this one. What they tell meanwhile is not known
+    /// by its place in the store's history, so all is read anew after it.
+    async fn wait_for_duty(&mut self) {
+        if self.shared.follows() {
+            return;
+        }
+        log::info!(what = self.what; "other nodes follow the store");
+        self.from = None;
+        while !self.shared.follows() {
+            sleep(DUTY_PERIOD).await;
+        }
+        log::info!(what = self.what; "this node follows the store");
+    }
+
     /// Notes an answer, with the place from which to go on.
     fn note_answer(&mut self, as_of: Revision) {
+        self.shared.note_served();
         self.failures = 0;
         self.from = Some(as_of);
         self.shared.metrics.belief_age.with_label_values(&[self.what]).set(0);
@@ -58,6 +78,9 @@
     /// at once, while a watch that meets a silent path would hang for its whole wait.
     async fn back_off(&mut self, error: &StoreError) {
         let forgotten = error.is_forgotten();
+        if !forgotten {
+            self.shared.note_unserved();
+        }
         self.from = None;
         self.failures += 1;
         let draw: f64 = self.shared.rng().random();
@@ -81,6 +104,7 @@
 pub async fn configuration(shared: Arc<Shared>) {
     let mut follower = Follower::new(shared.clone(), "configuration");
     loop {
+        follower.wait_for_duty().await;
         let read = match follower.from {
             None => shared.store.list(Purpose::Configuration, config::KIND).await,
             Some(from) => {
@@ -132,33 +156,32 @@
     shared.configuration.store(Some(Arc::new(next)));
     shared.knowledge().configuration = Some(object);
     shared.note_knowledge();
+    shared.note_news();
 }
 
 /// Follows the register of runners until the process ends.
 pub async fn register(shared: Arc<Shared>) {
     let mut follower = Follower::new(shared.clone(), "register");
     loop {
+        follower.wait_for_duty().await;
         let result = match follower.from {
             None => {
                 let listed = shared.store.list(Purpose::Register, RUNNERS).await;
-                listed.map(|(objects, as_of)| {
-                    follower.note_answer(as_of);
-                    let doubt = shared.outage().doubt(shared.clock.now());
-                    take_list(&shared, objects, as_of, doubt, "store");
-                })
+                listed.map(|(entries, as_of)| (listed_difference(&shared, entries, as_of), as_of))
             }
             Some(from) => {
                 let purpose = Purpose::RegisterWatch;
                 let brought = shared.store.watch(purpose, RUNNERS, from, WATCH_WAIT).await;
-                brought.map(|brought| {
-                    follower.note_answer(brought.as_of);
-                    let doubt = shared.outage().doubt(shared.clock.now());
-                    take_changes(&shared, brought.changes, brought.as_of, doubt);
-                })
+                brought.map(|brought| (difference(brought.changes, brought.as_of), brought.as_of))
             }
         };
-        if let Err(error) = result {
-            follower.back_off(&error).await;
+        match result {
+            Ok((told, as_of)) => {
+                follower.note_answer(as_of);
+                let doubt = shared.outage().doubt(shared.clock.now());
+                take_difference(&shared, told, doubt, "store");
+            }
+            Err(error) => follower.back_off(&error).await,
         }
     }
 }
@@ -185,62 +208,69 @@
     log::info!(runner:% = id, revision:% = revision, source = source; "{what}");
 }
 
-fn take_changes(shared: &Shared, changes: Vec<Change>, as_of: Revision, doubt: Option<Instant>) {
-    let any = !changes.is_empty();
+/// What a list shows, as a difference. It is as new as its newest entry; only where an entry is
+/// missing does it tell something later.
+fn listed_difference(shared: &Shared, entries: Vec<Object>, as_of: Revision) -> Difference {
+    let newest = entries.iter().map(|o| o.revision).max().unwrap_or_default();
+    let named: HashSet<&str> = entries.iter().map(|o| o.name.as_str()).collect();
+    let misses = shared.register().runners().any(|r| !named.contains(r.entry.id.as_str()));
+    let mark = mark(if misses { as_of } else { newest });
+    Difference { whole: true, entries, mark, ..Difference::default() }
+}
+
+/// What a watch brought, as a difference. One that brought nothing makes nothing newer.
+fn difference(changes: Vec<Change>, as_of: Revision) -> Difference {
+    let mark = if changes.is_empty() { Mark(0) } else { mark(as_of) };
+    let mut difference = Difference { mark, ..Difference::default() };
     for change in changes {
         match change {
             Change::Put(object) => {
-                if let Some(entry) = entry(&object) {
-                    let (id, revision) = (entry.id.clone(), entry.revision);
-                    let changed = shared.register().apply(entry);
-                    log_change(&id, changed, revision, "store");
-                }
-                shared.knowledge().runners.insert(object.name.clone(), object);
+                difference.gone.retain(|name| *name != object.name);
+                difference.entries.push(object);
             }
             Change::Gone(name) => {
-                shared.knowledge().runners.remove(&name);
-                if let Ok(id) = RunnerId::try_from(name) {
-                    let changed = shared.register().remove(&id, doubt);
-                    log_change(&id, changed, as_of, "store");
-                }
+                difference.entries.retain(|object| object.name != name);
+                difference.gone.push(name);
             }
         }
     }
-    let mut knowledge = shared.knowledge();
-    knowledge.register = knowledge.register.max(as_of);
-    if any {
-        knowledge.changed = knowledge.changed.max(as_of);
-    }
-    drop(knowledge);
-    shared.note_knowledge();
+    difference
 }
 
-/// Takes in a whole register, if it is not older than what is known.
-pub fn take_list(
+/// Takes in what has changed in the register. All nodes hear of it by a beat at once.
+pub fn take_difference(
     shared: &Shared,
-    objects: Vec<Object>,
-    as_of: Revision,
+    told: Difference,
     doubt: Option<Instant>,
     source: &'static str,
 ) {
-    let mut knowledge = shared.knowledge();
-    if as_of < knowledge.register {
-        return;
-    }
-    knowledge.register = as_of;
-    let newest = objects.iter().map(|o| o.revision).max().unwrap_or_default();
-    knowledge.changed = knowledge.changed.max(newest);
-    let entries = objects.iter().filter_map(entry).collect();
-    knowledge.runners = objects.into_iter().map(|o| (o.name.clone(), o)).collect();
-    drop(knowledge);
-    let changes = shared.register().replace(entries, doubt);
-    if changes.iter().any(|(_, change)| matches!(change, Changed::Removed | Changed::Doubted)) {
-        shared.knowledge().changed = as_of;
+    let before = shared.knowledge().mark();
+    let mut gone = told.gone;
+    if told.whole {
+        let named: HashSet<&SmolStr> = told.entries.iter().map(|o| &o.name).collect();
+        let register = shared.register();
+        let known = register.runners().map(|r| SmolStr::new(r.entry.id.as_str()));
+        gone.extend(known.filter(|name| !named.contains(name)));
     }
-    for (id, change) in changes {
-        log_change(&id, change, as_of, source);
+    let mut entries = Vec::with_capacity(told.entries.len());
+    for object in told.entries {
+        let Some(entry) = entry(&object) else { continue };
+        let (id, revision) = (entry.id.clone(), entry.revision);
+        let changed = shared.register().apply(entry);
+        log_change(&id, changed, revision, source);
+        entries.push(object);
     }
+    gone.retain(|name| {
+        let Ok(id) = RunnerId::try_from(name.clone()) else { return false };
+        let changed = shared.register().remove(&id, doubt);
+        log_change(&id, changed, revision(told.mark), source);
+        changed == Changed::Removed
+    });
+    shared.knowledge().take(entries, &gone, told.mark);
     shared.note_knowledge();
+    if shared.knowledge().mark() > before {
+        shared.note_news();
+    }
 }
 
 /// Writes this node's entry and learns of the others; tries until both are done.
@@ -284,6 +314,11 @@
         sleep(TIDY_PERIOD).await;
         let now = shared.clock.now();
         let expired = shared.register().expire(now);
+        if !expired.is_empty() {
+            let names: Vec<_> = expired.iter().map(|id| SmolStr::new(id.as_str())).collect();
+            shared.knowledge().take_lapsed(&names);
+            shared.note_news();
+        }
         for id in expired {
             log::info!(runner:% = id; "runner gone: its entry did not come back");
         }
--- /dev/null
+++ b/node/src/serve/knowledge.rs
@@ -0,0 +1,117 @@
+//! What a node knows from the platform's store, in a form that other nodes can be told.
+//!
+//! A few nodes watch the store, the others learn from them. What has changed since a node last heard
+//! is told as a difference, so that a fleet of hundreds of runners does not send its whole register
+//! about at each change.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use sardinepick_lib::id::{Mark, Revision};
+use sardinepick_platform::store::Object;
+use smol_str::SmolStr;
+
+/// How many removals are remembered. A node that is further behind is told everything.
+const MOST_REMOVED: usize = 512;
+
+/// What has changed.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Difference {
+    /// Whether this is everything, and what is not in it is gone.
+    pub whole: bool,
+    /// Entries that are new or different.
+    pub entries: Vec<Object>,
+    /// Entries that are gone.
+    pub gone: Vec<SmolStr>,
+    /// How new this is.
+    pub mark: Mark,
+}
+
+/// The bits of a mark below the store's revision: room for what a node concludes by itself, such as
+/// that an entry did not come back after an outage.
+const OWN_BITS: u32 = 16;
+
+/// The mark of a change in the store.
+pub fn mark(revision: Revision) -> Mark {
+    Mark(revision.0 << OWN_BITS)
+}
+
+/// The store's revision that a mark belongs to.
+pub fn revision(mark: Mark) -> Revision {
+    Revision(mark.0 >> OWN_BITS)
+}
+
+/// What a node knows.
+#[derive(Clone, Debug, Default)]
+pub struct Knowledge {
+    /// The object that holds the configuration.
+    pub configuration: Option<Object>,
+    /// The entries of the register of runners, each with the mark under which it became known.
+    runners: BTreeMap<SmolStr, (Mark, Object)>,
+    removed: VecDeque<(Mark, SmolStr)>,
+    /// Changes up to this one may be missing among the removed.
+    forgotten: Mark,
+    /// How new all of this is. Nodes compare it: what they know can be the same though one has heard
+    /// from the store later.
+    mark: Mark,
+    known: bool,
+}
+
+impl Knowledge {
+    /// Whether the register has been read or told at all.
+    pub fn is_known(&self) -> bool {
+        self.known
+    }
+
+    /// How new this is.
+    pub fn mark(&self) -> Mark {
+        self.mark
+    }
+
+    /// How many entries there are.
+    pub fn entries(&self) -> usize {
+        self.runners.len()
+    }
+
+    /// Takes in what has changed, all of it at once: whoever is told up to a mark is told all that
+    /// it covers.
+    pub fn take(&mut self, entries: Vec<Object>, gone: &[SmolStr], mark: Mark) {
+        self.known = true;
+        let mark = self.mark.max(mark);
+        for object in entries {
+            self.runners.insert(object.name.clone(), (mark, object));
+        }
+        for name in gone {
+            if self.runners.remove(name).is_some() {
+                self.removed.push_back((mark, name.clone()));
+            }
+        }
+        while self.removed.len() > MOST_REMOVED {
+            if let Some((mark, _)) = self.removed.pop_front() {
+                self.forgotten = mark;
+            }
+        }
+        self.mark = mark;
+    }
+
+    /// Takes in that entries did not come back, which the store has no change of its own for.
+    pub fn take_lapsed(&mut self, gone: &[SmolStr]) {
+        let mark = self.mark.next();
+        self.take(Vec::new(), gone, mark);
+    }
+
+    /// What has changed for a node whose knowledge is as new as `since`.
+    pub fn since(&self, since: Mark) -> Difference {
+        let whole = since == Mark(0) || since < self.forgotten;
+        let newer = self.runners.values().filter(|(mark, _)| whole || *mark > since);
+        // An entry that went and came back is not gone.
+        let is_gone = |name: &SmolStr| !self.runners.contains_key(name);
+        let gone =
+            self.removed.iter().filter(|(mark, name)| !whole && *mark > since && is_gone(name));
+        Difference {
+            whole,
+            entries: newer.map(|(_, object)| object.clone()).collect(),
+            gone: gone.map(|(_, name)| name.clone()).collect(),
+            mark: self.mark,
+        }
+    }
+}
--- a/node/src/serve/order.rs
+++ b/node/src/serve/order.rs
@@ -149,7 +149,7 @@
             let demand = demands.entry(service.name.clone()).or_default();
             demand.tick(now);
             if let Some(change) = decide(division, demand, nodes, engine.memory)
-                && !self.turns_back(&service.name, change.to, now)
+                && (change.urgent || !self.turns_back(&service.name, change.to, now))
             {
                 wishes.push((service.name.clone(), change));
             }
--- a/node/src/serve/peer.rs
+++ b/node/src/serve/peer.rs
@@ -1,12 +1,15 @@
 //! Learning from other nodes what the store does not tell this one.
 //!
-//! The store may turn some nodes away while it serves others. A beat says how new a node's knowledge
-//! is; one that is behind asks the node that is ahead.
+//! A few nodes follow the store; it may turn some away while it serves others. A beat says how new a
+//! node's knowledge is, and a change is told by a beat at once; a node that is behind asks one that
+//! is ahead for the difference.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use sardinepick_lib::id::Revision;
+use sardinepick_lib::fleet::roster::Status as Mine;
+use sardinepick_lib::id::{Mark, Revision};
 use sardinepick_platform::store::Object;
 use sardinepick_wire::fleet as pb;
 use sardinepick_wire::fleet::fleet_client::FleetClient;
@@ -18,15 +21,16 @@
 use tonic::transport::Endpoint;
 use tonic::{Request, Response, Status};
 
-use crate::serve::follow::{install, take_list};
+use crate::serve::follow::{install, take_difference};
+use crate::serve::knowledge::Difference;
 use crate::serve::shared::Shared;
 
-/// How long a node that is behind waits for the store's own word, which mostly comes first.
-const PATIENCE: Duration = Duration::from_millis(300);
+/// How long a node that is behind waits for the store's own word, or for more to ask for.
+const PATIENCE: Duration = Duration::from_millis(40);
 /// How long asking a node may take.
 const CALL_LIMIT: Duration = Duration::from_millis(1_000);
 /// The shortest pause between two questions.
-const PAUSE: Duration = Duration::from_millis(250);
+const PAUSE: Duration = Duration::from_millis(200);
 /// The largest answer: a configuration of a megabyte and a thousand runners' entries, with room.
 const LARGEST: usize = 16 << 20;
 
@@ -54,14 +58,19 @@
 impl Fleet for Service {
     async fn tell(
         &self,
-        _: Request<pb::KnowledgeRequest>,
+        request: Request<pb::KnowledgeRequest>,
     ) -> Result<Response<pb::Knowledge>, Status> {
+        let asked = request.into_inner();
+        let version = self.shared.status().version;
         let knowledge = self.shared.knowledge();
+        let newer = knowledge.configuration.as_ref().filter(|_| version.0 > asked.version);
+        let difference = knowledge.since(Mark(asked.mark));
         Ok(Response::new(pb::Knowledge {
-            configuration: knowledge.configuration.as_ref().map(to_wire),
-            runners: knowledge.runners.values().map(to_wire).collect(),
-            register: knowledge.register.0,
-            changed: knowledge.changed.0,
+            configuration: newer.map(to_wire),
+            runners: difference.entries.iter().map(to_wire).collect(),
+            gone: difference.gone.iter().map(ToString::to_string).collect(),
+            mark: difference.mark.0,
+            whole: difference.whole,
         }))
     }
 }
@@ -88,7 +97,7 @@
             roster.ahead(shared.status(), now).map(|(contact, status)| (contact.clone(), status))
         };
         let Some((contact, status)) = ahead else { continue };
-        match timeout(CALL_LIMIT, ask(contact.peer)).await {
+        match timeout(CALL_LIMIT, ask(contact.peer, shared.status())).await {
             Ok(Ok(knowledge)) => {
                 log::info!(
                     node:% = contact.id, version:% = status.version, register:% = status.register;
@@ -103,23 +112,26 @@
     }
 }
 
-async fn ask(peer: std::net::SocketAddr) -> Result<pb::Knowledge, Status> {
+async fn ask(peer: SocketAddr, mine: Mine) -> Result<pb::Knowledge, Status> {
     let endpoint = Endpoint::from_shared(format!("http://{peer}"))
         .map_err(|e| Status::invalid_argument(e.to_string()))?;
     let channel = endpoint.connect().await.map_err(|e| Status::unavailable(e.to_string()))?;
     let mut client = FleetClient::new(channel).max_decoding_message_size(LARGEST);
-    Ok(client.tell(pb::KnowledgeRequest {}).await?.into_inner())
+    let known = pb::KnowledgeRequest { version: mine.version.0, mark: mine.register.0 };
+    Ok(client.tell(known).await?.into_inner())
 }
 
 fn take(shared: &Shared, knowledge: pb::Knowledge) {
     if let Some(object) = knowledge.configuration {
         install(shared, from_wire(object), "node");
     }
-    let (register, changed) = (Revision(knowledge.register), Revision(knowledge.changed));
-    if changed > shared.knowledge().changed {
-        let objects = knowledge.runners.into_iter().map(from_wire).collect();
-        let doubt = shared.outage().doubt(shared.clock.now());
-        take_list(shared, objects, register, doubt, "node");
-        shared.knowledge().changed = changed;
+    let mark = Mark(knowledge.mark);
+    if mark <= shared.knowledge().mark() {
+        return;
     }
+    let entries: Vec<Object> = knowledge.runners.into_iter().map(from_wire).collect();
+    let gone = knowledge.gone.into_iter().map(SmolStr::new).collect();
+    // What a node that is served by the store has dropped is not in doubt any more.
+    let told = Difference { whole: knowledge.whole, entries, gone, mark };
+    take_difference(shared, told, None, "node");
 }
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -1,8 +1,8 @@
 //! What the parts of a serving node share.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Instant, UNIX_EPOCH};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use arc_swap::ArcSwapOption;
 use rand::SeedableRng as _;
@@ -16,31 +16,17 @@
 use sardinepick_lib::fleet::roster::{Contact, Roster, Standing, Status};
 use sardinepick_lib::fleet::route::Configuration;
 use sardinepick_lib::fleet::runner::Tag;
-use sardinepick_lib::hash::place;
-use sardinepick_lib::id::{Incarnation, Revision, ServiceId};
-use sardinepick_platform::store::Object;
+use sardinepick_lib::hash::{place, rendezvous};
+use sardinepick_lib::id::{Incarnation, ServiceId};
 use smol_str::SmolStr;
 use tokio::sync::{Notify, watch};
 
 use crate::serve::connection::Connections;
+use crate::serve::knowledge::Knowledge;
 use crate::serve::metrics::Metrics;
 use crate::serve::settings::Settings;
 use crate::serve::store::Client;
 
-/// What this node has read from the store, or been told by a node that has.
-#[derive(Clone, Debug, Default)]
-pub struct Knowledge {
-    /// The object that holds the configuration.
-    pub configuration: Option<Object>,
-    /// The objects of the register of runners.
-    pub runners: BTreeMap<SmolStr, Object>,
-    /// The change up to which the register is known.
-    pub register: Revision,
-    /// The last change up to which something in the register was different. Nodes compare this
-    /// one: what they know can be the same though one has heard from the store later.
-    pub changed: Revision,
-}
-
 /// What the parts share.
 pub struct Shared {
     /// The settings.
@@ -67,6 +53,7 @@
     roster: Mutex<Roster>,
     knowledge: Mutex<Knowledge>,
     outage: Mutex<Outage>,
+    served: Mutex<Option<Instant>>,
     budgets: Mutex<HashMap<ServiceId, Budget>>,
     readings: Mutex<Vec<Reading>>,
     demand: Mutex<HashMap<ServiceId, Demand>>,
@@ -82,6 +69,11 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// How many nodes follow the store. Each learns of a change by itself, so that one whose path is
+/// silent delays nobody; more cost a call for each change and node.
+const FOLLOWERS: usize = 3;
+/// How long an answer of the store shows that it serves a node: a watch and its slack.
+const SERVED: Duration = Duration::from_millis(4_000);
 /// The most routes whose sizes are kept.
 const MOST_ROUTES: usize = 10_000;
 /// The most readings that are kept for the next beat.
@@ -115,6 +107,7 @@
             roster: Mutex::default(),
             knowledge: Mutex::default(),
             outage: Mutex::default(),
+            served: Mutex::default(),
             budgets: Mutex::default(),
             readings: Mutex::default(),
             demand: Mutex::default(),
@@ -156,7 +149,8 @@
         Status {
             standing: *self.standing.borrow(),
             version: self.configuration.load().as_ref().map(|c| c.version).unwrap_or_default(),
-            register: self.knowledge().changed,
+            register: self.knowledge().mark(),
+            served: self.is_served(),
         }
     }
 
@@ -165,9 +159,38 @@
         *self.standing.borrow() == Standing::Ready
     }
 
+    /// Notes that the store has answered this node.
+    pub fn note_served(&self) {
+        *lock(&self.served) = Some(self.clock.now());
+    }
+
+    /// Notes that the store has not answered this node.
+    pub fn note_unserved(&self) {
+        *lock(&self.served) = None;
+    }
+
+    /// Whether the store serves this node: it has answered lately, as it does at the end of each
+    /// watch.
+    fn is_served(&self) -> bool {
+        let now = self.clock.now();
+        lock(&self.served).is_some_and(|at| now.saturating_duration_since(at) < SERVED)
+    }
+
+    /// Whether this node follows the store itself: fewer than a few of those that come before it
+    /// are heard and served by the store. Where one of those fails, the next steps in.
+    pub fn follows(&self) -> bool {
+        let now = self.clock.now();
+        let duty = place(0, b"store");
+        let rank = |id: &str| rendezvous(duty, id.as_bytes());
+        let mine = rank(self.me.id.as_str());
+        let roster = self.roster();
+        let before = roster.served(now).filter(|id| rank(id.as_str()) > mine).count();
+        before < FOLLOWERS
+    }
+
     /// Turns from starting to ready once there is a configuration and a register.
     pub fn note_knowledge(&self) {
-        let known = self.configuration.load().is_some() && self.knowledge().register > Revision(0);
+        let known = self.configuration.load().is_some() && self.knowledge().is_known();
         let turned = self.standing.send_if_modified(|standing| {
             let turns = known && *standing == Standing::Starting;
             if turns {
@@ -181,6 +204,14 @@
         }
     }
 
+    /// Tells the other nodes of a change at once, if this node follows the store; those that learn
+    /// from it need not tell each other.
+    pub fn note_news(&self) {
+        if self.follows() {
+            self.beat_now.notify_one();
+        }
+    }
+
     /// Notes a request for a service, which earns a part of an extra arrival.
     pub fn note_request(&self, service: &ServiceId) {
         let now = self.clock.now();
--- /dev/null
+++ b/node/tests/knowledge.rs
@@ -0,0 +1,67 @@
+//! What nodes tell each other of the register: a node that takes in differences knows what the one
+//! that told them knows, whatever was missed between.
+
+use proptest::prelude::*;
+use sardinepick_lib::id::{Mark, Revision};
+use sardinepick_node::serve::knowledge::{Difference, Knowledge, mark};
+use sardinepick_platform::store::Object;
+use smol_str::{SmolStr, format_smolstr};
+
+fn named(name: u8) -> SmolStr {
+    format_smolstr!("i-{name}")
+}
+
+fn object(name: u8, revision: u64) -> Object {
+    let content = format!("{{\"n\":{revision}}}").into();
+    Object { name: named(name), revision: Revision(revision), content }
+}
+
+fn take(knowledge: &mut Knowledge, told: Difference) {
+    let mut gone = told.gone;
+    if told.whole {
+        let named: Vec<SmolStr> = told.entries.iter().map(|o| o.name.clone()).collect();
+        gone.extend(names(knowledge).into_iter().filter(|name| !named.contains(name)));
+    }
+    knowledge.take(told.entries, &gone, told.mark);
+}
+
+fn names(knowledge: &Knowledge) -> Vec<SmolStr> {
+    let mut names: Vec<SmolStr> =
+        knowledge.since(Mark(0)).entries.into_iter().map(|o| o.name).collect();
+    names.sort();
+    names
+}
+
+proptest! {
+    #[test]
+    fn since_any_gaps_same_register(steps in proptest::collection::vec((0u8..9, 0u8..6), 1..80)) {
+        let (mut teller, mut learner) = (Knowledge::default(), Knowledge::default());
+        for (at, (name, kind)) in steps.into_iter().enumerate() {
+            let revision = 10 + at as u64 * 2;
+            match kind {
+                0 | 1 => teller.take(vec![object(name, revision)], &[], mark(Revision(revision))),
+                2 => teller.take(Vec::new(), &[named(name)], mark(Revision(revision))),
+                3 => teller.take_lapsed(&[named(name)]),
+                _ => {
+                    let told = teller.since(learner.mark());
+                    take(&mut learner, told);
+                    prop_assert_eq!(learner.mark(), teller.mark());
+                    prop_assert_eq!(names(&learner), names(&teller));
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn since_far_behind_everything() {
+    let mut teller = Knowledge::default();
+    for at in 0..2_000u64 {
+        teller.take(vec![object(1, at * 2 + 1)], &[], mark(Revision(at * 2 + 1)));
+        teller.take(Vec::new(), &[named(1)], mark(Revision(at * 2 + 2)));
+    }
+    teller.take(vec![object(2, 5_000)], &[], mark(Revision(5_000)));
+    assert!(teller.since(mark(Revision(5))).whole);
+    let near = teller.since(mark(Revision(3_990)));
+    assert!(!near.whole && near.entries.len() == 1 && near.gone.len() == 5);
+}
--- a/wire/src/beat.rs
+++ b/wire/src/beat.rs
@@ -6,7 +6,7 @@
 use sardinepick_lib::fleet::register::Reading;
 use sardinepick_lib::fleet::roster::{Contact, Standing, Status};
 use sardinepick_lib::fleet::runner::Tag;
-use sardinepick_lib::id::{ConfigVersion, Incarnation, Revision};
+use sardinepick_lib::id::{ConfigVersion, Incarnation, Mark};
 
 use crate::error::WireError;
 use crate::fleet as pb;
@@ -55,6 +55,7 @@
             answer: self.answer,
             away: self.away.iter().map(|tag| tag.0).collect(),
             more: self.more,
+            served: self.status.served,
         };
         beat.encode_to_vec()
     }
@@ -72,7 +73,8 @@
                 pb::Standing::Leaving => Standing::Leaving,
             },
             version: ConfigVersion(beat.version),
-            register: Revision(beat.register),
+            register: Mark(beat.register),
+            served: beat.served,
         };
         let contact = Contact {
             id: beat.node.as_str().try_into().map_err(|_| WireError::Value("node"))?,
