cli, logging: explain a request from the nodes' log lines

A request's id leads to its way, its end and what its nodes had come to believe, by 'sardinepick explain ID FILE...'. Dropped lines and the time of the store's last answer are metrics that move.

--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod client;
 pub mod output;
+pub mod trace;
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -9,6 +9,7 @@
 use getopts::{Matches, Options};
 use sardinepick_cli::client::{Client, ClientError, Command};
 use sardinepick_cli::output::{self, Colour, Format};
+use sardinepick_cli::trace;
 use sardinepick_lib::hash::Digest;
 use thiserror::Error;
 
@@ -31,6 +32,8 @@
     addresses      looks up the addresses that callers should use
     state          dumps the state of a node
     change ID      says whether a change has been applied
+    explain ID [FILE...]
+                   a request's way, from the log lines of nodes in files or standard input
     key            reads a key from standard input and prints its SHA-256 for the configuration
 ";
 
@@ -44,6 +47,8 @@
     Io(#[from] std::io::Error),
     #[error("{0}")]
     Shell(#[from] rustyline::error::ReadlineError),
+    #[error("no log line names the request {0:?}")]
+    NoRequest(String),
     #[error("the change is in force, but not yet seen on all nodes")]
     NotEverywhere,
 }
@@ -58,7 +63,9 @@
                 ExitCode::from(UNKNOWN)
             }
             Failure::NotEverywhere => ExitCode::from(NOT_EVERYWHERE),
-            Failure::Client(_) | Failure::Io(_) | Failure::Shell(_) => ExitCode::FAILURE,
+            Failure::NoRequest(_) | Failure::Client(_) | Failure::Io(_) | Failure::Shell(_) => {
+                ExitCode::FAILURE
+            }
         }
     }
 }
@@ -110,6 +117,7 @@
     };
     match (command.as_str(), rest) {
         ("key", []) => print_key(),
+        ("explain", [id, files @ ..]) => explain(id, files),
         ("run", [text]) => runtime.block_on(run(matches, text)),
         ("shell", []) => shell::run(&runtime, &client(matches)?, format(matches)?),
         ("addresses", []) => {
@@ -125,6 +133,27 @@
     }
 }
 
+/// Prints a request's way from log lines. Without files, standard input is read.
+fn explain(id: &str, files: &[String]) -> Result<(), Failure> {
+    let mut lines = Vec::new();
+    for file in files {
+        let text = std::fs::read(file)?;
+        lines.extend(trace::read(file, &String::from_utf8_lossy(&text)));
+    }
+    if files.is_empty() {
+        let mut text = Vec::new();
+        std::io::stdin().read_to_end(&mut text)?;
+        lines.extend(trace::read("", &String::from_utf8_lossy(&text)));
+    }
+    match trace::Trace::of(id, lines) {
+        Some(trace) => {
+            print!("{trace}");
+            Ok(())
+        }
+        None => Err(Failure::NoRequest(id.to_owned())),
+    }
+}
+
 fn print_key() -> Result<(), Failure> {
     let mut key = String::new();
     std::io::stdin().read_to_string(&mut key)?;
--- /dev/null
+++ b/cli/src/trace.rs
@@ -0,0 +1,93 @@
+//! A request's way through nodes and runners, from the log lines of the nodes.
+
+use std::fmt;
+
+use serde_json::{Map, Value};
+
+/// One log line.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Line {
+    /// Where it was read: the file, and what stands before the line.
+    pub source: String,
+    /// Its time, as the node wrote it; such texts are in the order of their times.
+    pub time: String,
+    /// What it says.
+    pub message: String,
+    /// Its other fields.
+    pub fields: Map<String, Value>,
+}
+
+impl Line {
+    fn request(&self) -> Option<&str> {
+        self.fields.get("request")?.as_str()
+    }
+}
+
+/// Reads the lines of one file. What is no log line of ours is passed over: collectors put their
+/// own before and between.
+pub fn read(file: &str, text: &str) -> Vec<Line> {
+    text.lines().filter_map(|line| read_line(file, line)).collect()
+}
+
+fn read_line(file: &str, line: &str) -> Option<Line> {
+    let (before, json) = line.split_at(line.find('{')?);
+    let mut fields: Map<String, Value> = serde_json::from_str(json).ok()?;
+    let mut text = |name: &str| fields.remove(name)?.as_str().map(str::to_owned);
+    let (time, message) = (text("time")?, text("message")?);
+    for name in ["level", "target"] {
+        text(name);
+    }
+    // Collectors put the node's name before the line, often behind a time of their own.
+    let node = before.split_whitespace().last().unwrap_or_default();
+    let source = [file, node].iter().filter(|part| !part.is_empty()).copied().collect::<Vec<_>>();
+    Some(Line { source: source.join(" "), time, message, fields })
+}
+
+/// What is known of one request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Trace {
+    /// The decisions that touched it, in order of time.
+    pub way: Vec<Line>,
+    /// What the nodes that had it came to believe shortly before its end.
+    pub beliefs: Vec<Line>,
+}
+
+/// How many lines of belief are shown: those nearest to the end.
+const MOST_BELIEFS: usize = 12;
+
+impl Trace {
+    /// Finds the lines of a request; none if no line names it.
+    pub fn of(id: &str, mut lines: Vec<Line>) -> Option<Self> {
+        lines.sort_by(|a, b| a.time.cmp(&b.time));
+        let way: Vec<Line> =
+            lines.iter().filter(|line| line.request() == Some(id)).cloned().collect();
+        let end = way.last()?.time.clone();
+        let here = |line: &&Line| way.iter().any(|w| w.source == line.source);
+        let belief = |line: &&Line| line.request().is_none() && line.time <= end;
+        let mut beliefs: Vec<Line> =
+            lines.iter().filter(here).filter(belief).rev().take(MOST_BELIEFS).cloned().collect();
+        beliefs.reverse();
+        Some(Self { way, beliefs })
+    }
+}
+
+fn write_line(f: &mut fmt::Formatter<'_>, line: &Line) -> fmt::Result {
+    write!(f, "  {}  {}  {}", line.time, line.source, line.message)?;
+    for (name, value) in line.fields.iter().filter(|(name, _)| *name != "request") {
+        match value {
+            Value::String(text) if text.is_empty() => {}
+            Value::String(text) => write!(f, "  {name}={text}")?,
+            other => write!(f, "  {name}={other}")?,
+        }
+    }
+    writeln!(f)
+}
+
+impl fmt::Display for Trace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "the request's way:")?;
+        self.way.iter().try_for_each(|line| write_line(f, line))?;
+        writeln!(f, "what its nodes had come to believe before:")?;
+        self.beliefs.iter().try_for_each(|line| write_line(f, line))
+    }
+}
--- a/node/src/logging.rs
+++ b/node/src/logging.rs
@@ -88,9 +88,18 @@
 /// Starts logging to standard output. A second start in one process is left out. Gives the count of
 /// lines that are dropped.
 pub fn start(level: LevelFilter, format: LogFormat) -> Dropped {
+    start_to(level, format, io::stdout())
+}
+
+/// Starts logging to `out`, as [`start`] does to standard output.
+pub fn start_to(
+    level: LevelFilter,
+    format: LogFormat,
+    out: impl Write + Send + 'static,
+) -> Dropped {
     let mut builder = env_logger::Builder::new();
     builder.filter_level(level).write_style(env_logger::WriteStyle::Never);
-    let dropped = match queue(io::stdout()) {
+    let dropped = match queue(out) {
         Ok((queue, dropped)) => {
             builder.target(env_logger::Target::Pipe(Box::new(queue)));
             dropped
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -88,9 +88,10 @@
         println!("{file}: the settings are right");
         return ExitCode::SUCCESS;
     }
-    logging::start(settings.log_level, settings.log_format);
+    let dropped = logging::start(settings.log_level, settings.log_format);
+    let metrics = serve::metrics::Metrics::new(dropped);
     match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime.block_on(run_on_platform(file, settings)),
+        Ok(runtime) => runtime.block_on(run_on_platform(file, settings, metrics)),
         Err(error) => {
             eprintln!("sardinepickd: starting the runtime: {error}");
             ExitCode::FAILURE
@@ -98,7 +99,11 @@
     }
 }
 
-async fn run_on_platform(file: &str, settings: serve::settings::Settings) -> ExitCode {
+async fn run_on_platform(
+    file: &str,
+    settings: serve::settings::Settings,
+    metrics: serve::metrics::Metrics,
+) -> ExitCode {
     let signals = (
         signal(SignalKind::terminate()),
         signal(SignalKind::interrupt()),
@@ -109,8 +114,7 @@
         return ExitCode::FAILURE;
     };
     let clock = Arc::new(Boot::default());
-    let running = match serve::run::start(settings, clock, serve::metrics::Metrics::default()).await
-    {
+    let running = match serve::run::start(settings, clock, metrics).await {
         Ok(running) => running,
         Err(error) => {
             eprintln!("sardinepickd: {error}");
--- a/node/src/serve/follow.rs
+++ b/node/src/serve/follow.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use rand::RngExt as _;
 use sardinepick_lib::fleet::outage::pause;
@@ -67,7 +67,9 @@
         self.shared.note_served();
         self.failures = 0;
         self.from = Some(as_of);
-        self.shared.metrics.belief_age.with_label_values(&[self.what]).set(0);
+        let since = self.shared.clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let answered = self.shared.metrics.answered.with_label_values(&[self.what]);
+        answered.set(i64::try_from(since.as_secs()).unwrap_or(i64::MAX));
         let now = self.shared.clock.now();
         if let Some(away) = self.shared.outage().note_answer(now) {
             log::info!(what = self.what, away_ms = away.as_millis() as u64; "store regained");
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -6,6 +6,8 @@
     Opts, Registry, TextEncoder,
 };
 
+use crate::logging::Dropped;
+
 /// The metrics of one node.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -38,8 +40,9 @@
     pub runners: IntGaugeVec,
     /// Other nodes heard lately.
     pub nodes: IntGauge,
-    /// Milliseconds since the store last answered, by what was followed.
-    pub belief_age: IntGaugeVec,
+    /// When the store last answered, in seconds since 1970, by what was followed.
+    pub answered: IntGaugeVec,
+    dropped: Dropped,
 }
 
 const FIRST_BUCKETS: [f64; 12] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0];
@@ -127,19 +130,27 @@
             version: m.gauge("sardinepick_configuration_version", "Version of the configuration"),
             runners: m.gauges("sardinepick_runners", "Runners known", &["state"]),
             nodes: m.gauge("sardinepick_nodes", "Other nodes heard lately"),
-            belief_age: m.gauges(
-                "sardinepick_belief_age_milliseconds",
-                "Time since the store last answered",
+            answered: m.gauges(
+                "sardinepick_store_answered_timestamp_seconds",
+                "When the store last answered",
                 &["what"],
             ),
+            dropped: Dropped::default(),
             registry: m.0,
         }
     }
 }
 
 impl Metrics {
+    /// Metrics that also tell how many log lines were dropped.
+    pub fn new(dropped: Dropped) -> Self {
+        Self { dropped, ..Self::default() }
+    }
+
     /// All metrics as text.
     pub fn text(&self) -> Vec<u8> {
+        let told = self.lines_dropped.get();
+        self.lines_dropped.inc_by(self.dropped.count().saturating_sub(told));
         let mut out = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut out) {
             log::error!(error:% = error; "writing metrics");
