soak: real processes harmed from outside, promises checked from what callers and runners see

Processes are killed, paused, stopped, told to reload; connections to store and runners are delayed, reset, cut one way, silenced by a loopback proxy; the store fails in its ways, runners in theirs, leave and are replaced; configurations follow each other. Checked: answers whole and their own, at most once, true refusals, routes, unchanged bodies, fencing numbers, drains, recovery, no process ends by itself. Clocks are not touched.

--- /dev/null
+++ b/node/tests/soak.rs
@@ -0,0 +1,21 @@
+//! A short soak with fixed seeds. Each seed that ever broke a promise stays here, with its cause.
+
+use std::path::Path;
+use std::time::Duration;
+
+use sardinepick_testutils::fleet::soak::{Plan, run};
+
+/// Seeds that are always run: the first is one like any other.
+const SEEDS: [u64; 1] = [1];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_seeds_no_promise_broken() {
+    for seed in SEEDS {
+        let plan = Plan { seed, lasts: Duration::from_secs(8), nodes: 4, callers: 8 };
+        let exe = Path::new(env!("CARGO_BIN_EXE_sardinepickd"));
+        let report = run(exe, plan).await.expect("the stand-ins have addresses");
+        println!("seed {seed}: {report}");
+        assert!(report.broken.is_empty(), "seed {seed}: {report}");
+        assert!(report.ends.get("answered").copied().unwrap_or(0) > 0, "nothing was served");
+    }
+}
--- a/testutils/src/fleet/mod.rs
+++ b/testutils/src/fleet/mod.rs
@@ -3,5 +3,7 @@
 
 pub mod caller;
 pub mod deployment;
+pub mod proxy;
 pub mod runner;
+pub mod soak;
 pub mod store;
--- a/testutils/src/fleet/runner.rs
+++ b/testutils/src/fleet/runner.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::{Frame, Incoming};
 use serde_json::json;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::fleet::store::Store;
@@ -53,6 +53,8 @@
     pub body: Bytes,
     /// Whether it ran.
     pub ran: bool,
+    /// When it came; none in a request that was made up.
+    pub at: Option<Instant>,
 }
 
 /// An order as a runner saw it.
@@ -103,6 +105,8 @@
     inner: Arc<Mutex<Inner>>,
     server: Arc<Server>,
     store: Store,
+    /// Where its entry says that it is, if not where it listens.
+    shown: Arc<OnceLock<SocketAddr>>,
 }
 
 fn lock(inner: &Mutex<Inner>) -> std::sync::MutexGuard<'_, Inner> {
@@ -127,11 +131,29 @@
         let work = Arc::new(work);
         let handler = move |request| handle(work.clone(), request);
         let server = Arc::new(Server::start(address, handler).await?);
-        let runner = Self { id: id.to_owned(), kind, inner, server, store: store.clone() };
+        let shown = Arc::default();
+        let runner = Self { id: id.to_owned(), kind, inner, server, store: store.clone(), shown };
         runner.write_entry();
         Ok(runner)
     }
 
+    /// Has its entry say that it is elsewhere, as behind a proxy.
+    pub fn show_at(&self, address: SocketAddr) {
+        // Only the first call counts; a runner does not move.
+        let _ = self.shown.set(address);
+        self.write_entry();
+    }
+
+    /// Its service.
+    pub fn service(&self) -> &str {
+        &self.kind.service
+    }
+
+    /// Whether its streams are a model engine's.
+    pub fn is_engine(&self) -> bool {
+        self.kind.stage.is_some()
+    }
+
     /// Where it listens.
     pub fn address(&self) -> SocketAddr {
         self.server.address
@@ -143,7 +165,7 @@
             let mut inner = lock(&self.inner);
             inner.entry_writes += 1;
             json!({
-                "service": self.kind.service, "address": self.server.address.to_string(),
+                "service": self.kind.service, "address": self.shown.get().unwrap_or(&self.server.address).to_string(),
                 "zone": self.kind.data_centre, "version": "v1", "slots": 8,
                 "state": inner.state, "coldRemainingMs": 0, "stage": inner.stage,
                 "models": [], "seq": inner.entry_writes,
@@ -238,6 +260,7 @@
         headers: head.headers,
         body,
         ran: false,
+        at: Some(Instant::now()),
     };
     work.serve(seen).await
 }
--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -30,13 +30,26 @@
     /// # Panics
     /// It cannot be started.
     pub fn start(exe: &Path, plan: &Plan) -> Self {
+        Self::run(exe, &plan.ini(), &[])
+    }
+
+    /// Starts the program at `exe` on the platform, with these settings.
+    ///
+    /// # Panics
+    /// It cannot be started.
+    pub fn serve(exe: &Path, ini: &str) -> Self {
+        Self::run(exe, ini, &["--serve"])
+    }
+
+    fn run(exe: &Path, ini: &str, flags: &[&str]) -> Self {
         // A file for each start: the one before may be removed while this one is read.
         static STARTS: AtomicU32 = AtomicU32::new(0);
         let start = STARTS.fetch_add(1, Ordering::Relaxed);
         let name = format!("sardinepick-{}-{start}.ini", std::process::id());
         let settings = std::env::temp_dir().join(name);
-        std::fs::write(&settings, plan.ini()).expect("the settings can be written");
+        std::fs::write(&settings, ini).expect("the settings can be written");
         let child = Command::new(exe)
+            .args(flags)
             .arg("--settings")
             .arg(&settings)
             .stdin(Stdio::null())
@@ -73,6 +86,17 @@
         self.signal(Signal::TERM);
     }
 
+    /// Asks it to end gracefully, and waits until it has.
+    pub fn terminate_and_wait(&mut self) {
+        self.terminate();
+        let _ = self.child.wait();
+    }
+
+    /// Tells it that its settings have changed.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Whether it has ended, and with which code.
     pub fn ended(&mut self) -> Option<Option<i32>> {
         self.child.try_wait().ok().flatten().map(|status| status.code())
