soak: a reading that hangs is no run

Their logs show a prompt that was not read within 508 ms and one run elsewhere: the stand-in counted the reading as a run. Ruled out: two runs by a node.

--- a/testutils/src/fleet/runner.rs
+++ b/testutils/src/fleet/runner.rs
@@ -343,14 +343,16 @@
             return Ok(self.refuse(seen, StatusCode::SERVICE_UNAVAILABLE));
         }
         let running = Running::new(&self.inner);
+        let reads = text(&seen.headers, "stage").as_deref() == Some("prefill");
         if faults.hangs {
-            seen.ran = true;
+            // A prompt that is only read is no run, also where it is read for ever.
+            seen.ran = !reads;
             lock(&self.inner).seen.push(seen);
             sleep(Duration::from_secs(60)).await;
             return Err(Cut);
         }
         sleep(faults.takes).await;
-        if text(&seen.headers, "stage").as_deref() == Some("prefill") {
+        if reads {
             return Ok(self.read_prompt(seen));
         }
         if self.is_prefill() {
--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -53,7 +53,7 @@
             .arg("--settings")
             .arg(&settings)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(output(start))
             .spawn()
             .expect("the program can be started");
         Self { child, settings }
@@ -120,6 +120,20 @@
     }
 }
 
+/// Where a process writes its log: a file in the folder that `SARDINEPICK_LOG_DIR` names, or
+/// nowhere.
+fn output(start: u32) -> Stdio {
+    let Some(folder) = std::env::var_os("SARDINEPICK_LOG_DIR") else { return Stdio::null() };
+    let name = format!("sardinepickd-{}-{start}.log", std::process::id());
+    match std::fs::File::create(PathBuf::from(folder).join(name)) {
+        Ok(file) => Stdio::from(file),
+        Err(error) => {
+            eprintln!("no log is kept: {error}");
+            Stdio::null()
+        }
+    }
+}
+
 impl Drop for Daemon {
     fn drop(&mut self) {
         self.resume();
