--- a/lib/src/fleet/roster.rs
+++ b/lib/src/fleet/roster.rs
@@ -2,7 +2,7 @@
 //!
 //! Nodes learn of one another from the platform's store once, at their start, and from then on from
 //! each other's beats. A beat that stays away takes a node out of the answers to callers within
-//! [`SILENCE`]; a node that leaves says so in a beat.
+//! [`BEATS_MISSED`] beats; a node that leaves says so in a beat.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
