serve: one way to read an answer whole and give its connection back; no dead code

Change: Answer::read and Answer::discard; the unused are gone. Behaviour is meant to be the same; one order differs: a foreign answer to a reading closes its connection before its body is read, not after.

--- a/lib/src/fleet/event.rs
+++ b/lib/src/fleet/event.rs
@@ -43,11 +43,6 @@
     pub fn rest(&self) -> &[u8] {
         &self.rest
     }
-
-    /// Takes the bytes that are no whole event.
-    pub fn take_rest(&mut self) -> Bytes {
-        self.rest.split().freeze()
-    }
 }
 
 /// Where the first event ends: behind its empty line, in either form of line ends.
--- a/lib/src/fleet/roster.rs
+++ b/lib/src/fleet/roster.rs
@@ -147,11 +147,6 @@
         self.members.get(id).map(|m| m.status)
     }
 
-    /// All known nodes.
-    pub fn contacts(&self) -> impl Iterator<Item = &Contact> {
-        self.members.values().map(|m| &m.contact)
-    }
-
     fn silence(&self) -> Duration {
         beat_period(self.members.len()) * BEATS_MISSED
     }
--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use http::response::Parts;
 use http::{Request, Response};
-use http_body_util::Full;
+use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
@@ -94,6 +94,32 @@
     pub lease: Lease,
 }
 
+/// An answer's body did not come whole.
+#[derive(Debug, Error)]
+#[error("the answer broke off: {0}")]
+pub struct Incomplete(String);
+
+impl Answer {
+    /// Reads the whole body, up to `most` bytes, and gives the connection back.
+    ///
+    /// # Errors
+    /// The body did not come whole, or is larger.
+    pub async fn read(self, most: usize) -> Result<(Parts, Bytes), Incomplete> {
+        let body = Limited::new(self.body, most).collect().await;
+        let body = body.map_err(|error| Incomplete(error.to_string()))?;
+        self.lease.give_back();
+        Ok((self.head, body.to_bytes()))
+    }
+
+    /// Reads a body that nobody needs, so that the connection can be used again. One that does not
+    /// come whole closes it.
+    pub async fn discard(self, most: usize) {
+        if let Err(error) = self.read(most).await {
+            log::debug!(error:% = error; "discarding an answer");
+        }
+    }
+}
+
 /// A connection in use. Dropping it closes the connection, which tells a runner to stop.
 pub struct Lease {
     connections: Arc<Connections>,
--- a/node/src/serve/generation/read.rs
+++ b/node/src/serve/generation/read.rs
@@ -4,8 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::{BodyExt as _, Limited};
-use hyper::body::Incoming;
 use sardinepick_lib::fleet::health::Outcome;
 use sardinepick_lib::fleet::place::Placement;
 use sardinepick_lib::fleet::register::{Reading, Share};
@@ -103,14 +101,12 @@
     address: SocketAddr,
     answer: Answer,
 ) -> Result<Handle, String> {
-    let verdict = judge(answer.head.status, &answer.head.headers, runner, request);
     let status = answer.head.status;
-    let body: Result<_, _> = Limited::<Incoming>::new(answer.body, LARGEST).collect().await;
-    let body = body.map_err(|e| format!("the answer broke off: {e}"))?.to_bytes();
+    let verdict = judge(status, &answer.head.headers, runner, request);
     if verdict == Verdict::Foreign && status.is_success() {
         return Err("the answer is another's".to_owned());
     }
-    answer.lease.give_back();
+    let (_, body) = answer.read(LARGEST).await.map_err(|e| e.to_string())?;
     if !status.is_success() {
         return Err(format!("status {status}"));
     }
@@ -142,11 +138,7 @@
         tokio::spawn(async move {
             let request = runner::free(&handle, &runner);
             match shared.connections.send(handle.holder, request, CONNECT_LIMIT).await {
-                Ok(answer) => {
-                    if Limited::new(answer.body, LARGEST).collect().await.is_ok() {
-                        answer.lease.give_back();
-                    }
-                }
+                Ok(answer) => answer.discard(LARGEST).await,
                 Err(error) => {
                     log::info!(runner:% = runner, error:% = error; "freeing a KV cache");
                 }
--- a/node/src/serve/generation/stream.rs
+++ b/node/src/serve/generation/stream.rs
@@ -7,7 +7,7 @@
 use futures_util::StreamExt as _;
 use http::header::CONTENT_LENGTH;
 use http::response::Parts;
-use http_body_util::{BodyExt as _, Limited, StreamBody};
+use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::Frame;
 use sardinepick_lib::fleet::event::{Event, Splitter};
 use sardinepick_lib::fleet::health::Outcome;
@@ -103,9 +103,7 @@
                     request:% = self.request.id, runner:% = id,
                     status = answer.head.status.as_u16(); "runner did not run it"
                 );
-                if Limited::new(answer.body, LARGEST).collect().await.is_ok() {
-                    answer.lease.give_back();
-                }
+                answer.discard(LARGEST).await;
                 Ok(Came::NotRun)
             }
             Verdict::Foreign => {
@@ -128,23 +126,21 @@
 
     /// Takes an answer that is no stream: a failure of the runner's, signed by it.
     async fn answered(&mut self, ticket: &mut Ticket, answer: Answer) -> Result<Came, Stop> {
-        let Answer { head, body, lease } = answer;
-        let Ok(body) = Limited::new(body, LARGEST).collect().await else {
+        let Ok((head, body)) = answer.read(LARGEST).await else {
             ticket.conclude(Outcome::Broken);
             return Ok(Came::Broken);
         };
-        lease.give_back();
         let good = head.status.is_success();
         ticket.conclude(if good { Outcome::Answered } else { Outcome::Failed });
         if promises_not_run(head.status) {
             return Ok(Came::Broken);
         }
         if head.status.is_server_error() && self.may_run_again() {
-            self.failed = Some((head, body.to_bytes()));
+            self.failed = Some((head, body));
             return Ok(Came::Broken);
         }
         if let Caller::Waiting(sender) = &mut self.caller {
-            send_head(sender, pass_on(&head, whole(body.to_bytes())));
+            send_head(sender, pass_on(&head, whole(body)));
             return Ok(Came::Done(if good { Outcome::Answered } else { Outcome::Failed }));
         }
         Ok(Came::Broken)
--- a/node/src/serve/order.rs
+++ b/node/src/serve/order.rs
@@ -11,7 +11,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http_body_util::{BodyExt as _, Limited};
 use sardinepick_lib::fleet::balance::{Change, DWELL, Division, TURN_BACK, decide};
 use sardinepick_lib::fleet::engine::Stage;
 use sardinepick_lib::fleet::route::Configuration;
@@ -357,12 +356,9 @@
             let outgoing = ask(&entry.id, entry.address);
             let sent = self.shared.connections.send(entry.address, outgoing, CONNECT_LIMIT);
             let answer = sent.await.map_err(|e| e.to_string())?;
-            let status = answer.head.status;
-            let body = Limited::new(answer.body, LARGEST).collect().await;
-            let body = body.map_err(|e| e.to_string())?.to_bytes();
-            answer.lease.give_back();
-            if !status.is_success() {
-                return Err(format!("status {status}"));
+            let (head, body) = answer.read(LARGEST).await.map_err(|e| e.to_string())?;
+            if !head.status.is_success() {
+                return Err(format!("status {}", head.status));
             }
             read_report(&body).map_err(|e| e.to_string())
         };
@@ -383,9 +379,7 @@
         match timeout(ORDER_LIMIT, sent).await {
             Ok(Ok(answer)) => {
                 let reply = reply(answer.head.status);
-                if Limited::new(answer.body, LARGEST).collect().await.is_ok() {
-                    answer.lease.give_back();
-                }
+                answer.discard(LARGEST).await;
                 Some(reply)
             }
             Ok(Err(error)) => {
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use http::Response;
 use http::response::Parts;
-use http_body_util::{BodyExt as _, Limited};
 use sardinepick_lib::fleet::gate::Reason;
 use sardinepick_lib::fleet::health::Outcome;
 use sardinepick_lib::fleet::load::Class;
@@ -255,9 +254,7 @@
                     request:% = request.id, runner:% = id, status = answer.head.status.as_u16();
                     "runner did not run it"
                 );
-                if Limited::new(answer.body, LARGEST).collect().await.is_ok() {
-                    answer.lease.give_back();
-                }
+                answer.discard(LARGEST).await;
                 return Ok(Came::NotRun { arrived: verdict == Verdict::NotRun });
             }
             Verdict::Foreign => {
@@ -265,14 +262,13 @@
                 return Ok(Came::Doubt);
             }
         }
-        match Limited::new(answer.body, LARGEST).collect().await {
-            Ok(body) => {
-                answer.lease.give_back();
-                if promises_not_run(answer.head.status) {
+        match answer.read(LARGEST).await {
+            Ok((head, body)) => {
+                if promises_not_run(head.status) {
                     // Only the runner's own word proves it, and it is missing.
                     return Ok(Came::Doubt);
                 }
-                Ok(Came::Whole(answer.head, body.to_bytes()))
+                Ok(Came::Whole(head, body))
             }
             Err(error) => {
                 log::info!(request:% = request.id, runner:% = id, error:% = error; "answer cut");
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -34,8 +34,6 @@
     pub service: ServiceId,
     /// What the service's runners are if they are model engines.
     pub engine: Option<Engine>,
-    /// How many connections one runner of the service takes.
-    pub most_connections: u32,
     /// What the caller says of it.
     pub ask: Ask,
     /// Its method.
@@ -140,7 +138,6 @@
         id,
         size,
         engine: known.and_then(|s| s.engine),
-        most_connections: known.map_or(u32::MAX, |s| s.most_connections),
         service,
         ask,
         method: head.method,
--- a/node/src/serve/store.rs
+++ b/node/src/serve/store.rs
@@ -6,14 +6,13 @@
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt as _, Limited};
 use sardinepick_lib::id::Revision;
 use sardinepick_platform::store::{self, Changes, Object, Page, Refused};
 use strum::{Display, IntoStaticStr};
 use thiserror::Error;
 use tokio::time::timeout;
 
-use crate::serve::connection::{Connections, SendError};
+use crate::serve::connection::{Connections, Incomplete, SendError};
 use crate::serve::metrics::Metrics;
 
 /// Why a call gave nothing.
@@ -36,12 +35,12 @@
         source: SendError,
     },
     /// The answer did not come whole.
-    #[error("{purpose}: the answer broke off: {detail}")]
+    #[error("{purpose}: {source}")]
     Broken {
         /// What the call was for.
         purpose: Purpose,
         /// What went wrong.
-        detail: String,
+        source: Incomplete,
     },
     /// The answer did not come in time.
     #[error("{purpose}: no answer within {limit:?}")]
@@ -242,10 +241,8 @@
     ) -> Result<(StatusCode, Bytes), StoreError> {
         let answer = self.connections.send(self.address, request, CONNECT_LIMIT).await;
         let answer = answer.map_err(|source| StoreError::Send { purpose, source })?;
-        let status = answer.head.status;
-        let body = Limited::new(answer.body, LARGEST).collect().await;
-        let body = body.map_err(|e| StoreError::Broken { purpose, detail: e.to_string() })?;
-        answer.lease.give_back();
-        Ok((status, body.to_bytes()))
+        let (head, body) =
+            answer.read(LARGEST).await.map_err(|source| StoreError::Broken { purpose, source })?;
+        Ok((head.status, body))
     }
 }
