place: requests for one prompt meet where it is being read; late work waits its time

The logs of its first 14 seconds show three causes: - 29 of 77 million tokens were read of prompts that another runner was reading just then: a prompt counted as kept only once it had been read, and homes were chosen by the first part of a prompt, of which a whole kind of request has four. - 2,213 of 7,785 readings were given up after three times the predicted time, nine in ten of them late work, which waits behind what comes later and is more urgent; each was read again elsewhere and paid from the retry budget (1,300 refusals). - The runners for late work were five times as busy as the rest, two thirds of whose time was idle.

A part counts from the moment its reading is sent, at its own runner only, for 2.5 s; nodes tell each other so, and all readings of a beat go out with it. The last shared part decides the homes, two of them, with an advantage that grows with what nobody keeps. Late readings end with the request's time (new module patience, which holds the silence of streams too). Late work goes to idle runners of the others after 0.2 s, while half of those are idle.

The tests named generation_prompt_being_read_goes_there, cache_begun_*, generation_kind_with_one_start_many_homes, reading_late_work_waits_its_time and generation_late_runners_busy_idle_taken replay the loads.

--- a/lib/src/fleet/cache.rs
+++ b/lib/src/fleet/cache.rs
@@ -4,9 +4,14 @@
 //! least recently used first. Every node knows what it sent itself and hears what others sent, so
 //! all come to like pictures without asking any runner. The picture is a hint: a wrong one costs
 //! time, never an answer.
+//!
+//! A part counts from the moment at which it is sent to be read. Requests that share a long part
+//! come close together; one that goes where the part is being read waits for it there and reads
+//! nothing twice, while another runner would read the same again. Only what has been read can be
+//! fetched from elsewhere.
 
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -44,9 +49,11 @@
         Self(parts.collect())
     }
 
-    /// The first part, by which chains that share their start meet.
-    pub fn root(&self) -> ChainKey {
-        self.0.first().map(|part| part.key).unwrap_or_default()
+    /// The last part that others may share, by which requests with the same long prompt meet. The
+    /// first part would not do: a few of them stand before the prompts of a whole kind of request.
+    pub fn meeting(&self) -> ChainKey {
+        let shared = self.0.iter().rev().nth(1).or(self.0.first());
+        shared.map(|part| part.key).unwrap_or_default()
     }
 
     /// Tokens of the parts that others may share: all but the last, which is the request's own.
@@ -56,12 +63,26 @@
     }
 }
 
+/// How far a runner is with a part.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Progress {
+    /// It has been told to read it.
+    Begun,
+    /// It has read it.
+    Read,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Kept {
     tokens: u64,
     used: Instant,
+    progress: Progress,
 }
 
+/// How long a part counts that was begun and is not known to be read. A caller of a stream waits
+/// two seconds for its first event, so a reading that takes longer has been broken off.
+const BEGUN_LIFE: Duration = Duration::from_millis(2_500);
+
 /// What is assumed of a runner's memory until the configuration tells, in tokens.
 const FIRST_MEMORY: u64 = 500_000;
 
@@ -80,10 +101,21 @@
 }
 
 impl Cache {
-    /// Tokens of the start of `chain` that need not be read again.
-    pub fn cached(&self, chain: &Chain) -> u64 {
-        let known = chain.0.iter().take_while(|part| self.kept.contains_key(&part.key));
-        known.map(|part| part.tokens).sum()
+    /// Tokens of the start of `chain` that need not be read again there.
+    pub fn cached(&self, chain: &Chain, now: Instant) -> u64 {
+        self.start(chain, |kept| {
+            kept.progress == Progress::Read || now.saturating_duration_since(kept.used) < BEGUN_LIFE
+        })
+    }
+
+    /// Tokens of the start of `chain` that have been read there and can be fetched.
+    pub fn fetchable(&self, chain: &Chain) -> u64 {
+        self.start(chain, |kept| kept.progress == Progress::Read)
+    }
+
+    fn start(&self, chain: &Chain, counts: impl Fn(&Kept) -> bool) -> u64 {
+        let known = |part: &&Part| self.kept.get(&part.key).is_some_and(&counts);
+        chain.0.iter().take_while(known).map(|part| part.tokens).sum()
     }
 
     /// Sets the memory of the runner, in tokens.
@@ -91,23 +123,26 @@
         self.memory = memory;
     }
 
-    /// Notes that the runner has read `chain` or is about to, and forgets what no longer fits.
-    pub fn note(&mut self, chain: &Chain, now: Instant) {
+    /// Notes how far the runner is with `chain`, and forgets what no longer fits.
+    pub fn note(&mut self, chain: &Chain, progress: Progress, now: Instant) {
         for part in &chain.0 {
-            self.insert(part.key, part.tokens, now);
+            self.insert(part, progress, now);
         }
         self.evict();
     }
 
-    /// Notes one part of which another node says that the runner reads it.
-    pub fn note_part(&mut self, part: Part, now: Instant) {
-        self.insert(part.key, part.tokens, now);
+    /// Notes one part of which another node says how far the runner is with it.
+    pub fn note_part(&mut self, part: Part, progress: Progress, now: Instant) {
+        self.insert(&part, progress, now);
         self.evict();
     }
 
-    fn insert(&mut self, key: ChainKey, tokens: u64, now: Instant) {
-        let before = self.kept.insert(key, Kept { tokens, used: now });
-        self.tokens = self.tokens + tokens - before.map_or(0, |kept| kept.tokens);
+    fn insert(&mut self, part: &Part, progress: Progress, now: Instant) {
+        let before = self.kept.get(&part.key);
+        let progress = before.map_or(progress, |kept| kept.progress.max(progress));
+        let kept = Kept { tokens: part.tokens, used: now, progress };
+        let before = self.kept.insert(part.key, kept);
+        self.tokens = self.tokens + part.tokens - before.map_or(0, |kept| kept.tokens);
     }
 
     /// Forgets the least recently used parts, a tenth more than needed so that the search for them
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 pub mod health;
 pub mod load;
 pub mod outage;
+pub mod patience;
 pub mod place;
 pub mod register;
 pub mod roster;
--- a/lib/src/fleet/place.rs
+++ b/lib/src/fleet/place.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use rand::{Rng, RngExt as _};
+use smallvec::SmallVec;
 use strum::{Display, IntoStaticStr};
 
 use super::engine::{Engine, Stage, Work, prefill_time, start_time};
@@ -73,9 +74,13 @@
 const DELAY_OF_OTHERS: f64 = 2.0;
 /// What a runner's failures add, in seconds for a share of one: as much as a lost second.
 const FAILURE_COST: f64 = 1.0;
-/// The advantage of a chain's home where nobody keeps it yet, in seconds. With it all nodes begin a
-/// new chain at one runner, also before they have heard of each other's choice.
-const HOME_ADVANTAGE: f64 = 0.02;
+/// The runners that are the homes of a shared prompt, the first before the second. With two, the
+/// load of one that is busy has a place to go where the prompt is probably kept too.
+const HOMES: usize = 2;
+/// The advantage of a prompt's first home, in seconds, and the share of the time to read what nobody
+/// keeps of it that is added. With it all nodes begin a new prompt at one runner, also before they
+/// have heard of each other's choice.
+const HOME_ADVANTAGE: (f64, f64) = (0.04, 0.5);
 /// The random part, in seconds, by which nodes with like pictures part at ties.
 const DITHER: f64 = 0.004;
 /// The fewest tokens that are fetched from another runner: what is read in the time that a transfer
@@ -110,11 +115,19 @@
         self.runner.health.failing() * FAILURE_COST + distance + draw * DITHER
     }
 
+    /// Whether no prompt waits there or is being read.
+    fn is_idle(&self) -> bool {
+        self.load.ahead(Class::LATE) == 0
+    }
+
     /// Until the first event once the prompt is there, in seconds: one step, longer by a piece of a
     /// prompt where prompts are read too.
     fn first_event(&self) -> f64 {
-        let reads = self.load.ahead(Class::LATE) > 0;
-        let piece = if reads { prefill_time(Stage::Decode, INTERLEAVED_TOKENS, 0, 0) } else { 0.0 };
+        let piece = if self.is_idle() {
+            0.0
+        } else {
+            prefill_time(Stage::Decode, INTERLEAVED_TOKENS, 0, 0)
+        };
         self.runner.step(&self.load) + piece
     }
 }
@@ -153,7 +166,7 @@
     now: Instant,
 ) -> Option<Keeper<'b>> {
     let sound = register.of(question.service).filter(|r| r.takes_work(now));
-    let kept = sound.map(|runner| Keeper { runner, tokens: runner.cache.cached(&work.chain) });
+    let kept = sound.map(|runner| Keeper { runner, tokens: runner.cache.fetchable(&work.chain) });
     kept.filter(|keeper| keeper.tokens > 0).max_by_key(|keeper| keeper.tokens)
 }
 
@@ -171,7 +184,7 @@
     draw: f64,
 ) -> Reading<'a, 'b> {
     let work = search.work;
-    let mut cached = at.runner.cache.cached(&work.chain).min(work.prompt);
+    let mut cached = at.runner.cache.cached(&work.chain, question.now).min(work.prompt);
     let (mut fetch, mut fetching) = (None, 0.0);
     if let Some(keeper) = &search.keeper
         && keeper.runner.entry.id != at.runner.entry.id
@@ -203,7 +216,8 @@
     whole: Vec<&'b Candidate<'a>>,
     /// Prefill runners for work that can be on time.
     prefill: Vec<&'b Candidate<'a>>,
-    /// Prefill runners for late work; work that can be on time may go there too.
+    /// Prefill runners for late work; work that can be on time may go there too. Where they are busy,
+    /// late work goes to idle ones of the others.
     late: Vec<&'b Candidate<'a>>,
 }
 
@@ -214,6 +228,13 @@
 /// The share of the reading that late work may take. In bursts a third of the tokens that are asked
 /// for cannot be read in time.
 const LATE_SHARE: f64 = 0.35;
+/// How much longer late work waits at its own runners before it goes to an idle one of the others,
+/// in seconds. There it may hold up work that could be on time, by half of its reading on average;
+/// on a fleet whose other runners are idle for two thirds of the time, keeping it away altogether
+/// made the runners for late work five times as busy as the rest.
+const SPILL: f64 = 0.2;
+/// The share of the other runners that late work leaves idle, for what can be on time.
+const IDLE_RESERVE: f64 = 0.5;
 /// What a decode runner reads against a prefill runner: half the speed in a quarter of the pieces.
 const WHOLE_SPEED: f64 = 0.4;
 
@@ -254,6 +275,17 @@
     Lanes { decode, whole, prefill, late }
 }
 
+/// The prefill runners that may read for work of a class, with what each costs besides in seconds.
+fn readers<'a, 'b>(lanes: &Lanes<'a, 'b>, class: Class) -> Vec<(&'b Candidate<'a>, f64)> {
+    let own = lanes.late.iter().map(|c| (*c, 0.0));
+    if class != Class::LATE {
+        return lanes.prefill.iter().map(|c| (*c, 0.0)).chain(own).collect();
+    }
+    let idle: Vec<_> = lanes.prefill.iter().filter(|c| c.is_idle()).map(|c| (*c, SPILL)).collect();
+    let reserve = lanes.prefill.len() as f64 * IDLE_RESERVE;
+    if idle.len() as f64 > reserve { own.chain(idle).collect() } else { own.collect() }
+}
+
 /// Chooses for a generation, or none if no runner of the service can run it.
 pub fn generation<R: Rng>(
     register: &Register,
@@ -264,16 +296,14 @@
 ) -> Option<Placement> {
     let all = candidates(register, question);
     let lanes = lanes(&all, question, engine, work);
-    let on_time = if question.class == Class::LATE { &[][..] } else { &lanes.prefill[..] };
-    let readers = || on_time.iter().chain(&lanes.late);
-    let home = home(readers().copied(), work);
+    let readers = readers(&lanes, question.class);
+    let homes = homes(readers.iter().map(|(candidate, _)| *candidate), work);
     let search = Search { work, engine, keeper: keeper(register, question, work, question.now) };
-    let reader = readers()
-        .map(|c| {
+    let reader = readers
+        .iter()
+        .map(|(c, cost)| {
             let mut reading = reading(c, question, &search, rng.random());
-            if home == Some(&c.runner.entry.id) {
-                reading.rank -= HOME_ADVANTAGE;
-            }
+            reading.rank += cost - home_advantage(&homes, &reading, &search);
             reading
         })
         .min_by(|a, b| a.rank.total_cmp(&b.rank));
@@ -348,11 +378,35 @@
     maker(from, makers, question, engine, work, rng).map(|(.., id)| id.clone())
 }
 
-/// The home of a chain among runners: the same at every node that sees the same runners.
-fn home<'a>(runners: impl Iterator<Item = &'a Candidate<'a>>, work: &Work) -> Option<&'a RunnerId> {
-    let root = work.chain.root().0;
-    let ids = runners.map(|c| &c.runner.entry.id);
-    ids.max_by_key(|id| rendezvous(root, id.as_str().as_bytes()))
+/// The homes of a shared prompt among runners, the first one first: the same at every node that sees
+/// the same runners.
+fn homes<'a>(
+    runners: impl Iterator<Item = &'a Candidate<'a>>,
+    work: &Work,
+) -> SmallVec<[&'a RunnerId; HOMES]> {
+    let meeting = work.chain.meeting().0;
+    let mut homes: SmallVec<[(u64, &RunnerId); HOMES + 1]> = SmallVec::new();
+    for candidate in runners {
+        let id = &candidate.runner.entry.id;
+        let weight = rendezvous(meeting, id.as_str().as_bytes());
+        let at = homes.partition_point(|(other, _)| *other > weight);
+        if at < HOMES {
+            homes.insert(at, (weight, id));
+            homes.truncate(HOMES);
+        }
+    }
+    homes.into_iter().map(|(_, id)| id).collect()
+}
+
+/// What a candidate is preferred by for being a home of the prompt, in seconds.
+fn home_advantage(homes: &[&RunnerId], reading: &Reading<'_, '_>, search: &Search<'_>) -> f64 {
+    let id = &reading.at.runner.entry.id;
+    let Some(at) = homes.iter().position(|home| *home == id) else { return 0.0 };
+    let kept = search.keeper.as_ref().map_or(0, |keeper| keeper.tokens);
+    let missing = search.work.chain.shared().saturating_sub(kept);
+    let time = prefill_time(Stage::Prefill, missing, kept, 0);
+    let whole = HOME_ADVANTAGE.0 + HOME_ADVANTAGE.1 * time;
+    whole * (1.0 - at as f64 / HOMES as f64)
 }
 
 /// A choice for a plain request.
--- a/lib/src/fleet/register.rs
+++ b/lib/src/fleet/register.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::time::Instant;
 
-use super::cache::Part;
+use super::cache::{Part, Progress};
 use super::engine::Pace;
 use super::health::Record;
 use super::load::{Class, Load};
@@ -186,11 +186,11 @@
         }
     }
 
-    /// Takes in that a runner reads a part for another node.
+    /// Takes in how far a runner is with a part for another node.
     pub fn take_reading(&mut self, reading: Reading, now: Instant) {
         let runner = self.tags.get(&reading.runner).and_then(|id| self.runners.get_mut(id));
         if let Some(runner) = runner {
-            runner.cache.note_part(reading.part, now);
+            runner.cache.note_part(reading.part, reading.progress, now);
         }
     }
 
@@ -229,4 +229,6 @@
     pub runner: Tag,
     /// The part.
     pub part: Part,
+    /// How far the runner is with it.
+    pub progress: Progress,
 }
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -7,13 +7,14 @@
 use rand::rngs::StdRng;
 use sardinepick_lib::fleet::balance::{self, Change, Demand, Division};
 use sardinepick_lib::fleet::budget::{Bounds, Budget};
-use sardinepick_lib::fleet::cache::{Cache, Chain};
+use sardinepick_lib::fleet::cache::{Cache, Chain, Progress};
 use sardinepick_lib::fleet::engine::{Engine, Pace, Stage, Work};
 use sardinepick_lib::fleet::event::Splitter;
 use sardinepick_lib::fleet::gate::{Sizes, Terms, urgency};
 use sardinepick_lib::fleet::health::{Outcome, Record};
 use sardinepick_lib::fleet::load::{CLASSES, Class, Load, Others};
 use sardinepick_lib::fleet::outage::{DOUBT, Outage, pause};
+use sardinepick_lib::fleet::patience;
 use sardinepick_lib::fleet::place::{self, Placement, Plan, Question};
 use sardinepick_lib::fleet::register::{Change as Changed, Register, Share};
 use sardinepick_lib::fleet::roster::{Contact, Roster, Standing, Status, beat_period};
@@ -164,9 +165,9 @@
 fn cache_chain_start_counts() {
     let now = Instant::now();
     let mut cache = Cache::default();
-    cache.note(&work("a", 1_000, 50).chain, now);
-    assert_eq!(cache.cached(&work("a", 1_000, 70).chain), 1_000);
-    assert_eq!(cache.cached(&work("b", 1_000, 50).chain), 0);
+    cache.note(&work("a", 1_000, 50).chain, Progress::Read, now);
+    assert_eq!(cache.cached(&work("a", 1_000, 70).chain, now), 1_000);
+    assert_eq!(cache.cached(&work("b", 1_000, 50).chain, now), 0);
 }
 
 #[test]
@@ -175,12 +176,12 @@
     let mut cache = Cache::default();
     cache.set_memory(10_000);
     for n in 0..20 {
-        cache.note(&work(&format!("c{n}"), 900, 100).chain, start + MS * n);
-        cache.note(&work("hot", 900, 100).chain, start + MS * n);
+        cache.note(&work(&format!("c{n}"), 900, 100).chain, Progress::Read, start + MS * n);
+        cache.note(&work("hot", 900, 100).chain, Progress::Read, start + MS * n);
     }
     assert!(cache.tokens() <= 10_000);
-    assert_eq!(cache.cached(&work("hot", 900, 5).chain), 900);
-    assert_eq!(cache.cached(&work("c0", 900, 5).chain), 0);
+    assert_eq!(cache.cached(&work("hot", 900, 5).chain, start), 900);
+    assert_eq!(cache.cached(&work("c0", 900, 5).chain, start), 0);
 }
 
 #[test]
@@ -429,7 +430,7 @@
     let now = Instant::now();
     let mut register = engines(3, 3);
     let work = work("manual", 13_000, 3_000);
-    register.get_mut(&id("p1")).expect("known").cache.note(&work.chain, now);
+    register.get_mut(&id("p1")).expect("known").cache.note(&work.chain, Progress::Read, now);
     let placed = choose(&register, Class::of_rank(2), &work, now).expect("a place");
     assert!(matches!(&placed.plan, Plan::Split { prefill, .. } if *prefill == id("p1")));
     assert!(placed.fresh == 0 && placed.first < 0.1, "{placed:?}");
@@ -671,7 +672,7 @@
     let now = Instant::now();
     let mut register = engines(3, 3);
     let work = work("manual", 13_000, 3_000);
-    register.get_mut(&id("p1")).expect("known").cache.note(&work.chain, now);
+    register.get_mut(&id("p1")).expect("known").cache.note(&work.chain, Progress::Read, now);
     let share = Share { class: Class::of_rank(0), fresh: 60_000, footprint: 60_000 };
     register.begin(&id("p1"), share, now);
     let own = Work { prompt: work.prompt, ..work.clone() };
@@ -686,9 +687,100 @@
     let now = Instant::now();
     let mut register = engines(2, 2);
     let work = work("short", 500, 100);
-    register.get_mut(&id("p1")).expect("known").cache.note(&work.chain, now);
+    register.get_mut(&id("p1")).expect("known").cache.note(&work.chain, Progress::Read, now);
     let share = Share { class: Class::of_rank(0), fresh: 60_000, footprint: 60_000 };
     register.begin(&id("p1"), share, now);
     let placed = choose(&register, Class::of_rank(0), &work, now).expect("a place");
     assert_eq!(placed.fetch, None);
 }
+
+/// Symptom: a third of all reading is of shared prompts that another runner is reading. Sequence:
+/// requests that share a prompt nobody keeps come within its reading time. Cause: a prompt counted
+/// as kept only once it had been read, so the second was read elsewhere. It must wait where the
+/// first is read.
+#[test]
+fn generation_prompt_being_read_goes_there() {
+    let now = Instant::now();
+    let mut register = engines(6, 4);
+    let first = work("manual", 13_000, 3_000);
+    let placed = choose(&register, Class::of_rank(2), &first, now).expect("a place");
+    let Plan::Split { prefill, .. } = placed.plan else { panic!("{placed:?}") };
+    let share = Share { class: Class::of_rank(2), fresh: placed.fresh, footprint: 16_000 };
+    register.begin(&prefill, share, now);
+    let runner = register.get_mut(&prefill).expect("known");
+    runner.cache.note(&first.chain, Progress::Begun, now);
+    let second = work("manual", 13_000, 2_000);
+    let placed = choose(&register, Class::of_rank(2), &second, now + MS * 10).expect("a place");
+    let goes_there = matches!(&placed.plan, Plan::Split { prefill: p, .. } if *p == prefill);
+    assert!(goes_there && placed.fresh == 2_000 && placed.fetch.is_none(), "{placed:?}");
+}
+
+/// What is still being read cannot be fetched: the fetch would find nothing, and all would be read.
+#[test]
+fn cache_begun_counts_there_not_fetched() {
+    let now = Instant::now();
+    let (mut cache, work) = (Cache::default(), work("a", 1_000, 50));
+    cache.note(&work.chain, Progress::Begun, now);
+    assert_eq!((cache.cached(&work.chain, now + S), cache.fetchable(&work.chain)), (1_050, 0));
+    assert_eq!(cache.cached(&work.chain, now + S * 3), 0, "it has been broken off");
+    cache.note(&work.chain, Progress::Read, now + S);
+    cache.note(&work.chain, Progress::Begun, now + S * 2);
+    assert_eq!(cache.fetchable(&work.chain), 1_050, "what has been read stays read");
+}
+
+/// Requests of one kind share the start of their prompts; it is the last shared part that makes two
+/// of them meet. By the first part a whole kind would have one home.
+#[test]
+fn generation_kind_with_one_start_many_homes() {
+    let now = Instant::now();
+    let register = engines(12, 4);
+    let homes: std::collections::HashSet<String> = (0..40)
+        .map(|n| {
+            let (part, own) = (format!("thing{n}"), format!("own{n}"));
+            let parts = [("start", 2_500), (part.as_str(), 3_800), (own.as_str(), 2_900)];
+            let work =
+                Work { chain: Chain::new("m", parts.into_iter()), prompt: 9_200, output: 10 };
+            let placed = choose(&register, Class::of_rank(1), &work, now).expect("a place");
+            placed.plan.to_string() + &format!("{:?}", placed.plan)
+        })
+        .collect();
+    assert!(homes.len() >= 8, "{homes:?}");
+}
+
+/// Symptom: in a burst the retry budget is spent, and requests are refused for it. Sequence: late
+/// prompts wait behind urgent ones that come after them, and are taken away and read elsewhere.
+/// Cause: the bound was a multiple of a prediction that cannot know what comes later.
+#[test]
+fn reading_late_work_waits_its_time() {
+    assert_eq!(patience::reading(Class::LATE, 0.1, S * 2), S * 2);
+    assert_eq!(patience::reading(Class::of_rank(0), 0.1, S * 2), MS * 700);
+    assert_eq!(patience::reading(Class::of_rank(0), 0.1, MS * 300), MS * 300);
+}
+
+#[test]
+fn silence_long_pauses_longer() {
+    assert_eq!(patience::silence(MS * 100, 0.5), MS * 1_500);
+    assert_eq!(patience::silence(S, 0.0), MS * 2_500);
+    assert_eq!(patience::silence(S, f64::MAX), MS * 12_500);
+}
+
+/// Symptom: callers of long prompts leave after two seconds while most prefill runners are idle.
+/// Sequence: a burst of long prompts, none of which can be on time. Cause: they waited for the few
+/// runners of late work. Those come first, then idle ones of the others, of which half stay free.
+#[test]
+fn generation_late_runners_busy_idle_taken() {
+    let now = Instant::now();
+    let mut register = engines(9, 3);
+    let mut readers = Vec::new();
+    for n in 0..12 {
+        let work = work(&format!("late{n}"), 40_000, 10_000);
+        let placed = choose(&register, Class::LATE, &work, now).expect("a place");
+        let Plan::Split { prefill, .. } = placed.plan else { panic!("{placed:?}") };
+        let share = Share { class: Class::LATE, fresh: placed.fresh, footprint: 50_000 };
+        register.begin(&prefill, share, now);
+        readers.push(prefill);
+    }
+    let distinct = |some: &[RunnerId]| some.iter().collect::<std::collections::HashSet<_>>().len();
+    assert_eq!(distinct(&readers[..6]), 6, "none waits while idle ones are to be had: {readers:?}");
+    assert_eq!(distinct(&readers), 6, "three runners stay free: {readers:?}");
+}
--- a/node/src/serve/beat.rs
+++ b/node/src/serve/beat.rs
@@ -59,20 +59,25 @@
     }
 }
 
-/// The datagrams of one beat: as many as the loads fill.
+/// The datagrams of one beat: as many as the loads and the readings fill.
 fn beats(shared: &Shared, loads: &[(Tag, Load)], answer: bool) -> Vec<Beat> {
-    let first = loads.len().min(MOST_LOADS);
-    let parts = std::iter::once(&loads[..first]).chain(loads[first..].chunks(MOST_LOADS));
-    let beat = |(at, loads): (usize, &[(Tag, Load)])| Beat {
+    let readings = shared.take_readings();
+    let count = loads.len().div_ceil(MOST_LOADS).max(readings.len().div_ceil(MOST_READINGS));
+    let beat = |at: usize| Beat {
         contact: shared.me.clone(),
         status: shared.status(),
-        loads: loads.to_vec(),
-        readings: shared.take_readings(MOST_READINGS),
+        loads: part(loads, at, MOST_LOADS).to_vec(),
+        readings: part(&readings, at, MOST_READINGS).to_vec(),
         answer,
         away: shared.away(),
         more: at > 0,
     };
-    parts.enumerate().map(beat).collect()
+    (0..count.max(1)).map(beat).collect()
+}
+
+/// The part `at` of a list in parts of `most`; empty behind its end.
+fn part<T>(list: &[T], at: usize, most: usize) -> &[T] {
+    list.chunks(most).nth(at).unwrap_or_default()
 }
 
 /// Whom to send a beat: the nodes heard lately, and now and then all that were ever known.
--- a/node/src/serve/generation/read.rs
+++ b/node/src/serve/generation/read.rs
@@ -2,9 +2,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
+use sardinepick_lib::fleet::cache::Progress;
 use sardinepick_lib::fleet::health::Outcome;
+use sardinepick_lib::fleet::patience;
 use sardinepick_lib::fleet::place::Placement;
 use sardinepick_lib::fleet::register::{Reading, Share};
 use sardinepick_lib::fleet::runner::Tag;
@@ -19,10 +20,6 @@
 use crate::serve::shared::Shared;
 use crate::serve::ticket::{Step, Ticket};
 
-/// How much later than predicted a prompt may be read before it is read elsewhere, as a factor and
-/// a time besides.
-const READ_SLACK: (f64, Duration) = (3.0, Duration::from_millis(400));
-
 impl Way {
     /// Has the prompt read at a prefill runner. None if it was not.
     pub(super) async fn read_at(
@@ -38,8 +35,8 @@
         let Some(address) = self.address(id) else { return Ok(None) };
         let fetch = placement.fetch.as_ref().and_then(|source| self.address(source));
         let outgoing = self.outgoing(id, Ask::Read, share.class, left, fetch);
-        let slack = Duration::from_secs_f64(placement.read * READ_SLACK.0) + READ_SLACK.1;
-        let limit = left.min(slack);
+        let limit = patience::reading(share.class, placement.read, left);
+        self.note_cached(id, Progress::Begun);
         let sent = self.shared.connections.send(address, outgoing, CONNECT_LIMIT);
         let request_id = self.request.id.clone();
         let reading = async {
@@ -62,7 +59,7 @@
                     held_ms = ticket.held().as_millis() as u64; "prompt read"
                 );
                 self.learn(id, placement.read, ticket.held());
-                self.note_cached(id);
+                self.note_cached(id, Progress::Read);
                 Ok(Some(handle))
             }
             Err(detail) => {
@@ -77,20 +74,20 @@
         }
     }
 
-    /// Notes that a runner keeps the prompt now, and tells the other nodes of its parts.
-    pub(super) fn note_cached(&self, id: &RunnerId) {
+    /// Notes how far a runner is with the prompt, and tells the other nodes of its parts.
+    pub(super) fn note_cached(&self, id: &RunnerId, progress: Progress) {
         let now = self.shared.clock.now();
         if let Some(runner) = self.shared.register().get_mut(id) {
             if let Some(engine) = self.request.engine {
                 runner.cache.set_memory(engine.memory);
             }
-            runner.cache.note(&self.work.chain, now);
+            runner.cache.note(&self.work.chain, progress, now);
         }
         let tag = Tag::of(id);
         // The last part is the request's own and of no use to others.
         let shared = self.work.chain.0.len().saturating_sub(1);
         let parts = self.work.chain.0[..shared].iter();
-        self.shared.note_readings(parts.map(|part| Reading { runner: tag, part: *part }));
+        self.shared.note_readings(parts.map(|part| Reading { runner: tag, part: *part, progress }));
     }
 }
 
--- a/node/src/serve/generation/stream.rs
+++ b/node/src/serve/generation/stream.rs
@@ -9,8 +9,10 @@
 use http::response::Parts;
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::Frame;
+use sardinepick_lib::fleet::cache::Progress;
 use sardinepick_lib::fleet::event::{Event, Splitter};
 use sardinepick_lib::fleet::health::Outcome;
+use sardinepick_lib::fleet::patience;
 use sardinepick_lib::fleet::place::Placement;
 use sardinepick_lib::fleet::register::Share;
 use sardinepick_lib::id::{RunnerId, ServiceId};
@@ -29,12 +31,6 @@
 
 /// How many events may wait for a slow caller before the runner is held back.
 const EVENTS_AHEAD: usize = 64;
-/// The shortest silence after which a stream goes on elsewhere. Shorter ones are common where a
-/// runner reads a long prompt between two tokens.
-const SILENCE: Duration = Duration::from_millis(1_000);
-/// How many of the pauses that the route allows a runner may be silent, if that is longer.
-const SILENT_PAUSES: f64 = 2.5;
-
 impl Way {
     /// Runs the request at a runner and passes its answer on.
     pub(super) async fn run_at(
@@ -53,10 +49,13 @@
         let is_whole = step == Ask::Run;
         let fetch = placement.fetch.as_ref().filter(|_| is_whole);
         let fetch = fetch.and_then(|source| self.address(source));
+        if is_whole {
+            self.note_cached(id, Progress::Begun);
+        }
         let outgoing = self.outgoing(id, step, share.class, left, fetch);
         // A run that may be repeated is not left with a runner that gives no sign of life.
         let limit =
-            if self.is_repeatable() { left.min(self.silence(placement.first)) } else { left };
+            if self.may_run_again() { left.min(self.silence(placement.first)) } else { left };
         self.runs += 1;
         self.arrivals += 1;
         let sent = self.shared.connections.send(address, outgoing, CONNECT_LIMIT);
@@ -114,14 +113,9 @@
         }
     }
 
-    fn is_repeatable(&self) -> bool {
-        self.may_run_again()
-    }
-
     /// How long a runner may be silent before the request goes on elsewhere.
     fn silence(&self, predicted: f64) -> Duration {
-        let pauses = self.request.route.pause.mul_f64(SILENT_PAUSES);
-        SILENCE.max(pauses) + Duration::from_secs_f64(predicted.clamp(0.0, 10.0))
+        patience::silence(self.request.route.pause, predicted)
     }
 
     /// Takes an answer that is no stream: a failure of the runner's, signed by it.
@@ -192,7 +186,7 @@
                     if let Some(predicted) = predicted {
                         self.learn(&id, predicted, ticket.held());
                     }
-                    self.note_cached(&id);
+                    self.note_cached(&id, Progress::Read);
                 }
                 ticket.note_life();
                 if !self.pass(&head, event).await {
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -278,10 +278,8 @@
         readings.drain(..over);
     }
 
-    /// Takes up to `most` readings that were not told yet.
-    pub fn take_readings(&self, most: usize) -> Vec<Reading> {
-        let mut readings = lock(&self.readings);
-        let count = readings.len().min(most);
-        readings.drain(..count).collect()
+    /// Takes the readings that were not told yet.
+    pub fn take_readings(&self) -> Vec<Reading> {
+        std::mem::take(&mut *lock(&self.readings))
     }
 }
--- a/wire/src/beat.rs
+++ b/wire/src/beat.rs
@@ -1,7 +1,7 @@
 //! Beats: the datagrams by which nodes that serve together know of each other.
 
 use prost::Message as _;
-use sardinepick_lib::fleet::cache::{ChainKey, Part};
+use sardinepick_lib::fleet::cache::{ChainKey, Part, Progress};
 use sardinepick_lib::fleet::load::{CLASSES, Load};
 use sardinepick_lib::fleet::register::Reading;
 use sardinepick_lib::fleet::roster::{Contact, Standing, Status};
@@ -140,10 +140,16 @@
 }
 
 fn reading(reading: &Reading) -> pb::Reading {
-    pb::Reading { runner: reading.runner.0, part: reading.part.key.0, tokens: reading.part.tokens }
+    pb::Reading {
+        runner: reading.runner.0,
+        part: reading.part.key.0,
+        tokens: reading.part.tokens,
+        begun: reading.progress == Progress::Begun,
+    }
 }
 
 fn read_reading(reading: &pb::Reading) -> Reading {
     let part = Part { key: ChainKey(reading.part), tokens: reading.tokens.min(MOST_TOKENS) };
-    Reading { runner: Tag(reading.runner), part }
+    let progress = if reading.begun { Progress::Begun } else { Progress::Read };
+    Reading { runner: Tag(reading.runner), part, progress }
 }
--- a/wire/tests/beat.rs
+++ b/wire/tests/beat.rs
@@ -1,7 +1,7 @@
 //! Beats between nodes.
 
 use proptest::prelude::*;
-use sardinepick_lib::fleet::cache::{ChainKey, Part};
+use sardinepick_lib::fleet::cache::{ChainKey, Part, Progress};
 use sardinepick_lib::fleet::load::Load;
 use sardinepick_lib::fleet::register::Reading;
 use sardinepick_lib::fleet::roster::{Contact, Standing, Status};
@@ -27,7 +27,9 @@
             served: true,
         },
         loads: (0..MOST_LOADS as u64).map(|n| (Tag(n), load)).collect(),
-        readings: (0..MOST_READINGS as u64).map(|n| Reading { runner: Tag(n), part }).collect(),
+        readings: (0..MOST_READINGS as u64)
+            .map(|n| Reading { runner: Tag(n), part, progress: Progress::Begun })
+            .collect(),
         answer: true,
         away: vec![Tag(1), Tag(2)],
         more: true,
