cache: nodes tell each other of the parts that fill a runner's memory

Nodes were told of shared parts alone, so each believed a runner's memory to fill a third as fast as it does and counted on prompts that had been pushed out.

What has been read is told with the request's own last part; what has only begun without it.

--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -16,7 +16,7 @@
 use sardinepick_lib::fleet::outage::{DOUBT, Outage, pause};
 use sardinepick_lib::fleet::patience;
 use sardinepick_lib::fleet::place::{self, Placement, Plan, Question};
-use sardinepick_lib::fleet::register::{Change as Changed, Register, Share};
+use sardinepick_lib::fleet::register::{Change as Changed, Reading, Register, Share};
 use sardinepick_lib::fleet::roster::{Contact, Roster, Standing, Status, beat_period};
 use sardinepick_lib::fleet::route::{Configuration, Kind, Limits, Route, Target};
 use sardinepick_lib::fleet::runner::{Entry, State, Tag};
@@ -784,3 +784,29 @@
     assert_eq!(distinct(&readers[..6]), 6, "none waits while idle ones are to be had: {readers:?}");
     assert_eq!(distinct(&readers), 6, "three runners stay free: {readers:?}");
 }
+
+/// Symptom: prompts that are believed to be kept for more than eight seconds are read again, nine in
+/// ten of them. Sequence: other nodes send a runner requests with parts of their own, which push the
+/// shared prompt out of its memory. Cause: nodes were told of shared parts alone, and believed the
+/// runner's memory to fill a third as fast as it does.
+#[test]
+fn to_tell_own_parts_push_shared_out() {
+    let now = Instant::now();
+    let mut register = engines(1, 1);
+    let runner = register.get_mut(&id("p0")).expect("known");
+    runner.cache.set_memory(50_000);
+    let shared = work("manual", 13_000, 100).chain;
+    runner.cache.note(&shared, Progress::Read, now);
+    for n in 0..10 {
+        let other = work(&format!("doc{}", n % 2), 2_000, 4_000 + n).chain;
+        assert_eq!(other.to_tell(Progress::Begun), &other.0[..1], "nobody waits for the last part");
+        for part in other.to_tell(Progress::Read) {
+            let reading =
+                Reading { runner: Tag::of(&id("p0")), part: *part, progress: Progress::Read };
+            register.take_reading(reading, now + S * (1 + n as u32));
+        }
+    }
+    let runner = register.get(&id("p0")).expect("known");
+    assert_eq!(runner.cache.cached(&shared, now + S * 11), 0);
+    assert_eq!(runner.cache.cached(&work("doc1", 2_000, 1).chain, now + S * 11), 2_000);
+}
--- a/node/src/serve/generation/read.rs
+++ b/node/src/serve/generation/read.rs
@@ -84,9 +84,7 @@
             runner.cache.note(&self.work.chain, progress, now);
         }
         let tag = Tag::of(id);
-        // The last part is the request's own and of no use to others.
-        let shared = self.work.chain.0.len().saturating_sub(1);
-        let parts = self.work.chain.0[..shared].iter();
+        let parts = self.work.chain.to_tell(progress).iter();
         self.shared.note_readings(parts.map(|part| Reading { runner: tag, part: *part, progress }));
     }
 }
