--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -785,8 +785,8 @@
     assert_eq!(distinct(&readers), 6, "three runners stay free: {readers:?}");
 }
 
-/// Symptom: prompts that are believed to be kept for more than eight seconds are read again, nine in
-/// ten of them. Sequence: other nodes send a runner requests with parts of their own, which push the
+/// Symptom: of prompts that are believed to be kept for more than eight seconds six in ten are read
+/// again, of those kept for less than four one in four. Sequence: other nodes send a runner requests with parts of their own, which push the
 /// shared prompt out of its memory. Cause: nodes were told of shared parts alone, and believed the
 /// runner's memory to fill a third as fast as it does.
 #[test]
