register: a runner's lives told apart; entries of other writers name no runner

A runner may start again under its id. The register, loads, cached parts, tickets and orders went by the id alone: what ended late was taken off the new life's count, its failures were put down to the new life, and prompts were sent where the former life had kept them. An entry that could not be read was dropped, and the runner it had replaced stayed in use.

Entries and reports tell when a life began (Born). A later birth replaces the runner as one of which only the entry is known; a former life's late write changes nothing; nodes name lives to each other by a tag of id and birth. Work is counted to the stay in which it began (Stay). An order in doubt outlasts the life it was for.

Requiring a birth everywhere: the deployments' runners do not tell one today, and a runner that has never told is taken at its word.

--- a/lib/src/fleet/register.rs
+++ b/lib/src/fleet/register.rs
@@ -4,6 +4,10 @@
 //! nobody. Runners that lapsed so are back within two seconds of the store's return, so an entry
 //! that is missing at the first look after an outage is doubted and not dropped at once: dropping
 //! all runners of a service when the store comes back would refuse requests that could be served.
+//!
+//! A runner that starts again under its id holds and knows nothing of before: it takes the place of
+//! its former life as a runner of which only the entry is known. A late entry of a former life
+//! changes nothing, and what was begun in one life ends in it ([`Stay`]).
 
 use std::collections::HashMap;
 use std::time::Instant;
@@ -12,14 +16,16 @@
 use super::engine::Pace;
 use super::health::Record;
 use super::load::{Class, Load};
-use super::runner::{Entry, Runner, State, Tag};
-use crate::id::{NodeId, RunnerId, ServiceId};
+use super::runner::{Entry, Runner, State, Stay, Tag};
+use crate::id::{NodeId, Revision, RunnerId, ServiceId};
 
 /// What a change of the register did.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Change {
     /// A runner that was not known.
     Added,
+    /// A runner that has started again under its id.
+    Reborn,
     /// A runner that takes no new work any more.
     Leaving,
     /// A runner whose entry is missing; it is kept for a while.
@@ -30,6 +36,8 @@
     Updated,
     /// Nothing new.
     None,
+    /// Nothing, though it came later than what is known: it is of a former life.
+    Former,
 }
 
 /// The runners.
@@ -38,20 +46,34 @@
     runners: HashMap<RunnerId, Runner>,
     tags: HashMap<Tag, RunnerId>,
     doubted: HashMap<RunnerId, Instant>,
+    /// How many stays there have been.
+    stays: u64,
 }
 
 impl Register {
-    /// Takes in an entry. One that is older than what is known changes nothing.
+    /// Takes in an entry. One that is older than what is known, or of a former life, changes nothing.
     pub fn apply(&mut self, entry: Entry) -> Change {
-        self.doubted.remove(&entry.id);
         let Some(runner) = self.runners.get_mut(&entry.id) else {
-            self.tags.insert(Tag::of(&entry.id), entry.id.clone());
-            self.runners.insert(entry.id.clone(), Runner::new(entry));
+            self.insert(entry);
             return Change::Added;
         };
         if entry.revision <= runner.entry.revision {
+            self.doubted.remove(&entry.id);
             return Change::None;
         }
+        match (entry.born, runner.entry.born) {
+            // The runner says when it began; who does not is not the runner.
+            (None, Some(_)) => return self.disown(&entry.id, entry.revision),
+            (new, known) if new < known => return Change::Former,
+            _ => {}
+        }
+        self.doubted.remove(&entry.id);
+        if entry.born > runner.entry.born {
+            let former = runner.entry.tag();
+            self.tags.remove(&former);
+            self.insert(entry);
+            return Change::Reborn;
+        }
         let leaves = runner.entry.state == State::Ready && entry.state == State::Draining;
         let turned = runner.entry.stage != entry.stage;
         runner.entry = entry;
@@ -65,6 +87,25 @@
         if leaves { Change::Leaving } else { Change::Updated }
     }
 
+    /// Takes in that what stands under the id of a runner since `revision` is not of that runner's
+    /// making. There is no runner to use under that id then, and nothing to doubt: the store has
+    /// just shown what it has.
+    pub fn disown(&mut self, id: &RunnerId, revision: Revision) -> Change {
+        match self.runners.get(id) {
+            Some(runner) if runner.entry.revision < revision => {
+                self.drop_runner(id);
+                Change::Removed
+            }
+            _ => Change::None,
+        }
+    }
+
+    fn insert(&mut self, entry: Entry) {
+        self.stays += 1;
+        self.tags.insert(entry.tag(), entry.id.clone());
+        self.runners.insert(entry.id.clone(), Runner::new(entry, self.stays));
+    }
+
     /// Takes in that an entry is gone. Where that is in doubt, because the store has been away, the
     /// runner is kept until the doubt is over.
     pub fn remove(&mut self, id: &RunnerId, doubt: Option<Instant>) -> Change {
@@ -81,8 +122,9 @@
 
     fn drop_runner(&mut self, id: &RunnerId) {
         self.doubted.remove(id);
-        self.runners.remove(id);
-        self.tags.remove(&Tag::of(id));
+        if let Some(runner) = self.runners.remove(id) {
+            self.tags.remove(&runner.entry.tag());
+        }
     }
 
     /// Takes in a whole list: entries that are not in it are gone.
@@ -106,7 +148,7 @@
             let change = self.remove(&id, doubt);
             changes.push((id, change));
         }
-        changes.retain(|(_, change)| *change != Change::None);
+        changes.retain(|(_, change)| !matches!(change, Change::None | Change::Former));
         changes
     }
 
@@ -134,6 +176,16 @@
         self.runners.get_mut(id)
     }
 
+    /// A runner in the stay that `stay` tells of; none if that is over.
+    pub fn in_stay(&self, stay: &Stay) -> Option<&Runner> {
+        self.runners.get(&stay.id).filter(|runner| runner.is_in(stay))
+    }
+
+    /// A runner in the stay that `stay` tells of, to be changed.
+    pub fn in_stay_mut(&mut self, stay: &Stay) -> Option<&mut Runner> {
+        self.runners.get_mut(&stay.id).filter(|runner| runner.is_in(stay))
+    }
+
     /// All runners.
     pub fn runners(&self) -> impl Iterator<Item = &Runner> {
         self.runners.values()
@@ -144,19 +196,21 @@
         self.runners.values().filter(move |r| r.entry.service == *service)
     }
 
-    /// Notes that work begins at a runner: `fresh` prompt tokens to read, `footprint` of memory.
-    pub fn begin(&mut self, id: &RunnerId, share: Share, now: Instant) {
-        let Some(runner) = self.runners.get_mut(id) else { return };
+    /// Notes that work begins at a runner, and gives the stay to which it is counted; none if the
+    /// runner is not known.
+    pub fn begin(&mut self, id: &RunnerId, share: Share, now: Instant) -> Option<Stay> {
+        let runner = self.runners.get_mut(id)?;
         runner.health.note_sent(now);
         runner.own.requests += 1;
         runner.own.tokens += share.footprint;
         runner.own.backlog[share.class.index()] += share.fresh;
         runner.own.unread[share.class.index()] += 1;
+        Some(runner.stay())
     }
 
     /// Notes that the prompt of work under way has been read.
-    pub fn note_read(&mut self, id: &RunnerId, share: Share) {
-        let Some(runner) = self.runners.get_mut(id) else { return };
+    pub fn note_read(&mut self, stay: &Stay, share: Share) {
+        let Some(runner) = self.in_stay_mut(stay) else { return };
         let backlog = &mut runner.own.backlog[share.class.index()];
         *backlog = backlog.saturating_sub(share.fresh);
         let unread = &mut runner.own.unread[share.class.index()];
@@ -164,8 +218,8 @@
     }
 
     /// Notes that work has ended.
-    pub fn end(&mut self, id: &RunnerId, share: Share) {
-        let Some(runner) = self.runners.get_mut(id) else { return };
+    pub fn end(&mut self, stay: &Stay, share: Share) {
+        let Some(runner) = self.in_stay_mut(stay) else { return };
         runner.own.requests = runner.own.requests.saturating_sub(1);
         runner.own.tokens = runner.own.tokens.saturating_sub(share.footprint);
     }
@@ -207,7 +261,7 @@
     /// What this node has under way, by runner.
     pub fn own_loads(&self) -> Vec<(Tag, Load)> {
         let busy = self.runners.values().filter(|r| !r.own.is_empty());
-        busy.map(|r| (Tag::of(&r.entry.id), r.own)).collect()
+        busy.map(|r| (r.entry.tag(), r.own)).collect()
     }
 }
 
--- a/lib/src/fleet/runner.rs
+++ b/lib/src/fleet/runner.rs
@@ -10,7 +10,7 @@
 use super::health::Record;
 use super::load::{Class, Load, Others};
 use crate::hash::place;
-use crate::id::{DataCentre, Revision, RunnerId, ServiceId};
+use crate::id::{Born, DataCentre, Revision, RunnerId, ServiceId};
 
 /// Whether a runner takes new work, in its own words.
 #[derive(Clone, Copy, Debug, Display, EnumString, Eq, IntoStaticStr, PartialEq)]
@@ -25,8 +25,10 @@
 /// What the platform's register says of a runner.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
-    /// This life of it.
+    /// Its id, which it keeps when it starts again.
     pub id: RunnerId,
+    /// When this life of it began; none where its deployment's runners do not say so.
+    pub born: Option<Born>,
     /// Its service.
     pub service: ServiceId,
     /// Where it is reached.
@@ -43,23 +45,48 @@
     pub revision: Revision,
 }
 
-/// A hash of a runner's id, by which nodes name it to each other in few bytes. Two runners with one
-/// tag would share a load report, which is a hint and no more.
+/// A hash of a runner's id and birth, by which nodes name one life of it to each other in few bytes.
+/// What is told of a former life names no runner that is known, and so changes nothing. Two lives
+/// with one tag would share a load report, which is a hint and no more.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct Tag(pub u64);
 
 impl Tag {
-    /// The tag of a runner.
-    pub fn of(id: &RunnerId) -> Self {
-        Self(place(0, id.as_str().as_bytes()))
+    /// The tag of one life of a runner.
+    pub fn of(id: &RunnerId, born: Option<Born>) -> Self {
+        let id = place(0, id.as_str().as_bytes());
+        Self(born.map_or(id, |born| place(id, &born.0.to_le_bytes())))
     }
 }
 
+impl Entry {
+    /// The tag of the life that the entry is of.
+    pub fn tag(&self) -> Tag {
+        Tag::of(&self.id, self.born)
+    }
+}
+
+/// One stay of a runner in this node's register: from when the node first heard of this life of it
+/// until the life, or the entry, was gone. Work is counted to the stay in which it began, so that
+/// what ends late is not taken off the next life's count, and no failure of the former one, answer,
+/// or prompt that it had read is put down to the next.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Stay {
+    /// The runner.
+    pub id: RunnerId,
+    /// When its life began.
+    pub born: Option<Born>,
+    /// The number of the stay at this node.
+    pub(super) number: u64,
+}
+
 /// A runner: its entry, and what this node knows besides.
 #[derive(Clone, Debug)]
 pub struct Runner {
     /// The platform's entry.
     pub entry: Entry,
+    /// The number of its stay in this node's register.
+    number: u64,
     /// Its health.
     pub health: Record,
     /// What this node has under way there.
@@ -85,10 +112,11 @@
 const RATE_SAMPLE: u64 = 8_192;
 
 impl Runner {
-    /// A runner of which only the entry is known.
-    pub fn new(entry: Entry) -> Self {
+    /// A runner of which only the entry is known, with the number of its stay in the register.
+    pub fn new(entry: Entry, number: u64) -> Self {
         Self {
             entry,
+            number,
             health: Record::default(),
             own: Load::default(),
             others: Others::default(),
@@ -99,6 +127,16 @@
         }
     }
 
+    /// Its stay in this node's register.
+    pub fn stay(&self) -> Stay {
+        Stay { id: self.entry.id.clone(), born: self.entry.born, number: self.number }
+    }
+
+    /// Whether it is still in the stay that `stay` tells of.
+    pub fn is_in(&self, stay: &Stay) -> bool {
+        self.number == stay.number
+    }
+
     /// Whether new work may go there.
     pub fn takes_work(&self, now: Instant) -> bool {
         let reserved = self.reserved.is_some_and(|until| now < until);
--- a/lib/src/id.rs
+++ b/lib/src/id.rs
@@ -153,7 +153,8 @@
 pub const MAX_GIVEN_LEN: usize = 256;
 
 given!(
-    /// One life of a runner, as the platform names it.
+    /// A runner, as the platform names it. It may start again under its id; [`Born`] tells its lives
+    /// apart.
     RunnerId
 );
 given!(
@@ -228,6 +229,11 @@
     /// One life of a node process, taken from the clock at its start.
     Incarnation
 );
+counter!(
+    /// When a runner's process began, in milliseconds since 1970 by its own clock. A runner that starts
+    /// again under its id has a later one.
+    Born
+);
 counter!(
     /// The version of the table of owners, see [`crate::owner`].
     Version
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -41,6 +41,7 @@
 fn entry(name: &str, stage: Option<Stage>, revision: u64) -> Entry {
     Entry {
         id: id(name),
+        born: None,
         service: service(),
         address: "127.0.0.1:1".parse().expect("an address"),
         data_centre: home(),
@@ -284,7 +285,7 @@
     let now = Instant::now();
     let mut register = engines(1, 0);
     register.get_mut(&id("p0")).expect("known").health.note(Outcome::Gone, now);
-    register.reserve(&[Tag::of(&id("p0"))], now + S);
+    register.reserve(&[Tag::of(&id("p0"), None)], now + S);
     register.apply(entry("p0", Some(Stage::Decode), 2));
     assert!(register.get(&id("p0")).expect("known").takes_work(now));
 }
@@ -294,12 +295,12 @@
     let now = Instant::now();
     let mut register = engines(1, 0);
     let share = Share { class: Class::of_rank(1), fresh: 500, footprint: 900 };
-    register.begin(&id("p0"), share, now);
+    let stay = register.begin(&id("p0"), share, now).expect("known");
     let load = register.get(&id("p0")).expect("known").own;
     assert_eq!((load.requests, load.tokens, load.ahead(Class::LATE)), (1, 900, 500));
     assert_eq!(load.ahead(Class::of_rank(0)), 0);
-    register.note_read(&id("p0"), share);
-    register.end(&id("p0"), share);
+    register.note_read(&stay, share);
+    register.end(&stay, share);
     assert_eq!(register.get(&id("p0")).expect("known").own, Load::default());
 }
 
@@ -802,7 +803,7 @@
         assert_eq!(other.to_tell(Progress::Begun), &other.0[..1], "nobody waits for the last part");
         for part in other.to_tell(Progress::Read) {
             let reading =
-                Reading { runner: Tag::of(&id("p0")), part: *part, progress: Progress::Read };
+                Reading { runner: Tag::of(&id("p0"), None), part: *part, progress: Progress::Read };
             register.take_reading(reading, now + S * (1 + n as u32));
         }
     }
--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -213,6 +213,11 @@
         });
     }
 
+    /// Closes the idle connections to an address.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
+    }
+
     async fn connect(&self, address: SocketAddr, limit: Duration) -> Result<Sender, SendError> {
         let failed = |detail: String| SendError::Connect { peer: address, detail };
         self.metrics.connections.inc();
--- a/node/src/serve/follow.rs
+++ b/node/src/serve/follow.rs
@@ -11,7 +11,7 @@
 use rand::RngExt as _;
 use sardinepick_lib::fleet::outage::pause;
 use sardinepick_lib::fleet::register::Change as Changed;
-use sardinepick_lib::fleet::runner::{Entry, State};
+use sardinepick_lib::fleet::runner::State;
 use sardinepick_lib::id::{Mark, Revision, RunnerId};
 use sardinepick_platform::config::{self, decode};
 use sardinepick_platform::discovery::{NODES, RUNNERS, decode_node, decode_runner, encode_node};
@@ -30,6 +30,8 @@
 const FORGOTTEN_PAUSE_PART: u32 = 4;
 /// How often a node that does not follow the store looks whether it should.
 const DUTY_PERIOD: Duration = Duration::from_millis(100);
+/// How many entries of other writers are logged one by one of those that come together.
+const MOST_FOREIGN_LINES: usize = 8;
 /// How often lapsed entries and idle connections are looked through.
 const TIDY_PERIOD: Duration = Duration::from_millis(250);
 
@@ -142,6 +144,7 @@
         Ok(next) => next,
         Err(error) => {
             let revision = object.revision;
+            shared.metrics.foreign.with_label_values(&["configuration", error.reason()]).inc();
             log::error!(revision:% = revision, error:% = error; "configuration is not taken");
             return;
         }
@@ -188,19 +191,68 @@
     }
 }
 
-fn entry(object: &Object) -> Option<Entry> {
-    match decode_runner(&object.name, object.revision, &object.content) {
-        Ok(entry) => Some(entry),
-        Err(error) => {
-            log::error!(runner:% = object.name, error:% = error; "runner's entry is not taken");
-            None
+/// Takes in objects of the register's kind. Gives those that name a runner, and the names under
+/// which something stands that does not: whatever was known under such a name is not used any more.
+///
+/// Others can write there too. What they write must not keep a runner in use whose entry it has
+/// replaced, nor keep the sound entries beside it from being taken.
+fn take_entries(
+    shared: &Shared,
+    objects: Vec<Object>,
+    source: &'static str,
+) -> (Vec<Object>, Vec<SmolStr>) {
+    let (mut taken, mut foreign) = (Vec::with_capacity(objects.len()), Vec::new());
+    let mut unlogged = 0;
+    for object in objects {
+        let changed = match decode_runner(&object.name, object.revision, &object.content) {
+            Ok(entry) => {
+                let (id, revision) = (entry.id.clone(), entry.revision);
+                let (address, changed) = (entry.address, shared.register().apply(entry));
+                log_change(&id, changed, revision, source);
+                if changed == Changed::Reborn {
+                    // Nobody is left to answer at the other end of them.
+                    shared.connections.forget(address);
+                }
+                changed
+            }
+            Err(error) => {
+                shared.metrics.foreign.with_label_values(&["runner", error.reason()]).inc();
+                if foreign.len() < MOST_FOREIGN_LINES {
+                    log::warn!(
+                        name:% = object.name, revision:% = object.revision, source = source,
+                        error:% = error; "entry names no runner to use"
+                    );
+                } else {
+                    unlogged += 1;
+                }
+                disown(shared, &object, source)
+            }
+        };
+        match changed {
+            Changed::Removed => foreign.push(object.name),
+            // It is known already, or of a former life, which is not to be told on.
+            Changed::None | Changed::Former => {}
+            _ => taken.push(object),
         }
     }
+    if unlogged > 0 {
+        log::warn!(entries = unlogged, source = source; "further entries name no runner to use");
+    }
+    (taken, foreign)
+}
+
+fn disown(shared: &Shared, object: &Object, source: &'static str) -> Changed {
+    let Ok(id) = RunnerId::try_from(object.name.clone()) else { return Changed::None };
+    let changed = shared.register().disown(&id, object.revision);
+    log_change(&id, changed, object.revision, source);
+    changed
 }
 
 fn log_change(id: &RunnerId, change: Changed, revision: Revision, source: &'static str) {
     let what: &'static str = match change {
         Changed::Added => "runner added",
+        Changed::Reborn => "runner started again",
+        Changed::Former => "entry of a runner's former life",
         Changed::Leaving => "runner leaves",
         Changed::Doubted => "runner's entry lapsed while the store was away",
         Changed::Removed => "runner gone",
@@ -254,20 +306,14 @@
         let known = register.runners().map(|r| SmolStr::new(r.entry.id.as_str()));
         gone.extend(known.filter(|name| !named.contains(name)));
     }
-    let mut entries = Vec::with_capacity(told.entries.len());
-    for object in told.entries {
-        let Some(entry) = entry(&object) else { continue };
-        let (id, revision) = (entry.id.clone(), entry.revision);
-        let changed = shared.register().apply(entry);
-        log_change(&id, changed, revision, source);
-        entries.push(object);
-    }
+    let (entries, foreign) = take_entries(shared, told.entries, source);
     gone.retain(|name| {
         let Ok(id) = RunnerId::try_from(name.clone()) else { return false };
         let changed = shared.register().remove(&id, doubt);
         log_change(&id, changed, revision(told.mark), source);
         changed == Changed::Removed
     });
+    gone.extend(foreign);
     shared.knowledge().take(entries, &gone, told.mark);
     shared.note_knowledge();
     if shared.knowledge().mark() > before {
@@ -304,7 +350,10 @@
             Ok(contact) => {
                 roster.introduce(contact);
             }
-            Err(error) => log::error!(node:% = object.name, error:% = error; "entry is not taken"),
+            Err(error) => {
+                shared.metrics.foreign.with_label_values(&["node", error.reason()]).inc();
+                log::warn!(node:% = object.name, error:% = error; "node's entry is not taken");
+            }
         }
     }
     Ok(roster.known())
--- a/node/src/serve/generation/mod.rs
+++ b/node/src/serve/generation/mod.rs
@@ -333,12 +333,6 @@
         self.shared.register().get(id).map(|r| r.entry.address)
     }
 
-    fn learn(&self, id: &RunnerId, predicted: f64, seen: Duration) {
-        if let Some(runner) = self.shared.register().get_mut(id) {
-            runner.pace.learn(predicted, seen.as_secs_f64());
-        }
-    }
-
     fn outgoing(
         &self,
         id: &RunnerId,
--- a/node/src/serve/generation/read.rs
+++ b/node/src/serve/generation/read.rs
@@ -36,7 +36,7 @@
         let fetch = placement.fetch.as_ref().and_then(|source| self.address(source));
         let outgoing = self.outgoing(id, Ask::Read, share.class, left, fetch);
         let limit = patience::reading(share.class, placement.read, left);
-        self.note_cached(id, Progress::Begun);
+        self.note_cached(&ticket, Progress::Begun);
         let sent = self.shared.connections.send(address, outgoing, CONNECT_LIMIT);
         let request_id = self.request.id.clone();
         let reading = async {
@@ -58,8 +58,9 @@
                     predicted_ms = millis(placement.read),
                     held_ms = ticket.held().as_millis() as u64; "prompt read"
                 );
-                self.learn(id, placement.read, ticket.held());
-                self.note_cached(id, Progress::Read);
+                let held = ticket.held().as_secs_f64();
+                ticket.with_runner(|runner| runner.pace.learn(placement.read, held));
+                self.note_cached(&ticket, Progress::Read);
                 Ok(Some(handle))
             }
             Err(detail) => {
@@ -75,15 +76,16 @@
     }
 
     /// Notes how far a runner is with the prompt, and tells the other nodes of its parts.
-    pub(super) fn note_cached(&self, id: &RunnerId, progress: Progress) {
+    pub(super) fn note_cached(&self, ticket: &Ticket, progress: Progress) {
+        let Some(stay) = ticket.stay() else { return };
         let now = self.shared.clock.now();
-        if let Some(runner) = self.shared.register().get_mut(id) {
+        ticket.with_runner(|runner| {
             if let Some(engine) = self.request.engine {
                 runner.cache.set_memory(engine.memory);
             }
             runner.cache.note(&self.work.chain, progress, now);
-        }
-        let tag = Tag::of(id);
+        });
+        let tag = Tag::of(&stay.id, stay.born);
         let parts = self.work.chain.to_tell(progress).iter();
         self.shared.note_readings(parts.map(|part| Reading { runner: tag, part: *part, progress }));
     }
--- a/node/src/serve/generation/stream.rs
+++ b/node/src/serve/generation/stream.rs
@@ -50,7 +50,7 @@
         let fetch = placement.fetch.as_ref().filter(|_| is_whole);
         let fetch = fetch.and_then(|source| self.address(source));
         if is_whole {
-            self.note_cached(id, Progress::Begun);
+            self.note_cached(&ticket, Progress::Begun);
         }
         let outgoing = self.outgoing(id, step, share.class, left, fetch);
         // A run that may be repeated is not left with a runner that gives no sign of life.
@@ -182,11 +182,11 @@
                     first = false;
                     streaming.get_or_insert_with(|| Streaming::new(self));
                     ticket.note_read();
-                    let id = ticket.runner().clone();
                     if let Some(predicted) = predicted {
-                        self.learn(&id, predicted, ticket.held());
+                        let held = ticket.held().as_secs_f64();
+                        ticket.with_runner(|runner| runner.pace.learn(predicted, held));
                     }
-                    self.note_cached(&id, Progress::Read);
+                    self.note_cached(ticket, Progress::Read);
                 }
                 ticket.note_life();
                 if !self.pass(&head, event).await {
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -42,6 +42,8 @@
     pub nodes: IntGauge,
     /// When the store last answered, in seconds since 1970, by what was followed.
     pub answered: IntGaugeVec,
+    /// Objects in the store that are of another writer, by what they stand for and what is wrong.
+    pub foreign: IntCounterVec,
     dropped: Dropped,
 }
 
@@ -135,6 +137,11 @@
                 "When the store last answered",
                 &["what"],
             ),
+            foreign: m.counters(
+                "sardinepick_foreign_objects_total",
+                "Objects of other writers in the store",
+                &["what", "reason"],
+            ),
             dropped: Dropped::default(),
             registry: m.0,
         }
--- a/node/src/serve/order.rs
+++ b/node/src/serve/order.rs
@@ -16,7 +16,7 @@
 use sardinepick_lib::fleet::route::Configuration;
 use sardinepick_lib::fleet::runner::{Entry, Runner, Tag};
 use sardinepick_lib::hash::{place, rendezvous};
-use sardinepick_lib::id::{Epoch, Name, RunnerId, ServiceId};
+use sardinepick_lib::id::{Born, Epoch, Name, RunnerId, ServiceId};
 use sardinepick_lib::lease::{Action, Holder, Lease, Record, Term, Written};
 use sardinepick_platform::order::{LEASES, Order, Reply, Report, ask, read_report, reply, request};
 use sardinepick_platform::store::Refused;
@@ -56,6 +56,16 @@
     until: Instant,
     /// Whether it has said so. Until it does, it works on as before, perhaps for seconds.
     answered: bool,
+    /// The life of the runner that the order was for. One that was answered ends with it; one in
+    /// doubt may yet be carried out by the next life, which counts its orders from the same zero.
+    born: Option<Born>,
+}
+
+impl Given {
+    /// Whether the order may still be carried out.
+    fn is_in_doubt(&self, now: Instant) -> bool {
+        !self.answered && now < self.until
+    }
 }
 
 struct Desk {
@@ -124,12 +134,16 @@
         let register = self.shared.register();
         self.given.retain(|id, given| {
             let dwells = now.saturating_duration_since(given.at) < DWELL;
-            dwells && register.get(id).is_some()
+            let lives = register.get(id).is_some_and(|runner| runner.entry.born == given.born);
+            // An order in doubt outlasts the runner's life, and also a time without an entry: the
+            // runner may start again under its id and carry it out.
+            dwells && (lives || given.is_in_doubt(now))
         });
         let away = |(id, given): (&RunnerId, &Given)| {
-            let stage = register.get(id)?.entry.stage;
-            let away = given.answered && stage != Some(given.to) && now < given.until;
-            away.then(|| Tag::of(id))
+            let entry = &register.get(id)?.entry;
+            let lives = entry.born == given.born && entry.stage != Some(given.to);
+            let away = given.answered && lives && now < given.until;
+            away.then(|| Tag::of(id, given.born))
         };
         let tags: Vec<Tag> = self.given.iter().filter_map(away).collect();
         drop(register);
@@ -183,7 +197,7 @@
 
     /// The stage that a runner is on its way to.
     fn on_its_way(&self, entry: &Entry, now: Instant) -> Option<Stage> {
-        let given = self.given.get(&entry.id)?;
+        let given = self.given.get(&entry.id).filter(|given| given.born == entry.born)?;
         (entry.stage != Some(given.to) && now < given.until).then_some(given.to)
     }
 
@@ -276,7 +290,13 @@
         let now = self.shared.clock.now();
         self.last.insert(service.clone(), (now, change.to));
         for entry in &chosen {
-            let given = Given { at: now, to: change.to, until: now + PENDING, answered: true };
+            let given = Given {
+                at: now,
+                to: change.to,
+                until: now + PENDING,
+                answered: true,
+                born: entry.born,
+            };
             self.given.insert(entry.id.clone(), given);
         }
         self.forget(now);
@@ -306,7 +326,7 @@
     async fn give(&mut self, entry: &Entry, to: Stage) {
         // A runner is asked, and never assumed, to be as it was.
         let report = match self.ask(entry).await {
-            Ok(report) if !report.busy && report.stage == entry.stage => report,
+            Ok(report) if !report.busy && is_of(&report, entry) => report,
             Ok(report) => {
                 log::info!(runner:% = entry.id, report:? = report; "order not given");
                 self.withdraw(entry);
@@ -391,6 +411,13 @@
     }
 }
 
+/// Whether a report is of the life and the stage that the entry tells of. Its count of orders says
+/// nothing of another life.
+fn is_of(report: &Report, entry: &Entry) -> bool {
+    let born = report.born.is_none() || report.born == entry.born;
+    born && report.stage == entry.stage
+}
+
 /// Whether this node is the one that looks after orders: the same one for all nodes that hear each
 /// other. Where they do not, the lease decides.
 fn leads(shared: &Shared, now: Instant) -> bool {
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -190,7 +190,7 @@
         // From here on the request may run.
         self.runs += 1;
         let sent = self.shared.connections.send(address, outgoing, CONNECT_LIMIT);
-        match timeout(limit, async { self.finish(id, sent.await?).await }).await {
+        match timeout(limit, async { self.finish(id, &ticket, sent.await?).await }).await {
             Ok(Ok(came)) => {
                 let outcome = match &came {
                     Came::Whole(head, _) if head.status.is_server_error() => Outcome::Failed,
@@ -198,9 +198,9 @@
                     Came::NotRun { .. } => Outcome::Failed,
                     Came::Doubt | Came::Silent => Outcome::Broken,
                 };
-                if let (Came::Whole(..), Some(runner)) = (&came, self.shared.register().get_mut(id))
-                {
-                    runner.learn_answer(ticket.held().as_secs_f64());
+                if let Came::Whole(..) = &came {
+                    let held = ticket.held().as_secs_f64();
+                    ticket.with_runner(|runner| runner.learn_answer(held));
                 }
                 match &came {
                     Came::NotRun { .. } => self.runs -= 1,
@@ -238,6 +238,7 @@
     async fn finish(
         &self,
         id: &RunnerId,
+        ticket: &Ticket,
         answer: Answer,
     ) -> Result<Came, crate::serve::connection::SendError> {
         let request = self.request;
@@ -245,10 +246,9 @@
         match verdict {
             Verdict::Ran => {}
             Verdict::OtherInstance | Verdict::NotRun => {
-                if verdict == Verdict::OtherInstance
-                    && let Some(runner) = self.shared.register().get_mut(id)
-                {
-                    runner.health.note(Outcome::Gone, self.shared.clock.now());
+                if verdict == Verdict::OtherInstance {
+                    let now = self.shared.clock.now();
+                    ticket.with_runner(|runner| runner.health.note(Outcome::Gone, now));
                 }
                 log::info!(
                     request:% = request.id, runner:% = id, status = answer.head.status.as_u16();
--- a/node/src/serve/ticket.rs
+++ b/node/src/serve/ticket.rs
@@ -1,10 +1,14 @@
 //! A place at a runner, given back when it is dropped, however the request ends.
+//!
+//! The place is one in a single life of the runner. If the runner starts again meanwhile, what comes
+//! of the work says nothing of its new life, and frees nothing there.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use sardinepick_lib::fleet::health::Outcome;
 use sardinepick_lib::fleet::register::Share;
+use sardinepick_lib::fleet::runner::{Runner, Stay};
 use sardinepick_lib::id::RunnerId;
 
 use crate::serve::shared::Shared;
@@ -29,6 +33,8 @@
 pub struct Ticket {
     shared: Arc<Shared>,
     runner: RunnerId,
+    /// The life of the runner in which the place was taken; none if the runner was not known.
+    stay: Option<Stay>,
     step: Step,
     share: Share,
     began: Instant,
@@ -40,10 +46,11 @@
     /// Takes a place.
     pub fn new(shared: &Arc<Shared>, runner: &RunnerId, step: Step, share: Share) -> Self {
         let began = shared.clock.now();
-        shared.register().begin(runner, share, began);
+        let stay = shared.register().begin(runner, share, began);
         Self {
             shared: shared.clone(),
             runner: runner.clone(),
+            stay,
             step,
             share,
             began,
@@ -62,29 +69,36 @@
         self.shared.clock.now().saturating_duration_since(self.began)
     }
 
+    /// The life of the runner in which the place was taken; none if the runner was not known.
+    pub fn stay(&self) -> Option<&Stay> {
+        self.stay.as_ref()
+    }
+
+    /// Changes what is known of the runner, if it is still in the life in which the place was taken.
+    pub fn with_runner<T>(&self, change: impl FnOnce(&mut Runner) -> T) -> Option<T> {
+        let stay = self.stay.as_ref()?;
+        self.shared.register().in_stay_mut(stay).map(change)
+    }
+
     /// Notes that the prompt has been read.
     pub fn note_read(&mut self) {
-        if !self.read {
-            self.read = true;
-            self.shared.register().note_read(&self.runner, self.share);
+        if let Some(stay) = self.stay.as_ref().filter(|_| !self.read) {
+            self.shared.register().note_read(stay, self.share);
         }
+        self.read = true;
     }
 
     /// Notes a sign of life of the runner.
     pub fn note_life(&self) {
         let now = self.shared.clock.now();
-        if let Some(runner) = self.shared.register().get_mut(&self.runner) {
-            runner.health.note_life(now);
-        }
+        self.with_runner(|runner| runner.health.note_life(now));
     }
 
     /// Notes what came of the work.
     pub fn conclude(&mut self, outcome: Outcome) {
         self.concluded = true;
         let now = self.shared.clock.now();
-        if let Some(runner) = self.shared.register().get_mut(&self.runner) {
-            runner.health.note(outcome, now);
-        }
+        self.with_runner(|runner| runner.health.note(outcome, now));
         let label = match outcome {
             Outcome::Answered => "answered",
             Outcome::Failed => "failed",
@@ -99,11 +113,10 @@
 impl Drop for Ticket {
     fn drop(&mut self) {
         self.note_read();
-        let alive_since = {
-            let mut register = self.shared.register();
-            register.end(&self.runner, self.share);
-            register.get(&self.runner).and_then(|r| r.health.last_life())
-        };
+        if let Some(stay) = &self.stay {
+            self.shared.register().end(stay, self.share);
+        }
+        let alive_since = self.with_runner(|runner| runner.health.last_life()).flatten();
         let silent = alive_since.is_none_or(|at| at < self.began);
         if !self.concluded && silent && self.held() >= VAIN {
             self.conclude(Outcome::Broken);
--- a/testutils/src/fleet/runner.rs
+++ b/testutils/src/fleet/runner.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::{Frame, Incoming};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 use tokio_stream::wrappers::ReceiverStream;
 
@@ -81,8 +81,13 @@
     accepted: u64,
     state: &'static str,
     entry_writes: u64,
+    /// When this life of it began, in milliseconds of no particular clock.
+    born: u64,
 }
 
+/// When the first life of a runner began.
+const FIRST_BORN: u64 = 1_764_000_000_000;
+
 /// What a runner is.
 #[derive(Clone, Debug)]
 pub struct Kind {
@@ -99,7 +104,7 @@
 /// A runner.
 #[derive(Clone, Debug)]
 pub struct Runner {
-    /// This life of it.
+    /// Its id, which it keeps when it starts again.
     pub id: String,
     kind: Kind,
     inner: Arc<Mutex<Inner>>,
@@ -123,9 +128,30 @@
         address: SocketAddr,
         kind: Kind,
         store: &Store,
+    ) -> std::io::Result<Self> {
+        Self::start_life(id, address, kind, store, FIRST_BORN).await
+    }
+
+    /// Ends as a killed process does and starts again under its id, at another address: it holds and
+    /// knows nothing of before, and its counts start anew.
+    ///
+    /// # Errors
+    /// The address cannot be listened at.
+    pub async fn start_again(&self, address: SocketAddr) -> std::io::Result<Self> {
+        self.kill();
+        let born = lock(&self.inner).born + 1;
+        Self::start_life(&self.id, address, self.kind.clone(), &self.store, born).await
+    }
+
+    async fn start_life(
+        id: &str,
+        address: SocketAddr,
+        kind: Kind,
+        store: &Store,
+        born: u64,
     ) -> std::io::Result<Self> {
         let stage = kind.stage.map(str::to_owned);
-        let inner = Inner { stage, state: "ready", ..Inner::default() };
+        let inner = Inner { stage, state: "ready", born, ..Inner::default() };
         let inner = Arc::new(Mutex::new(inner));
         let work = Work { id: id.to_owned(), kind: kind.clone(), inner: inner.clone() };
         let work = Arc::new(work);
@@ -161,17 +187,20 @@
 
     /// Writes its entry in the store anew, as it does from time to time.
     pub fn write_entry(&self) {
-        let entry = {
-            let mut inner = lock(&self.inner);
-            inner.entry_writes += 1;
-            json!({
-                "service": self.kind.service, "address": self.shown.get().unwrap_or(&self.server.address).to_string(),
-                "zone": self.kind.data_centre, "version": "v1", "slots": 8,
-                "state": inner.state, "coldRemainingMs": 0, "stage": inner.stage,
-                "models": [], "seq": inner.entry_writes,
-            })
-        };
-        self.store.put("servers", &self.id, &entry);
+        self.store.put("servers", &self.id, &self.entry());
+    }
+
+    /// Its entry as it would write it now.
+    pub fn entry(&self) -> Value {
+        let mut inner = lock(&self.inner);
+        inner.entry_writes += 1;
+        let address = self.shown.get().unwrap_or(&self.server.address).to_string();
+        json!({
+            "service": self.kind.service, "address": address,
+            "zone": self.kind.data_centre, "version": "v1", "slots": 8,
+            "state": inner.state, "coldRemainingMs": 0, "stage": inner.stage,
+            "models": [], "seq": inner.entry_writes, "born": inner.born,
+        })
     }
 
     /// Says that it is about to leave.
@@ -291,13 +320,13 @@
 impl Work {
     fn report(&self) -> Response<Body> {
         let inner = lock(&self.inner);
-        let body = json!({"stage": inner.stage, "models": [], "busy": false,
+        let body = json!({"stage": inner.stage, "models": [], "busy": false, "born": inner.born,
             "seq": inner.accepted, "queued": 0, "running": inner.running});
         json_answer(StatusCode::OK, &body)
     }
 
     fn order(&self, body: &[u8]) -> Result<Response<Body>, Cut> {
-        let order: serde_json::Value = serde_json::from_slice(body).map_err(|_| Cut)?;
+        let order: Value = serde_json::from_slice(body).map_err(|_| Cut)?;
         let mut inner = lock(&self.inner);
         if order["expected"].as_u64().is_some_and(|expected| expected != inner.accepted) {
             return Ok(answer(StatusCode::CONFLICT, ""));
