gate: how long a caller has waited is learned from what callers usually give

A caller that gives less time than its route does was taken for one that comes back.

A new module learns where the deadlines of first attempts end, per route; only who gives less than that has waited, by about what it is less than the usual.

--- a/lib/src/fleet/gate.rs
+++ b/lib/src/fleet/gate.rs
@@ -17,6 +17,22 @@
 use super::load::Class;
 use super::route::Route;
 
+/// How long a caller has waited.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Wait {
+    /// Before this attempt came, probably; nothing for a first one.
+    pub before: Duration,
+    /// Since it came.
+    pub here: Duration,
+}
+
+impl Wait {
+    /// In all.
+    pub fn total(self) -> Duration {
+        self.before + self.here
+    }
+}
+
 /// What counts for a request at the gate.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Terms {
@@ -63,8 +79,6 @@
 const LONG_WAIT: (f64, f64) = (0.5, 0.45);
 /// The range of that factor.
 const LONG_RANGE: (f64, f64) = (0.6, 1.6);
-/// How much less than its route's time a caller gives that comes back; less is the way here.
-const RETURNED: Duration = Duration::from_millis(150);
 /// A caller bears to hear nothing for the longest of: this time,
 const PATIENCE: Duration = Duration::from_secs(2);
 /// so many objectives,
@@ -73,13 +87,10 @@
 const PATIENCE_PAUSES: u32 = 8;
 
 impl Terms {
-    /// The terms of a request on `route` whose caller waits for `left` from now on.
-    ///
-    /// A caller that comes back after a refusal gives less time than the route does; what is
-    /// missing it has waited already, and its answer is on time by its first attempt.
-    pub fn new(route: &Route, left: Duration, size: f64) -> Self {
+    /// The terms of a request on `route` whose caller waits for `left` from now on, after `wait`.
+    /// An answer is on time by the caller's first attempt.
+    pub fn new(route: &Route, left: Duration, wait: Wait, size: f64) -> Self {
         let left = left.min(route.timeout);
-        let waited = route.timeout.saturating_sub(left);
         let patience = if route.kind.is_stream() {
             PATIENCE.max(route.objective * PATIENCE_OBJECTIVES).max(route.pause * PATIENCE_PAUSES)
         } else {
@@ -87,10 +98,10 @@
         };
         Self {
             class: Class::of_rank(route.rank),
-            objective: route.objective.checked_sub(waited).filter(|o| !o.is_zero()),
+            objective: route.objective.checked_sub(wait.total()).filter(|o| !o.is_zero()),
             left,
             patience,
-            returned: waited > RETURNED,
+            returned: !wait.before.is_zero(),
             size,
         }
     }
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 pub mod balance;
 pub mod budget;
 pub mod cache;
+pub mod deadline;
 pub mod engine;
 pub mod event;
 pub mod gate;
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -8,9 +8,10 @@
 use sardinepick_lib::fleet::balance::{self, Change, Demand, Division};
 use sardinepick_lib::fleet::budget::{Bounds, Budget};
 use sardinepick_lib::fleet::cache::{Cache, Chain, Progress};
+use sardinepick_lib::fleet::deadline::Deadlines;
 use sardinepick_lib::fleet::engine::{Engine, Pace, Stage, Work};
 use sardinepick_lib::fleet::event::Splitter;
-use sardinepick_lib::fleet::gate::{Sizes, Terms, urgency};
+use sardinepick_lib::fleet::gate::{Sizes, Terms, Wait, urgency};
 use sardinepick_lib::fleet::health::{Outcome, Record};
 use sardinepick_lib::fleet::load::{CLASSES, Class, Load, Others};
 use sardinepick_lib::fleet::outage::{DOUBT, Outage, pause};
@@ -385,24 +386,73 @@
 #[test]
 fn terms_returning_caller_objective_over() {
     let route = route("a.example", "/");
-    let first = Terms::new(&route, S * 5, 1.0);
+    let first = Terms::new(&route, S * 5, Wait::default(), 1.0);
     assert!(first.on_time(0.4) && !first.on_time(0.5) && !first.returned);
-    let back = Terms::new(&route, S * 3, 1.0);
+    let back = Terms::new(&route, S * 3, Wait { before: S * 2, here: MS }, 1.0);
     assert!(back.returned && !back.on_time(0.0));
     assert!(back.of_use(1.2, 1.0) && !first.of_use(1.2, 1.0), "who comes back goes first");
     assert!(!back.of_use(2.9, 0.0));
 }
 
+/// Symptom: short requests that come first go behind all others, and are late though runners are
+/// idle. Sequence: callers of one route wait for different times, between 0.85 of the longest and
+/// all of it. Cause: what a caller gives less than the route's time was taken for time that it had
+/// waited.
+#[test]
+fn deadlines_spread_first_attempts_have_not_waited() {
+    let mut deadlines = Deadlines::default();
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut draw = || Duration::from_millis(rng.random_range(2_550..3_000));
+    for _ in 0..300 {
+        deadlines.note(draw());
+    }
+    assert!((0..200).all(|_| deadlines.note(draw()).is_zero()));
+}
+
+/// Those that come back are still told from them, also where a third of all requests do.
+#[test]
+fn deadlines_who_comes_back_has_waited() {
+    let mut deadlines = Deadlines::default();
+    let mut rng = StdRng::seed_from_u64(6);
+    for n in 0..2_000 {
+        let first = rng.random_range(2_550..3_000);
+        let back = n % 3 == 0;
+        let waited = if back { rng.random_range(300..1_300) } else { 0 };
+        let seen = deadlines.note(Duration::from_millis(first - waited));
+        if n < 400 {
+            continue;
+        }
+        if !back {
+            assert!(seen.is_zero(), "a first attempt of {first} ms has waited {seen:?}");
+        } else if waited > 600 {
+            let error = seen.as_millis().abs_diff(u128::from(waited));
+            assert!(error < 350, "{seen:?} for {waited} ms");
+        }
+    }
+}
+
+/// Where all callers wait equally long, any less has been waited.
+#[test]
+fn deadlines_equal_any_less_has_waited() {
+    let mut deadlines = Deadlines::default();
+    for _ in 0..100 {
+        assert!(deadlines.note(S * 5).is_zero());
+    }
+    let waited = deadlines.note(MS * 4_500);
+    assert!(waited > MS * 350 && waited < MS * 650, "{waited:?}");
+}
+
 #[test]
 fn terms_long_work_may_wait_longer() {
     let route = route("a.example", "/");
-    let (short, long) = (Terms::new(&route, S * 5, 0.2), Terms::new(&route, S * 5, 2.5));
+    let terms = |size| Terms::new(&route, S * 5, Wait::default(), size);
+    let (short, long) = (terms(0.2), terms(2.5));
     assert!(long.of_use(2.0, 0.8) && !short.of_use(2.0, 0.8));
 }
 
 #[test]
 fn come_back_within_time_left() {
-    let terms = Terms::new(&route("a.example", "/"), S * 3, 1.0);
+    let terms = Terms::new(&route("a.example", "/"), S * 3, Wait { before: S * 2, here: MS }, 1.0);
     let mut rng = StdRng::seed_from_u64(3);
     for first in [0.0, 0.3, 2.0, 50.0] {
         let after = terms.come_back(first, &mut rng);
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use rand::RngExt as _;
 use sardinepick_lib::fleet::engine::Engine;
-use sardinepick_lib::fleet::gate::{Reason, Terms};
+use sardinepick_lib::fleet::gate::{Reason, Terms, Wait};
 use sardinepick_lib::fleet::route::{Configuration, Route};
 use sardinepick_lib::id::ServiceId;
 use sardinepick_platform::caller::{self, Ask};
@@ -50,6 +50,8 @@
     pub until: Instant,
     /// Its size against the mean of its route.
     pub size: f64,
+    /// How long its caller has probably waited since its first attempt.
+    pub waited: Duration,
     /// The configuration it is handled by.
     pub configuration: Arc<Configuration>,
 }
@@ -62,7 +64,8 @@
 
     /// Its terms at the gate.
     pub fn terms(&self, now: Instant) -> Terms {
-        Terms::new(&self.route, self.left(now), self.size)
+        let here = now.saturating_duration_since(self.arrived);
+        Terms::new(&self.route, self.left(now), Wait { before: self.waited, here }, self.size)
     }
 
     /// Writes the line that says how it ended, and counts it.
@@ -134,9 +137,11 @@
     let service = route.service(draw).clone();
     let known = configuration.service(&service);
     let size = ask.work.as_ref().map_or(1.0, |work| shared.note_size(&route.name, work.prompt));
+    let waited = ask.deadline.map_or(Duration::ZERO, |d| shared.note_deadline(&route.name, d));
     let request = Request {
         id,
         size,
+        waited,
         engine: known.and_then(|s| s.engine),
         service,
         ask,
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -10,6 +10,7 @@
 use sardinepick_lib::clock::Clock;
 use sardinepick_lib::fleet::balance::Demand;
 use sardinepick_lib::fleet::budget::Budget;
+use sardinepick_lib::fleet::deadline::Deadlines;
 use sardinepick_lib::fleet::gate::Sizes;
 use sardinepick_lib::fleet::outage::Outage;
 use sardinepick_lib::fleet::register::{Reading, Register};
@@ -27,6 +28,13 @@
 use crate::serve::settings::Settings;
 use crate::serve::store::Client;
 
+/// What is usual on a route, learned from its requests.
+#[derive(Debug, Default)]
+struct Usual {
+    sizes: Sizes,
+    deadlines: Deadlines,
+}
+
 /// What the parts share.
 pub struct Shared {
     /// The settings.
@@ -57,7 +65,7 @@
     budgets: Mutex<HashMap<ServiceId, Budget>>,
     readings: Mutex<Vec<Reading>>,
     demand: Mutex<HashMap<ServiceId, Demand>>,
-    sizes: Mutex<HashMap<SmolStr, Sizes>>,
+    usual: Mutex<HashMap<SmolStr, Usual>>,
     away: Mutex<Vec<Tag>>,
     rng: Mutex<StdRng>,
     began: Instant,
@@ -75,7 +83,7 @@
 /// How long an answer of the store shows that it serves a node: a watch and its slack.
 const SERVED: Duration = Duration::from_millis(4_000);
 /// The most routes whose sizes are kept.
-const MOST_ROUTES: usize = 10_000;
+const MOST_ROUTES: usize = 1_000;
 /// The most readings that are kept for the next beat.
 const MOST_READINGS: usize = 256;
 
@@ -111,7 +119,7 @@
             budgets: Mutex::default(),
             readings: Mutex::default(),
             demand: Mutex::default(),
-            sizes: Mutex::default(),
+            usual: Mutex::default(),
             away: Mutex::default(),
             rng: Mutex::new(StdRng::seed_from_u64(seed)),
             settings,
@@ -244,15 +252,22 @@
 
     /// Notes the size of a request on a route, in tokens, and gives it against the route's mean.
     pub fn note_size(&self, route: &SmolStr, tokens: u64) -> f64 {
-        let mut sizes = lock(&self.sizes);
-        if !sizes.contains_key(route) {
-            // Routes come and go with configurations; what is forgotten is soon learned again.
-            if sizes.len() >= MOST_ROUTES {
-                sizes.clear();
-            }
-            sizes.insert(route.clone(), Sizes::default());
+        self.with_usual(route, |usual| usual.sizes.note(tokens))
+    }
+
+    /// Notes the deadline of a request on a route, and gives how long its caller has probably waited
+    /// since its first attempt.
+    pub fn note_deadline(&self, route: &SmolStr, deadline: Duration) -> Duration {
+        self.with_usual(route, |usual| usual.deadlines.note(deadline))
+    }
+
+    fn with_usual<T>(&self, route: &SmolStr, change: impl FnOnce(&mut Usual) -> T) -> T {
+        let mut usual = lock(&self.usual);
+        // Routes come and go with configurations; what is forgotten is soon learned again.
+        if !usual.contains_key(route) && usual.len() >= MOST_ROUTES {
+            usual.clear();
         }
-        sizes.get_mut(route).map_or(1.0, |sizes| sizes.note(tokens))
+        change(usual.entry(route.clone()).or_default())
     }
 
     /// Runners that are on their way to another stage by this node's orders.
