place: no late work to runners whose queues are long

Late work waited at decode runners, a second at the median in a burst, and filled their queues.

From two requests for each place in its batch on a decode runner gets no more late work, from three on no other work while another runner has less. What has been read elsewhere goes on all the same.

--- a/lib/src/fleet/place.rs
+++ b/lib/src/fleet/place.rs
@@ -115,6 +115,12 @@
         self.runner.health.failing() * FAILURE_COST + distance + draw * DITHER
     }
 
+    /// Whether its queue is short enough for work of `class`.
+    fn is_open(&self, class: Class, engine: &Engine) -> bool {
+        let most = if class == Class::LATE { FULL.0 } else { FULL.1 };
+        f64::from(self.load.total()) < most * f64::from(engine.slots)
+    }
+
     /// Whether no prompt waits there or is being read.
     fn is_idle(&self) -> bool {
         self.load.ahead(Class::LATE) == 0
@@ -235,6 +241,11 @@
 const SPILL: f64 = 0.2;
 /// The share of the other runners that late work leaves idle, for what can be on time.
 const IDLE_RESERVE: f64 = 0.5;
+/// From how many requests for each place in its batch on a decode runner is begun no more late work
+/// at, and no other work while there is another. A runner turns away what comes when its queue is
+/// full, urgent or not, and each such call spends of the retry budget: late work that waited for a
+/// second filled the queues in which urgent work would have waited for a step.
+const FULL: (f64, f64) = (2.0, 3.0);
 /// What a decode runner reads against a prefill runner: half the speed in a quarter of the pieces.
 const WHOLE_SPEED: f64 = 0.4;
 
@@ -264,17 +275,36 @@
     let for_late = (prefill.len() as f64 + reads_whole) * LATE_SHARE - reads_whole;
     let count = (for_late.max(0.0).round() as usize).min(prefill.len().saturating_sub(1));
     let late = prefill.split_off(prefill.len() - count);
-    let room = |c: &&&Candidate<'_>| c.runner.has_room(&c.load, engine, work.footprint());
-    let roomy: Vec<_> = decode.iter().filter(room).copied().collect();
-    if !roomy.is_empty() {
-        decode = roomy;
-    }
+    let room = |c: &&Candidate<'_>| c.runner.has_room(&c.load, engine, work.footprint());
+    prefer(&mut decode, room);
     if whole.is_empty() && late.is_empty() {
         whole.clone_from(&decode);
     }
+    let open = |c: &&Candidate<'_>| c.is_open(question.class, engine);
+    prefer(&mut decode, open);
+    prefer(&mut whole, open);
     Lanes { decode, whole, prefill, late }
 }
 
+impl Lanes<'_, '_> {
+    /// Leaves out the decode runners whose queues are too long for work of `class`.
+    fn close(&mut self, class: Class, engine: &Engine) {
+        let open = |c: &&Candidate<'_>| c.is_open(class, engine);
+        self.decode.retain(open);
+        self.whole.retain(open);
+    }
+}
+
+/// Leaves those that `suit`, if any does.
+fn prefer<'a, 'b>(
+    some: &mut Vec<&'b Candidate<'a>>,
+    suit: impl FnMut(&&'b Candidate<'a>) -> bool + Copy,
+) {
+    if some.iter().any(suit) {
+        some.retain(suit);
+    }
+}
+
 /// The prefill runners that may read for work of a class, with what each costs besides in seconds.
 fn readers<'a, 'b>(lanes: &Lanes<'a, 'b>, class: Class) -> Vec<(&'b Candidate<'a>, f64)> {
     let own = lanes.late.iter().map(|c| (*c, 0.0));
@@ -295,7 +325,10 @@
     rng: &mut R,
 ) -> Option<Placement> {
     let all = candidates(register, question);
-    let lanes = lanes(&all, question, engine, work);
+    let mut lanes = lanes(&all, question, engine, work);
+    if question.class == Class::LATE {
+        lanes.close(Class::LATE, engine);
+    }
     let readers = readers(&lanes, question.class);
     let homes = homes(readers.iter().map(|(candidate, _)| *candidate), work);
     let search = Search { work, engine, keeper: keeper(register, question, work, question.now) };
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -604,6 +604,37 @@
     assert!(loads.clone().all(|load| load <= 18), "{:?}", loads.collect::<Vec<_>>());
 }
 
+/// Symptom: urgent requests are turned away by runners and spend the retry budget. Sequence: more
+/// late work than there is room for waits in the runners' queues until those are full. Cause: late
+/// work was sent as long as its caller would wait.
+#[test]
+fn generation_queues_long_no_late_work() {
+    let now = Instant::now();
+    let mut register = engines(2, 4);
+    let small = Engine { slots: 4, ..ENGINE };
+    let (service, home) = (service(), home());
+    let question = |class| Question { service: &service, class, home: &home, skip: &[], now };
+    let work = work("a", 300, 100);
+    let late = Share { class: Class::LATE, fresh: 0, footprint: 400 };
+    let mut sent = 0;
+    let mut rng = StdRng::seed_from_u64(2);
+    while let Some(placed) =
+        place::generation(&register, &question(Class::LATE), &small, &work, &mut rng)
+    {
+        let (Plan::Split { decode, .. } | Plan::Whole { runner: decode }) = placed.plan;
+        register.begin(&decode, late, now);
+        sent += 1;
+        assert!(sent <= 40, "the queues are never full");
+    }
+    assert_eq!(sent, 4 * 8, "two for each place");
+    let urgent = Class::of_rank(0);
+    assert!(place::generation(&register, &question(urgent), &small, &work, &mut rng).is_some());
+    // What has been read already goes on all the same.
+    let reader = id("p0");
+    let on = place::decode(&register, &question(Class::LATE), &small, &work, &reader, &mut rng);
+    assert!(on.is_some());
+}
+
 /// Symptom: urgent requests are refused or go behind all others while a runner would begin them at
 /// once. Cause: late requests that wait for its batch were counted as if they went first.
 #[test]
