inventory: a node that starts asks its share of the runners what they keep

Requests went where their prompt was not kept, or were refused for the time that its reading would take.

When a node has started, and knows runners and nodes, it asks each engine for which it is among the first two by rendezvous hash what it keeps, once, and tells the others of the larger parts with its next beats. A part is known by its own name until a request shows in which chain it stands.

A node that starts alone learns its share only.

--- a/lib/src/fleet/cache.rs
+++ b/lib/src/fleet/cache.rs
@@ -23,10 +23,20 @@
 pub struct Part {
     /// A hash of this part and all before it.
     pub key: ChainKey,
+    /// A hash of this part alone, by which runners name what they keep.
+    pub alone: ChainKey,
     /// Tokens of this part alone.
     pub tokens: u64,
 }
 
+impl Part {
+    /// A part as a runner names it that keeps it, without those before it.
+    pub fn kept(model: &str, id: &str, tokens: u64) -> Self {
+        let alone = ChainKey::alone(model, id);
+        Self { key: alone, alone, tokens }
+    }
+}
+
 /// A hash of a chain's start up to one part.
 #[derive(
     Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
@@ -34,6 +44,13 @@
 #[serde(transparent)]
 pub struct ChainKey(pub u64);
 
+impl ChainKey {
+    /// The hash of a part without those before it.
+    fn alone(model: &str, id: &str) -> Self {
+        Self(place(place(1, model.as_bytes()), id.as_bytes()))
+    }
+}
+
 /// The parts of a prompt in order. Few prompts have more than four.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Chain(pub SmallVec<[Part; 4]>);
@@ -44,7 +61,7 @@
         let mut key = place(0, model.as_bytes());
         let parts = parts.map(|(id, tokens)| {
             key = place(key, id.as_bytes());
-            Part { key: ChainKey(key), tokens }
+            Part { key: ChainKey(key), alone: ChainKey::alone(model, id), tokens }
         });
         Self(parts.collect())
     }
@@ -124,7 +141,10 @@
     }
 
     fn start(&self, chain: &Chain, counts: impl Fn(&Kept) -> bool) -> u64 {
-        let known = |part: &&Part| self.kept.get(&part.key).is_some_and(&counts);
+        let known = |part: &&Part| {
+            let kept = self.kept.get(&part.key).or_else(|| self.kept.get(&part.alone));
+            kept.is_some_and(|kept| kept.tokens >= part.tokens && counts(kept))
+        };
         chain.0.iter().take_while(known).map(|part| part.tokens).sum()
     }
 
@@ -148,6 +168,11 @@
     }
 
     fn insert(&mut self, part: &Part, progress: Progress, now: Instant) {
+        if part.alone != part.key
+            && let Some(named) = self.kept.remove(&part.alone)
+        {
+            self.tokens -= named.tokens;
+        }
         let before = self.kept.get(&part.key);
         let progress = before.map_or(progress, |kept| kept.progress.max(progress));
         let kept = Kept { tokens: part.tokens, used: now, progress };
--- a/lib/src/fleet/roster.rs
+++ b/lib/src/fleet/roster.rs
@@ -117,6 +117,11 @@
         self.members.len()
     }
 
+    /// All nodes that are known, this one not among them.
+    pub fn ids(&self) -> impl Iterator<Item = &NodeId> {
+        self.members.keys()
+    }
+
     /// Where all known nodes are reached.
     pub fn peers(&self) -> impl Iterator<Item = SocketAddr> {
         self.members.values().map(|m| m.contact.peer)
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -7,7 +7,7 @@
 use rand::rngs::StdRng;
 use sardinepick_lib::fleet::balance::{self, Change, Demand, Division};
 use sardinepick_lib::fleet::budget::{Bounds, Budget};
-use sardinepick_lib::fleet::cache::{Cache, Chain, Progress};
+use sardinepick_lib::fleet::cache::{Cache, Chain, Part, Progress};
 use sardinepick_lib::fleet::deadline::Deadlines;
 use sardinepick_lib::fleet::engine::{Engine, Pace, Stage, Work};
 use sardinepick_lib::fleet::event::Splitter;
@@ -172,6 +172,18 @@
     assert_eq!(cache.cached(&work("b", 1_000, 50).chain, now), 0);
 }
 
+/// A part that a runner has named by itself counts in any chain, and once.
+#[test]
+fn cache_part_named_alone_counts() {
+    let now = Instant::now();
+    let mut cache = Cache::default();
+    cache.note_part(Part::kept("m", "a", 1_000), Progress::Read, now);
+    assert_eq!(cache.cached(&work("a", 1_000, 70).chain, now), 1_000);
+    assert_eq!(cache.cached(&work("a", 1_200, 70).chain, now), 0, "it keeps less of it");
+    cache.note(&work("a", 1_000, 70).chain, Progress::Read, now);
+    assert_eq!(cache.tokens(), 1_070);
+}
+
 #[test]
 fn cache_full_least_recent_forgotten() {
     let start = Instant::now();
--- a/node/src/serve/mod.rs
+++ b/node/src/serve/mod.rs
@@ -9,6 +9,7 @@
 pub mod connection;
 pub mod follow;
 pub mod generation;
+pub mod inventory;
 pub mod knowledge;
 pub mod listener;
 pub mod metrics;
--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -16,7 +16,7 @@
 use crate::serve::metrics::Metrics;
 use crate::serve::settings::Settings;
 use crate::serve::shared::Shared;
-use crate::serve::{beat, follow, order, peer};
+use crate::serve::{beat, follow, inventory, order, peer};
 
 /// Why a node does not start.
 #[derive(Debug, Error)]
@@ -86,7 +86,11 @@
     tokio::spawn(beat::send(shared.clone(), socket));
     tokio::spawn(follow::configuration(shared.clone()));
     tokio::spawn(follow::register(shared.clone()));
-    tokio::spawn(follow::join(shared.clone()));
+    let joining = shared.clone();
+    tokio::spawn(async move {
+        follow::join(joining.clone()).await;
+        inventory::run(joining).await;
+    });
     tokio::spawn(follow::tidy(shared.clone()));
     tokio::spawn(order::run(shared.clone()));
     log::info!(
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -85,7 +85,7 @@
 /// The most routes whose sizes are kept.
 const MOST_ROUTES: usize = 1_000;
 /// The most readings that are kept for the next beat.
-const MOST_READINGS: usize = 256;
+const MOST_READINGS: usize = 1_024;
 
 impl Shared {
     /// A node that has not begun to work.
--- a/node/tests/lives.rs
+++ b/node/tests/lives.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use sardinepick_lib::fleet::cache::Chain;
 use sardinepick_lib::id::RunnerId;
 use sardinepick_node::serve::shared::Shared;
 use sardinepick_testutils::cluster::{free_address, own_ip, wait_until};
@@ -115,6 +116,28 @@
     }
 }
 
+/// Symptom: for seconds after all nodes have started again, long prompts are read whole or refused.
+/// Sequence: a runner reads a prompt; all nodes end, and others start in their places. Cause: what
+/// runners keep was known to the nodes that ended alone.
+#[tokio::test]
+async fn nodes_all_anew_kept_prompts_known() {
+    let mut set = Deployment::new().await.with_engines(1, 2).await.with_nodes(1).await;
+    let headers =
+        [("model", "m"), ("token-count", "9400,80"), ("prompt-prefix", "5c1e:9000,e440:400")];
+    let ask = Ask { headers: &headers, ..Ask::new("/count/a", "s1") };
+    assert_eq!(set.send(0, &ask).await.status, Some(StatusCode::OK));
+    set.nodes.remove(0).stop().await;
+    set.add_node("edge-7", Vec::new()).await;
+    let shared = set.nodes[0].shared.clone();
+    let chain = Chain::new("m", [("5c1e", 9_000), ("other", 10)].into_iter());
+    wait_until("the new node knows what is kept", async || {
+        let register = shared.register();
+        let runner = register.get(&id(&set.runners[0]));
+        runner.is_some_and(|r| r.cache.fetchable(&chain) == 9_000)
+    })
+    .await;
+}
+
 /// Entries that a runner does not write, each from a sound one by one change.
 fn foreign(sound: &Value) -> Vec<Value> {
     let changed = |field: &str, value: Value| {
--- a/testutils/src/fleet/runner.rs
+++ b/testutils/src/fleet/runner.rs
@@ -74,6 +74,8 @@
     seen: Vec<Seen>,
     orders: Vec<Order>,
     handles: HashSet<String>,
+    /// The parts it keeps, by id, with their tokens.
+    kept: HashMap<String, u64>,
     next_handle: u64,
     freed: u64,
     running: u64,
@@ -274,6 +276,7 @@
     }
     match (&head.method, head.uri.path()) {
         (&Method::GET, "/api/report") => return Ok(work.report()),
+        (&Method::GET, "/api/kv-list") => return Ok(work.list_kept()),
         (&Method::POST, "/api/order") => return work.order(&body),
         (&Method::DELETE, path) if path.starts_with("/api/kv-handle/") => {
             let name = path.rsplit('/').next().unwrap_or_default().to_owned();
@@ -325,6 +328,21 @@
         json_answer(StatusCode::OK, &body)
     }
 
+    fn list_kept(&self) -> Response<Body> {
+        let inner = lock(&self.inner);
+        let held: Vec<_> =
+            inner.kept.iter().map(|(id, tokens)| json!(["", id, tokens, "m"])).collect();
+        json_answer(StatusCode::OK, &json!({"epoch": inner.born, "next": 1, "held": held}))
+    }
+
+    /// Keeps the parts of a request's prompt.
+    fn keep(&self, seen: &Seen) {
+        let parts = text(&seen.headers, "prompt-prefix").unwrap_or_default();
+        let parts = parts.split(',').filter_map(|part| part.split_once(':'));
+        let parts = parts.filter_map(|(id, tokens)| Some((id.to_owned(), tokens.parse().ok()?)));
+        lock(&self.inner).kept.extend(parts);
+    }
+
     fn order(&self, body: &[u8]) -> Result<Response<Body>, Cut> {
         let order: Value = serde_json::from_slice(body).map_err(|_| Cut)?;
         let mut inner = lock(&self.inner);
@@ -419,6 +437,7 @@
 
     fn read_prompt(&self, seen: Seen) -> Response<Body> {
         let id = seen.id.clone();
+        self.keep(&seen);
         let mut inner = lock(&self.inner);
         inner.next_handle += 1;
         let handle = format!("h{}", inner.next_handle);
--- a/wire/src/beat.rs
+++ b/wire/src/beat.rs
@@ -153,7 +153,9 @@
 }
 
 fn read_reading(reading: &pb::Reading) -> Reading {
-    let part = Part { key: ChainKey(reading.part), tokens: reading.tokens.min(MOST_TOKENS) };
+    // A node that is told of a part counts it by the one name that it is told by.
+    let key = ChainKey(reading.part);
+    let part = Part { key, alone: key, tokens: reading.tokens.min(MOST_TOKENS) };
     let progress = if reading.begun { Progress::Begun } else { Progress::Read };
     Reading { runner: Tag(reading.runner), part, progress }
 }
--- a/wire/tests/beat.rs
+++ b/wire/tests/beat.rs
@@ -11,7 +11,7 @@
 
 fn beat() -> Beat {
     let load = Load { requests: [90; 4], backlog: [9_000; 4], unread: [9; 4], tokens: 700_000 };
-    let part = Part { key: ChainKey(u64::MAX), tokens: 40_000 };
+    let part = Part { key: ChainKey(u64::MAX), alone: ChainKey(u64::MAX), tokens: 40_000 };
     Beat {
         contact: Contact {
             id: "edge-zaal-hofvijver-17".parse().expect("an id"),
