runner: each prompt that waits costs a step, however short it is

A runner reads a prompt in pieces, one a step; twenty prompts of 300 tokens are twenty pieces, and were predicted as the six that their tokens fill.

The wait before a prompt is begun counts a step for each prompt ahead.

On the grown deployment what is predicted stays far below what is seen.

--- a/lib/src/fleet/load.rs
+++ b/lib/src/fleet/load.rs
@@ -65,6 +65,11 @@
         self.backlog[..=class.index()].iter().sum()
     }
 
+    /// The prompts that go before new work of `class`.
+    pub fn prompts(&self, class: Class) -> u32 {
+        self.unread[..=class.index()].iter().sum()
+    }
+
     /// The prompt tokens that probably go before new work of `class` though they are less urgent: a
     /// runner that has begun a prompt reads it to its end, and on average half of it is left.
     pub fn begun(&self, class: Class) -> u64 {
--- a/lib/src/fleet/runner.rs
+++ b/lib/src/fleet/runner.rs
@@ -168,9 +168,13 @@
         load
     }
 
-    /// How long new work of `class` waits before its prompt is begun, in seconds.
+    /// How long new work of `class` waits before its prompt is begun, in seconds. Each prompt takes a
+    /// step of its own, however short it is: twenty lookups of 300 tokens take as long as a prompt of
+    /// twice their tokens.
     pub fn wait(&self, load: &Load, class: Class) -> f64 {
-        (load.ahead(class) + load.begun(class)) as f64 / self.prefill_rate()
+        let tokens = load.ahead(class) + load.begun(class);
+        let steps = f64::from(load.prompts(class)) * step_time(0) * self.pace.factor();
+        tokens as f64 / self.prefill_rate() + steps
     }
 
     /// How long it takes to read `fresh` tokens after `cached` ones once begun, in seconds.
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -651,6 +651,22 @@
     assert!(on.is_some());
 }
 
+/// Symptom: short prompts wait for three times as long as predicted. Sequence: a burst of them at one
+/// runner. Cause: their tokens were counted, and not that each takes a step of its own.
+#[test]
+fn wait_many_short_prompts_longer_than_one_long() {
+    let now = Instant::now();
+    let class = Class::of_rank(0);
+    let waits = |prompts: u64| {
+        let mut register = engines(1, 0);
+        let share = Share { class, fresh: 6_000 / prompts, footprint: 1 };
+        (0..prompts).for_each(|_| drop(register.begin(&id("p0"), share, now)));
+        let runner = register.get(&id("p0")).expect("known");
+        runner.wait(&runner.load(now), class)
+    };
+    assert!(waits(20) > waits(1) * 1.5, "{} for {}", waits(20), waits(1));
+}
+
 /// Symptom: urgent requests are refused or go behind all others while a runner would begin them at
 /// once. Cause: late requests that wait for its batch were counted as if they went first.
 #[test]
