cli: the account of many requests, from the nodes' log lines

'sardinepick account' prints three tables: what each route's requests came to, what was seen against predicted by class, and over time how much was refused, late, turned away, and read again.

--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -1,5 +1,6 @@
 //! What the command line does, without a terminal: calls to a node and the forms of its answers.
 
+pub mod account;
 pub mod client;
 pub mod output;
 pub mod trace;
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -7,6 +7,7 @@
 use std::process::ExitCode;
 
 use getopts::{Matches, Options};
+use sardinepick_cli::account::Account;
 use sardinepick_cli::client::{Client, ClientError, Command};
 use sardinepick_cli::output::{self, Colour, Format};
 use sardinepick_cli::trace;
@@ -34,6 +35,8 @@
     change ID      says whether a change has been applied
     explain ID [FILE...]
                    a request's way, from the log lines of nodes in files or standard input
+    account [FILE...]
+                   what many requests came to, by route, class and time, from log lines
     key            reads a key from standard input and prints its SHA-256 for the configuration
 ";
 
@@ -49,6 +52,8 @@
     Shell(#[from] rustyline::error::ReadlineError),
     #[error("no log line names the request {0:?}")]
     NoRequest(String),
+    #[error("no log line tells of a request")]
+    NoRequests,
     #[error("the change is in force, but not yet seen on all nodes")]
     NotEverywhere,
 }
@@ -63,7 +68,7 @@
                 ExitCode::from(UNKNOWN)
             }
             Failure::NotEverywhere => ExitCode::from(NOT_EVERYWHERE),
-            Failure::NoRequest(_) | Failure::Client(_) | Failure::Io(_) | Failure::Shell(_) => {
+            Failure::NoRequest(_) | Failure::NoRequests | Failure::Client(_) | Failure::Io(_) | Failure::Shell(_) => {
                 ExitCode::FAILURE
             }
         }
@@ -118,6 +123,7 @@
     match (command.as_str(), rest) {
         ("key", []) => print_key(),
         ("explain", [id, files @ ..]) => explain(id, files),
+        ("account", files) => account(files),
         ("run", [text]) => runtime.block_on(run(matches, text)),
         ("shell", []) => shell::run(&runtime, &client(matches)?, format(matches)?),
         ("addresses", []) => {
@@ -133,8 +139,8 @@
     }
 }
 
-/// Prints a request's way from log lines. Without files, standard input is read.
-fn explain(id: &str, files: &[String]) -> Result<(), Failure> {
+/// Reads log lines from files, or without files from standard input.
+fn log_lines(files: &[String]) -> Result<Vec<trace::Line>, Failure> {
     let mut lines = Vec::new();
     for file in files {
         let text = std::fs::read(file)?;
@@ -145,7 +151,22 @@
         std::io::stdin().read_to_end(&mut text)?;
         lines.extend(trace::read("", &String::from_utf8_lossy(&text)));
     }
-    match trace::Trace::of(id, lines) {
+    Ok(lines)
+}
+
+/// Prints what many requests came to, from log lines.
+fn account(files: &[String]) -> Result<(), Failure> {
+    let account = Account::of(log_lines(files)?);
+    if account.is_empty() {
+        return Err(Failure::NoRequests);
+    }
+    print!("{account}");
+    Ok(())
+}
+
+/// Prints a request's way from log lines.
+fn explain(id: &str, files: &[String]) -> Result<(), Failure> {
+    match trace::Trace::of(id, log_lines(files)?) {
         Some(trace) => {
             print!("{trace}");
             Ok(())
