cli: a reader that has seen enough is no failure

'sardinepick account FILE | head' ended with a panic: standard output was written by a macro that panics when its reader has gone. 'explain' did the same.

Both write through one function to which a closed pipe is the end of the work.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -2,7 +2,7 @@
 
 mod shell;
 
-use std::io::{IsTerminal as _, Read as _};
+use std::io::{IsTerminal as _, Read as _, Write as _};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
@@ -68,9 +68,11 @@
                 ExitCode::from(UNKNOWN)
             }
             Failure::NotEverywhere => ExitCode::from(NOT_EVERYWHERE),
-            Failure::NoRequest(_) | Failure::NoRequests | Failure::Client(_) | Failure::Io(_) | Failure::Shell(_) => {
-                ExitCode::FAILURE
-            }
+            Failure::NoRequest(_)
+            | Failure::NoRequests
+            | Failure::Client(_)
+            | Failure::Io(_)
+            | Failure::Shell(_) => ExitCode::FAILURE,
         }
     }
 }
@@ -160,17 +162,21 @@
     if account.is_empty() {
         return Err(Failure::NoRequests);
     }
-    print!("{account}");
-    Ok(())
+    show(&account.to_string())
+}
+
+/// Writes to standard output. A reader that has seen enough, as behind `head`, is no failure.
+fn show(text: &str) -> Result<(), Failure> {
+    match std::io::stdout().write_all(text.as_bytes()) {
+        Err(error) if error.kind() == std::io::ErrorKind::BrokenPipe => Ok(()),
+        written => Ok(written?),
+    }
 }
 
 /// Prints a request's way from log lines.
 fn explain(id: &str, files: &[String]) -> Result<(), Failure> {
     match trace::Trace::of(id, log_lines(files)?) {
-        Some(trace) => {
-            print!("{trace}");
-            Ok(())
-        }
+        Some(trace) => show(&trace.to_string()),
         None => Err(Failure::NoRequest(id.to_owned())),
     }
 }
