peer, metrics: say what a node tells another, how much and how long it took

Cause: the lines of a configuration that came late do not tell a copy that was refused from one that crept, nor how many copies a node sends at once. Change: the node that tells logs the asker, both versions and the bytes; the one that asks logs bytes and time, also where no answer came; counters of copies and bytes by direction and outcome. No decision is changed.

--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -42,6 +42,10 @@
     pub nodes: IntGauge,
     /// When the store last answered, in seconds since 1970, by what was followed.
     pub answered: IntGaugeVec,
+    /// Configurations that nodes copy from each other, by direction and how it ended.
+    pub copies: IntCounterVec,
+    /// Bytes of these copies, by direction.
+    pub copy_bytes: IntCounterVec,
     /// Objects in the store that are of another writer, by what they stand for and what is wrong.
     pub foreign: IntCounterVec,
     dropped: Dropped,
@@ -137,6 +141,16 @@
                 "When the store last answered",
                 &["what"],
             ),
+            copies: m.counters(
+                "sardinepick_configuration_copies_total",
+                "Configurations copied between nodes",
+                &["direction", "outcome"],
+            ),
+            copy_bytes: m.counters(
+                "sardinepick_configuration_copy_bytes_total",
+                "Bytes of configurations copied between nodes",
+                &["direction"],
+            ),
             foreign: m.counters(
                 "sardinepick_foreign_objects_total",
                 "Objects of other writers in the store",
--- a/node/src/serve/peer.rs
+++ b/node/src/serve/peer.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sardinepick_lib::fleet::roster::Status as Mine;
 use sardinepick_lib::id::{Mark, Revision};
 use sardinepick_platform::store::Object;
 use sardinepick_wire::fleet as pb;
@@ -65,6 +64,15 @@
         let knowledge = self.shared.knowledge();
         let newer = knowledge.configuration.as_ref().filter(|_| version.0 > asked.version);
         let difference = knowledge.since(Mark(asked.mark));
+        let bytes = newer.map_or(0, |object| object.content.len());
+        if newer.is_some() {
+            self.shared.metrics.copies.with_label_values(&["sent", "begun"]).inc();
+            self.shared.metrics.copy_bytes.with_label_values(&["sent"]).inc_by(bytes as u64);
+        }
+        log::info!(
+            node = asked.node, version:% = version, has = asked.version, bytes = bytes,
+            runners = difference.entries.len(), gone = difference.gone.len(); "telling a node"
+        );
         Ok(Response::new(pb::Knowledge {
             configuration: newer.map(to_wire),
             runners: difference.entries.iter().map(to_wire).collect(),
@@ -97,27 +105,44 @@
             roster.ahead(shared.status(), now).map(|(contact, status)| (contact.clone(), status))
         };
         let Some((contact, status)) = ahead else { continue };
-        match timeout(CALL_LIMIT, ask(contact.peer, shared.status())).await {
+        let began = shared.clock.now();
+        let told = timeout(CALL_LIMIT, ask(&shared, contact.peer)).await;
+        let took = shared.clock.now().saturating_duration_since(began).as_millis() as u64;
+        let outcome = match told {
             Ok(Ok(knowledge)) => {
+                let bytes = knowledge.configuration.as_ref().map_or(0, |c| c.content.len());
                 log::info!(
-                    node:% = contact.id, version:% = status.version, register:% = status.register;
-                    "learned from another node"
+                    node:% = contact.id, version:% = status.version, register:% = status.register,
+                    bytes = bytes, took_ms = took; "learned from another node"
                 );
+                shared.metrics.copy_bytes.with_label_values(&["received"]).inc_by(bytes as u64);
                 take(&shared, knowledge);
+                if bytes > 0 { "whole" } else { "nothing" }
             }
-            Ok(Err(error)) => log::warn!(node:% = contact.id, error:% = error; "asking a node"),
-            Err(_) => log::warn!(node:% = contact.id; "asking a node: no answer in time"),
-        }
+            Ok(Err(error)) => {
+                let node = &contact.id;
+                log::warn!(node:% = node, error:% = error, took_ms = took; "asking a node");
+                "failed"
+            }
+            Err(_) => {
+                let node = &contact.id;
+                log::warn!(node:% = node, took_ms = took; "asking a node: no answer in time");
+                "late"
+            }
+        };
+        shared.metrics.copies.with_label_values(&["received", outcome]).inc();
         sleep(PAUSE).await;
     }
 }
 
-async fn ask(peer: SocketAddr, mine: Mine) -> Result<pb::Knowledge, Status> {
+async fn ask(shared: &Shared, peer: SocketAddr) -> Result<pb::Knowledge, Status> {
     let endpoint = Endpoint::from_shared(format!("http://{peer}"))
         .map_err(|e| Status::invalid_argument(e.to_string()))?;
     let channel = endpoint.connect().await.map_err(|e| Status::unavailable(e.to_string()))?;
     let mut client = FleetClient::new(channel).max_decoding_message_size(LARGEST);
-    let known = pb::KnowledgeRequest { version: mine.version.0, mark: mine.register.0 };
+    let mine = shared.status();
+    let node = shared.me.id.to_string();
+    let known = pb::KnowledgeRequest { version: mine.version.0, mark: mine.register.0, node };
     Ok(client.tell(known).await?.into_inner())
 }
 
