tests: a large configuration over thin links, which fails

Symptom: 1,400 routes added at once are in force on some nodes 3.7 s late. The test has 40 nodes with links of 10 Mbit/s, of which three follow the store; a configuration of 356 KB is to reach all, and no more bytes than one copy to each.

--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -50,6 +50,42 @@
     TcpListener::bind(address).await.map_err(|source| StartError { what, address, source })
 }
 
+/// The sockets of a node.
+#[derive(Debug)]
+pub struct Sockets {
+    /// For callers.
+    pub front: TcpListener,
+    /// For the platform's question whether the node takes callers.
+    pub ready: TcpListener,
+    /// For callers that ask where to connect.
+    pub lookup: TcpListener,
+    /// For metrics and state.
+    pub metrics: TcpListener,
+    /// For the questions of other nodes.
+    pub peers: TcpListener,
+    /// For beats.
+    pub beats: UdpSocket,
+}
+
+impl Sockets {
+    /// The sockets at the addresses of the settings.
+    ///
+    /// # Errors
+    /// One of the addresses cannot be listened at.
+    pub async fn bind(settings: &Settings) -> Result<Self, StartError> {
+        let address = settings.peer;
+        let beats = UdpSocket::bind(address).await;
+        Ok(Self {
+            front: listen("callers", settings.front).await?,
+            ready: listen("the platform", settings.ready).await?,
+            lookup: listen("look-ups", settings.lookup).await?,
+            metrics: listen("metrics", settings.metrics).await?,
+            peers: listen("other nodes", address).await?,
+            beats: beats.map_err(|source| StartError { what: "beats", address, source })?,
+        })
+    }
+}
+
 /// Starts a node.
 ///
 /// # Errors
@@ -59,20 +95,24 @@
     clock: Arc<dyn Clock>,
     metrics: Metrics,
 ) -> Result<Running, StartError> {
-    let peer_address = settings.peer;
+    let sockets = Sockets::bind(&settings).await?;
+    Ok(start_at(settings, clock, metrics, sockets))
+}
+
+/// Starts a node at sockets that are open already.
+pub fn start_at(
+    settings: Settings,
+    clock: Arc<dyn Clock>,
+    metrics: Metrics,
+    sockets: Sockets,
+) -> Running {
     let ports = [
-        (Port::Front, listen("callers", settings.front).await?),
-        (Port::Ready, listen("the platform", settings.ready).await?),
-        (Port::Lookup, listen("look-ups", settings.lookup).await?),
-        (Port::Metrics, listen("metrics", settings.metrics).await?),
+        (Port::Front, sockets.front),
+        (Port::Ready, sockets.ready),
+        (Port::Lookup, sockets.lookup),
+        (Port::Metrics, sockets.metrics),
     ];
-    let peers = listen("other nodes", peer_address).await?;
-    let socket = UdpSocket::bind(peer_address).await.map_err(|source| StartError {
-        what: "beats",
-        address: peer_address,
-        source,
-    })?;
-    let socket = Arc::new(socket);
+    let socket = Arc::new(sockets.beats);
     let shared = Arc::new(Shared::new(settings, clock, metrics));
     let (closing, staying) = (watch::Sender::new(false), watch::Sender::new(false));
     for (port, listener) in ports {
@@ -80,7 +120,7 @@
         let switch = if port == Port::Front { &closing } else { &staying };
         tokio::spawn(listener::run(shared.clone(), port, listener, Closing::of(switch)));
     }
-    tokio::spawn(peer::serve(shared.clone(), peers));
+    tokio::spawn(peer::serve(shared.clone(), sockets.peers));
     tokio::spawn(peer::learn(shared.clone()));
     tokio::spawn(beat::receive(shared.clone(), socket.clone()));
     tokio::spawn(beat::send(shared.clone(), socket));
@@ -97,7 +137,7 @@
         node:% = shared.me.id, data_centre:% = shared.me.data_centre, front:% = shared.me.front,
         peer:% = shared.me.peer, version = env!("CARGO_PKG_VERSION"); "started"
     );
-    Ok(Running { shared, closing })
+    Running { shared, closing }
 }
 
 impl Running {
--- /dev/null
+++ b/node/tests/thin_links.rs
@@ -0,0 +1,57 @@
+//! Many nodes with thin links learn a large configuration from each other.
+
+use sardinepick_lib::id::ConfigVersion;
+use sardinepick_testutils::cluster::wait_until;
+use sardinepick_testutils::fleet::deployment::{Deployment, large_configuration};
+
+/// Bytes a second of a link of 10 Mbit/s.
+const THIN: f64 = 1.25e6;
+/// Nodes.
+const NODES: usize = 40;
+/// Nodes of these that follow the store.
+const FOLLOWERS: usize = 3;
+/// Routes that are added at once.
+const ROUTES: usize = 1_400;
+
+/// An operator added 1,400 routes at once, and nodes still handled requests by the version before
+/// 3.7 s after the new one had been acknowledged. All nodes that do not follow the store had asked one
+/// of the three that do for the whole configuration in the same instant. Each copy had one second,
+/// the links of the three were shared by 28 copies each, so none arrived; what had arrived was thrown
+/// away and all asked again, the same node again. Nodes that tell others sent 2.7 to 3.3 MB in the
+/// first second, of which nothing was used:
+///
+///     9.3635 b-2  asking a node: no answer in time  node e-11
+///     9.4306 d-6  asking a node: no answer in time  node b-3
+///     9.4361 c-12 asking a node: no answer in time  node c-4
+///     10.6472 b-5 asking a node: no answer in time  node e-14
+///     11.9484 b-15 asking a node: no answer in time  node d-6
+///     12.8951 b-15 configuration in force  version 8  was 2
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn configuration_large_thin_links_sent_once_to_each() {
+    let mut set = Deployment::new().await;
+    let mut links = Vec::with_capacity(NODES);
+    for at in 0..NODES {
+        links.push(set.add_node_behind(&format!("edge-{at}"), THIN).await);
+    }
+    set.wait_ready().await;
+    wait_until("a few nodes follow the store for all", async || {
+        set.store.watches("config") <= FOLLOWERS
+    })
+    .await;
+    let carried = || links.iter().map(|link| link.carried()).sum::<u64>();
+    let before = carried();
+    let next = large_configuration(2, ROUTES);
+    set.store.put("config", "main", &next);
+    wait_until("all nodes have the configuration in force", async || {
+        set.nodes.iter().all(|node| node.shared.status().version == ConfigVersion(2))
+    })
+    .await;
+    let sent = carried() - before;
+    let whole = next.to_string().len() as u64 * NODES as u64;
+    assert!(
+        sent <= whole,
+        "{sent} bytes were sent between nodes, more than one copy to each ({whole})"
+    );
+    let most = links.iter().map(|link| link.carried()).max().unwrap_or_default();
+    println!("{sent} bytes between nodes, {most} at most by one; {whole} for a copy to each");
+}
--- a/testutils/src/fleet/deployment.rs
+++ b/testutils/src/fleet/deployment.rs
@@ -7,14 +7,17 @@
 use log::LevelFilter;
 use sardinepick_lib::clock::System;
 use sardinepick_lib::fleet::budget::Bounds;
+use sardinepick_lib::hash::place;
 use sardinepick_node::serve::metrics::Metrics;
-use sardinepick_node::serve::run::{self, Running};
+use sardinepick_node::serve::run::{self, Running, Sockets};
 use sardinepick_node::serve::settings::Settings;
 use sardinepick_node::settings::LogFormat;
 use serde_json::{Value, json};
+use tokio::net::TcpListener;
 
 use crate::cluster::{free_address, own_ip, wait_until};
 use crate::fleet::caller::{Ask, Caller, Told};
+use crate::fleet::link::Link;
 use crate::fleet::runner::{Kind, Runner};
 use crate::fleet::store::Store;
 
@@ -25,6 +28,9 @@
 /// The plain service.
 pub const PLAIN: &str = "ontbijtbord";
 
+/// How many nodes a node is told of by its settings, as on the platform.
+const MOST_SEEDS: usize = 3;
+
 /// A deployment.
 pub struct Deployment {
     /// The store.
@@ -68,6 +74,21 @@
     })
 }
 
+/// The usual configuration with so many routes besides, each of a host and a path of its own.
+pub fn large_configuration(version: u64, routes: usize) -> Value {
+    let mut whole = configuration(version);
+    let more = (0..routes).map(|n| {
+        let mut route = route(&format!("tenant-{n}"), "/", "idempotent", PLAIN, 3);
+        // Names as hashes give them, which no code shortens.
+        let name = place(n as u64, b"tenant");
+        route["host"] = json!(format!("{name:x}.example"));
+        route["pathPrefix"] = json!(format!("/{:x}/", name.rotate_left(17)));
+        route
+    });
+    whole["routes"].as_array_mut().expect("it has routes").extend(more);
+    whole
+}
+
 /// The settings of a node.
 pub fn settings(name: &str, store: SocketAddr, seeds: Vec<SocketAddr>) -> Settings {
     let address = || free_address(own_ip());
@@ -158,6 +179,22 @@
         self.nodes.push(node);
     }
 
+    /// Starts a node whose answers to other nodes go through a link of `rate` bytes a second.
+    ///
+    /// # Panics
+    /// It does not start.
+    pub async fn add_node_behind(&mut self, name: &str, rate: f64) -> Link {
+        let seeds = self.nodes.iter().map(|node| node.shared.me.peer).take(MOST_SEEDS).collect();
+        let settings = settings(name, self.store.address(), seeds);
+        let mut sockets = Sockets::bind(&settings).await.expect("free addresses");
+        // Others reach the link at the node's address, and the link alone reaches the node.
+        let behind = TcpListener::bind(free_address(own_ip())).await.expect("a free address");
+        let server = behind.local_addr().expect("a listener has an address");
+        let link = Link::start(std::mem::replace(&mut sockets.peers, behind), server, rate);
+        self.nodes.push(run::start_at(settings, Arc::new(System), Metrics::default(), sockets));
+        link
+    }
+
     /// Waits until all nodes take callers, hear each other, and know all runners.
     pub async fn wait_ready(&self) {
         let others = self.nodes.len().saturating_sub(1);
--- a/testutils/src/fleet/store.rs
+++ b/testutils/src/fleet/store.rs
@@ -52,6 +52,8 @@
     lose: u32,
     calls: u64,
     refused: u64,
+    /// Watches that wait now, by kind.
+    watches: BTreeMap<String, usize>,
     /// Calls a second; none for no limit.
     rate: Option<u32>,
     window: Option<(Instant, u32)>,
@@ -120,6 +122,11 @@
         (inner.calls, inner.refused)
     }
 
+    /// How many watches of a kind wait now.
+    pub fn watches(&self, kind: &str) -> usize {
+        lock(&self.inner).watches.get(kind).copied().unwrap_or_default()
+    }
+
     /// Writes an object as the operator or a runner does.
     pub fn put(&self, kind: &str, name: &str, spec: &Value) {
         lock(&self.inner).put(kind, name, spec);
@@ -294,6 +301,27 @@
     }
 }
 
+/// Counts a watch as long as it waits, also if its caller breaks it off.
+struct Waiting<'a> {
+    inner: &'a Mutex<Inner>,
+    kind: &'a str,
+}
+
+impl<'a> Waiting<'a> {
+    fn new(inner: &'a Mutex<Inner>, kind: &'a str) -> Self {
+        *lock(inner).watches.entry(kind.to_owned()).or_default() += 1;
+        Self { inner, kind }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if let Some(count) = lock(self.inner).watches.get_mut(self.kind) {
+            *count -= 1;
+        }
+    }
+}
+
 async fn watch_changes(
     inner: &Mutex<Inner>,
     changed: &watch::Sender<u64>,
@@ -304,6 +332,7 @@
     let (from, wait) = (number("watch"), Duration::from_millis(number("waitMs").min(30_000)));
     let until = Instant::now() + wait;
     let mut changes = changed.subscribe();
+    let _waiting = Waiting::new(inner, kind);
     loop {
         changes.borrow_and_update();
         {
