--- a/node/tests/thin_links.rs
+++ b/node/tests/thin_links.rs
@@ -3,6 +3,7 @@
 use sardinepick_lib::id::ConfigVersion;
 use sardinepick_testutils::cluster::wait_until;
 use sardinepick_testutils::fleet::deployment::{Deployment, large_configuration};
+use sardinepick_testutils::fleet::link::Link;
 
 /// Bytes a second of a link of 10 Mbit/s.
 const THIN: f64 = 1.25e6;
@@ -38,7 +39,7 @@
         set.store.watches("config") <= FOLLOWERS
     })
     .await;
-    let carried = || links.iter().map(|link| link.carried()).sum::<u64>();
+    let carried = || links.iter().map(Link::carried).sum::<u64>();
     let before = carried();
     let next = large_configuration(2, ROUTES);
     set.store.put("config", "main", &next);
@@ -52,6 +53,6 @@
         sent <= whole,
         "{sent} bytes were sent between nodes, more than one copy to each ({whole})"
     );
-    let most = links.iter().map(|link| link.carried()).max().unwrap_or_default();
+    let most = links.iter().map(Link::carried).max().unwrap_or_default();
     println!("{sent} bytes between nodes, {most} at most by one; {whole} for a copy to each");
 }
