copy, fanout: few copies of a configuration at a time, from node to node

Cause: 84 nodes asked the same three for a new configuration in the same instant. Their copies shared three links of 10 Mbit/s, each had one second in all, and what had arrived by then was thrown away and asked for again: links full of copies that nobody got. Class: work that shares a limit, has a time of its own and is begun anew when it is late. The links' own beats, store calls and news of runners stood behind the copies.

Change: a node gives two copies at a time (small ones together), the others wait; whoever has just got one takes over half of those. A copy has no time of its own and goes on as long as pieces come. What is known of runners is asked for by itself. The one asked is drawn among all that have a newer configuration.

Time until the last of n nodes has it, in copies one after the other (a test's own clock): 2 for 9 nodes, 6 for 87, 9 for 550, 11 for 2,000; all at once 28 for 87.

A configuration of a megabyte still takes 0.8 s a copy on such links.

--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 pub mod deadline;
 pub mod engine;
 pub mod event;
+pub mod fanout;
 pub mod gate;
 pub mod health;
 pub mod load;
--- a/lib/src/fleet/roster.rs
+++ b/lib/src/fleet/roster.rs
@@ -159,23 +159,27 @@
 
     /// The nodes that take callers and have been heard.
     pub fn fronts(&self, now: Instant) -> Vec<&Contact> {
-        let silence = self.silence();
-        let heard = |m: &&Member| {
-            m.status.standing == Standing::Ready
-                && m.heard.is_some_and(|at| now.saturating_duration_since(at) <= silence)
-        };
-        self.members.values().filter(heard).map(|m| &m.contact).collect()
+        let ready = self.heard_lately(now).filter(|m| m.status.standing == Standing::Ready);
+        ready.map(|m| &m.contact).collect()
     }
 
-    /// A node heard lately that knows a newer configuration or register than `mine`.
-    pub fn ahead(&self, mine: Status, now: Instant) -> Option<(&Contact, Status)> {
+    fn heard_lately(&self, now: Instant) -> impl Iterator<Item = &Member> {
         let silence = self.silence();
-        let newer = |m: &&Member| {
-            let heard = m.heard.is_some_and(|at| now.saturating_duration_since(at) <= silence);
-            heard && (m.status.version > mine.version || m.status.register > mine.register)
+        let heard = move |m: &&Member| {
+            m.heard.is_some_and(|at| now.saturating_duration_since(at) <= silence)
         };
-        let best = self.members.values().filter(newer);
-        best.max_by_key(|m| (m.status.version, m.status.register)).map(|m| (&m.contact, m.status))
+        self.members.values().filter(heard)
+    }
+
+    /// Of the nodes heard lately the one that knows the newest register, if it is newer than `mine`.
+    pub fn ahead(&self, mine: Mark, now: Instant) -> Option<(&Contact, Status)> {
+        let newer = self.heard_lately(now).filter(|m| m.status.register > mine);
+        newer.max_by_key(|m| m.status.register).map(|m| (&m.contact, m.status))
+    }
+
+    /// The nodes heard lately that have a newer configuration than `mine`.
+    pub fn with_newer(&self, mine: ConfigVersion, now: Instant) -> impl Iterator<Item = &Contact> {
+        self.heard_lately(now).filter(move |m| m.status.version > mine).map(|m| &m.contact)
     }
 
     /// Forgets nodes that have been silent for `limit`, for good as far as this node knows.
--- /dev/null
+++ b/lib/tests/fanout.rs
@@ -0,0 +1,172 @@
+//! Copies of something large from node to node, on a clock of the test's own.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+use proptest::prelude::*;
+use sardinepick_lib::fleet::fanout::{Fanout, Turn};
+
+/// A configuration of a megabyte, of which no node gives more than two at once.
+const LARGE: usize = 1 << 20;
+
+fn address(node: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (node >> 8) as u8, node as u8], 1))
+}
+
+fn node(address: SocketAddr) -> usize {
+    let SocketAddr::V4(v4) = address else { panic!("addresses of this test are of IPv4") };
+    let [_, _, high, low] = v4.ip().octets();
+    usize::from(high) << 8 | usize::from(low)
+}
+
+/// Nodes that ask each other. A link sends the copies that it has under way in turns, so of two both
+/// take twice as long; time is counted in steps of half a copy.
+struct Fleet {
+    fanouts: Vec<Fanout<usize>>,
+    /// Halves of a copy still to be sent, by giver and receiver.
+    under_way: BTreeMap<(usize, usize), u32>,
+    has: BTreeSet<usize>,
+    /// Nodes whose copies never end by themselves; they are given up after four steps.
+    deaf: BTreeSet<usize>,
+}
+
+/// Steps after which a copy that makes no way is given up.
+const GIVEN_UP: u32 = 4;
+
+impl Fleet {
+    fn new(nodes: usize, holders: usize) -> Self {
+        Self {
+            fanouts: (0..nodes).map(|_| Fanout::default()).collect(),
+            under_way: BTreeMap::new(),
+            has: (0..holders).collect(),
+            deaf: BTreeSet::new(),
+        }
+    }
+
+    fn ask(&mut self, asker: usize, holder: usize) {
+        if self.fanouts[holder].ask(|| asker, LARGE) {
+            self.begin(holder, asker);
+        }
+    }
+
+    fn begin(&mut self, giver: usize, receiver: usize) {
+        let steps = if self.deaf.contains(&receiver) { GIVEN_UP } else { 2 };
+        self.under_way.insert((giver, receiver), steps);
+    }
+
+    /// Lets half a copy's time pass on each link.
+    fn step(&mut self) {
+        let givers: BTreeSet<usize> = self.under_way.keys().map(|(giver, _)| *giver).collect();
+        let mut ended = Vec::new();
+        for giver in givers {
+            let mine: Vec<_> = self.under_way.keys().filter(|k| k.0 == giver).copied().collect();
+            // Two that share the link take turns: the one with less to send is ended first.
+            let least = mine.iter().min_by_key(|k| self.under_way[k]).copied();
+            for key in mine {
+                let deaf = self.deaf.contains(&key.1);
+                let left = self.under_way.get_mut(&key).expect("it was just listed");
+                if deaf || Some(key) == least {
+                    *left -= 1;
+                }
+                if *left == 0 {
+                    ended.push(key);
+                }
+            }
+        }
+        for (giver, receiver) in ended {
+            self.under_way.remove(&(giver, receiver));
+            let whole = !self.deaf.contains(&receiver);
+            if whole {
+                self.has.insert(receiver);
+            }
+            let turns = self.fanouts[giver].end(whole.then(|| address(receiver)), LARGE);
+            for (asker, turn) in turns {
+                match turn {
+                    Turn::Given => self.begin(giver, asker),
+                    Turn::Elsewhere(at) => self.ask(asker, node(at)),
+                }
+            }
+        }
+    }
+
+    /// How many copies' time it takes until nothing is under way any more.
+    fn run(&mut self) -> u32 {
+        let mut steps: u32 = 0;
+        while !self.under_way.is_empty() {
+            self.step();
+            steps += 1;
+            assert!(steps < 10_000, "copies go on for ever");
+        }
+        steps.div_ceil(2)
+    }
+}
+
+/// All copies of a new configuration shared the links of the three nodes that had it, so the last of
+/// 87 nodes would have had it after the time of 28 copies, and each was given up long before.
+#[test]
+fn end_all_ask_few_time_of_few_copies() {
+    let mut times = Vec::new();
+    for nodes in [9, 87, 550, 2_000] {
+        let mut fleet = Fleet::new(nodes, 3);
+        (3..nodes).for_each(|asker| fleet.ask(asker, asker % 3));
+        times.push(fleet.run());
+        assert_eq!(fleet.has.len(), nodes);
+    }
+    expect_test::expect!["[2, 6, 9, 11]"].assert_eq(&format!("{times:?}"));
+}
+
+#[test]
+fn end_deaf_receivers_others_served() {
+    let mut fleet = Fleet::new(87, 3);
+    fleet.deaf = (3..30).step_by(5).collect();
+    (3..87).for_each(|asker| fleet.ask(asker, asker % 3));
+    fleet.run();
+    assert_eq!(fleet.has.len(), 87 - fleet.deaf.len());
+}
+
+#[test]
+fn ask_small_all_at_once() {
+    let mut fanout: Fanout<usize> = Fanout::default();
+    assert!((0..30).all(|asker| fanout.ask(|| asker, 2_000)));
+}
+
+proptest! {
+    /// Whoever asks is given a copy or sent elsewhere, once, whatever ends in which order, and no
+    /// more than two are given one at a time.
+    #[test]
+    fn end_any_order_each_told_once(
+        steps in proptest::collection::vec((any::<bool>(), any::<bool>()), 1..120),
+    ) {
+        let mut fanout: Fanout<usize> = Fanout::default();
+        let (mut asked, mut told) = (0, BTreeSet::new());
+        let mut given = VecDeque::new();
+        let end = |fanout: &mut Fanout<usize>,
+                       given: &mut VecDeque<usize>,
+                       told: &mut BTreeSet<usize>,
+                       whole: bool| {
+            let Some(receiver) = given.pop_front() else { return };
+            for (asker, turn) in fanout.end(whole.then(|| address(receiver)), LARGE) {
+                assert!(told.insert(asker), "{asker} was told twice");
+                if turn == Turn::Given {
+                    given.push_back(asker);
+                }
+            }
+            assert!(given.len() <= 2, "{} copies at once", given.len());
+        };
+        for (asks, whole) in steps {
+            if asks {
+                if fanout.ask(|| asked, LARGE) {
+                    told.insert(asked);
+                    given.push_back(asked);
+                }
+                asked += 1;
+            } else {
+                end(&mut fanout, &mut given, &mut told, whole);
+            }
+        }
+        while !given.is_empty() {
+            end(&mut fanout, &mut given, &mut told, true);
+        }
+        prop_assert_eq!((told.len(), fanout.waiting()), (asked, 0));
+    }
+}
--- a/node/src/serve/beat.rs
+++ b/node/src/serve/beat.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use sardinepick_lib::fleet::load::Load;
-use sardinepick_lib::fleet::roster::beat_period;
+use sardinepick_lib::fleet::roster::{Status, beat_period};
 use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_wire::beat::{Beat, MOST_BYTES, MOST_LOADS, MOST_READINGS};
 use tokio::net::UdpSocket;
@@ -122,6 +122,12 @@
     }
 }
 
+/// Whether another node knows something that this one does not.
+fn is_behind(shared: &Shared, other: Status) -> bool {
+    let mine = shared.status();
+    other.register > mine.register || other.version > mine.version
+}
+
 async fn take(shared: &Shared, socket: &UdpSocket, beat: &Beat) {
     if beat.contact.id == shared.me.id {
         return;
@@ -135,7 +141,7 @@
         if was.is_none_or(|was| was.standing != beat.status.standing) {
             log::info!(node:% = id, standing:? = beat.status.standing; "node heard");
         }
-        (new, roster.ahead(shared.status(), now).is_some())
+        (new, is_behind(shared, beat.status))
     };
     {
         let mut register = shared.register();
@@ -146,7 +152,7 @@
         }
     }
     if ahead {
-        shared.behind.notify_one();
+        shared.note_behind();
     }
     if new || beat.answer {
         let mine = Beat {
--- a/node/src/serve/follow.rs
+++ b/node/src/serve/follow.rs
@@ -99,7 +99,7 @@
         } else {
             log::debug!(what = self.what, error:% = error, failures = self.failures; "store away");
         }
-        self.shared.behind.notify_one();
+        self.shared.note_behind();
         sleep(if forgotten { pause / FORGOTTEN_PAUSE_PART } else { pause }).await;
     }
 }
@@ -158,8 +158,8 @@
         routes = next.routes().len(), source = source; "configuration in force"
     );
     shared.metrics.version.set(i64::try_from(next.version.0).unwrap_or(i64::MAX));
+    shared.copies.offer(next.version, object);
     shared.configuration.store(Some(Arc::new(next)));
-    shared.knowledge().configuration = Some(object);
     shared.note_knowledge();
     shared.note_news();
 }
--- a/node/src/serve/knowledge.rs
+++ b/node/src/serve/knowledge.rs
@@ -43,8 +43,6 @@
 /// What a node knows.
 #[derive(Clone, Debug, Default)]
 pub struct Knowledge {
-    /// The object that holds the configuration.
-    pub configuration: Option<Object>,
     /// The entries of the register of runners, each with the mark under which it became known.
     runners: BTreeMap<SmolStr, (Mark, Object)>,
     removed: VecDeque<(Mark, SmolStr)>,
--- a/node/src/serve/mod.rs
+++ b/node/src/serve/mod.rs
@@ -7,6 +7,7 @@
 pub mod answer;
 pub mod beat;
 pub mod connection;
+pub mod copy;
 pub mod follow;
 pub mod generation;
 pub mod inventory;
--- a/node/src/serve/peer.rs
+++ b/node/src/serve/peer.rs
@@ -16,11 +16,12 @@
 use smol_str::SmolStr;
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
-use tokio_stream::wrappers::TcpListenerStream;
+use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
 use tonic::transport::Endpoint;
 use tonic::{Request, Response, Status};
 
-use crate::serve::follow::{install, take_difference};
+use crate::serve::copy;
+use crate::serve::follow::take_difference;
 use crate::serve::knowledge::Difference;
 use crate::serve::shared::Shared;
 
@@ -60,27 +61,24 @@
         request: Request<pb::KnowledgeRequest>,
     ) -> Result<Response<pb::Knowledge>, Status> {
         let asked = request.into_inner();
-        let version = self.shared.status().version;
-        let knowledge = self.shared.knowledge();
-        let newer = knowledge.configuration.as_ref().filter(|_| version.0 > asked.version);
-        let difference = knowledge.since(Mark(asked.mark));
-        let bytes = newer.map_or(0, |object| object.content.len());
-        if newer.is_some() {
-            self.shared.metrics.copies.with_label_values(&["sent", "begun"]).inc();
-            self.shared.metrics.copy_bytes.with_label_values(&["sent"]).inc_by(bytes as u64);
-        }
-        log::info!(
-            node = asked.node, version:% = version, has = asked.version, bytes = bytes,
-            runners = difference.entries.len(), gone = difference.gone.len(); "telling a node"
-        );
+        let difference = self.shared.knowledge().since(Mark(asked.mark));
         Ok(Response::new(pb::Knowledge {
-            configuration: newer.map(to_wire),
             runners: difference.entries.iter().map(to_wire).collect(),
             gone: difference.gone.iter().map(ToString::to_string).collect(),
             mark: difference.mark.0,
             whole: difference.whole,
         }))
     }
+
+    type CopyStream = ReceiverStream<Result<pb::CopyPart, Status>>;
+
+    async fn copy(
+        &self,
+        request: Request<pb::CopyRequest>,
+    ) -> Result<Response<Self::CopyStream>, Status> {
+        let parts = copy::answer(self.shared.clone(), request.into_inner());
+        Ok(Response::new(ReceiverStream::new(parts)))
+    }
 }
 
 /// Answers other nodes until the process ends.
@@ -102,35 +100,31 @@
         let ahead = {
             let now = shared.clock.now();
             let roster = shared.roster();
-            roster.ahead(shared.status(), now).map(|(contact, status)| (contact.clone(), status))
+            roster
+                .ahead(shared.knowledge().mark(), now)
+                .map(|(contact, status)| (contact.clone(), status))
         };
         let Some((contact, status)) = ahead else { continue };
         let began = shared.clock.now();
         let told = timeout(CALL_LIMIT, ask(&shared, contact.peer)).await;
         let took = shared.clock.now().saturating_duration_since(began).as_millis() as u64;
-        let outcome = match told {
+        match told {
             Ok(Ok(knowledge)) => {
-                let bytes = knowledge.configuration.as_ref().map_or(0, |c| c.content.len());
                 log::info!(
-                    node:% = contact.id, version:% = status.version, register:% = status.register,
-                    bytes = bytes, took_ms = took; "learned from another node"
+                    node:% = contact.id, register:% = status.register,
+                    entries = knowledge.runners.len(), took_ms = took; "learned from another node"
                 );
-                shared.metrics.copy_bytes.with_label_values(&["received"]).inc_by(bytes as u64);
                 take(&shared, knowledge);
-                if bytes > 0 { "whole" } else { "nothing" }
             }
             Ok(Err(error)) => {
                 let node = &contact.id;
                 log::warn!(node:% = node, error:% = error, took_ms = took; "asking a node");
-                "failed"
             }
             Err(_) => {
                 let node = &contact.id;
                 log::warn!(node:% = node, took_ms = took; "asking a node: no answer in time");
-                "late"
             }
-        };
-        shared.metrics.copies.with_label_values(&["received", outcome]).inc();
+        }
         sleep(PAUSE).await;
     }
 }
@@ -140,16 +134,12 @@
         .map_err(|e| Status::invalid_argument(e.to_string()))?;
     let channel = endpoint.connect().await.map_err(|e| Status::unavailable(e.to_string()))?;
     let mut client = FleetClient::new(channel).max_decoding_message_size(LARGEST);
-    let mine = shared.status();
-    let node = shared.me.id.to_string();
-    let known = pb::KnowledgeRequest { version: mine.version.0, mark: mine.register.0, node };
+    let (mark, node) = (shared.knowledge().mark().0, shared.me.id.to_string());
+    let known = pb::KnowledgeRequest { mark, node };
     Ok(client.tell(known).await?.into_inner())
 }
 
 fn take(shared: &Shared, knowledge: pb::Knowledge) {
-    if let Some(object) = knowledge.configuration {
-        install(shared, from_wire(object), "node");
-    }
     let mark = Mark(knowledge.mark);
     if mark <= shared.knowledge().mark() {
         return;
--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -16,7 +16,7 @@
 use crate::serve::metrics::Metrics;
 use crate::serve::settings::Settings;
 use crate::serve::shared::Shared;
-use crate::serve::{beat, follow, inventory, order, peer};
+use crate::serve::{beat, copy, follow, inventory, order, peer};
 
 /// Why a node does not start.
 #[derive(Debug, Error)]
@@ -122,6 +122,7 @@
     }
     tokio::spawn(peer::serve(shared.clone(), sockets.peers));
     tokio::spawn(peer::learn(shared.clone()));
+    tokio::spawn(copy::learn(shared.clone()));
     tokio::spawn(beat::receive(shared.clone(), socket.clone()));
     tokio::spawn(beat::send(shared.clone(), socket));
     tokio::spawn(follow::configuration(shared.clone()));
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -23,6 +23,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::serve::connection::Connections;
+use crate::serve::copy::Copies;
 use crate::serve::knowledge::Knowledge;
 use crate::serve::metrics::Metrics;
 use crate::serve::settings::Settings;
@@ -53,8 +54,12 @@
     pub store: Client,
     /// How this node stands towards callers.
     pub standing: watch::Sender<Standing>,
-    /// Signals that something is known that other nodes know better.
+    /// Signals that other nodes know the register better.
     pub behind: Notify,
+    /// Signals that other nodes have a newer configuration.
+    pub outdated: Notify,
+    /// Copies of the configuration for other nodes.
+    pub copies: Copies,
     /// Signals that a beat should go out now.
     pub beat_now: Notify,
     register: Mutex<Register>,
@@ -110,6 +115,8 @@
             configuration: ArcSwapOption::empty(),
             standing: watch::channel(Standing::Starting).0,
             behind: Notify::new(),
+            outdated: Notify::new(),
+            copies: Copies::default(),
             beat_now: Notify::new(),
             register: Mutex::default(),
             roster: Mutex::default(),
@@ -220,6 +227,12 @@
         }
     }
 
+    /// Notes that other nodes may know more than this one.
+    pub fn note_behind(&self) {
+        self.behind.notify_one();
+        self.outdated.notify_one();
+    }
+
     /// Notes a request for a service, which earns a part of an extra arrival.
     pub fn note_request(&self, service: &ServiceId) {
         let now = self.clock.now();
--- a/node/tests/thin_links.rs
+++ b/node/tests/thin_links.rs
@@ -1,6 +1,8 @@
 //! Many nodes with thin links learn a large configuration from each other.
 
+use sardinepick_lib::fleet::runner::State;
 use sardinepick_lib::id::ConfigVersion;
+use sardinepick_node::serve::run::Running;
 use sardinepick_testutils::cluster::wait_until;
 use sardinepick_testutils::fleet::deployment::{Deployment, large_configuration};
 use sardinepick_testutils::fleet::link::Link;
@@ -14,6 +16,20 @@
 /// Routes that are added at once.
 const ROUTES: usize = 1_400;
 
+/// Adds nodes behind links of `rate` bytes a second, until a few of them follow the store for all.
+async fn fleet(mut set: Deployment, rate: f64) -> (Deployment, Vec<Link>) {
+    let mut links = Vec::with_capacity(NODES);
+    for at in 0..NODES {
+        links.push(set.add_node_behind(&format!("edge-{at}"), rate).await);
+    }
+    set.wait_ready().await;
+    for kind in ["config", "servers"] {
+        wait_until("a few nodes follow the store", async || set.store.watches(kind) <= FOLLOWERS)
+            .await;
+    }
+    (set, links)
+}
+
 /// An operator added 1,400 routes at once, and nodes still handled requests by the version before
 /// 3.7 s after the new one had been acknowledged. All nodes that do not follow the store had asked one
 /// of the three that do for the whole configuration in the same instant. Each copy had one second,
@@ -29,16 +45,7 @@
 ///     12.8951 b-15 configuration in force  version 8  was 2
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn configuration_large_thin_links_sent_once_to_each() {
-    let mut set = Deployment::new().await;
-    let mut links = Vec::with_capacity(NODES);
-    for at in 0..NODES {
-        links.push(set.add_node_behind(&format!("edge-{at}"), THIN).await);
-    }
-    set.wait_ready().await;
-    wait_until("a few nodes follow the store for all", async || {
-        set.store.watches("config") <= FOLLOWERS
-    })
-    .await;
+    let (set, links) = fleet(Deployment::new().await, THIN).await;
     let carried = || links.iter().map(Link::carried).sum::<u64>();
     let before = carried();
     let next = large_configuration(2, ROUTES);
@@ -56,3 +63,36 @@
     let most = links.iter().map(Link::carried).max().unwrap_or_default();
     println!("{sent} bytes between nodes, {most} at most by one; {whole} for a copy to each");
 }
+
+/// A node went on giving work to a runner that had left 4.4 s before. What nodes tell each other of
+/// runners came in one answer with the configuration, behind its hundreds of kilobytes, and was thrown
+/// away with it:
+///
+///     8.508  i-c453397783 says that it leaves
+///     11.9484 b-15 asking a node: no answer in time  node d-6
+///     12.8951 b-15 configuration in force  version 8  was 2
+///     12.8951 b-15 runner leaves  runner i-c453397783
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn register_change_not_behind_large_configuration() {
+    /// Bytes a second: a copy takes three seconds, so that what waits behind it shows.
+    const THINNER: f64 = 1e5;
+    let set = Deployment::new().await.with_plain(2).await;
+    let (set, _links) = fleet(set, THINNER).await;
+    set.store.put("config", "main", &large_configuration(2, ROUTES));
+    wait_until("copies are under way", async || {
+        let holds = |node: &Running| node.shared.status().version == ConfigVersion(2);
+        set.nodes.iter().filter(|node| holds(node)).count() >= FOLLOWERS
+    })
+    .await;
+    let runner = &set.runners[0];
+    runner.drain();
+    let knows = |node: &Running| {
+        let register = node.shared.register();
+        let told = register.runners().find(|r| r.entry.id.as_str() == runner.id);
+        told.is_none_or(|r| r.entry.state == State::Draining)
+    };
+    wait_until("all nodes know that the runner leaves", async || set.nodes.iter().all(knows)).await;
+    let behind = |node: &&Running| node.shared.status().version < ConfigVersion(2);
+    let behind = set.nodes.iter().filter(behind).count();
+    assert!(behind > 0, "the register came no sooner than the last copy of the configuration");
+}
