store, connection: an answer of the store is read as long as it comes

Cause: a call to the store had 0.7 s in all (a watch its wait and 0.7 s), whatever the size of the answer; a megabyte takes 0.84 s on a link of 10 Mbit/s, was thrown away and asked for again without end. Change: the limit is for the beginning of the answer, and for the time without a piece of it after that.

Before: a node behind 10 Mbit/s with 4,000 routes in the store is not ready after 30 s.

--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::response::Parts;
 use http::{Request, Response};
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -111,6 +111,31 @@
         Ok((self.head, body.to_bytes()))
     }
 
+    /// Reads the whole body as [`Answer::read`] does, as long as pieces of it come no further apart
+    /// than `silence`: how long all of it takes depends on its size and the links.
+    ///
+    /// # Errors
+    /// The body did not come whole, is larger, or nothing came for too long.
+    pub async fn read_while_it_comes(
+        self,
+        most: usize,
+        silence: Duration,
+    ) -> Result<(Parts, Bytes), Incomplete> {
+        let (mut body, mut whole) = (Limited::new(self.body, most), BytesMut::new());
+        loop {
+            let frame = timeout(silence, body.frame()).await;
+            let frame = frame.map_err(|_| Incomplete(format!("nothing came for {silence:?}")))?;
+            let Some(frame) = frame else { break };
+            let frame = frame.map_err(|error| Incomplete(error.to_string()))?;
+            // Trailers say nothing here.
+            if let Ok(data) = frame.into_data() {
+                whole.extend_from_slice(&data);
+            }
+        }
+        self.lease.give_back();
+        Ok((self.head, whole.freeze()))
+    }
+
     /// Reads a body that nobody needs, so that the connection can be used again. One that does not
     /// come whole closes it.
     pub async fn discard(self, most: usize) {
--- a/node/src/serve/store.rs
+++ b/node/src/serve/store.rs
@@ -79,8 +79,10 @@
     Lease,
 }
 
-/// How long a call other than a watch may take. The store answers in 4 ms (users' sheets), and in
-/// 60 to 75 times that when it is slow.
+/// How long the store may take to begin its answer to a call other than a watch, and to go on with
+/// any. It answers in 4 ms (users' sheets), and in 60 to 75 times that when it is slow. The whole of
+/// an answer has no limit: a megabyte takes 0.84 s on a link of 10 Mbit/s, and a read that is given up
+/// and begun anew never ends there.
 const CALL_LIMIT: Duration = Duration::from_millis(700);
 /// How long a connection to the store may take.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
@@ -217,13 +219,9 @@
         limit: Duration,
         read: impl Fn(StatusCode, &[u8]) -> Result<T, Refused>,
     ) -> Result<T, StoreError> {
-        let result = match timeout(limit, self.exchange(purpose, request)).await {
-            Ok(Ok((status, body))) => {
-                read(status, &body).map_err(|refused| StoreError::Refused { purpose, refused })
-            }
-            Ok(Err(error)) => Err(error),
-            Err(_) => Err(StoreError::Late { purpose, limit }),
-        };
+        let result = self.exchange(purpose, request, limit).await.and_then(|(status, body)| {
+            read(status, &body).map_err(|refused| StoreError::Refused { purpose, refused })
+        });
         let outcome = match &result {
             Ok(_) => "answered",
             Err(StoreError::Refused { .. }) => "refused",
@@ -238,11 +236,13 @@
         &self,
         purpose: Purpose,
         request: Request<Bytes>,
+        limit: Duration,
     ) -> Result<(StatusCode, Bytes), StoreError> {
-        let answer = self.connections.send(self.address, request, CONNECT_LIMIT).await;
+        let sent = self.connections.send(self.address, request, CONNECT_LIMIT);
+        let answer = timeout(limit, sent).await.map_err(|_| StoreError::Late { purpose, limit })?;
         let answer = answer.map_err(|source| StoreError::Send { purpose, source })?;
-        let (head, body) =
-            answer.read(LARGEST).await.map_err(|source| StoreError::Broken { purpose, source })?;
+        let read = answer.read_while_it_comes(LARGEST, CALL_LIMIT).await;
+        let (head, body) = read.map_err(|source| StoreError::Broken { purpose, source })?;
         Ok((head.status, body))
     }
 }
