--- a/node/tests/thin_links.rs
+++ b/node/tests/thin_links.rs
@@ -5,8 +5,10 @@
 use sardinepick_node::serve::pack::pack;
 use sardinepick_node::serve::run::Running;
 use sardinepick_testutils::cluster::wait_until;
-use sardinepick_testutils::fleet::deployment::{Deployment, large_configuration};
+use sardinepick_testutils::fleet::deployment::{Deployment, HOME, PLAIN, large_configuration};
 use sardinepick_testutils::fleet::link::Link;
+use sardinepick_testutils::fleet::store::Fault;
+use serde_json::json;
 
 /// Bytes a second of a link of 10 Mbit/s.
 const THIN: f64 = 1.25e6;
@@ -113,3 +115,37 @@
     set.add_node_far("edge-0", THIN).await;
     set.wait_ready().await;
 }
+
+/// Nodes that start while the store is away learn all runners from the few nodes that know them. The
+/// answer had one second in all; with the entries of 1,600 runners and many nodes that ask at once over
+/// a thin link it never ends, as with a configuration, and the nodes refuse all callers until the store
+/// is back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn register_whole_thin_link_learned() {
+    /// Runners, as many as a node is to know.
+    const RUNNERS: usize = 1_600;
+    /// Nodes that start.
+    const STARTING: usize = 12;
+    let mut set = Deployment::new().await;
+    for at in 0..RUNNERS {
+        let address = format!("10.1.{}.{}:8482", at >> 8, at & 255);
+        let entry = json!({
+            "service": PLAIN, "address": address, "zone": HOME, "version": "v1", "slots": 8,
+            "state": "ready", "coldRemainingMs": 0, "models": [], "seq": 1, "born": 1,
+        });
+        set.store.put("servers", &format!("i-{at}"), &entry);
+    }
+    set.add_node_behind("edge-0", THIN).await;
+    let ready = async |set: &Deployment| {
+        wait_until("all nodes are ready", async || set.nodes.iter().all(|n| n.shared.is_ready()))
+            .await;
+    };
+    ready(&set).await;
+    set.store.set_fault(Fault::Busy);
+    for at in 1..=STARTING {
+        set.add_node_behind(&format!("edge-{at}"), THIN).await;
+    }
+    ready(&set).await;
+    let known = set.nodes.iter().map(|node| node.shared.register().runners().count());
+    assert_eq!(known.min(), Some(RUNNERS));
+}
