peer, turn, ask: all of the register is told in parts and in turn

Cause: what a node knows of all runners was one answer with one second in all; nodes that start while the store is away ask the few that know it at once, and over thin links none gets it. Change: it comes in parts as long as they come, few nodes at a time, and those that wait are sent to nodes that have just got it, as with a configuration. Differences are told at once as before.

--- /dev/null
+++ b/node/src/serve/ask.rs
@@ -0,0 +1,196 @@
+//! The asking side of what nodes ask each other for.
+//!
+//! No answer has a time of its own, which it would miss where it is large or the link thin, to be
+//! begun anew: it goes on as long as its parts come.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sardinepick_wire::fleet::fleet_client::FleetClient;
+use thiserror::Error;
+use tokio::time::{Instant, timeout};
+use tonic::transport::{Channel, Endpoint};
+use tonic::{Response, Status, Streaming};
+
+/// How long a connection to another node may take: a packet lost once is sent again after 0.2 s.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// How long the other side may be silent. A part takes 13 ms on a link of 10 Mbit/s, and a node that
+/// waits for its turn hears a sign three times in this.
+pub const SILENCE: Duration = Duration::from_millis(600);
+/// How long a node waits for its turn before it asks another, of which there are more by then.
+const TURN_LIMIT: Duration = Duration::from_secs(1);
+/// How often one question may be sent elsewhere: each time half as many wait, so 550 nodes need 10.
+const MOST_REFERRALS: usize = 12;
+
+/// Why an answer did not come.
+#[derive(Debug, Error)]
+pub enum AskError {
+    /// No connection.
+    #[error("connecting to {peer}: {detail}")]
+    Connect {
+        /// The node.
+        peer: SocketAddr,
+        /// What went wrong.
+        detail: String,
+    },
+    /// The node refused, or the connection broke.
+    #[error("asking {peer}: {status}")]
+    Refused {
+        /// The node.
+        peer: SocketAddr,
+        /// What it or the connection said.
+        status: Box<Status>,
+    },
+    /// Nothing came for too long.
+    #[error("asking {peer}: nothing heard for {SILENCE:?}")]
+    Silent {
+        /// The node.
+        peer: SocketAddr,
+    },
+    /// The turn did not come.
+    #[error("waiting at {peer}: no turn within {TURN_LIMIT:?}")]
+    NoTurn {
+        /// The node.
+        peer: SocketAddr,
+    },
+    /// The answer ended before its last part.
+    #[error("asking {peer}: the answer broke off")]
+    Broken {
+        /// The node.
+        peer: SocketAddr,
+    },
+    /// The answer is larger than any should be.
+    #[error("asking {peer}: the answer is beyond the limit of {most}")]
+    TooLarge {
+        /// The node.
+        peer: SocketAddr,
+        /// The limit, in bytes of a copy or entries of the register.
+        most: usize,
+    },
+    /// The node named no node that can be asked, or one too many.
+    #[error("asking {peer}: sent elsewhere, to {address}")]
+    Lost {
+        /// The node.
+        peer: SocketAddr,
+        /// The node that it named.
+        address: String,
+    },
+    /// What came cannot be used.
+    #[error("asking {peer}: what came is not used")]
+    Useless {
+        /// The node.
+        peer: SocketAddr,
+    },
+}
+
+impl AskError {
+    /// The label of its metric.
+    pub fn outcome(&self) -> &'static str {
+        match self {
+            AskError::Connect { .. } => "unreachable",
+            AskError::Refused { .. } => "refused",
+            AskError::Silent { .. } => "silent",
+            AskError::NoTurn { .. } => "no_turn",
+            AskError::Broken { .. } => "broken",
+            AskError::TooLarge { .. } | AskError::Lost { .. } | AskError::Useless { .. } => {
+                "useless"
+            }
+        }
+    }
+}
+
+/// What a node that was asked has told.
+#[derive(Debug)]
+pub enum Told<T> {
+    /// All that was asked for.
+    Whole(T),
+    /// Another node to ask.
+    Elsewhere(SocketAddr),
+}
+
+impl<T> Told<T> {
+    /// Reads the node to ask in place of `peer`, which is neither `peer` nor the asking node `me`.
+    ///
+    /// # Errors
+    /// It cannot be asked.
+    pub fn elsewhere(address: String, peer: SocketAddr, me: SocketAddr) -> Result<Self, AskError> {
+        match address.parse() {
+            Ok(next) if next != me && next != peer => Ok(Told::Elsewhere(next)),
+            Ok(_) | Err(_) => Err(AskError::Lost { peer, address }),
+        }
+    }
+}
+
+/// Asks a node, and those that it sends this one to. Gives who told it in the end.
+///
+/// # Errors
+/// One of them does not answer, or they send it on for too long.
+pub async fn referred<T, F>(
+    first: SocketAddr,
+    ask: impl Fn(SocketAddr) -> F,
+) -> Result<(SocketAddr, T), AskError>
+where
+    F: Future<Output = Result<Told<T>, AskError>>,
+{
+    let mut peer = first;
+    for _ in 0..MOST_REFERRALS {
+        match ask(peer).await? {
+            Told::Whole(told) => return Ok((peer, told)),
+            Told::Elsewhere(next) => peer = next,
+        }
+    }
+    Err(AskError::Lost { peer, address: peer.to_string() })
+}
+
+/// Connects to a node.
+///
+/// # Errors
+/// It cannot be reached.
+pub async fn connect(peer: SocketAddr) -> Result<FleetClient<Channel>, AskError> {
+    let failed = |error: tonic::transport::Error| {
+        let detail = error.to_string();
+        AskError::Connect { peer, detail }
+    };
+    let endpoint = Endpoint::from_shared(format!("http://{peer}")).map_err(failed)?;
+    let channel = endpoint.connect_timeout(CONNECT_LIMIT).connect().await.map_err(failed)?;
+    Ok(FleetClient::new(channel))
+}
+
+/// The parts of an answer.
+#[derive(Debug)]
+pub struct Parts<T> {
+    peer: SocketAddr,
+    parts: Streaming<T>,
+    asked: Instant,
+}
+
+impl<T> Parts<T> {
+    /// Waits for the answer of `peer` to begin.
+    ///
+    /// # Errors
+    /// It does not.
+    pub async fn begin(
+        peer: SocketAddr,
+        call: impl Future<Output = Result<Response<Streaming<T>>, Status>>,
+    ) -> Result<Self, AskError> {
+        let answer = timeout(SILENCE, call).await.map_err(|_| AskError::Silent { peer })?;
+        let answer = answer.map_err(|s| AskError::Refused { peer, status: Box::new(s) })?;
+        Ok(Self { peer, parts: answer.into_inner(), asked: Instant::now() })
+    }
+
+    /// The next part. `waits` says that this node has got nothing yet but signs that it has to wait.
+    ///
+    /// # Errors
+    /// There is none, it does not come, or the turn does not.
+    pub async fn next(&mut self, waits: bool) -> Result<T, AskError> {
+        let peer = self.peer;
+        if waits && self.asked.elapsed() > TURN_LIMIT {
+            return Err(AskError::NoTurn { peer });
+        }
+        let part = timeout(SILENCE, self.parts.message()).await;
+        let part = part.map_err(|_| AskError::Silent { peer })?;
+        let part = part.map_err(|s| AskError::Refused { peer, status: Box::new(s) })?;
+        part.ok_or(AskError::Broken { peer })
+    }
+}
--- a/node/src/serve/mod.rs
+++ b/node/src/serve/mod.rs
@@ -5,6 +5,7 @@
 //! a refusal that is true.
 
 pub mod answer;
+pub mod ask;
 pub mod beat;
 pub mod connection;
 pub mod copy;
@@ -24,3 +25,4 @@
 pub mod shared;
 pub mod store;
 pub mod ticket;
+pub mod turn;
--- a/node/src/serve/peer.rs
+++ b/node/src/serve/peer.rs
@@ -11,28 +11,29 @@
 use sardinepick_lib::id::{Mark, Revision};
 use sardinepick_platform::store::Object;
 use sardinepick_wire::fleet as pb;
-use sardinepick_wire::fleet::fleet_client::FleetClient;
 use sardinepick_wire::fleet::fleet_server::{Fleet, FleetServer};
 use smol_str::SmolStr;
 use tokio::net::TcpListener;
-use tokio::time::{sleep, timeout};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep};
 use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
-use tonic::transport::Endpoint;
 use tonic::{Request, Response, Status};
 
+use crate::serve::ask::{self, AskError, Told};
 use crate::serve::copy;
 use crate::serve::follow::take_difference;
 use crate::serve::knowledge::Difference;
 use crate::serve::shared::Shared;
+use crate::serve::turn::{Answer, NotTaken, Parts, put};
 
 /// How long a node that is behind waits for the store's own word, or for more to ask for.
 const PATIENCE: Duration = Duration::from_millis(40);
-/// How long asking a node may take.
-const CALL_LIMIT: Duration = Duration::from_millis(1_000);
 /// The shortest pause between two questions.
 const PAUSE: Duration = Duration::from_millis(200);
-/// The largest answer: a configuration of a megabyte and a thousand runners' entries, with room.
-const LARGEST: usize = 16 << 20;
+/// The most entries of one part: about 16 KB.
+const MOST_ENTRIES: usize = 64;
+/// The most entries that are taken from one answer: ten times the runners to design for.
+const LARGEST: usize = 16_000;
 
 struct Service {
     shared: Arc<Shared>,
@@ -56,18 +57,20 @@
 
 #[tonic::async_trait]
 impl Fleet for Service {
+    type TellStream = ReceiverStream<Result<pb::Knowledge, Status>>;
+
     async fn tell(
         &self,
         request: Request<pb::KnowledgeRequest>,
-    ) -> Result<Response<pb::Knowledge>, Status> {
-        let asked = request.into_inner();
-        let difference = self.shared.knowledge().since(Mark(asked.mark));
-        Ok(Response::new(pb::Knowledge {
-            runners: difference.entries.iter().map(to_wire).collect(),
-            gone: difference.gone.iter().map(ToString::to_string).collect(),
-            mark: difference.mark.0,
-            whole: difference.whole,
-        }))
+    ) -> Result<Response<Self::TellStream>, Status> {
+        let (parts, receiver) = mpsc::channel(1);
+        let (shared, asked) = (self.shared.clone(), request.into_inner());
+        tokio::spawn(async move {
+            if let Err(error) = tell(&shared, &asked, &parts).await {
+                log::info!(node = asked.node, mark = asked.mark, error:% = error; "telling a node");
+            }
+        });
+        Ok(Response::new(ReceiverStream::new(receiver)))
     }
 
     type CopyStream = ReceiverStream<Result<pb::CopyPart, Status>>;
@@ -81,9 +84,57 @@
     }
 }
 
+/// Tells a node what it does not know of the register. All of it goes to few nodes at a time, as it
+/// is large; differences are small and go at once.
+async fn tell(
+    shared: &Shared,
+    asked: &pb::KnowledgeRequest,
+    parts: &Parts<pb::Knowledge>,
+) -> Result<(), NotTaken> {
+    let mark = Mark(asked.mark);
+    let difference = shared.knowledge().since(mark);
+    if !difference.whole {
+        return send(&difference, parts).await;
+    }
+    let bytes = difference.entries.iter().map(|object| object.content.len()).sum();
+    match shared.tellings.wait(parts, bytes).await? {
+        Answer::Given(place) => {
+            // Its turn may have come after further changes.
+            let difference = shared.knowledge().since(mark);
+            send(&difference, parts).await?;
+            place.finish(parts, &asked.peer).await
+        }
+        Answer::Elsewhere(address) => {
+            let elsewhere = Some(address.to_string());
+            put(parts, pb::Knowledge { elsewhere, ..Default::default() }).await
+        }
+    }
+}
+
+async fn send(difference: &Difference, parts: &Parts<pb::Knowledge>) -> Result<(), NotTaken> {
+    let mut entries = difference.entries.chunks(MOST_ENTRIES).peekable();
+    loop {
+        let runners = entries.next().unwrap_or_default();
+        let last = entries.peek().is_none();
+        let gone = if last { difference.gone.as_slice() } else { &[] };
+        let part = pb::Knowledge {
+            runners: runners.iter().map(to_wire).collect(),
+            gone: gone.iter().map(ToString::to_string).collect(),
+            mark: difference.mark.0,
+            whole: difference.whole,
+            elsewhere: None,
+            last,
+        };
+        put(parts, part).await?;
+        if last {
+            return Ok(());
+        }
+    }
+}
+
 /// Answers other nodes until the process ends.
 pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
-    let service = FleetServer::new(Service { shared }).max_encoding_message_size(LARGEST);
+    let service = FleetServer::new(Service { shared });
     let server = tonic::transport::Server::builder()
         .add_service(service)
         .serve_with_incoming(TcpListenerStream::new(listener));
@@ -105,48 +156,56 @@
                 .map(|(contact, status)| (contact.clone(), status))
         };
         let Some((contact, status)) = ahead else { continue };
-        let began = shared.clock.now();
-        let told = timeout(CALL_LIMIT, ask(&shared, contact.peer)).await;
-        let took = shared.clock.now().saturating_duration_since(began).as_millis() as u64;
+        let began = Instant::now();
+        let told = ask::referred(contact.peer, |peer| ask(&shared, peer)).await;
+        let took = began.elapsed().as_millis() as u64;
         match told {
-            Ok(Ok(knowledge)) => {
+            Ok((peer, knowledge)) => {
                 log::info!(
-                    node:% = contact.id, register:% = status.register,
-                    entries = knowledge.runners.len(), took_ms = took; "learned from another node"
+                    node:% = contact.id, peer:% = peer, register:% = status.register,
+                    entries = knowledge.entries.len(), took_ms = took; "learned from another node"
                 );
                 take(&shared, knowledge);
             }
-            Ok(Err(error)) => {
-                let node = &contact.id;
-                log::warn!(node:% = node, error:% = error, took_ms = took; "asking a node");
-            }
-            Err(_) => {
-                let node = &contact.id;
-                log::warn!(node:% = node, took_ms = took; "asking a node: no answer in time");
+            Err(error) => {
+                log::warn!(
+                    node:% = contact.id, error:% = error, took_ms = took; "not told by a node"
+                );
             }
         }
         sleep(PAUSE).await;
     }
 }
 
-async fn ask(shared: &Shared, peer: SocketAddr) -> Result<pb::Knowledge, Status> {
-    let endpoint = Endpoint::from_shared(format!("http://{peer}"))
-        .map_err(|e| Status::invalid_argument(e.to_string()))?;
-    let channel = endpoint.connect().await.map_err(|e| Status::unavailable(e.to_string()))?;
-    let mut client = FleetClient::new(channel).max_decoding_message_size(LARGEST);
-    let (mark, node) = (shared.knowledge().mark().0, shared.me.id.to_string());
-    let known = pb::KnowledgeRequest { mark, node };
-    Ok(client.tell(known).await?.into_inner())
+async fn ask(shared: &Shared, peer: SocketAddr) -> Result<Told<Difference>, AskError> {
+    let mut client = ask::connect(peer).await?;
+    let known = pb::KnowledgeRequest {
+        mark: shared.knowledge().mark().0,
+        node: shared.me.id.to_string(),
+        peer: shared.me.peer.to_string(),
+    };
+    let mut parts = ask::Parts::begin(peer, client.tell(known)).await?;
+    let mut told = Difference::default();
+    loop {
+        let part = parts.next(told.entries.is_empty()).await?;
+        if let Some(address) = part.elsewhere {
+            return Told::elsewhere(address, peer, shared.me.peer);
+        }
+        told.entries.extend(part.runners.into_iter().map(from_wire));
+        if told.entries.len() > LARGEST {
+            return Err(AskError::TooLarge { peer, most: LARGEST });
+        }
+        if part.last {
+            told.gone = part.gone.into_iter().map(SmolStr::new).collect();
+            (told.mark, told.whole) = (Mark(part.mark), part.whole);
+            return Ok(Told::Whole(told));
+        }
+    }
 }
 
-fn take(shared: &Shared, knowledge: pb::Knowledge) {
-    let mark = Mark(knowledge.mark);
-    if mark <= shared.knowledge().mark() {
-        return;
-    }
-    let entries: Vec<Object> = knowledge.runners.into_iter().map(from_wire).collect();
-    let gone = knowledge.gone.into_iter().map(SmolStr::new).collect();
+fn take(shared: &Shared, told: Difference) {
     // What a node that is served by the store has dropped is not in doubt any more.
-    let told = Difference { whole: knowledge.whole, entries, gone, mark };
-    take_difference(shared, told, None, "node");
+    if told.mark > shared.knowledge().mark() {
+        take_difference(shared, told, None, "node");
+    }
 }
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -28,6 +28,7 @@
 use crate::serve::metrics::Metrics;
 use crate::serve::settings::Settings;
 use crate::serve::store::Client;
+use crate::serve::turn::Turns;
 
 /// What is usual on a route, learned from its requests.
 #[derive(Debug, Default)]
@@ -60,6 +61,8 @@
     pub outdated: Notify,
     /// Copies of the configuration for other nodes.
     pub copies: Copies,
+    /// Whose turn it is to be told all of the register.
+    pub tellings: Arc<Turns>,
     /// Signals that a beat should go out now.
     pub beat_now: Notify,
     register: Mutex<Register>,
@@ -117,6 +120,7 @@
             behind: Notify::new(),
             outdated: Notify::new(),
             copies: Copies::default(),
+            tellings: Arc::default(),
             beat_now: Notify::new(),
             register: Mutex::default(),
             roster: Mutex::default(),
