copy: longer pauses after copies that fail one after the other

Cause: a configuration that cannot be put in force was fetched again every 0.1 s as long as another node offers it, its bytes each time. The tests of thin links pass.

--- a/node/src/serve/copy.rs
+++ b/node/src/serve/copy.rs
@@ -10,6 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use rand::RngExt as _;
 use rand::seq::IteratorRandom as _;
+use sardinepick_lib::fleet::outage::pause;
 use sardinepick_lib::fleet::roster::Contact;
 use sardinepick_lib::id::{ConfigVersion, Revision};
 use sardinepick_platform::store::Object;
@@ -27,8 +28,6 @@
 
 /// How long a node that is behind waits for the store's own word.
 const PATIENCE: Duration = Duration::from_millis(40);
-/// The mean pause after a copy that did not arrive.
-const PAUSE: Duration = Duration::from_millis(100);
 /// The size of a piece, in bytes: small enough for other traffic to pass between two of them.
 const PIECE: usize = 16 << 10;
 /// The largest copy: a configuration of a megabyte that packing does not shorten, with room.
@@ -132,6 +131,8 @@
     loop {
         shared.outdated.notified().await;
         sleep(PATIENCE).await;
+        // In a row; a copy that cannot be used must not be fetched again and again without a pause.
+        let mut failures = 0;
         while let Some(holder) = holder(&shared) {
             let began = Instant::now();
             let fetched = fetch(&shared, holder.peer).await;
@@ -142,6 +143,7 @@
                         node:% = holder.id, peer:% = peer, bytes = bytes, took_ms = took;
                         "configuration copied"
                     );
+                    failures = 0;
                     "whole"
                 }
                 Err(error) => {
@@ -149,8 +151,9 @@
                         node:% = holder.id, error:% = error, took_ms = took;
                         "configuration not copied"
                     );
+                    failures += 1;
                     let draw: f64 = shared.rng().random();
-                    sleep(PAUSE.mul_f64(0.5 + draw)).await;
+                    sleep(pause(failures, draw)).await;
                     error.outcome()
                 }
             };
