--- a/node/tests/thin_links.rs
+++ b/node/tests/thin_links.rs
@@ -68,8 +68,8 @@
     println!("{sent} bytes between nodes, {most} at most by one; {whole} for a copy to each");
 }
 
-/// A node went on giving work to a runner that had left 4.4 s before. What nodes tell each other of
-/// runners came in one answer with the configuration, behind its hundreds of kilobytes, and was thrown
+/// A node gave work to a runner 3.2 s after that had said that it leaves, and knew of it 4.4 s after.
+/// What nodes tell each other of runners came in one answer with the configuration, behind its hundreds of kilobytes, and was thrown
 /// away with it:
 ///
 ///     8.508  i-c453397783 says that it leaves
