copy: a holder that failed is asked again after all others

Change: those that failed since the last copy are left until all others have. Test: learn_most_holders_bad_copied_from_good.

--- a/node/src/serve/copy.rs
+++ b/node/src/serve/copy.rs
@@ -12,9 +12,10 @@
 use rand::seq::IteratorRandom as _;
 use sardinepick_lib::fleet::outage::pause;
 use sardinepick_lib::fleet::roster::Contact;
-use sardinepick_lib::id::{ConfigVersion, Revision};
+use sardinepick_lib::id::{ConfigVersion, NodeId, Revision};
 use sardinepick_platform::store::Object;
 use sardinepick_wire::fleet as pb;
+use smallvec::SmallVec;
 use smol_str::SmolStr;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep};
@@ -131,9 +132,10 @@
     loop {
         shared.outdated.notified().await;
         sleep(PATIENCE).await;
-        // In a row; a copy that cannot be used must not be fetched again and again without a pause.
-        let mut failures = 0;
-        while let Some(holder) = holder(&shared) {
+        // In a row. Who has failed is asked again only after all others: of those that say that they
+        // have it, some may be cut off, and each costs up to a second.
+        let mut failed: SmallVec<[NodeId; 4]> = SmallVec::new();
+        while let Some(holder) = holder(&shared, &failed) {
             let began = Instant::now();
             let fetched = fetch(&shared, holder.peer).await;
             let took = began.elapsed().as_millis() as u64;
@@ -143,7 +145,7 @@
                         node:% = holder.id, peer:% = peer, bytes = bytes, took_ms = took;
                         "configuration copied"
                     );
-                    failures = 0;
+                    failed.clear();
                     "whole"
                 }
                 Err(error) => {
@@ -151,9 +153,9 @@
                         node:% = holder.id, error:% = error, took_ms = took;
                         "configuration not copied"
                     );
-                    failures += 1;
+                    failed.push(holder.id);
                     let draw: f64 = shared.rng().random();
-                    sleep(pause(failures, draw)).await;
+                    sleep(pause(failed.len() as u32, draw)).await;
                     error.outcome()
                 }
             };
@@ -162,10 +164,14 @@
     }
 }
 
-/// A node that has a newer configuration: any, so that those who have it share the work.
-fn holder(shared: &Shared) -> Option<Contact> {
+/// A node that has a newer configuration: any that has not failed, so that those who have it share the
+/// work, or any if all have.
+fn holder(shared: &Shared, failed: &[NodeId]) -> Option<Contact> {
     let (mine, now) = (shared.status().version, shared.clock.now());
-    shared.roster().with_newer(mine, now).choose(&mut *shared.rng()).cloned()
+    let (roster, mut rng) = (shared.roster(), shared.rng());
+    let untried = roster.with_newer(mine, now).filter(|holder| !failed.contains(&holder.id));
+    let holder = untried.choose(&mut *rng);
+    holder.or_else(|| roster.with_newer(mine, now).choose(&mut *rng)).cloned()
 }
 
 /// Copies the configuration from a node or from whom it names, and puts it in force. Gives who gave
