peer, ask: the register too is asked of others first where a node failed

Cause: a node that is behind asks the one with the newest register, again and again where that one is heard and cannot be reached, as behind a one-way cut, until it is heard no more; news of runners that leave wait so long. Change: one list of failures for both questions, kept until the next answer and bounded; the register's parts are cut by bytes, as an entry may be large.

--- a/lib/src/fleet/roster.rs
+++ b/lib/src/fleet/roster.rs
@@ -171,14 +171,22 @@
         self.members.values().filter(heard)
     }
 
-    /// Of the nodes heard lately the one that knows the newest register, if it is newer than `mine`.
-    pub fn ahead(&self, mine: Mark, now: Instant) -> Option<(&Contact, Status)> {
-        let newer = self.heard_lately(now).filter(|m| m.status.register > mine);
-        newer.max_by_key(|m| m.status.register).map(|m| (&m.contact, m.status))
+    /// The nodes heard lately that know a newer register than `mine`.
+    pub fn with_newer_register(
+        &self,
+        mine: Mark,
+        now: Instant,
+    ) -> impl Iterator<Item = (&Contact, Status)> {
+        let newer = self.heard_lately(now).filter(move |m| m.status.register > mine);
+        newer.map(|m| (&m.contact, m.status))
     }
 
     /// The nodes heard lately that have a newer configuration than `mine`.
-    pub fn with_newer(&self, mine: ConfigVersion, now: Instant) -> impl Iterator<Item = &Contact> {
+    pub fn with_newer_configuration(
+        &self,
+        mine: ConfigVersion,
+        now: Instant,
+    ) -> impl Iterator<Item = &Contact> {
         self.heard_lately(now).filter(move |m| m.status.version > mine).map(|m| &m.contact)
     }
 
--- a/node/src/serve/ask.rs
+++ b/node/src/serve/ask.rs
@@ -7,7 +7,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use sardinepick_lib::id::NodeId;
 use sardinepick_wire::fleet::fleet_client::FleetClient;
+use smallvec::SmallVec;
 use thiserror::Error;
 use tokio::time::{Instant, timeout};
 use tonic::transport::{Channel, Endpoint};
@@ -61,11 +63,11 @@
         peer: SocketAddr,
     },
     /// The answer is larger than any should be.
-    #[error("asking {peer}: the answer is beyond the limit of {most}")]
+    #[error("asking {peer}: the answer is beyond {most} bytes")]
     TooLarge {
         /// The node.
         peer: SocketAddr,
-        /// The limit, in bytes of a copy or entries of the register.
+        /// The limit, in bytes.
         most: usize,
     },
     /// The node named no node that can be asked, or one too many.
@@ -100,6 +102,45 @@
     }
 }
 
+/// The nodes that have been asked in vain since the last answer.
+///
+/// A node may be heard and yet not be reached, or say that it has what it does not give, and each such
+/// costs up to a second. So all others are asked before one of these is asked again.
+#[derive(Debug, Default)]
+pub struct Failures {
+    nodes: SmallVec<[NodeId; 4]>,
+    in_a_row: u32,
+}
+
+impl Failures {
+    /// Notes that a node was asked in vain. Gives how often in a row that has been so now.
+    pub fn note(&mut self, node: NodeId) -> u32 {
+        self.nodes.push(node);
+        self.in_a_row = self.in_a_row.saturating_add(1);
+        self.in_a_row
+    }
+
+    /// Notes an answer.
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Picks one of `nodes`: of those that have not failed, or of all if all have.
+    pub fn pick<'a, T, I: Iterator<Item = T>>(
+        &mut self,
+        nodes: impl Fn() -> I,
+        id: impl Fn(&T) -> &'a NodeId,
+        pick: impl Fn(&mut dyn Iterator<Item = T>) -> Option<T>,
+    ) -> Option<T> {
+        let picked = pick(&mut nodes().filter(|node| !self.nodes.contains(id(node))));
+        if picked.is_some() {
+            return picked;
+        }
+        self.nodes.clear();
+        pick(&mut nodes())
+    }
+}
+
 /// What a node that was asked has told.
 #[derive(Debug)]
 pub enum Told<T> {
--- a/node/src/serve/copy.rs
+++ b/node/src/serve/copy.rs
@@ -12,16 +12,15 @@
 use rand::seq::IteratorRandom as _;
 use sardinepick_lib::fleet::outage::pause;
 use sardinepick_lib::fleet::roster::Contact;
-use sardinepick_lib::id::{ConfigVersion, NodeId, Revision};
+use sardinepick_lib::id::{ConfigVersion, Revision};
 use sardinepick_platform::store::Object;
 use sardinepick_wire::fleet as pb;
-use smallvec::SmallVec;
 use smol_str::SmolStr;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep};
 use tonic::Status;
 
-use crate::serve::ask::{self, AskError, Told};
+use crate::serve::ask::{self, AskError, Failures, Told};
 use crate::serve::follow::install;
 use crate::serve::pack::{pack, unpack};
 use crate::serve::shared::Shared;
@@ -132,10 +131,8 @@
     loop {
         shared.outdated.notified().await;
         sleep(PATIENCE).await;
-        // In a row. Who has failed is asked again only after all others: of those that say that they
-        // have it, some may be cut off, and each costs up to a second.
-        let mut failed: SmallVec<[NodeId; 4]> = SmallVec::new();
-        while let Some(holder) = holder(&shared, &failed) {
+        let mut failures = Failures::default();
+        while let Some(holder) = holder(&shared, &mut failures) {
             let began = Instant::now();
             let fetched = fetch(&shared, holder.peer).await;
             let took = began.elapsed().as_millis() as u64;
@@ -145,7 +142,7 @@
                         node:% = holder.id, peer:% = peer, bytes = bytes, took_ms = took;
                         "configuration copied"
                     );
-                    failed.clear();
+                    failures.clear();
                     "whole"
                 }
                 Err(error) => {
@@ -153,9 +150,9 @@
                         node:% = holder.id, error:% = error, took_ms = took;
                         "configuration not copied"
                     );
-                    failed.push(holder.id);
+                    let in_a_row = failures.note(holder.id);
                     let draw: f64 = shared.rng().random();
-                    sleep(pause(failed.len() as u32, draw)).await;
+                    sleep(pause(in_a_row, draw)).await;
                     error.outcome()
                 }
             };
@@ -164,14 +161,16 @@
     }
 }
 
-/// A node that has a newer configuration: any that has not failed, so that those who have it share the
-/// work, or any if all have.
-fn holder(shared: &Shared, failed: &[NodeId]) -> Option<Contact> {
+/// A node that has a newer configuration: any, so that those who have it share the work.
+fn holder(shared: &Shared, failures: &mut Failures) -> Option<Contact> {
     let (mine, now) = (shared.status().version, shared.clock.now());
-    let (roster, mut rng) = (shared.roster(), shared.rng());
-    let untried = roster.with_newer(mine, now).filter(|holder| !failed.contains(&holder.id));
-    let holder = untried.choose(&mut *rng);
-    holder.or_else(|| roster.with_newer(mine, now).choose(&mut *rng)).cloned()
+    let roster = shared.roster();
+    let holder = failures.pick(
+        || roster.with_newer_configuration(mine, now),
+        |holder| &holder.id,
+        |holders| holders.choose(&mut *shared.rng()),
+    );
+    holder.cloned()
 }
 
 /// Copies the configuration from a node or from whom it names, and puts it in force. Gives who gave
--- a/node/src/serve/peer.rs
+++ b/node/src/serve/peer.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sardinepick_lib::fleet::roster::{Contact, Status as RosterStatus};
 use sardinepick_lib::id::{Mark, Revision};
 use sardinepick_platform::store::Object;
 use sardinepick_wire::fleet as pb;
@@ -19,7 +20,7 @@
 use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
 use tonic::{Request, Response, Status};
 
-use crate::serve::ask::{self, AskError, Told};
+use crate::serve::ask::{self, AskError, Failures, Told};
 use crate::serve::copy;
 use crate::serve::follow::take_difference;
 use crate::serve::knowledge::Difference;
@@ -30,10 +31,10 @@
 const PATIENCE: Duration = Duration::from_millis(40);
 /// The shortest pause between two questions.
 const PAUSE: Duration = Duration::from_millis(200);
-/// The most entries of one part: about 16 KB.
-const MOST_ENTRIES: usize = 64;
-/// The most entries that are taken from one answer: ten times the runners to design for.
-const LARGEST: usize = 16_000;
+/// Bytes of entries after which a part is full: 13 ms on a link of 10 Mbit/s.
+const PART: usize = 16 << 10;
+/// The most bytes of entries that are taken from one answer: 1,600 runners' are 0.4 MB.
+const LARGEST: usize = 16 << 20;
 
 struct Service {
     shared: Arc<Shared>,
@@ -67,7 +68,7 @@
         let (shared, asked) = (self.shared.clone(), request.into_inner());
         tokio::spawn(async move {
             if let Err(error) = tell(&shared, &asked, &parts).await {
-                log::info!(node = asked.node, mark = asked.mark, error:% = error; "telling a node");
+                log::info!(node = asked.node, mark = asked.mark, error:% = error; "node not told");
             }
         });
         Ok(Response::new(ReceiverStream::new(receiver)))
@@ -112,10 +113,11 @@
 }
 
 async fn send(difference: &Difference, parts: &Parts<pb::Knowledge>) -> Result<(), NotTaken> {
-    let mut entries = difference.entries.chunks(MOST_ENTRIES).peekable();
+    let mut left = difference.entries.as_slice();
     loop {
-        let runners = entries.next().unwrap_or_default();
-        let last = entries.peek().is_none();
+        let (runners, rest) = left.split_at(first_part(left));
+        left = rest;
+        let last = left.is_empty();
         let gone = if last { difference.gone.as_slice() } else { &[] };
         let part = pb::Knowledge {
             runners: runners.iter().map(to_wire).collect(),
@@ -132,6 +134,17 @@
     }
 }
 
+/// How many of the entries make the first part.
+fn first_part(entries: &[Object]) -> usize {
+    let mut bytes = 0;
+    let fits = entries.iter().take_while(|object| {
+        let fits = bytes < PART;
+        bytes += object.content.len();
+        fits
+    });
+    fits.count()
+}
+
 /// Answers other nodes until the process ends.
 pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
     let service = FleetServer::new(Service { shared });
@@ -145,17 +158,11 @@
 
 /// Asks other nodes whenever this one is behind, until the process ends.
 pub async fn learn(shared: Arc<Shared>) {
+    let mut failures = Failures::default();
     loop {
         shared.behind.notified().await;
         sleep(PATIENCE).await;
-        let ahead = {
-            let now = shared.clock.now();
-            let roster = shared.roster();
-            roster
-                .ahead(shared.knowledge().mark(), now)
-                .map(|(contact, status)| (contact.clone(), status))
-        };
-        let Some((contact, status)) = ahead else { continue };
+        let Some((contact, status)) = newest(&shared, &mut failures) else { continue };
         let began = Instant::now();
         let told = ask::referred(contact.peer, |peer| ask(&shared, peer)).await;
         let took = began.elapsed().as_millis() as u64;
@@ -165,18 +172,33 @@
                     node:% = contact.id, peer:% = peer, register:% = status.register,
                     entries = knowledge.entries.len(), took_ms = took; "learned from another node"
                 );
+                failures.clear();
                 take(&shared, knowledge);
             }
             Err(error) => {
                 log::warn!(
                     node:% = contact.id, error:% = error, took_ms = took; "not told by a node"
                 );
+                failures.note(contact.id);
             }
         }
         sleep(PAUSE).await;
     }
 }
 
+/// The node that knows the newest register; news of a runner that leaves must not wait for one that
+/// cannot be reached.
+fn newest(shared: &Shared, failures: &mut Failures) -> Option<(Contact, RosterStatus)> {
+    let (mine, now) = (shared.knowledge().mark(), shared.clock.now());
+    let roster = shared.roster();
+    let newest = failures.pick(
+        || roster.with_newer_register(mine, now),
+        |(contact, _)| &contact.id,
+        |nodes| nodes.max_by_key(|(_, status)| status.register),
+    );
+    newest.map(|(contact, status)| (contact.clone(), status))
+}
+
 async fn ask(shared: &Shared, peer: SocketAddr) -> Result<Told<Difference>, AskError> {
     let mut client = ask::connect(peer).await?;
     let known = pb::KnowledgeRequest {
@@ -185,14 +207,15 @@
         peer: shared.me.peer.to_string(),
     };
     let mut parts = ask::Parts::begin(peer, client.tell(known)).await?;
-    let mut told = Difference::default();
+    let (mut told, mut bytes) = (Difference::default(), 0);
     loop {
         let part = parts.next(told.entries.is_empty()).await?;
         if let Some(address) = part.elsewhere {
             return Told::elsewhere(address, peer, shared.me.peer);
         }
+        bytes += part.runners.iter().map(|object| object.content.len()).sum::<usize>();
         told.entries.extend(part.runners.into_iter().map(from_wire));
-        if told.entries.len() > LARGEST {
+        if bytes > LARGEST {
             return Err(AskError::TooLarge { peer, most: LARGEST });
         }
         if part.last {
