register, order, copy: no dead function, an order's silence is logged

Register::in_stay had no caller. An order that got no answer in time left no line; it now says the limit. A comment at the copies says why few go at once.

--- a/lib/src/fleet/register.rs
+++ b/lib/src/fleet/register.rs
@@ -176,11 +176,6 @@
         self.runners.get_mut(id)
     }
 
-    /// A runner in the stay that `stay` tells of; none if that is over.
-    pub fn in_stay(&self, stay: &Stay) -> Option<&Runner> {
-        self.runners.get(&stay.id).filter(|runner| runner.is_in(stay))
-    }
-
     /// A runner in the stay that `stay` tells of, to be changed.
     pub fn in_stay_mut(&mut self, stay: &Stay) -> Option<&mut Runner> {
         self.runners.get_mut(&stay.id).filter(|runner| runner.is_in(stay))
--- a/node/src/serve/copy.rs
+++ b/node/src/serve/copy.rs
@@ -91,6 +91,8 @@
     // A node is also asked while its own copy is on its way.
     let comes = async { newest.wait_for(is_newer).await.ok().and_then(|newest| newest.clone()) };
     let Some(original) = signalling(parts, comes).await? else { return Ok("nothing") };
+    // All nodes ask in the same instant. Copies that share a thin link would all come late, and those
+    // that are given up are lost, so few go at once.
     let place = match shared.copies.turns.wait(parts, original.packed.len()).await? {
         Answer::Given(place) => place,
         Answer::Elsewhere(address) => {
--- a/node/src/serve/order.rs
+++ b/node/src/serve/order.rs
@@ -406,7 +406,10 @@
                 log::info!(runner:% = entry.id, error:% = error; "order without an answer");
                 None
             }
-            Err(_) => None,
+            Err(_) => {
+                log::info!(runner:% = entry.id, limit:? = ORDER_LIMIT; "order without an answer");
+                None
+            }
         }
     }
 }
