--- a/node/tests/explain.rs
+++ b/node/tests/explain.rs
@@ -2,7 +2,7 @@
 //! that docs/OPERATIONS.md tells of, brought about, and explained as the page says.
 
 use std::io::{self, Write};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError, mpsc};
 use std::time::Duration;
 
 use http::StatusCode;
@@ -126,3 +126,43 @@
     }
     assert!(dropped.count() > 10_000, "{} dropped", dropped.count());
 }
+
+/// A writer that waits at its first write until it is let go, and tells how large each write is.
+struct Held {
+    release: mpsc::Receiver<()>,
+    sizes: mpsc::Sender<usize>,
+}
+
+impl Write for Held {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        // Once it has been let go, nobody is left to wait for.
+        let _ = self.release.recv();
+        self.sizes.send(bytes.len()).map_err(io::Error::other)?;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Lines that came while others were gathered were gathered too, without an end: as long as a node
+/// wrote quickly nothing reached the log's reader, no line was dropped and the memory grew. In three
+/// of forty runs with a reader that had stopped, 2,022, 2,809 and 9,780 of 20,000 lines were dropped
+/// where some 15,900 do not fit.
+#[test]
+fn queue_many_lines_written_in_pieces() {
+    const LINES: usize = 4_000;
+    let ((release, released), (sizes, written)) = (mpsc::channel(), mpsc::channel());
+    let (mut queue, _) = queue(Held { release: released, sizes }).expect("a thread can be started");
+    let line = "x".repeat(99) + "\n";
+    for _ in 0..LINES {
+        queue.write_all(line.as_bytes()).expect("a line is taken or dropped");
+    }
+    drop(release);
+    drop(queue);
+    let written: Vec<usize> = written.iter().collect();
+    assert_eq!(written.iter().sum::<usize>(), LINES * line.len());
+    let largest = written.into_iter().max().unwrap_or_default();
+    assert!(largest <= 20_000, "{largest} bytes in one piece");
+}
