logging: lines are written once some have gathered

Cause: the thread that writes the log gathered lines as long as more came, so with a quick node nothing was written or dropped and the memory grew. Change: 16 KB are written at once.

--- a/node/src/logging.rs
+++ b/node/src/logging.rs
@@ -19,6 +19,9 @@
 /// times that under load, this is ten seconds and 1.2 MB.
 const LINES_AHEAD: usize = 4_096;
 
+/// Bytes after which waiting lines are written: some 50 lines of 300 bytes a system call.
+const FULL_BATCH: usize = 16 << 10;
+
 /// Lines that were dropped since the start of the process.
 #[derive(Clone, Debug, Default)]
 pub struct Dropped(Arc<AtomicU64>);
@@ -54,7 +57,10 @@
 fn write_lines(lines: &Receiver<Vec<u8>>, dropped: &Dropped, mut out: impl Write) {
     let mut told = 0;
     while let Ok(mut batch) = lines.recv() {
-        while let Ok(more) = lines.try_recv() {
+        // Without a bound nothing is written, nor dropped, as long as lines come quickly.
+        while batch.len() < FULL_BATCH
+            && let Ok(more) = lines.try_recv()
+        {
             batch.extend_from_slice(&more);
         }
         let count = dropped.count();
