--- /dev/null
+++ b/lib/tests/roster.rs
@@ -0,0 +1,379 @@
+//! The roster: who is there, who watches whom, how what is new gets about, at up to 550 nodes on a
+//! clock of the test's own.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{RngExt as _, SeedableRng as _};
+use sardinepick_lib::fleet::roster::{
+    Contact, PERIOD, Record, Roster, SILENCE, Standing, Status, WATCHERS,
+};
+use sardinepick_lib::id::Incarnation;
+
+const MS: Duration = Duration::from_millis(1);
+/// One way between two nodes of these tests, in steps of the clock.
+const STEP: Duration = Duration::from_millis(10);
+
+fn address(at: usize) -> SocketAddr {
+    SocketAddr::from(([127, 1, (at >> 8) as u8, at as u8], 9_000))
+}
+
+fn contact(at: usize, incarnation: u64) -> Contact {
+    Contact {
+        id: format!("edge-{at}").parse().expect("an id"),
+        incarnation: Incarnation(incarnation),
+        data_centre: "hall-a".parse().expect("an id"),
+        front: address(at),
+        peer: address(at),
+    }
+}
+
+fn record(at: usize, serial: u32) -> Record {
+    let standing = Standing::Ready;
+    Record { contact: contact(at, 1), standing, served: true, serial, silent: false }
+}
+
+#[derive(Clone)]
+struct Beat {
+    to: usize,
+    sender: Record,
+    records: Vec<Record>,
+    answer: bool,
+    digest: u64,
+}
+
+/// Nodes that beat to each other, each message one step on its way.
+struct Fleet {
+    now: Instant,
+    nodes: Vec<Option<Roster>>,
+    at: HashMap<SocketAddr, usize>,
+    next_beat: Vec<Instant>,
+    under_way: Vec<Beat>,
+    /// Messages sent by each node, and how many of them carried records.
+    sent: Vec<u64>,
+    records: u64,
+    /// Lists compared.
+    compared: u64,
+    /// Nodes that no message reaches or leaves.
+    cut: HashSet<usize>,
+    /// The share of messages that is lost.
+    loss: f64,
+    rng: StdRng,
+}
+
+impl Fleet {
+    /// Nodes that all know each other.
+    fn new(count: usize) -> Self {
+        let now = Instant::now();
+        let mut rng = StdRng::seed_from_u64(count as u64);
+        let mut nodes: Vec<Option<Roster>> =
+            (0..count).map(|at| Some(Roster::new(contact(at, 1)))).collect();
+        for (at, node) in nodes.iter_mut().enumerate() {
+            let node = node.as_mut().expect("all are there");
+            node.set_me(Standing::Ready, true);
+            for other in (0..count).filter(|other| *other != at) {
+                node.take_record(&record(other, 2), now);
+            }
+            while !node.take_news().is_empty() {}
+        }
+        let next_beat =
+            (0..count).map(|_| now + PERIOD.mul_f64(rng.random_range(0.0..1.0))).collect();
+        Self {
+            now,
+            at: (0..count).map(|at| (address(at), at)).collect(),
+            nodes,
+            next_beat,
+            under_way: Vec::new(),
+            sent: vec![0; count],
+            records: 0,
+            compared: 0,
+            cut: HashSet::new(),
+            loss: 0.0,
+            rng,
+        }
+    }
+
+    fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// How long it takes until `done`, which must be within `limit`.
+    fn until(&mut self, limit: Duration, done: impl Fn(&Fleet) -> bool) -> Duration {
+        let began = self.now;
+        while !done(self) {
+            assert!(self.now < began + limit, "not within {limit:?}");
+            self.step();
+        }
+        self.now - began
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        for beat in std::mem::take(&mut self.under_way) {
+            self.deliver(&beat);
+        }
+        for at in 0..self.nodes.len() {
+            let Some(node) = self.nodes[at].as_mut() else { continue };
+            let due = self.now >= self.next_beat[at];
+            if !due && !node.has_news() {
+                continue;
+            }
+            if due {
+                self.next_beat[at] = self.now + PERIOD;
+            }
+            let asked = node.tick(self.now);
+            let records = node.take_news();
+            self.records += records.len() as u64 * node.watchers().len() as u64;
+            let (sender, digest) = (node.me().clone(), node.digest());
+            let watchers = node.watchers().to_vec();
+            let beat = |to: &SocketAddr, records: &[Record], answer| Beat {
+                to: self.at[to],
+                sender: sender.clone(),
+                records: records.to_vec(),
+                answer,
+                digest,
+            };
+            let beats: Vec<Beat> = watchers
+                .iter()
+                .map(|to| beat(to, &records, false))
+                .chain(asked.iter().map(|to| beat(to, &[], true)))
+                .collect();
+            beats.into_iter().for_each(|beat| self.send(at, beat));
+        }
+    }
+
+    fn send(&mut self, from: usize, beat: Beat) {
+        self.sent[from] += 1;
+        let cut = self.cut.contains(&from) || self.cut.contains(&beat.to);
+        if !cut && self.rng.random_range(0.0..1.0) >= self.loss {
+            self.under_way.push(beat);
+        }
+    }
+
+    fn deliver(&mut self, beat: &Beat) {
+        let now = self.now;
+        let Some(node) = self.nodes[beat.to].as_mut() else { return };
+        node.take_beat(&beat.sender, Status::default(), now);
+        for record in &beat.records {
+            node.take_record(record, now);
+        }
+        let differs = node.note_digest(beat.digest, now);
+        let mistaken = node.is_mistaken(&beat.sender).cloned();
+        let from = self.at[&beat.sender.contact.peer];
+        if beat.answer || mistaken.is_some() {
+            let answer = Beat {
+                to: from,
+                sender: node.me().clone(),
+                records: mistaken.into_iter().collect(),
+                answer: false,
+                digest: node.digest(),
+            };
+            self.send(beat.to, answer);
+        }
+        if differs {
+            self.compare(beat.to, from);
+        }
+    }
+
+    fn compare(&mut self, one: usize, other: usize) {
+        if self.cut.contains(&one) || self.cut.contains(&other) {
+            return;
+        }
+        self.compared += 1;
+        let (mine, now) = (self.nodes[one].as_ref().expect("it is there").records(), self.now);
+        let Some(node) = self.nodes[other].as_mut() else { return };
+        for record in mine {
+            node.take_record(&record, now);
+        }
+        let theirs = node.records();
+        let node = self.nodes[one].as_mut().expect("it is there");
+        for record in theirs {
+            node.take_record(&record, now);
+        }
+    }
+
+    fn there(&self) -> impl Iterator<Item = &Roster> {
+        self.nodes.iter().flatten()
+    }
+
+    /// How many of the nodes that are there take node `at` for there.
+    fn knowing(&self, at: usize) -> usize {
+        let id = contact(at, 1).id;
+        self.there().filter(|node| node.ids().any(|known| *known == id)).count()
+    }
+}
+
+/// Symptom: with the number of nodes, each node's beats grow until they are sent too rarely to be of
+/// use. Cause: each node beat to all.
+#[test]
+fn tick_more_nodes_same_messages() {
+    let mut sent = BTreeMap::new();
+    for count in [6, 30, 300, 550] {
+        let mut fleet = Fleet::new(count);
+        fleet.run(MS * 1_000);
+        assert_eq!(fleet.records, 0, "nothing is new");
+        let most = fleet.sent.iter().max().copied().unwrap_or_default();
+        sent.insert(count, most);
+    }
+    assert!(sent[&550] <= sent[&30] + 2, "{sent:?}");
+    assert!(sent[&550] <= 5 * WATCHERS as u64 + 8, "{sent:?}");
+}
+
+/// Symptom: callers are sent to a dead node for seven seconds. Cause: with 295 nodes a beat comes
+/// every 1.2 s, and six of them had to be missed.
+#[test]
+fn tick_dead_node_all_know_soon() {
+    for count in [6, 60, 300] {
+        let mut fleet = Fleet::new(count);
+        fleet.run(MS * 500);
+        fleet.nodes[3] = None;
+        let took = fleet.until(MS * 3_000, |fleet| fleet.knowing(3) == 0);
+        assert!(took <= SILENCE + MS * 1_000, "{count} nodes: {took:?}");
+        fleet.run(MS * 2_000);
+        assert_eq!(fleet.knowing(4), count - 2, "the others know those that are there");
+    }
+}
+
+/// Symptom: hundreds of nodes that start again together read all entries of the store. Sequence: half
+/// of them are killed and start again. Their new lives are told of along the watchers alone.
+#[test]
+fn take_record_half_start_again_all_know() {
+    let mut fleet = Fleet::new(60);
+    fleet.run(MS * 500);
+    for at in (0..60).step_by(2) {
+        fleet.nodes[at] = None;
+    }
+    fleet.run(MS * 1_500);
+    for at in (0..60).step_by(2) {
+        let mut node = Roster::new(contact(at, 2));
+        // It asks one node for its list, as at each start.
+        for record in fleet.nodes[1].as_ref().expect("it is there").records() {
+            node.take_record(&record, fleet.now);
+        }
+        node.set_me(Standing::Ready, true);
+        let me = node.me().clone();
+        fleet.nodes[at] = Some(node);
+        let now = fleet.now;
+        fleet.nodes[1].as_mut().expect("it is there").take_record(&me, now);
+    }
+    fleet.until(MS * 4_000, |fleet| (0..60).all(|at| fleet.knowing(at) >= 59));
+    let fronts = fleet.there().map(|node| node.fronts().len()).min();
+    assert_eq!(fronts, Some(59));
+}
+
+/// Symptom: one change of a node is told again and again. Cause: what is not new was passed on.
+#[test]
+fn set_me_leaving_each_passes_it_on_few_times() {
+    let mut fleet = Fleet::new(300);
+    fleet.run(MS * 500);
+    fleet.nodes[7].as_mut().expect("it is there").set_me(Standing::Leaving, true);
+    let leaving = |fleet: &Fleet| fleet.there().all(|node| node.fronts().len() <= 299);
+    let took = fleet.until(MS * 1_000, |fleet| {
+        let id = contact(7, 1).id;
+        let sent_there = |node: &Roster| node.fronts().iter().any(|front| front.id == id);
+        leaving(fleet) && fleet.there().filter(|node| sent_there(node)).count() == 0
+    });
+    assert!(took <= MS * 100, "{took:?}");
+    fleet.run(MS * 2_000);
+    let each = fleet.records as f64 / 300.0;
+    assert!(each <= 2.0 * WATCHERS as f64, "{each} records a node for one change");
+}
+
+/// Symptom: on a link that loses packets nodes come and go from the answers to callers.
+#[test]
+fn tick_packets_lost_nobody_told_of_as_silent() {
+    let mut fleet = Fleet::new(60);
+    fleet.loss = 0.05;
+    for _ in 0..20 {
+        fleet.run(MS * 500);
+        let least = (0..60).map(|at| fleet.knowing(at)).min();
+        assert_eq!(least, Some(60 - 1));
+    }
+}
+
+/// Symptom: after a cut has healed, nodes stay apart. Sequence: a third of the nodes is cut off, and
+/// taken for silent; the cut heals. Cause: neither side beats to the other any more.
+#[test]
+fn take_beat_cut_healed_all_there_again() {
+    let mut fleet = Fleet::new(30);
+    fleet.run(MS * 500);
+    // Each is cut off by itself, and hears nobody.
+    fleet.cut = (0..10).collect();
+    fleet.until(MS * 4_000, |fleet| (0..10).all(|at| fleet.knowing(at) <= 10));
+    fleet.cut.clear();
+    // A node greets one that it does not take to be there, now and then.
+    let greeted: Vec<SocketAddr> = fleet.nodes[20].as_ref().expect("it is there").lost().collect();
+    assert_eq!(greeted.len(), 10);
+    fleet.until(MS * 6_000, |fleet| (0..30).all(|at| fleet.knowing(at) >= 29));
+}
+
+/// Symptom: after its own pause a node tells all others that everyone is silent.
+#[test]
+fn tick_own_pause_nobody_told_of() {
+    let mut fleet = Fleet::new(6);
+    fleet.run(MS * 500);
+    let node = fleet.nodes[0].as_mut().expect("it is there");
+    let later = fleet.now + MS * 5_000;
+    assert!(node.tick(later).is_empty(), "nobody is asked");
+    assert!(!node.has_news());
+    assert_eq!(node.ids().count(), 5);
+}
+
+#[test]
+fn take_record_older_changes_nothing() {
+    let now = Instant::now();
+    let mut roster = Roster::new(contact(0, 1));
+    assert!(roster.take_record(&record(1, 3), now));
+    assert!(!roster.take_record(&record(1, 3), now), "it is known");
+    assert!(!roster.take_record(&record(1, 2), now), "it is older");
+    assert!(roster.take_record(&Record { silent: true, ..record(1, 3) }, now));
+    assert!(!roster.take_record(&record(1, 3), now), "what it said before does not contradict");
+    assert!(roster.take_record(&record(1, 4), now));
+    let next = Record { contact: contact(1, 2), ..record(1, 1) };
+    assert!(roster.take_record(&next, now), "a new life begins anew");
+    assert!(!roster.take_record(&record(1, 9), now), "and its former one is over");
+    assert!(!roster.take_record(&Record { silent: true, ..record(2, 1) }, now));
+    assert_eq!(roster.known(), 1, "who is first heard of as silent is not remembered");
+}
+
+#[test]
+fn take_record_taken_for_silent_contradicts() {
+    let now = Instant::now();
+    let mut roster = Roster::new(contact(0, 1));
+    let before = roster.me().serial;
+    assert!(roster.take_record(&Record { silent: true, ..record(0, before) }, now));
+    assert!(roster.me().serial > before && roster.has_news());
+    let former = Record { contact: contact(0, 0), silent: true, ..record(0, 99) };
+    assert!(!roster.take_record(&former, now), "that was a former life");
+}
+
+#[test]
+fn introduce_not_there_until_heard() {
+    let now = Instant::now();
+    let mut roster = Roster::new(contact(0, 1));
+    assert!(roster.introduce(contact(1, 1), now));
+    assert!(roster.fronts().is_empty() && roster.ids().count() == 0);
+    assert_eq!(roster.lost().collect::<Vec<_>>(), [address(1)]);
+    assert!(roster.take_beat(&record(1, 1), Status::default(), now));
+    assert_eq!(roster.fronts().len(), 1);
+}
+
+/// Symptom: nobody follows the store after the nodes that did were killed. Cause: they still counted.
+#[test]
+fn served_silent_or_turned_away_not_counted() {
+    let now = Instant::now();
+    let mut roster = Roster::new(contact(0, 1));
+    for at in 1..=3 {
+        roster.take_record(&record(at, 1), now);
+    }
+    assert_eq!(roster.served().count(), 3);
+    roster.take_record(&Record { served: false, ..record(1, 2) }, now);
+    roster.take_record(&Record { silent: true, ..record(2, 1) }, now);
+    assert_eq!(roster.served().count(), 1);
+    assert_eq!((roster.ids().count(), roster.known()), (2, 3));
+}
--- a/node/src/serve/beat.rs
+++ b/node/src/serve/beat.rs
@@ -1,23 +1,31 @@
-//! Beats between nodes: who is there, what each has under way, what each knows.
+//! Beats between nodes: who is there, what each knows, what is new.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use sardinepick_lib::fleet::roster::{Status, beat_period};
+use rand::seq::IteratorRandom as _;
+use sardinepick_lib::fleet::roster::{PERIOD, Record, Standing, Status};
+use sardinepick_lib::id::Mark;
 use sardinepick_wire::beat::{Beat, MOST_BYTES};
+use sardinepick_wire::fleet as pb;
 use sardinepick_wire::schedule;
 use tokio::net::UdpSocket;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::serve::scheduler;
 use crate::serve::shared::Shared;
+use crate::serve::{meet, peer, scheduler};
 
-/// Every how many beats nodes are greeted that have not been heard for long: they may be back.
-const GREETING: u64 = 20;
-/// The longest pause between beats of a node that has nothing under way, in beats.
-const IDLE_BEATS: u64 = 4;
-/// How long an unheard node keeps its part of the shared allowances.
+/// Every how many beats a node is greeted that is not known to be there: it may be back.
+const GREETING: u64 = 5;
+/// The shortest pause between two beats that carry news: what comes in the same moment goes together.
+const TOGETHER: Duration = Duration::from_millis(5);
+/// To how many watchers, drawn anew each time, a change of the register goes whole. Of 550 nodes ten
+/// are missed, and ask when they hear from the next beat that there is something newer.
+const NEWS_WATCHERS: usize = 4;
+/// The most bytes of changed entries that go with a beat; of more a node is told that there are some.
+const MOST_NEWS: usize = 900;
+/// How long a silent node keeps its part of the shared allowances.
 const FORGET: Duration = Duration::from_secs(600);
 
 /// How long a runner gets no new work after a beat that says it is on its way to another stage.
@@ -27,73 +35,141 @@
 pub async fn send(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut count: u64 = 0;
     let mut next = Instant::now();
+    // Up to where the register's changes have been passed on.
+    let mut passed_on = Mark(0);
     loop {
-        let urgent = tokio::select! {
-            () = sleep_until(next) => false,
-            () = shared.beat_now.notified() => true,
+        let due = tokio::select! {
+            () = sleep_until(next) => true,
+            () = shared.beat_now.notified() => false,
         };
-        next = Instant::now() + beat_period(shared.roster().known());
-        count += 1;
-        // For a node with nothing under way one beat in a few is enough, but for nodes that follow the
-        // store for all: another must step in soon where one has gone.
-        let quiet = !urgent && shared.metrics.under_way.get() == 0 && !shared.follows();
-        if quiet && !count.is_multiple_of(IDLE_BEATS) {
-            continue;
+        if due {
+            next = Instant::now() + PERIOD;
+            count += 1;
+            if count.is_multiple_of(GREETING) {
+                greet(&shared, &socket).await;
+            }
         }
-        let beat = beat(&shared, count == 1);
-        for target in targets(&shared, count) {
-            transmit(&shared, &socket, &beat, target).await;
+        let news = news(&shared, &mut passed_on);
+        let (mut beat, watchers, asked) = {
+            let status = shared.status();
+            let now = shared.clock.now();
+            let mut roster = shared.roster();
+            roster.set_me(status.standing, status.served);
+            let asked = roster.tick(now);
+            let records = roster.take_news();
+            let watchers = roster.watchers().to_vec();
+            drop(roster);
+            let beat = Beat { records, ..beat(&shared, status) };
+            (beat, watchers, asked)
+        };
+        let told = news.is_some();
+        if told {
+            let some = watchers.iter().copied().sample(&mut *shared.rng(), NEWS_WATCHERS);
+            let told = Beat { news, records: Vec::new(), ..beat.clone() };
+            beat_all(&shared, &socket, &told, &some).await;
         }
-        let now = shared.clock.now();
-        let mut roster = shared.roster();
-        for id in roster.forget(now, FORGET) {
-            log::info!(node:% = id; "node forgotten");
+        if due || !told || !beat.records.is_empty() {
+            beat_all(&shared, &socket, &beat, &watchers).await;
         }
-        shared.metrics.nodes.set(roster.fronts(now).len() as i64);
+        beat.records.clear();
+        beat.answer = true;
+        beat_all(&shared, &socket, &beat, &asked).await;
+        look_after(&shared);
+        sleep(TOGETHER).await;
     }
 }
 
-fn beat(shared: &Shared, answer: bool) -> Beat {
-    Beat { contact: shared.me.clone(), status: shared.status(), answer, away: shared.away() }
+/// Forgets whoever is gone for good.
+fn look_after(shared: &Shared) {
+    let now = shared.clock.now();
+    let mut roster = shared.roster();
+    for id in roster.forget(now, FORGET) {
+        log::info!(node:% = id; "node forgotten");
+    }
+    shared.metrics.nodes.set(roster.fronts().len() as i64);
+    if roster.has_news() {
+        shared.beat_now.notify_one();
+    }
 }
 
-/// Whom to send a beat: the nodes heard lately, and now and then all that were ever known.
-fn targets(shared: &Shared, count: u64) -> Vec<SocketAddr> {
-    let now = shared.clock.now();
+/// What has changed in the register since it was passed on last, if it is little. Each node passes a
+/// change on once, as soon as it knows it.
+fn news(shared: &Shared, passed_on: &mut Mark) -> Option<pb::Knowledge> {
+    let knowledge = shared.knowledge();
+    let (since, mark) = (*passed_on, knowledge.mark());
+    if mark <= since {
+        return None;
+    }
+    *passed_on = mark;
+    let changed = knowledge.since(since);
+    let bytes: usize = changed.entries.iter().map(|o| o.name.len() + o.content.len()).sum();
+    let bytes = bytes + changed.gone.iter().map(smol_str::SmolStr::len).sum::<usize>();
+    let little = !changed.whole && bytes <= MOST_NEWS;
+    little.then(|| pb::Knowledge { since: since.0, ..peer::knowledge(&changed) })
+}
+
+fn beat(shared: &Shared, status: Status) -> Beat {
     let roster = shared.roster();
-    let everyone = count.is_multiple_of(GREETING) || count < IDLE_BEATS;
-    let mut targets: Vec<SocketAddr> =
-        if everyone { roster.peers().collect() } else { roster.heard(now).collect() };
-    if targets.is_empty() || everyone {
-        let seeds = shared.settings.seeds.iter().copied();
-        targets.extend(seeds.filter(|seed| *seed != shared.me.peer));
-    }
-    targets.sort_unstable();
-    targets.dedup();
-    targets
+    Beat {
+        sender: roster.me().clone(),
+        status,
+        answer: false,
+        away: shared.away(),
+        digest: roster.digest(),
+        records: Vec::new(),
+        news: None,
+    }
 }
 
-async fn transmit(shared: &Shared, socket: &UdpSocket, beat: &Beat, target: SocketAddr) {
+async fn beat_all(shared: &Shared, socket: &UdpSocket, beat: &Beat, targets: &[SocketAddr]) {
+    if targets.is_empty() {
+        return;
+    }
     let bytes = beat.encode();
+    for target in targets {
+        transmit(shared, socket, &bytes, *target).await;
+    }
+}
+
+async fn transmit(shared: &Shared, socket: &UdpSocket, bytes: &[u8], target: SocketAddr) {
     shared.metrics.beat_bytes.with_label_values(&["sent"]).inc_by(bytes.len() as u64);
-    if let Err(error) = socket.send_to(&bytes, target).await {
+    if let Err(error) = socket.send_to(bytes, target).await {
         log::debug!(peer:% = target, error:% = error; "sending a beat");
     }
 }
 
+/// Greets one node that is not known to be there, or a seed: two parts of a fleet that have lost each
+/// other find together so.
+async fn greet(shared: &Shared, socket: &UdpSocket) {
+    let target = {
+        let roster = shared.roster();
+        roster.lost().chain(shared.settings.other_seeds()).choose(&mut *shared.rng())
+    };
+    if let Some(target) = target {
+        ask(shared, socket, &[target]).await;
+    }
+}
+
+/// Asks nodes for a beat.
+pub async fn ask(shared: &Shared, socket: &UdpSocket, targets: &[SocketAddr]) {
+    let beat = Beat { answer: true, ..beat(shared, shared.status()) };
+    beat_all(shared, socket, &beat, targets).await;
+}
+
 /// Takes beats until the process ends.
 pub async fn receive(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut buffer = [0; MOST_BYTES * 2];
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length, from)) => {
-                if buffer[..length].first() == Some(&schedule::MARK) {
-                    scheduler::take(&shared, from, &buffer[..length]).await;
+                let bytes = &buffer[..length];
+                if bytes.first() == Some(&schedule::MARK) {
+                    scheduler::take(&shared, from, bytes).await;
                     continue;
                 }
                 let counter = shared.metrics.beat_bytes.with_label_values(&["received"]);
                 counter.inc_by(length as u64);
-                match Beat::decode(&buffer[..length]) {
+                match Beat::decode(bytes) {
                     Ok(beat) => take(&shared, &socket, &beat).await,
                     Err(error) => log::warn!(peer:% = from, error:% = error; "beat is not taken"),
                 }
@@ -103,33 +179,58 @@
     }
 }
 
-/// Whether another node knows something that this one does not.
-fn is_behind(shared: &Shared, other: Status) -> bool {
-    let mine = shared.status();
-    other.register > mine.register || other.version > mine.version
-}
-
-async fn take(shared: &Shared, socket: &UdpSocket, told: &Beat) {
-    if told.contact.id == shared.me.id {
+async fn take(shared: &Arc<Shared>, socket: &UdpSocket, told: &Beat) {
+    if told.sender.contact.id == shared.me.id {
         return;
     }
     let now = shared.clock.now();
-    let id = &told.contact.id;
-    let (new, ahead) = {
+    let (fresh, mistaken, differs) = {
         let mut roster = shared.roster();
-        let was = roster.status(id);
-        let new = roster.take_beat(told.contact.clone(), told.status, now);
-        if was.is_none_or(|was| was.standing != told.status.standing) {
-            log::info!(node:% = id, standing:? = told.status.standing; "node heard");
-        }
-        (new, is_behind(shared, told.status))
+        take_records(&mut roster, std::slice::from_ref(&told.sender), now);
+        roster.take_beat(&told.sender, told.status, now);
+        take_records(&mut roster, &told.records, now);
+        let differs = roster.note_digest(told.digest, now);
+        let mistaken = roster.is_mistaken(&told.sender).cloned();
+        (roster.has_news(), mistaken, differs)
     };
     shared.register().reserve(&told.away, now + RESERVED);
-    if ahead {
+    if let Some(news) = &told.news {
+        peer::take_news(shared, news);
+    }
+    let mine = shared.status();
+    if told.status.register > mine.register || told.status.version > mine.version {
         shared.note_behind();
     }
-    if new || told.answer {
-        let mine = beat(shared, false);
-        transmit(shared, socket, &mine, told.contact.peer).await;
+    if fresh {
+        shared.beat_now.notify_one();
+    }
+    if differs {
+        tokio::spawn(meet::compare(shared.clone(), told.sender.contact.peer));
+    }
+    if told.answer || mistaken.is_some() {
+        // Whoever asks may know nobody else yet.
+        let mut records = shared.roster().some(&mut *shared.rng());
+        records.extend(mistaken);
+        let answer = Beat { records, ..beat(shared, mine) };
+        transmit(shared, socket, &answer.encode(), told.sender.contact.peer).await;
+    }
+}
+
+/// Takes in records of nodes, with a line for each that says something new.
+pub fn take_records(
+    roster: &mut sardinepick_lib::fleet::roster::Roster,
+    records: &[Record],
+    now: std::time::Instant,
+) {
+    for record in records {
+        if roster.take_record(record, now) {
+            // Where hundreds start together, a line for each at each would be a hundred thousand.
+            let usual = record.standing != Standing::Leaving && record.served && !record.silent;
+            log::log!(
+                if usual { log::Level::Debug } else { log::Level::Info },
+                node:% = record.contact.id, standing:? = record.standing, silent = record.silent,
+                served = record.served, serial = record.serial; "node heard of"
+            );
+        }
     }
 }
--- a/node/src/serve/copy.rs
+++ b/node/src/serve/copy.rs
@@ -165,10 +165,10 @@
 
 /// A node that has a newer configuration: any, so that those who have it share the work.
 fn holder(shared: &Shared, failures: &mut Failures) -> Option<Contact> {
-    let (mine, now) = (shared.status().version, shared.clock.now());
+    let mine = shared.status().version;
     let roster = shared.roster();
     let holder = failures.pick(
-        || roster.with_newer_configuration(mine, now),
+        || roster.with_newer_configuration(mine),
         |holder| &holder.id,
         |holders| holders.choose(&mut *shared.rng()),
     );
--- a/node/src/serve/follow.rs
+++ b/node/src/serve/follow.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
-use std::time::{Duration, Instant, UNIX_EPOCH};
+use std::time::{Duration, UNIX_EPOCH};
 
 use bytes::Bytes;
 use rand::RngExt as _;
@@ -15,12 +15,13 @@
 use sardinepick_lib::fleet::runner::State;
 use sardinepick_lib::id::{Mark, Revision, RunnerId};
 use sardinepick_platform::config::{self, decode};
-use sardinepick_platform::discovery::{NODES, RUNNERS, decode_node, decode_runner, encode_node};
+use sardinepick_platform::discovery::{RUNNERS, decode_runner};
 use sardinepick_platform::store::{Change, Object};
 use smol_str::SmolStr;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::serve::knowledge::{Difference, mark, revision};
+use crate::serve::meet;
 use crate::serve::shared::Shared;
 use crate::serve::store::{Purpose, StoreError};
 
@@ -29,6 +30,9 @@
 const WATCH_WAIT: Duration = Duration::from_secs(3);
 /// The part of a pause after which history that is gone is read anew: a runner may have left in it.
 const FORGOTTEN_PAUSE_PART: u32 = 4;
+/// The shortest time from one watch of the register to the next: changes that come close together
+/// come in one answer, and cost one call and not one each.
+const TOGETHER: Duration = Duration::from_millis(150);
 /// How often a node that does not follow the store looks whether it should.
 const DUTY_PERIOD: Duration = Duration::from_millis(100);
 /// How many entries of other writers are logged one by one of those that come together.
@@ -36,6 +40,9 @@
 /// How often lapsed entries and idle connections are looked through.
 const TIDY_PERIOD: Duration = Duration::from_millis(250);
 
+/// What is followed, of the two: the configuration.
+const CONFIGURATION: &str = "configuration";
+
 /// One thing that is followed.
 struct Follower {
     shared: Arc<Shared>,
@@ -44,25 +51,43 @@
     failures: u32,
     /// From where to go on; none if all has to be read.
     from: Option<Revision>,
+    /// Whether this node follows it now.
+    on_duty: bool,
 }
 
 impl Follower {
     fn new(shared: Arc<Shared>, what: &'static str) -> Self {
-        Self { shared, what, failures: 0, from: None }
+        Self { shared, what, failures: 0, from: None, on_duty: false }
     }
 
     /// Waits while other nodes follow the store for this one. What they tell meanwhile is not known
     /// by its place in the store's history, so all is read anew after it.
     async fn wait_for_duty(&mut self) {
-        if self.shared.follows() {
+        // Before it has met others, each node would take itself for the one that follows the store.
+        let mut acquainted = self.shared.acquainted.subscribe();
+        if acquainted.wait_for(|acquainted| *acquainted).await.is_err() {
             return;
         }
-        log::info!(what = self.what; "other nodes follow the store");
-        self.from = None;
-        while !self.shared.follows() {
-            sleep(DUTY_PERIOD).await;
+        if !self.shared.follows() {
+            if self.on_duty {
+                log::info!(what = self.what; "other nodes follow the store");
+            }
+            (self.on_duty, self.from) = (false, None);
+            while !self.shared.follows() {
+                sleep(DUTY_PERIOD).await;
+            }
+        }
+        if self.on_duty {
+            return;
         }
+        self.on_duty = true;
         log::info!(what = self.what; "this node follows the store");
+        // Those that find nobody else find this node in the store.
+        if self.what == CONFIGURATION
+            && let Err(error) = meet::write_entry(&self.shared).await
+        {
+            log::info!(error:% = error; "this node's entry is not written");
+        }
     }
 
     /// Notes an answer, with the place from which to go on.
@@ -107,7 +132,7 @@
 
 /// Follows the configuration until the process ends.
 pub async fn configuration(shared: Arc<Shared>) {
-    let mut follower = Follower::new(shared.clone(), "configuration");
+    let mut follower = Follower::new(shared.clone(), CONFIGURATION);
     loop {
         follower.wait_for_duty().await;
         let read = match follower.from {
@@ -170,6 +195,7 @@
 /// Follows the register of runners until the process ends.
 pub async fn register(shared: Arc<Shared>) {
     let mut follower = Follower::new(shared.clone(), "register");
+    let mut next = Instant::now();
     loop {
         follower.wait_for_duty().await;
         let result = match follower.from {
@@ -179,6 +205,8 @@
             }
             Some(from) => {
                 let purpose = Purpose::RegisterWatch;
+                sleep_until(next).await;
+                next = Instant::now() + TOGETHER;
                 let brought = shared.store.watch(purpose, RUNNERS, from, WATCH_WAIT).await;
                 brought.map(|brought| (difference(brought.changes, brought.as_of), brought.as_of))
             }
@@ -271,7 +299,9 @@
     let newest = entries.iter().map(|o| o.revision).max().unwrap_or_default();
     let named: HashSet<&str> = entries.iter().map(|o| o.name.as_str()).collect();
     let misses = shared.register().runners().any(|r| !named.contains(r.entry.id.as_str()));
-    let mark = mark(if misses { as_of } else { newest });
+    // Whoever knows that there is no runner knows more than a node that knows nothing, to whom it has
+    // to be told: without it, nodes of a deployment without runners do not get ready.
+    let mark = mark(if misses { as_of } else { newest }).max(Mark(1));
     Difference { whole: true, entries, mark, ..Difference::default() }
 }
 
@@ -298,7 +328,7 @@
 pub fn take_difference(
     shared: &Shared,
     told: Difference,
-    doubt: Option<Instant>,
+    doubt: Option<std::time::Instant>,
     source: &'static str,
 ) {
     let before = shared.knowledge().mark();
@@ -324,44 +354,6 @@
     }
 }
 
-/// Writes this node's entry and learns of the others; tries until both are done.
-pub async fn join(shared: Arc<Shared>) {
-    let mut follower = Follower::new(shared.clone(), "nodes");
-    let content = encode_node(&shared.me);
-    loop {
-        match try_join(&shared, &content).await {
-            Ok(nodes) => {
-                log::info!(nodes = nodes; "joined");
-                shared.beat_now.notify_one();
-                return;
-            }
-            Err(error) => follower.back_off(&error).await,
-        }
-    }
-}
-
-/// The entry is written before the list is read: of two nodes that start together, the one that
-/// writes later sees the other, and greets it.
-async fn try_join(shared: &Shared, content: &serde_json::Value) -> Result<usize, StoreError> {
-    let name = shared.me.id.as_str();
-    shared.store.put(Purpose::NodeWrite, NODES, name, content).await?;
-    let (objects, _) = shared.store.list(Purpose::Nodes, NODES).await?;
-    let mut roster = shared.roster();
-    for object in &objects {
-        match decode_node(&object.name, &object.content) {
-            Ok(contact) if contact.id == shared.me.id => {}
-            Ok(contact) => {
-                roster.introduce(contact);
-            }
-            Err(error) => {
-                shared.metrics.foreign.with_label_values(&["node", error.reason()]).inc();
-                log::warn!(node:% = object.name, error:% = error; "node's entry is not taken");
-            }
-        }
-    }
-    Ok(roster.known())
-}
-
 /// Drops lapsed runners and old connections, until the process ends.
 pub async fn tidy(shared: Arc<Shared>) {
     loop {
--- a/node/src/serve/listener.rs
+++ b/node/src/serve/listener.rs
@@ -138,14 +138,13 @@
             return Refusal::Malformed.answer();
         }
     };
-    let now = shared.clock.now();
     let mut addresses = Vec::new();
     if shared.is_ready() {
         addresses.push(shared.me.front);
     }
     {
         let roster = shared.roster();
-        addresses.extend(roster.fronts(now).iter().map(|contact| contact.front));
+        addresses.extend(roster.fronts().iter().map(|contact| contact.front));
     }
     addresses.truncate(MOST_ADDRESSES);
     if addresses.is_empty() {
@@ -178,7 +177,7 @@
         register.runners().map(line).collect()
     };
     let nodes: Vec<String> =
-        shared.roster().fronts(now).iter().map(|contact| contact.id.to_string()).collect();
+        shared.roster().fronts().iter().map(|contact| contact.id.to_string()).collect();
     serde_json::json!({
         "node": shared.me.id, "standing": format!("{:?}", status.standing),
         "configuration": status.version, "register": status.register,
--- a/node/src/serve/mod.rs
+++ b/node/src/serve/mod.rs
@@ -14,6 +14,7 @@
 pub mod inventory;
 pub mod knowledge;
 pub mod listener;
+pub mod meet;
 pub mod metrics;
 pub mod order;
 pub mod pack;
--- a/node/src/serve/order.rs
+++ b/node/src/serve/order.rs
@@ -113,7 +113,7 @@
         let now = self.shared.clock.now();
         let Some(configuration) = self.shared.configuration.load_full() else { return };
         self.forget(now);
-        let leads = leads(&self.shared, now);
+        let leads = leads(&self.shared);
         let wishes = self.wishes(&configuration, now);
         if leads && !wishes.is_empty() {
             self.wished = Some(now);
@@ -153,7 +153,7 @@
 
     /// The changes that the demand calls for, by service.
     fn wishes(&self, configuration: &Configuration, now: Instant) -> Vec<(ServiceId, Change)> {
-        let nodes = self.shared.roster().fronts(now).len() + 1;
+        let nodes = self.shared.roster().fronts().len() + 1;
         let mut wishes = Vec::new();
         for service in configuration.services() {
             let Some(engine) = service.engine else { continue };
@@ -423,12 +423,12 @@
 
 /// Whether this node is the one that looks after orders: the same one for all nodes that hear each
 /// other. Where they do not, the lease decides.
-fn leads(shared: &Shared, now: Instant) -> bool {
+fn leads(shared: &Shared) -> bool {
     if !shared.is_ready() {
         return false;
     }
     let duty = place(0, LEASE.as_bytes());
     let rank = |id: &str| rendezvous(duty, id.as_bytes());
     let mine = rank(shared.me.id.as_str());
-    shared.roster().fronts(now).iter().all(|other| rank(other.id.as_str()) < mine)
+    shared.roster().fronts().iter().all(|other| rank(other.id.as_str()) < mine)
 }
--- a/node/src/serve/peer.rs
+++ b/node/src/serve/peer.rs
@@ -11,6 +11,7 @@
 use sardinepick_lib::fleet::roster::{Contact, Status as RosterStatus};
 use sardinepick_lib::id::{Mark, Revision};
 use sardinepick_platform::store::Object;
+use sardinepick_wire::beat::{nodes, read_nodes};
 use sardinepick_wire::fleet as pb;
 use sardinepick_wire::fleet::fleet_server::{Fleet, FleetServer};
 use smol_str::SmolStr;
@@ -21,6 +22,7 @@
 use tonic::{Request, Response, Status};
 
 use crate::serve::ask::{self, AskError, Failures, Told};
+use crate::serve::beat::take_records;
 use crate::serve::copy;
 use crate::serve::follow::take_difference;
 use crate::serve::knowledge::Difference;
@@ -74,6 +76,18 @@
         Ok(Response::new(ReceiverStream::new(receiver)))
     }
 
+    async fn meet(&self, request: Request<pb::Nodes>) -> Result<Response<pb::Nodes>, Status> {
+        let records = read_nodes(&request.into_inner())
+            .map_err(|error| Status::invalid_argument(error.to_string()))?;
+        let now = self.shared.clock.now();
+        let mut roster = self.shared.roster();
+        take_records(&mut roster, &records, now);
+        if roster.has_news() {
+            self.shared.beat_now.notify_one();
+        }
+        Ok(Response::new(nodes(&roster.records())))
+    }
+
     type CopyStream = ReceiverStream<Result<pb::CopyPart, Status>>;
 
     async fn copy(
@@ -112,6 +126,35 @@
     }
 }
 
+/// A difference for the wire, as one part.
+pub fn knowledge(difference: &Difference) -> pb::Knowledge {
+    pb::Knowledge {
+        runners: difference.entries.iter().map(to_wire).collect(),
+        gone: difference.gone.iter().map(ToString::to_string).collect(),
+        mark: difference.mark.0,
+        whole: difference.whole,
+        last: true,
+        ..Default::default()
+    }
+}
+
+/// Takes in what another node tells unasked, if it follows on what this one knows. If not, this node
+/// is behind and asks.
+pub fn take_news(shared: &Shared, news: &pb::Knowledge) {
+    let mine = shared.knowledge().mark();
+    let follows_on = Mark(news.since) <= mine && mine < Mark(news.mark) && !news.whole;
+    if !follows_on || !shared.knowledge().is_known() {
+        return;
+    }
+    let told = Difference {
+        whole: false,
+        entries: news.runners.iter().cloned().map(from_wire).collect(),
+        gone: news.gone.iter().map(SmolStr::new).collect(),
+        mark: Mark(news.mark),
+    };
+    take_difference(shared, told, None, "news");
+}
+
 async fn send(difference: &Difference, parts: &Parts<pb::Knowledge>) -> Result<(), NotTaken> {
     let mut left = difference.entries.as_slice();
     loop {
@@ -126,6 +169,7 @@
             whole: difference.whole,
             elsewhere: None,
             last,
+            since: 0,
         };
         put(parts, part).await?;
         if last {
@@ -189,10 +233,10 @@
 /// The node that knows the newest register; news of a runner that leaves must not wait for one that
 /// cannot be reached.
 fn newest(shared: &Shared, failures: &mut Failures) -> Option<(Contact, RosterStatus)> {
-    let (mine, now) = (shared.knowledge().mark(), shared.clock.now());
+    let mine = shared.knowledge().mark();
     let roster = shared.roster();
     let newest = failures.pick(
-        || roster.with_newer_register(mine, now),
+        || roster.with_newer_register(mine),
         |(contact, _)| &contact.id,
         |nodes| nodes.max_by_key(|(_, status)| status.register),
     );
--- a/node/src/serve/scheduler.rs
+++ b/node/src/serve/scheduler.rs
@@ -163,7 +163,7 @@
     };
     let found = {
         let roster = shared.roster();
-        let fronts = roster.fronts(now);
+        let fronts = roster.fronts();
         let others = fronts.iter().filter(|contact| !passed_over.contains(&contact.id));
         let me = shared.is_ready().then_some(&shared.me);
         let nodes = others.copied().chain(me);
--- a/node/src/serve/settings.rs
+++ b/node/src/serve/settings.rs
@@ -84,6 +84,11 @@
 }
 
 impl Settings {
+    /// The seeds but for this node itself.
+    pub fn other_seeds(&self) -> impl Iterator<Item = SocketAddr> {
+        self.seeds.iter().copied().filter(|seed| *seed != self.peer)
+    }
+
     /// Reads and checks a file.
     ///
     /// # Errors
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -1,6 +1,7 @@
 //! What the parts of a serving node share.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
@@ -18,7 +19,7 @@
 use sardinepick_lib::fleet::route::Configuration;
 use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_lib::hash::{place, rendezvous};
-use sardinepick_lib::id::{Incarnation, ServiceId};
+use sardinepick_lib::id::{Incarnation, NodeId, ServiceId};
 use smol_str::SmolStr;
 use tokio::sync::{Notify, watch};
 
@@ -56,6 +57,8 @@
     pub store: Client,
     /// How this node stands towards callers.
     pub standing: watch::Sender<Standing>,
+    /// Whether this node has met the others, or has found none.
+    pub acquainted: watch::Sender<bool>,
     /// Signals that other nodes know the register better.
     pub behind: Notify,
     /// Signals that other nodes have a newer configuration.
@@ -72,7 +75,7 @@
     roster: Mutex<Roster>,
     knowledge: Mutex<Knowledge>,
     outage: Mutex<Outage>,
-    served: Mutex<Option<Instant>>,
+    served: AtomicBool,
     budgets: Mutex<HashMap<ServiceId, Budget>>,
     demand: Mutex<HashMap<ServiceId, Demand>>,
     usual: Mutex<HashMap<SmolStr, Usual>>,
@@ -90,8 +93,9 @@
 /// How many nodes follow the store. Each learns of a change by itself, so that one whose path is
 /// silent delays nobody; more cost a call for each change and node.
 const FOLLOWERS: usize = 3;
-/// How long an answer of the store shows that it serves a node: a watch and its slack.
-const SERVED: Duration = Duration::from_millis(4_000);
+/// How many nodes try at the most where the store does not serve those that come first. If it turns
+/// away a third of the nodes, the first twenty are all among them once in three billion times.
+const MOST_FOLLOWERS: usize = 20;
 /// The most routes whose sizes are kept.
 const MOST_ROUTES: usize = 1_000;
 
@@ -113,10 +117,12 @@
             store: Client::new(settings.store, connections.clone(), metrics.clone()),
             connections,
             began: clock.now(),
+            roster: Mutex::new(Roster::new(me.clone())),
             me,
             metrics,
             configuration: ArcSwapOption::empty(),
             standing: watch::channel(Standing::Starting).0,
+            acquainted: watch::channel(false).0,
             behind: Notify::new(),
             outdated: Notify::new(),
             copies: Copies::default(),
@@ -124,10 +130,9 @@
             scheduling: Scheduling::default(),
             beat_now: Notify::new(),
             register: Mutex::default(),
-            roster: Mutex::default(),
             knowledge: Mutex::default(),
             outage: Mutex::default(),
-            served: Mutex::default(),
+            served: AtomicBool::new(true),
             budgets: Mutex::default(),
             demand: Mutex::default(),
             usual: Mutex::default(),
@@ -169,7 +174,7 @@
             standing: *self.standing.borrow(),
             version: self.configuration.load().as_ref().map(|c| c.version).unwrap_or_default(),
             register: self.knowledge().mark(),
-            served: self.is_served(),
+            served: self.served.load(Ordering::Relaxed),
         }
     }
 
@@ -180,31 +185,34 @@
 
     /// Notes that the store has answered this node.
     pub fn note_served(&self) {
-        *lock(&self.served) = Some(self.clock.now());
+        self.set_served(true);
     }
 
     /// Notes that the store has not answered this node.
     pub fn note_unserved(&self) {
-        *lock(&self.served) = None;
+        self.set_served(false);
     }
 
-    /// Whether the store serves this node: it has answered lately, as it does at the end of each
-    /// watch.
-    fn is_served(&self) -> bool {
-        let now = self.clock.now();
-        lock(&self.served).is_some_and(|at| now.saturating_duration_since(at) < SERVED)
+    /// The others hear of a change at once: where the store serves a follower no more, another has to
+    /// step in.
+    fn set_served(&self, served: bool) {
+        if self.served.swap(served, Ordering::Relaxed) != served {
+            self.beat_now.notify_one();
+        }
     }
 
     /// Whether this node follows the store itself: fewer than a few of those that come before it
-    /// are heard and served by the store. Where one of those fails, the next steps in.
+    /// are there and served by the store. Where one of those fails, the next steps in. While the store
+    /// serves nobody, those far behind leave it alone all the same: it counts their calls.
     pub fn follows(&self) -> bool {
-        let now = self.clock.now();
         let duty = place(0, b"store");
         let rank = |id: &str| rendezvous(duty, id.as_bytes());
         let mine = rank(self.me.id.as_str());
         let roster = self.roster();
-        let before = roster.served(now).filter(|id| rank(id.as_str()) > mine).count();
-        before < FOLLOWERS
+        let before = |ids: &mut dyn Iterator<Item = &NodeId>| {
+            ids.filter(|id| rank(id.as_str()) > mine).count()
+        };
+        before(&mut roster.served()) < FOLLOWERS && before(&mut roster.ids()) < MOST_FOLLOWERS
     }
 
     /// Turns from starting to ready once there is a configuration and a register.
@@ -223,12 +231,9 @@
         }
     }
 
-    /// Tells the other nodes of a change at once, if this node follows the store; those that learn
-    /// from it need not tell each other.
+    /// Passes a change on at once.
     pub fn note_news(&self) {
-        if self.follows() {
-            self.beat_now.notify_one();
-        }
+        self.beat_now.notify_one();
     }
 
     /// Notes that other nodes may know more than this one.
--- a/node/src/serve/store.rs
+++ b/node/src/serve/store.rs
@@ -129,6 +129,20 @@
         }
     }
 
+    /// Reads the first page of the objects of a kind.
+    ///
+    /// # Errors
+    /// It cannot be read.
+    pub async fn first_page(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+    ) -> Result<Vec<Object>, StoreError> {
+        let request = store::list(self.address, kind, None);
+        let page: Page = self.call(purpose, request, CALL_LIMIT, store::read_page).await?;
+        Ok(page.objects)
+    }
+
     /// Waits for changes of a kind after `from`.
     ///
     /// # Errors
--- a/node/tests/copy.rs
+++ b/node/tests/copy.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use sardinepick_lib::clock::System;
-use sardinepick_lib::fleet::roster::{Contact, Standing, Status};
+use sardinepick_lib::fleet::roster::{Contact, Record, Standing, Status};
 use sardinepick_lib::id::{ConfigVersion, Incarnation, Mark};
 use sardinepick_node::serve::metrics::Metrics;
 use sardinepick_node::serve::run::{self, Running};
@@ -78,6 +78,10 @@
     type TellStream = ReceiverStream<Result<pb::Knowledge, Refusal>>;
     type CopyStream = ReceiverStream<Result<pb::CopyPart, Refusal>>;
 
+    async fn meet(&self, _: Request<pb::Nodes>) -> Result<Response<pb::Nodes>, Refusal> {
+        Err(Refusal::unimplemented("it knows nobody"))
+    }
+
     async fn tell(
         &self,
         _: Request<pb::KnowledgeRequest>,
@@ -102,12 +106,18 @@
     let server = tonic::transport::Server::builder().add_service(FleetServer::new(Bad(conduct)));
     tokio::spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
     let beat = Beat {
-        contact: Contact {
-            id: name.parse().expect("a name"),
-            incarnation: Incarnation(1),
-            data_centre: HOME.parse().expect("a data centre"),
-            front: address,
-            peer: address,
+        sender: Record {
+            contact: Contact {
+                id: name.parse().expect("a name"),
+                incarnation: Incarnation(1),
+                data_centre: HOME.parse().expect("a data centre"),
+                front: address,
+                peer: address,
+            },
+            standing: Standing::Ready,
+            served: true,
+            serial: 1,
+            silent: false,
         },
         status: Status {
             standing: Standing::Ready,
@@ -117,6 +127,9 @@
         },
         answer: false,
         away: Vec::new(),
+        digest: 0,
+        records: Vec::new(),
+        news: None,
     };
     let socket = UdpSocket::bind(address).await.expect("a free address");
     tokio::spawn(async move {
--- a/node/tests/lives.rs
+++ b/node/tests/lives.rs
@@ -248,3 +248,14 @@
     }
     assert_eq!(set.runners[at].orders(), []);
 }
+
+/// Symptom: most nodes do not get ready. Sequence: a deployment starts before its runners do; three
+/// nodes read an empty register from the store. Cause: an empty register was as new as none, so the
+/// others were not told of it.
+#[tokio::test]
+async fn nodes_without_runners_all_ready() {
+    let set = Deployment::new().await.with_nodes(5).await;
+    for node in &set.nodes {
+        assert!(node.shared.is_ready());
+    }
+}
--- a/testutils/src/fleet/deployment.rs
+++ b/testutils/src/fleet/deployment.rs
@@ -215,8 +215,7 @@
         wait_until("all nodes are ready", async || {
             self.nodes.iter().all(|node| {
                 let shared = &node.shared;
-                let now = shared.clock.now();
-                let heard = shared.roster().fronts(now).len();
+                let heard = shared.roster().fronts().len();
                 shared.is_ready()
                     && heard >= others
                     && shared.register().runners().count() == runners
--- a/wire/src/beat.rs
+++ b/wire/src/beat.rs
@@ -1,7 +1,9 @@
 //! Beats: the datagrams by which nodes that serve together know of each other.
 
+use std::net::{IpAddr, SocketAddr};
+
 use prost::Message as _;
-use sardinepick_lib::fleet::roster::{Contact, Standing, Status};
+use sardinepick_lib::fleet::roster::{Contact, Record, Standing, Status};
 use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_lib::id::{ConfigVersion, Incarnation, Mark};
 
@@ -14,32 +16,43 @@
 /// One beat.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Beat {
-    /// The sender.
-    pub contact: Contact,
+    /// What the sender says of itself.
+    pub sender: Record,
     /// How it stands and what it knows.
     pub status: Status,
     /// Whether it wants a beat at once.
     pub answer: bool,
     /// Runners that are on their way to another stage, by the sender's orders.
     pub away: Vec<Tag>,
+    /// A digest of the nodes that it knows to be there.
+    pub digest: u64,
+    /// What it has newly heard of other nodes.
+    pub records: Vec<Record>,
+    /// What has newly changed in the register of runners.
+    pub news: Option<pb::Knowledge>,
 }
 
 impl Beat {
     /// The beat as bytes.
     pub fn encode(&self) -> Vec<u8> {
-        let contact = &self.contact;
+        let sender = record(&self.sender);
+        let contact = &self.sender.contact;
         let beat = pb::Beat {
-            node: contact.id.to_string(),
-            incarnation: contact.incarnation.0,
-            data_centre: contact.data_centre.to_string(),
+            node: sender.node,
+            incarnation: sender.incarnation,
+            data_centre: sender.data_centre,
             front: contact.front.to_string(),
             peer: contact.peer.to_string(),
-            standing: standing(self.status.standing).into(),
+            standing: sender.standing,
+            served: sender.served,
+            serial: sender.serial,
             version: self.status.version.0,
             register: self.status.register.0,
             answer: self.answer,
             away: self.away.iter().map(|tag| tag.0).collect(),
-            served: self.status.served,
+            digest: self.digest,
+            records: self.records.iter().map(record).collect(),
+            news: self.news.clone(),
         };
         beat.encode_to_vec()
     }
@@ -50,40 +63,113 @@
     /// The bytes are not one, or it says what it may not.
     pub fn decode(bytes: &[u8]) -> Result<Self, WireError> {
         let beat = pb::Beat::decode(bytes).map_err(|error| WireError::Decode(error.to_string()))?;
+        let sender = read_record(&pb::Record {
+            node: beat.node,
+            incarnation: beat.incarnation,
+            data_centre: beat.data_centre,
+            front: parsed(&beat.front, "front")?,
+            peer: parsed(&beat.peer, "peer")?,
+            standing: beat.standing,
+            served: beat.served,
+            serial: beat.serial,
+            silent: false,
+        })?;
         let status = Status {
-            standing: match beat.standing() {
-                pb::Standing::Starting => Standing::Starting,
-                pb::Standing::Ready => Standing::Ready,
-                pb::Standing::Leaving => Standing::Leaving,
-            },
+            standing: sender.standing,
             version: ConfigVersion(beat.version),
             register: Mark(beat.register),
-            served: beat.served,
-        };
-        let contact = Contact {
-            id: beat.node.as_str().try_into().map_err(|_| WireError::Value("node"))?,
-            incarnation: Incarnation(beat.incarnation),
-            data_centre: beat
-                .data_centre
-                .as_str()
-                .try_into()
-                .map_err(|_| WireError::Value("data centre"))?,
-            front: beat.front.parse().map_err(|_| WireError::Value("front"))?,
-            peer: beat.peer.parse().map_err(|_| WireError::Value("peer"))?,
+            served: sender.served,
         };
         Ok(Self {
-            contact,
+            sender,
             status,
             answer: beat.answer,
             away: beat.away.into_iter().map(Tag).collect(),
+            digest: beat.digest,
+            records: read_records(&beat.records)?,
+            news: beat.news,
         })
     }
 }
 
-fn standing(standing: Standing) -> pb::Standing {
-    match standing {
+/// A list of nodes for the wire.
+pub fn nodes(records: &[Record]) -> pb::Nodes {
+    pb::Nodes { records: records.iter().map(record).collect() }
+}
+
+/// Reads a list of nodes.
+///
+/// # Errors
+/// It says what it may not.
+pub fn read_nodes(nodes: &pb::Nodes) -> Result<Vec<Record>, WireError> {
+    read_records(&nodes.records)
+}
+
+/// An address that a beat names as text, as a record names it.
+fn parsed(text: &str, what: &'static str) -> Result<Vec<u8>, WireError> {
+    text.parse().map(address).map_err(|_| WireError::Value(what))
+}
+
+fn address(address: SocketAddr) -> Vec<u8> {
+    let mut bytes = match address.ip() {
+        IpAddr::V4(ip) => ip.octets().to_vec(),
+        IpAddr::V6(ip) => ip.octets().to_vec(),
+    };
+    bytes.extend(address.port().to_be_bytes());
+    bytes
+}
+
+fn read_address(bytes: &[u8]) -> Option<SocketAddr> {
+    let (ip, port) = bytes.split_last_chunk::<2>()?;
+    let ip = match ip.len() {
+        4 => IpAddr::from(<[u8; 4]>::try_from(ip).ok()?),
+        16 => IpAddr::from(<[u8; 16]>::try_from(ip).ok()?),
+        _ => return None,
+    };
+    Some(SocketAddr::new(ip, u16::from_be_bytes(*port)))
+}
+
+fn read_records(records: &[pb::Record]) -> Result<Vec<Record>, WireError> {
+    records.iter().map(read_record).collect()
+}
+
+fn record(record: &Record) -> pb::Record {
+    let contact = &record.contact;
+    let standing = match record.standing {
         Standing::Starting => pb::Standing::Starting,
         Standing::Ready => pb::Standing::Ready,
         Standing::Leaving => pb::Standing::Leaving,
+    };
+    pb::Record {
+        node: contact.id.to_string(),
+        incarnation: contact.incarnation.0,
+        data_centre: contact.data_centre.to_string(),
+        front: address(contact.front),
+        peer: address(contact.peer),
+        standing: standing.into(),
+        served: record.served,
+        serial: record.serial,
+        silent: record.silent,
     }
 }
+
+fn read_record(record: &pb::Record) -> Result<Record, WireError> {
+    let data_centre = record.data_centre.as_str().try_into();
+    Ok(Record {
+        contact: Contact {
+            id: record.node.as_str().try_into().map_err(|_| WireError::Value("node"))?,
+            incarnation: Incarnation(record.incarnation),
+            data_centre: data_centre.map_err(|_| WireError::Value("data centre"))?,
+            front: read_address(&record.front).ok_or(WireError::Value("front"))?,
+            peer: read_address(&record.peer).ok_or(WireError::Value("peer"))?,
+        },
+        standing: match record.standing() {
+            pb::Standing::Starting => Standing::Starting,
+            pb::Standing::Ready => Standing::Ready,
+            pb::Standing::Leaving => Standing::Leaving,
+        },
+        served: record.served,
+        serial: record.serial,
+        silent: record.silent,
+    })
+}
