scheduler, follow: a scheduler that knows no runner is not believed; seeds read first

Cause, by the tests of this commit: a node took the word of a scheduler that had just started and knew no runner, and refused.

The seeds now read at once.

decide_scheduler_knows_no_runner_node_places failed before. The gain of the second is not measured yet.

--- a/node/src/serve/follow.rs
+++ b/node/src/serve/follow.rs
@@ -60,20 +60,24 @@
         Self { shared, what, failures: 0, from: None, on_duty: false }
     }
 
+    /// Whether this node is to follow. Before it has met others each would take itself for the one, so
+    /// the seeds alone do: where all nodes start together, as after the loss of all, somebody must read
+    /// at once what all need.
+    fn has_duty(&self) -> bool {
+        let shared = &self.shared;
+        let is_seed = || shared.settings.seeds.contains(&shared.me.peer);
+        if *shared.acquainted.borrow() { shared.follows() } else { is_seed() }
+    }
+
     /// Waits while other nodes follow the store for this one. What they tell meanwhile is not known
     /// by its place in the store's history, so all is read anew after it.
     async fn wait_for_duty(&mut self) {
-        // Before it has met others, each node would take itself for the one that follows the store.
-        let mut acquainted = self.shared.acquainted.subscribe();
-        if acquainted.wait_for(|acquainted| *acquainted).await.is_err() {
-            return;
-        }
-        if !self.shared.follows() {
+        if !self.has_duty() {
             if self.on_duty {
                 log::info!(what = self.what; "other nodes follow the store");
             }
             (self.on_duty, self.from) = (false, None);
-            while !self.shared.follows() {
+            while !self.has_duty() {
                 sleep(DUTY_PERIOD).await;
             }
         }
--- a/node/src/serve/scheduler.rs
+++ b/node/src/serve/scheduler.rs
@@ -225,10 +225,13 @@
     (decide_here(shared, &ask, engine), "alone")
 }
 
-/// Whether this node, too, takes the runner for one that takes work. What the scheduler does not
-/// know yet, such as that the runner leaves, must hold all the same. If not, the runner is not to
-/// be taken.
+/// Whether a decision agrees with what this node knows. What the scheduler does not know yet, such as
+/// that a runner leaves, must hold all the same: that runner is not to be taken. One that has just
+/// started may know no runner at all; its word that there is none is not taken either.
 fn is_usable(shared: &Shared, decision: &Decision, ask: &mut Ask) -> bool {
+    if *decision == Decision::NoRunner {
+        return false;
+    }
     let Some((id, _)) = decision.share(&ask.work, &ask.step) else { return true };
     let now = shared.clock.now();
     let usable = shared.register().get(id).is_some_and(|runner| runner.takes_work(now));
