engine, ticket: the pace is learned by the length of the reading, also in vain

The pace was learned from short prompts, whose time is mostly not reading, and prompts given up taught nothing.

Change: an answer teaches by the time that its prompt takes to be read; a caller that leaves teaches that it takes as long at the least.

--- a/lib/src/fleet/engine.rs
+++ b/lib/src/fleet/engine.rs
@@ -115,12 +115,16 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Pace(f64);
 
-/// How fast the pace follows what is seen: half of a lasting change after 70 answers, which a pool's
-/// scheduler hears of one runner in some seconds. Most of an answer's error is that of the wait
-/// before it, not of the runner's speed. At 0.13, half after five answers, a runner that was held up
-/// once counted as slow and its neighbours were overrun: worth on a fleet of 20 runners that lost a
-/// third of them was 0.42 instead of 0.58.
-const PACE_GAIN: f64 = 0.01;
+/// How fast the pace follows what is seen of a prompt that takes long to be read: half of a lasting
+/// change after seven answers. A shorter one teaches less, by its share of [`LONG_READING`]: most of
+/// its error is that of the wait before it and of the start. Where all taught as much, a runner that
+/// had been held up once counted as slow and its neighbours were overrun (worth on a fleet of 20 runners
+/// that lost a third of them 0.42 instead of 0.58), or, taught slowly, a slow engine's long prompts were
+/// begun where no caller could wait for them.
+const PACE_GAIN: f64 = 0.1;
+/// The time to read a prompt, in seconds, from which an answer teaches all that one can: several times
+/// the start and a usual wait.
+const LONG_READING: f64 = 0.4;
 /// The least and the most that is believed of a pace.
 const PACE_RANGE: (f64, f64) = (0.3, 8.0);
 /// The shortest predicted time from which a pace is learned, in seconds; below it noise rules.
@@ -138,12 +142,14 @@
         self.0
     }
 
-    /// Learns from work that took `seen` where `predicted` was expected, both in seconds.
-    pub fn learn(&mut self, predicted: f64, seen: f64) {
+    /// Learns from work that took `seen` where `predicted` was expected, of which `reading` was to be
+    /// for reading its prompt, all in seconds.
+    pub fn learn(&mut self, predicted: f64, reading: f64, seen: f64) {
         if predicted < SHORTEST_LESSON || seen <= 0.0 {
             return;
         }
         let ratio = (seen / predicted).clamp(0.2, 5.0);
-        self.0 = (self.0 * ratio.powf(PACE_GAIN)).clamp(PACE_RANGE.0, PACE_RANGE.1);
+        let gain = PACE_GAIN * (reading / LONG_READING).clamp(0.0, 1.0);
+        self.0 = (self.0 * ratio.powf(gain)).clamp(PACE_RANGE.0, PACE_RANGE.1);
     }
 }
--- a/lib/src/fleet/scheduler.rs
+++ b/lib/src/fleet/scheduler.rs
@@ -14,7 +14,7 @@
 use smallvec::SmallVec;
 
 use super::cache::Progress;
-use super::engine::{Engine, Work};
+use super::engine::{Engine, Work, start_time};
 use super::gate::Terms;
 use super::health::Outcome;
 use super::load::Class;
@@ -179,8 +179,11 @@
 pub enum Lesson {
     /// How long a prompt took to be read, in seconds.
     Reading {
-        /// As it was predicted.
+        /// As it was predicted, with the wait.
         predicted: f64,
+        /// The part of that for the reading itself. The longer it is, the more it tells of the
+        /// runner's speed.
+        reading: f64,
         /// As it was seen.
         seen: f64,
     },
@@ -190,11 +193,22 @@
     Outcome(Outcome),
 }
 
+impl Placement {
+    /// What it teaches that the first event, or the whole prompt, which was predicted in `predicted`
+    /// seconds, took `seen` seconds.
+    pub fn lesson(&self, predicted: f64, seen: f64) -> Lesson {
+        let reading = (self.read - self.wait - start_time()).max(0.0);
+        Lesson::Reading { predicted, reading, seen }
+    }
+}
+
 impl Runner {
     /// Takes in what work has taught.
     pub fn learn(&mut self, lesson: Lesson, now: Instant) {
         match lesson {
-            Lesson::Reading { predicted, seen } => self.pace.learn(predicted, seen),
+            Lesson::Reading { predicted, reading, seen } => {
+                self.pace.learn(predicted, reading, seen);
+            }
             Lesson::Stream(seconds) => self.learn_stream(seconds),
             Lesson::Outcome(outcome) => self.health.note(outcome, now),
         }
--- a/node/src/serve/generation/read.rs
+++ b/node/src/serve/generation/read.rs
@@ -9,7 +9,6 @@
 use sardinepick_lib::fleet::place::Placement;
 use sardinepick_lib::fleet::register::{Reading, Share};
 use sardinepick_lib::fleet::runner::Tag;
-use sardinepick_lib::fleet::scheduler::Lesson;
 use sardinepick_lib::id::RunnerId;
 use sardinepick_platform::answer::{Verdict, judge};
 use sardinepick_platform::runner::{self, Handle, Step as Ask, read_handle as decode_handle};
@@ -45,7 +44,10 @@
             read_handle(id, &request_id, address, answer).await
         };
         let result = tokio::select! {
-            () = self.caller.left() => return Err(Stop::CallerLeft),
+            () = self.caller.left() => {
+                ticket.learn_in_vain(placement, placement.read);
+                return Err(Stop::CallerLeft);
+            }
             result = timeout(limit, reading) => result,
         };
         let result = result.unwrap_or_else(|_| Err(format!("no answer within {limit:?}")));
@@ -60,7 +62,7 @@
                     held_ms = ticket.held().as_millis() as u64; "prompt read"
                 );
                 let held = ticket.held().as_secs_f64();
-                ticket.learn(Lesson::Reading { predicted: placement.read, seen: held });
+                ticket.learn(placement.lesson(placement.read, held));
                 self.note_cached(&ticket, Progress::Read);
                 Ok(Some(handle))
             }
--- a/node/src/serve/generation/stream.rs
+++ b/node/src/serve/generation/stream.rs
@@ -61,7 +61,12 @@
         self.arrivals += 1;
         let sent = self.shared.connections.send(address, outgoing, CONNECT_LIMIT);
         let sent = tokio::select! {
-            () = self.caller.left() => return Ok(Came::CallerLeft),
+            () = self.caller.left() => {
+                if is_whole {
+                    ticket.learn_in_vain(placement, placement.first);
+                }
+                return Ok(Came::CallerLeft);
+            }
             sent = timeout(limit, sent) => sent,
         };
         let answer = match sent {
@@ -91,8 +96,8 @@
         };
         match judge(answer.head.status, &answer.head.headers, id, &self.request.id) {
             Verdict::Ran if answer.head.status.is_success() && is_stream(&answer.head.headers) => {
-                let predicted = is_whole.then_some(placement.first);
-                self.stream(&mut ticket, answer, predicted).await
+                let placement = is_whole.then_some(placement);
+                self.stream(&mut ticket, answer, placement).await
             }
             Verdict::Ran => self.answered(&mut ticket, answer).await,
             verdict @ (Verdict::NotRun | Verdict::OtherInstance) => {
@@ -146,7 +151,7 @@
         &mut self,
         ticket: &mut Ticket,
         answer: Answer,
-        predicted: Option<f64>,
+        placement: Option<&Placement>,
     ) -> Result<Came, Stop> {
         let Answer { mut head, mut body, lease } = answer;
         // The length is that of one run; the caller may get the events of more than one.
@@ -159,7 +164,12 @@
             let left = self.request.left(self.shared.clock.now());
             let silence = if self.may_run_again() { self.silence(0.0).min(left) } else { left };
             let next = tokio::select! {
-                () = self.caller.left() => return Ok(Came::CallerLeft),
+                () = self.caller.left() => {
+                    if let Some(placement) = placement.filter(|_| first) {
+                        ticket.learn_in_vain(placement, placement.first);
+                    }
+                    return Ok(Came::CallerLeft);
+                }
                 next = timeout(silence, body.frame()) => next,
             };
             let frame = match next {
@@ -191,9 +201,9 @@
                     began = Some(self.shared.clock.now());
                     streaming.get_or_insert_with(|| Streaming::new(self));
                     ticket.note_read();
-                    if let Some(predicted) = predicted {
+                    if let Some(placement) = placement {
                         let held = ticket.held().as_secs_f64();
-                        ticket.learn(Lesson::Reading { predicted, seen: held });
+                        ticket.learn(placement.lesson(placement.first, held));
                     }
                     self.note_cached(ticket, Progress::Read);
                 }
--- a/node/src/serve/ticket.rs
+++ b/node/src/serve/ticket.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use sardinepick_lib::fleet::health::Outcome;
+use sardinepick_lib::fleet::place::Placement;
 use sardinepick_lib::fleet::register::Share;
 use sardinepick_lib::fleet::runner::{Runner, Stay, Tag};
 use sardinepick_lib::fleet::scheduler::Lesson;
@@ -104,6 +105,16 @@
         }
     }
 
+    /// Takes in that the caller has left before what was predicted in `predicted` seconds has come:
+    /// it takes as long as that at the least. Prompts that are given up would else teach nothing, and
+    /// a runner that is too slow for them would go on getting them.
+    pub fn learn_in_vain(&self, placement: &Placement, predicted: f64) {
+        let held = self.held().as_secs_f64();
+        if held > predicted {
+            self.learn(placement.lesson(predicted, held));
+        }
+    }
+
     /// Notes a sign of life of the runner.
     pub fn note_life(&self) {
         let now = self.shared.clock.now();
--- a/wire/src/schedule.rs
+++ b/wire/src/schedule.rs
@@ -271,9 +271,11 @@
 fn lesson((tag, lesson): &(Tag, Lesson)) -> pb::Lesson {
     use pb::lesson::Kind;
     let kind = match lesson {
-        Lesson::Reading { predicted, seen } => {
-            Kind::Reading(pb::LearnedReading { predicted: *predicted as f32, seen: *seen as f32 })
-        }
+        Lesson::Reading { predicted, reading, seen } => Kind::Reading(pb::LearnedReading {
+            predicted: *predicted as f32,
+            reading: *reading as f32,
+            seen: *seen as f32,
+        }),
         Lesson::Stream(seconds) => Kind::Stream(*seconds as f32),
         Lesson::Outcome(outcome) => Kind::Outcome(
             match outcome {
@@ -295,9 +297,11 @@
         _ => Err(WireError::Value("seconds")),
     };
     let read = match lesson.kind.as_ref().ok_or(WireError::Missing("lesson"))? {
-        Kind::Reading(reading) => {
-            Lesson::Reading { predicted: seconds(reading.predicted)?, seen: seconds(reading.seen)? }
-        }
+        Kind::Reading(reading) => Lesson::Reading {
+            predicted: seconds(reading.predicted)?,
+            reading: seconds(reading.reading)?,
+            seen: seconds(reading.seen)?,
+        },
         Kind::Stream(stream) => Lesson::Stream(seconds(*stream)?),
         Kind::Outcome(outcome) => Lesson::Outcome(match pb::Outcome::try_from(*outcome) {
             Ok(pb::Outcome::Answered) => Outcome::Answered,
