register, follow: who has said that it leaves is not doubted, nor kept by old news

Change: what an entry last said is taken before it is gone; only a newer entry ends a doubt. Both tests fail on the code before.

--- a/lib/src/fleet/register.rs
+++ b/lib/src/fleet/register.rs
@@ -62,8 +62,9 @@
             self.insert(entry);
             return Change::Added;
         };
+        // A doubted runner that is back has written anew. What is known of it comes again from nodes that
+        // have not heard yet that its entry is missing, and must not keep it in use.
         if entry.revision <= runner.entry.revision {
-            self.doubted.remove(&entry.id);
             return Change::None;
         }
         match (entry.born, runner.entry.born) {
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -282,6 +282,19 @@
     assert!(register.get(&id("a")).is_some() && register.get(&id("b")).is_none());
 }
 
+/// Symptom: a runner gets work 5 s after it said that it leaves, and 3 s after its entry has gone.
+/// Sequence: its entry goes while the store's return makes it doubted; another node, which has not
+/// heard of that, tells what it knows of it. Cause: the old entry was taken for a sign of its return.
+#[test]
+fn register_doubted_old_entry_again_goes() {
+    let start = Instant::now();
+    let mut register = Register::default();
+    register.apply(entry("a", None, 5));
+    assert_eq!(register.remove(&id("a"), Some(start + S)), Changed::Doubted);
+    assert_eq!(register.apply(entry("a", None, 5)), Changed::None);
+    assert_eq!(register.expire(start + S), [id("a")]);
+}
+
 #[test]
 fn register_without_doubt_gone_at_once() {
     let mut register = Register::default();
--- a/node/src/serve/follow.rs
+++ b/node/src/serve/follow.rs
@@ -310,7 +310,7 @@
 }
 
 /// What a watch brought, as a difference. One that brought nothing makes nothing newer.
-fn difference(changes: Vec<Change>, as_of: Revision) -> Difference {
+pub fn difference(changes: Vec<Change>, as_of: Revision) -> Difference {
     let mark = if changes.is_empty() { Mark(0) } else { mark(as_of) };
     let mut difference = Difference { mark, ..Difference::default() };
     for change in changes {
@@ -319,10 +319,9 @@
                 difference.gone.retain(|name| *name != object.name);
                 difference.entries.push(object);
             }
-            Change::Gone(name) => {
-                difference.entries.retain(|object| object.name != name);
-                difference.gone.push(name);
-            }
+            // What it last wrote is taken first: whether a runner that is gone had said that it leaves
+            // decides whether it is doubted, or gone at once.
+            Change::Gone(name) => difference.gone.push(name),
         }
     }
     difference
--- a/node/tests/lives.rs
+++ b/node/tests/lives.rs
@@ -4,8 +4,10 @@
 
 use http::StatusCode;
 use sardinepick_lib::fleet::cache::Chain;
-use sardinepick_lib::id::RunnerId;
+use sardinepick_lib::id::{Revision, RunnerId};
+use sardinepick_node::serve::follow::{difference, take_difference};
 use sardinepick_node::serve::shared::Shared;
+use sardinepick_platform::store::{Change, Object};
 use sardinepick_testutils::cluster::{free_address, own_ip, wait_until};
 use sardinepick_testutils::fleet::caller::Ask;
 use sardinepick_testutils::fleet::deployment::Deployment;
@@ -259,3 +261,28 @@
         assert!(node.shared.is_ready());
     }
 }
+
+/// Symptom: a request reaches a runner 5 s after it said that it leaves. Sequence: the store was away;
+/// a runner says that it leaves and its entry is removed, and one answer of the store tells both. Cause:
+/// of the two the last alone was taken, and the runner doubted, as one whose entry only lapsed.
+///
+///     11.9090 i-00d25cd50b says that it leaves
+///     11.9149 spaarne-30  runner's entry lapsed while the store was away  i-00d25cd50b
+///     16.9450 i-00d25cd50b gets a request from hofvijver-7
+#[tokio::test]
+async fn difference_leaves_and_gone_together_not_doubted() {
+    let set = Deployment::new().await.with_plain(2).await.with_nodes(1).await;
+    let shared = &set.nodes[0].shared;
+    let runner = &set.runners[0];
+    let mut entry = runner.entry();
+    entry["state"] = json!("draining");
+    let leaves = Object {
+        name: runner.id.clone().into(),
+        revision: Revision(1_000),
+        content: entry.to_string().into(),
+    };
+    let changes = vec![Change::Put(leaves), Change::Gone(runner.id.clone().into())];
+    let doubt = Some(shared.clock.now() + Duration::from_secs(60));
+    take_difference(shared, difference(changes, Revision(1_001)), doubt, "store");
+    assert!(shared.register().get(&id(runner)).is_none(), "it has said that it leaves");
+}
