knowledge, follow: a doubt is told with the mark that it came with

Change: doubted entries go with the difference; whoever hears of one doubts it too, or drops it if it had said that it leaves.

--- a/node/src/serve/follow.rs
+++ b/node/src/serve/follow.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use rand::RngExt as _;
-use sardinepick_lib::fleet::outage::pause;
+use sardinepick_lib::fleet::outage::{DOUBT, pause};
 use sardinepick_lib::fleet::register::Change as Changed;
 use sardinepick_lib::fleet::runner::State;
 use sardinepick_lib::id::{Mark, Revision, RunnerId};
@@ -343,14 +343,30 @@
         gone.extend(known.filter(|name| !named.contains(name)));
     }
     let (entries, foreign) = take_entries(shared, told.entries, source);
-    gone.retain(|name| {
-        let Ok(id) = RunnerId::try_from(name.clone()) else { return false };
+    let remove = |name: &SmolStr, doubt: Option<std::time::Instant>| {
+        let Ok(id) = RunnerId::try_from(name.clone()) else { return Changed::None };
         let changed = shared.register().remove(&id, doubt);
         log_change(&id, changed, revision(told.mark), source);
+        changed
+    };
+    let mut doubted = Vec::new();
+    gone.retain(|name| {
+        let changed = remove(name, doubt);
+        if changed == Changed::Doubted {
+            doubted.push(name.clone());
+        }
         changed == Changed::Removed
     });
+    // What another node doubts this one doubts too, for as long from now on.
+    for name in told.doubted {
+        match remove(&name, Some(shared.clock.now() + DOUBT)) {
+            Changed::Doubted => doubted.push(name),
+            Changed::Removed => gone.push(name),
+            _ => {}
+        }
+    }
     gone.extend(foreign);
-    shared.knowledge().take(entries, &gone, told.mark);
+    shared.knowledge().take_with_doubt(entries, &gone, &doubted, told.mark);
     shared.note_knowledge();
     if shared.knowledge().mark() > before {
         shared.note_news();
--- a/node/src/serve/knowledge.rs
+++ b/node/src/serve/knowledge.rs
@@ -22,6 +22,8 @@
     pub entries: Vec<Object>,
     /// Entries that are gone.
     pub gone: Vec<SmolStr>,
+    /// Entries that are missing since the store was away, and may come back.
+    pub doubted: Vec<SmolStr>,
     /// How new this is.
     pub mark: Mark,
 }
@@ -46,6 +48,10 @@
     /// The entries of the register of runners, each with the mark under which it became known.
     runners: BTreeMap<SmolStr, (Mark, Object)>,
     removed: VecDeque<(Mark, SmolStr)>,
+    /// Entries in doubt, each with the mark under which it became so. Whoever is told up to that mark
+    /// must be told of the doubt: it would else take itself to know all up to there, ask nobody who
+    /// knows of the removal, and use a runner that has left for as long as it answers.
+    doubted: BTreeMap<SmolStr, Mark>,
     /// Changes up to this one may be missing among the removed.
     forgotten: Mark,
     /// How new all of this is. Nodes compare it: what they know can be the same though one has heard
@@ -73,8 +79,25 @@
     /// Takes in what has changed, all of it at once: whoever is told up to a mark is told all that
     /// it covers.
     pub fn take(&mut self, entries: Vec<Object>, gone: &[SmolStr], mark: Mark) {
+        self.take_with_doubt(entries, gone, &[], mark);
+    }
+
+    /// Takes in what has changed, and what is in doubt now.
+    pub fn take_with_doubt(
+        &mut self,
+        entries: Vec<Object>,
+        gone: &[SmolStr],
+        doubted: &[SmolStr],
+        mark: Mark,
+    ) {
         self.known = true;
         let mark = self.mark.max(mark);
+        for name in entries.iter().map(|object| &object.name).chain(gone) {
+            self.doubted.remove(name);
+        }
+        for name in doubted {
+            self.doubted.entry(name.clone()).or_insert(mark);
+        }
         for object in entries {
             self.runners.insert(object.name.clone(), (mark, object));
         }
@@ -105,8 +128,10 @@
         let is_gone = |name: &SmolStr| !self.runners.contains_key(name);
         let gone =
             self.removed.iter().filter(|(mark, name)| !whole && *mark > since && is_gone(name));
+        let doubted = self.doubted.iter().filter(|(_, mark)| whole || **mark > since);
         Difference {
             whole,
+            doubted: doubted.map(|(name, _)| name.clone()).collect(),
             entries: newer.map(|(_, object)| object.clone()).collect(),
             gone: gone.map(|(_, name)| name.clone()).collect(),
             mark: self.mark,
--- a/node/src/serve/peer.rs
+++ b/node/src/serve/peer.rs
@@ -131,6 +131,7 @@
     pb::Knowledge {
         runners: difference.entries.iter().map(to_wire).collect(),
         gone: difference.gone.iter().map(ToString::to_string).collect(),
+        doubted: difference.doubted.iter().map(ToString::to_string).collect(),
         mark: difference.mark.0,
         whole: difference.whole,
         last: true,
@@ -150,6 +151,7 @@
         whole: false,
         entries: news.runners.iter().cloned().map(from_wire).collect(),
         gone: news.gone.iter().map(SmolStr::new).collect(),
+        doubted: news.doubted.iter().map(SmolStr::new).collect(),
         mark: Mark(news.mark),
     };
     take_difference(shared, told, None, "news");
@@ -162,9 +164,11 @@
         left = rest;
         let last = left.is_empty();
         let gone = if last { difference.gone.as_slice() } else { &[] };
+        let doubted = if last { difference.doubted.as_slice() } else { &[] };
         let part = pb::Knowledge {
             runners: runners.iter().map(to_wire).collect(),
             gone: gone.iter().map(ToString::to_string).collect(),
+            doubted: doubted.iter().map(ToString::to_string).collect(),
             mark: difference.mark.0,
             whole: difference.whole,
             elsewhere: None,
@@ -264,6 +268,7 @@
         }
         if part.last {
             told.gone = part.gone.into_iter().map(SmolStr::new).collect();
+            told.doubted = part.doubted.into_iter().map(SmolStr::new).collect();
             (told.mark, told.whole) = (Mark(part.mark), part.whole);
             return Ok(Told::Whole(told));
         }
--- a/node/tests/knowledge.rs
+++ b/node/tests/knowledge.rs
@@ -65,3 +65,19 @@
     let near = teller.since(mark(Revision(3_990)));
     assert!(!near.whole && near.entries.len() == 1 && near.gone.len() == 5);
 }
+
+/// Symptom: nodes give work to a runner that has left. Sequence: the store was away; a node
+/// that follows it finds an entry missing, doubts that, and tells the others how new its register is;
+/// they know as new a register and ask nobody else. Cause: it told the mark and not the doubt.
+#[test]
+fn since_doubt_told_with_its_mark() {
+    let mut teller = Knowledge::default();
+    teller.take(vec![object(1, 5), object(2, 6)], &[], mark(Revision(6)));
+    teller.take_with_doubt(Vec::new(), &[], &[named(1)], mark(Revision(9)));
+    let told = teller.since(mark(Revision(6)));
+    assert_eq!((told.doubted, told.mark), (vec![named(1)], mark(Revision(9))));
+    assert_eq!(teller.since(Mark(0)).doubted, [named(1)]);
+    assert!(teller.since(mark(Revision(9))).doubted.is_empty());
+    teller.take(vec![object(1, 12)], &[], mark(Revision(12)));
+    assert!(teller.since(Mark(0)).doubted.is_empty(), "it has come back");
+}
