ended, fingerprint: a line says which request was under way when a runner ended

What was missing to tell the hypotheses of docs/incidents/crashing-request.md apart: whether attempts at several nodes are one request (a fingerprint of method, host, path, account and body, written where it is placed), and whether a runner has ended or only a connection has (its address refuses connections; asked once a node and life). No decision goes by it yet.

--- /dev/null
+++ b/lib/src/fleet/fingerprint.rs
@@ -0,0 +1,77 @@
+//! What makes two requests one and the same, whatever attempt of whichever caller's they are.
+
+use std::fmt;
+use std::str::FromStr;
+
+use sha2::{Digest as _, Sha256};
+use thiserror::Error;
+
+/// The length of a fingerprint in bytes.
+const LENGTH: usize = 16;
+
+/// A hash over what a runner is asked. It is wide and hard to collide with on purpose: a caller must
+/// not be able to make a request that is taken for another's.
+#[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Fingerprint([u8; LENGTH]);
+
+/// Text or bytes that are no fingerprint.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("a fingerprint is {} hexadecimal digits", LENGTH * 2)]
+pub struct FingerprintError;
+
+impl Fingerprint {
+    /// The fingerprint of a request by its parts, such as its path and body, in their order.
+    pub fn of(parts: &[&[u8]]) -> Self {
+        let mut hash = Sha256::new();
+        for part in parts {
+            // Lengths keep the end of one part from passing for the start of the next.
+            hash.update((part.len() as u64).to_le_bytes());
+            hash.update(part);
+        }
+        let digest = hash.finalize();
+        let mut bytes = [0; LENGTH];
+        bytes.copy_from_slice(&digest[..LENGTH]);
+        Self(bytes)
+    }
+
+    /// Its bytes.
+    pub fn as_bytes(&self) -> &[u8; LENGTH] {
+        &self.0
+    }
+}
+
+impl TryFrom<&[u8]> for Fingerprint {
+    type Error = FingerprintError;
+
+    fn try_from(bytes: &[u8]) -> Result<Self, FingerprintError> {
+        bytes.try_into().map(Self).map_err(|_| FingerprintError)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = FingerprintError;
+
+    fn from_str(text: &str) -> Result<Self, FingerprintError> {
+        if text.len() != LENGTH * 2 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return Err(FingerprintError);
+        }
+        let mut bytes = [0; LENGTH];
+        for (at, byte) in bytes.iter_mut().enumerate() {
+            *byte =
+                u8::from_str_radix(&text[at * 2..at * 2 + 2], 16).map_err(|_| FingerprintError)?;
+        }
+        Ok(Self(bytes))
+    }
+}
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod event;
 pub mod fanout;
+pub mod fingerprint;
 pub mod gate;
 pub mod health;
 pub mod load;
--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -5,6 +5,7 @@
 //! client closes it then, before the stray bytes can meet another request.
 
 use std::collections::{HashMap, VecDeque};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -59,6 +60,17 @@
     }
 }
 
+/// What came of trying an address.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Probe {
+    /// Something listens there.
+    Accepted,
+    /// The machine is there, and nothing listens.
+    Refused,
+    /// There was no answer, which says nothing.
+    Unknown,
+}
+
 type Sender = SendRequest<Full<Bytes>>;
 
 struct Idle {
@@ -74,6 +86,8 @@
 /// How long the kernel waits for the acknowledgement of sent bytes before it gives a connection up:
 /// a silent path is noticed even when nothing is expected to come back.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(3);
+/// How long a refusal of a connection may take: many times the way between data centres and back.
+const PROBE_LIMIT: Duration = Duration::from_millis(50);
 /// The most idle connections that are kept to one address.
 const MOST_IDLE: usize = 32;
 
@@ -243,6 +257,16 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
     }
 
+    /// Tries whether anything listens at an address.
+    pub async fn probe(&self, address: SocketAddr) -> Probe {
+        self.metrics.connections.inc();
+        match timeout(PROBE_LIMIT, TcpStream::connect(address)).await {
+            Ok(Ok(_)) => Probe::Accepted,
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Probe::Refused,
+            Ok(Err(_)) | Err(_) => Probe::Unknown,
+        }
+    }
+
     async fn connect(&self, address: SocketAddr, limit: Duration) -> Result<Sender, SendError> {
         let failed = |detail: String| SendError::Connect { peer: address, detail };
         self.metrics.connections.inc();
--- /dev/null
+++ b/node/src/serve/ended.rs
@@ -0,0 +1,96 @@
+//! Whether a runner has ended under a call that broke off, and what was under way there then.
+//!
+//! A call breaks off for many reasons: the network resets its connection, the runner spoils its
+//! answer, the runner leaves. Only a process that has ended refuses connections, so that is asked,
+//! once for all calls of this node that broke off there.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use sardinepick_lib::fleet::runner::{State, Tag};
+use tokio::sync::OnceCell;
+use tokio::time::sleep;
+
+use crate::serve::connection::Probe;
+use crate::serve::request::Request;
+use crate::serve::shared::Shared;
+use crate::serve::ticket::Ticket;
+
+/// How often a runner's address is tried: a process that ends closes its connections a moment before
+/// or after it stops listening.
+const TRIES: u32 = 2;
+/// The pause between two tries.
+const PAUSE: Duration = Duration::from_millis(10);
+/// The most lives of runners whose end is remembered.
+const MOST: usize = 256;
+
+/// How far a call had come when it broke off.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Reach {
+    /// How many events of its answer had come.
+    pub events: u64,
+    /// Whether the head of its answer had.
+    pub begun: bool,
+}
+
+/// The lives of runners that are known to have ended.
+#[derive(Debug, Default)]
+pub struct Ends(Mutex<HashMap<Tag, Arc<OnceCell<bool>>>>);
+
+impl Ends {
+    fn cell(&self, life: Tag) -> Arc<OnceCell<bool>> {
+        let mut cells = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if cells.len() >= MOST && !cells.contains_key(&life) {
+            // What is forgotten is asked again.
+            cells.clear();
+        }
+        cells.entry(life).or_default().clone()
+    }
+
+    async fn has_ended(&self, shared: &Shared, life: Tag, address: SocketAddr) -> bool {
+        let cell = self.cell(life);
+        let ended = *cell.get_or_init(|| is_refused(shared, address)).await;
+        if !ended {
+            // It may end later.
+            self.0.lock().unwrap_or_else(PoisonError::into_inner).remove(&life);
+        }
+        ended
+    }
+}
+
+async fn is_refused(shared: &Shared, address: SocketAddr) -> bool {
+    for attempt in 1..=TRIES {
+        match shared.connections.probe(address).await {
+            Probe::Refused => return true,
+            Probe::Unknown => return false,
+            Probe::Accepted if attempt < TRIES => sleep(PAUSE).await,
+            Probe::Accepted => {}
+        }
+    }
+    false
+}
+
+/// Finds out whether the runner of a call that broke off has ended, and gives the life that has. One
+/// that was leaving, or whose entry was gone, was to end, and nothing follows from it.
+pub async fn find(
+    shared: &Shared,
+    ticket: &Ticket,
+    request: &Request,
+    reach: Reach,
+) -> Option<Tag> {
+    let (life, address) = ticket
+        .with_runner(|r| (r.entry.state == State::Ready).then(|| (r.entry.tag(), r.entry.address)))
+        .flatten()?;
+    if !shared.ends.has_ended(shared, life, address).await {
+        return None;
+    }
+    shared.metrics.ends.inc();
+    log::info!(
+        request:% = request.id, fingerprint:% = request.fingerprint, runner:% = ticket.runner(),
+        events = reach.events, begun = reach.begun,
+        held_ms = ticket.held().as_millis() as u64; "runner ended under a request"
+    );
+    Some(life)
+}
--- a/node/src/serve/generation/mod.rs
+++ b/node/src/serve/generation/mod.rs
@@ -289,7 +289,8 @@
             request:% = self.request.id, plan = self.plan, class = class.index(),
             prefill = prefill(&placement.plan), decode = decode(&placement.plan),
             first_ms = millis(placement.first), fresh = placement.fresh,
-            fetch = placement.fetch.as_ref().map_or("", RunnerId::as_str), prompt = self.work.prompt, attempt = self.calls + 1; "placed"
+            fetch = placement.fetch.as_ref().map_or("", RunnerId::as_str), prompt = self.work.prompt,
+            fingerprint:% = self.request.fingerprint, attempt = self.calls + 1; "placed"
         );
         match &placement.plan {
             Plan::Whole { runner } => {
--- a/node/src/serve/generation/read.rs
+++ b/node/src/serve/generation/read.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use http::StatusCode;
 use sardinepick_lib::fleet::cache::Progress;
 use sardinepick_lib::fleet::health::Outcome;
 use sardinepick_lib::fleet::patience;
@@ -11,15 +13,54 @@
 use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_lib::id::RunnerId;
 use sardinepick_platform::answer::{Verdict, judge};
+use sardinepick_platform::error::FormatError;
 use sardinepick_platform::runner::{self, Handle, Step as Ask, read_handle as decode_handle};
+use thiserror::Error;
 use tokio::time::timeout;
 
 use super::{LARGEST, Stop, Way, millis};
-use crate::serve::connection::Answer;
+use crate::serve::connection::{Answer, Incomplete, SendError};
 use crate::serve::plain::CONNECT_LIMIT;
 use crate::serve::shared::Shared;
 use crate::serve::ticket::{Step, Ticket};
 
+/// Why a prompt was not read.
+#[derive(Debug, Error)]
+enum ReadError {
+    /// There is no answer.
+    #[error(transparent)]
+    Send(#[from] SendError),
+    /// The answer broke off.
+    #[error(transparent)]
+    Incomplete(#[from] Incomplete),
+    /// The answer says something else.
+    #[error(transparent)]
+    Format(#[from] FormatError),
+    /// The runner says so.
+    #[error("status {0}")]
+    Status(StatusCode),
+    /// The answer is to another request.
+    #[error("the answer is another's")]
+    Foreign,
+    /// Nothing came for so long.
+    #[error("no answer within {0:?}")]
+    Silent(Duration),
+}
+
+impl ReadError {
+    /// Whether a call that had been sent broke off.
+    fn is_broken(&self) -> bool {
+        match self {
+            ReadError::Send(error) => !error.proves_unsent(),
+            ReadError::Incomplete(_) => true,
+            ReadError::Format(_)
+            | ReadError::Status(_)
+            | ReadError::Foreign
+            | ReadError::Silent(_) => false,
+        }
+    }
+}
+
 impl Way {
     /// Has the prompt read at a prefill runner. None if it was not.
     pub(super) async fn read_at(
@@ -40,7 +81,7 @@
         let sent = self.shared.connections.send(address, outgoing, CONNECT_LIMIT);
         let request_id = self.request.id.clone();
         let reading = async {
-            let answer = sent.await.map_err(|e| e.to_string())?;
+            let answer = sent.await?;
             read_handle(id, &request_id, address, answer).await
         };
         let result = tokio::select! {
@@ -50,7 +91,7 @@
             }
             result = timeout(limit, reading) => result,
         };
-        let result = result.unwrap_or_else(|_| Err(format!("no answer within {limit:?}")));
+        let result = result.unwrap_or(Err(ReadError::Silent(limit)));
         match result {
             Ok(handle) => {
                 self.arrivals += u32::from(self.has_read);
@@ -66,13 +107,16 @@
                 self.note_cached(&ticket, Progress::Read);
                 Ok(Some(handle))
             }
-            Err(detail) => {
+            Err(error) => {
                 self.arrivals += 1;
                 ticket.conclude(Outcome::Broken);
                 log::info!(
-                    request:% = self.request.id, runner:% = id, error = detail,
+                    request:% = self.request.id, runner:% = id, error:% = error,
                     held_ms = ticket.held().as_millis() as u64; "prompt not read"
                 );
+                if error.is_broken() {
+                    self.note_broken(&ticket, false).await;
+                }
                 Ok(None)
             }
         }
@@ -104,17 +148,17 @@
     request: &str,
     address: SocketAddr,
     answer: Answer,
-) -> Result<Handle, String> {
+) -> Result<Handle, ReadError> {
     let status = answer.head.status;
     let verdict = judge(status, &answer.head.headers, runner, request);
     if verdict == Verdict::Foreign && status.is_success() {
-        return Err("the answer is another's".to_owned());
+        return Err(ReadError::Foreign);
     }
-    let (_, body) = answer.read(LARGEST).await.map_err(|e| e.to_string())?;
+    let (_, body) = answer.read(LARGEST).await?;
     if !status.is_success() {
-        return Err(format!("status {status}"));
+        return Err(ReadError::Status(status));
     }
-    decode_handle(address, &body).map_err(|e| e.to_string())
+    Ok(decode_handle(address, &body)?)
 }
 
 /// A KV cache that nobody has taken yet. It is freed when it is dropped, so that it does not hold a
--- a/node/src/serve/generation/stream.rs
+++ b/node/src/serve/generation/stream.rs
@@ -26,6 +26,7 @@
 use super::{Caller, Came, LARGEST, Stop, Way, millis, send_head};
 use crate::serve::answer::{pass_on, whole};
 use crate::serve::connection::{Answer, Lease};
+use crate::serve::ended::{self, Reach};
 use crate::serve::plain::{CONNECT_LIMIT, promises_not_run};
 use crate::serve::shared::Shared;
 use crate::serve::ticket::{Step, Ticket};
@@ -82,6 +83,7 @@
                     self.arrivals -= 1;
                     return Ok(Came::NotRun);
                 }
+                self.note_broken(&ticket, false).await;
                 return Ok(Came::Broken);
             }
             Err(_) => {
@@ -128,6 +130,7 @@
     async fn answered(&mut self, ticket: &mut Ticket, answer: Answer) -> Result<Came, Stop> {
         let Ok((head, body)) = answer.read(LARGEST).await else {
             ticket.conclude(Outcome::Broken);
+            self.note_broken(ticket, true).await;
             return Ok(Came::Broken);
         };
         let good = head.status.is_success();
@@ -184,6 +187,7 @@
                 Ok(Some(Err(error))) => {
                     ticket.conclude(Outcome::Broken);
                     self.log_cut(ticket, &error.to_string());
+                    self.note_broken(ticket, true).await;
                     return Ok(Came::Broken);
                 }
                 Err(_) => {
@@ -215,6 +219,12 @@
         }
     }
 
+    /// Notes whether the runner of a call that broke off has ended under it.
+    pub(super) async fn note_broken(&self, ticket: &Ticket, begun: bool) {
+        let reach = Reach { events: self.events, begun };
+        ended::find(&self.shared, ticket, &self.request, reach).await;
+    }
+
     fn log_cut(&self, ticket: &Ticket, detail: &str) {
         log::info!(
             request:% = self.request.id, runner:% = ticket.runner(), error = detail,
@@ -233,6 +243,7 @@
         if !splitter.rest().is_empty() {
             ticket.conclude(Outcome::Broken);
             self.log_cut(ticket, "ended within an event");
+            self.note_broken(ticket, true).await;
             return Ok(Came::Broken);
         }
         lease.give_back();
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -24,6 +24,8 @@
     pub plans: IntCounterVec,
     /// Extra arrivals by what the budget said.
     pub extras: IntCounterVec,
+    /// Calls under which a runner ended.
+    pub ends: IntCounter,
     /// Connections made.
     pub connections: IntCounter,
     /// Calls to the store by purpose and how they ended.
@@ -126,6 +128,7 @@
                 "Arrivals beyond the first, by what the budget said",
                 &["service", "granted"],
             ),
+            ends: m.counter("sardinepick_runner_ends_total", "Calls under which a runner ended"),
             connections: m
                 .counter("sardinepick_connections_total", "Connections made to runners and store"),
             store_calls: m.counters(
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -19,6 +19,7 @@
 
 use crate::serve::answer::{Body, Refusal, pass_on, whole};
 use crate::serve::connection::Answer;
+use crate::serve::ended::{self, Reach};
 use crate::serve::request::{End, Request, UnderWay};
 use crate::serve::shared::Shared;
 use crate::serve::ticket::{Step, Ticket};
@@ -221,6 +222,7 @@
                     return Came::NotRun { arrived: false };
                 }
                 self.arrivals += 1;
+                self.note_broken(&ticket, false).await;
                 Came::Doubt
             }
             Err(_) => {
@@ -235,6 +237,12 @@
         }
     }
 
+    /// Notes whether the runner of a call that broke off has ended under it.
+    async fn note_broken(&self, ticket: &Ticket, begun: bool) {
+        let reach = Reach { events: 0, begun };
+        ended::find(self.shared, ticket, self.request, reach).await;
+    }
+
     /// Judges an answer and reads it whole.
     async fn finish(
         &self,
@@ -273,6 +281,7 @@
             }
             Err(error) => {
                 log::info!(request:% = request.id, runner:% = id, error:% = error; "answer cut");
+                self.note_broken(ticket, true).await;
                 Ok(Came::Doubt)
             }
         }
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -4,11 +4,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Response, Uri, header};
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Method, Response, Uri, header};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
 use rand::RngExt as _;
 use sardinepick_lib::fleet::engine::Engine;
+use sardinepick_lib::fleet::fingerprint::Fingerprint;
 use sardinepick_lib::fleet::gate::{Reason, Terms, Wait};
 use sardinepick_lib::fleet::route::{Configuration, Route};
 use sardinepick_lib::id::ServiceId;
@@ -44,6 +46,8 @@
     pub headers: HeaderMap,
     /// Its whole body.
     pub body: Bytes,
+    /// What makes it the same as another.
+    pub fingerprint: Fingerprint,
     /// When its head had been read.
     pub arrived: Instant,
     /// When its time is over: the caller's, or the route's if that is shorter.
@@ -145,9 +149,10 @@
         engine: known.and_then(|s| s.engine),
         service,
         ask,
+        fingerprint: fingerprint(&head, &body),
+        headers: forwarded(&head.headers),
         method: head.method,
         uri: head.uri,
-        headers: forwarded(&head.headers),
         body,
         arrived,
         until: arrived + allowed,
@@ -163,6 +168,15 @@
     }
 }
 
+/// The fingerprint of a request: what it asks of a runner, and for whom. Ids and deadlines differ
+/// from attempt to attempt.
+fn fingerprint(head: &Parts, body: &[u8]) -> Fingerprint {
+    let header = |name| head.headers.get(name).map_or(&[][..], HeaderValue::as_bytes);
+    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+    let (host, account) = (header(header::HOST), header(header::AUTHORIZATION));
+    Fingerprint::of(&[head.method.as_str().as_bytes(), host, path.as_bytes(), account, body])
+}
+
 async fn read_body(body: Incoming, most: usize, limit: Duration) -> Result<Bytes, Refusal> {
     use hyper::body::Body as _;
     if body.size_hint().lower() > most as u64 {
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -25,6 +25,7 @@
 
 use crate::serve::connection::Connections;
 use crate::serve::copy::Copies;
+use crate::serve::ended::Ends;
 use crate::serve::knowledge::Knowledge;
 use crate::serve::metrics::Metrics;
 use crate::serve::scheduler::Scheduling;
@@ -69,6 +70,8 @@
     pub tellings: Arc<Turns>,
     /// What this node keeps of schedulers, and as one.
     pub scheduling: Scheduling,
+    /// The runners that have ended under calls.
+    pub ends: Ends,
     /// Signals that a beat should go out now.
     pub beat_now: Notify,
     register: Mutex<Register>,
@@ -128,6 +131,7 @@
             copies: Copies::default(),
             tellings: Arc::default(),
             scheduling: Scheduling::default(),
+            ends: Ends::default(),
             beat_now: Notify::new(),
             register: Mutex::default(),
             knowledge: Mutex::default(),
