--- a/testutils/src/fleet/deployment.rs
+++ b/testutils/src/fleet/deployment.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use log::LevelFilter;
 use sardinepick_lib::clock::System;
 use sardinepick_lib::fleet::budget::Bounds;
@@ -20,6 +21,7 @@
 use crate::fleet::link::Link;
 use crate::fleet::runner::{Kind, Runner};
 use crate::fleet::store::Store;
+use crate::fleet::supervised::Supervised;
 
 /// The data centre of nodes and runners that a test does not place itself.
 pub const HOME: &str = "zaal-dom";
@@ -37,6 +39,8 @@
     pub store: Store,
     /// The runners, in the order of their start.
     pub runners: Vec<Runner>,
+    /// Runners that end under a certain request.
+    pub supervised: Vec<Supervised>,
     /// The nodes.
     pub nodes: Vec<Running>,
     /// A caller.
@@ -119,7 +123,8 @@
     pub async fn new() -> Self {
         let store = Store::start(free_address(own_ip())).await.expect("a free address");
         store.put("config", "main", &configuration(1));
-        Self { store, runners: Vec::new(), nodes: Vec::new(), caller: Caller::default() }
+        let (runners, supervised, nodes) = (Vec::new(), Vec::new(), Vec::new());
+        Self { store, runners, supervised, nodes, caller: Caller::default() }
     }
 
     /// Adds runners of the plain service.
@@ -168,6 +173,36 @@
         runner
     }
 
+    /// Adds runners that end under a request with `body` and are back after `pause`. They are not
+    /// among [`Deployment::runners`], as each of their lives is a runner.
+    ///
+    /// # Panics
+    /// No address is free.
+    pub async fn add_supervised(
+        &mut self,
+        stage: Option<&'static str>,
+        count: usize,
+        body: &Bytes,
+        pause: Duration,
+    ) {
+        let service = if stage.is_some() { MODEL } else { PLAIN }.to_owned();
+        for _ in 0..count {
+            let id = format!("s-{}", self.supervised.len());
+            let (service, data_centre) = (service.clone(), HOME.to_owned());
+            let kind = Kind { service, data_centre, stage, events: 12 };
+            let address = free_address(own_ip());
+            let runner =
+                Supervised::start(&id, address, kind, &self.store, body.clone(), pause).await;
+            self.supervised.push(runner.expect("a free address"));
+        }
+    }
+
+    /// How many lives of supervised runners have begun to run a request with `body`.
+    pub fn ended_under(&self, body: &Bytes) -> usize {
+        let lives = self.supervised.iter().flat_map(Supervised::lives);
+        lives.filter(|life| life.seen().iter().any(|s| s.ran && s.body == *body)).count()
+    }
+
     /// Starts a node.
     ///
     /// # Panics
@@ -211,7 +246,7 @@
     /// Waits until all nodes take callers, hear each other, and know all runners.
     pub async fn wait_ready(&self) {
         let others = self.nodes.len().saturating_sub(1);
-        let runners = self.runners.len();
+        let runners = self.runners.len() + self.supervised.len();
         wait_until("all nodes are ready", async || {
             self.nodes.iter().all(|node| {
                 let shared = &node.shared;
--- a/testutils/src/fleet/mod.rs
+++ b/testutils/src/fleet/mod.rs
@@ -8,3 +8,4 @@
 pub mod runner;
 pub mod soak;
 pub mod store;
+pub mod supervised;
--- a/testutils/src/fleet/runner.rs
+++ b/testutils/src/fleet/runner.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for runners: plain services and model engines.
 
 use std::collections::{HashMap, HashSet};
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::{Frame, Incoming};
 use serde_json::{Value, json};
+use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
 use tokio_stream::wrappers::ReceiverStream;
 
@@ -85,6 +87,10 @@
     entry_writes: u64,
     /// When this life of it began, in milliseconds of no particular clock.
     born: u64,
+    /// The body of the request under which it ends.
+    ends_under: Option<Bytes>,
+    /// Tells that it has begun to run that request.
+    ends: Arc<Notify>,
 }
 
 /// When the first life of a runner began.
@@ -221,6 +227,17 @@
         lock(&self.inner).faults = faults;
     }
 
+    /// Has it end when it runs a request with this body.
+    pub fn end_under(&self, body: Bytes) {
+        lock(&self.inner).ends_under = Some(body);
+    }
+
+    /// Waits until it has begun to run the request under which it ends.
+    pub async fn ends(&self) {
+        let ends = lock(&self.inner).ends.clone();
+        ends.notified().await;
+    }
+
     /// The requests it saw.
     pub fn seen(&self) -> Vec<Seen> {
         lock(&self.inner).seen.clone()
@@ -407,7 +424,11 @@
         }
         seen.ran = true;
         let (id, from) = (seen.id.clone(), text(&seen.headers, "last-event-id"));
+        let ends = lock(&self.inner).ends_under.as_ref() == Some(&seen.body);
         lock(&self.inner).seen.push(seen);
+        if ends {
+            return Ok(self.end(&id).await);
+        }
         if faults.loses_answers {
             return Err(Cut);
         }
@@ -431,6 +452,19 @@
         Ok(response)
     }
 
+    /// Begins a run that gives nothing but, for a stream, its head.
+    async fn end(&self, id: &str) -> Response<Body> {
+        lock(&self.inner).ends.notify_one();
+        if self.kind.stage.is_none() {
+            return pending().await;
+        }
+        let mut response = Response::new(StreamBody::new(stream::pending()).boxed());
+        let kind = HeaderValue::from_static("text/event-stream");
+        response.headers_mut().insert(header::CONTENT_TYPE, kind);
+        self.sign(&mut response, id);
+        response
+    }
+
     fn is_prefill(&self) -> bool {
         lock(&self.inner).stage.as_deref() == Some("prefill")
     }
