--- /dev/null
+++ b/lib/tests/quarantine.rs
@@ -0,0 +1,350 @@
+//! Requests that are run no more: what is confirmed, what is let go, and how all nodes learn of it.
+
+use std::time::{Duration, Instant};
+
+use sardinepick_lib::fleet::fingerprint::Fingerprint;
+use sardinepick_lib::fleet::quarantine::{DELIBERATION, Entry, Quarantine, Stage, Standing};
+use sardinepick_lib::fleet::runner::Tag;
+use sardinepick_lib::fleet::suspect::{End, Reach, Suspects};
+use sardinepick_lib::hash::place;
+use sardinepick_lib::id::NodeId;
+
+const MS: Duration = Duration::from_millis(1);
+const SECOND: Duration = Duration::from_secs(1);
+
+fn request(n: u64) -> Fingerprint {
+    Fingerprint::of(&[&n.to_le_bytes()])
+}
+
+fn name(n: usize) -> NodeId {
+    format!("edge-{n}").parse().expect("an id")
+}
+
+/// One node that counts, and decides by itself.
+#[derive(Default)]
+struct Node {
+    suspects: Suspects,
+    quarantine: Quarantine,
+}
+
+impl Node {
+    /// A request was under way when these runners ended.
+    fn ended(&mut self, n: u64, lives: &[u64], begun: bool, now: Instant) -> Option<Entry> {
+        let reach = Reach { events: 0, begun };
+        for life in lives {
+            self.suspects.note(request(n), End { life: Tag(*life), reach }, now);
+        }
+        let suspect = self.suspects.get(&request(n)).expect("just noted");
+        self.quarantine.propose(request(n), suspect, now)
+    }
+
+    fn decided(&self, n: u64, now: Instant) -> Option<Stage> {
+        self.quarantine.decide(&request(n), now)
+    }
+
+    fn confirm(&mut self, n: u64, now: Instant) {
+        self.ended(n, &[n * 10, n * 10 + 1, n * 10 + 2], true, now).expect("proposed");
+        self.quarantine.set(&request(n), Stage::Confirmed, now).expect("it stood");
+    }
+}
+
+#[test]
+fn propose_three_ends_waits_then_confirmed() {
+    let (mut node, now) = (Node::default(), Instant::now());
+    assert_eq!(node.ended(1, &[1, 2], true, now), None);
+    assert_eq!(node.quarantine.standing(&request(1), now), Standing::Free);
+    assert!(node.ended(1, &[3], true, now).is_some());
+    assert_eq!(node.quarantine.standing(&request(1), now), Standing::Undecided);
+    assert!(node.quarantine.due(now + DELIBERATION - MS).is_empty());
+    let then = now + DELIBERATION;
+    assert_eq!(node.quarantine.due(then), [request(1)]);
+    assert_eq!(node.decided(1, then), Some(Stage::Confirmed));
+    node.quarantine.set(&request(1), Stage::Confirmed, then);
+    assert_eq!(node.quarantine.standing(&request(1), then), Standing::Refused);
+    assert_eq!(node.quarantine.standing(&request(2), then), Standing::Free);
+}
+
+/// Three runners ended, and two requests were there each time, one of them waiting: it has only been
+/// there by bad luck.
+#[test]
+fn decide_waited_beside_one_that_ran_withdrawn() {
+    let (mut node, now) = (Node::default(), Instant::now());
+    node.ended(1, &[1, 2, 3], true, now);
+    node.ended(2, &[1, 2, 3], false, now);
+    assert_eq!(node.decided(1, now), Some(Stage::Confirmed));
+    assert_eq!(node.decided(2, now), Some(Stage::Withdrawn));
+}
+
+/// A caller's request goes on elsewhere twice, and meets the request that ends runners both times; a
+/// fourth runner ended for another reason.
+#[test]
+fn decide_beside_one_that_accounts_for_most_withdrawn() {
+    let (mut node, now) = (Node::default(), Instant::now());
+    node.ended(1, &[1, 2, 3, 4], true, now);
+    node.ended(2, &[3, 4, 9], true, now);
+    assert_eq!(node.decided(1, now), Some(Stage::Confirmed));
+    assert_eq!(node.decided(2, now), Some(Stage::Withdrawn));
+}
+
+/// Where two requests were at the same three ends nothing tells them apart. Neither is refused, and
+/// the next end decides: the other was not there.
+#[test]
+fn decide_even_next_end_tells() {
+    let (mut node, now) = (Node::default(), Instant::now());
+    for n in [1, 2] {
+        node.ended(n, &[1, 2, 3], true, now);
+    }
+    for n in [1, 2] {
+        assert_eq!(node.decided(n, now), Some(Stage::Withdrawn));
+    }
+    for n in [1, 2] {
+        node.quarantine.set(&request(n), Stage::Withdrawn, now);
+        assert_eq!(node.quarantine.standing(&request(n), now), Standing::Free);
+    }
+    let again = node.ended(1, &[4], true, now + SECOND).expect("proposed again");
+    assert_eq!(again.serial, 2);
+    assert_eq!(node.decided(1, now + SECOND), Some(Stage::Confirmed));
+}
+
+/// Two requests that end runners, sent always together, are not let go for ever.
+#[test]
+fn decide_even_beyond_chance_confirmed() {
+    let (mut node, now) = (Node::default(), Instant::now());
+    for n in [1, 2] {
+        node.ended(n, &[1, 2, 3, 4, 5], true, now);
+    }
+    assert_eq!(node.decided(1, now), Some(Stage::Confirmed));
+    assert_eq!(node.decided(2, now), Some(Stage::Confirmed));
+}
+
+/// Runners that all end every few seconds, by a fault of their own, end under each request that they
+/// get: many are proposed at once, and none is refused.
+#[test]
+fn decide_many_at_once_withdrawn() {
+    let (mut node, now) = (Node::default(), Instant::now());
+    for n in 1..=12 {
+        node.ended(n, &[n * 10, n * 10 + 1, n * 10 + 2], true, now);
+    }
+    for n in 1..=12 {
+        assert_eq!(node.decided(n, now), Some(Stage::Withdrawn));
+    }
+}
+
+/// A few requests that end runners at the same time are all found.
+#[test]
+fn decide_few_at_once_confirmed() {
+    let (mut node, now) = (Node::default(), Instant::now());
+    for n in 1..=3 {
+        node.ended(n, &[n * 10, n * 10 + 1, n * 10 + 2], true, now);
+    }
+    for n in 1..=3 {
+        assert_eq!(node.decided(n, now), Some(Stage::Confirmed));
+    }
+}
+
+/// Those who counted are gone, or slept and know nothing newer: the request is run again, and can be
+/// proposed anew.
+#[test]
+fn standing_nobody_decides_free_again() {
+    let (mut node, now) = (Node::default(), Instant::now());
+    node.ended(1, &[1, 2, 3], true, now);
+    let late = now + 2 * SECOND;
+    assert_eq!(node.quarantine.standing(&request(1), late), Standing::Free);
+    assert_eq!(node.decided(1, late), None);
+    assert!(node.quarantine.due(late).is_empty());
+    assert!(node.ended(1, &[4], true, late).is_some());
+}
+
+/// Many callers send the same request all day, so it is there whenever a runner ends; and any node
+/// has answered it since.
+#[test]
+fn objects_answered_since_first_end() {
+    let (mut node, now) = (Node::default(), Instant::now());
+    let mut other = Quarantine::default();
+    other.note_answered(request(1), now + SECOND);
+    other.note_answered(request(2), now - SECOND);
+    for n in [1, 2] {
+        let entry = node.ended(n, &[n * 10, n * 10 + 1, n * 10 + 2], true, now).expect("proposed");
+        assert_eq!(other.objects(&entry), n == 1, "an answer before the first end says nothing");
+    }
+    assert!(node.quarantine.note_answered(request(1), now + SECOND), "it speaks for it");
+}
+
+/// A refused request is tried again, ever more seldom, and three times at the most.
+#[test]
+fn begin_trial_three_times() {
+    let (mut node, now) = (Node::default(), Instant::now());
+    node.confirm(1, now);
+    let mut tried = Vec::new();
+    for s in 0..20_000 {
+        if node.quarantine.begin_trial(&request(1), now + s * SECOND) {
+            tried.push(s);
+        }
+    }
+    assert_eq!(tried, [30, 630, 2_430]);
+    assert!(!node.quarantine.begin_trial(&request(2), now + 50 * SECOND));
+}
+
+#[test]
+fn take_older_changes_nothing() {
+    let (mut node, now) = (Node::default(), Instant::now());
+    let proposed = node.ended(1, &[1, 2, 3], true, now).expect("proposed");
+    let confirmed = node.quarantine.set(&request(1), Stage::Confirmed, now).expect("new");
+    let mut other = Quarantine::default();
+    assert!(other.take(confirmed.clone(), now));
+    assert!(!other.take(proposed, now), "a late word of the proposal");
+    assert!(!other.take(confirmed, now));
+    let cleared = other.set(&request(1), Stage::Cleared, now).expect("new");
+    assert!(node.quarantine.take(cleared, now));
+    assert_eq!(node.quarantine.standing(&request(1), now), Standing::Free);
+}
+
+/// After it was cleared a request is proposed by new ends alone, and by a new serial.
+#[test]
+fn propose_after_cleared_counts() {
+    let (mut node, now) = (Node::default(), Instant::now());
+    node.confirm(1, now);
+    node.quarantine.set(&request(1), Stage::Cleared, now);
+    node.suspects.clear(&request(1));
+    assert_eq!(node.ended(1, &[21, 22], true, now), None);
+    assert_eq!(node.ended(1, &[23], true, now).map(|entry| entry.serial), Some(2));
+}
+
+#[test]
+fn take_thousands_keeps_what_is_refused() {
+    let (mut node, now) = (Node::default(), Instant::now());
+    node.confirm(1, now);
+    for n in 2..5_000 {
+        let at = now + n as u32 * MS;
+        let entry = Entry {
+            request: request(n),
+            serial: 1,
+            stage: Stage::Withdrawn,
+            ends: [Tag(1)].into_iter().collect(),
+            begun: 1,
+            first: at,
+            since: at,
+        };
+        node.quarantine.take(entry, at);
+    }
+    assert!(node.quarantine.entries().count() <= 1_024);
+    assert_eq!(node.quarantine.standing(&request(1), now), Standing::Refused);
+}
+
+#[test]
+fn expire_a_day_later_forgotten() {
+    let (mut node, now) = (Node::default(), Instant::now());
+    node.confirm(1, now);
+    assert!(node.quarantine.expire(now + 86_399 * SECOND).is_empty());
+    assert_eq!(node.quarantine.expire(now + 86_400 * SECOND), [request(1)]);
+}
+
+/// Nodes that each tell eight others what is new to them, and beat to them every 200 ms; one way takes
+/// ten milliseconds, and one message in ten is lost.
+struct Fleet {
+    began: Instant,
+    nodes: Vec<Quarantine>,
+    watchers: Vec<Vec<usize>>,
+    /// Messages with entries, and lists compared.
+    told: u32,
+    compared: u32,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        let began = Instant::now();
+        let mut first = Node::default();
+        first.confirm(1, began);
+        let mut nodes: Vec<Quarantine> = vec![Quarantine::default(); count];
+        nodes[0] = first.quarantine;
+        let weight = |of: usize, to: usize| place(of as u64, &to.to_le_bytes());
+        let watchers = |of: usize| {
+            let mut others: Vec<usize> = (0..count).filter(|to| *to != of).collect();
+            others.sort_by_key(|to| std::cmp::Reverse(weight(of, *to)));
+            others.truncate(8);
+            others
+        };
+        let watchers = (0..count).map(watchers).collect();
+        Self { began, nodes, watchers, told: 0, compared: 0 }
+    }
+
+    /// How many nodes refuse the request.
+    fn refusing(&self) -> usize {
+        let refuses =
+            |node: &&Quarantine| node.standing(&request(1), self.began) == Standing::Refused;
+        self.nodes.iter().filter(refuses).count()
+    }
+
+    /// What happens in the ten milliseconds after `at`.
+    fn step(&mut self, at: Duration) {
+        let now = self.began + at;
+        let news: Vec<Vec<Entry>> = self.nodes.iter_mut().map(Quarantine::take_news).collect();
+        let beats = at.as_millis().is_multiple_of(200);
+        for (from, entries) in news.iter().enumerate() {
+            for to in self.watchers[from].clone() {
+                let draw = [from.to_le_bytes(), to.to_le_bytes()].concat();
+                if place(at.as_millis() as u64, &draw).is_multiple_of(10) {
+                    continue;
+                }
+                self.told += u32::from(!entries.is_empty());
+                for entry in entries {
+                    self.nodes[to].take(entry.clone(), now);
+                }
+                let digest = self.nodes[from].digest(now);
+                if beats && self.nodes[to].note_digest(&name(from), digest, now) {
+                    self.compare(from, to, now);
+                }
+            }
+        }
+    }
+
+    fn compare(&mut self, one: usize, other: usize, now: Instant) {
+        self.compared += 1;
+        for (from, to) in [(one, other), (other, one)] {
+            let all: Vec<Entry> = self.nodes[from].entries().cloned().collect();
+            for entry in all {
+                self.nodes[to].take(entry, now);
+            }
+        }
+    }
+}
+
+/// One mechanism from a few nodes on: what a node sends does not grow with the fleet.
+#[test]
+fn take_news_at_all_sizes_reaches_all() {
+    for count in [2, 6, 70, 295, 550] {
+        let mut fleet = Fleet::new(count);
+        let mut at = Duration::ZERO;
+        while at < 200 * MS {
+            fleet.step(at);
+            at += 10 * MS;
+        }
+        let refusing = fleet.refusing();
+        assert!(refusing * 100 >= count * 99, "{refusing} of {count} after 200 ms");
+        let told = f64::from(fleet.told) / count as f64;
+        assert!(told <= 8.0, "{told} messages a node at {count} nodes");
+        while at < 3 * SECOND {
+            fleet.step(at);
+            at += 10 * MS;
+        }
+        assert_eq!(fleet.refusing(), count, "the digests show who missed it");
+        assert!(fleet.compared <= 24, "{} lists compared at {count} nodes", fleet.compared);
+    }
+}
+
+/// A node that slept, was cut off, or has just started sees by the digest that it has missed something.
+#[test]
+fn note_digest_missed_found() {
+    let (mut node, now) = (Node::default(), Instant::now());
+    let (mut other, name) = (Quarantine::default(), name(0));
+    assert_eq!(other.digest(now), 0);
+    assert!(!other.note_digest(&name, node.quarantine.digest(now), now));
+    node.confirm(1, now);
+    let digest = node.quarantine.digest(now);
+    assert!(!other.note_digest(&name, digest, now), "it may be on its way");
+    assert!(other.note_digest(&name, digest, now + SECOND));
+    for entry in node.quarantine.entries() {
+        other.take(entry.clone(), now + SECOND);
+    }
+    assert!(!other.note_digest(&name, digest, now + 3 * SECOND));
+}
--- /dev/null
+++ b/lib/tests/suspect.rs
@@ -0,0 +1,131 @@
+//! Counting the ends of runners under a request, and telling guilt from bad luck.
+
+use std::time::{Duration, Instant};
+
+use sardinepick_lib::fleet::fingerprint::Fingerprint;
+use sardinepick_lib::fleet::runner::Tag;
+use sardinepick_lib::fleet::suspect::{End, MOST_ENDS, Reach, Suspects, counting};
+use sardinepick_lib::id::NodeId;
+
+fn request(n: u64) -> Fingerprint {
+    Fingerprint::of(&[&n.to_le_bytes()])
+}
+
+fn end(life: u64, events: u64) -> End {
+    End { life: Tag(life), reach: Reach { events, begun: true } }
+}
+
+fn noted(ends: &[(u64, u64)]) -> usize {
+    let (mut suspects, now) = (Suspects::default(), Instant::now());
+    ends.iter()
+        .map(|(life, events)| suspects.note(request(1), end(*life, *events), now))
+        .last()
+        .expect("there are ends")
+}
+
+#[test]
+fn note_without_an_event_each_counts() {
+    assert_eq!(noted(&[(1, 0), (2, 0), (3, 0)]), 3);
+}
+
+/// Crashes at a moment and not at a token: the events that were passed on differ a little.
+#[test]
+fn note_about_as_far_each_counts() {
+    assert_eq!(noted(&[(1, 1), (2, 0), (3, 2), (4, 1)]), 4);
+}
+
+/// Two runs at once at one runner, or a late second word of one end.
+#[test]
+fn note_one_life_twice_counts_once() {
+    assert_eq!(noted(&[(1, 0), (1, 0), (2, 0), (1, 0)]), 2);
+}
+
+/// A stream that went on elsewhere and came past the point at which it had broken off was there by
+/// bad luck.
+#[test]
+fn note_further_than_before_clears() {
+    assert_eq!(noted(&[(1, 0), (2, 0), (3, 12)]), 1);
+    assert_eq!(noted(&[(1, 10), (2, 20), (3, 30), (4, 40)]), 1);
+}
+
+#[test]
+fn note_less_far_than_before_says_nothing() {
+    assert_eq!(noted(&[(1, 12), (2, 0), (3, 0), (4, 0)]), 1);
+}
+
+#[test]
+fn note_many_ends_bounded() {
+    let ends: Vec<(u64, u64)> = (0..100).map(|life| (life, 0)).collect();
+    assert_eq!(noted(&ends), MOST_ENDS);
+}
+
+/// Whoever sends different requests by the thousand, at each end of a runner, pushes out nothing that
+/// has been seen twice.
+#[test]
+fn note_thousands_keeps_what_matters() {
+    let (mut suspects, now) = (Suspects::default(), Instant::now());
+    suspects.note(request(0), end(1, 0), now);
+    suspects.note(request(0), end(2, 0), now);
+    for n in 1..20_000 {
+        suspects.note(request(n), end(3, 0), now + Duration::from_millis(n));
+    }
+    assert!(suspects.len() <= 4_096);
+    assert_eq!(suspects.note(request(0), end(4, 0), now + Duration::from_secs(20)), 3);
+}
+
+#[test]
+fn excuse_ends_of_another_taken_off() {
+    let (mut suspects, now) = (Suspects::default(), Instant::now());
+    for life in 1..=3 {
+        suspects.note(request(1), end(life, 0), now);
+        suspects.note(request(2), end(life, 0), now);
+    }
+    suspects.note(request(2), end(9, 0), now);
+    suspects.excuse(&[Tag(1), Tag(2), Tag(3)], &request(1));
+    assert_eq!(suspects.get(&request(1)).map(|s| s.ends().len()), Some(3));
+    assert_eq!(suspects.get(&request(2)).map(|s| s.ends().len()), Some(1));
+}
+
+#[test]
+fn expire_long_ago_forgotten() {
+    let (mut suspects, now) = (Suspects::default(), Instant::now());
+    suspects.note(request(1), end(1, 0), now);
+    suspects.expire(now + Duration::from_secs(599));
+    assert_eq!(suspects.len(), 1);
+    suspects.expire(now + Duration::from_secs(601));
+    assert!(suspects.is_empty());
+}
+
+fn nodes(count: usize) -> Vec<NodeId> {
+    (0..count).map(|n| format!("edge-{n}").parse().expect("an id")).collect()
+}
+
+/// All nodes tell the same two, whatever order they know the others in; when the first is lost the
+/// second goes on counting.
+#[test]
+fn counting_first_lost_second_goes_on() {
+    for count in [1, 2, 6, 550] {
+        let all = nodes(count);
+        let both = counting(&request(7), all.iter());
+        assert_eq!(both, counting(&request(7), all.iter().rev()));
+        assert_eq!(both.len(), count.min(2));
+        if let [first, second] = both[..] {
+            let left = all.iter().filter(|id| *id != first);
+            assert_eq!(counting(&request(7), left)[0], second);
+        }
+    }
+}
+
+/// No node counts for much more than its share.
+#[test]
+fn counting_many_requests_spread() {
+    let all = nodes(550);
+    let mut counts = std::collections::HashMap::new();
+    for n in 0..11_000 {
+        for id in counting(&request(n), all.iter()) {
+            *counts.entry(id.clone()).or_insert(0) += 1;
+        }
+    }
+    let most = counts.values().max().expect("some count");
+    assert!(*most < 100, "{most} where 40 are the mean");
+}
--- a/node/src/serve/answer.rs
+++ b/node/src/serve/answer.rs
@@ -38,6 +38,8 @@
     Late,
     /// It did not run and its time is over.
     Expired,
+    /// Each runner that ran it ended; it is run no more.
+    Quarantined,
     /// No route leads there.
     NoRoute,
     /// It is larger than the limits allow.
@@ -56,7 +58,8 @@
             Refusal::Expired => StatusCode::REQUEST_TIMEOUT,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Refusal::Malformed => StatusCode::BAD_REQUEST,
+            // One that callers do not repeat: to come back cannot help.
+            Refusal::Malformed | Refusal::Quarantined => StatusCode::BAD_REQUEST,
         }
     }
 
@@ -75,6 +78,7 @@
             Refusal::Broken => "the answer broke off; it may have run\n",
             Refusal::Late => "no answer in time; it may have run\n",
             Refusal::Expired => "not run; the time for it is over\n",
+            Refusal::Quarantined => "each runner that ran it ended; it is run no more\n",
             Refusal::NoRoute => "no route leads there\n",
             Refusal::TooLarge => "larger than the limits allow\n",
             Refusal::Malformed => "not a whole request with an id\n",
--- a/node/src/serve/beat.rs
+++ b/node/src/serve/beat.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use rand::seq::IteratorRandom as _;
+use sardinepick_lib::fleet::quarantine::MOST_TOLD;
 use sardinepick_lib::fleet::roster::{PERIOD, Record, Standing, Status};
 use sardinepick_lib::id::Mark;
 use sardinepick_wire::beat::{Beat, MOST_BYTES};
@@ -14,7 +15,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::serve::shared::Shared;
-use crate::serve::{meet, peer, scheduler};
+use crate::serve::{meet, peer, quarantine, scheduler};
 
 /// Every how many beats a node is greeted that is not known to be there: it may be back.
 const GREETING: u64 = 5;
@@ -25,6 +26,9 @@
 const NEWS_WATCHERS: usize = 4;
 /// The most bytes of changed entries that go with a beat; of more a node is told that there are some.
 const MOST_NEWS: usize = 900;
+/// How many messages tell a node that asks for a beat what requests are not run; the rest it learns
+/// by comparing lists.
+const MOST_MESSAGES: usize = 4;
 /// How long a silent node keeps its part of the shared allowances.
 const FORGET: Duration = Duration::from_secs(600);
 
@@ -68,6 +72,11 @@
             let told = Beat { news, records: Vec::new(), ..beat.clone() };
             beat_all(&shared, &socket, &told, &some).await;
         }
+        let quarantined = quarantine::news(&shared);
+        if !quarantined.is_empty() {
+            let told = Beat { quarantined, records: Vec::new(), ..beat.clone() };
+            beat_all(&shared, &socket, &told, &watchers).await;
+        }
         if due || !told || !beat.records.is_empty() {
             beat_all(&shared, &socket, &beat, &watchers).await;
         }
@@ -87,7 +96,7 @@
         log::info!(node:% = id; "node forgotten");
     }
     shared.metrics.nodes.set(roster.fronts().len() as i64);
-    if roster.has_news() {
+    if roster.has_news() || quarantine::has_news(shared) {
         shared.beat_now.notify_one();
     }
 }
@@ -118,6 +127,8 @@
         digest: roster.digest(),
         records: Vec::new(),
         news: None,
+        quarantine: quarantine::digest(shared),
+        quarantined: Vec::new(),
     }
 }
 
@@ -197,6 +208,9 @@
     if let Some(news) = &told.news {
         peer::take_news(shared, news);
     }
+    quarantine::take(shared, &told.quarantined, told.sender.contact.id.as_str());
+    let differs =
+        quarantine::note_digest(shared, &told.sender.contact.id, told.quarantine) || differs;
     let mine = shared.status();
     if told.status.register > mine.register || told.status.version > mine.version {
         shared.note_behind();
@@ -212,7 +226,13 @@
         let mut records = shared.roster().some(&mut *shared.rng());
         records.extend(mistaken);
         let answer = Beat { records, ..beat(shared, mine) };
-        transmit(shared, socket, &answer.encode(), told.sender.contact.peer).await;
+        let peer = told.sender.contact.peer;
+        transmit(shared, socket, &answer.encode(), peer).await;
+        // It must not send to runners what ends them until it has compared lists.
+        for quarantined in quarantine::all(shared).chunks(MOST_TOLD).take(MOST_MESSAGES) {
+            let more = Beat { quarantined: quarantined.to_vec(), ..beat(shared, mine) };
+            transmit(shared, socket, &more.encode(), peer).await;
+        }
     }
 }
 
--- a/node/src/serve/ended.rs
+++ b/node/src/serve/ended.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use sardinepick_lib::fleet::runner::{State, Tag};
+use sardinepick_lib::fleet::suspect::Reach;
 use tokio::sync::OnceCell;
 use tokio::time::sleep;
 
@@ -26,15 +27,6 @@
 /// The most lives of runners whose end is remembered.
 const MOST: usize = 256;
 
-/// How far a call had come when it broke off.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Reach {
-    /// How many events of its answer had come.
-    pub events: u64,
-    /// Whether the head of its answer had.
-    pub begun: bool,
-}
-
 /// The lives of runners that are known to have ended.
 #[derive(Debug, Default)]
 pub struct Ends(Mutex<HashMap<Tag, Arc<OnceCell<bool>>>>);
--- a/node/src/serve/generation/mod.rs
+++ b/node/src/serve/generation/mod.rs
@@ -28,6 +28,7 @@
 
 use self::read::SpareHandle;
 use crate::serve::answer::{Body, Cut, Refusal, pass_on, whole};
+use crate::serve::quarantine::{self, Admission};
 use crate::serve::request::{End, Request, UnderWay};
 use crate::serve::scheduler as scheduling;
 use crate::serve::shared::Shared;
@@ -57,6 +58,8 @@
         has_read: false,
         runs: 0,
         doubt: false,
+        ends_runners: false,
+        is_trial: false,
         events: 0,
         last_at: None,
         failed: None,
@@ -124,6 +127,10 @@
     runs: u32,
     /// A run may have begun and did not end whole.
     doubt: bool,
+    /// As many runners have ended under it as a request may end.
+    ends_runners: bool,
+    /// It runs to see whether runners still end under it.
+    is_trial: bool,
     events: u64,
     last_at: Option<Instant>,
     /// A runner's own answer of failure, kept while others are tried.
@@ -159,6 +166,7 @@
         let mut line = End { tries: self.calls, events: self.events, ..End::default() };
         match end {
             Ok(outcome) => {
+                quarantine::note_answered(&self.shared, &self.request.fingerprint);
                 line.outcome = if outcome == Outcome::Answered { "answered" } else { "failed" };
                 line.status = StatusCode::OK.as_u16();
             }
@@ -281,7 +289,26 @@
         }
     }
 
+    /// Makes sure that it may go to a runner.
+    async fn pass_quarantine(&mut self) -> Result<(), Stop> {
+        let admission = tokio::select! {
+            () = self.caller.left() => return Err(Stop::CallerLeft),
+            admission = quarantine::admit(&self.shared, &self.request) => admission,
+        };
+        match admission {
+            Admission::Refused => Err(Stop::Refuse(Refusal::Quarantined)),
+            Admission::Trial if self.calls > 0 => Err(Stop::Refuse(Refusal::Quarantined)),
+            Admission::Free if self.ends_runners => Err(Stop::Refuse(Refusal::Broken)),
+            Admission::Free => Ok(()),
+            Admission::Trial => {
+                self.is_trial = true;
+                Ok(())
+            }
+        }
+    }
+
     async fn attempt(&mut self) -> Result<Came, Stop> {
+        self.pass_quarantine().await?;
         let (placement, class) = self.admit().await?;
         self.plan = (&placement.plan).into();
         self.shared.metrics.plans.with_label_values(&[self.plan]).inc();
@@ -333,6 +360,9 @@
     /// Pays for one more arrival at a runner. A request's first is free, and so is the first reading
     /// of its prompt that a runner takes up; a second reading counts like a second run.
     fn pay(&mut self) -> Result<(), Stop> {
+        if !self.is_trial && quarantine::is_refused(&self.shared, &self.request) {
+            return Err(Stop::Refuse(Refusal::Quarantined));
+        }
         if self.arrivals == 0 || self.shared.take_extra(&self.request.service) {
             return Ok(());
         }
--- a/node/src/serve/generation/stream.rs
+++ b/node/src/serve/generation/stream.rs
@@ -16,6 +16,7 @@
 use sardinepick_lib::fleet::place::Placement;
 use sardinepick_lib::fleet::register::Share;
 use sardinepick_lib::fleet::scheduler::Lesson;
+use sardinepick_lib::fleet::suspect::Reach;
 use sardinepick_lib::id::{RunnerId, ServiceId};
 use sardinepick_platform::answer::{Verdict, is_stream, judge};
 use sardinepick_platform::runner::Step as Ask;
@@ -26,8 +27,8 @@
 use super::{Caller, Came, LARGEST, Stop, Way, millis, send_head};
 use crate::serve::answer::{pass_on, whole};
 use crate::serve::connection::{Answer, Lease};
-use crate::serve::ended::{self, Reach};
 use crate::serve::plain::{CONNECT_LIMIT, promises_not_run};
+use crate::serve::quarantine;
 use crate::serve::shared::Shared;
 use crate::serve::ticket::{Step, Ticket};
 
@@ -220,9 +221,10 @@
     }
 
     /// Notes whether the runner of a call that broke off has ended under it.
-    pub(super) async fn note_broken(&self, ticket: &Ticket, begun: bool) {
+    pub(super) async fn note_broken(&mut self, ticket: &Ticket, begun: bool) {
         let reach = Reach { events: self.events, begun };
-        ended::find(&self.shared, ticket, &self.request, reach).await;
+        let spent = quarantine::note_broken(&self.shared, ticket, &self.request, reach).await;
+        self.ends_runners |= spent;
     }
 
     fn log_cut(&self, ticket: &Ticket, detail: &str) {
--- a/node/src/serve/listener.rs
+++ b/node/src/serve/listener.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{Request, Response, StatusCode, header};
+use http::{Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -16,8 +16,8 @@
 
 use crate::serve::answer::{Body, Refusal, empty, json, whole};
 use crate::serve::connection::prepare;
-use crate::serve::request;
 use crate::serve::shared::Shared;
+use crate::serve::{quarantine, request};
 
 /// How long callers may keep an answer where to connect. Some keep it three times as long. A stopping
 /// node must have lost them all early enough to finish what they sent last.
@@ -30,6 +30,9 @@
 /// The least buffer for the head of a request; hyper takes no smaller one.
 const LEAST_HEAD: usize = 8 << 10;
 
+/// Where requests that are not run are released, each by its fingerprint.
+const QUARANTINE: &str = "/quarantine/";
+
 /// What a listener is for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Port {
@@ -120,6 +123,7 @@
             Response::new(whole(shared.metrics.text()))
         }
         Port::Metrics if request.uri().path() == "/state" => json(state(shared)),
+        Port::Metrics if request.uri().path().starts_with(QUARANTINE) => release(shared, &request),
         Port::Ready | Port::Lookup | Port::Metrics => empty(StatusCode::NOT_FOUND),
     };
     if *shared.standing.borrow() == Standing::Leaving {
@@ -130,6 +134,23 @@
     response
 }
 
+/// Has a request that is not run be run again: `DELETE` of its fingerprint.
+fn release(shared: &Shared, request: &Request<Incoming>) -> Response<Body> {
+    if request.method() != Method::DELETE {
+        return empty(StatusCode::METHOD_NOT_ALLOWED);
+    }
+    let text = request.uri().path().trim_start_matches(QUARANTINE);
+    match text.parse() {
+        Ok(fingerprint) if quarantine::release(shared, &fingerprint) => empty(StatusCode::OK),
+        Ok(_) => empty(StatusCode::NOT_FOUND),
+        Err(error) => {
+            let mut response = Response::new(whole(format!("{text:?}: {error}\n")));
+            *response.status_mut() = StatusCode::BAD_REQUEST;
+            response
+        }
+    }
+}
+
 fn lookup(shared: &Shared, request: &Request<Incoming>) -> Response<Body> {
     let lookup = match read_lookup(request.uri()) {
         Ok(lookup) => lookup,
@@ -181,7 +202,7 @@
     serde_json::json!({
         "node": shared.me.id, "standing": format!("{:?}", status.standing),
         "configuration": status.version, "register": status.register,
-        "nodes_heard": nodes, "runners": runners,
+        "nodes_heard": nodes, "runners": runners, "quarantine": quarantine::state(shared),
     })
     .to_string()
 }
--- a/node/src/serve/meet.rs
+++ b/node/src/serve/meet.rs
@@ -20,6 +20,7 @@
 
 use crate::serve::ask::{self, AskError, SILENCE};
 use crate::serve::beat::{self, take_records};
+use crate::serve::quarantine;
 use crate::serve::shared::Shared;
 use crate::serve::store::{Purpose, StoreError};
 
@@ -59,7 +60,7 @@
 
 async fn try_compare(shared: &Shared, peer: SocketAddr) -> Result<usize, MeetError> {
     let mut client = ask::connect(peer).await?;
-    let mine = nodes(&shared.roster().records());
+    let mine = nodes(&shared.roster().records(), quarantine::all(shared));
     let answer = timeout(SILENCE, client.meet(mine)).await;
     let answer = answer.map_err(|_| AskError::Silent { peer })?;
     let answer = answer.map_err(|s| AskError::Refused { peer, status: Box::new(s) })?;
@@ -67,7 +68,9 @@
         peer,
         detail: error.to_string(),
     };
-    let records = read_nodes(&answer.into_inner()).map_err(useless)?;
+    let answer = answer.into_inner();
+    let records = read_nodes(&answer).map_err(useless)?;
+    quarantine::take(shared, &answer.quarantined, &peer.to_string());
     let now = shared.clock.now();
     let mut roster = shared.roster();
     take_records(&mut roster, &records, now);
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -26,6 +26,8 @@
     pub extras: IntCounterVec,
     /// Calls under which a runner ended.
     pub ends: IntCounter,
+    /// Requests that are not run, by what becomes of them.
+    pub quarantine: IntCounterVec,
     /// Connections made.
     pub connections: IntCounter,
     /// Calls to the store by purpose and how they ended.
@@ -129,6 +131,11 @@
                 &["service", "granted"],
             ),
             ends: m.counter("sardinepick_runner_ends_total", "Calls under which a runner ended"),
+            quarantine: m.counters(
+                "sardinepick_quarantine_total",
+                "Requests that are not run, by what becomes of them",
+                &["event"],
+            ),
             connections: m
                 .counter("sardinepick_connections_total", "Connections made to runners and store"),
             store_calls: m.counters(
--- a/node/src/serve/mod.rs
+++ b/node/src/serve/mod.rs
@@ -21,6 +21,7 @@
 pub mod pack;
 pub mod peer;
 pub mod plain;
+pub mod quarantine;
 pub mod request;
 pub mod run;
 pub mod scheduler;
--- a/node/src/serve/peer.rs
+++ b/node/src/serve/peer.rs
@@ -26,6 +26,7 @@
 use crate::serve::copy;
 use crate::serve::follow::take_difference;
 use crate::serve::knowledge::Difference;
+use crate::serve::quarantine;
 use crate::serve::shared::Shared;
 use crate::serve::turn::{Answer, NotTaken, Parts, put};
 
@@ -77,15 +78,19 @@
     }
 
     async fn meet(&self, request: Request<pb::Nodes>) -> Result<Response<pb::Nodes>, Status> {
-        let records = read_nodes(&request.into_inner())
-            .map_err(|error| Status::invalid_argument(error.to_string()))?;
+        let told = request.into_inner();
+        let records =
+            read_nodes(&told).map_err(|error| Status::invalid_argument(error.to_string()))?;
         let now = self.shared.clock.now();
         let mut roster = self.shared.roster();
         take_records(&mut roster, &records, now);
         if roster.has_news() {
             self.shared.beat_now.notify_one();
         }
-        Ok(Response::new(nodes(&roster.records())))
+        let records = roster.records();
+        drop(roster);
+        quarantine::take(&self.shared, &told.quarantined, "that compares");
+        Ok(Response::new(nodes(&records, quarantine::all(&self.shared))))
     }
 
     type CopyStream = ReceiverStream<Result<pb::CopyPart, Status>>;
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -11,6 +11,7 @@
 use sardinepick_lib::fleet::load::Class;
 use sardinepick_lib::fleet::place::{self, Question};
 use sardinepick_lib::fleet::register::Share;
+use sardinepick_lib::fleet::suspect::Reach;
 use sardinepick_lib::id::RunnerId;
 use sardinepick_platform::answer::{Verdict, judge};
 use sardinepick_platform::runner::{Call, Step as Ask, request as call_request};
@@ -19,7 +20,7 @@
 
 use crate::serve::answer::{Body, Refusal, pass_on, whole};
 use crate::serve::connection::Answer;
-use crate::serve::ended::{self, Reach};
+use crate::serve::quarantine::{self, Admission};
 use crate::serve::request::{End, Request, UnderWay};
 use crate::serve::shared::Shared;
 use crate::serve::ticket::{Step, Ticket};
@@ -46,6 +47,8 @@
     },
     /// It may have run.
     Doubt,
+    /// It may have run; the runner's answer broke off.
+    Cut,
     /// No sign within the time it was given.
     Silent,
 }
@@ -56,12 +59,21 @@
     request: &Request,
     _under_way: UnderWay,
 ) -> Response<Body> {
-    let mut way = Way { shared, request, tried: SmallVec::new(), calls: 0, arrivals: 0, runs: 0 };
+    let mut way = Way {
+        shared,
+        request,
+        tried: SmallVec::new(),
+        calls: 0,
+        arrivals: 0,
+        runs: 0,
+        ends_runners: false,
+    };
     let end = way.run().await;
     let runner = way.tried.last().map(RunnerId::as_str).unwrap_or_default();
     let mut line = End { runner, tries: way.calls, ..End::default() };
     match end {
         Ok((head, body)) => {
+            quarantine::note_answered(shared, &request.fingerprint);
             line.status = head.status.as_u16();
             line.outcome = if head.status.is_success() { "answered" } else { "failed" };
             let took = shared.clock.now().saturating_duration_since(request.arrived);
@@ -90,12 +102,20 @@
     arrivals: u32,
     /// Calls that a runner has run, or may have.
     runs: u32,
+    /// As many runners have ended under it as a request may end.
+    ends_runners: bool,
 }
 
 impl Way<'_> {
     async fn run(&mut self) -> Result<(Parts, Bytes), Refusal> {
         let mut failed: Option<(Parts, Bytes)> = None;
         loop {
+            match quarantine::admit(self.shared, self.request).await {
+                Admission::Refused => return Err(Refusal::Quarantined),
+                Admission::Trial if self.calls > 0 => return Err(Refusal::Quarantined),
+                Admission::Free if self.ends_runners => return failed.ok_or(Refusal::Broken),
+                Admission::Free | Admission::Trial => {}
+            }
             let now = self.shared.clock.now();
             let left = self.request.left(now);
             if left.is_zero() {
@@ -124,9 +144,9 @@
                     failed = Some((head, body));
                 }
                 Came::NotRun { arrived } => self.arrivals += u32::from(arrived),
-                Came::Doubt if self.may_run_again() => {}
+                Came::Doubt | Came::Cut if self.may_run_again() => {}
                 Came::Silent if self.may_run_again() => {}
-                Came::Doubt => return failed.ok_or(Refusal::Broken),
+                Came::Doubt | Came::Cut => return failed.ok_or(Refusal::Broken),
                 Came::Silent => return failed.ok_or(Refusal::Late),
             }
             self.tried.push(choice.runner);
@@ -198,7 +218,7 @@
                     Came::Whole(head, _) if head.status.is_server_error() => Outcome::Failed,
                     Came::Whole(..) => Outcome::Answered,
                     Came::NotRun { .. } => Outcome::Failed,
-                    Came::Doubt | Came::Silent => Outcome::Broken,
+                    Came::Doubt | Came::Cut | Came::Silent => Outcome::Broken,
                 };
                 if let Came::Whole(..) = &came {
                     let held = ticket.held().as_secs_f64();
@@ -209,6 +229,9 @@
                     _ => self.arrivals += 1,
                 }
                 ticket.conclude(outcome);
+                if let Came::Cut = came {
+                    self.note_broken(&ticket, true).await;
+                }
                 came
             }
             Ok(Err(error)) => {
@@ -238,9 +261,10 @@
     }
 
     /// Notes whether the runner of a call that broke off has ended under it.
-    async fn note_broken(&self, ticket: &Ticket, begun: bool) {
+    async fn note_broken(&mut self, ticket: &Ticket, begun: bool) {
         let reach = Reach { events: 0, begun };
-        ended::find(self.shared, ticket, self.request, reach).await;
+        let spent = quarantine::note_broken(self.shared, ticket, self.request, reach).await;
+        self.ends_runners |= spent;
     }
 
     /// Judges an answer and reads it whole.
@@ -281,8 +305,7 @@
             }
             Err(error) => {
                 log::info!(request:% = request.id, runner:% = id, error:% = error; "answer cut");
-                self.note_broken(ticket, true).await;
-                Ok(Came::Doubt)
+                Ok(Came::Cut)
             }
         }
     }
--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -16,7 +16,7 @@
 use crate::serve::metrics::Metrics;
 use crate::serve::settings::Settings;
 use crate::serve::shared::Shared;
-use crate::serve::{beat, copy, follow, meet, order, peer, scheduler};
+use crate::serve::{beat, copy, follow, meet, order, peer, quarantine, scheduler};
 
 /// Why a node does not start.
 #[derive(Debug, Error)]
@@ -129,6 +129,7 @@
     tokio::spawn(follow::configuration(shared.clone()));
     tokio::spawn(follow::register(shared.clone()));
     tokio::spawn(scheduler::report(shared.clone()));
+    tokio::spawn(quarantine::run(shared.clone()));
     tokio::spawn(meet::join(shared.clone(), socket));
     tokio::spawn(follow::tidy(shared.clone()));
     tokio::spawn(order::run(shared.clone()));
--- a/node/src/serve/scheduler.rs
+++ b/node/src/serve/scheduler.rs
@@ -23,8 +23,8 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
-use crate::serve::inventory;
 use crate::serve::shared::Shared;
+use crate::serve::{inventory, quarantine};
 
 /// For how long the node found to schedule a pool is not looked for again. Looking weighs all nodes.
 const HOLDER_LIFE: Duration = Duration::from_millis(50);
@@ -266,7 +266,8 @@
     answer.ok()?.ok()
 }
 
-async fn transmit(shared: &Shared, peer: SocketAddr, schedule: &Schedule) {
+/// Sends a datagram of this kind.
+pub async fn transmit(shared: &Shared, peer: SocketAddr, schedule: &Schedule) {
     let Some(socket) = shared.scheduling.socket.get() else { return };
     let bytes = schedule.encode();
     shared.metrics.schedule_bytes.with_label_values(&["sent"]).inc_by(bytes.len() as u64);
@@ -291,6 +292,10 @@
             }
         }
         Ok(Schedule::Report(report)) => take_report(shared, &report),
+        Ok(Schedule::Ended { number, request, end }) => {
+            quarantine::take_ended(shared, from, number, request, end).await;
+        }
+        Ok(Schedule::Counted { number, ends }) => quarantine::take_counted(shared, number, ends),
         Err(error) => log::warn!(peer:% = from, error:% = error; "datagram is not taken"),
     }
 }
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -28,6 +28,7 @@
 use crate::serve::ended::Ends;
 use crate::serve::knowledge::Knowledge;
 use crate::serve::metrics::Metrics;
+use crate::serve::quarantine::Keeper;
 use crate::serve::scheduler::Scheduling;
 use crate::serve::settings::Settings;
 use crate::serve::store::Client;
@@ -72,6 +73,8 @@
     pub scheduling: Scheduling,
     /// The runners that have ended under calls.
     pub ends: Ends,
+    /// Requests under which runners end.
+    pub keeper: Keeper,
     /// Signals that a beat should go out now.
     pub beat_now: Notify,
     register: Mutex<Register>,
@@ -132,6 +135,7 @@
             tellings: Arc::default(),
             scheduling: Scheduling::default(),
             ends: Ends::default(),
+            keeper: Keeper::default(),
             beat_now: Notify::new(),
             register: Mutex::default(),
             knowledge: Mutex::default(),
--- a/node/tests/copy.rs
+++ b/node/tests/copy.rs
@@ -130,6 +130,8 @@
         digest: 0,
         records: Vec::new(),
         news: None,
+        quarantine: 0,
+        quarantined: Vec::new(),
     };
     let socket = UdpSocket::bind(address).await.expect("a free address");
     tokio::spawn(async move {
--- a/node/tests/crash.rs
+++ b/node/tests/crash.rs
@@ -13,10 +13,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::StatusCode;
+use http::{Method, StatusCode};
+use sardinepick_lib::fleet::runner::State;
+use sardinepick_lib::id::RunnerId;
+use sardinepick_node::serve::run::Running;
 use sardinepick_testutils::cluster::wait_until;
 use sardinepick_testutils::fleet::caller::{Ask, Told};
 use sardinepick_testutils::fleet::deployment::Deployment;
+use sardinepick_testutils::fleet::runner::Faults;
 
 const GENERATION: [(&str, &str); 3] =
     [("model", "m"), ("token-count", "1460,80"), ("prompt-prefix", "5c1e:800,91bd:410,e440:250")];
@@ -81,3 +85,215 @@
     let set = set.with_nodes(3).await;
     ends_at_most_three(&set, "/board/a").await;
 }
+
+/// The prompt is read by one runner for another: it is the reader that ends.
+#[tokio::test]
+async fn reading_ends_three_runners() {
+    let mut set = Deployment::new().await.with_engines(0, 2).await;
+    set.add_supervised(Some("prefill"), 6, &ending(), AWAY).await;
+    let set = set.with_nodes(2).await;
+    repeat(&set, "/count/a", 12).await;
+    assert!(set.ended_under(&ending()) <= ENDS, "a prompt may be read where it is to run, too");
+    others_served(&set, "/count/a").await;
+}
+
+/// A node that hears no other counts by itself.
+#[tokio::test]
+async fn node_alone_ends_three_runners() {
+    let mut set = Deployment::new().await;
+    set.add_supervised(None, 6, &ending(), AWAY).await;
+    let set = set.with_nodes(1).await;
+    ends_at_most_three(&set, "/board/a").await;
+}
+
+/// Callers that send it side by side, at all nodes: before the first runner has ended nobody can know.
+/// After that it is not sent on, and what comes later ends none.
+#[tokio::test]
+async fn repeats_side_by_side_end_no_more_than_were_under_way() {
+    let mut set = Deployment::new().await;
+    set.add_supervised(None, 12, &ending(), AWAY).await;
+    let set = set.with_nodes(3).await;
+    let side_by_side: Vec<_> = (0..6)
+        .map(|n| {
+            let (caller, front) = (set.caller.clone(), set.front(n % 3));
+            tokio::spawn(async move {
+                let id = format!("beside-{n}");
+                caller.send(front, &ask("/board/a", &id, &ending())).await
+            })
+        })
+        .collect();
+    for told in side_by_side {
+        told.await.expect("it ends");
+    }
+    let ended = set.ended_under(&ending());
+    assert!(ended <= 6 + ENDS - 1, "{ended} runners ended");
+    repeat(&set, "/board/a", 12).await;
+    assert_eq!(set.ended_under(&ending()), ended, "what is known holds at all nodes");
+    others_served(&set, "/board/a").await;
+}
+
+/// A node that starts later hears of it from the others, and refuses it at once.
+#[tokio::test]
+async fn node_started_later_knows() {
+    let mut set = Deployment::new().await;
+    set.add_supervised(None, 6, &ending(), AWAY).await;
+    let mut set = set.with_nodes(2).await;
+    ends_at_most_three(&set, "/board/a").await;
+    let seeds = vec![set.nodes[0].shared.me.peer];
+    set.add_node("edge-late", seeds).await;
+    set.wait_ready().await;
+    wait_until("it refuses", async || {
+        let told = set.send(2, &ask("/board/a", "late", &ending())).await;
+        told.status == Some(StatusCode::BAD_REQUEST)
+    })
+    .await;
+    assert_eq!(set.ended_under(&ending()), ENDS);
+}
+
+/// Once what was wrong with the runners is mended an operator has it run again, without a restart.
+#[tokio::test]
+async fn released_by_operator_runs_again() {
+    let mut set = Deployment::new().await;
+    set.add_supervised(None, 6, &ending(), AWAY).await;
+    let set = set.with_nodes(2).await;
+    ends_at_most_three(&set, "/board/a").await;
+    let node = &set.nodes[0].shared;
+    let state = set.caller.send(node.settings.metrics, &state()).await.text();
+    let state: serde_json::Value = serde_json::from_str(&state).expect("it is JSON");
+    let line = &state["quarantine"]["requests"][0];
+    assert_eq!((line["stage"].as_str(), line["ends"].as_u64()), (Some("confirmed"), Some(3)));
+    let fingerprint = line["fingerprint"].as_str().expect("it has one").to_owned();
+    for life in set.supervised.iter().flat_map(|runner| runner.lives()) {
+        life.end_under(Bytes::new());
+    }
+    let path = format!("/quarantine/{fingerprint}");
+    let release = Ask { method: Method::DELETE, ..Ask::new(&path, "operator") };
+    let told = set.caller.send(node.settings.metrics, &release).await;
+    assert_eq!(told.status, Some(StatusCode::OK));
+    for at in 0..2 {
+        wait_until("it runs at all nodes", async || {
+            let id = format!("released-{at}");
+            let told = set.send(at, &ask("/board/a", &id, &ending())).await;
+            told.status == Some(StatusCode::OK)
+        })
+        .await;
+    }
+    let again = set.caller.send(node.settings.metrics, &release).await;
+    assert_eq!(again.status, Some(StatusCode::NOT_FOUND), "there is nothing to release");
+    let wrong = Ask { path: "/quarantine/egg", ..release };
+    let told = set.caller.send(node.settings.metrics, &wrong).await;
+    assert_eq!(told.status, Some(StatusCode::BAD_REQUEST));
+}
+
+fn state<'a>() -> Ask<'a> {
+    Ask { method: Method::GET, ..Ask::new("/state", "state") }
+}
+
+/// How often nodes noted that of a request that is not run.
+fn count(set: &Deployment, event: &str) -> u64 {
+    let of = |node: &Running| node.shared.metrics.quarantine.with_label_values(&[event]).get();
+    set.nodes.iter().map(of).sum()
+}
+
+/// Streams that runners break off, with their processes still there, say nothing against a request.
+#[tokio::test]
+async fn streams_broken_off_by_living_runners_not_counted() {
+    let set = Deployment::new().await.with_engines(0, 5).await.with_nodes(2).await;
+    for runner in &set.runners {
+        runner.set_faults(Faults { cut_after: Some(0), ..Faults::default() });
+    }
+    repeat(&set, "/count/a", 6).await;
+    for runner in &set.runners {
+        runner.set_faults(Faults::default());
+    }
+    let told = set.send(0, &ask("/count/a", "last", &ending())).await;
+    assert_eq!((told.status, told.whole), (Some(StatusCode::OK), true));
+    assert_eq!(count(&set, "proposed"), 0);
+}
+
+/// Runners that have said that they leave end as they were to, also under a request.
+#[tokio::test]
+async fn runners_that_leave_not_counted() {
+    let set = Deployment::new().await.with_plain(4).await.with_nodes(1).await;
+    for runner in &set.runners {
+        runner.set_faults(Faults { hangs: true, ..Faults::default() });
+    }
+    let (caller, front) = (set.caller.clone(), set.front(0));
+    let asking =
+        tokio::spawn(async move { caller.send(front, &ask("/board/a", "r1", &ending())).await });
+    for _ in 0..3 {
+        end_whoever_runs(&set, true).await;
+    }
+    asking.await.expect("it ends");
+    for runner in &set.runners {
+        runner.set_faults(Faults::default());
+    }
+    let told = set.send(0, &ask("/board/a", "r2", &ending())).await;
+    assert_eq!(told.status, Some(StatusCode::OK));
+    assert_eq!(count(&set, "proposed"), 0);
+}
+
+/// Waits until a runner runs something, and ends it; as one that has said so before, if `leaves`.
+async fn end_whoever_runs(set: &Deployment, leaves: bool) {
+    let busy = || set.runners.iter().find(|runner| runner.running() > 0);
+    wait_until("a runner runs it", async || busy().is_some()).await;
+    let Some(runner) = busy() else { return };
+    if leaves {
+        runner.drain();
+        wait_until("the nodes know that it leaves", async || {
+            let id: RunnerId = runner.id.parse().expect("an id");
+            let leaves = |node: &Running| {
+                let register = node.shared.register();
+                register.get(&id).is_none_or(|r| r.entry.state == State::Draining)
+            };
+            set.nodes.iter().all(leaves)
+        })
+        .await;
+    }
+    runner.kill();
+    wait_until("it has ended", async || runner.running() == 0).await;
+}
+
+/// Many callers send the same request all day, so it is there whenever a runner ends. It is answered
+/// in between, at whichever node, and is not refused.
+#[tokio::test]
+async fn request_of_many_callers_not_refused() {
+    let set = Deployment::new().await.with_plain(6).await.with_nodes(2).await;
+    hang_all(&set, true);
+    let (caller, front) = (set.caller.clone(), set.front(0));
+    let asking =
+        tokio::spawn(async move { caller.send(front, &ask("/board/a", "m1", &ending())).await });
+    end_whoever_runs(&set, false).await;
+    // Another caller is answered at the other node, by whoever has nothing under way.
+    hang_all(&set, false);
+    wait_until("another caller is answered", async || {
+        let told = set.send(1, &ask("/board/a", "m2", &ending())).await;
+        told.status == Some(StatusCode::OK)
+    })
+    .await;
+    hang_all(&set, true);
+    let told = asking.await.expect("it ends");
+    for n in 0..2 {
+        let id = format!("m3-{n}");
+        let (caller, front) = (set.caller.clone(), set.front(0));
+        tokio::spawn(async move { caller.send(front, &ask("/board/a", &id, &ending())).await });
+        end_whoever_runs(&set, false).await;
+    }
+    wait_until("it is proposed and cleared", async || count(&set, "cleared") > 0).await;
+    assert_eq!(count(&set, "confirmed"), 0, "{told:?}");
+    hang_all(&set, false);
+    for n in 0..4 {
+        wait_until("it is answered", async || {
+            let id = format!("m4-{n}");
+            let told = set.send(n % 2, &ask("/board/a", &id, &ending())).await;
+            told.status == Some(StatusCode::OK)
+        })
+        .await;
+    }
+}
+
+fn hang_all(set: &Deployment, hangs: bool) {
+    for runner in &set.runners {
+        runner.set_faults(Faults { hangs, ..Faults::default() });
+    }
+}
--- a/node/tests/scheduler.rs
+++ b/node/tests/scheduler.rs
@@ -106,6 +106,8 @@
         digest: 0,
         records: Vec::new(),
         news: None,
+        quarantine: 0,
+        quarantined: Vec::new(),
     };
     let (asked, questions) = mpsc::unbounded_channel();
     tokio::spawn(async move {
--- a/testutils/src/fleet/deployment.rs
+++ b/testutils/src/fleet/deployment.rs
@@ -197,10 +197,10 @@
         }
     }
 
-    /// How many lives of supervised runners have begun to run a request with `body`.
+    /// How many lives of supervised runners have begun to read or run a request with `body`.
     pub fn ended_under(&self, body: &Bytes) -> usize {
         let lives = self.supervised.iter().flat_map(Supervised::lives);
-        lives.filter(|life| life.seen().iter().any(|s| s.ran && s.body == *body)).count()
+        lives.filter(|life| life.seen().iter().any(|s| s.body == *body)).count()
     }
 
     /// Starts a node.
--- a/testutils/src/fleet/runner.rs
+++ b/testutils/src/fleet/runner.rs
@@ -417,6 +417,11 @@
         }
         sleep(faults.takes).await;
         if reads {
+            if self.ends_under(&seen) {
+                lock(&self.inner).seen.push(seen);
+                lock(&self.inner).ends.notify_one();
+                return pending().await;
+            }
             return Ok(self.read_prompt(seen));
         }
         if self.is_prefill() {
@@ -424,7 +429,7 @@
         }
         seen.ran = true;
         let (id, from) = (seen.id.clone(), text(&seen.headers, "last-event-id"));
-        let ends = lock(&self.inner).ends_under.as_ref() == Some(&seen.body);
+        let ends = self.ends_under(&seen);
         lock(&self.inner).seen.push(seen);
         if ends {
             return Ok(self.end(&id).await);
@@ -452,6 +457,10 @@
         Ok(response)
     }
 
+    fn ends_under(&self, seen: &Seen) -> bool {
+        lock(&self.inner).ends_under.as_ref() == Some(&seen.body)
+    }
+
     /// Begins a run that gives nothing but, for a stream, its head.
     async fn end(&self, id: &str) -> Response<Body> {
         lock(&self.inner).ends.notify_one();
--- a/wire/src/beat.rs
+++ b/wire/src/beat.rs
@@ -30,6 +30,10 @@
     pub records: Vec<Record>,
     /// What has newly changed in the register of runners.
     pub news: Option<pb::Knowledge>,
+    /// A digest of the requests that it knows not to be run; nought where there are none.
+    pub quarantine: u64,
+    /// What it has newly heard of such requests.
+    pub quarantined: Vec<pb::Quarantined>,
 }
 
 impl Beat {
@@ -53,6 +57,8 @@
             digest: self.digest,
             records: self.records.iter().map(record).collect(),
             news: self.news.clone(),
+            quarantine: self.quarantine,
+            quarantined: self.quarantined.clone(),
         };
         beat.encode_to_vec()
     }
@@ -88,13 +94,15 @@
             digest: beat.digest,
             records: read_records(&beat.records)?,
             news: beat.news,
+            quarantine: beat.quarantine,
+            quarantined: beat.quarantined,
         })
     }
 }
 
-/// A list of nodes for the wire.
-pub fn nodes(records: &[Record]) -> pb::Nodes {
-    pb::Nodes { records: records.iter().map(record).collect() }
+/// A list of nodes for the wire, and of requests that are not run.
+pub fn nodes(records: &[Record], quarantined: Vec<pb::Quarantined>) -> pb::Nodes {
+    pb::Nodes { records: records.iter().map(record).collect(), quarantined }
 }
 
 /// Reads a list of nodes.
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod error;
 pub mod gossip;
 pub mod load;
+pub mod quarantine;
 pub mod schedule;
 
 pub use generated::peers_client::PeersClient;
--- a/wire/src/schedule.rs
+++ b/wire/src/schedule.rs
@@ -1,4 +1,5 @@
-//! The datagrams between a node that has a caller and the scheduler of a pool of runners.
+//! The datagrams between a node that has a caller and the scheduler of a pool of runners, and those
+//! between nodes that count the ends of runners under a request.
 //!
 //! They go by the same sockets as beats. Their first byte is nought, with which no beat begins: a
 //! node that does not know them drops them.
@@ -8,6 +9,7 @@
 use prost::Message as _;
 use sardinepick_lib::fleet::cache::{Chain, ChainKey, Part, Progress};
 use sardinepick_lib::fleet::engine::Work;
+use sardinepick_lib::fleet::fingerprint::Fingerprint;
 use sardinepick_lib::fleet::gate::Terms;
 use sardinepick_lib::fleet::health::Outcome;
 use sardinepick_lib::fleet::load::{CLASSES, Class, Load};
@@ -15,6 +17,7 @@
 use sardinepick_lib::fleet::register::Reading;
 use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_lib::fleet::scheduler::{Ask, Decision, Firmness, Lesson, Step};
+use sardinepick_lib::fleet::suspect::{End, Reach};
 use sardinepick_lib::id::{NodeId, RunnerId};
 
 use crate::error::WireError;
@@ -50,6 +53,22 @@
     },
     /// What a node has under way and has learned.
     Report(Report),
+    /// Tells a node that counts a request's ends of one more.
+    Ended {
+        /// The number of the question at the node that tells.
+        number: u64,
+        /// The request.
+        request: Fingerprint,
+        /// The end.
+        end: End,
+    },
+    /// The answer to that.
+    Counted {
+        /// Its number.
+        number: u64,
+        /// How many ends count against the request.
+        ends: u32,
+    },
 }
 
 /// What a node has under way at runners, and what it has learned of them.
@@ -82,6 +101,16 @@
                 readings: report.readings.iter().map(reading).collect(),
                 lessons: report.lessons.iter().map(lesson).collect(),
             }),
+            Schedule::Ended { number, request, end } => pb::schedule::Body::Ended(pb::Ended {
+                number: *number,
+                request: request.as_bytes().to_vec(),
+                life: end.life.0,
+                events: end.reach.events,
+                begun: end.reach.begun,
+            }),
+            Schedule::Counted { number, ends } => {
+                pb::schedule::Body::Counted(pb::Counted { number: *number, ends: *ends })
+            }
         };
         let mut bytes = vec![MARK];
         let whole = pb::Schedule { body: Some(body) };
@@ -108,10 +137,25 @@
                 readings: report.readings.iter().map(read_reading).collect(),
                 lessons: report.lessons.iter().map(read_lesson).collect::<Result<_, _>>()?,
             })),
+            pb::schedule::Body::Ended(ended) => {
+                let request = ended.request.as_slice().try_into();
+                let reach = Reach { events: ended.events.min(MOST_EVENTS), begun: ended.begun };
+                Ok(Schedule::Ended {
+                    number: ended.number,
+                    request: request.map_err(|_| WireError::Value("request"))?,
+                    end: End { life: Tag(ended.life), reach },
+                })
+            }
+            pb::schedule::Body::Counted(counted) => {
+                Ok(Schedule::Counted { number: counted.number, ends: counted.ends })
+            }
         }
     }
 }
 
+/// The most events of one answer that are believed; sums of such numbers stay in range.
+const MOST_EVENTS: u64 = 1 << 40;
+
 fn micros(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
--- a/wire/tests/beat.rs
+++ b/wire/tests/beat.rs
@@ -1,11 +1,17 @@
 //! Beats between nodes.
 
+use std::time::{Duration, Instant};
+
 use proptest::prelude::*;
+use sardinepick_lib::fleet::fingerprint::Fingerprint;
+use sardinepick_lib::fleet::quarantine::{Entry, MOST_TOLD, Stage};
 use sardinepick_lib::fleet::roster::{Contact, MOST_RECORDS, Record, Standing, Status};
 use sardinepick_lib::fleet::runner::Tag;
+use sardinepick_lib::fleet::suspect::MOST_ENDS;
 use sardinepick_lib::id::{ConfigVersion, Incarnation, Mark};
 use sardinepick_wire::beat::{Beat, MOST_BYTES, nodes, read_nodes};
 use sardinepick_wire::fleet as pb;
+use sardinepick_wire::quarantine::{quarantined, read_quarantined};
 
 fn record(at: u32) -> Record {
     Record {
@@ -37,6 +43,8 @@
         digest: u64::MAX,
         records: (0..records).map(|at| record(100 + at)).collect(),
         news: None,
+        quarantine: u64::MAX,
+        quarantined: Vec::new(),
     }
 }
 
@@ -49,7 +57,7 @@
     let full = Beat { news: Some(news), ..beat(3) };
     assert_eq!(Beat::decode(&full.encode()).expect("it is one"), full);
     let records = full.records;
-    assert_eq!(read_nodes(&nodes(&records)).expect("they are nodes"), records);
+    assert_eq!(read_nodes(&nodes(&records, Vec::new())).expect("they are nodes"), records);
 }
 
 /// Symptom: a node is never heard. Cause: its beat is larger than a packet.
@@ -59,6 +67,46 @@
     assert!(length <= MOST_BYTES, "{length}");
 }
 
+fn entry(n: u64, now: Instant) -> Entry {
+    Entry {
+        request: Fingerprint::of(&[&n.to_le_bytes()]),
+        serial: u32::MAX,
+        stage: [Stage::Proposed, Stage::Confirmed, Stage::Withdrawn, Stage::Cleared]
+            [n as usize % 4],
+        ends: (0..MOST_ENDS as u64).map(|life| Tag(u64::MAX - life)).collect(),
+        begun: MOST_ENDS as u32,
+        first: now - Duration::from_secs(80_000),
+        since: now - Duration::from_secs(79_000),
+    }
+}
+
+/// What is told of requests that are not run fits beside all else that a beat says without records.
+#[test]
+fn read_quarantined_full_beat_round_trip() {
+    let now = Instant::now() + Duration::from_secs(86_400);
+    let entries: Vec<Entry> = (0..MOST_TOLD as u64).map(|n| entry(n, now)).collect();
+    let full = Beat { quarantined: quarantined(&entries, now), ..beat(0) };
+    let bytes = full.encode();
+    assert!(bytes.len() <= MOST_BYTES, "{}", bytes.len());
+    let read = Beat::decode(&bytes).expect("it is one");
+    assert_eq!(read_quarantined(&read.quarantined, now).expect("they are entries"), entries);
+}
+
+#[test]
+fn read_quarantined_absurd_not_taken() {
+    let now = Instant::now();
+    let good = quarantined(&[entry(1, now + Duration::from_secs(86_400))], now).remove(0);
+    let short = pb::Quarantined { request: vec![1; 15], ..good.clone() };
+    let stage = pb::Quarantined { stage: 9, ..good.clone() };
+    for absurd in [short, stage] {
+        assert!(read_quarantined(&[absurd], now).is_err());
+    }
+    let old = pb::Quarantined { first_ms: u64::MAX, since_ms: u64::MAX, ..good.clone() };
+    let many = pb::Quarantined { ends: vec![1; 10_000], ..good };
+    let read = read_quarantined(&[old, many], now).expect("they are bounded");
+    assert!(read.iter().all(|entry| entry.ends.len() <= MOST_ENDS && entry.since <= now));
+}
+
 proptest! {
     #[test]
     fn decode_any_bytes_no_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
--- a/wire/tests/schedule.rs
+++ b/wire/tests/schedule.rs
@@ -5,6 +5,7 @@
 use proptest::prelude::*;
 use sardinepick_lib::fleet::cache::{Chain, ChainKey, Part, Progress};
 use sardinepick_lib::fleet::engine::Work;
+use sardinepick_lib::fleet::fingerprint::Fingerprint;
 use sardinepick_lib::fleet::gate::Terms;
 use sardinepick_lib::fleet::health::Outcome;
 use sardinepick_lib::fleet::load::{Class, Load};
@@ -12,6 +13,7 @@
 use sardinepick_lib::fleet::register::Reading;
 use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_lib::fleet::scheduler::{Ask, Decision, Firmness, Lesson, Step};
+use sardinepick_lib::fleet::suspect::{End, Reach};
 use sardinepick_lib::id::RunnerId;
 use sardinepick_wire::beat::{Beat, MOST_BYTES};
 use sardinepick_wire::schedule::{MOST_LESSONS, MOST_LOADS, MOST_READINGS, Report, Schedule};
@@ -112,6 +114,16 @@
     round_trip(&Schedule::Report(Report { lessons, ..full_report() }));
 }
 
+#[test]
+fn decode_end_round_trip() {
+    let request = Fingerprint::of(&[b"a brief"]);
+    for begun in [false, true] {
+        let end = End { life: Tag(u64::MAX), reach: Reach { events: 9, begun } };
+        round_trip(&Schedule::Ended { number: 1 << 40, request, end });
+    }
+    round_trip(&Schedule::Counted { number: 1 << 40, ends: 3 });
+}
+
 #[test]
 fn decode_absurd_load_bounded() {
     let mut absurd = full_report();
