quarantine: the store keeps what is refused, for when all nodes start anew

What callers would see: after the loss of all nodes at once more runners end under the request, each time. Cause: what is refused was known to nodes alone. Change: who confirms writes one object to the store; the few nodes that follow it read them once at their start and tell the others; what is cleared, released or forgotten is removed. One call a following node and start, one or two a change. No time of day is kept, as clocks are set. Test: nodes_all_anew_refuse_it; with the reading at the start taken out it waits in vain until the new nodes know of it.

--- a/node/src/serve/follow.rs
+++ b/node/src/serve/follow.rs
@@ -21,9 +21,9 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::serve::knowledge::{Difference, mark, revision};
-use crate::serve::meet;
 use crate::serve::shared::Shared;
 use crate::serve::store::{Purpose, StoreError};
+use crate::serve::{meet, quarantine};
 
 /// How long a watch waits for a change. Longer waits cost fewer calls; a connection that has gone
 /// silent is noticed only after one, and a leaving runner must get nothing after two seconds.
@@ -156,6 +156,7 @@
         match read {
             Ok((objects, as_of)) => {
                 follower.note_answer(as_of);
+                tokio::spawn(quarantine::store::read_once(shared.clone()));
                 for object in objects {
                     install(&shared, object, None, "store");
                 }
--- a/node/src/serve/quarantine.rs
+++ b/node/src/serve/quarantine/mod.rs
@@ -1,8 +1,9 @@
 //! Keeping from runners what ends them: counting ends with the other nodes, and heeding what comes
 //! of it wherever a request is about to reach a runner.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -15,7 +16,7 @@
 use sardinepick_wire::quarantine::{quarantined, read_quarantined};
 use sardinepick_wire::schedule::Schedule;
 use smallvec::SmallVec;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::{sleep, timeout};
 
 use crate::serve::ended;
@@ -24,6 +25,8 @@
 use crate::serve::shared::Shared;
 use crate::serve::ticket::Ticket;
 
+pub mod store;
+
 /// How long a node that counts has to answer, each time it is told.
 const PATIENCE: Duration = Duration::from_millis(15);
 /// How often it is told. One datagram can be lost; one that comes twice counts once.
@@ -38,6 +41,8 @@
     /// Ends that other nodes were told of, and who waits for their answers.
     told: u64,
     waiting: HashMap<u64, oneshot::Sender<u32>>,
+    /// What was decided here and the store does not keep yet.
+    unwritten: HashSet<Fingerprint>,
 }
 
 /// What a node keeps of requests under which runners end.
@@ -46,11 +51,20 @@
     state: Mutex<State>,
     /// Signals that what may be run has changed.
     changed: watch::Sender<()>,
+    /// Signals that something was decided here.
+    decided: Notify,
+    /// Whether what the store keeps has been read.
+    is_read: AtomicBool,
 }
 
 impl Default for Keeper {
     fn default() -> Self {
-        Self { state: Mutex::default(), changed: watch::Sender::new(()) }
+        Self {
+            state: Mutex::default(),
+            changed: watch::Sender::new(()),
+            decided: Notify::new(),
+            is_read: AtomicBool::new(false),
+        }
     }
 }
 
@@ -253,14 +267,28 @@
 /// Brings a request to a stage, here and at all others. Whether that is new.
 fn set(shared: &Shared, request: &Fingerprint, stage: Stage, why: &str) -> bool {
     let now = shared.clock.now();
-    let entry = shared.keeper.state().quarantine.set(request, stage, now);
+    let (was, entry) = {
+        let mut state = shared.keeper.state();
+        let was = state.quarantine.get(request).map(|entry| entry.stage);
+        (was, state.quarantine.set(request, stage, now))
+    };
     let Some(entry) = entry else { return false };
     heed(shared, &entry);
     note_stage(shared, &entry, why);
     shared.beat_now.notify_one();
+    // Of what is only proposed the store knows nothing.
+    if [was, Some(stage)].contains(&Some(Stage::Confirmed)) {
+        keep(shared, *request);
+    }
     true
 }
 
+/// Has the store follow what was decided here.
+fn keep(shared: &Shared, request: Fingerprint) {
+    shared.keeper.state().unwritten.insert(request);
+    shared.keeper.decided.notify_one();
+}
+
 /// Does with suspects what a stage asks for.
 fn heed(shared: &Shared, entry: &Entry) {
     let mut state = shared.keeper.state();
@@ -347,15 +375,23 @@
             let _ = timeout(PERIODS.1, changed.changed()).await;
         }
         decide(&shared);
-        let now = shared.clock.now();
-        let mut state = shared.keeper.state();
-        state.suspects.expire(now);
-        for request in state.quarantine.expire(now) {
+        for request in expire(&shared) {
             log::info!(fingerprint:% = request; "quarantine forgets a request");
+            if counts_first(&shared, &request) {
+                keep(&shared, request);
+            }
         }
     }
 }
 
+/// Forgets what is long ago, and names the requests that were not run till now.
+fn expire(shared: &Shared) -> Vec<Fingerprint> {
+    let now = shared.clock.now();
+    let mut state = shared.keeper.state();
+    state.suspects.expire(now);
+    state.quarantine.expire(now)
+}
+
 /// Decides proposals whose time has come, where this node has counted enough ends itself.
 fn decide(shared: &Shared) {
     let now = shared.clock.now();
--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -130,6 +130,7 @@
     tokio::spawn(follow::register(shared.clone()));
     tokio::spawn(scheduler::report(shared.clone()));
     tokio::spawn(quarantine::run(shared.clone()));
+    tokio::spawn(quarantine::store::run(shared.clone()));
     tokio::spawn(meet::join(shared.clone(), socket));
     tokio::spawn(follow::tidy(shared.clone()));
     tokio::spawn(order::run(shared.clone()));
--- a/node/src/serve/store.rs
+++ b/node/src/serve/store.rs
@@ -77,6 +77,8 @@
     NodeWrite,
     /// Reading or writing the authority over runners.
     Lease,
+    /// Reading or writing what is not run.
+    Quarantine,
 }
 
 /// How long the store may take to begin its answer to a call other than a watch, and to go on with
@@ -177,6 +179,19 @@
         self.replace(purpose, kind, name, object.revision, content).await.map(|_| ())
     }
 
+    /// Removes an object, if it is there.
+    ///
+    /// # Errors
+    /// It cannot be removed.
+    pub async fn remove(&self, purpose: Purpose, kind: &str, name: &str) -> Result<(), StoreError> {
+        let Some(object) = self.get(purpose, kind, name).await? else { return Ok(()) };
+        let request = store::remove(self.address, kind, name, object.revision);
+        match self.call(purpose, request, CALL_LIMIT, store::read_done).await {
+            Err(StoreError::Refused { refused: Refused::Missing, .. }) => Ok(()),
+            other => other,
+        }
+    }
+
     /// Reads one object; none if there is none.
     ///
     /// # Errors
--- a/node/tests/crash.rs
+++ b/node/tests/crash.rs
@@ -16,7 +16,9 @@
 use http::{Method, StatusCode};
 use sardinepick_lib::fleet::runner::State;
 use sardinepick_lib::id::RunnerId;
+use sardinepick_node::serve::quarantine;
 use sardinepick_node::serve::run::Running;
+use sardinepick_platform::quarantine::QUARANTINE;
 use sardinepick_testutils::cluster::wait_until;
 use sardinepick_testutils::fleet::caller::{Ask, Told};
 use sardinepick_testutils::fleet::deployment::Deployment;
@@ -298,3 +300,31 @@
         runner.set_faults(Faults { hangs, ..Faults::default() });
     }
 }
+
+/// All nodes start again at once, and none is left that could tell the others: the store has kept it.
+#[tokio::test]
+async fn nodes_all_anew_refuse_it() {
+    let mut set = Deployment::new().await;
+    set.add_supervised(None, 6, &ending(), AWAY).await;
+    let mut set = set.with_nodes(2).await;
+    ends_at_most_three(&set, "/board/a").await;
+    wait_until("the store keeps it", async || kept(&set) == 1).await;
+    for node in std::mem::take(&mut set.nodes) {
+        node.stop().await;
+    }
+    let set = set.with_nodes(2).await;
+    let standing = |node: &Running| quarantine::state(&node.shared)["requests"][0]["stage"].clone();
+    wait_until("all know it", async || set.nodes.iter().all(|n| standing(n) == "confirmed")).await;
+    repeat(&set, "/board/a", 4).await;
+    assert_eq!(set.ended_under(&ending()), ENDS);
+    // What is released is kept no longer.
+    let fingerprint = quarantine::state(&set.nodes[0].shared)["requests"][0]["fingerprint"].clone();
+    let fingerprint = fingerprint.as_str().expect("it has one").parse().expect("it is one");
+    assert!(quarantine::release(&set.nodes[1].shared, &fingerprint));
+    wait_until("the store forgets it", async || kept(&set) == 0).await;
+}
+
+/// How many requests that are not run the store keeps.
+fn kept(set: &Deployment) -> usize {
+    set.store.count(QUARANTINE)
+}
--- a/testutils/src/fleet/store.rs
+++ b/testutils/src/fleet/store.rs
@@ -139,6 +139,11 @@
         self.changed.send_modify(|n| *n += 1);
     }
 
+    /// How many objects of a kind there are.
+    pub fn count(&self, kind: &str) -> usize {
+        lock(&self.inner).objects.keys().filter(|(of, _)| of == kind).count()
+    }
+
     /// The content of an object.
     pub fn get(&self, kind: &str, name: &str) -> Option<Value> {
         let inner = lock(&self.inner);
