--- a/cli/src/trace.rs
+++ b/cli/src/trace.rs
@@ -21,6 +21,10 @@
     fn request(&self) -> Option<&str> {
         self.fields.get("request")?.as_str()
     }
+
+    fn fingerprint(&self) -> Option<&str> {
+        self.fields.get("fingerprint")?.as_str()
+    }
 }
 
 /// Reads the lines of one file. What is no log line of ours is passed over: collectors put their
@@ -50,10 +54,16 @@
     pub way: Vec<Line>,
     /// What the nodes that had it came to believe shortly before its end.
     pub beliefs: Vec<Line>,
+    /// The runners that ended under the same request, in whichever attempt, and what came of it.
+    pub ends: Vec<Line>,
 }
 
 /// How many lines of belief are shown: those nearest to the end.
 const MOST_BELIEFS: usize = 12;
+/// The lines that tell of runners that ended under a request.
+const ENDS: [&str; 2] = ["runner ended under a request", "quarantine changes"];
+/// How many of them are shown: the first ones, which caused the rest.
+const MOST_ENDS: usize = 24;
 
 impl Trace {
     /// Finds the lines of a request; none if no line names it.
@@ -67,7 +77,11 @@
         let mut beliefs: Vec<Line> =
             lines.iter().filter(here).filter(belief).rev().take(MOST_BELIEFS).cloned().collect();
         beliefs.reverse();
-        Some(Self { way, beliefs })
+        let fingerprints: Vec<&str> = way.iter().filter_map(Line::fingerprint).collect();
+        let of_it = |line: &&Line| line.fingerprint().is_some_and(|f| fingerprints.contains(&f));
+        let ends = |line: &&Line| ENDS.contains(&line.message.as_str());
+        let ends = lines.iter().filter(ends).filter(of_it).take(MOST_ENDS).cloned().collect();
+        Some(Self { way, beliefs, ends })
     }
 }
 
@@ -88,6 +102,17 @@
         writeln!(f, "the request's way:")?;
         self.way.iter().try_for_each(|line| write_line(f, line))?;
         writeln!(f, "what its nodes had come to believe before:")?;
-        self.beliefs.iter().try_for_each(|line| write_line(f, line))
+        self.beliefs.iter().try_for_each(|line| write_line(f, line))?;
+        if self.ends.is_empty() {
+            return Ok(());
+        }
+        writeln!(f, "runners that ended under the same request, in any attempt:")?;
+        for line in &self.ends {
+            if let Some(request) = line.request() {
+                write!(f, "  {request}")?;
+            }
+            write_line(f, line)?;
+        }
+        Ok(())
     }
 }
--- a/cli/tests/trace.rs
+++ b/cli/tests/trace.rs
@@ -30,3 +30,26 @@
 fn of_unknown_request_none() {
     assert_eq!(Trace::of("r2", read("", LINES)), None);
 }
+
+/// From a request that is refused to the runners that ended under others like it, at other nodes.
+#[test]
+fn of_quarantined_request_ends_that_caused_it() {
+    let lines = r#"
+edge-1 {"time":"2026-01-01T00:00:01.000Z","message":"runner ended under a request","request":"r1","fingerprint":"ab","runner":"i-1","events":0}
+edge-1 {"time":"2026-01-01T00:00:01.500Z","message":"runner ended under a request","request":"r2","fingerprint":"cd","runner":"i-1","events":9}
+edge-2 {"time":"2026-01-01T00:00:02.000Z","message":"quarantine changes","fingerprint":"ab","stage":"confirmed","ends":3}
+edge-3 {"time":"2026-01-01T00:00:09.000Z","message":"quarantine refuses","request":"r9","fingerprint":"ab","ends":3}
+edge-3 {"time":"2026-01-01T00:00:09.000Z","message":"request refused","request":"r9","reason":"quarantined","status":400}
+"#;
+    let trace = Trace::of("r9", read("", lines)).expect("it is named");
+    expect![[r#"
+        the request's way:
+          2026-01-01T00:00:09.000Z  edge-3  quarantine refuses  ends=3  fingerprint=ab
+          2026-01-01T00:00:09.000Z  edge-3  request refused  reason=quarantined  status=400
+        what its nodes had come to believe before:
+        runners that ended under the same request, in any attempt:
+          r1  2026-01-01T00:00:01.000Z  edge-1  runner ended under a request  events=0  fingerprint=ab  runner=i-1
+          2026-01-01T00:00:02.000Z  edge-2  quarantine changes  ends=3  fingerprint=ab  stage=confirmed
+    "#]]
+    .assert_eq(&trace.to_string());
+}
