--- a/node/benches/soak.rs
+++ b/node/benches/soak.rs
@@ -1,4 +1,5 @@
-//! The soak: `cargo bench --bench soak -- --seed 1 --seconds 30 --nodes 6 --callers 12 --count 10`.
+//! The soak: `cargo bench --bench soak -- --seed 1 --seconds 30 --nodes 6 --callers 12 --count 10`; with
+//! `--ending` the one of requests under which runners end.
 //!
 //! Runs seeds one after the other and fails if any breaks a promise.
 
@@ -7,7 +8,8 @@
 use std::time::Duration;
 
 use getopts::Options;
-use sardinepick_testutils::fleet::soak::{Plan, run};
+use sardinepick_testutils::fleet::soak::Plan;
+use sardinepick_testutils::fleet::{ending, soak};
 
 fn options() -> Options {
     let mut options = Options::new();
@@ -16,6 +18,7 @@
     options.optopt("", "seconds", "how long each lasts", "N");
     options.optopt("", "nodes", "how many processes", "N");
     options.optopt("", "callers", "how many callers", "N");
+    options.optflag("", "ending", "of requests under which runners end");
     options.optflag("", "bench", "given by cargo");
     options
 }
@@ -39,7 +42,10 @@
             nodes: number("nodes", 6) as usize,
             callers: number("callers", 12) as usize,
         };
-        match run(Path::new(env!("CARGO_BIN_EXE_sardinepickd")), plan).await {
+        let exe = Path::new(env!("CARGO_BIN_EXE_sardinepickd"));
+        let ending = matches.opt_present("ending");
+        let report = if ending { ending::run(exe, plan).await } else { soak::run(exe, plan).await };
+        match report {
             Ok(report) => {
                 good &= report.broken.is_empty();
                 println!("seed {seed}: {report}");
--- a/node/tests/soak.rs
+++ b/node/tests/soak.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use sardinepick_testutils::fleet::ending;
 use sardinepick_testutils::fleet::soak::{Plan, run};
 
 /// Seeds that are always run: the first is one like any other. Seed 2 saw streams run twice: a
@@ -20,3 +21,15 @@
         assert!(report.ends.get("answered").copied().unwrap_or(0) > 0, "nothing was served");
     }
 }
+
+/// A request under which runners end, sent all the time beside others, while nodes and runners also end
+/// for no reason.
+#[tokio::test(flavor = "multi_thread")]
+async fn ending_seed_no_promise_broken() {
+    let plan = Plan { seed: 1, lasts: Duration::from_secs(12), nodes: 4, callers: 8 };
+    let exe = Path::new(env!("CARGO_BIN_EXE_sardinepickd"));
+    let report = ending::run(exe, plan).await.expect("the stand-ins have addresses");
+    println!("{report}");
+    assert!(report.broken.is_empty(), "{report}");
+    assert!(report.ends.get("answered").copied().unwrap_or(0) > 0, "nothing was served");
+}
--- a/testutils/src/fleet/mod.rs
+++ b/testutils/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod deployment;
+pub mod ending;
 pub mod link;
 pub mod proxy;
 pub mod runner;
--- a/testutils/src/fleet/runner.rs
+++ b/testutils/src/fleet/runner.rs
@@ -232,6 +232,11 @@
         lock(&self.inner).ends_under = Some(body);
     }
 
+    /// Has whoever waits for its end hear of it now.
+    pub fn tell_end(&self) {
+        lock(&self.inner).ends.notify_one();
+    }
+
     /// Waits until it has begun to run the request under which it ends.
     pub async fn ends(&self) {
         let ends = lock(&self.inner).ends.clone();
--- a/testutils/src/fleet/soak.rs
+++ b/testutils/src/fleet/soak.rs
@@ -70,7 +70,7 @@
 
 const EVENTS: u64 = 12;
 const PATHS: [&str; 4] = ["/board/a", "/eggs/a", "/count/a", "/tally/a"];
-const GENERATION: [(&str, &str); 3] =
+pub(super) const GENERATION: [(&str, &str); 3] =
     [("model", "m"), ("token-count", "1460,80"), ("prompt-prefix", "5c1e:800,91bd:410,e440:250")];
 /// How long after a runner said that it leaves it may still get work, while nothing else harms:
 /// the users' two seconds, and what callers and clocks of a busy machine take.
@@ -105,7 +105,12 @@
     told: Mutex<Vec<(String, &'static str, Told)>>,
 }
 
-fn ini(name: &str, addresses: &[SocketAddr; 5], store: SocketAddr, seeds: &[SocketAddr]) -> String {
+pub(super) fn ini(
+    name: &str,
+    addresses: &[SocketAddr; 5],
+    store: SocketAddr,
+    seeds: &[SocketAddr],
+) -> String {
     let [front, ready, lookup, peer, metrics] = addresses;
     let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
     format!(
@@ -344,7 +349,7 @@
 }
 
 /// All nodes serve every kind of request again.
-async fn recover(fronts: &[SocketAddr], report: &mut Report, when: &str) {
+pub(super) async fn recover(fronts: &[SocketAddr], report: &mut Report, when: &str) {
     for front in fronts {
         for path in PATHS {
             let served = async || {
--- a/testutils/src/fleet/supervised.rs
+++ b/testutils/src/fleet/supervised.rs
@@ -56,6 +56,13 @@
         Ok(supervised)
     }
 
+    /// Ends its present life from outside.
+    pub fn end(&self) {
+        if let Some(life) = self.lives().last() {
+            life.tell_end();
+        }
+    }
+
     /// Its lives so far, in their order.
     pub fn lives(&self) -> Vec<Runner> {
         self.lives.lock().unwrap_or_else(PoisonError::into_inner).clone()
