digest, roster: a node that differs alone among many is noticed

What would be seen: a node that nobody beats to, and that has missed a record, keeps an old list for good; 550 nodes have such a one every few starts (worked out: each is in nobody's eight with e^-8). Cause: since when lists differ was one time for all senders, and the next equal digest took it back. Change: timed by sender; both digests use it, and comparisons stay one a second. Test: note_digest_one_of_many_differs_noticed, failing before.

--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 pub mod budget;
 pub mod cache;
 pub mod deadline;
+pub mod digest;
 pub mod engine;
 pub mod event;
 pub mod fanout;
--- a/lib/src/fleet/quarantine.rs
+++ b/lib/src/fleet/quarantine.rs
@@ -16,6 +16,7 @@
 use smallvec::SmallVec;
 use strum::{Display, IntoStaticStr};
 
+use super::digest::Differences;
 use super::fingerprint::Fingerprint;
 use super::runner::Tag;
 use super::suspect::{ENDS, MOST_ENDS, Suspect};
@@ -48,10 +49,6 @@
 const MOST: usize = 1_024;
 /// The most entries that one message carries, at up to 110 bytes each.
 pub const MOST_TOLD: usize = 8;
-/// How long digests must have differed before lists are compared, and the pause between comparisons.
-const DIFFERENCE: Duration = Duration::from_secs(1);
-/// The most nodes that are remembered to differ: many more than beat to one.
-const MOST_DIFFERING: usize = 64;
 /// The most answered requests that are remembered.
 const MOST_ANSWERED: usize = 4_096;
 
@@ -142,9 +139,8 @@
     kept: HashMap<Fingerprint, Kept>,
     news: VecDeque<Fingerprint>,
     answered: Answered,
-    /// The nodes whose digests differ from this node's, and since when. One that has missed something
-    /// tells so alone, among many that have not.
-    differing: HashMap<NodeId, Instant>,
+    /// The nodes whose digests differ from this one's.
+    differences: Differences,
 }
 
 impl Quarantine {
@@ -344,19 +340,8 @@
     /// Compares another node's digest with this one's. True if they have differed for so long that
     /// lists should be compared.
     pub fn note_digest(&mut self, node: &NodeId, digest: u64, now: Instant) -> bool {
-        if digest == self.digest(now) {
-            self.differing.remove(node);
-            return false;
-        }
-        if self.differing.len() >= MOST_DIFFERING && !self.differing.contains_key(node) {
-            self.differing.clear();
-        }
-        let since = self.differing.entry(node.clone()).or_insert(now);
-        if now.saturating_duration_since(*since) < DIFFERENCE {
-            return false;
-        }
-        *since = now;
-        true
+        let same = digest == self.digest(now);
+        self.differences.note(node, same, now)
     }
 }
 
--- a/lib/src/fleet/roster.rs
+++ b/lib/src/fleet/roster.rs
@@ -17,6 +17,7 @@
 use rand::seq::IteratorRandom as _;
 use smallvec::SmallVec;
 
+use super::digest::Differences;
 use crate::hash::place;
 use crate::id::{ConfigVersion, DataCentre, Incarnation, Mark, NodeId};
 
@@ -33,9 +34,6 @@
 const QUESTION_PAUSE: Duration = Duration::from_millis(150);
 /// How many records one beat carries, at up to 84 bytes each.
 pub const MOST_RECORDS: usize = 14;
-/// How long lists must have differed before they are compared, and the least pause between two
-/// comparisons. What is new reaches all within a tenth of it.
-const DIFFERENCE: Duration = Duration::from_secs(1);
 /// How often those who watch this one, and whom it watches, are worked out anew at the most: it takes
 /// a look at each pair of nodes.
 const WATCH_PERIOD: Duration = Duration::from_secs(1);
@@ -144,8 +142,8 @@
     ticked: Option<Instant>,
     /// When this node last heard any other.
     heard: Option<Instant>,
-    /// Since when beats have told of other lists than this one's.
-    differs: Option<Instant>,
+    /// The nodes whose lists differ from this one's.
+    differences: Differences,
 }
 
 impl Roster {
@@ -161,7 +159,7 @@
             changed: true,
             ticked: None,
             heard: None,
-            differs: None,
+            differences: Differences::default(),
         }
     }
 
@@ -294,19 +292,11 @@
         others.fold(self.me.digest(), |sum, one| sum ^ one)
     }
 
-    /// Compares another's digest with this node's. True if the lists have differed for so long that
+    /// Compares another node's digest with this one's. True if the lists have differed for so long that
     /// they should be compared.
-    pub fn note_digest(&mut self, digest: u64, now: Instant) -> bool {
-        if digest == self.digest() {
-            self.differs = None;
-            return false;
-        }
-        let since = *self.differs.get_or_insert(now);
-        if now.saturating_duration_since(since) < DIFFERENCE {
-            return false;
-        }
-        self.differs = Some(now);
-        true
+    pub fn note_digest(&mut self, node: &NodeId, digest: u64, now: Instant) -> bool {
+        let same = digest == self.digest();
+        self.differences.note(node, same, now)
     }
 
     /// All that is known of nodes that are there, for another node.
--- a/lib/tests/roster.rs
+++ b/lib/tests/roster.rs
@@ -162,7 +162,7 @@
         for record in &beat.records {
             node.take_record(record, now);
         }
-        let differs = node.note_digest(beat.digest, now);
+        let differs = node.note_digest(&beat.sender.contact.id, beat.digest, now);
         let mistaken = node.is_mistaken(&beat.sender).cloned();
         let from = self.at[&beat.sender.contact.peer];
         if beat.answer || mistaken.is_some() {
@@ -377,3 +377,21 @@
     assert_eq!(roster.served().count(), 1);
     assert_eq!((roster.ids().count(), roster.known()), (2, 3));
 }
+
+/// One node that nobody beats to has missed what is new. It differs from all that it beats to, but each of
+/// those hears it among many that do not differ. Each took the next equal digest for the end of the
+/// difference, and compared with nobody.
+#[test]
+fn note_digest_one_of_many_differs_noticed() {
+    let (mut node, now) = (Roster::new(contact(0, 1)), Instant::now());
+    let same = node.digest();
+    let mut noticed = false;
+    for beat in 0..20 {
+        let at = now + PERIOD * beat;
+        noticed |= node.note_digest(&contact(1, 1).id, same ^ 1, at);
+        for other in 2..9 {
+            assert!(!node.note_digest(&contact(other, 1).id, same, at + MS));
+        }
+    }
+    assert!(noticed);
+}
--- a/node/src/serve/beat.rs
+++ b/node/src/serve/beat.rs
@@ -200,7 +200,7 @@
         take_records(&mut roster, std::slice::from_ref(&told.sender), now);
         roster.take_beat(&told.sender, told.status, now);
         take_records(&mut roster, &told.records, now);
-        let differs = roster.note_digest(told.digest, now);
+        let differs = roster.note_digest(&told.sender.contact.id, told.digest, now);
         let mistaken = roster.is_mistaken(&told.sender).cloned();
         (roster.has_news(), mistaken, differs)
     };
