--- /dev/null
+++ b/lib/src/fleet/quarantine/answered.rs
@@ -0,0 +1,34 @@
+//! Requests that were answered lately.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Instant;
+
+use crate::fleet::fingerprint::Fingerprint;
+
+/// The most answered requests that are remembered.
+const MOST_ANSWERED: usize = 4_096;
+
+/// When requests were last answered whole.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Answered {
+    at: HashMap<Fingerprint, Instant>,
+    order: VecDeque<Fingerprint>,
+}
+
+impl Answered {
+    pub(super) fn note(&mut self, request: Fingerprint, now: Instant) {
+        if self.at.insert(request, now).is_some() {
+            return;
+        }
+        self.order.push_back(request);
+        if self.order.len() > MOST_ANSWERED
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.at.remove(&oldest);
+        }
+    }
+
+    pub(super) fn last(&self, request: &Fingerprint) -> Option<Instant> {
+        self.at.get(request).copied()
+    }
+}
--- a/lib/src/fleet/quarantine.rs
+++ b/lib/src/fleet/quarantine/mod.rs
@@ -13,22 +13,20 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use smallvec::SmallVec;
-use strum::{Display, IntoStaticStr};
-
+use self::answered::Answered;
+pub use self::entry::{Entry, Stage};
 use super::digest::Differences;
 use super::fingerprint::Fingerprint;
-use super::runner::Tag;
-use super::suspect::{ENDS, MOST_ENDS, Suspect};
+use super::suspect::{ENDS, Suspect};
 use crate::hash::place;
 use crate::id::NodeId;
 
+mod answered;
+mod entry;
+
 /// How long a proposal stands before it is decided: news reaches 550 nodes in a tenth of a second,
 /// objections come back in another.
 pub const DELIBERATION: Duration = Duration::from_millis(300);
-/// How long a proposal that nobody decides keeps a request from being run: those who counted are gone
-/// then, or were held up and know nothing newer.
-const UNDECIDED: Duration = Duration::from_secs(2);
 /// How many requests may be proposed at once, none of which another accounts for. With more it is the
 /// runners that fail.
 const MOST_AT_ONCE: usize = 4;
@@ -49,67 +47,6 @@
 const MOST: usize = 1_024;
 /// The most entries that one message carries, at up to 110 bytes each.
 pub const MOST_TOLD: usize = 8;
-/// The most answered requests that are remembered.
-const MOST_ANSWERED: usize = 4_096;
-
-/// How far it has come with a request. Of two that are told with one serial the later one holds.
-#[derive(Clone, Copy, Debug, Display, Eq, Hash, IntoStaticStr, Ord, PartialEq, PartialOrd)]
-#[strum(serialize_all = "snake_case")]
-pub enum Stage {
-    /// It is not run until it is decided.
-    Proposed,
-    /// It is refused.
-    Confirmed,
-    /// It is run again; its ends still count.
-    Withdrawn,
-    /// It is run again: it has been answered, or an operator has released it.
-    Cleared,
-}
-
-/// What nodes tell each other of a request.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Entry {
-    /// The request.
-    pub request: Fingerprint,
-    /// Which proposal of it this is. A later one outweighs an earlier one.
-    pub serial: u32,
-    /// How far it has come.
-    pub stage: Stage,
-    /// The lives of runners that ended under it.
-    pub ends: SmallVec<[Tag; MOST_ENDS]>,
-    /// At how many of them its run had begun.
-    pub begun: u32,
-    /// When the first of them ended.
-    pub first: Instant,
-    /// When it came to this stage.
-    pub since: Instant,
-}
-
-impl Entry {
-    /// Whether it keeps the request from being run.
-    fn stands(&self, now: Instant) -> bool {
-        match self.stage {
-            Stage::Proposed => now < self.since + UNDECIDED,
-            Stage::Confirmed => true,
-            Stage::Withdrawn | Stage::Cleared => false,
-        }
-    }
-
-    /// How strongly the ends speak against it, beside others.
-    fn weight(&self) -> (usize, u32) {
-        (self.ends.len(), self.begun)
-    }
-
-    /// How many of its ends are left without those of `others`.
-    fn beside<'a>(&self, others: &(impl Iterator<Item = &'a Entry> + Clone)) -> usize {
-        let is_left = |life: &&Tag| !others.clone().any(|other| other.ends.contains(life));
-        self.ends.iter().filter(is_left).count()
-    }
-
-    fn outweighs(&self, other: &Entry) -> bool {
-        (self.serial, self.stage) > (other.serial, other.stage)
-    }
-}
 
 #[derive(Clone, Debug)]
 struct Kept {
@@ -344,28 +281,3 @@
         self.differences.note(node, same, now)
     }
 }
-
-/// When requests were last answered whole.
-#[derive(Clone, Debug, Default)]
-struct Answered {
-    at: HashMap<Fingerprint, Instant>,
-    order: VecDeque<Fingerprint>,
-}
-
-impl Answered {
-    fn note(&mut self, request: Fingerprint, now: Instant) {
-        if self.at.insert(request, now).is_some() {
-            return;
-        }
-        self.order.push_back(request);
-        if self.order.len() > MOST_ANSWERED
-            && let Some(oldest) = self.order.pop_front()
-        {
-            self.at.remove(&oldest);
-        }
-    }
-
-    fn last(&self, request: &Fingerprint) -> Option<Instant> {
-        self.at.get(request).copied()
-    }
-}
--- a/node/src/serve/beat.rs
+++ b/node/src/serve/beat.rs
@@ -72,7 +72,7 @@
             let told = Beat { news, records: Vec::new(), ..beat.clone() };
             beat_all(&shared, &socket, &told, &some).await;
         }
-        let quarantined = quarantine::news(&shared);
+        let quarantined = quarantine::news::next(&shared);
         if !quarantined.is_empty() {
             let told = Beat { quarantined, records: Vec::new(), ..beat.clone() };
             beat_all(&shared, &socket, &told, &watchers).await;
@@ -96,7 +96,7 @@
         log::info!(node:% = id; "node forgotten");
     }
     shared.metrics.nodes.set(roster.fronts().len() as i64);
-    if roster.has_news() || quarantine::has_news(shared) {
+    if roster.has_news() || quarantine::news::has_news(shared) {
         shared.beat_now.notify_one();
     }
 }
@@ -127,7 +127,7 @@
         digest: roster.digest(),
         records: Vec::new(),
         news: None,
-        quarantine: quarantine::digest(shared),
+        quarantine: quarantine::news::digest(shared),
         quarantined: Vec::new(),
     }
 }
@@ -208,9 +208,9 @@
     if let Some(news) = &told.news {
         peer::take_news(shared, news);
     }
-    quarantine::take(shared, &told.quarantined, told.sender.contact.id.as_str());
+    quarantine::news::take(shared, &told.quarantined, told.sender.contact.id.as_str());
     let differs =
-        quarantine::note_digest(shared, &told.sender.contact.id, told.quarantine) || differs;
+        quarantine::news::note_digest(shared, &told.sender.contact.id, told.quarantine) || differs;
     let mine = shared.status();
     if told.status.register > mine.register || told.status.version > mine.version {
         shared.note_behind();
@@ -229,7 +229,7 @@
         let peer = told.sender.contact.peer;
         transmit(shared, socket, &answer.encode(), peer).await;
         // It must not send to runners what ends them until it has compared lists.
-        for quarantined in quarantine::all(shared).chunks(MOST_TOLD).take(MOST_MESSAGES) {
+        for quarantined in quarantine::news::all(shared).chunks(MOST_TOLD).take(MOST_MESSAGES) {
             let more = Beat { quarantined: quarantined.to_vec(), ..beat(shared, mine) };
             transmit(shared, socket, &more.encode(), peer).await;
         }
--- /dev/null
+++ b/node/src/serve/generation/admit.rs
@@ -0,0 +1,117 @@
+//! Whether a generation may go to a runner, and to which.
+
+use sardinepick_lib::fleet::gate::Reason;
+use sardinepick_lib::fleet::load::Class;
+use sardinepick_lib::fleet::place::Placement;
+use sardinepick_lib::fleet::scheduler::{self, Decision, Firmness, Step};
+use sardinepick_lib::id::RunnerId;
+
+use super::{LEAST_LEFT, Stop, Way, millis};
+use crate::serve::answer::Refusal;
+use crate::serve::quarantine::{self, Admission};
+use crate::serve::scheduler as scheduling;
+
+impl Way {
+    /// Has it decided where the request goes; none if its service has no engines.
+    async fn decide(&self, step: Step) -> Option<Decision> {
+        let engine = self.request.engine?;
+        let ask = scheduler::Ask {
+            service: self.request.service.clone(),
+            data_centre: self.shared.me.data_centre.clone(),
+            terms: self.request.terms(self.shared.clock.now()),
+            work: self.work.clone(),
+            skip: self.tried.clone(),
+            step,
+        };
+        let (decision, by) = scheduling::decide(&self.shared, ask, &engine).await;
+        self.shared.metrics.decided.with_label_values(&[by]).inc();
+        Some(decision)
+    }
+
+    /// Chooses the runner that goes on from a prompt that has been read.
+    pub(super) async fn place_decode(&self, class: Class, reader: &RunnerId) -> Option<RunnerId> {
+        match self.decide(Step::GoOn { reader: reader.clone(), class }).await? {
+            Decision::GoesOn(runner) => Some(runner),
+            _ => None,
+        }
+    }
+
+    /// Finds a plan and the class for it, or refuses.
+    pub(super) async fn admit(&mut self) -> Result<(Placement, Class), Stop> {
+        let terms = self.request.terms(self.shared.clock.now());
+        if terms.left < LEAST_LEFT && self.calls > 0 {
+            return Err(Stop::Refuse(self.late()));
+        }
+        let firmness = match (self.events, self.runs) {
+            // A stream that has begun goes on in its class: the caller is reading it.
+            (1.., _) => Firmness::Streaming,
+            (0, 1..) => Firmness::HasRun,
+            (0, 0) => Firmness::New,
+        };
+        match self.decide(Step::Start(firmness)).await {
+            Some(Decision::Placed { placement, class }) => {
+                self.note_demand(&placement);
+                Ok((placement, class))
+            }
+            Some(Decision::Late(placement)) => {
+                self.note_demand(&placement);
+                Err(Stop::Refuse(self.refuse_late(&placement)))
+            }
+            _ => Err(Stop::Refuse(self.give_up(Reason::NoRunner))),
+        }
+    }
+
+    fn note_demand(&self, placement: &Placement) {
+        if self.calls == 0 {
+            let mut demand = self.shared.demand();
+            demand.entry(self.request.service.clone()).or_default().note(placement.fresh);
+        }
+    }
+
+    /// The refusal of a request that cannot be in time.
+    fn refuse_late(&self, placement: &Placement) -> Refusal {
+        let terms = self.request.terms(self.shared.clock.now());
+        log::info!(
+            request:% = self.request.id, first_ms = millis(placement.first),
+            read_ms = millis(placement.read), fresh = placement.fresh,
+            left_ms = terms.left.as_millis() as u64,
+            objective_ms = terms.objective.map(|o| o.as_millis() as u64);
+            "gate refuses"
+        );
+        let after = terms.come_back(placement.first, &mut *self.shared.rng());
+        match self.give_up(Reason::Late) {
+            Refusal::NotRun(reason, _) => Refusal::NotRun(reason, after),
+            other => other,
+        }
+    }
+
+    /// Makes sure that it may go to a runner.
+    pub(super) async fn pass_quarantine(&mut self) -> Result<(), Stop> {
+        let admission = tokio::select! {
+            () = self.caller.left() => return Err(Stop::CallerLeft),
+            admission = quarantine::admit(&self.shared, &self.request) => admission,
+        };
+        match admission {
+            Admission::Refused => Err(Stop::Refuse(Refusal::Quarantined)),
+            Admission::Trial if self.calls > 0 => Err(Stop::Refuse(Refusal::Quarantined)),
+            Admission::Free if self.ends_runners => Err(Stop::Refuse(Refusal::Broken)),
+            Admission::Free => Ok(()),
+            Admission::Trial => {
+                self.is_trial = true;
+                Ok(())
+            }
+        }
+    }
+
+    /// Pays for one more arrival at a runner. A request's first is free, and so is the first reading
+    /// of its prompt that a runner takes up; a second reading counts like a second run.
+    pub(super) fn pay(&mut self) -> Result<(), Stop> {
+        if !self.is_trial && quarantine::is_refused(&self.shared, &self.request) {
+            return Err(Stop::Refuse(Refusal::Quarantined));
+        }
+        if self.arrivals == 0 || self.shared.take_extra(&self.request.service) {
+            return Ok(());
+        }
+        Err(Stop::Refuse(self.give_up(Reason::Budget)))
+    }
+}
--- a/node/src/serve/generation/stream.rs
+++ b/node/src/serve/generation/stream.rs
@@ -223,7 +223,8 @@
     /// Notes whether the runner of a call that broke off has ended under it.
     pub(super) async fn note_broken(&mut self, ticket: &Ticket, begun: bool) {
         let reach = Reach { events: self.events, begun };
-        let spent = quarantine::note_broken(&self.shared, ticket, &self.request, reach).await;
+        let spent =
+            quarantine::count::note_broken(&self.shared, ticket, &self.request, reach).await;
         self.ends_runners |= spent;
     }
 
--- a/node/src/serve/mod.rs
+++ b/node/src/serve/mod.rs
@@ -22,6 +22,7 @@
 pub mod peer;
 pub mod plain;
 pub mod quarantine;
+pub mod question;
 pub mod request;
 pub mod run;
 pub mod scheduler;
--- a/node/src/serve/peer.rs
+++ b/node/src/serve/peer.rs
@@ -89,8 +89,8 @@
         }
         let records = roster.records();
         drop(roster);
-        quarantine::take(&self.shared, &told.quarantined, "that compares");
-        Ok(Response::new(nodes(&records, quarantine::all(&self.shared))))
+        quarantine::news::take(&self.shared, &told.quarantined, "that compares");
+        Ok(Response::new(nodes(&records, quarantine::news::all(&self.shared))))
     }
 
     type CopyStream = ReceiverStream<Result<pb::CopyPart, Status>>;
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -263,7 +263,7 @@
     /// Notes whether the runner of a call that broke off has ended under it.
     async fn note_broken(&mut self, ticket: &Ticket, begun: bool) {
         let reach = Reach { events: 0, begun };
-        let spent = quarantine::note_broken(self.shared, ticket, self.request, reach).await;
+        let spent = quarantine::count::note_broken(self.shared, ticket, self.request, reach).await;
         self.ends_runners |= spent;
     }
 
--- /dev/null
+++ b/node/src/serve/quarantine/count.rs
@@ -0,0 +1,122 @@
+//! Counting the ends of runners under requests, with the nodes that count them for all.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use sardinepick_lib::fleet::fingerprint::Fingerprint;
+use sardinepick_lib::fleet::quarantine::Stage;
+use sardinepick_lib::fleet::suspect::{COUNTING, ENDS, End, Reach, counting};
+use sardinepick_lib::id::NodeId;
+use sardinepick_wire::schedule::Schedule;
+use smallvec::SmallVec;
+use tokio::time::timeout;
+
+use super::{State, note_stage, set};
+use crate::serve::ended;
+use crate::serve::request::Request;
+use crate::serve::scheduler::transmit;
+use crate::serve::shared::Shared;
+use crate::serve::ticket::Ticket;
+
+/// How long a node that counts has to answer, each time it is told.
+const PATIENCE: Duration = Duration::from_millis(15);
+/// How often it is told. One datagram can be lost; one that comes twice counts once.
+const TRIES: u32 = 2;
+
+/// Notes that a call broke off. Whether so many runners have ended under its request that it must not
+/// be sent on.
+pub async fn note_broken(
+    shared: &Shared,
+    ticket: &Ticket,
+    request: &Request,
+    reach: Reach,
+) -> bool {
+    let Some(life) = ended::find(shared, ticket, request, reach).await else { return false };
+    let end = End { life, reach };
+    let fingerprint = request.fingerprint;
+    let here = count(shared, fingerprint, end);
+    let peers = counting_peers(shared, &fingerprint);
+    let others = join_all(peers.into_iter().map(|peer| tell(shared, peer, fingerprint, end))).await;
+    let ends = others.into_iter().flatten().map(|ends| ends as usize).fold(here, usize::max);
+    log::info!(
+        request:% = request.id, fingerprint:% = fingerprint, ends = ends, here = here;
+        "ends of runners under a request counted"
+    );
+    ends >= ENDS
+}
+
+/// Counts an end, and proposes the request if there are enough.
+fn count(shared: &Shared, request: Fingerprint, end: End) -> usize {
+    let now = shared.clock.now();
+    let mut state = shared.keeper.state();
+    let ends = state.suspects.note(request, end, now);
+    let State { suspects, quarantine, .. } = &mut *state;
+    let proposed = suspects.get(&request).and_then(|s| quarantine.propose(request, s, now));
+    if let Some(entry) = proposed {
+        // Nobody hears of a proposal that this node can itself object to.
+        let objects = state.quarantine.objects(&entry);
+        drop(state);
+        note_stage(shared, &entry, "counted");
+        if objects {
+            set(shared, &request, Stage::Cleared, "answered since");
+        }
+        shared.beat_now.notify_one();
+    }
+    ends
+}
+
+/// Tells a node that counts of an end. Gives how many it has counted; none if it does not answer.
+async fn tell(shared: &Shared, peer: SocketAddr, request: Fingerprint, end: End) -> Option<u32> {
+    for _ in 0..TRIES {
+        let (number, answer) = shared.keeper.state().questions.ask();
+        transmit(shared, peer, &Schedule::Ended { number, request, end }).await;
+        let answer = timeout(PATIENCE, answer).await;
+        shared.keeper.state().questions.give_up(number);
+        if let Ok(Ok(ends)) = answer {
+            return Some(ends);
+        }
+    }
+    log::info!(peer:% = peer, fingerprint:% = request; "node that counts ends is silent");
+    None
+}
+
+/// Takes what another node tells of an end, and answers.
+pub async fn take_ended(
+    shared: &Shared,
+    from: SocketAddr,
+    number: u64,
+    request: Fingerprint,
+    end: End,
+) {
+    let ends = u32::try_from(count(shared, request, end)).unwrap_or(u32::MAX);
+    transmit(shared, from, &Schedule::Counted { number, ends }).await;
+}
+
+/// Takes the answer of a node that counts.
+pub fn take_counted(shared: &Shared, number: u64, ends: u32) {
+    shared.keeper.state().questions.answer(number, ends);
+}
+
+fn with_counting<T>(
+    shared: &Shared,
+    request: &Fingerprint,
+    use_them: impl FnOnce(&[&NodeId], &dyn Fn(&NodeId) -> Option<SocketAddr>) -> T,
+) -> T {
+    let roster = shared.roster();
+    let fronts = roster.fronts();
+    let nodes = fronts.iter().map(|contact| &contact.id).chain([&shared.me.id]);
+    let counting: SmallVec<[&NodeId; COUNTING]> = counting(request, nodes);
+    let peer = |id: &NodeId| fronts.iter().find(|c| c.id == *id).map(|c| c.peer);
+    use_them(&counting, &peer)
+}
+
+/// Where the nodes are reached that count a request's ends, this one left out.
+fn counting_peers(shared: &Shared, request: &Fingerprint) -> SmallVec<[SocketAddr; COUNTING]> {
+    with_counting(shared, request, |nodes, peer| nodes.iter().filter_map(|id| peer(id)).collect())
+}
+
+/// Whether this node is the first of those that count a request's ends.
+pub(super) fn counts_first(shared: &Shared, request: &Fingerprint) -> bool {
+    with_counting(shared, request, |nodes, _| nodes.first() == Some(&&shared.me.id))
+}
--- a/node/src/serve/quarantine/mod.rs
+++ b/node/src/serve/quarantine/mod.rs
@@ -1,36 +1,26 @@
 //! Keeping from runners what ends them: counting ends with the other nodes, and heeding what comes
 //! of it wherever a request is about to reach a runner.
 
-use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
+use std::collections::HashSet;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use futures_util::future::join_all;
 use sardinepick_lib::fleet::fingerprint::Fingerprint;
 use sardinepick_lib::fleet::quarantine::{Entry, Quarantine, Stage, Standing};
-use sardinepick_lib::fleet::suspect::{COUNTING, ENDS, End, Reach, Suspects, counting};
-use sardinepick_lib::id::NodeId;
-use sardinepick_wire::fleet as pb;
-use sardinepick_wire::quarantine::{quarantined, read_quarantined};
-use sardinepick_wire::schedule::Schedule;
-use smallvec::SmallVec;
-use tokio::sync::{Notify, oneshot, watch};
+use sardinepick_lib::fleet::suspect::{ENDS, Suspects};
+use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
-use crate::serve::ended;
+use self::count::counts_first;
+use crate::serve::question::Questions;
 use crate::serve::request::Request;
-use crate::serve::scheduler::transmit;
 use crate::serve::shared::Shared;
-use crate::serve::ticket::Ticket;
 
+pub mod count;
+pub mod news;
 pub mod store;
 
-/// How long a node that counts has to answer, each time it is told.
-const PATIENCE: Duration = Duration::from_millis(15);
-/// How often it is told. One datagram can be lost; one that comes twice counts once.
-const TRIES: u32 = 2;
 /// How often proposals are looked at while any awaits its decision, and all else otherwise.
 const PERIODS: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
 
@@ -38,9 +28,8 @@
 struct State {
     suspects: Suspects,
     quarantine: Quarantine,
-    /// Ends that other nodes were told of, and who waits for their answers.
-    told: u64,
-    waiting: HashMap<u64, oneshot::Sender<u32>>,
+    /// Ends that other nodes were told of.
+    questions: Questions<u32>,
     /// What was decided here and the store does not keep yet.
     unwritten: HashSet<Fingerprint>,
 }
@@ -72,11 +61,6 @@
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    /// How many requests are suspected.
-    pub fn suspected(&self) -> usize {
-        self.state().suspects.len()
-    }
 }
 
 /// Whether a request may go to a runner.
@@ -140,114 +124,6 @@
     standing == Standing::Refused
 }
 
-/// Notes that a call broke off. Whether so many runners have ended under its request that it must not
-/// be sent on.
-pub async fn note_broken(
-    shared: &Shared,
-    ticket: &Ticket,
-    request: &Request,
-    reach: Reach,
-) -> bool {
-    let Some(life) = ended::find(shared, ticket, request, reach).await else { return false };
-    let end = End { life, reach };
-    let fingerprint = request.fingerprint;
-    let here = count(shared, fingerprint, end);
-    let peers = counting_peers(shared, &fingerprint);
-    let others = join_all(peers.into_iter().map(|peer| tell(shared, peer, fingerprint, end))).await;
-    let ends = others.into_iter().flatten().map(|ends| ends as usize).fold(here, usize::max);
-    log::info!(
-        request:% = request.id, fingerprint:% = fingerprint, ends = ends, here = here;
-        "ends of runners under a request counted"
-    );
-    ends >= ENDS
-}
-
-/// Counts an end, and proposes the request if there are enough.
-fn count(shared: &Shared, request: Fingerprint, end: End) -> usize {
-    let now = shared.clock.now();
-    let mut state = shared.keeper.state();
-    let ends = state.suspects.note(request, end, now);
-    let State { suspects, quarantine, .. } = &mut *state;
-    let proposed = suspects.get(&request).and_then(|s| quarantine.propose(request, s, now));
-    if let Some(entry) = proposed {
-        // Nobody hears of a proposal that this node can itself object to.
-        let objects = state.quarantine.objects(&entry);
-        drop(state);
-        note_stage(shared, &entry, "counted");
-        if objects {
-            set(shared, &request, Stage::Cleared, "answered since");
-        }
-        shared.beat_now.notify_one();
-    }
-    ends
-}
-
-/// Tells a node that counts of an end. Gives how many it has counted; none if it does not answer.
-async fn tell(shared: &Shared, peer: SocketAddr, request: Fingerprint, end: End) -> Option<u32> {
-    for _ in 0..TRIES {
-        let (sender, answer) = oneshot::channel();
-        let number = {
-            let mut state = shared.keeper.state();
-            state.told += 1;
-            let number = state.told;
-            state.waiting.insert(number, sender);
-            number
-        };
-        transmit(shared, peer, &Schedule::Ended { number, request, end }).await;
-        let answer = timeout(PATIENCE, answer).await;
-        shared.keeper.state().waiting.remove(&number);
-        if let Ok(Ok(ends)) = answer {
-            return Some(ends);
-        }
-    }
-    log::info!(peer:% = peer, fingerprint:% = request; "node that counts ends is silent");
-    None
-}
-
-/// Takes what another node tells of an end, and answers.
-pub async fn take_ended(
-    shared: &Shared,
-    from: SocketAddr,
-    number: u64,
-    request: Fingerprint,
-    end: End,
-) {
-    let ends = u32::try_from(count(shared, request, end)).unwrap_or(u32::MAX);
-    transmit(shared, from, &Schedule::Counted { number, ends }).await;
-}
-
-/// Takes the answer of a node that counts.
-pub fn take_counted(shared: &Shared, number: u64, ends: u32) {
-    let waiting = shared.keeper.state().waiting.remove(&number);
-    // One that comes late or twice finds nobody waiting.
-    if let Some(waiting) = waiting {
-        let _ = waiting.send(ends);
-    }
-}
-
-fn with_counting<T>(
-    shared: &Shared,
-    request: &Fingerprint,
-    use_them: impl FnOnce(&[&NodeId], &dyn Fn(&NodeId) -> Option<SocketAddr>) -> T,
-) -> T {
-    let roster = shared.roster();
-    let fronts = roster.fronts();
-    let nodes = fronts.iter().map(|contact| &contact.id).chain([&shared.me.id]);
-    let counting: SmallVec<[&NodeId; COUNTING]> = counting(request, nodes);
-    let peer = |id: &NodeId| fronts.iter().find(|c| c.id == *id).map(|c| c.peer);
-    use_them(&counting, &peer)
-}
-
-/// Where the nodes are reached that count a request's ends, this one left out.
-fn counting_peers(shared: &Shared, request: &Fingerprint) -> SmallVec<[SocketAddr; COUNTING]> {
-    with_counting(shared, request, |nodes, peer| nodes.iter().filter_map(|id| peer(id)).collect())
-}
-
-/// Whether this node is the first of those that count a request's ends.
-fn counts_first(shared: &Shared, request: &Fingerprint) -> bool {
-    with_counting(shared, request, |nodes, _| nodes.first() == Some(&&shared.me.id))
-}
-
 /// Notes that a runner has answered a request whole: it has not ended under it.
 pub fn note_answered(shared: &Shared, request: &Fingerprint) {
     let now = shared.clock.now();
@@ -311,57 +187,6 @@
     shared.keeper.changed.send_replace(());
 }
 
-/// Takes what another node tells of requests that are not run.
-pub fn take(shared: &Shared, told: &[pb::Quarantined], from: &str) {
-    let now = shared.clock.now();
-    let entries = match read_quarantined(told, now) {
-        Ok(entries) => entries,
-        Err(error) => {
-            log::warn!(node = from, error:% = error; "quarantine of a node is not taken");
-            return;
-        }
-    };
-    for entry in entries {
-        if !shared.keeper.state().quarantine.take(entry.clone(), now) {
-            continue;
-        }
-        heed(shared, &entry);
-        note_stage(shared, &entry, "heard");
-        if shared.keeper.state().quarantine.objects(&entry) {
-            set(shared, &entry.request, Stage::Cleared, "answered since");
-        }
-        shared.beat_now.notify_one();
-    }
-}
-
-/// What has not been told to other nodes yet, as far as one message carries it.
-pub fn news(shared: &Shared) -> Vec<pb::Quarantined> {
-    let news = shared.keeper.state().quarantine.take_news();
-    quarantined(&news, shared.clock.now())
-}
-
-/// Whether there is more to be told.
-pub fn has_news(shared: &Shared) -> bool {
-    shared.keeper.state().quarantine.has_news()
-}
-
-/// All that is known, for another node; what is refused comes first.
-pub fn all(shared: &Shared) -> Vec<pb::Quarantined> {
-    let mut all: Vec<Entry> = shared.keeper.state().quarantine.entries().cloned().collect();
-    all.sort_by_key(|entry| entry.stage != Stage::Confirmed);
-    quarantined(&all, shared.clock.now())
-}
-
-/// A digest of all that is known.
-pub fn digest(shared: &Shared) -> u64 {
-    shared.keeper.state().quarantine.digest(shared.clock.now())
-}
-
-/// Compares another node's digest. True if lists should be compared.
-pub fn note_digest(shared: &Shared, node: &NodeId, digest: u64) -> bool {
-    shared.keeper.state().quarantine.note_digest(node, digest, shared.clock.now())
-}
-
 /// Decides what was proposed and forgets what is long ago, until the process ends.
 pub async fn run(shared: Arc<Shared>) {
     let mut changed = shared.keeper.changed.subscribe();
--- a/node/src/serve/scheduler.rs
+++ b/node/src/serve/scheduler.rs
@@ -20,9 +20,10 @@
 use sardinepick_lib::id::{NodeId, ServiceId};
 use sardinepick_wire::schedule::{MOST_LESSONS, MOST_LOADS, MOST_READINGS, Report, Schedule};
 use tokio::net::UdpSocket;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::Notify;
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
+use crate::serve::question::Questions;
 use crate::serve::shared::Shared;
 use crate::serve::{inventory, quarantine};
 
@@ -66,8 +67,7 @@
 
 #[derive(Debug, Default)]
 struct State {
-    asked: u64,
-    waiting: HashMap<u64, oneshot::Sender<Option<Decision>>>,
+    questions: Questions<Option<Decision>>,
     silences: HashMap<NodeId, Silence>,
     holders: HashMap<(ServiceId, Pool), (Holder, Instant)>,
     /// The pools that this node schedules, and when it was last asked.
@@ -250,19 +250,12 @@
 
 /// Asks a node, and gives its answer; none if there was none in time.
 async fn question(shared: &Shared, peer: SocketAddr, ask: &Ask) -> Option<Option<Decision>> {
-    let (sender, answer) = oneshot::channel();
-    let number = {
-        let mut state = shared.scheduling.state();
-        state.asked += 1;
-        let number = state.asked;
-        state.waiting.insert(number, sender);
-        number
-    };
+    let (number, answer) = shared.scheduling.state().questions.ask();
     let question =
         Schedule::Question { number, node: shared.me.id.clone(), ask: Box::new(ask.clone()) };
     transmit(shared, peer, &question).await;
     let answer = timeout(PATIENCE, answer).await;
-    shared.scheduling.state().waiting.remove(&number);
+    shared.scheduling.state().questions.give_up(number);
     answer.ok()?.ok()
 }
 
@@ -285,17 +278,15 @@
             transmit(shared, from, &Schedule::Answer { number, decision }).await;
         }
         Ok(Schedule::Answer { number, decision }) => {
-            let waiting = shared.scheduling.state().waiting.remove(&number);
-            // One that comes late or twice finds nobody waiting.
-            if let Some(waiting) = waiting {
-                let _ = waiting.send(decision);
-            }
+            shared.scheduling.state().questions.answer(number, decision);
         }
         Ok(Schedule::Report(report)) => take_report(shared, &report),
         Ok(Schedule::Ended { number, request, end }) => {
-            quarantine::take_ended(shared, from, number, request, end).await;
+            quarantine::count::take_ended(shared, from, number, request, end).await;
+        }
+        Ok(Schedule::Counted { number, ends }) => {
+            quarantine::count::take_counted(shared, number, ends);
         }
-        Ok(Schedule::Counted { number, ends }) => quarantine::take_counted(shared, number, ends),
         Err(error) => log::warn!(peer:% = from, error:% = error; "datagram is not taken"),
     }
 }
