quarantine: a trial that did not come to run is returned

What callers would see: a good request that is refused wrongly is tried after 30 s, and where no runner is free at that moment goes on being refused for ten minutes. Cause: the trial was taken with the first refusal of a runner. A trial goes on to the next runner, and is the next caller's if none runs it. Test: return_trial_next_is_tried.

--- a/lib/src/fleet/quarantine/mod.rs
+++ b/lib/src/fleet/quarantine/mod.rs
@@ -53,8 +53,9 @@
     entry: Entry,
     /// How often it has been tried since it was confirmed.
     trials: usize,
-    /// When it was last tried.
+    /// When it was last tried, and when the time before that.
     tried: Instant,
+    tried_before: Instant,
     /// How often it was refused here.
     refused: u64,
 }
@@ -175,7 +176,7 @@
             Some(kept) => {
                 let confirmed = entry.stage == Stage::Confirmed;
                 if confirmed {
-                    (kept.trials, kept.tried) = (0, entry.since);
+                    (kept.trials, kept.tried, kept.tried_before) = (0, entry.since, entry.since);
                 }
                 kept.entry = entry;
             }
@@ -183,8 +184,9 @@
                 if self.kept.len() >= MOST {
                     self.make_room();
                 }
-                let tried = entry.since;
-                self.kept.insert(request, Kept { entry, trials: 0, tried, refused: 0 });
+                let (tried, tried_before) = (entry.since, entry.since);
+                let kept = Kept { entry, trials: 0, tried, tried_before, refused: 0 };
+                self.kept.insert(request, kept);
             }
         }
         self.news.retain(|other| *other != request);
@@ -236,12 +238,22 @@
         let due = pause.is_some_and(|pause| now >= kept.tried + *pause);
         if due && kept.entry.stage == Stage::Confirmed {
             kept.trials += 1;
-            kept.tried = now;
+            kept.tried_before = std::mem::replace(&mut kept.tried, now);
             return true;
         }
         false
     }
 
+    /// Notes that a request that was to be tried has not run: the next one is.
+    pub fn return_trial(&mut self, request: &Fingerprint) {
+        if let Some(kept) = self.kept.get_mut(request)
+            && let Some(before) = kept.trials.checked_sub(1)
+        {
+            kept.trials = before;
+            kept.tried = kept.tried_before;
+        }
+    }
+
     /// Notes that a request was answered whole. True if that speaks for one that is not run.
     pub fn note_answered(&mut self, request: Fingerprint, now: Instant) -> bool {
         self.answered.note(request, now);
--- a/lib/tests/quarantine.rs
+++ b/lib/tests/quarantine.rs
@@ -185,6 +185,19 @@
     assert!(!node.quarantine.begin_trial(&request(2), now + 50 * SECOND));
 }
 
+/// A trial that found no runner free says nothing, and the next request is tried.
+#[test]
+fn return_trial_next_is_tried() {
+    let (mut node, now) = (Node::default(), Instant::now());
+    node.confirm(1, now);
+    let due = now + 30 * SECOND;
+    assert!(node.quarantine.begin_trial(&request(1), due));
+    assert!(!node.quarantine.begin_trial(&request(1), due + MS));
+    node.quarantine.return_trial(&request(1));
+    assert!(node.quarantine.begin_trial(&request(1), due + 2 * MS));
+    assert!(!node.quarantine.begin_trial(&request(1), due + 599 * SECOND));
+}
+
 #[test]
 fn take_older_changes_nothing() {
     let (mut node, now) = (Node::default(), Instant::now());
--- a/node/src/serve/generation/admit.rs
+++ b/node/src/serve/generation/admit.rs
@@ -4,6 +4,7 @@
 use sardinepick_lib::fleet::load::Class;
 use sardinepick_lib::fleet::place::Placement;
 use sardinepick_lib::fleet::scheduler::{self, Decision, Firmness, Step};
+use sardinepick_lib::fleet::suspect::ENDS;
 use sardinepick_lib::id::RunnerId;
 
 use super::{LEAST_LEFT, Stop, Way, millis};
@@ -85,8 +86,12 @@
         }
     }
 
-    /// Makes sure that it may go to a runner.
+    /// Makes sure that it may go to a runner. Without this a request that ends each runner that runs it
+    /// would be sent on within its attempt, and again at other nodes, until none is left.
     pub(super) async fn pass_quarantine(&mut self) -> Result<(), Stop> {
+        if self.is_trial && self.runs == 0 && self.ends == 0 {
+            return Ok(());
+        }
         let admission = tokio::select! {
             () = self.caller.left() => return Err(Stop::CallerLeft),
             admission = quarantine::admit(&self.shared, &self.request) => admission,
@@ -94,7 +99,7 @@
         match admission {
             Admission::Refused => Err(Stop::Refuse(Refusal::Quarantined)),
             Admission::Trial if self.calls > 0 => Err(Stop::Refuse(Refusal::Quarantined)),
-            Admission::Free if self.ends_runners => Err(Stop::Refuse(Refusal::Broken)),
+            Admission::Free if self.ends >= ENDS => Err(Stop::Refuse(Refusal::Broken)),
             Admission::Free => Ok(()),
             Admission::Trial => {
                 self.is_trial = true;
--- a/node/src/serve/generation/mod.rs
+++ b/node/src/serve/generation/mod.rs
@@ -57,7 +57,7 @@
         has_read: false,
         runs: 0,
         doubt: false,
-        ends_runners: false,
+        ends: 0,
         is_trial: false,
         events: 0,
         last_at: None,
@@ -126,8 +126,8 @@
     runs: u32,
     /// A run may have begun and did not end whole.
     doubt: bool,
-    /// As many runners have ended under it as a request may end.
-    ends_runners: bool,
+    /// Ends of runners that count against it, as of the last under this attempt; none before.
+    ends: usize,
     /// It runs to see whether runners still end under it.
     is_trial: bool,
     events: u64,
@@ -192,6 +192,9 @@
             }
         }
         line.runner = self.tried.last().map(RunnerId::as_str).unwrap_or_default();
+        if self.is_trial && self.runs == 0 && self.ends == 0 {
+            quarantine::return_trial(&self.shared, &self.request.fingerprint);
+        }
         self.request.log_end(&self.shared, &line);
     }
 
--- a/node/src/serve/generation/stream.rs
+++ b/node/src/serve/generation/stream.rs
@@ -223,9 +223,8 @@
     /// Notes whether the runner of a call that broke off has ended under it.
     pub(super) async fn note_broken(&mut self, ticket: &Ticket, begun: bool) {
         let reach = Reach { events: self.events, begun };
-        let spent =
-            quarantine::count::note_broken(&self.shared, ticket, &self.request, reach).await;
-        self.ends_runners |= spent;
+        let ends = quarantine::count::note_broken(&self.shared, ticket, &self.request, reach).await;
+        self.ends = self.ends.max(ends);
     }
 
     fn log_cut(&self, ticket: &Ticket, detail: &str) {
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -11,7 +11,7 @@
 use sardinepick_lib::fleet::load::Class;
 use sardinepick_lib::fleet::place::{self, Question};
 use sardinepick_lib::fleet::register::Share;
-use sardinepick_lib::fleet::suspect::Reach;
+use sardinepick_lib::fleet::suspect::{ENDS, Reach};
 use sardinepick_lib::id::RunnerId;
 use sardinepick_platform::answer::{Verdict, judge};
 use sardinepick_platform::runner::{Call, Step as Ask, request as call_request};
@@ -66,9 +66,13 @@
         calls: 0,
         arrivals: 0,
         runs: 0,
-        ends_runners: false,
+        ends: 0,
+        is_trial: false,
     };
     let end = way.run().await;
+    if way.is_trial && way.runs == 0 && way.ends == 0 {
+        quarantine::return_trial(shared, &request.fingerprint);
+    }
     let runner = way.tried.last().map(RunnerId::as_str).unwrap_or_default();
     let mut line = End { runner, tries: way.calls, ..End::default() };
     match end {
@@ -102,19 +106,24 @@
     arrivals: u32,
     /// Calls that a runner has run, or may have.
     runs: u32,
-    /// As many runners have ended under it as a request may end.
-    ends_runners: bool,
+    /// Ends of runners that count against it, as of the last under this attempt; none before.
+    ends: usize,
+    /// It runs to see whether runners still end under it.
+    is_trial: bool,
 }
 
 impl Way<'_> {
     async fn run(&mut self) -> Result<(Parts, Bytes), Refusal> {
         let mut failed: Option<(Parts, Bytes)> = None;
         loop {
-            match quarantine::admit(self.shared, self.request).await {
-                Admission::Refused => return Err(Refusal::Quarantined),
-                Admission::Trial if self.calls > 0 => return Err(Refusal::Quarantined),
-                Admission::Free if self.ends_runners => return failed.ok_or(Refusal::Broken),
-                Admission::Free | Admission::Trial => {}
+            if !self.is_trial || self.runs > 0 || self.ends > 0 {
+                match quarantine::admit(self.shared, self.request).await {
+                    Admission::Refused => return Err(Refusal::Quarantined),
+                    Admission::Trial if self.calls > 0 => return Err(Refusal::Quarantined),
+                    Admission::Free if self.ends >= ENDS => return failed.ok_or(Refusal::Broken),
+                    Admission::Free => {}
+                    Admission::Trial => self.is_trial = true,
+                }
             }
             let now = self.shared.clock.now();
             let left = self.request.left(now);
@@ -263,8 +272,8 @@
     /// Notes whether the runner of a call that broke off has ended under it.
     async fn note_broken(&mut self, ticket: &Ticket, begun: bool) {
         let reach = Reach { events: 0, begun };
-        let spent = quarantine::count::note_broken(self.shared, ticket, self.request, reach).await;
-        self.ends_runners |= spent;
+        let ends = quarantine::count::note_broken(self.shared, ticket, self.request, reach).await;
+        self.ends = self.ends.max(ends);
     }
 
     /// Judges an answer and reads it whole.
--- a/node/src/serve/quarantine/count.rs
+++ b/node/src/serve/quarantine/count.rs
@@ -6,7 +6,7 @@
 use futures_util::future::join_all;
 use sardinepick_lib::fleet::fingerprint::Fingerprint;
 use sardinepick_lib::fleet::quarantine::Stage;
-use sardinepick_lib::fleet::suspect::{COUNTING, ENDS, End, Reach, counting};
+use sardinepick_lib::fleet::suspect::{COUNTING, End, Reach, counting};
 use sardinepick_lib::id::NodeId;
 use sardinepick_wire::schedule::Schedule;
 use smallvec::SmallVec;
@@ -24,15 +24,15 @@
 /// How often it is told. One datagram can be lost; one that comes twice counts once.
 const TRIES: u32 = 2;
 
-/// Notes that a call broke off. Whether so many runners have ended under its request that it must not
-/// be sent on.
+/// Notes that a call broke off. Gives how many ends of runners count against its request by now; none
+/// if the runner has not ended.
 pub async fn note_broken(
     shared: &Shared,
     ticket: &Ticket,
     request: &Request,
     reach: Reach,
-) -> bool {
-    let Some(life) = ended::find(shared, ticket, request, reach).await else { return false };
+) -> usize {
+    let Some(life) = ended::find(shared, ticket, request, reach).await else { return 0 };
     let end = End { life, reach };
     let fingerprint = request.fingerprint;
     let here = count(shared, fingerprint, end);
@@ -43,7 +43,7 @@
         request:% = request.id, fingerprint:% = fingerprint, ends = ends, here = here;
         "ends of runners under a request counted"
     );
-    ends >= ENDS
+    ends
 }
 
 /// Counts an end, and proposes the request if there are enough.
--- a/node/src/serve/quarantine/mod.rs
+++ b/node/src/serve/quarantine/mod.rs
@@ -117,6 +117,11 @@
     Admission::Refused
 }
 
+/// Notes that a request that was to be tried has not run: the next one is.
+pub fn return_trial(shared: &Shared, request: &Fingerprint) {
+    shared.keeper.state().quarantine.return_trial(request);
+}
+
 /// Whether a request is refused, without waiting where that is not decided.
 pub fn is_refused(shared: &Shared, request: &Request) -> bool {
     let now = shared.clock.now();
