testutils: stand-ins bind a free port in place of looking for one and binding it later

Suspected: the moment between the look for a free port and its use, which is gone for stand-ins; nodes' ports still pass through their settings and have it.

--- a/testutils/src/cluster.rs
+++ b/testutils/src/cluster.rs
@@ -47,6 +47,12 @@
     }
 }
 
+/// An address of this process's own at which a server that binds it gets whichever port is free. Unlike
+/// one of [`free_address`], nobody can take it between the look and the use.
+pub fn any_address() -> SocketAddr {
+    SocketAddr::new(own_ip(), 0)
+}
+
 /// What the settings of a node are made of.
 #[derive(Clone, Debug)]
 pub struct Plan {
--- a/testutils/src/fleet/deployment.rs
+++ b/testutils/src/fleet/deployment.rs
@@ -16,7 +16,7 @@
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 
-use crate::cluster::{free_address, own_ip, wait_until};
+use crate::cluster::{any_address, free_address, own_ip, wait_until};
 use crate::fleet::caller::{Ask, Caller, Told};
 use crate::fleet::link::Link;
 use crate::fleet::runner::{Kind, Runner};
@@ -121,7 +121,7 @@
     /// # Panics
     /// No address is free.
     pub async fn new() -> Self {
-        let store = Store::start(free_address(own_ip())).await.expect("a free address");
+        let store = Store::start(any_address()).await.expect("a free address");
         store.put("config", "main", &configuration(1));
         let (runners, supervised, nodes) = (Vec::new(), Vec::new(), Vec::new());
         Self { store, runners, supervised, nodes, caller: Caller::default() }
@@ -167,8 +167,8 @@
         let id = format!("i-{}", self.runners.len());
         let kind =
             Kind { service: service.to_owned(), data_centre: HOME.to_owned(), stage, events: 12 };
-        let address = free_address(own_ip());
-        let runner = Runner::start(&id, address, kind, &self.store).await.expect("a free address");
+        let runner =
+            Runner::start(&id, any_address(), kind, &self.store).await.expect("a free address");
         self.runners.push(runner.clone());
         runner
     }
@@ -190,9 +190,8 @@
             let id = format!("s-{}", self.supervised.len());
             let (service, data_centre) = (service.clone(), HOME.to_owned());
             let kind = Kind { service, data_centre, stage, events: 12 };
-            let address = free_address(own_ip());
             let runner =
-                Supervised::start(&id, address, kind, &self.store, body.clone(), pause).await;
+                Supervised::start(&id, any_address(), kind, &self.store, body.clone(), pause).await;
             self.supervised.push(runner.expect("a free address"));
         }
     }
@@ -219,7 +218,7 @@
     /// # Panics
     /// It does not start.
     pub async fn add_node_far(&mut self, name: &str, rate: f64) {
-        let listener = TcpListener::bind(free_address(own_ip())).await.expect("a free address");
+        let listener = TcpListener::bind(any_address()).await.expect("a free address");
         let address = listener.local_addr().expect("a listener has an address");
         Link::start(listener, self.store.address(), rate);
         let settings = settings(name, address, Vec::new());
@@ -236,7 +235,7 @@
         let settings = settings(name, self.store.address(), seeds);
         let mut sockets = Sockets::bind(&settings).await.expect("free addresses");
         // Others reach the link at the node's address, and the link alone reaches the node.
-        let behind = TcpListener::bind(free_address(own_ip())).await.expect("a free address");
+        let behind = TcpListener::bind(any_address()).await.expect("a free address");
         let server = behind.local_addr().expect("a listener has an address");
         let link = Link::start(std::mem::replace(&mut sockets.peers, behind), server, rate);
         self.nodes.push(run::start_at(settings, Arc::new(System), Metrics::default(), sockets));
--- a/testutils/src/fleet/ending.rs
+++ b/testutils/src/fleet/ending.rs
@@ -16,7 +16,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::cluster::{free_address, own_ip};
+use crate::cluster::{any_address, free_address, own_ip};
 use crate::fleet::caller::{Ask, Caller};
 use crate::fleet::deployment::{HOME, MODEL, PLAIN, configuration};
 use crate::fleet::runner::{Kind, Runner};
@@ -43,7 +43,7 @@
 
 impl Fleet {
     async fn start(exe: &Path, plan: Plan) -> std::io::Result<Self> {
-        let store = Store::start(free_address(own_ip())).await?;
+        let store = Store::start(any_address()).await?;
         store.put("config", "main", &configuration(1));
         let kind = |service: &str, stage| Kind {
             service: service.to_owned(),
@@ -53,12 +53,12 @@
         };
         let mut readers = Vec::new();
         for n in 0..2 {
-            let (id, address) = (format!("r-{n}"), free_address(own_ip()));
+            let (id, address) = (format!("r-{n}"), any_address());
             readers.push(Runner::start(&id, address, kind(MODEL, Some("prefill")), &store).await?);
         }
         let mut runners = Vec::new();
         for n in 0..10 {
-            let (id, address) = (format!("s-{n}"), free_address(own_ip()));
+            let (id, address) = (format!("s-{n}"), any_address());
             let kind = if n < 5 { kind(MODEL, Some("decode")) } else { kind(PLAIN, None) };
             let body = Bytes::from_static(ENDING);
             runners.push(Supervised::start(&id, address, kind, &store, body, AWAY).await?);
--- a/testutils/src/fleet/proxy.rs
+++ b/testutils/src/fleet/proxy.rs
@@ -41,6 +41,7 @@
     /// The address cannot be listened at.
     pub async fn start(address: SocketAddr, server: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
         let harm = Arc::new(watch::Sender::new(Harm::None));
         tokio::spawn(accept(listener, server, harm.clone()));
         Ok(Self { address, harm })
--- a/testutils/src/fleet/soak.rs
+++ b/testutils/src/fleet/soak.rs
@@ -19,7 +19,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::cluster::{free_address, own_ip};
+use crate::cluster::{any_address, free_address, own_ip};
 use crate::fleet::caller::{Ask, Caller, Told};
 use crate::fleet::deployment::{HOME, MODEL, PLAIN, configuration, large_configuration};
 use crate::fleet::proxy::{Harm, Proxy};
@@ -124,9 +124,9 @@
 
 impl Soak {
     async fn start(exe: &Path, plan: Plan) -> std::io::Result<Self> {
-        let store = Store::start(free_address(own_ip())).await?;
+        let store = Store::start(any_address()).await?;
         store.put("config", "main", &configuration(1));
-        let store_proxy = Proxy::start(free_address(own_ip()), store.address()).await?;
+        let store_proxy = Proxy::start(any_address(), store.address()).await?;
         let mut soak = Self {
             store,
             store_proxy,
@@ -170,8 +170,8 @@
             stage,
             events: EVENTS,
         };
-        let runner = Runner::start(&id, free_address(own_ip()), kind, &self.store).await?;
-        let proxy = Proxy::start(free_address(own_ip()), runner.address()).await?;
+        let runner = Runner::start(&id, any_address(), kind, &self.store).await?;
+        let proxy = Proxy::start(any_address(), runner.address()).await?;
         runner.show_at(proxy.address);
         self.runners.push((runner, proxy));
         Ok(())
