quarantine: what another node withdraws is kept by the store no longer; a greatest serial takes no node down

What callers would see: two nodes that count decide differently at one moment, what is withdrawn holds, and after the loss of all nodes the request is refused again for 30 s, as the store still has it. And a node that was told the greatest serial of a request would stop at its next proposal. Found by reading. Tests: propose_after_greatest_serial_none; the first has none of its own (two nodes would have to decide within a few milliseconds).

--- a/lib/src/fleet/quarantine/mod.rs
+++ b/lib/src/fleet/quarantine/mod.rs
@@ -27,8 +27,8 @@
 /// How long a proposal stands before it is decided: news reaches 550 nodes in a tenth of a second,
 /// objections come back in another.
 pub const DELIBERATION: Duration = Duration::from_millis(300);
-/// How many requests may be proposed at once, none of which another accounts for. With more it is the
-/// runners that fail.
+/// How many requests may be proposed at once, none of which another accounts for. Where runners end by
+/// a fault of their own many are.
 const MOST_AT_ONCE: usize = 4;
 /// The most proposals that a node makes while others stand.
 const MOST_PROPOSED: usize = 16;
@@ -111,7 +111,7 @@
         }
         let entry = Entry {
             request,
-            serial: known.map_or(0, |entry| entry.serial) + 1,
+            serial: known.map_or(0, |entry| entry.serial).saturating_add(1),
             stage: Stage::Proposed,
             ends: suspect.ends().iter().map(|end| end.life).collect(),
             begun: suspect.ends().iter().filter(|end| end.reach.begun).count() as u32,
--- a/lib/tests/quarantine.rs
+++ b/lib/tests/quarantine.rs
@@ -223,6 +223,17 @@
     assert_eq!(node.ended(1, &[23], true, now).map(|entry| entry.serial), Some(2));
 }
 
+/// A node that speaks nonsense of a request takes no other down.
+#[test]
+fn propose_after_greatest_serial_none() {
+    let (mut node, now) = (Node::default(), Instant::now());
+    node.confirm(1, now);
+    let last = node.quarantine.get(&request(1)).expect("it is refused").clone();
+    let last = Entry { serial: u32::MAX, stage: Stage::Cleared, ..last };
+    assert!(node.quarantine.take(last, now));
+    assert_eq!(node.ended(1, &[21, 22, 23], true, now), None);
+}
+
 #[test]
 fn take_thousands_keeps_what_is_refused() {
     let (mut node, now) = (Node::default(), Instant::now());
--- a/node/src/serve/quarantine/news.rs
+++ b/node/src/serve/quarantine/news.rs
@@ -5,7 +5,8 @@
 use sardinepick_wire::fleet as pb;
 use sardinepick_wire::quarantine::{quarantined, read_quarantined};
 
-use super::{heed, note_stage, set};
+use super::count::counts_first;
+use super::{heed, keep, note_stage, set};
 use crate::serve::shared::Shared;
 
 /// Takes what another node tells of requests that are not run.
@@ -19,11 +20,21 @@
         }
     };
     for entry in entries {
-        if !shared.keeper.state().quarantine.take(entry.clone(), now) {
-            continue;
-        }
+        let was = {
+            let mut state = shared.keeper.state();
+            let was = state.quarantine.get(&entry.request).map(|entry| entry.stage);
+            if !state.quarantine.take(entry.clone(), now) {
+                continue;
+            }
+            was
+        };
         heed(shared, &entry);
         note_stage(shared, &entry, "heard");
+        // Two nodes that count may decide differently, and one of them have written it down.
+        let lifted = was == Some(Stage::Confirmed) && entry.stage != Stage::Confirmed;
+        if lifted && counts_first(shared, &entry.request) {
+            keep(shared, entry.request);
+        }
         if shared.keeper.state().quarantine.objects(&entry) {
             set(shared, &entry.request, Stage::Cleared, "answered since");
         }
--- a/node/tests/crash.rs
+++ b/node/tests/crash.rs
@@ -2,8 +2,8 @@
 //! the same path and body; whichever runner began to run it ended and was back three seconds later.
 //! Each node took each end for the runner's failure, and sent the request on to the next runner
 //! within the attempt; an attempt that came to another node started from nothing. Nothing but the
-//! request was under way, without having passed on an event, at more than one of 14 ends that the
-//! nodes wrote down:
+//! request was under way with its answer begun, and without an event of it, at more than one of the 14
+//! ends that the nodes wrote down:
 //!
 //!     stream broke off  i-8a39f9ed86  events 0  "error reading a body from connection"
 //!     placed            attempt 3, decode i-921bb7ef81
