hash, quarantine, soak: one copy of hexadecimal, of the counting nodes, of a generation's headers

Read once more, nothing callers see changes. Fingerprints wrote and read hexadecimal digits beside digests: both use one reader now, which takes digits alone (the digests' own took "+1" for a byte). Who counts a request's ends was a function that took a function: it is a list of addresses now. Each request subscribed to changes of the quarantine before it was looked at: only one that waits does. Headers of a generation stood three times in the soaks.

--- a/lib/src/fleet/fingerprint.rs
+++ b/lib/src/fleet/fingerprint.rs
@@ -6,6 +6,8 @@
 use sha2::{Digest as _, Sha256};
 use thiserror::Error;
 
+use crate::hash::{read_hex, write_hex};
+
 /// The length of a fingerprint in bytes.
 const LENGTH: usize = 16;
 
@@ -50,7 +52,7 @@
 
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+        write_hex(&self.0, f)
     }
 }
 
@@ -64,14 +66,6 @@
     type Err = FingerprintError;
 
     fn from_str(text: &str) -> Result<Self, FingerprintError> {
-        if text.len() != LENGTH * 2 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
-            return Err(FingerprintError);
-        }
-        let mut bytes = [0; LENGTH];
-        for (at, byte) in bytes.iter_mut().enumerate() {
-            *byte =
-                u8::from_str_radix(&text[at * 2..at * 2 + 2], 16).map_err(|_| FingerprintError)?;
-        }
-        Ok(Self(bytes))
+        read_hex(text).map(Self).ok_or(FingerprintError)
     }
 }
--- a/lib/src/hash.rs
+++ b/lib/src/hash.rs
@@ -39,10 +39,7 @@
 
 impl fmt::Display for Digest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for byte in self.0 {
-            write!(f, "{byte:02x}")?;
-        }
-        Ok(())
+        write_hex(&self.0, f)
     }
 }
 
@@ -50,18 +47,27 @@
     type Err = DigestError;
 
     fn from_str(text: &str) -> Result<Self, DigestError> {
-        if text.len() != DIGEST_LEN * 2 || !text.is_ascii() {
-            return Err(DigestError);
-        }
-        let mut bytes = [0; DIGEST_LEN];
-        for (byte, pair) in bytes.iter_mut().zip(text.as_bytes().chunks(2)) {
-            let pair = std::str::from_utf8(pair).map_err(|_| DigestError)?;
-            *byte = u8::from_str_radix(pair, 16).map_err(|_| DigestError)?;
-        }
-        Ok(Self(bytes))
+        read_hex(text).map(Self).ok_or(DigestError)
     }
 }
 
+/// Writes bytes as hexadecimal digits.
+pub(crate) fn write_hex(bytes: &[u8], f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    bytes.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+}
+
+/// Reads as many bytes as asked for from hexadecimal digits; none if the text is anything else.
+pub(crate) fn read_hex<const N: usize>(text: &str) -> Option<[u8; N]> {
+    if text.len() != N * 2 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+        return None;
+    }
+    let mut bytes = [0; N];
+    for (at, byte) in bytes.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[at * 2..at * 2 + 2], 16).ok()?;
+    }
+    Some(bytes)
+}
+
 impl TryFrom<SmolStr> for Digest {
     type Error = DigestError;
 
--- a/node/src/serve/quarantine/count.rs
+++ b/node/src/serve/quarantine/count.rs
@@ -36,8 +36,8 @@
     let end = End { life, reach };
     let fingerprint = request.fingerprint;
     let here = count(shared, fingerprint, end);
-    let peers = counting_peers(shared, &fingerprint);
-    let others = join_all(peers.into_iter().map(|peer| tell(shared, peer, fingerprint, end))).await;
+    let peers = counting_nodes(shared, &fingerprint).into_iter().flatten();
+    let others = join_all(peers.map(|peer| tell(shared, peer, fingerprint, end))).await;
     let ends = others.into_iter().flatten().map(|ends| ends as usize).fold(here, usize::max);
     log::info!(
         request:% = request.id, fingerprint:% = fingerprint, ends = ends, here = here;
@@ -98,25 +98,20 @@
     shared.keeper.state().questions.answer(number, ends);
 }
 
-fn with_counting<T>(
+/// The nodes that count a request's ends, the first of them first: where each is reached, or none for
+/// this one.
+fn counting_nodes(
     shared: &Shared,
     request: &Fingerprint,
-    use_them: impl FnOnce(&[&NodeId], &dyn Fn(&NodeId) -> Option<SocketAddr>) -> T,
-) -> T {
+) -> SmallVec<[Option<SocketAddr>; COUNTING]> {
     let roster = shared.roster();
     let fronts = roster.fronts();
     let nodes = fronts.iter().map(|contact| &contact.id).chain([&shared.me.id]);
-    let counting: SmallVec<[&NodeId; COUNTING]> = counting(request, nodes);
     let peer = |id: &NodeId| fronts.iter().find(|c| c.id == *id).map(|c| c.peer);
-    use_them(&counting, &peer)
-}
-
-/// Where the nodes are reached that count a request's ends, this one left out.
-fn counting_peers(shared: &Shared, request: &Fingerprint) -> SmallVec<[SocketAddr; COUNTING]> {
-    with_counting(shared, request, |nodes, peer| nodes.iter().filter_map(|id| peer(id)).collect())
+    counting(request, nodes).into_iter().map(peer).collect()
 }
 
 /// Whether this node is the first of those that count a request's ends.
 pub(super) fn counts_first(shared: &Shared, request: &Fingerprint) -> bool {
-    with_counting(shared, request, |nodes, _| nodes.first() == Some(&&shared.me.id))
+    counting_nodes(shared, request).first() == Some(&None)
 }
--- a/node/src/serve/quarantine/mod.rs
+++ b/node/src/serve/quarantine/mod.rs
@@ -77,7 +77,6 @@
 /// Finds out whether a request may go to a runner. While that is being decided, which takes a third of
 /// a second, it waits: a refusal could turn out wrong, and a run could end one more runner.
 pub async fn admit(shared: &Shared, request: &Request) -> Admission {
-    let mut changed = shared.keeper.changed.subscribe();
     loop {
         let now = shared.clock.now();
         let standing = shared.keeper.state().quarantine.standing(&request.fingerprint, now);
@@ -88,6 +87,7 @@
             Standing::Undecided if request.left(now).is_zero() => return Admission::Free,
             Standing::Undecided => {
                 // No change for so long is looked at as one is: proposals lapse, and time passes.
+                let mut changed = shared.keeper.changed.subscribe();
                 let _ = timeout(PERIODS.0, changed.changed()).await;
             }
         }
--- a/testutils/src/fleet/ending.rs
+++ b/testutils/src/fleet/ending.rs
@@ -20,7 +20,7 @@
 use crate::fleet::caller::{Ask, Caller};
 use crate::fleet::deployment::{HOME, MODEL, PLAIN, configuration};
 use crate::fleet::runner::{Kind, Runner};
-use crate::fleet::soak::{GENERATION, Plan, Report, ini, recover};
+use crate::fleet::soak::{Plan, Report, headers, ini, recover};
 use crate::fleet::store::Store;
 use crate::fleet::supervised::Supervised;
 use crate::process::Daemon;
@@ -148,8 +148,7 @@
             Body::Own => Bytes::from(id.clone()),
             Body::Ending => Bytes::from_static(ENDING),
         };
-        let headers = if path == "/count/a" { &GENERATION[..] } else { &[] };
-        let ask = Ask { headers, body: bytes, ..Ask::new(path, &id) };
+        let ask = Ask { headers: headers(path), body: bytes, ..Ask::new(path, &id) };
         let sent = timeout(Duration::from_secs(4), caller.send(front, &ask)).await;
         let status = sent.ok().and_then(|told| told.status).map_or(0, |status| status.as_u16());
         if body != Body::Ending {
--- a/testutils/src/fleet/soak.rs
+++ b/testutils/src/fleet/soak.rs
@@ -70,8 +70,14 @@
 
 const EVENTS: u64 = 12;
 const PATHS: [&str; 4] = ["/board/a", "/eggs/a", "/count/a", "/tally/a"];
-pub(super) const GENERATION: [(&str, &str); 3] =
+const GENERATION: [(&str, &str); 3] =
     [("model", "m"), ("token-count", "1460,80"), ("prompt-prefix", "5c1e:800,91bd:410,e440:250")];
+/// The headers of a request to a path, beside its id and deadline.
+pub(super) fn headers(path: &str) -> &'static [(&'static str, &'static str)] {
+    let generates = path.starts_with("/count") || path.starts_with("/tally");
+    if generates { &GENERATION } else { &[] }
+}
+
 /// How long after a runner said that it leaves it may still get work, while nothing else harms:
 /// the users' two seconds, and what callers and clocks of a busy machine take.
 const DRAIN: Duration = Duration::from_secs(4);
@@ -289,12 +295,7 @@
         let front = callers.fronts[rng.random_range(0..callers.fronts.len())];
         let path = PATHS[rng.random_range(0..PATHS.len())];
         let id = format!("r{}", callers.next.fetch_add(1, Ordering::Relaxed));
-        let headers = if path.starts_with("/count") || path.starts_with("/tally") {
-            &GENERATION[..]
-        } else {
-            &[]
-        };
-        let ask = Ask { headers, ..Ask::new(path, &id) };
+        let ask = Ask { headers: headers(path), ..Ask::new(path, &id) };
         // A caller may leave before its answer is there.
         let stays = if rng.random_bool(0.05) { 20 } else { 4_000 };
         let sent = timeout(Duration::from_millis(stays), caller.send(front, &ask)).await;
@@ -354,12 +355,7 @@
         for path in PATHS {
             let served = async || {
                 let caller = Caller::default();
-                let headers = if path.starts_with("/count") || path.starts_with("/tally") {
-                    &GENERATION[..]
-                } else {
-                    &[]
-                };
-                let ask = Ask { headers, ..Ask::new(path, "recovery") };
+                let ask = Ask { headers: headers(path), ..Ask::new(path, "recovery") };
                 let told = timeout(Duration::from_secs(4), caller.send(*front, &ask)).await;
                 told.is_ok_and(|told| told.status == Some(StatusCode::OK) && told.whole)
             };
