testutils: one beat of a stand-in node for both tests that have such

Two tests built the same beat field by field, and each new field of a beat had to be written in both. Their assertions are as before; both pass.

--- a/node/tests/copy.rs
+++ b/node/tests/copy.rs
@@ -5,14 +5,13 @@
 use std::time::{Duration, Instant};
 
 use sardinepick_lib::clock::System;
-use sardinepick_lib::fleet::roster::{Contact, Record, Standing, Status};
-use sardinepick_lib::id::{ConfigVersion, Incarnation, Mark};
+use sardinepick_lib::id::ConfigVersion;
 use sardinepick_node::serve::metrics::Metrics;
 use sardinepick_node::serve::run::{self, Running};
 use sardinepick_testutils::cluster::{free_address, own_ip, wait_until};
-use sardinepick_testutils::fleet::deployment::{Deployment, HOME, large_configuration, settings};
+use sardinepick_testutils::fleet::beat;
+use sardinepick_testutils::fleet::deployment::{Deployment, large_configuration, settings};
 use sardinepick_testutils::fleet::store::Fault;
-use sardinepick_wire::beat::Beat;
 use sardinepick_wire::fleet as pb;
 use sardinepick_wire::fleet::fleet_server::{Fleet, FleetServer};
 use tokio::net::{TcpListener, UdpSocket};
@@ -105,34 +104,7 @@
     let listener = TcpListener::bind(address).await.expect("a free address");
     let server = tonic::transport::Server::builder().add_service(FleetServer::new(Bad(conduct)));
     tokio::spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
-    let beat = Beat {
-        sender: Record {
-            contact: Contact {
-                id: name.parse().expect("a name"),
-                incarnation: Incarnation(1),
-                data_centre: HOME.parse().expect("a data centre"),
-                front: address,
-                peer: address,
-            },
-            standing: Standing::Ready,
-            served: true,
-            serial: 1,
-            silent: false,
-        },
-        status: Status {
-            standing: Standing::Ready,
-            version: ConfigVersion(2),
-            register: Mark(0),
-            served: true,
-        },
-        answer: false,
-        away: Vec::new(),
-        digest: 0,
-        records: Vec::new(),
-        news: None,
-        quarantine: 0,
-        quarantined: Vec::new(),
-    };
+    let beat = beat::ready(name.parse().expect("a name"), address, ConfigVersion(2));
     let socket = UdpSocket::bind(address).await.expect("a free address");
     tokio::spawn(async move {
         while socket.send_to(&beat.encode(), other).await.is_ok() {
--- a/node/tests/scheduler.rs
+++ b/node/tests/scheduler.rs
@@ -8,14 +8,13 @@
 use sardinepick_lib::fleet::load::Class;
 use sardinepick_lib::fleet::place::{Placement, Plan};
 use sardinepick_lib::fleet::pool::Pool;
-use sardinepick_lib::fleet::roster::{Contact, Record, Standing, Status};
 use sardinepick_lib::fleet::scheduler::{Decision, Step, holder};
-use sardinepick_lib::id::{ConfigVersion, Incarnation, Mark, NodeId, RunnerId, ServiceId};
+use sardinepick_lib::id::{ConfigVersion, NodeId, RunnerId, ServiceId};
 use sardinepick_testutils::cluster::{free_address, own_ip, wait_until};
+use sardinepick_testutils::fleet::beat;
 use sardinepick_testutils::fleet::caller::Ask;
-use sardinepick_testutils::fleet::deployment::{Deployment, HOME, MODEL};
+use sardinepick_testutils::fleet::deployment::{Deployment, MODEL};
 use sardinepick_testutils::fleet::runner::Runner;
-use sardinepick_wire::beat::Beat;
 use sardinepick_wire::schedule::Schedule;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -83,32 +82,7 @@
 ) -> mpsc::UnboundedReceiver<()> {
     let address = free_address(own_ip());
     let socket = UdpSocket::bind(address).await.expect("a free address");
-    let sender = Record {
-        contact: Contact {
-            id: winning_name(node),
-            incarnation: Incarnation(1),
-            data_centre: HOME.parse().expect("a data centre"),
-            front: address,
-            peer: address,
-        },
-        standing: Standing::Ready,
-        served: true,
-        serial: 1,
-        silent: false,
-    };
-    let (version, register) = (ConfigVersion(0), Mark(0));
-    let status = Status { standing: Standing::Ready, version, register, served: true };
-    let beat = Beat {
-        sender,
-        status,
-        answer: false,
-        away: Vec::new(),
-        digest: 0,
-        records: Vec::new(),
-        news: None,
-        quarantine: 0,
-        quarantined: Vec::new(),
-    };
+    let beat = beat::ready(winning_name(node), address, ConfigVersion(0));
     let (asked, questions) = mpsc::unbounded_channel();
     tokio::spawn(async move {
         let mut buffer = [0; 2_048];
--- /dev/null
+++ b/testutils/src/fleet/beat.rs
@@ -0,0 +1,32 @@
+//! The beat of a node that is none of ours: it says that it is ready, and nothing more.
+
+use std::net::SocketAddr;
+
+use sardinepick_lib::fleet::roster::{Contact, Record, Standing, Status};
+use sardinepick_lib::id::{ConfigVersion, Incarnation, Mark, NodeId};
+use sardinepick_wire::beat::Beat;
+
+use crate::fleet::deployment::HOME;
+
+/// The beat of a node that is reached at `address` for everything and has a configuration of `version`.
+pub fn ready(id: NodeId, address: SocketAddr, version: ConfigVersion) -> Beat {
+    let contact = Contact {
+        id,
+        incarnation: Incarnation(1),
+        data_centre: HOME.parse().expect("a data centre"),
+        front: address,
+        peer: address,
+    };
+    let (standing, register, served) = (Standing::Ready, Mark(0), true);
+    Beat {
+        sender: Record { contact, standing, served, serial: 1, silent: false },
+        status: Status { standing, version, register, served },
+        answer: false,
+        away: Vec::new(),
+        digest: 0,
+        records: Vec::new(),
+        news: None,
+        quarantine: 0,
+        quarantined: Vec::new(),
+    }
+}
--- a/testutils/src/fleet/mod.rs
+++ b/testutils/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the users' platform in its published protocol: the store of objects, runners of
 //! plain services and model engines, callers, and a node among them.
 
+pub mod beat;
 pub mod caller;
 pub mod deployment;
 pub mod ending;
