account: keys of client accounts are checked, and runners told the account

Cause: the code knew no accounts; a key was one more header to pass on. Change: configurations are read into a directory of accounts by digests of their keys; a request is identified before its body is read, and refused with 401 where its route needs a key that it does not have. Runners get the account's name on each call, in place of whatever the client wrote there. An account's priority goes before the route's. A key that a node does not know may be newer than its configuration: it is refused only once a check of the store has shown that there is no newer one. One check at a time serves all requests and holds for a second, so 500 made-up keys cost a call a second. Where the store does not say, the other nodes' silence on a newer one decides, and a node that hears nobody answers 503. Between nodes configurations travel with digests in place of keys.

--- /dev/null
+++ b/lib/src/account/mod.rs
@@ -0,0 +1,4 @@
+//! Client accounts and the keys by which their requests are known.
+
+pub mod directory;
+pub mod freshness;
--- a/lib/src/fleet/gate.rs
+++ b/lib/src/fleet/gate.rs
@@ -60,6 +60,8 @@
     NoRunner,
     /// The node knows no configuration yet.
     NoConfiguration,
+    /// The key may be newer than the configuration that the node knows.
+    KeyUnconfirmed,
     /// The retry budget is spent.
     Budget,
     /// The runners that were tried refused it.
--- a/lib/src/fleet/route.rs
+++ b/lib/src/fleet/route.rs
@@ -8,7 +8,8 @@
 use strum::{Display, IntoStaticStr};
 
 use super::engine::Engine;
-use crate::id::{ConfigVersion, ServiceId};
+use crate::account::directory::Directory;
+use crate::id::{ConfigVersion, Revision, ServiceId};
 
 /// What may be repeated of a request on a route, and what its answer looks like.
 #[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
@@ -68,6 +69,8 @@
     pub targets: SmallVec<[Target; 2]>,
     /// How many runners one request may run at.
     pub most_attempts: u32,
+    /// Whether requests need no key.
+    pub anonymous: bool,
 }
 
 impl Route {
@@ -135,6 +138,10 @@
     services: HashMap<ServiceId, Service>,
     /// The limits for callers.
     pub limits: Limits,
+    /// The client accounts; none where requests need no key.
+    pub accounts: Option<Directory>,
+    /// The change of the store that made it; none until it is known.
+    pub revision: Revision,
 }
 
 impl Configuration {
@@ -153,7 +160,14 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
-        Self { version, routes: by_host, services, limits }
+        Self {
+            version,
+            routes: by_host,
+            services,
+            limits,
+            accounts: None,
+            revision: Revision::default(),
+        }
     }
 
     /// The route of a request: of those of its host, the one with the longest prefix of its path.
--- a/lib/src/id.rs
+++ b/lib/src/id.rs
@@ -169,6 +169,10 @@
     /// A data centre.
     DataCentre
 );
+given!(
+    /// A client account, as the platform's configuration names it.
+    AccountId
+);
 
 /// Declares a counter-like newtype over `u64` with `Display`, `FromStr` and `next`.
 macro_rules! counter {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -1,6 +1,7 @@
 //! The core of sardinepick: decisions and state, without sockets, files, clocks or randomness of
 //! its own. Each part is a state machine that is fed events and the time, and gives back actions.
 
+pub mod account;
 pub mod admit;
 pub mod baseline;
 pub mod budget;
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -97,6 +97,7 @@
         rank: 2,
         targets: smallvec![Target { service: service(), weight: 1 }],
         most_attempts: 2,
+        anonymous: false,
     }
 }
 
--- /dev/null
+++ b/node/src/account/mod.rs
@@ -0,0 +1,104 @@
+//! Making sure that a key which no known account has is not newer than the configuration.
+
+use std::time::{Duration, Instant};
+
+use sardinepick_lib::account::freshness::{Freshness, VALID};
+use sardinepick_lib::clock::Clock;
+use sardinepick_lib::fleet::route::Configuration;
+use sardinepick_lib::id::Revision;
+use sardinepick_platform::config;
+use sardinepick_platform::store::{Change, Object};
+use tokio::sync::Mutex;
+use tokio::time::timeout;
+
+use crate::serve::store::{Client, Purpose, StoreError};
+
+/// How long a check may take; a request waits for it.
+const LIMIT: Duration = Duration::from_millis(400);
+
+/// What a check has shown.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Checked {
+    /// The configuration is the newest.
+    Newest,
+    /// There is a newer one.
+    Newer(Object),
+    /// The store does not say.
+    Unconfirmed,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    freshness: Freshness,
+    /// Up to where the store's history of the configuration is known.
+    from: Option<Revision>,
+    /// When the last check failed.
+    failed: Option<Instant>,
+}
+
+/// The checks of one node. One is under way at a time; requests that come meanwhile share it.
+#[derive(Debug, Default)]
+pub struct Checks(Mutex<State>);
+
+impl Checks {
+    /// Makes sure that `known` is the newest configuration for a request that arrived at `arrived`.
+    pub async fn confirm(
+        &self,
+        store: &Client,
+        clock: &dyn Clock,
+        known: &Configuration,
+        arrived: Instant,
+    ) -> Checked {
+        let mut state = self.0.lock().await;
+        if state.freshness.covers(known.version, arrived) {
+            return Checked::Newest;
+        }
+        if state.failed.is_some_and(|at| arrived < at + VALID) {
+            return Checked::Unconfirmed;
+        }
+        let began = clock.now();
+        let from = state.from.unwrap_or(known.revision);
+        let checked = timeout(LIMIT, read(store, from)).await;
+        let (newest, as_of) = match checked {
+            Ok(Ok(read)) => read,
+            Ok(Err(error)) => {
+                log::info!(version:% = known.version, error:% = error; "configuration not checked");
+                state.failed = Some(began);
+                return Checked::Unconfirmed;
+            }
+            Err(_) => {
+                log::info!(version:% = known.version, limit:? = LIMIT; "configuration not checked");
+                state.failed = Some(began);
+                return Checked::Unconfirmed;
+            }
+        };
+        state.from = Some(as_of);
+        state.failed = None;
+        match newest {
+            Some(object) if object.revision > known.revision => Checked::Newer(object),
+            _ => {
+                state.freshness.note(known.version, began);
+                Checked::Newest
+            }
+        }
+    }
+}
+
+/// Reads what has changed since `from`. Mostly nothing has, and the answer is a few bytes.
+async fn read(store: &Client, from: Revision) -> Result<(Option<Object>, Revision), StoreError> {
+    let purpose = Purpose::ConfigurationCheck;
+    let objects = match store.watch(purpose, config::KIND, from, Duration::ZERO).await {
+        Ok(changes) => {
+            let put = changes.changes.into_iter().filter_map(|change| match change {
+                Change::Put(object) => Some(object),
+                Change::Gone(_) => None,
+            });
+            (put.collect::<Vec<_>>(), changes.as_of)
+        }
+        Err(error) if error.is_forgotten() => store.list(purpose, config::KIND).await?,
+        Err(error) => return Err(error),
+    };
+    let (objects, as_of) = objects;
+    let newest = objects.into_iter().filter(|o| o.name == config::NAME).max_by_key(|o| o.revision);
+    Ok((newest, as_of))
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -1,5 +1,6 @@
 //! A node of sardinepick: sockets, timers and the platform around the core.
 
+pub mod account;
 pub mod authority;
 pub mod claims;
 pub mod clock;
--- a/node/src/serve/answer.rs
+++ b/node/src/serve/answer.rs
@@ -42,6 +42,10 @@
     Quarantined,
     /// No route leads there.
     NoRoute,
+    /// Its route needs a key and it has none.
+    NoKey,
+    /// No client account has its key.
+    UnknownKey,
     /// It is larger than the limits allow.
     TooLarge,
     /// It lacks its id, or its body did not come whole.
@@ -57,6 +61,7 @@
             Refusal::Late => StatusCode::GATEWAY_TIMEOUT,
             Refusal::Expired => StatusCode::REQUEST_TIMEOUT,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
+            Refusal::NoKey | Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             // One that callers do not repeat: to come back cannot help.
             Refusal::Malformed | Refusal::Quarantined => StatusCode::BAD_REQUEST,
@@ -80,6 +85,8 @@
             Refusal::Expired => "not run; the time for it is over\n",
             Refusal::Quarantined => "each runner that ran it ended; it is run no more\n",
             Refusal::NoRoute => "no route leads there\n",
+            Refusal::NoKey => "a key is needed\n",
+            Refusal::UnknownKey => "the key is not known\n",
             Refusal::TooLarge => "larger than the limits allow\n",
             Refusal::Malformed => "not a whole request with an id\n",
         };
--- a/node/src/serve/follow.rs
+++ b/node/src/serve/follow.rs
@@ -10,11 +10,12 @@
 
 use bytes::Bytes;
 use rand::RngExt as _;
+use sardinepick_lib::account::directory::Directory;
 use sardinepick_lib::fleet::outage::{DOUBT, pause};
 use sardinepick_lib::fleet::register::Change as Changed;
 use sardinepick_lib::fleet::runner::State;
 use sardinepick_lib::id::{Mark, Revision, RunnerId};
-use sardinepick_platform::config::{self, decode};
+use sardinepick_platform::config::{self, decode, without_keys};
 use sardinepick_platform::discovery::{RUNNERS, decode_runner};
 use sardinepick_platform::store::{Change, Object};
 use smol_str::SmolStr;
@@ -173,7 +174,10 @@
         return;
     }
     let next = match decode(&object.content) {
-        Ok(next) => next,
+        Ok(mut next) => {
+            next.revision = object.revision;
+            next
+        }
         Err(error) => {
             let revision = object.revision;
             shared.metrics.foreign.with_label_values(&["configuration", error.reason()]).inc();
@@ -189,10 +193,19 @@
         version:% = next.version, was:% = was.unwrap_or_default(), revision:% = object.revision,
         routes = next.routes(), source = source; "configuration in force"
     );
+    for fault in next.accounts.iter().flat_map(Directory::faults) {
+        log::error!(version:% = next.version, error:% = fault; "part of the accounts is not used");
+    }
     shared.metrics.version.set(i64::try_from(next.version.0).unwrap_or(i64::MAX));
     let version = next.version;
     shared.configuration.store(Some(Arc::new(next)));
-    shared.copies.offer(version, object, packed);
+    // Keys stay at the nodes that read the store; the others need digests only.
+    match without_keys(&object.content) {
+        Ok(content) => shared.copies.offer(version, Object { content, ..object }, packed),
+        Err(error) => {
+            log::error!(version:% = version, error:% = error; "configuration is not passed on");
+        }
+    }
     shared.note_knowledge();
     shared.note_news();
 }
--- a/node/src/serve/generation/mod.rs
+++ b/node/src/serve/generation/mod.rs
@@ -284,6 +284,7 @@
         let call = Call {
             runner: id,
             left,
+            account: request.account.as_ref(),
             urgency: Some(urgency(class)),
             step,
             last_event: self.last_event.as_deref(),
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -32,6 +32,8 @@
     pub connections: IntCounter,
     /// Calls to the store by purpose and how they ended.
     pub store_calls: IntCounterVec,
+    /// Keys that no known account has, by what ruled out that they are new.
+    pub unknown_keys: IntCounterVec,
     /// Bytes of beats by direction.
     pub beat_bytes: IntCounterVec,
     /// Bytes between nodes and schedulers by direction.
@@ -138,6 +140,11 @@
             ),
             connections: m
                 .counter("sardinepick_connections_total", "Connections made to runners and store"),
+            unknown_keys: m.counters(
+                "sardinepick_unknown_keys_total",
+                "Keys that no known account has, by what ruled out that they are new",
+                &["outcome"],
+            ),
             store_calls: m.counters(
                 "sardinepick_store_calls_total",
                 "Calls to the store",
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -206,8 +206,15 @@
             return Came::NotRun { arrived: false };
         };
         let request = self.request;
-        let call =
-            Call { runner: id, left, urgency: None, step: Ask::Run, last_event: None, fetch: None };
+        let call = Call {
+            runner: id,
+            left,
+            account: request.account.as_ref(),
+            urgency: None,
+            step: Ask::Run,
+            last_event: None,
+            fetch: None,
+        };
         let outgoing = call_request(
             &request.method,
             &request.uri,
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -9,19 +9,21 @@
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
 use rand::RngExt as _;
+use sardinepick_lib::account::directory::{Account, Identity, identify};
 use sardinepick_lib::fleet::engine::Engine;
 use sardinepick_lib::fleet::fingerprint::Fingerprint;
 use sardinepick_lib::fleet::gate::{Reason, Terms, Wait};
 use sardinepick_lib::fleet::route::{Configuration, Route};
-use sardinepick_lib::id::ServiceId;
+use sardinepick_lib::id::{AccountId, ServiceId};
 use sardinepick_platform::caller::{self, Ask};
 use sardinepick_platform::runner::forwarded;
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
+use crate::account::Checked;
 use crate::serve::answer::{Body, Refusal};
 use crate::serve::shared::Shared;
-use crate::serve::{generation, plain};
+use crate::serve::{follow, generation, plain};
 
 /// When to come back to a node that knows no configuration yet.
 const UNTIL_CONFIGURED: Duration = Duration::from_millis(500);
@@ -36,6 +38,8 @@
     pub service: ServiceId,
     /// What the service's runners are if they are model engines.
     pub engine: Option<Engine>,
+    /// The client account that it belongs to, if the configuration has accounts.
+    pub account: Option<AccountId>,
     /// What the caller says of it.
     pub ask: Ask,
     /// Its method.
@@ -121,13 +125,9 @@
         );
         refusal.answer()
     };
-    let Some(configuration) = shared.configuration.load_full() else {
-        return refuse(Refusal::NotRun(Reason::NoConfiguration, UNTIL_CONFIGURED));
-    };
-    let host = head.headers.get(header::HOST).and_then(|v| v.to_str().ok());
-    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
-    let Some(route) = configuration.route(host, head.uri.path()).cloned() else {
-        return refuse(Refusal::NoRoute);
+    let Admitted { configuration, route, account } = match admit(shared, &head, arrived).await {
+        Ok(admitted) => admitted,
+        Err(refusal) => return refuse(refusal),
     };
     let Some(id) = ask.id.clone() else {
         return refuse(Refusal::Malformed);
@@ -149,7 +149,8 @@
         engine: known.and_then(|s| s.engine),
         service,
         ask,
-        fingerprint: fingerprint(&head, &body),
+        fingerprint: fingerprint(&head, account.as_ref(), &body),
+        account,
         headers: forwarded(&head.headers),
         method: head.method,
         uri: head.uri,
@@ -168,12 +169,74 @@
     }
 }
 
+/// What a request is handled by.
+struct Admitted {
+    configuration: Arc<Configuration>,
+    route: Route,
+    account: Option<AccountId>,
+}
+
+/// Finds the route of a request and the account that it belongs to. It is not looked at again: a key
+/// that is taken away later does not end the requests under way with it.
+async fn admit(shared: &Arc<Shared>, head: &Parts, arrived: Instant) -> Result<Admitted, Refusal> {
+    let host = head.headers.get(header::HOST).and_then(|v| v.to_str().ok());
+    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
+    let mut checked = false;
+    loop {
+        let Some(configuration) = shared.configuration.load_full() else {
+            return Err(Refusal::NotRun(Reason::NoConfiguration, UNTIL_CONFIGURED));
+        };
+        let Some(route) = configuration.route(host, head.uri.path()).cloned() else {
+            return Err(Refusal::NoRoute);
+        };
+        let key = caller::credential(&head.headers);
+        match identify(configuration.accounts.as_ref(), route.anonymous, key) {
+            Identity::Anonymous => return Ok(Admitted { configuration, route, account: None }),
+            Identity::Account(Account { name, rank }) => {
+                let route = Route { rank: rank.unwrap_or(route.rank), ..route };
+                return Ok(Admitted { configuration, route, account: Some(name) });
+            }
+            Identity::NoKey => return Err(Refusal::NoKey),
+            Identity::UnknownKey if checked => return Err(Refusal::UnknownKey),
+            Identity::UnknownKey => check_key(shared, &configuration, arrived).await?,
+        }
+        checked = true;
+    }
+}
+
+/// Makes sure that a key which `known` does not have is in no newer configuration, or puts that in
+/// force.
+async fn check_key(
+    shared: &Arc<Shared>,
+    known: &Configuration,
+    arrived: Instant,
+) -> Result<(), Refusal> {
+    let confirmed = shared.checks.confirm(&shared.store, &*shared.clock, known, arrived).await;
+    let (outcome, result) = match confirmed {
+        Checked::Newest => ("newest", Err(Refusal::UnknownKey)),
+        Checked::Newer(object) => {
+            follow::install(shared, object, None, "check of a key");
+            ("newer", Ok(()))
+        }
+        // The others tell of a newer configuration as soon as one of them has it.
+        Checked::Unconfirmed if !shared.roster().fronts().is_empty() => {
+            ("others", Err(Refusal::UnknownKey))
+        }
+        Checked::Unconfirmed => {
+            ("none", Err(Refusal::NotRun(Reason::KeyUnconfirmed, UNTIL_CONFIGURED)))
+        }
+    };
+    shared.metrics.unknown_keys.with_label_values(&[outcome]).inc();
+    result
+}
+
 /// The fingerprint of a request: what it asks of a runner, and for whom. Ids and deadlines differ
 /// from attempt to attempt.
-fn fingerprint(head: &Parts, body: &[u8]) -> Fingerprint {
+fn fingerprint(head: &Parts, account: Option<&AccountId>, body: &[u8]) -> Fingerprint {
     let header = |name| head.headers.get(name).map_or(&[][..], HeaderValue::as_bytes);
     let path = head.uri.path_and_query().map_or("", |path| path.as_str());
-    let (host, account) = (header(header::HOST), header(header::AUTHORIZATION));
+    let host = header(header::HOST);
+    let account = account.map_or(header(header::AUTHORIZATION), |id| id.as_str().as_bytes());
     Fingerprint::of(&[head.method.as_str().as_bytes(), host, path.as_bytes(), account, body])
 }
 
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -23,6 +23,7 @@
 use smol_str::SmolStr;
 use tokio::sync::{Notify, watch};
 
+use crate::account::Checks;
 use crate::serve::connection::Connections;
 use crate::serve::copy::Copies;
 use crate::serve::ended::Ends;
@@ -65,6 +66,8 @@
     pub behind: Notify,
     /// Signals that other nodes have a newer configuration.
     pub outdated: Notify,
+    /// Checks that the configuration is the newest.
+    pub checks: Checks,
     /// Copies of the configuration for other nodes.
     pub copies: Copies,
     /// Whose turn it is to be told all of the register.
@@ -131,6 +134,7 @@
             acquainted: watch::channel(false).0,
             behind: Notify::new(),
             outdated: Notify::new(),
+            checks: Checks::default(),
             copies: Copies::default(),
             tellings: Arc::default(),
             scheduling: Scheduling::default(),
--- a/node/src/serve/store.rs
+++ b/node/src/serve/store.rs
@@ -67,6 +67,8 @@
     Configuration,
     /// Waiting for another configuration.
     ConfigurationWatch,
+    /// Making sure that no newer configuration exists.
+    ConfigurationCheck,
     /// Reading the register of runners.
     Register,
     /// Waiting for a change of the register.
--- /dev/null
+++ b/node/tests/accounts.rs
@@ -0,0 +1,205 @@
+//! Keys of client accounts on the whole path.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use sardinepick_testutils::cluster::wait_until;
+use sardinepick_testutils::fleet::caller::{Ask, Told};
+use sardinepick_testutils::fleet::deployment::{Deployment, with_accounts};
+use sardinepick_testutils::fleet::runner::{Faults, Runner, Seen};
+use sardinepick_testutils::fleet::store::Fault;
+use serde_json::json;
+
+const KITCHEN: (&str, &[&str], Option<u8>) = ("kitchen", &["key-1", "key-2"], None);
+
+async fn deployment(nodes: usize) -> Deployment {
+    let set = Deployment::new().await;
+    set.store.put("config", "main", &with_accounts(1, &[KITCHEN]));
+    set.with_plain(2).await.with_engines(2, 2).await.with_nodes(nodes).await
+}
+
+async fn send(set: &Deployment, path: &str, id: &str, key: &str) -> Told {
+    set.send(0, &Ask { headers: &[("credential", key)], ..Ask::new(path, id) }).await
+}
+
+fn seen(set: &Deployment, id: &str) -> Vec<Seen> {
+    set.runners.iter().flat_map(Runner::seen).filter(|s| s.id == id).collect()
+}
+
+fn account(seen: &Seen) -> Option<&str> {
+    seen.headers.get("tenant").and_then(|value| value.to_str().ok())
+}
+
+async fn in_force(set: &Deployment, version: u64) {
+    wait_until("the configuration is in force", async || {
+        set.nodes.iter().all(|node| node.shared.status().version.0 >= version)
+    })
+    .await;
+}
+
+/// Guards against a key that reaches a runner, and against a forged account name.
+#[tokio::test]
+async fn request_key_account_told() {
+    let set = deployment(1).await;
+    for (path, id) in [("/board/a", "p1"), ("/eggs/a", "p2"), ("/count/a", "g1")] {
+        let headers = [("credential", "key-2"), ("tenant", "cellar"), ("token-count", "1460,80")];
+        let told = set.send(0, &Ask { headers: &headers, ..Ask::new(path, id) }).await;
+        assert_eq!(told.status, Some(StatusCode::OK), "{path}");
+        let seen = seen(&set, id);
+        assert!(!seen.is_empty());
+        for seen in &seen {
+            assert_eq!(account(seen), Some("kitchen"), "{path}");
+            assert!(!seen.headers.contains_key("credential"), "{path}");
+        }
+    }
+}
+
+/// Guards against calls after the first that lack the account, where a stream goes on elsewhere.
+#[tokio::test]
+async fn stream_resumed_account_told_again() {
+    let set = deployment(1).await;
+    for runner in &set.runners {
+        runner.set_faults(Faults { cut_after: Some(3), ..Faults::default() });
+    }
+    send(&set, "/count/a", "g1", "key-1").await;
+    let seen = seen(&set, "g1");
+    assert!(seen.iter().filter(|s| s.ran).count() > 1, "it went on elsewhere");
+    for seen in &seen {
+        assert_eq!(account(seen), Some("kitchen"));
+        assert!(!seen.headers.contains_key("credential"));
+    }
+}
+
+#[tokio::test]
+async fn request_without_known_key_refused() {
+    let set = deployment(1).await;
+    assert_eq!(send(&set, "/board/a", "r1", "key-3").await.status, Some(StatusCode::UNAUTHORIZED));
+    assert_eq!(set.ask("/board/a", "r2").await.status, Some(StatusCode::UNAUTHORIZED));
+    let both = [("credential", "key-1"), ("credential", "key-2")];
+    let told = set.send(0, &Ask { headers: &both, ..Ask::new("/board/a", "r3") }).await;
+    assert_eq!(told.status, Some(StatusCode::UNAUTHORIZED));
+    assert_eq!([set.ran("r1"), set.ran("r2"), set.ran("r3")], [0, 0, 0]);
+}
+
+#[tokio::test]
+async fn request_anonymous_route_no_key_needed() {
+    let set = Deployment::new().await;
+    let mut configuration = with_accounts(1, &[KITCHEN]);
+    configuration["routes"][0]["anonymous"] = json!(true);
+    set.store.put("config", "main", &configuration);
+    let set = set.with_plain(1).await.with_nodes(1).await;
+    let forged = Ask { headers: &[("tenant", "cellar")], ..Ask::new("/board/a", "r1") };
+    assert_eq!(set.send(0, &forged).await.status, Some(StatusCode::OK));
+    assert_eq!(account(&seen(&set, "r1")[0]), None);
+    assert_eq!(set.ask("/eggs/a", "r2").await.status, Some(StatusCode::UNAUTHORIZED));
+}
+
+#[tokio::test]
+async fn generation_account_rank_before_route() {
+    let set = Deployment::new().await;
+    let accounts = [("first", &["key-1"][..], Some(0)), ("last", &["key-2"][..], Some(3))];
+    set.store.put("config", "main", &with_accounts(1, &accounts));
+    let set = set.with_engines(0, 2).await.with_nodes(1).await;
+    for (id, key) in [("g1", "key-1"), ("g2", "key-2")] {
+        send(&set, "/count/a", id, key).await;
+    }
+    let urgency = |id| seen(&set, id)[0].headers["request-priority"].clone();
+    assert_eq!([urgency("g1"), urgency("g2")], ["1", "5"]);
+}
+
+/// Guards against the refusal of a key that is newer than the node's configuration.
+#[tokio::test]
+async fn key_new_found_by_check() {
+    let set = deployment(1).await;
+    for version in 2..12 {
+        let key = format!("key-of-{version}");
+        set.store.put("config", "main", &with_accounts(version, &[("cellar", &[&key], None)]));
+        let id = format!("r{version}");
+        assert_eq!(send(&set, "/board/a", &id, &key).await.status, Some(StatusCode::OK));
+        assert_eq!(account(&seen(&set, &id)[0]), Some("cellar"));
+    }
+}
+
+/// Guards against a call to the store for each made-up key.
+#[tokio::test]
+async fn keys_made_up_few_checks() {
+    let set = deployment(1).await;
+    let checks = || {
+        let calls = &set.nodes[0].shared.metrics.store_calls;
+        calls.with_label_values(&["configuration_check", "answered"]).get()
+    };
+    let began = std::time::Instant::now();
+    for round in 0..25 {
+        let keys: Vec<String> = (0..20).map(|n| format!("made-up-{round}-{n}")).collect();
+        let asked = keys.iter().map(|key| send(&set, "/board/a", key, key));
+        for told in futures_util::future::join_all(asked).await {
+            assert_eq!(told.status, Some(StatusCode::UNAUTHORIZED));
+        }
+    }
+    let most = began.elapsed().as_secs() + 2;
+    assert!(checks() <= most, "{} checks in {:?}", checks(), began.elapsed());
+}
+
+/// Guards against a node that knows neither the store nor other nodes and refuses a key for good.
+#[tokio::test]
+async fn key_unknown_alone_not_run() {
+    let set = deployment(1).await;
+    set.store.set_fault(Fault::Busy);
+    let told = send(&set, "/board/a", "r1", "key-3").await;
+    assert_eq!(told.status, Some(StatusCode::SERVICE_UNAVAILABLE));
+    assert!(told.header("retry-after").is_some());
+    assert_eq!(send(&set, "/board/a", "r2", "key-1").await.status, Some(StatusCode::OK));
+}
+
+#[tokio::test]
+async fn key_unknown_store_away_refused_beside_others() {
+    let set = deployment(2).await;
+    set.store.set_fault(Fault::Busy);
+    let told = send(&set, "/board/a", "r1", "key-3").await;
+    assert_eq!(told.status, Some(StatusCode::UNAUTHORIZED));
+}
+
+/// Guards against a key that goes on working once it is taken away, and against requests under way
+/// with it that are broken off.
+#[tokio::test]
+async fn key_revoked_refused_from_then_on() {
+    let set = deployment(2).await;
+    for runner in &set.runners {
+        runner.set_faults(Faults { pause: Duration::from_millis(100), ..Faults::default() });
+    }
+    let under_way = send(&set, "/count/a", "g1", "key-1");
+    let revoke = async {
+        wait_until("the stream runs", async || set.ran("g1") > 0).await;
+        let left = with_accounts(2, &[("kitchen", &["key-2"], None)]);
+        set.store.put("config", "main", &left);
+        in_force(&set, 2).await;
+        let told = send(&set, "/board/a", "r1", "key-1").await;
+        assert_eq!(told.status, Some(StatusCode::UNAUTHORIZED));
+        assert_eq!(send(&set, "/board/a", "r2", "key-2").await.status, Some(StatusCode::OK));
+    };
+    let (told, ()) = tokio::join!(under_way, revoke);
+    assert!(told.whole && told.status == Some(StatusCode::OK));
+    // The account's last key goes, and then the account; it comes back with another key.
+    for (version, accounts) in [(3, vec![("kitchen", &[][..], None)]), (4, vec![])] {
+        set.store.put("config", "main", &with_accounts(version, &accounts));
+        in_force(&set, version).await;
+        let told = send(&set, "/board/a", &format!("r{version}"), "key-2").await;
+        assert_eq!(told.status, Some(StatusCode::UNAUTHORIZED));
+    }
+    set.store.put("config", "main", &with_accounts(5, &[("kitchen", &["key-9"], None)]));
+    in_force(&set, 5).await;
+    assert_eq!(send(&set, "/board/a", "r5", "key-9").await.status, Some(StatusCode::OK));
+}
+
+/// Guards against keys in what nodes show or pass on to each other.
+#[tokio::test]
+async fn key_in_no_state_or_copy() {
+    let set = deployment(2).await;
+    for node in &set.nodes {
+        let address = node.shared.settings.metrics;
+        for path in ["/state", "/metrics"] {
+            let told = set.caller.send(address, &Ask::new(path, "r1")).await;
+            assert!(told.status == Some(StatusCode::OK) && !told.text().contains("key-1"));
+        }
+    }
+}
--- a/testutils/src/fleet/deployment.rs
+++ b/testutils/src/fleet/deployment.rs
@@ -78,6 +78,23 @@
     })
 }
 
+/// An account for [`with_accounts`]: its name, its keys and its rank.
+pub type AccountLine<'a> = (&'a str, &'a [&'a str], Option<u8>);
+
+/// The usual configuration with client accounts.
+pub fn with_accounts(version: u64, accounts: &[AccountLine<'_>]) -> Value {
+    let mut whole = configuration(version);
+    let line = |(name, keys, rank): &AccountLine<'_>| {
+        let mut line = json!({"name": name, "apiKeys": keys});
+        if let Some(rank) = rank {
+            line["priority"] = json!(rank);
+        }
+        line
+    };
+    whole["tenants"] = accounts.iter().map(line).collect();
+    whole
+}
+
 /// The usual configuration with so many routes besides, each of a host and a path of its own.
 pub fn large_configuration(version: u64, routes: usize) -> Value {
     let mut whole = configuration(version);
