duty, usage: one node at a time reports the usage of client accounts

Change: one lease in the store now stands for all duties of one node at a time; orders to runners use it too and have none of their own any more. Whoever takes it over from a holder that gave it back, or whose process has ended, waits for a turn before its first call, so it can be given back at once; a call is sent only if it must arrive within the term. A lease that cannot be read is replaced, with a number that none before it can have had. Each node counts the requests of each account as they begin, by windows of true time, and sends counts to the two nodes that come first for the duties, where they outlive it. The holder writes a finished window into a ledger in the store before it reports it for the first time, so a window is never reported twice with different counts. One that may lack the counts of more than a twentieth of the nodes is not reported. True time is the VM's clock at the start, carried on by the monotonic clock, and the median of the nodes where a node is far from it.

--- a/lib/src/fleet/roster.rs
+++ b/lib/src/fleet/roster.rs
@@ -394,6 +394,16 @@
         self.present().map(|m| &m.record.contact.id)
     }
 
+    /// All other nodes that were ever known, and when what is known of each came.
+    pub fn members(&self) -> impl Iterator<Item = (&Record, Instant)> {
+        self.members.values().map(|m| (&m.record, m.since))
+    }
+
+    /// The other nodes that are there.
+    pub fn present_records(&self) -> impl Iterator<Item = &Record> {
+        self.present().map(|m| &m.record)
+    }
+
     fn present(&self) -> impl Iterator<Item = &Member> {
         self.members.values().filter(|m| !m.record.silent)
     }
--- a/lib/src/id.rs
+++ b/lib/src/id.rs
@@ -238,6 +238,10 @@
     /// again under its id has a later one.
     Born
 );
+counter!(
+    /// The number of a window of time for which usage is counted.
+    Window
+);
 counter!(
     /// The version of the table of owners, see [`crate::owner`].
     Version
--- a/lib/src/lease.rs
+++ b/lib/src/lease.rs
@@ -1,4 +1,4 @@
-//! The lease on a service: who may give orders to its engines.
+//! The lease on a duty that one node at a time has, such as orders to engines.
 //!
 //! The lease is one object of the platform's store, changed by conditional update. What goes wrong
 //! without care: a holder that was paused believes that it still holds; an answer to a write is
@@ -6,20 +6,22 @@
 //! time from before it asked, on a clock that counts suspension, and looks again as the last thing
 //! before it sends an order; a challenger takes over only after the object stood unchanged for the
 //! whole term, by its own clock and from its own first sight of it; a write whose answer was lost
-//! is settled by reading whose it is. No time of day is ever compared between machines.
+//! is settled by reading whose it is. Whoever takes over from a holder that has given the lease back,
+//! or whose process has ended, waits before its first call: calls of two holders that alternate
+//! quickly could arrive out of order. No time of day is ever compared between machines.
 
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use crate::id::{Epoch, Incarnation, Name, Revision};
+use crate::id::{Epoch, Incarnation, NodeId, Revision};
 
 /// One life of a node, as the holder of leases.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
 pub struct Holder {
     /// The node.
-    pub name: Name,
+    pub name: NodeId,
     /// Its life.
     pub incarnation: Incarnation,
 }
@@ -36,6 +38,9 @@
     /// Earlier holders that neither gave the lease back nor are known to be gone. An engine that
     /// ignores fencing numbers gets no orders while any of them may still be at work.
     pub doubtful: SmallVec<[Holder; 2]>,
+    /// The node that gave the lease back, while nobody holds it.
+    #[serde(default)]
+    pub former: Option<NodeId>,
 }
 
 /// How long a lease holds.
@@ -43,7 +48,8 @@
 pub struct Term {
     /// For how long a write gives authority to its holder.
     pub ttl: Duration,
-    /// By how much a challenger waits longer, for clocks that run at different speeds.
+    /// By how much a challenger waits longer, for clocks that run at different speeds and so that the
+    /// calls of two holders are apart.
     pub margin: Duration,
 }
 
@@ -90,6 +96,8 @@
 struct Pending {
     record: Record,
     sent: Instant,
+    /// From when on it gives authority.
+    from: Instant,
 }
 
 /// A node's part in the lease of one service.
@@ -99,13 +107,15 @@
     seen: Option<Seen>,
     pending: Option<Pending>,
     held_until: Option<Instant>,
+    /// From when on this node may act in its present holding.
+    held_from: Option<Instant>,
     read_wanted: bool,
 }
 
 impl Lease {
     /// A lease of which nothing is known yet.
     pub fn new(me: Holder) -> Self {
-        Self { me, seen: None, pending: None, held_until: None, read_wanted: true }
+        Self { me, seen: None, pending: None, held_until: None, held_from: None, read_wanted: true }
     }
 
     /// The lease's content as last seen.
@@ -117,9 +127,23 @@
     /// order is sent: a process that was paused between asking and sending has lost its authority
     /// without noticing.
     pub fn authority(&self, now: Instant) -> Option<Epoch> {
-        let until = self.held_until?;
+        self.authority_for(now, Duration::ZERO)
+    }
+
+    /// The fencing number, if this node may make a call at `now` that arrives within `call`. A call
+    /// that arrived after the end of the term could follow one of a successor.
+    pub fn authority_for(&self, now: Instant, call: Duration) -> Option<Epoch> {
+        let (from, until) = (self.held_from?, self.held_until?);
         let seen = self.seen.as_ref()?;
-        (now < until && self.is_mine(&seen.record)).then_some(seen.record.epoch)
+        let in_term = from <= now && now + call < until;
+        (in_term && self.is_mine(&seen.record)).then_some(seen.record.epoch)
+    }
+
+    /// Until when this node holds the lease, if it does at `now`, and its number.
+    pub fn holding(&self, now: Instant) -> Option<(Epoch, Instant)> {
+        let until = self.held_until.filter(|until| now < *until)?;
+        let seen = self.seen.as_ref().filter(|seen| self.is_mine(&seen.record))?;
+        Some((seen.record.epoch, until))
     }
 
     /// Whether earlier holders may still be at work.
@@ -148,19 +172,19 @@
             return Some(Action::Read);
         }
         let seen = self.seen.clone()?;
-        let next = if self.is_mine(&seen.record) {
-            self.renewal(now, term, wanted, &seen, &is_gone)
+        let (record, from) = if self.is_mine(&seen.record) {
+            let record = self.renewal(now, term, wanted, &seen, &is_gone)?;
+            (record, self.held_from.unwrap_or(now + term.margin))
         } else if wanted {
-            self.takeover(now, term, &seen, &is_gone)
+            self.takeover(now, term, &seen, &is_gone)?
         } else {
-            None
+            return None;
         };
-        let record = next?;
         if !self.is_mine(&record) {
             // Authority ends before the release can be seen by anyone.
             self.held_until = None;
         }
-        self.pending = Some(Pending { record: record.clone(), sent: now });
+        self.pending = Some(Pending { record: record.clone(), sent: now, from });
         Some(Action::Write { expected: seen.revision, record })
     }
 
@@ -176,7 +200,7 @@
         record.beat += 1;
         record.doubtful.retain(|h| !is_gone(h));
         if !wanted {
-            record.holder = None;
+            record.former = record.holder.take().map(|holder| holder.name);
             return Some(record);
         }
         let half_over = self.held_until.is_none_or(|until| now + term.ttl / 2 >= until);
@@ -189,7 +213,7 @@
         term: Term,
         seen: &Seen,
         is_gone: &impl Fn(&Holder) -> bool,
-    ) -> Option<Record> {
+    ) -> Option<(Record, Instant)> {
         let silent = now.saturating_duration_since(seen.first) >= term.ttl + term.margin;
         let old = seen.record.holder.as_ref();
         let known_gone = old.is_none_or(is_gone);
@@ -201,12 +225,17 @@
             doubtful.push(old.clone());
         }
         doubtful.retain(|h| !is_gone(h));
-        Some(Record {
+        // A silent holder's last call lies the margin back already.
+        let last = old.map(|old| &old.name).or(seen.record.former.as_ref());
+        let waits = !silent && last.is_some_and(|name| *name != self.me.name);
+        let record = Record {
             holder: Some(self.me.clone()),
             epoch: seen.record.epoch.next(),
             beat: 0,
             doubtful,
-        })
+            former: None,
+        };
+        Some((record, if waits { now + term.margin } else { now }))
     }
 
     /// Takes in what a read gave: the revision and content, or nothing where there is no object.
@@ -233,6 +262,7 @@
             && self.is_mine(&record)
         {
             self.held_until = Some(pending.sent + term.ttl);
+            self.held_from = Some(pending.from);
         } else if !self.is_mine(&record) {
             self.held_until = None;
         }
@@ -246,6 +276,7 @@
                 let Some(pending) = self.pending.take() else { return };
                 if self.is_mine(&pending.record) {
                     self.held_until = Some(pending.sent + term.ttl);
+                    self.held_from = Some(pending.from);
                 }
                 self.seen =
                     Some(Seen { revision: Some(revision), record: pending.record, first: now });
--- /dev/null
+++ b/lib/src/rank.rs
@@ -0,0 +1,27 @@
+//! Which nodes come first for a duty, alike at all nodes that know the same others.
+
+use smallvec::SmallVec;
+
+use crate::hash::{place, rendezvous};
+use crate::id::NodeId;
+
+/// The first `count` of `nodes` for a duty, the very first in front.
+pub fn first<T>(
+    duty: &str,
+    nodes: impl IntoIterator<Item = T>,
+    id: impl Fn(&T) -> &NodeId,
+    count: usize,
+) -> SmallVec<[T; 2]> {
+    let duty = place(0, duty.as_bytes());
+    let weight = |node: &T| rendezvous(duty, id(node).as_str().as_bytes());
+    let mut first: SmallVec<[(u64, T); 4]> = SmallVec::new();
+    for node in nodes {
+        let weight = weight(&node);
+        let at = first.iter().position(|(other, _)| *other < weight).unwrap_or(first.len());
+        if at < count {
+            first.insert(at, (weight, node));
+            first.truncate(count);
+        }
+    }
+    first.into_iter().map(|(_, node)| node).collect()
+}
--- a/node/src/authority.rs
+++ b/node/src/authority.rs
@@ -137,7 +137,8 @@
 
 impl Desks {
     fn new(node: Arc<Node>, service: Name) -> Self {
-        let me = Holder { name: node.settings.name.clone(), incarnation: node.incarnation };
+        let name = node.settings.name.as_str().try_into().expect("each name is an id");
+        let me = Holder { name, incarnation: node.incarnation };
         Self {
             node,
             service,
@@ -208,7 +209,10 @@
             self.read_lease().await;
         }
         let term = node.settings.term;
-        let is_gone = |h: &Holder| node.members().is_ended(&h.name, h.incarnation);
+        let is_gone = |h: &Holder| {
+            let name = h.name.as_str().parse();
+            name.is_ok_and(|name| node.members().is_ended(&name, h.incarnation))
+        };
         match self.lease.poll(node.clock.now(), term, wanted, is_gone) {
             None => {}
             Some(lease::Action::Read) => self.read_lease().await,
--- a/node/src/serve/beat.rs
+++ b/node/src/serve/beat.rs
@@ -10,7 +10,7 @@
 use sardinepick_lib::id::Mark;
 use sardinepick_wire::beat::{Beat, MOST_BYTES};
 use sardinepick_wire::fleet as pb;
-use sardinepick_wire::schedule;
+use sardinepick_wire::{schedule, usage};
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -129,6 +129,7 @@
         news: None,
         quarantine: quarantine::news::digest(shared),
         quarantined: Vec::new(),
+        time: Some(shared.usage.time_at(shared.clock.now())),
     }
 }
 
@@ -174,9 +175,16 @@
         match socket.recv_from(&mut buffer).await {
             Ok((length, from)) => {
                 let bytes = &buffer[..length];
-                if bytes.first() == Some(&schedule::MARK) {
-                    scheduler::take(&shared, from, bytes).await;
-                    continue;
+                match bytes.first() {
+                    Some(&schedule::MARK) => {
+                        scheduler::take(&shared, from, bytes).await;
+                        continue;
+                    }
+                    Some(&usage::MARK) => {
+                        shared.usage.take(&socket, from, bytes, &shared.metrics).await;
+                        continue;
+                    }
+                    _ => {}
                 }
                 let counter = shared.metrics.beat_bytes.with_label_values(&["received"]);
                 counter.inc_by(length as u64);
@@ -204,6 +212,9 @@
         let mistaken = roster.is_mistaken(&told.sender).cloned();
         (roster.has_news(), mistaken, differs)
     };
+    if let Some(time) = told.time {
+        shared.usage.note_time(&told.sender.contact.id, time, now);
+    }
     shared.register().reserve(&told.away, now + RESERVED);
     if let Some(news) = &told.news {
         peer::take_news(shared, news);
--- a/node/src/serve/follow.rs
+++ b/node/src/serve/follow.rs
@@ -415,6 +415,9 @@
         shared.metrics.runners.with_label_values(&["ready"]).set(ready);
         shared.metrics.runners.with_label_values(&["draining"]).set(draining);
         let store = shared.settings.store;
-        shared.connections.tidy(|address| *address == store || addresses.contains(address));
+        let platform = shared.settings.platform;
+        shared.connections.tidy(|address| {
+            *address == store || Some(*address) == platform || addresses.contains(address)
+        });
     }
 }
--- a/node/src/serve/generation/stream.rs
+++ b/node/src/serve/generation/stream.rs
@@ -203,6 +203,9 @@
             while let Some(event) = splitter.next_event() {
                 if first {
                     first = false;
+                    if self.events == 0 {
+                        self.shared.usage.note(self.request.account.as_ref());
+                    }
                     began = Some(self.shared.clock.now());
                     streaming.get_or_insert_with(|| Streaming::new(self));
                     ticket.note_read();
--- a/node/src/serve/listener.rs
+++ b/node/src/serve/listener.rs
@@ -9,7 +9,9 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use sardinepick_lib::account::directory::{Account, Directory};
 use sardinepick_lib::fleet::roster::Standing;
+use sardinepick_lib::id::Window;
 use sardinepick_platform::caller::{LOOKUP, READINESS, lookup_answer, read_lookup};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -203,6 +205,29 @@
         "node": shared.me.id, "standing": format!("{:?}", status.standing),
         "configuration": status.version, "register": status.register,
         "nodes_heard": nodes, "runners": runners, "quarantine": quarantine::state(shared),
+        "accounts": accounts(shared), "duties": duties(shared),
     })
     .to_string()
 }
+
+/// The client accounts, without their keys.
+fn accounts(shared: &Shared) -> Vec<serde_json::Value> {
+    let configuration = shared.configuration.load();
+    let directory = configuration.as_ref().and_then(|c| c.accounts.as_ref());
+    let line = |account: &Account| match account.rank {
+        Some(rank) => serde_json::json!({"name": account.name, "rank": rank}),
+        None => serde_json::json!({"name": account.name}),
+    };
+    directory.into_iter().flat_map(Directory::accounts).map(line).collect()
+}
+
+/// Who has the duties of one node at a time, and the windows of usage that this node has ended.
+fn duties(shared: &Shared) -> serde_json::Value {
+    let lease = shared.tenure.status();
+    let line = |(window, outcome): (Window, &str)| serde_json::json!({"window": window, "outcome": outcome});
+    let windows: Vec<_> = shared.usage.last_windows().into_iter().map(line).collect();
+    serde_json::json!({
+        "holder": lease.holder, "number": lease.epoch, "left_ms": lease.left.as_millis() as u64,
+        "windows": windows,
+    })
+}
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -34,6 +34,14 @@
     pub store_calls: IntCounterVec,
     /// Keys that no known account has, by what ruled out that they are new.
     pub unknown_keys: IntCounterVec,
+    /// Changes of the lease on the duties, by what became of it.
+    pub leases: IntCounterVec,
+    /// Calls to the platform by the holder of the duties, by what they are and what came of them.
+    pub duty_calls: IntCounterVec,
+    /// Windows of usage by what became of them.
+    pub windows: IntCounterVec,
+    /// Bytes of usage between nodes by direction.
+    pub usage_bytes: IntCounterVec,
     /// Bytes of beats by direction.
     pub beat_bytes: IntCounterVec,
     /// Bytes between nodes and schedulers by direction.
@@ -140,6 +148,26 @@
             ),
             connections: m
                 .counter("sardinepick_connections_total", "Connections made to runners and store"),
+            leases: m.counters(
+                "sardinepick_lease_changes_total",
+                "Changes of the lease on the duties, by what became of it",
+                &["outcome"],
+            ),
+            duty_calls: m.counters(
+                "sardinepick_duty_calls_total",
+                "Calls to the platform by the holder of the duties, by what came of them",
+                &["call", "outcome"],
+            ),
+            windows: m.counters(
+                "sardinepick_usage_windows_total",
+                "Windows of usage by what became of them",
+                &["outcome"],
+            ),
+            usage_bytes: m.counters(
+                "sardinepick_usage_bytes_total",
+                "Bytes of usage between nodes",
+                &["direction"],
+            ),
             unknown_keys: m.counters(
                 "sardinepick_unknown_keys_total",
                 "Keys that no known account has, by what ruled out that they are new",
--- a/node/src/serve/mod.rs
+++ b/node/src/serve/mod.rs
@@ -9,6 +9,7 @@
 pub mod beat;
 pub mod connection;
 pub mod copy;
+pub mod duty;
 pub mod ended;
 pub mod follow;
 pub mod generation;
--- a/node/src/serve/order.rs
+++ b/node/src/serve/order.rs
@@ -1,9 +1,7 @@
 //! Orders to runners: who may give them, and which are given.
 //!
-//! One node at a time holds the authority, a lease in the platform's store. It is taken only when
-//! there is something to order, and kept until two holders' orders cannot follow each other too
-//! closely. The right is looked at again as the last thing before an order leaves, by a clock that
-//! counts suspension. An order whose answer is lost may be carried out seconds later: it names how
+//! Only the holder of the duties gives orders ([`crate::duty`]). That is looked at again as the last
+//! thing before an order leaves, by a clock that counts suspension. An order whose answer is lost may be carried out seconds later: it names how
 //! many orders the runner had accepted before, so that it cannot undo a later one, and the runner
 //! gets no other order meanwhile.
 
@@ -15,35 +13,21 @@
 use sardinepick_lib::fleet::engine::Stage;
 use sardinepick_lib::fleet::route::Configuration;
 use sardinepick_lib::fleet::runner::{Entry, Runner, Tag};
-use sardinepick_lib::hash::{place, rendezvous};
-use sardinepick_lib::id::{Born, Epoch, Name, RunnerId, ServiceId};
-use sardinepick_lib::lease::{Action, Holder, Lease, Record, Term, Written};
-use sardinepick_platform::order::{LEASES, Order, Reply, Report, ask, read_report, reply, request};
-use sardinepick_platform::store::Refused;
+use sardinepick_lib::id::{Born, Epoch, RunnerId, ServiceId};
+use sardinepick_platform::order::{Order, Reply, Report, ask, read_report, reply, request};
 use tokio::time::{sleep, timeout};
 
 use crate::serve::plain::CONNECT_LIMIT;
 use crate::serve::shared::Shared;
-use crate::serve::store::{Purpose, StoreError};
 
 /// How often the need for orders is looked at.
 const PERIOD: Duration = Duration::from_millis(250);
-/// How often a node that wants the lease reads it while another holds it.
-const READ_PERIOD: Duration = Duration::from_millis(1_500);
-/// How long a lease holds without renewal.
-const TTL: Duration = Duration::from_secs(4);
-/// How much longer than the turns of two holders a challenger waits, for a renewal under way.
-const TURN_MARGIN: Duration = Duration::from_millis(500);
-/// How long the lease is kept after the last wish for an order.
-const KEPT: Duration = Duration::from_secs(5);
 /// How long an order may take to be answered.
 const ORDER_LIMIT: Duration = Duration::from_millis(500);
 /// How long the other nodes are given to hear that a runner is to get no new work.
 const NOTICE: Duration = Duration::from_millis(150);
 /// How long an order without an answer may still be carried out (users' sheets: 2 to 12 s).
 const PENDING: Duration = Duration::from_secs(13);
-/// The name of the lease.
-const LEASE: &str = "runners";
 /// The largest answer to an order that is read.
 const LARGEST: usize = 64 << 10;
 
@@ -70,38 +54,14 @@
 
 struct Desk {
     shared: Arc<Shared>,
-    lease: Lease,
-    term: Term,
     given: HashMap<RunnerId, Given>,
     /// The last change of each service, and when it was made.
     last: HashMap<ServiceId, (Instant, Stage)>,
-    wished: Option<Instant>,
-    ordered: Option<Instant>,
-    read: Option<Instant>,
 }
 
 /// Looks after orders until the process ends.
 pub async fn run(shared: Arc<Shared>) {
-    let name: Name = match shared.me.id.as_str().parse() {
-        Ok(name) => name,
-        Err(error) => {
-            log::error!(node:% = shared.me.id, error:% = error; "this node gives no orders");
-            return;
-        }
-    };
-    let holder = Holder { name, incarnation: shared.me.incarnation };
-    let term = Term { ttl: TTL, margin: shared.settings.turns + TURN_MARGIN };
-    let lease = Lease::new(holder);
-    let mut desk = Desk {
-        shared,
-        lease,
-        term,
-        given: HashMap::new(),
-        last: HashMap::new(),
-        wished: None,
-        ordered: None,
-        read: None,
-    };
+    let mut desk = Desk { shared, given: HashMap::new(), last: HashMap::new() };
     loop {
         sleep(PERIOD).await;
         desk.turn().await;
@@ -113,17 +73,12 @@
         let now = self.shared.clock.now();
         let Some(configuration) = self.shared.configuration.load_full() else { return };
         self.forget(now);
-        let leads = leads(&self.shared);
         let wishes = self.wishes(&configuration, now);
-        if leads && !wishes.is_empty() {
-            self.wished = Some(now);
-        }
-        self.keep_lease(now, leads).await;
-        if !leads {
-            return;
+        if !wishes.is_empty() {
+            self.shared.tenure.want();
         }
         for (service, change) in wishes {
-            if self.lease.authority(self.shared.clock.now()).is_some() {
+            if self.shared.tenure.authority_for(ORDER_LIMIT).is_some() {
                 self.carry_out(&service, change).await;
             }
         }
@@ -201,87 +156,6 @@
         (entry.stage != Some(given.to) && now < given.until).then_some(given.to)
     }
 
-    /// Takes, renews or gives back the lease.
-    async fn keep_lease(&mut self, now: Instant, leads: bool) {
-        let within = |at: Option<Instant>, span| {
-            at.is_some_and(|at| now.saturating_duration_since(at) < span)
-        };
-        let wanted = leads && within(self.wished, KEPT);
-        // Whoever comes next may order at once what was given back, so it is kept for a turn.
-        let wanted = wanted || within(self.ordered, self.term.margin);
-        let mine = self.lease.authority(now).is_some();
-        if !wanted && !mine {
-            return;
-        }
-        if self.lease.wants_settling() {
-            self.read_lease().await;
-        }
-        if !mine && !within(self.read, READ_PERIOD) {
-            self.lease.want_read();
-        }
-        // A read is followed by what it allows.
-        for _ in 0..2 {
-            match self.lease.poll(now, self.term, wanted, |_| false) {
-                Some(Action::Read) => self.read_lease().await,
-                Some(Action::Write { expected, record }) => {
-                    self.write_lease(expected, &record).await;
-                }
-                None => return,
-            }
-        }
-    }
-
-    async fn read_lease(&mut self) {
-        let result = self.shared.store.get(Purpose::Lease, LEASES, LEASE).await;
-        let now = self.shared.clock.now();
-        self.read = Some(now);
-        let found = match result {
-            Ok(None) => None,
-            Ok(Some(object)) => match serde_json::from_slice::<Record>(&object.content) {
-                Ok(record) => Some((object.revision, record)),
-                Err(error) => {
-                    log::error!(error:% = error; "the lease cannot be read");
-                    return;
-                }
-            },
-            Err(error) => {
-                log::info!(error:% = error; "lease not read");
-                self.lease.want_read();
-                return;
-            }
-        };
-        self.lease.take_read(now, self.term, found);
-    }
-
-    async fn write_lease(
-        &mut self,
-        expected: Option<sardinepick_lib::id::Revision>,
-        record: &Record,
-    ) {
-        let store = &self.shared.store;
-        let content = serde_json::json!(record);
-        let result = match expected {
-            None => store.create(Purpose::Lease, LEASES, LEASE, &content).await,
-            Some(was) => store.replace(Purpose::Lease, LEASES, LEASE, was, &content).await,
-        };
-        let now = self.shared.clock.now();
-        let written = match result {
-            Ok(object) => Written::Done(object.revision),
-            Err(StoreError::Refused {
-                refused: Refused::Conflict(_) | Refused::Missing, ..
-            }) => Written::Conflict,
-            Err(error) => {
-                log::info!(error:% = error; "lease not known to be written");
-                Written::Lost
-            }
-        };
-        log::info!(
-            epoch:% = record.epoch, beat = record.beat, released = record.holder.is_none(),
-            written:? = written; "lease written"
-        );
-        self.lease.take_written(now, self.term, written);
-    }
-
     async fn carry_out(&mut self, service: &ServiceId, change: Change) {
         let chosen = self.choose(service, change);
         if chosen.is_empty() {
@@ -338,14 +212,12 @@
                 return;
             }
         };
-        let Some(epoch) = self.lease.authority(self.shared.clock.now()) else {
+        let Some(epoch) = self.shared.tenure.authority_for(ORDER_LIMIT) else {
             log::info!(runner:% = entry.id; "order not given: the authority is over");
             self.withdraw(entry);
             return;
         };
         let outcome = self.send(entry, to, epoch, report.accepted).await;
-        let now = self.shared.clock.now();
-        self.ordered = Some(now);
         log::info!(
             runner:% = entry.id, stage:% = to, epoch:% = epoch, accepted = report.accepted,
             reply = outcome.map_or("none", Into::into); "order given"
@@ -420,15 +292,3 @@
     let born = report.born.is_none() || report.born == entry.born;
     born && report.stage == entry.stage
 }
-
-/// Whether this node is the one that looks after orders: the same one for all nodes that hear each
-/// other. Where they do not, the lease decides.
-fn leads(shared: &Shared) -> bool {
-    if !shared.is_ready() {
-        return false;
-    }
-    let duty = place(0, LEASE.as_bytes());
-    let rank = |id: &str| rendezvous(duty, id.as_bytes());
-    let mine = rank(shared.me.id.as_str());
-    shared.roster().fronts().iter().all(|other| rank(other.id.as_str()) < mine)
-}
--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -16,7 +16,8 @@
 use crate::serve::metrics::Metrics;
 use crate::serve::settings::Settings;
 use crate::serve::shared::Shared;
-use crate::serve::{beat, copy, follow, meet, order, peer, quarantine, scheduler};
+use crate::serve::{beat, copy, duty, follow, meet, order, peer, quarantine, scheduler};
+use crate::usage::exchange::Exchange;
 
 /// Why a node does not start.
 #[derive(Debug, Error)]
@@ -35,6 +36,7 @@
     /// What its parts share.
     pub shared: Arc<Shared>,
     closing: watch::Sender<bool>,
+    exchange: Exchange,
 }
 
 /// The part of the grace after which a stopping node closes its connections: by then no caller that
@@ -131,14 +133,15 @@
     tokio::spawn(scheduler::report(shared.clone()));
     tokio::spawn(quarantine::run(shared.clone()));
     tokio::spawn(quarantine::store::run(shared.clone()));
-    tokio::spawn(meet::join(shared.clone(), socket));
+    tokio::spawn(meet::join(shared.clone(), socket.clone()));
     tokio::spawn(follow::tidy(shared.clone()));
     tokio::spawn(order::run(shared.clone()));
+    let exchange = duty::start(&shared, socket);
     log::info!(
         node:% = shared.me.id, data_centre:% = shared.me.data_centre, front:% = shared.me.front,
         peer:% = shared.me.peer, version = env!("CARGO_PKG_VERSION"); "started"
     );
-    Running { shared, closing }
+    Running { shared, closing, exchange }
 }
 
 impl Running {
@@ -176,6 +179,7 @@
                 break;
             }
         }
+        self.exchange.round().await;
         let cut = under_way();
         log::info!(node:% = shared.me.id, cut = cut; "stopped");
         cut
--- a/node/src/serve/settings.rs
+++ b/node/src/serve/settings.rs
@@ -41,20 +41,26 @@
     pub grace: Duration,
     /// The longest time for which callers heed an answer where to connect.
     pub longest_validity: Duration,
-    /// How long two holders' orders to one runner must be apart.
+    /// How far apart the calls of two holders of the duties must be.
     pub turns: Duration,
+    /// Where calls to the platform go that one node at a time makes; none where there are none.
+    pub platform: Option<SocketAddr>,
+    /// The length of the windows in which usage is reported; none where it is not.
+    pub usage_window: Option<Duration>,
     /// The least severe log lines that are written.
     pub log_level: LevelFilter,
     /// How they are written.
     pub log_format: LogFormat,
 }
 
-const SECTIONS: [(&str, &[&str]); 6] = [
+const SECTIONS: [(&str, &[&str]); 8] = [
     ("node", &["name", "data_centre", "front", "ready", "lookup", "peer", "metrics", "seeds"]),
     ("store", &["address"]),
     ("retry", &["ratio", "allowance", "window_s"]),
     ("stop", &["grace_s", "longest_validity_s"]),
     ("orders", &["turns_ms"]),
+    ("platform", &["address"]),
+    ("usage", &["window_s"]),
     ("log", &["level", "format"]),
 ];
 
@@ -122,6 +128,8 @@
     let grace = r.optional("stop", "grace_s", SECONDS_FORM, seconds);
     let validity = r.optional("stop", "longest_validity_s", SECONDS_FORM, seconds);
     let turns = r.optional("orders", "turns_ms", MILLIS_FORM, |t| within(t, 1, 3_600_000));
+    let platform = r.optional("platform", "address", ADDRESS_FORM, usable_address);
+    let usage_window = r.optional("usage", "window_s", SECONDS_FORM, seconds);
     let log_level = r.optional("log", "level", LEVEL_FORM, parsed);
     let log_format = r.optional("log", "format", FORMAT_FORM, parsed);
     Some(Settings {
@@ -142,6 +150,8 @@
         grace: grace.unwrap_or(DEFAULT_GRACE),
         longest_validity: validity.unwrap_or(DEFAULT_VALIDITY),
         turns: turns.map_or(DEFAULT_TURNS, Duration::from_millis),
+        platform,
+        usage_window,
         log_level: log_level.unwrap_or(LevelFilter::Info),
         log_format: log_format.unwrap_or(LogFormat::Json),
     })
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -15,15 +15,21 @@
 use sardinepick_lib::fleet::gate::Sizes;
 use sardinepick_lib::fleet::outage::Outage;
 use sardinepick_lib::fleet::register::Register;
-use sardinepick_lib::fleet::roster::{Contact, Roster, Standing, Status};
+use sardinepick_lib::fleet::roster::{Contact, Record, Roster, Standing, Status};
 use sardinepick_lib::fleet::route::Configuration;
 use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_lib::hash::{place, rendezvous};
 use sardinepick_lib::id::{Incarnation, NodeId, ServiceId};
+use sardinepick_lib::lease::Holder;
+use sardinepick_lib::rank;
+use sardinepick_lib::usage::collection::Life;
+use sardinepick_lib::usage::tally::Collector;
 use smol_str::SmolStr;
 use tokio::sync::{Notify, watch};
 
 use crate::account::Checks;
+use crate::duty::tenure::Tenure;
+use crate::duty::view::{COLLECTORS, SUBJECT, View};
 use crate::serve::connection::Connections;
 use crate::serve::copy::Copies;
 use crate::serve::ended::Ends;
@@ -34,6 +40,7 @@
 use crate::serve::settings::Settings;
 use crate::serve::store::Client;
 use crate::serve::turn::Turns;
+use crate::usage::Usage;
 
 /// What is usual on a route, learned from its requests.
 #[derive(Debug, Default)]
@@ -57,7 +64,7 @@
     /// Connections to runners and the store.
     pub connections: Arc<Connections>,
     /// The store.
-    pub store: Client,
+    pub store: Arc<Client>,
     /// How this node stands towards callers.
     pub standing: watch::Sender<Standing>,
     /// Whether this node has met the others, or has found none.
@@ -66,6 +73,10 @@
     pub behind: Notify,
     /// Signals that other nodes have a newer configuration.
     pub outdated: Notify,
+    /// This node's part in the lease on the duties that one node at a time has.
+    pub tenure: Arc<Tenure>,
+    /// What this node counts of usage, and collects.
+    pub usage: Arc<Usage>,
     /// Checks that the configuration is the newest.
     pub checks: Checks,
     /// Copies of the configuration for other nodes.
@@ -122,8 +133,18 @@
         };
         let seed = place(incarnation.0, settings.name.as_str().as_bytes());
         let connections = Arc::new(Connections::new(clock.clone(), metrics.clone()));
+        let store = Client::new(settings.store, connections.clone(), metrics.clone());
+        let store = Arc::new(store);
+        let holder = Holder { name: me.id.clone(), incarnation };
+        let tenure =
+            Tenure::new(store.clone(), clock.clone(), metrics.clone(), holder, settings.turns);
+        let tenure = Arc::new(tenure);
+        let collector = Collector { node: me.id.clone(), incarnation };
+        let usage = Arc::new(Usage::new(collector, settings.usage_window, clock.clone()));
         Self {
-            store: Client::new(settings.store, connections.clone(), metrics.clone()),
+            store,
+            tenure,
+            usage,
             connections,
             began: clock.now(),
             roster: Mutex::new(Roster::new(me.clone())),
@@ -227,6 +248,35 @@
         before(&mut roster.served()) < FOLLOWERS && before(&mut roster.ids()) < MOST_FOLLOWERS
     }
 
+    /// The nodes as duties need to know them.
+    pub fn view(&self) -> View {
+        let now = self.clock.now();
+        let time = self.usage.time_at(now);
+        let roster = self.roster();
+        let me = roster.me();
+        let serves = |record: &&Record| record.standing == Standing::Ready && record.served;
+        let fitting = roster.present_records().chain([me]).filter(serves);
+        let first = rank::first(SUBJECT, fitting, |record| &record.contact.id, COLLECTORS);
+        let collector = |record: &Record| Collector {
+            node: record.contact.id.clone(),
+            incarnation: record.contact.incarnation,
+        };
+        let life = |record: &Record, gone: Option<Duration>| Life {
+            node: record.contact.id.clone(),
+            incarnation: record.contact.incarnation,
+            since: Duration::from_micros(record.contact.incarnation.0),
+            gone,
+        };
+        let others = roster.members().map(|(record, since)| {
+            let ago = now.saturating_duration_since(since);
+            life(record, record.silent.then(|| time.saturating_sub(ago)))
+        });
+        View {
+            lives: others.chain([life(me, None)]).collect(),
+            first: first.iter().map(|record| (collector(record), record.contact.peer)).collect(),
+        }
+    }
+
     /// Turns from starting to ready once there is a configuration and a register.
     pub fn note_knowledge(&self) {
         let known = self.configuration.load().is_some() && self.knowledge().is_known();
--- a/node/src/serve/store.rs
+++ b/node/src/serve/store.rs
@@ -77,10 +77,12 @@
     Nodes,
     /// Writing this node's entry.
     NodeWrite,
-    /// Reading or writing the authority over runners.
+    /// Reading or writing the lease on the duties of one node at a time.
     Lease,
     /// Reading or writing what is not run.
     Quarantine,
+    /// Reading or writing settled usage.
+    Usage,
 }
 
 /// How long the store may take to begin its answer to a call other than a watch, and to go on with
--- /dev/null
+++ b/node/src/usage/exchange.rs
@@ -0,0 +1,68 @@
+//! Sending a node's counts to those that collect them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sardinepick_wire::usage::{Body, Usage as Datagram};
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use super::Usage;
+use crate::duty::view::Views;
+use crate::serve::metrics::Metrics;
+
+/// How often counts are sent. What a node has counted since is lost with it: on average half of this
+/// of a window of some seconds.
+const PERIOD: Duration = Duration::from_millis(250);
+
+/// What is needed to send counts.
+#[derive(Clone)]
+pub struct Exchange {
+    /// The counts.
+    pub usage: Arc<Usage>,
+    /// The nodes.
+    pub views: Views,
+    /// The socket for datagrams between nodes.
+    pub socket: Arc<UdpSocket>,
+    /// Metrics.
+    pub metrics: Metrics,
+}
+
+impl Exchange {
+    /// Sends counts until the process ends.
+    pub async fn run(self) {
+        loop {
+            sleep(PERIOD).await;
+            self.round().await;
+        }
+    }
+
+    /// Sends what the collectors are not known to have.
+    pub async fn round(&self) {
+        let Some(windows) = self.usage.windows else { return };
+        let view = (self.views)();
+        let messages = self.usage.round(windows, &view.collectors(), &view.lives);
+        for ((_, address), messages) in view.first.iter().zip(messages) {
+            for message in messages {
+                let body = Body::Counts(message);
+                let datagram = Datagram { sender: self.usage.me.clone(), body };
+                transmit(&self.socket, *address, &datagram, &self.metrics).await;
+            }
+        }
+    }
+}
+
+/// Sends a datagram.
+pub(super) async fn transmit(
+    socket: &UdpSocket,
+    peer: SocketAddr,
+    datagram: &Datagram,
+    metrics: &Metrics,
+) {
+    let bytes = datagram.encode();
+    metrics.usage_bytes.with_label_values(&["sent"]).inc_by(bytes.len() as u64);
+    if let Err(error) = socket.send_to(&bytes, peer).await {
+        log::debug!(peer:% = peer, error:% = error; "sending usage");
+    }
+}
--- /dev/null
+++ b/node/src/usage/report.rs
@@ -0,0 +1,234 @@
+//! Settling finished windows in the store, and reporting them to the platform.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use sardinepick_lib::clock::Clock;
+use sardinepick_lib::id::{Revision, Window};
+use sardinepick_lib::usage::ledger::{Ledger, Settled};
+use sardinepick_lib::usage::tally::KEPT;
+use sardinepick_lib::usage::window::Windows;
+use sardinepick_platform::duty::{Reply, USAGE, report_usage};
+use sardinepick_platform::store::Refused;
+use tokio::time::sleep;
+
+use super::Usage;
+use crate::duty::caller::{Caller, Outcome};
+use crate::duty::tenure::Tenure;
+use crate::duty::view::Views;
+use crate::serve::metrics::Metrics;
+use crate::serve::store::{Client, Purpose, StoreError};
+
+/// How often it is looked whether a window is due.
+const PERIOD: Duration = Duration::from_millis(200);
+/// How long after the end of a window it is settled: the counts of all nodes have come by then, and
+/// clocks that are a little apart do no harm.
+const SETTLING: Duration = Duration::from_millis(1_000);
+/// The pause after a report that was not taken.
+const PAUSE: Duration = Duration::from_millis(500);
+/// The name of the ledger.
+const LEDGER: &str = "ledger";
+/// The most windows that are settled in one write, as after an outage of the store: some fewer than
+/// nodes keep, since they drop the oldest.
+const MOST_AT_ONCE: u64 = KEPT - 4;
+
+/// The ledger as the store has it.
+#[derive(Debug)]
+struct Known {
+    revision: Option<Revision>,
+    ledger: Ledger,
+}
+
+/// Reports usage while this node holds the duties.
+pub struct Reporter {
+    /// The counts.
+    pub usage: Arc<Usage>,
+    /// The nodes.
+    pub views: Views,
+    /// The lease.
+    pub tenure: Arc<Tenure>,
+    /// Calls to the platform.
+    pub caller: Arc<Caller>,
+    /// The store.
+    pub store: Arc<Client>,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// Metrics.
+    pub metrics: Metrics,
+}
+
+impl Reporter {
+    /// Reports until the process ends.
+    pub async fn run(self) {
+        let Some(windows) = self.usage.windows else { return };
+        let mut known = None;
+        let mut paused: Option<Instant> = None;
+        loop {
+            sleep(PERIOD).await;
+            self.tenure.want();
+            if !self.caller.may_call() {
+                // Whoever holds the duties meanwhile may change the ledger.
+                known = None;
+                continue;
+            }
+            if known.is_none() {
+                known = self.read(windows).await;
+            }
+            let Some(ledger) = &mut known else { continue };
+            if !self.settle(windows, ledger).await {
+                known = None;
+                continue;
+            }
+            if paused.is_some_and(|until| self.clock.now() < until) {
+                continue;
+            }
+            paused = self.report(windows, &mut ledger.ledger).await;
+        }
+    }
+
+    fn time(&self) -> Duration {
+        self.usage.time_at(self.clock.now())
+    }
+
+    /// Reads the ledger; none if the store does not give it. One of another writer says nothing of what
+    /// has been reported, so nothing that ended before is.
+    async fn read(&self, windows: Windows) -> Option<Known> {
+        let object = match self.store.get(Purpose::Usage, USAGE, LEDGER).await {
+            Ok(object) => object,
+            Err(error) => {
+                log::info!(error:% = error; "settled usage not read");
+                return None;
+            }
+        };
+        let current = windows.at(self.time());
+        let Some(object) = object else {
+            // The first holder settles what has ended while it came to hold the duties.
+            let before = windows.at(self.time().saturating_sub(windows.length() * 2));
+            return Some(Known { revision: None, ledger: Ledger::starting_at(before) });
+        };
+        let revision = Some(object.revision);
+        let ledger = serde_json::from_slice(&object.content).unwrap_or_else(|error| {
+            log::error!(
+                revision:% = object.revision, error:% = error;
+                "settled usage cannot be read; it begins anew"
+            );
+            Ledger::starting_at(current.next())
+        });
+        log::info!(
+            next:% = ledger.next, waiting = ledger.waiting.len(), revision:% = object.revision;
+            "settled usage read"
+        );
+        Some(Known { revision, ledger })
+    }
+
+    /// Settles windows that have ended. False if the ledger has to be read anew.
+    async fn settle(&self, windows: Windows, known: &mut Known) -> bool {
+        let ended = windows.at(self.time().saturating_sub(SETTLING));
+        if known.ledger.next >= ended {
+            return true;
+        }
+        let mut next = known.ledger.clone();
+        // Counts are kept for some windows only.
+        let first = Window(ended.0.saturating_sub(MOST_AT_ONCE)).max(next.next);
+        if first > next.next {
+            log::error!(from:% = next.next, to:% = first; "windows of usage are too old to report");
+            next.next = first;
+        }
+        let lives = (self.views)().lives;
+        let mut changed = false;
+        while next.next < ended {
+            let window = next.next;
+            let total = self.usage.total(windows, window, &lives);
+            if !total.is_complete() {
+                log::error!(
+                    window:% = window, nodes = total.nodes, lost = total.lost;
+                    "window of usage is not reported: counts may be lost"
+                );
+                self.note(window, "incomplete");
+                next.pass_over(window);
+                continue;
+            }
+            let requests: u64 = total.counts.values().sum();
+            let accounts = total.counts.len();
+            let Some((settled, given_up)) = next.settle(window, total.counts) else { continue };
+            if let Some(given_up) = given_up {
+                log::error!(window:% = given_up.window; "window of usage is given up");
+                self.note(given_up.window, "given_up");
+            }
+            next = settled;
+            changed = true;
+            log::info!(
+                window:% = window, requests = requests, accounts = accounts, lost = total.lost;
+                "window of usage settled"
+            );
+        }
+        if !changed {
+            known.ledger = next;
+            return true;
+        }
+        let content = serde_json::json!(next);
+        let written = match known.revision {
+            None => self.store.create(Purpose::Usage, USAGE, LEDGER, &content).await,
+            Some(was) => self.store.replace(Purpose::Usage, USAGE, LEDGER, was, &content).await,
+        };
+        match written {
+            Ok(object) => {
+                *known = Known { revision: Some(object.revision), ledger: next };
+                true
+            }
+            Err(StoreError::Refused {
+                refused: Refused::Conflict(_) | Refused::Missing, ..
+            }) => {
+                log::info!(next:% = next.next; "another node has settled usage");
+                false
+            }
+            Err(error) => {
+                // It may have been written, or be written later; what is there decides.
+                log::info!(error:% = error; "usage not known to be settled");
+                false
+            }
+        }
+    }
+
+    /// Reports the oldest settled window. Gives until when to wait if it was not taken.
+    async fn report(&self, windows: Windows, ledger: &mut Ledger) -> Option<Instant> {
+        let Settled { window, counts } = ledger.due()?.clone();
+        let late = self.time().saturating_sub(windows.end(window));
+        let outcome = self
+            .caller
+            .call("usage", |address, authority| report_usage(address, authority, window, &counts))
+            .await;
+        let accounts = counts.len();
+        match outcome {
+            Outcome::Replied(Reply::Accepted) => {
+                log::info!(
+                    window:% = window, accounts = accounts, after_ms = late.as_millis() as u64;
+                    "usage reported"
+                );
+                self.note(window, "reported");
+                ledger.note_reported(window);
+                None
+            }
+            Outcome::Replied(Reply::Refused) => {
+                log::error!(window:% = window, accounts = accounts; "usage refused for good");
+                self.note(window, "refused");
+                ledger.note_reported(window);
+                None
+            }
+            Outcome::Replied(Reply::Busy | Reply::Unavailable)
+            | Outcome::NoAnswer
+            | Outcome::NotHolder => {
+                log::info!(
+                    window:% = window, outcome:? = outcome, after_ms = late.as_millis() as u64;
+                    "usage not reported yet"
+                );
+                Some(self.clock.now() + PAUSE)
+            }
+        }
+    }
+
+    fn note(&self, window: Window, outcome: &'static str) {
+        self.metrics.windows.with_label_values(&[outcome]).inc();
+        self.usage.note_window(window, outcome);
+    }
+}
--- a/testutils/src/fleet/beat.rs
+++ b/testutils/src/fleet/beat.rs
@@ -28,5 +28,6 @@
         news: None,
         quarantine: 0,
         quarantined: Vec::new(),
+        time: None,
     }
 }
--- a/testutils/src/fleet/deployment.rs
+++ b/testutils/src/fleet/deployment.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use log::LevelFilter;
-use sardinepick_lib::clock::System;
+use sardinepick_lib::clock::{Clock, System};
 use sardinepick_lib::fleet::budget::Bounds;
 use sardinepick_lib::hash::place;
 use sardinepick_node::serve::metrics::Metrics;
@@ -19,6 +19,7 @@
 use crate::cluster::{any_address, free_address, own_ip, wait_until};
 use crate::fleet::caller::{Ask, Caller, Told};
 use crate::fleet::link::Link;
+use crate::fleet::platform::Platform;
 use crate::fleet::runner::{Kind, Runner};
 use crate::fleet::store::Store;
 use crate::fleet::supervised::Supervised;
@@ -45,6 +46,8 @@
     pub nodes: Vec<Running>,
     /// A caller.
     pub caller: Caller,
+    /// What takes the platform's calls, and the length of the windows of usage.
+    pub platform: Option<(Platform, Duration)>,
 }
 
 fn route(name: &str, prefix: &str, kind: &str, service: &str, attempts: u32) -> Value {
@@ -127,6 +130,8 @@
         grace: Duration::from_secs(2),
         longest_validity: Duration::from_secs(5),
         turns: Duration::from_millis(300),
+        platform: None,
+        usage_window: None,
         log_level: LevelFilter::Info,
         log_format: LogFormat::Json,
     }
@@ -141,7 +146,29 @@
         let store = Store::start(any_address()).await.expect("a free address");
         store.put("config", "main", &configuration(1));
         let (runners, supervised, nodes) = (Vec::new(), Vec::new(), Vec::new());
-        Self { store, runners, supervised, nodes, caller: Caller::default() }
+        let platform = None;
+        Self { store, runners, supervised, nodes, caller: Caller::default(), platform }
+    }
+
+    /// Has usage reported to the platform in windows of `window`.
+    ///
+    /// # Panics
+    /// No address is free.
+    pub async fn with_platform(mut self, window: Duration) -> Self {
+        let platform = Platform::start(any_address()).await.expect("a free address");
+        self.platform = Some((platform, window));
+        self
+    }
+
+    /// The settings of a node of this deployment.
+    pub fn settings(&self, name: &str, seeds: Vec<SocketAddr>) -> Settings {
+        let settings = settings(name, self.store.address(), seeds);
+        let platform = self.platform.as_ref();
+        Settings {
+            platform: platform.map(|(platform, _)| platform.address()),
+            usage_window: platform.map(|(_, window)| *window),
+            ..settings
+        }
     }
 
     /// Adds runners of the plain service.
@@ -224,8 +251,15 @@
     /// # Panics
     /// It does not start.
     pub async fn add_node(&mut self, name: &str, seeds: Vec<SocketAddr>) {
-        let settings = settings(name, self.store.address(), seeds);
-        let clock = Arc::new(System);
+        self.add_node_by(name, seeds, Arc::new(System)).await;
+    }
+
+    /// Starts a node that goes by a clock of its own.
+    ///
+    /// # Panics
+    /// It does not start.
+    pub async fn add_node_by(&mut self, name: &str, seeds: Vec<SocketAddr>, clock: Arc<dyn Clock>) {
+        let settings = self.settings(name, seeds);
         let node = run::start(settings, clock, Metrics::default()).await.expect("free addresses");
         self.nodes.push(node);
     }
--- a/testutils/src/fleet/mod.rs
+++ b/testutils/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 pub mod deployment;
 pub mod ending;
 pub mod link;
+pub mod platform;
 pub mod proxy;
 pub mod runner;
 pub mod soak;
--- a/wire/src/beat.rs
+++ b/wire/src/beat.rs
@@ -1,6 +1,7 @@
 //! Beats: the datagrams by which nodes that serve together know of each other.
 
 use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
 
 use prost::Message as _;
 use sardinepick_lib::fleet::roster::{Contact, Record, Standing, Status};
@@ -34,6 +35,8 @@
     pub quarantine: u64,
     /// What it has newly heard of such requests.
     pub quarantined: Vec<pb::Quarantined>,
+    /// What it takes for the true time, since the start of 1970; none if it does not say.
+    pub time: Option<Duration>,
 }
 
 impl Beat {
@@ -59,6 +62,7 @@
             news: self.news.clone(),
             quarantine: self.quarantine,
             quarantined: self.quarantined.clone(),
+            time_ms: self.time.map_or(0, |time| u64::try_from(time.as_millis()).unwrap_or(0)),
         };
         beat.encode_to_vec()
     }
@@ -96,6 +100,7 @@
             news: beat.news,
             quarantine: beat.quarantine,
             quarantined: beat.quarantined,
+            time: (beat.time_ms > 0).then(|| Duration::from_millis(beat.time_ms)),
         })
     }
 }
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod load;
 pub mod quarantine;
 pub mod schedule;
+pub mod usage;
 
 pub use generated::peers_client::PeersClient;
 pub use generated::peers_server::{Peers, PeersServer};
--- a/wire/tests/beat.rs
+++ b/wire/tests/beat.rs
@@ -45,6 +45,7 @@
         news: None,
         quarantine: u64::MAX,
         quarantined: Vec::new(),
+        time: Some(std::time::Duration::from_millis(1 << 42)),
     }
 }
 
