account: a key that was taken away is refused without a check

Change: a directory remembers, within a bound, the keys that earlier configurations had. A check holds for two seconds in place of one: a change must be in force within three.

--- a/lib/src/account/directory.rs
+++ b/lib/src/account/directory.rs
@@ -1,6 +1,6 @@
 //! The accounts of one configuration, found by the digest of a key.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use smallvec::SmallVec;
 use smol_str::SmolStr;
@@ -14,6 +14,9 @@
 /// The most faults of one configuration that are kept for the log.
 const MOST_FAULTS: usize = 16;
 
+/// The most keys that were taken away and are remembered.
+const MOST_RETIRED: usize = 4_096;
+
 /// A client account.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Account {
@@ -79,6 +82,8 @@
     accounts: Vec<Account>,
     /// The place of the account of each key.
     keys: HashMap<Digest, u32>,
+    /// Keys that earlier configurations had, and this one has not.
+    retired: HashSet<Digest>,
     faults: Vec<Fault>,
 }
 
@@ -119,6 +124,19 @@
         self.accounts.get(*self.keys.get(key)? as usize)
     }
 
+    /// Takes over which keys were taken away, from the directory before this one. Requests go on coming
+    /// with such keys for long; each would cost a check that no newer configuration has it.
+    pub fn succeed(&mut self, before: &Directory) {
+        let old = before.keys.keys().chain(&before.retired);
+        let gone = old.filter(|key| !self.keys.contains_key(key)).copied();
+        self.retired = gone.take(MOST_RETIRED).collect();
+    }
+
+    /// Whether a key was taken away.
+    pub fn is_retired(&self, key: &Digest) -> bool {
+        self.retired.contains(key)
+    }
+
     /// All accounts.
     pub fn accounts(&self) -> &[Account] {
         &self.accounts
@@ -146,17 +164,23 @@
     NoKey,
     /// No account of this configuration has its key.
     UnknownKey,
+    /// Its key was taken away.
+    RetiredKey,
 }
 
 /// Finds whose a request is, by its `key` and whether its route is `anonymous`. `directory` is none
 /// where the configuration has no accounts.
 pub fn identify(directory: Option<&Directory>, anonymous: bool, key: Option<&[u8]>) -> Identity {
     let Some(directory) = directory else { return Identity::Anonymous };
-    let found = key.and_then(digest).and_then(|digest| directory.find(&digest));
+    let digest = key.and_then(digest);
+    let found = digest.and_then(|digest| directory.find(&digest));
     match (found, key) {
         (Some(account), _) => Identity::Account(account.clone()),
         (None, _) if anonymous => Identity::Anonymous,
         (None, None) => Identity::NoKey,
+        (None, Some(_)) if digest.is_some_and(|digest| directory.is_retired(&digest)) => {
+            Identity::RetiredKey
+        }
         (None, Some(_)) => Identity::UnknownKey,
     }
 }
--- a/lib/src/account/freshness.rs
+++ b/lib/src/account/freshness.rs
@@ -11,7 +11,7 @@
 
 /// How long a check holds. A change has to be in force within a few seconds of its acknowledgement;
 /// this leaves most of that for the change to arrive.
-pub const VALID: Duration = Duration::from_secs(1);
+pub const VALID: Duration = Duration::from_secs(2);
 
 /// The last check.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/lib/tests/account.rs
+++ b/lib/tests/account.rs
@@ -84,3 +84,18 @@
     assert!(!freshness.covers(version, at + VALID));
     assert!(!freshness.covers(ConfigVersion(8), at));
 }
+
+/// Guards against a check of the store for each request with a key that was taken away.
+#[test]
+fn succeed_keys_taken_away_retired() {
+    let first = directory(vec![entry("a", None, &["k1", "k2"])]);
+    let mut second = directory(vec![entry("a", None, &["k2"])]);
+    second.succeed(&first);
+    let mut third = directory(vec![entry("b", None, &["k1"])]);
+    third.succeed(&second);
+    let of = |directory, key: &str| identify(Some(directory), false, Some(key.as_bytes()));
+    assert_eq!(of(&second, "k1"), Identity::RetiredKey);
+    assert_eq!(of(&third, "k2"), Identity::RetiredKey);
+    assert!(matches!(of(&third, "k1"), Identity::Account(_)));
+    assert_eq!(of(&third, "k3"), Identity::UnknownKey);
+}
--- a/node/src/serve/follow.rs
+++ b/node/src/serve/follow.rs
@@ -173,7 +173,7 @@
     if object.name != config::NAME {
         return;
     }
-    let next = match decode(&object.content) {
+    let mut next = match decode(&object.content) {
         Ok(mut next) => {
             next.revision = object.revision;
             next
@@ -185,10 +185,15 @@
             return;
         }
     };
-    let was = shared.configuration.load().as_ref().map(|c| c.version);
+    let before = shared.configuration.load_full();
+    let was = before.as_ref().map(|c| c.version);
     if was.is_some_and(|was| next.version <= was) {
         return;
     }
+    let before = before.as_ref().and_then(|c| c.accounts.as_ref());
+    if let (Some(accounts), Some(before)) = (&mut next.accounts, before) {
+        accounts.succeed(before);
+    }
     log::info!(
         version:% = next.version, was:% = was.unwrap_or_default(), revision:% = object.revision,
         routes = next.routes(), source = source; "configuration in force"
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -197,6 +197,7 @@
                 return Ok(Admitted { configuration, route, account: Some(name) });
             }
             Identity::NoKey => return Err(Refusal::NoKey),
+            Identity::RetiredKey => return Err(Refusal::UnknownKey),
             Identity::UnknownKey if checked => return Err(Refusal::UnknownKey),
             Identity::UnknownKey => check_key(shared, &configuration, arrived).await?,
         }
--- a/node/tests/accounts.rs
+++ b/node/tests/accounts.rs
@@ -203,3 +203,16 @@
         }
     }
 }
+
+#[tokio::test]
+async fn key_taken_away_no_checks() {
+    let set = deployment(1).await;
+    set.store.put("config", "main", &with_accounts(2, &[("kitchen", &["key-2"], None)]));
+    in_force(&set, 2).await;
+    for n in 0..20 {
+        let told = send(&set, "/board/a", &format!("r{n}"), "key-1").await;
+        assert_eq!(told.status, Some(StatusCode::UNAUTHORIZED));
+    }
+    let calls = &set.nodes[0].shared.metrics.store_calls;
+    assert_eq!(calls.with_label_values(&["configuration_check", "answered"]).get(), 0);
+}
