--- a/lib/src/lease.rs
+++ b/lib/src/lease.rs
@@ -90,6 +90,8 @@
     revision: Option<Revision>,
     record: Record,
     first: Instant,
+    /// The latest time at which a holder before it can have acted, once the lease has been given back.
+    acted: Instant,
 }
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -226,8 +228,8 @@
         }
         doubtful.retain(|h| !is_gone(h));
         // A silent holder's last call lies the margin back already.
-        let last = old.map(|old| &old.name).or(seen.record.former.as_ref());
-        let waits = !silent && last.is_some_and(|name| *name != self.me.name);
+        // Any other may have one under way, also this node itself.
+        let waits = !silent && (old.is_some() || seen.record.former.is_some());
         let record = Record {
             holder: Some(self.me.clone()),
             epoch: seen.record.epoch.next(),
@@ -235,7 +237,8 @@
             doubtful,
             former: None,
         };
-        Some((record, if waits { now + term.margin } else { now }))
+        let from = if old.is_some() { now } else { seen.acted } + term.margin;
+        Some((record, if waits { from.max(now) } else { now }))
     }
 
     /// Takes in what a read gave: the revision and content, or nothing where there is no object.
@@ -266,7 +269,17 @@
         } else if !self.is_mine(&record) {
             self.held_until = None;
         }
-        self.seen = Some(Seen { revision, record, first: now });
+        let acted = self.last_act(now, term, &record);
+        self.seen = Some(Seen { revision, record, first: now, acted });
+    }
+
+    /// When the holder that gave the lease back can have acted last. If it has not renewed since the
+    /// record that was seen before, its term had run out by then.
+    fn last_act(&self, now: Instant, term: Term, record: &Record) -> Instant {
+        let before = self.seen.as_ref().filter(|seen| {
+            seen.record.epoch == record.epoch && seen.record.beat + 1 == record.beat
+        });
+        before.map_or(now, |seen| now.min(seen.first + term.ttl))
     }
 
     /// Takes in what came of the write that [`Lease::poll`] asked for.
@@ -278,8 +291,9 @@
                     self.held_until = Some(pending.sent + term.ttl);
                     self.held_from = Some(pending.from);
                 }
-                self.seen =
-                    Some(Seen { revision: Some(revision), record: pending.record, first: now });
+                let revision = Some(revision);
+                let record = pending.record;
+                self.seen = Some(Seen { revision, record, first: now, acted: now });
             }
             Written::Conflict => {
                 self.pending = None;
--- a/node/src/duty/tenure.rs
+++ b/node/src/duty/tenure.rs
@@ -18,8 +18,9 @@
 /// How long the lease holds without renewal. It bounds, with the margin, how long nobody acts after
 /// the holder has fallen silent.
 const TTL: Duration = Duration::from_secs(2);
-/// How much longer than the turns of two holders a challenger waits, for a call under way.
-const TURN_MARGIN: Duration = Duration::from_millis(500);
+/// How much longer than the turns of two holders a challenger waits, for clocks that run at different
+/// speeds. Calls end within the term, so none is under way.
+const TURN_MARGIN: Duration = Duration::from_millis(200);
 /// How often a node that wants the lease reads it while another holds it.
 const READ_PERIOD: Duration = Duration::from_millis(1_500);
 /// How long the lease is kept after the last wish for it.
--- a/node/src/usage/report.rs
+++ b/node/src/usage/report.rs
@@ -23,7 +23,7 @@
 const PERIOD: Duration = Duration::from_millis(200);
 /// How long after the end of a window it is settled: the counts of all nodes have come by then, and
 /// clocks that are a little apart do no harm.
-const SETTLING: Duration = Duration::from_millis(1_000);
+const SETTLING: Duration = Duration::from_millis(750);
 /// The pause after a report that was not taken.
 const PAUSE: Duration = Duration::from_millis(500);
 /// The name of the ledger.
