scale: reclaimable runners carry the load, spread over the data centres

Change: the holder of the duties orders reclaimable runners, in each data centre a like number, so many that the loss of all of one data centre's leaves what is needed; regular ones are given back once those serve in their place, down to a few in each. Where none are to be had it tries again, and orders regular ones if too few serve. Nothing is ordered until the number of runners has been steady, or while the store is away. The policy that is used keeps what was found (need: three quarters, as for the loss of one of four data centres); the peak of a window is the other one, to be compared. Tests: lib/tests/scale.rs, with a platform that carries orders out, turns of 2.8 s and a reclaim.

--- a/lib/src/fleet/balance.rs
+++ b/lib/src/fleet/balance.rs
@@ -88,6 +88,11 @@
         self.since = Some(now);
     }
 
+    /// How many runners would be busy all the time if each of `nodes` nodes saw a like part.
+    pub fn busy(&self, nodes: usize) -> f64 {
+        (self.rate / READ_RATE + self.mean_streams / STREAMS) * nodes as f64
+    }
+
     /// Prompt tokens a second.
     pub fn rate(&self) -> f64 {
         self.rate
--- a/lib/src/fleet/route.rs
+++ b/lib/src/fleet/route.rs
@@ -10,6 +10,7 @@
 use super::engine::Engine;
 use crate::account::directory::Directory;
 use crate::id::{ConfigVersion, Revision, ServiceId};
+use crate::scale::plan::Scaling;
 
 /// What may be repeated of a request on a route, and what its answer looks like.
 #[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
@@ -99,6 +100,8 @@
     pub most_connections: u32,
     /// What its runners are if they are model engines.
     pub engine: Option<Engine>,
+    /// Within which bounds its runners are ordered; none where they are not.
+    pub scaling: Option<Scaling>,
 }
 
 /// What callers may send and how long they may take.
--- a/lib/src/fleet/runner.rs
+++ b/lib/src/fleet/runner.rs
@@ -42,6 +42,8 @@
     pub stage: Option<Stage>,
     /// Requests at once.
     pub slots: u32,
+    /// Whether it costs less and may be taken back.
+    pub reclaimable: bool,
     /// The change by which the entry came to be as it is.
     pub revision: Revision,
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod rank;
 pub mod role;
 pub mod runner;
+pub mod scale;
 pub mod spread;
 pub mod supply;
 pub mod unit;
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -47,6 +47,7 @@
         data_centre: home(),
         state: State::Ready,
         stage,
+        reclaimable: false,
         slots: 8,
         revision: Revision(revision),
     }
--- a/lib/tests/life_model.rs
+++ b/lib/tests/life_model.rs
@@ -127,6 +127,7 @@
             state: State::Ready,
             stage: None,
             slots: 1,
+            reclaimable: false,
             revision: Revision(self.written.len() as u64 + 1),
         });
     }
--- /dev/null
+++ b/lib/tests/scale.rs
@@ -0,0 +1,220 @@
+//! How many runners are ordered, where, and of which kind.
+
+use std::time::{Duration, Instant};
+
+use sardinepick_lib::scale::need::{Need, Policy};
+use sardinepick_lib::scale::plan::{Kind, Order, Planner, Scaling, Supply};
+
+const S: Duration = Duration::from_secs(1);
+const MS: Duration = Duration::from_millis(1);
+
+fn scaling(reclaimable: Option<f64>) -> Scaling {
+    let price = |name: &str, price| (name.parse().expect("a data centre"), price);
+    Scaling {
+        bounds: (1, 70),
+        boot: S * 4,
+        reclaimable_price: reclaimable,
+        prices: vec![price("a", 0.85), price("b", 1.2), price("c", 1.0), price("d", 1.1)],
+    }
+}
+
+fn supply(regular: [u32; 4], reclaimable: [u32; 4]) -> Vec<Supply> {
+    let one = |at: usize| {
+        let kinds = [regular[at], reclaimable[at]];
+        Supply { ready: kinds, serving: kinds }
+    };
+    (0..4).map(one).collect()
+}
+
+/// A platform that carries orders out: new runners serve after their time, others leave at once.
+struct Platform {
+    runners: Vec<Supply>,
+    booting: Vec<(Instant, usize, usize, u32)>,
+    dry: Option<Instant>,
+}
+
+impl Platform {
+    fn new(regular: u32) -> Self {
+        Self { runners: supply([regular; 4], [0; 4]), booting: Vec::new(), dry: None }
+    }
+
+    fn step(&mut self, now: Instant) {
+        let (up, rest) = std::mem::take(&mut self.booting).into_iter().partition(|b| b.0 <= now);
+        self.booting = rest;
+        for (_, place, kind, count) in Vec::from_iter::<Vec<_>>(up) {
+            self.runners[place].ready[kind] += count;
+            self.runners[place].serving[kind] += count;
+        }
+    }
+
+    /// Carries an order out; false if there are none to be had.
+    fn take(&mut self, now: Instant, order: &Order) -> bool {
+        let kind = usize::from(order.kind == Kind::Reclaimable);
+        if kind == 1 && self.dry.is_some_and(|until| now < until) {
+            return false;
+        }
+        let runners = &mut self.runners[order.place];
+        let booting: u32 =
+            self.booting.iter().filter(|b| (b.1, b.2) == (order.place, kind)).map(|b| b.3).sum();
+        let have = runners.ready[kind] + booting;
+        if order.count > have {
+            self.booting.push((now + S * 4, order.place, kind, order.count - have));
+        } else {
+            runners.ready[kind] = runners.ready[kind].min(order.count);
+            runners.serving[kind] = runners.ready[kind];
+        }
+        true
+    }
+
+    fn reclaim(&mut self, place: usize) {
+        self.runners[place].ready[1] = 0;
+        self.runners[place].serving[1] = 0;
+    }
+
+    fn serving(&self) -> u32 {
+        self.runners.iter().flat_map(|s| s.serving).sum()
+    }
+
+    /// The price of a second, in runners that are not reclaimable.
+    fn price(&self) -> f64 {
+        let prices = [0.85, 1.2, 1.0, 1.1];
+        let of = |(s, price): (&Supply, f64)| {
+            (f64::from(s.ready[0]) + 0.22 * f64::from(s.ready[1])) * price
+        };
+        self.runners.iter().zip(prices).map(of).sum()
+    }
+}
+
+/// Plays `seconds` with the load that `busy` gives, and gives the fewest runners that served, and the
+/// mean price.
+fn play(
+    platform: &mut Platform,
+    need: &mut Need,
+    start: Instant,
+    seconds: u32,
+    busy: impl Fn(f64) -> f64,
+    mut event: impl FnMut(u32, &mut Platform, Instant),
+) -> (u32, f64) {
+    let scaling = scaling(Some(0.22));
+    let mut planner = Planner::default();
+    let (mut fewest, mut price) = (u32::MAX, 0.0);
+    let steps = seconds * 5;
+    for step in 0..steps {
+        let now = start + MS * 200 * step;
+        platform.step(now);
+        event(step, platform, now);
+        let load = busy(f64::from(step) / 5.0);
+        if let Some(need) = need.note(now, load, platform.serving(), 4) {
+            for order in planner.plan(now, &scaling, &platform.runners, need) {
+                if !platform.take(now, &order) {
+                    planner.note_dry(now, &order);
+                }
+            }
+        }
+        fewest = fewest.min(platform.serving());
+        price += platform.price() / f64::from(steps);
+    }
+    (fewest, price)
+}
+
+/// Guards against runners that are given back before those in their place serve.
+#[test]
+fn plan_reclaimable_first_then_fewer_regular() {
+    let mut platform = Platform::new(35);
+    let mut need = Need::new(Policy::AsFound);
+    let (fewest, _) = play(&mut platform, &mut need, Instant::now(), 30, |_| 0.0, |_, _, _| {});
+    assert!(fewest >= 105, "{fewest} served");
+    let regular: u32 = platform.runners.iter().map(|s| s.ready[0]).sum();
+    assert!((4..=16).contains(&regular), "{regular} regular runners stay");
+    assert!(platform.price() < 50.0, "{} a second", platform.price());
+}
+
+/// Guards against too few runners while all reclaimable ones of a data centre are taken back and none
+/// are to be had for ten seconds, under turns of 2.8 s.
+#[test]
+fn plan_data_centre_reclaimed_enough_left() {
+    let start = Instant::now();
+    let mut platform = Platform::new(35);
+    let mut need = Need::new(Policy::AsFound);
+    // Peaks of 1.9 times the mean of 35 busy runners.
+    let turns = |t: f64| if ((t / 2.8) as u32).is_multiple_of(2) { 66.0 } else { 20.0 };
+    let (fewest, _) = play(&mut platform, &mut need, start, 80, turns, |step, platform, now| {
+        if step == 200 {
+            platform.reclaim(2);
+            platform.dry = Some(now + S * 10);
+        }
+    });
+    assert!(fewest >= 100, "{fewest} served");
+    assert!(platform.serving() >= 130, "{} serve in the end", platform.serving());
+}
+
+#[test]
+fn plan_all_reclaimed_regular_ordered() {
+    let start = Instant::now();
+    let mut platform = Platform::new(35);
+    let mut need = Need::new(Policy::AsFound);
+    play(
+        &mut platform,
+        &mut need,
+        start,
+        60,
+        |_| 30.0,
+        |step, platform, now| {
+            if step == 200 {
+                (0..4).for_each(|place| platform.reclaim(place));
+                platform.dry = Some(now + S * 30);
+            }
+        },
+    );
+    assert!(platform.serving() >= 84, "{} serve", platform.serving());
+}
+
+/// Guards against a number that is taken for all there are while runners are still coming.
+#[test]
+fn note_runners_still_coming_not_known() {
+    let start = Instant::now();
+    let mut need = Need::new(Policy::AsFound);
+    for n in 0..40 {
+        assert_eq!(need.note(start + MS * 100 * n, 0.0, 3 * (n + 1), 4), None);
+    }
+    assert_eq!(need.note(start + S * 6, 0.0, 120, 4), Some(90));
+}
+
+#[test]
+fn note_peak_counts_for_its_window() {
+    let start = Instant::now();
+    let mut need = Need::new(Policy::Peak);
+    need.note(start, 0.0, 140, 4);
+    for n in 1..100 {
+        let busy = if n == 30 { 60.0 } else { 20.0 };
+        let needed = need.note(start + S * n, busy, 140, 4);
+        let expected = match n {
+            0 | 1 => None,
+            2..13 => Some(105),
+            30..61 => Some(100),
+            _ => Some(34),
+        };
+        assert_eq!(needed, expected, "after {n} s");
+    }
+}
+
+#[test]
+fn plan_no_reclaimable_nothing_given_back() {
+    let mut planner = Planner::default();
+    let orders = planner.plan(Instant::now(), &scaling(None), &supply([35; 4], [0; 4]), 105);
+    assert!(orders.is_empty(), "{orders:?}");
+}
+
+#[test]
+fn plan_nothing_known_no_order() {
+    let mut planner = Planner::default();
+    assert!(planner.plan(Instant::now(), &scaling(Some(0.22)), &[], 105).is_empty());
+}
+
+#[test]
+fn plan_within_bounds() {
+    let mut planner = Planner::default();
+    let scaling = Scaling { bounds: (1, 40), ..scaling(Some(0.22)) };
+    let orders = planner.plan(Instant::now(), &scaling, &supply([35; 4], [0; 4]), 105);
+    assert!(orders.iter().all(|o| o.kind == Kind::Reclaimable && o.count == 5), "{orders:?}");
+}
--- a/lib/tests/scheduler.rs
+++ b/lib/tests/scheduler.rs
@@ -58,6 +58,7 @@
             state: State::Ready,
             stage: Some(stage(at)),
             slots: 128,
+            reclaimable: false,
             revision: Revision(1),
         });
     }
--- a/node/src/duty/view.rs
+++ b/node/src/duty/view.rs
@@ -9,8 +9,9 @@
 use sardinepick_lib::usage::tally::Collector;
 use smallvec::SmallVec;
 
-/// The duties, for the choice of the nodes that come first for them.
-pub const SUBJECT: &str = "runners";
+/// By what the nodes are chosen that come first for the duties: those that also follow the store, whose
+/// knowledge of it is the newest.
+pub const SUBJECT: &str = "store";
 /// How many nodes collect what the holder of the duties needs.
 pub const COLLECTORS: usize = 2;
 
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod pool;
 pub mod rows;
 pub mod run;
+pub mod scale;
 pub mod serve;
 pub mod settings;
 pub mod store;
--- a/node/src/serve/duty.rs
+++ b/node/src/serve/duty.rs
@@ -3,11 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sardinepick_lib::fleet::runner::State;
+use sardinepick_lib::scale::plan::Supply;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
 use crate::duty::caller::Caller;
 use crate::duty::view::Views;
+use crate::scale::{Scaler, Service, Services};
 use crate::serve::shared::Shared;
 use crate::usage::exchange::Exchange;
 use crate::usage::report::Reporter;
@@ -34,11 +37,23 @@
         tenure.clone(),
         metrics.clone(),
     );
+    let caller = Arc::new(caller);
+    let services: Services = {
+        let shared = shared.clone();
+        Arc::new(move || services(&shared))
+    };
+    let scaler = Scaler {
+        services,
+        tenure: tenure.clone(),
+        caller: caller.clone(),
+        clock: shared.clock.clone(),
+    };
+    tokio::spawn(scaler.run());
     let reporter = Reporter {
         usage,
         views,
         tenure,
-        caller: Arc::new(caller),
+        caller,
         store: shared.store.clone(),
         clock: shared.clock.clone(),
         metrics,
@@ -61,3 +76,29 @@
         }
     }
 }
+
+/// The services whose runners are ordered; none while the store is away, or the register not known.
+fn services(shared: &Shared) -> Option<Vec<Service>> {
+    let configuration = shared.configuration.load_full()?;
+    let now = shared.clock.now();
+    if !shared.is_ready() || shared.outage().doubt(now).is_some() {
+        return None;
+    }
+    let nodes = shared.roster().fronts().len() + 1;
+    let scaled = configuration.services().filter_map(|service| {
+        let scaling = service.scaling.clone()?;
+        let mut supply = vec![Supply::default(); scaling.prices.len()];
+        for runner in shared.register().of(&service.name) {
+            let place = scaling.prices.iter().position(|(dc, _)| *dc == runner.entry.data_centre);
+            let Some(place) = place.filter(|_| runner.entry.state == State::Ready) else {
+                continue;
+            };
+            let kind = usize::from(runner.entry.reclaimable);
+            supply[place].ready[kind] += 1;
+            supply[place].serving[kind] += u32::from(runner.takes_work(now));
+        }
+        let busy = shared.demand().get(&service.name).map_or(0.0, |demand| demand.busy(nodes));
+        Some(Service { name: service.name.clone(), scaling, supply, busy })
+    });
+    Some(scaled.collect())
+}
