--- a/lib/src/scale/need.rs
+++ b/lib/src/scale/need.rs
@@ -6,7 +6,7 @@
 /// By what the number is chosen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Policy {
-    /// As many as there were: a fleet is taken to be sized for the loss of one data centre.
+    /// As many as there were.
     AsFound,
     /// By the peak of a sliding window, with headroom.
     Peak,
@@ -42,9 +42,9 @@
         Self { policy, since: None, peaks: VecDeque::new(), found: 0, grown: None }
     }
 
-    /// Takes in the load, in runners that would be busy all the time with it, and how many serve now
-    /// in how many data centres. Gives how many are needed; none while that is not known.
-    pub fn note(&mut self, now: Instant, busy: f64, serving: u32, places: usize) -> Option<u32> {
+    /// Takes in the load, in runners that would be busy all the time with it, and how many serve now.
+    /// Gives how many are needed; none while that is not known.
+    pub fn note(&mut self, now: Instant, busy: f64, serving: u32) -> Option<u32> {
         let is_steady = |at: Instant| now.saturating_duration_since(at) >= STEADY;
         let steady = self.grown.is_some_and(is_steady);
         if serving > self.found && !steady {
@@ -61,8 +61,7 @@
         {
             self.peaks.pop_front();
         }
-        let places = places.max(1) as f64;
-        let found = f64::from(self.found) * ((places - 1.0) / places).max(0.5);
+        let found = f64::from(self.found);
         let seen = self.since.is_some_and(|at| now.saturating_duration_since(at) >= SEEN);
         let peak = self.peaks.front().map_or(0.0, |(_, peak)| *peak) / UTILISATION;
         let need = match self.policy {
--- a/node/src/scale/mod.rs
+++ b/node/src/scale/mod.rs
@@ -74,7 +74,7 @@
         self.tenure.want();
         let now = self.clock.now();
         let serving = service.supply.iter().flat_map(|s| s.serving).sum();
-        let need = one.need.note(now, service.busy, serving, service.supply.len());
+        let need = one.need.note(now, service.busy, serving);
         let Some(need) = need else { return };
         if !self.caller.may_call() {
             // Whoever holds the duties meanwhile orders other numbers.
