cli, trial: duties, accounts and usage for people to see

`sardinepick duties` and `accounts` print tables from a serving node's state; the trial sends a request with a key, one with a key that nobody has, and waits for a usage report; how many runners are needed and there is a metric.

--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod account;
 pub mod client;
 pub mod output;
+pub mod serving;
 pub mod trace;
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -8,10 +8,11 @@
 
 use getopts::{Matches, Options};
 use sardinepick_cli::account::Account;
-use sardinepick_cli::client::{Client, ClientError, Command};
+use sardinepick_cli::client::{Client, ClientError, Command, Outcome, Outcomes, Rows};
 use sardinepick_cli::output::{self, Colour, Format};
-use sardinepick_cli::trace;
+use sardinepick_cli::{serving, trace};
 use sardinepick_lib::hash::Digest;
+use serde_json::Value;
 use thiserror::Error;
 
 /// The exit code for a wrong call, as in BSD's sysexits.
@@ -32,6 +33,9 @@
     shell          takes statements line by line, with history and completion of names
     addresses      looks up the addresses that callers should use
     state          dumps the state of a node
+    duties         who has the duties of one node at a time, and the windows of usage that the
+                   node has ended; --node is the metrics address of a node that serves
+    accounts       the client accounts that a serving node knows, without their keys
     change ID      says whether a change has been applied
     explain ID [FILE...]
                    a request's way, from the log lines of nodes in files or standard input
@@ -134,6 +138,8 @@
             runtime.block_on(print_json(matches, &format!("/v1/addresses{query}")))
         }
         ("state", []) => runtime.block_on(print_json(matches, "/admin/v1/state")),
+        ("duties", []) => runtime.block_on(print_rows(matches, serving::duties)),
+        ("accounts", []) => runtime.block_on(print_rows(matches, serving::accounts)),
         ("change", [id]) => {
             runtime.block_on(print_json(matches, &format!("/admin/v1/changes/{id}")))
         }
@@ -251,6 +257,14 @@
     if everywhere { Ok(()) } else { Err(Failure::NotEverywhere) }
 }
 
+/// Prints a part of a serving node's state as a table.
+async fn print_rows(matches: &Matches, rows: fn(&Value) -> Rows) -> Result<(), Failure> {
+    let state = client(matches)?.get(serving::STATE).await?;
+    let results = vec![Outcome::Rows(rows(&state))];
+    let outcomes = Outcomes { results, generation: 0 };
+    show(&output::outcomes(&outcomes, format(matches)?, colour()))
+}
+
 async fn print_json(matches: &Matches, path: &str) -> Result<(), Failure> {
     let value = client(matches)?.get(path).await?;
     println!("{value:#}");
--- a/node/examples/trial.rs
+++ b/node/examples/trial.rs
@@ -11,6 +11,7 @@
 use sardinepick_testutils::caller::{Caller, Keyed, Told};
 use sardinepick_testutils::cluster::{Cluster, free_address, own_ip, wait_until};
 use sardinepick_testutils::engine::{Engine, Speed};
+use sardinepick_testutils::fleet::{caller as fleet_caller, deployment as fleet};
 use sardinepick_testutils::invariant::{Seen, Violation, check_call, check_completion};
 use sardinepick_testutils::plain::Plain;
 use tokio::task::JoinSet;
@@ -201,9 +202,33 @@
         tally_completions(&deployment, tasks).await.report("completions while a node was stopped");
     let doubled = deployment.plain.doubled();
     println!("orders that ran twice: {}", doubled.len());
+    right &= account_usage().await;
     right && doubled.is_empty()
 }
 
+/// Sends requests with keys to nodes that serve on the platform, and waits until their usage has been
+/// reported.
+async fn account_usage() -> bool {
+    let set = fleet::Deployment::new().await.with_platform(Duration::from_millis(500)).await;
+    let accounts = [("hotel", &[CALLER_KEY][..], None)];
+    set.store.put("config", "main", &fleet::with_accounts(1, &accounts));
+    let set = set.with_plain(2).await.with_engines(1, 2).await.with_nodes(NODES).await;
+    let ask = async |id: &str, key| {
+        let headers = [("credential", key), ("token-count", "1460,80")];
+        let ask = fleet_caller::Ask { headers: &headers, ..fleet_caller::Ask::new("/count/a", id) };
+        set.send(0, &ask).await.status.map_or(0, |status| status.as_u16())
+    };
+    let (platform, _) = set.platform.as_ref().expect("it has one");
+    // What began before all nodes were there is not reported.
+    wait_until("windows are reported", || async { !platform.windows().is_empty() }).await;
+    let (known, unknown) = (ask("with-a-key", CALLER_KEY).await, ask("with-another", "none").await);
+    println!("a request with a key: {known}; with one that nobody has: {unknown}");
+    let reported = || platform.windows().values().filter_map(|c| c.get("hotel")).sum::<u64>();
+    wait_until("usage is reported", || async { reported() > 0 }).await;
+    println!("usage reported to the platform: {} request(s) of hotel", reported());
+    (known, unknown, reported()) == (200, 401, 1)
+}
+
 /// The trial must end by itself.
 const LIMIT: Duration = Duration::from_secs(60);
 
--- a/node/src/scale/mod.rs
+++ b/node/src/scale/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::duty::caller::{Caller, Outcome};
 use crate::duty::tenure::Tenure;
+use crate::serve::metrics::Metrics;
 
 /// How often the need is looked at.
 const PERIOD: Duration = Duration::from_millis(400);
@@ -45,6 +46,8 @@
     pub caller: Arc<Caller>,
     /// The clock.
     pub clock: Arc<dyn Clock>,
+    /// Metrics.
+    pub metrics: Metrics,
 }
 
 struct Scaled {
@@ -76,6 +79,7 @@
         let serving = service.supply.iter().flat_map(|s| s.serving).sum();
         let need = one.need.note(now, service.busy, serving);
         let Some(need) = need else { return };
+        self.show(service, need);
         if !self.caller.may_call() {
             // Whoever holds the duties meanwhile orders other numbers.
             one.planner = Planner::default();
@@ -86,6 +90,14 @@
         }
     }
 
+    fn show(&self, service: &Service, need: u32) {
+        let ready = |kind: usize| service.supply.iter().map(|s| s.ready[kind]).sum();
+        for (what, count) in [("needed", need), ("regular", ready(0)), ("reclaimable", ready(1))] {
+            let gauge = self.metrics.scaled.with_label_values(&[service.name.as_str(), what]);
+            gauge.set(i64::from(count));
+        }
+    }
+
     async fn give(
         &self,
         service: &Service,
--- a/node/src/serve/duty.rs
+++ b/node/src/serve/duty.rs
@@ -47,6 +47,7 @@
         tenure: tenure.clone(),
         caller: caller.clone(),
         clock: shared.clock.clone(),
+        metrics: metrics.clone(),
     };
     tokio::spawn(scaler.run());
     let reporter = Reporter {
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -38,6 +38,8 @@
     pub leases: IntCounterVec,
     /// Calls to the platform by the holder of the duties, by what they are and what came of them.
     pub duty_calls: IntCounterVec,
+    /// Runners of services that are ordered: how many are needed, and how many of each kind are there.
+    pub scaled: IntGaugeVec,
     /// Windows of usage by what became of them.
     pub windows: IntCounterVec,
     /// Bytes of usage between nodes by direction.
@@ -158,6 +160,11 @@
                 "Calls to the platform by the holder of the duties, by what came of them",
                 &["call", "outcome"],
             ),
+            scaled: m.gauges(
+                "sardinepick_scaled_runners",
+                "Runners of services that are ordered: needed, and there by kind",
+                &["service", "what"],
+            ),
             windows: m.counters(
                 "sardinepick_usage_windows_total",
                 "Windows of usage by what became of them",
