scale: more runners are ordered before their number is steady, none given back

What it cost: the register of a deployment that starts fills over four seconds, and nothing was ordered for two more; all that time regular runners were paid for. Orders for more are given at once now.

--- a/lib/src/scale/need.rs
+++ b/lib/src/scale/need.rs
@@ -23,6 +23,15 @@
 /// The part of a runner's time that the load may take at its peak.
 const UTILISATION: f64 = 0.6;
 
+/// What is needed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Needed {
+    /// How many runners.
+    pub count: u32,
+    /// Whether that is known well enough for runners to be given back.
+    pub steady: bool,
+}
+
 /// The need of one service.
 #[derive(Clone, Debug)]
 pub struct Need {
@@ -43,8 +52,8 @@
     }
 
     /// Takes in the load, in runners that would be busy all the time with it, and how many serve now.
-    /// Gives how many are needed; none while that is not known.
-    pub fn note(&mut self, now: Instant, busy: f64, serving: u32) -> Option<u32> {
+    /// Gives how many are needed.
+    pub fn note(&mut self, now: Instant, busy: f64, serving: u32) -> Needed {
         let is_steady = |at: Instant| now.saturating_duration_since(at) >= STEADY;
         let steady = self.grown.is_some_and(is_steady);
         if serving > self.found && !steady {
@@ -69,6 +78,6 @@
             Policy::Peak if seen => peak,
             Policy::Peak => peak.max(found),
         };
-        steady.then_some(need.ceil() as u32)
+        Needed { count: need.ceil() as u32, steady }
     }
 }
--- a/lib/src/scale/plan.rs
+++ b/lib/src/scale/plan.rs
@@ -9,6 +9,7 @@
 
 use smallvec::SmallVec;
 
+use super::need::Needed;
 use crate::id::DataCentre;
 
 /// The bounds and prices of a service whose runners are ordered.
@@ -97,14 +98,15 @@
 
 impl Planner {
     /// The orders to give at `now`. `supply` has the runners by the places of the list of prices, and
-    /// `need` is how many have to serve, also while one data centre's reclaimable ones are away.
+    /// `needed` is how many have to serve, also while one data centre's reclaimable ones are away.
     pub fn plan(
         &mut self,
         now: Instant,
         scaling: &Scaling,
         supply: &[Supply],
-        need: u32,
+        needed: Needed,
     ) -> SmallVec<[Order; 8]> {
+        let need = needed.count;
         self.ordered.resize_with(scaling.prices.len(), Default::default);
         let mut orders = SmallVec::new();
         if supply.len() != scaling.prices.len() || supply.is_empty() || need == 0 {
@@ -122,7 +124,8 @@
         }
         // What serves in their place may be given back for them.
         let instead: u32 = supply.iter().map(|s| s.serving[1]).sum();
-        let mut spare = serving.saturating_sub(need).min(instead);
+        let spare = serving.saturating_sub(need).min(instead);
+        let mut spare = if needed.steady { spare } else { 0 };
         for place in scaling.by_price().into_iter().rev() {
             let have = supply[place].ready[0];
             let fewer = have.saturating_sub(goal.regular).min(spare);
--- a/lib/tests/scale.rs
+++ b/lib/tests/scale.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use sardinepick_lib::scale::need::{Need, Policy};
+use sardinepick_lib::scale::need::{Need, Needed, Policy};
 use sardinepick_lib::scale::plan::{Kind, Order, Planner, Scaling, Supply};
 
 const S: Duration = Duration::from_secs(1);
@@ -18,6 +18,10 @@
     }
 }
 
+fn needed(count: u32) -> Needed {
+    Needed { count, steady: true }
+}
+
 fn supply(regular: [u32; 4], reclaimable: [u32; 4]) -> Vec<Supply> {
     let one = |at: usize| {
         let kinds = [regular[at], reclaimable[at]];
@@ -104,11 +108,10 @@
         platform.step(now);
         event(step, platform, now);
         let load = busy(f64::from(step) / 5.0);
-        if let Some(need) = need.note(now, load, platform.serving()) {
-            for order in planner.plan(now, &scaling, &platform.runners, need) {
-                if !platform.take(now, &order) {
-                    planner.note_dry(now, &order);
-                }
+        let needed = need.note(now, load, platform.serving());
+        for order in planner.plan(now, &scaling, &platform.runners, needed) {
+            if !platform.take(now, &order) {
+                planner.note_dry(now, &order);
             }
         }
         fewest = fewest.min(platform.serving());
@@ -169,15 +172,28 @@
     assert!(platform.serving() >= 112, "{} serve", platform.serving());
 }
 
+/// Guards against runners that are given back for a number that is not known yet.
+#[test]
+fn plan_not_steady_only_more() {
+    let mut planner = Planner::default();
+    let found = Needed { count: 20, steady: false };
+    let orders =
+        planner.plan(Instant::now(), &scaling(Some(0.22)), &supply([35; 4], [35; 4]), found);
+    assert!(orders.is_empty(), "{orders:?}");
+    let orders = planner.plan(Instant::now(), &scaling(Some(0.22)), &supply([5; 4], [0; 4]), found);
+    assert!(orders.iter().all(|o| o.kind == Kind::Reclaimable) && orders.len() == 4);
+}
+
 /// Guards against a number that is taken for all there are while runners are still coming.
 #[test]
 fn note_runners_still_coming_not_known() {
     let start = Instant::now();
     let mut need = Need::new(Policy::AsFound);
     for n in 0..40 {
-        assert_eq!(need.note(start + MS * 100 * n, 0.0, 3 * (n + 1)), None);
+        assert!(!need.note(start + MS * 100 * n, 0.0, 3 * (n + 1)).steady);
     }
-    assert_eq!(need.note(start + S * 6, 0.0, 120), Some(120));
+    let needed = need.note(start + S * 6, 0.0, 120);
+    assert_eq!(needed, Needed { count: 120, steady: true });
 }
 
 #[test]
@@ -189,32 +205,32 @@
         let busy = if n == 30 { 60.0 } else { 20.0 };
         let needed = need.note(start + S * n, busy, 140);
         let expected = match n {
-            0 | 1 => None,
-            2..13 => Some(140),
-            30..61 => Some(100),
-            _ => Some(34),
+            0..13 => 140,
+            30..61 => 100,
+            _ => 34,
         };
-        assert_eq!(needed, expected, "after {n} s");
+        assert_eq!(needed.count, expected, "after {n} s");
     }
 }
 
 #[test]
 fn plan_no_reclaimable_nothing_given_back() {
     let mut planner = Planner::default();
-    let orders = planner.plan(Instant::now(), &scaling(None), &supply([35; 4], [0; 4]), 140);
+    let orders =
+        planner.plan(Instant::now(), &scaling(None), &supply([35; 4], [0; 4]), needed(140));
     assert!(orders.is_empty(), "{orders:?}");
 }
 
 #[test]
 fn plan_nothing_known_no_order() {
     let mut planner = Planner::default();
-    assert!(planner.plan(Instant::now(), &scaling(Some(0.22)), &[], 140).is_empty());
+    assert!(planner.plan(Instant::now(), &scaling(Some(0.22)), &[], needed(140)).is_empty());
 }
 
 #[test]
 fn plan_within_bounds() {
     let mut planner = Planner::default();
     let scaling = Scaling { bounds: (1, 40), ..scaling(Some(0.22)) };
-    let orders = planner.plan(Instant::now(), &scaling, &supply([35; 4], [0; 4]), 140);
+    let orders = planner.plan(Instant::now(), &scaling, &supply([35; 4], [0; 4]), needed(140));
     assert!(orders.iter().all(|o| o.kind == Kind::Reclaimable && o.count == 5), "{orders:?}");
 }
--- a/node/src/scale/mod.rs
+++ b/node/src/scale/mod.rs
@@ -78,15 +78,14 @@
         let now = self.clock.now();
         let serving = service.supply.iter().flat_map(|s| s.serving).sum();
         let need = one.need.note(now, service.busy, serving);
-        let Some(need) = need else { return };
-        self.show(service, need);
+        self.show(service, need.count);
         if !self.caller.may_call() {
             // Whoever holds the duties meanwhile orders other numbers.
             one.planner = Planner::default();
             return;
         }
         for order in one.planner.plan(now, &service.scaling, &service.supply, need) {
-            self.give(service, need, &order, &mut one.planner, now).await;
+            self.give(service, need.count, &order, &mut one.planner, now).await;
         }
     }
 
