--- a/node/src/serve/copy.rs
+++ b/node/src/serve/copy.rs
@@ -20,9 +20,9 @@
 use tokio::time::{Instant, sleep};
 use tonic::Status;
 
-use crate::serve::ask::{self, AskError, Failures, Told};
 use crate::serve::follow::install;
 use crate::serve::pack::{pack, unpack};
+use crate::serve::rpc::{self, Failures, Reply, RpcError};
 use crate::serve::shared::Shared;
 use crate::serve::turn::{Answer, NotTaken, Parts, Turns, put, signalling};
 
@@ -177,38 +177,38 @@
 
 /// Copies the configuration from a node or from whom it names, and puts it in force. Gives who gave
 /// it in the end, and its size.
-async fn fetch(shared: &Shared, first: SocketAddr) -> Result<(SocketAddr, usize), AskError> {
-    let (peer, (end, packed)) = ask::referred(first, |peer| ask(shared, peer)).await?;
+async fn fetch(shared: &Shared, first: SocketAddr) -> Result<(SocketAddr, usize), RpcError> {
+    let (peer, (end, packed)) = rpc::referred(first, |peer| ask(shared, peer)).await?;
     let bytes = packed.len();
-    take(shared, end, packed).ok_or(AskError::Useless { peer })?;
+    take(shared, end, packed).ok_or(RpcError::Unusable { peer })?;
     Ok((peer, bytes))
 }
 
 /// The object's name and revision, and its packed content.
 type Fetched = (pb::CopyEnd, Bytes);
 
-async fn ask(shared: &Shared, peer: SocketAddr) -> Result<Told<Fetched>, AskError> {
-    let mut client = ask::connect(peer).await?;
+async fn ask(shared: &Shared, peer: SocketAddr) -> Result<Reply<Fetched>, RpcError> {
+    let mut client = rpc::connect(peer).await?;
     let request = pb::CopyRequest {
         version: shared.status().version.0,
         node: shared.me.id.to_string(),
         peer: shared.me.peer.to_string(),
     };
-    let mut parts = ask::Parts::begin(peer, client.copy(request)).await?;
+    let mut parts = rpc::Parts::begin(peer, client.copy(request)).await?;
     let mut content = BytesMut::new();
     loop {
         let part = parts.next(content.is_empty()).await?;
         if let Some(address) = part.elsewhere {
-            return Told::elsewhere(address, peer, shared.me.peer);
+            return Reply::referral(address, peer, shared.me.peer);
         }
         content.extend_from_slice(&part.content);
         if content.len() > LARGEST {
-            return Err(AskError::TooLarge { peer, most: LARGEST });
+            return Err(RpcError::TooLarge { peer, most: LARGEST });
         }
         if let Some(end) = part.end {
             let received = shared.metrics.copy_bytes.with_label_values(&["received"]);
             received.inc_by(content.len() as u64);
-            return Ok(Told::Whole((end, content.freeze())));
+            return Ok(Reply::Whole((end, content.freeze())));
         }
     }
 }
--- a/node/src/serve/meet.rs
+++ b/node/src/serve/meet.rs
@@ -18,9 +18,9 @@
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
 
-use crate::serve::ask::{self, AskError, SILENCE};
 use crate::serve::beat::{self, take_records};
 use crate::serve::quarantine;
+use crate::serve::rpc::{self, RpcError, SILENCE};
 use crate::serve::shared::Shared;
 use crate::serve::store::{Purpose, StoreError};
 
@@ -39,7 +39,7 @@
 pub enum MeetError {
     /// The other node did not answer.
     #[error(transparent)]
-    Ask(#[from] AskError),
+    Ask(#[from] RpcError),
     /// What it said cannot be used.
     #[error("comparing lists with {peer}: {detail}")]
     Useless {
@@ -59,11 +59,11 @@
 }
 
 async fn try_compare(shared: &Shared, peer: SocketAddr) -> Result<usize, MeetError> {
-    let mut client = ask::connect(peer).await?;
+    let mut client = rpc::connect(peer).await?;
     let mine = nodes(&shared.roster().records(), quarantine::news::all(shared));
     let answer = timeout(SILENCE, client.meet(mine)).await;
-    let answer = answer.map_err(|_| AskError::Silent { peer })?;
-    let answer = answer.map_err(|s| AskError::Refused { peer, status: Box::new(s) })?;
+    let answer = answer.map_err(|_| RpcError::Silent { peer })?;
+    let answer = answer.map_err(|s| RpcError::Refused { peer, status: Box::new(s) })?;
     let useless = |error: sardinepick_wire::error::WireError| MeetError::Useless {
         peer,
         detail: error.to_string(),
--- a/node/src/serve/mod.rs
+++ b/node/src/serve/mod.rs
@@ -5,7 +5,6 @@
 //! a refusal that is true.
 
 pub mod answer;
-pub mod ask;
 pub mod beat;
 pub mod connection;
 pub mod copy;
@@ -25,6 +24,7 @@
 pub mod quarantine;
 pub mod question;
 pub mod request;
+pub mod rpc;
 pub mod run;
 pub mod scheduler;
 pub mod settings;
--- a/node/src/serve/peer.rs
+++ b/node/src/serve/peer.rs
@@ -21,12 +21,12 @@
 use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
 use tonic::{Request, Response, Status};
 
-use crate::serve::ask::{self, AskError, Failures, Told};
 use crate::serve::beat::take_records;
 use crate::serve::copy;
 use crate::serve::follow::take_difference;
 use crate::serve::knowledge::Difference;
 use crate::serve::quarantine;
+use crate::serve::rpc::{self, Failures, Reply, RpcError};
 use crate::serve::shared::Shared;
 use crate::serve::turn::{Answer, NotTaken, Parts, put};
 
@@ -217,7 +217,7 @@
         sleep(PATIENCE).await;
         let Some((contact, status)) = newest(&shared, &mut failures) else { continue };
         let began = Instant::now();
-        let told = ask::referred(contact.peer, |peer| ask(&shared, peer)).await;
+        let told = rpc::referred(contact.peer, |peer| ask(&shared, peer)).await;
         let took = began.elapsed().as_millis() as u64;
         match told {
             Ok((peer, knowledge)) => {
@@ -252,30 +252,30 @@
     newest.map(|(contact, status)| (contact.clone(), status))
 }
 
-async fn ask(shared: &Shared, peer: SocketAddr) -> Result<Told<Difference>, AskError> {
-    let mut client = ask::connect(peer).await?;
+async fn ask(shared: &Shared, peer: SocketAddr) -> Result<Reply<Difference>, RpcError> {
+    let mut client = rpc::connect(peer).await?;
     let known = pb::KnowledgeRequest {
         mark: shared.knowledge().mark().0,
         node: shared.me.id.to_string(),
         peer: shared.me.peer.to_string(),
     };
-    let mut parts = ask::Parts::begin(peer, client.tell(known)).await?;
+    let mut parts = rpc::Parts::begin(peer, client.tell(known)).await?;
     let (mut told, mut bytes) = (Difference::default(), 0);
     loop {
         let part = parts.next(told.entries.is_empty()).await?;
         if let Some(address) = part.elsewhere {
-            return Told::elsewhere(address, peer, shared.me.peer);
+            return Reply::referral(address, peer, shared.me.peer);
         }
         bytes += part.runners.iter().map(|object| object.content.len()).sum::<usize>();
         told.entries.extend(part.runners.into_iter().map(from_wire));
         if bytes > LARGEST {
-            return Err(AskError::TooLarge { peer, most: LARGEST });
+            return Err(RpcError::TooLarge { peer, most: LARGEST });
         }
         if part.last {
             told.gone = part.gone.into_iter().map(SmolStr::new).collect();
             told.doubted = part.doubted.into_iter().map(SmolStr::new).collect();
             (told.mark, told.whole) = (Mark(part.mark), part.whole);
-            return Ok(Told::Whole(told));
+            return Ok(Reply::Whole(told));
         }
     }
 }
--- a/node/src/serve/ask.rs
+++ b/node/src/serve/rpc.rs
@@ -1,7 +1,7 @@
-//! The asking side of what nodes ask each other for.
+//! Calls to other nodes whose answers come in parts.
 //!
-//! No answer has a time of its own, which it would miss where it is large or the link thin, to be
-//! begun anew: it goes on as long as its parts come.
+//! An answer has no timeout as a whole, since a large one on a thin link would miss it and be begun
+//! anew; only its silence has.
 
 use std::future::Future;
 use std::net::SocketAddr;
@@ -20,14 +20,14 @@
 /// How long the other side may be silent. A part takes 13 ms on a link of 10 Mbit/s, and a node that
 /// waits for its turn hears a sign three times in this.
 pub const SILENCE: Duration = Duration::from_millis(600);
-/// How long a node waits for its turn before it asks another, of which there are more by then.
-const TURN_LIMIT: Duration = Duration::from_secs(1);
-/// How often one question may be sent elsewhere: each time half as many wait, so 550 nodes need 10.
+/// How long a node waits in the other's queue before it calls another, of which there are more by then.
+const QUEUE_LIMIT: Duration = Duration::from_secs(1);
+/// How often one call may be referred: each time half as many wait, so 550 nodes need 10.
 const MOST_REFERRALS: usize = 12;
 
-/// Why an answer did not come.
+/// Why a call to another node failed.
 #[derive(Debug, Error)]
-pub enum AskError {
+pub enum RpcError {
     /// No connection.
     #[error("connecting to {peer}: {detail}")]
     Connect {
@@ -50,9 +50,9 @@
         /// The node.
         peer: SocketAddr,
     },
-    /// The turn did not come.
-    #[error("waiting at {peer}: no turn within {TURN_LIMIT:?}")]
-    NoTurn {
+    /// The node did not begin its answer in time: others were served before.
+    #[error("waiting at {peer}: not served within {QUEUE_LIMIT:?}")]
+    QueueTimeout {
         /// The node.
         peer: SocketAddr,
     },
@@ -72,7 +72,7 @@
     },
     /// The node named no node that can be asked, or one too many.
     #[error("asking {peer}: sent elsewhere, to {address}")]
-    Lost {
+    Misdirected {
         /// The node.
         peer: SocketAddr,
         /// The node that it named.
@@ -80,24 +80,24 @@
     },
     /// What came cannot be used.
     #[error("asking {peer}: what came is not used")]
-    Useless {
+    Unusable {
         /// The node.
         peer: SocketAddr,
     },
 }
 
-impl AskError {
+impl RpcError {
     /// The label of its metric.
     pub fn outcome(&self) -> &'static str {
         match self {
-            AskError::Connect { .. } => "unreachable",
-            AskError::Refused { .. } => "refused",
-            AskError::Silent { .. } => "silent",
-            AskError::NoTurn { .. } => "no_turn",
-            AskError::Broken { .. } => "broken",
-            AskError::TooLarge { .. } | AskError::Lost { .. } | AskError::Useless { .. } => {
-                "useless"
-            }
+            RpcError::Connect { .. } => "unreachable",
+            RpcError::Refused { .. } => "refused",
+            RpcError::Silent { .. } => "silent",
+            RpcError::QueueTimeout { .. } => "queue_timeout",
+            RpcError::Broken { .. } => "broken",
+            RpcError::TooLarge { .. }
+            | RpcError::Misdirected { .. }
+            | RpcError::Unusable { .. } => "useless",
         }
     }
 }
@@ -141,24 +141,24 @@
     }
 }
 
-/// What a node that was asked has told.
+/// What a node has replied.
 #[derive(Debug)]
-pub enum Told<T> {
-    /// All that was asked for.
+pub enum Reply<T> {
+    /// The whole answer.
     Whole(T),
-    /// Another node to ask.
-    Elsewhere(SocketAddr),
+    /// Another node to call.
+    Referral(SocketAddr),
 }
 
-impl<T> Told<T> {
+impl<T> Reply<T> {
     /// Reads the node to ask in place of `peer`, which is neither `peer` nor the asking node `me`.
     ///
     /// # Errors
     /// It cannot be asked.
-    pub fn elsewhere(address: String, peer: SocketAddr, me: SocketAddr) -> Result<Self, AskError> {
+    pub fn referral(address: String, peer: SocketAddr, me: SocketAddr) -> Result<Self, RpcError> {
         match address.parse() {
-            Ok(next) if next != me && next != peer => Ok(Told::Elsewhere(next)),
-            Ok(_) | Err(_) => Err(AskError::Lost { peer, address }),
+            Ok(next) if next != me && next != peer => Ok(Reply::Referral(next)),
+            Ok(_) | Err(_) => Err(RpcError::Misdirected { peer, address }),
         }
     }
 }
@@ -170,28 +170,28 @@
 pub async fn referred<T, F>(
     first: SocketAddr,
     ask: impl Fn(SocketAddr) -> F,
-) -> Result<(SocketAddr, T), AskError>
+) -> Result<(SocketAddr, T), RpcError>
 where
-    F: Future<Output = Result<Told<T>, AskError>>,
+    F: Future<Output = Result<Reply<T>, RpcError>>,
 {
     let mut peer = first;
     for _ in 0..MOST_REFERRALS {
         match ask(peer).await? {
-            Told::Whole(told) => return Ok((peer, told)),
-            Told::Elsewhere(next) => peer = next,
+            Reply::Whole(told) => return Ok((peer, told)),
+            Reply::Referral(next) => peer = next,
         }
     }
-    Err(AskError::Lost { peer, address: peer.to_string() })
+    Err(RpcError::Misdirected { peer, address: peer.to_string() })
 }
 
 /// Connects to a node.
 ///
 /// # Errors
 /// It cannot be reached.
-pub async fn connect(peer: SocketAddr) -> Result<FleetClient<Channel>, AskError> {
+pub async fn connect(peer: SocketAddr) -> Result<FleetClient<Channel>, RpcError> {
     let failed = |error: tonic::transport::Error| {
         let detail = error.to_string();
-        AskError::Connect { peer, detail }
+        RpcError::Connect { peer, detail }
     };
     let endpoint = Endpoint::from_shared(format!("http://{peer}")).map_err(failed)?;
     let channel = endpoint.connect_timeout(CONNECT_LIMIT).connect().await.map_err(failed)?;
@@ -214,9 +214,9 @@
     pub async fn begin(
         peer: SocketAddr,
         call: impl Future<Output = Result<Response<Streaming<T>>, Status>>,
-    ) -> Result<Self, AskError> {
-        let answer = timeout(SILENCE, call).await.map_err(|_| AskError::Silent { peer })?;
-        let answer = answer.map_err(|s| AskError::Refused { peer, status: Box::new(s) })?;
+    ) -> Result<Self, RpcError> {
+        let answer = timeout(SILENCE, call).await.map_err(|_| RpcError::Silent { peer })?;
+        let answer = answer.map_err(|s| RpcError::Refused { peer, status: Box::new(s) })?;
         Ok(Self { peer, parts: answer.into_inner(), asked: Instant::now() })
     }
 
@@ -224,14 +224,14 @@
     ///
     /// # Errors
     /// There is none, it does not come, or the turn does not.
-    pub async fn next(&mut self, waits: bool) -> Result<T, AskError> {
+    pub async fn next(&mut self, waits: bool) -> Result<T, RpcError> {
         let peer = self.peer;
-        if waits && self.asked.elapsed() > TURN_LIMIT {
-            return Err(AskError::NoTurn { peer });
+        if waits && self.asked.elapsed() > QUEUE_LIMIT {
+            return Err(RpcError::QueueTimeout { peer });
         }
         let part = timeout(SILENCE, self.parts.message()).await;
-        let part = part.map_err(|_| AskError::Silent { peer })?;
-        let part = part.map_err(|s| AskError::Refused { peer, status: Box::new(s) })?;
-        part.ok_or(AskError::Broken { peer })
+        let part = part.map_err(|_| RpcError::Silent { peer })?;
+        let part = part.map_err(|s| RpcError::Refused { peer, status: Box::new(s) })?;
+        part.ok_or(RpcError::Broken { peer })
     }
 }
--- a/node/src/serve/turn.rs
+++ b/node/src/serve/turn.rs
@@ -13,7 +13,7 @@
 use tokio::time::timeout;
 use tonic::Status;
 
-use crate::serve::ask::SILENCE;
+use crate::serve::rpc::SILENCE;
 
 /// How often a node that waits for its turn is told that it does: well within the silence after which
 /// it gives up.
