transfer: the queue for large transfers named as the field does

turn.rs becomes transfer.rs; Turns, Answer, Place, NotTaken, put and signalling become Queue, Grant, Slot, Disconnected, send and keep_alive. Nothing else moves.

--- a/node/src/serve/copy.rs
+++ b/node/src/serve/copy.rs
@@ -24,7 +24,7 @@
 use crate::serve::pack::{pack, unpack};
 use crate::serve::rpc::{self, Failures, Reply, RpcError};
 use crate::serve::shared::Shared;
-use crate::serve::turn::{Answer, NotTaken, Parts, Turns, put, signalling};
+use crate::serve::transfer::{Disconnected, Grant, Parts, Queue, keep_alive, send};
 
 /// How long a node that is behind waits for the store's own word.
 const PATIENCE: Duration = Duration::from_millis(40);
@@ -46,7 +46,7 @@
 #[derive(Debug, Default)]
 pub struct Copies {
     newest: watch::Sender<Option<Arc<Original>>>,
-    turns: Arc<Turns>,
+    transfers: Arc<Queue>,
 }
 
 impl Copies {
@@ -71,7 +71,7 @@
         shared.metrics.copies.with_label_values(&["sent", outcome]).inc();
         log::info!(
             node = asked.node, has = asked.version, outcome = outcome,
-            waiting = shared.copies.turns.waiting(),
+            waiting = shared.copies.transfers.waiting(),
             took_ms = began.elapsed().as_millis() as u64; "asked for the configuration"
         );
     });
@@ -83,36 +83,36 @@
     shared: &Shared,
     asked: &pb::CopyRequest,
     parts: &Parts<pb::CopyPart>,
-) -> Result<&'static str, NotTaken> {
+) -> Result<&'static str, Disconnected> {
     let mut newest = shared.copies.newest.subscribe();
     let is_newer = |original: &Option<Arc<Original>>| {
         original.as_ref().is_some_and(|original| original.version.0 > asked.version)
     };
     // A node is also asked while its own copy is on its way.
     let comes = async { newest.wait_for(is_newer).await.ok().and_then(|newest| newest.clone()) };
-    let Some(original) = signalling(parts, comes).await? else { return Ok("nothing") };
+    let Some(original) = keep_alive(parts, comes).await? else { return Ok("nothing") };
     // All nodes ask in the same instant. Copies that share a thin link would all come late, and those
     // that are given up are lost, so few go at once.
-    let place = match shared.copies.turns.wait(parts, original.packed.len()).await? {
-        Answer::Given(place) => place,
-        Answer::Elsewhere(address) => {
+    let slot = match shared.copies.transfers.wait(parts, original.packed.len()).await? {
+        Grant::Slot(slot) => slot,
+        Grant::Referral(address) => {
             let elsewhere = Some(address.to_string());
-            put(parts, pb::CopyPart { elsewhere, ..Default::default() }).await?;
+            send(parts, pb::CopyPart { elsewhere, ..Default::default() }).await?;
             return Ok("sent_elsewhere");
         }
     };
     // Its turn may have come after a newer one.
     let original = shared.copies.newest.borrow().clone().unwrap_or(original);
-    send(shared, &original, parts).await?;
-    place.finish(parts, &asked.peer).await?;
+    send_parts(shared, &original, parts).await?;
+    slot.finish(parts, &asked.peer).await?;
     Ok("given")
 }
 
-async fn send(
+async fn send_parts(
     shared: &Shared,
     original: &Original,
     parts: &Parts<pb::CopyPart>,
-) -> Result<(), NotTaken> {
+) -> Result<(), Disconnected> {
     let sent = shared.metrics.copy_bytes.with_label_values(&["sent"]);
     let mut content = original.packed.clone();
     loop {
@@ -121,7 +121,7 @@
         let last = content.is_empty();
         let (name, revision) = (original.name.to_string(), original.revision.0);
         let end = last.then_some(pb::CopyEnd { name, revision });
-        put(parts, pb::CopyPart { elsewhere: None, content: piece.into(), end }).await?;
+        send(parts, pb::CopyPart { elsewhere: None, content: piece.into(), end }).await?;
         if last {
             return Ok(());
         }
--- a/node/src/serve/mod.rs
+++ b/node/src/serve/mod.rs
@@ -31,4 +31,4 @@
 pub mod shared;
 pub mod store;
 pub mod ticket;
-pub mod turn;
+pub mod transfer;
--- a/node/src/serve/peer.rs
+++ b/node/src/serve/peer.rs
@@ -28,7 +28,7 @@
 use crate::serve::quarantine;
 use crate::serve::rpc::{self, Failures, Reply, RpcError};
 use crate::serve::shared::Shared;
-use crate::serve::turn::{Answer, NotTaken, Parts, put};
+use crate::serve::transfer::{Disconnected, Grant, Parts, send};
 
 /// How long a node that is behind waits for the store's own word, or for more to ask for.
 const PATIENCE: Duration = Duration::from_millis(40);
@@ -110,23 +110,23 @@
     shared: &Shared,
     asked: &pb::KnowledgeRequest,
     parts: &Parts<pb::Knowledge>,
-) -> Result<(), NotTaken> {
+) -> Result<(), Disconnected> {
     let mark = Mark(asked.mark);
     let difference = shared.knowledge().since(mark);
     if !difference.whole {
-        return send(&difference, parts).await;
+        return send_parts(&difference, parts).await;
     }
     let bytes = difference.entries.iter().map(|object| object.content.len()).sum();
-    match shared.tellings.wait(parts, bytes).await? {
-        Answer::Given(place) => {
+    match shared.register_transfers.wait(parts, bytes).await? {
+        Grant::Slot(slot) => {
             // Its turn may have come after further changes.
             let difference = shared.knowledge().since(mark);
-            send(&difference, parts).await?;
-            place.finish(parts, &asked.peer).await
+            send_parts(&difference, parts).await?;
+            slot.finish(parts, &asked.peer).await
         }
-        Answer::Elsewhere(address) => {
+        Grant::Referral(address) => {
             let elsewhere = Some(address.to_string());
-            put(parts, pb::Knowledge { elsewhere, ..Default::default() }).await
+            send(parts, pb::Knowledge { elsewhere, ..Default::default() }).await
         }
     }
 }
@@ -162,7 +162,10 @@
     take_difference(shared, told, None, "news");
 }
 
-async fn send(difference: &Difference, parts: &Parts<pb::Knowledge>) -> Result<(), NotTaken> {
+async fn send_parts(
+    difference: &Difference,
+    parts: &Parts<pb::Knowledge>,
+) -> Result<(), Disconnected> {
     let mut left = difference.entries.as_slice();
     loop {
         let (runners, rest) = left.split_at(first_part(left));
@@ -180,7 +183,7 @@
             last,
             since: 0,
         };
-        put(parts, part).await?;
+        send(parts, part).await?;
         if last {
             return Ok(());
         }
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -39,7 +39,7 @@
 use crate::serve::scheduler::Scheduling;
 use crate::serve::settings::Settings;
 use crate::serve::store::Client;
-use crate::serve::turn::Turns;
+use crate::serve::transfer::Queue;
 use crate::usage::Usage;
 
 /// What is usual on a route, learned from its requests.
@@ -81,8 +81,8 @@
     pub checks: Checks,
     /// Copies of the configuration for other nodes.
     pub copies: Copies,
-    /// Whose turn it is to be told all of the register.
-    pub tellings: Arc<Turns>,
+    /// Transfers of the whole register to other nodes.
+    pub register_transfers: Arc<Queue>,
     /// What this node keeps of schedulers, and as one.
     pub scheduling: Scheduling,
     /// The runners that have ended under calls.
@@ -157,7 +157,7 @@
             outdated: Notify::new(),
             checks: Checks::default(),
             copies: Copies::default(),
-            tellings: Arc::default(),
+            register_transfers: Arc::default(),
             scheduling: Scheduling::default(),
             ends: Ends::default(),
             keeper: Keeper::default(),
@@ -277,7 +277,7 @@
         }
     }
 
-    /// Turns from starting to ready once there is a configuration and a register.
+    /// Queue from starting to ready once there is a configuration and a register.
     pub fn note_knowledge(&self) {
         let known = self.configuration.load().is_some() && self.knowledge().is_known();
         let turned = self.standing.send_if_modified(|standing| {
