--- a/node/src/serve/beat.rs
+++ b/node/src/serve/beat.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::serve::shared::Shared;
-use crate::serve::{meet, peer, quarantine, scheduler};
+use crate::serve::{join, peer, quarantine, scheduler};
 
 /// Every how many beats a node is greeted that is not known to be there: it may be back.
 const GREETING: u64 = 5;
@@ -230,7 +230,7 @@
         shared.beat_now.notify_one();
     }
     if differs {
-        tokio::spawn(meet::compare(shared.clone(), told.sender.contact.peer));
+        tokio::spawn(join::compare(shared.clone(), told.sender.contact.peer));
     }
     if told.answer || mistaken.is_some() {
         // Whoever asks may know nobody else yet.
--- a/node/src/serve/follow.rs
+++ b/node/src/serve/follow.rs
@@ -24,7 +24,7 @@
 use crate::serve::knowledge::{Difference, mark, revision};
 use crate::serve::shared::Shared;
 use crate::serve::store::{Purpose, StoreError};
-use crate::serve::{meet, quarantine};
+use crate::serve::{join, quarantine};
 
 /// How long a watch waits for a change. Longer waits cost fewer calls; a connection that has gone
 /// silent is noticed only after one, and a leaving runner must get nothing after two seconds.
@@ -89,7 +89,7 @@
         log::info!(what = self.what; "this node follows the store");
         // Those that find nobody else find this node in the store.
         if self.what == CONFIGURATION
-            && let Err(error) = meet::write_entry(&self.shared).await
+            && let Err(error) = join::write_entry(&self.shared).await
         {
             log::info!(error:% = error; "this node's entry is not written");
         }
--- a/node/src/serve/meet.rs
+++ b/node/src/serve/join.rs
@@ -1,8 +1,8 @@
-//! Finding the other nodes, and comparing lists with them.
+//! Joining the cluster, and exchanging member lists with other nodes.
 //!
-//! A node that starts asks its seeds. Only if none answers it looks into the platform's store, where
-//! the few nodes that follow the store have written how they are reached; so a start costs no call
-//! there as a rule, and two where it costs any.
+//! A node that starts calls its seeds. Only if none answers it reads the platform's store, where the
+//! few nodes that watch the store have written their addresses; so a start costs no call there as a
+//! rule, and two where it costs any.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -34,15 +34,15 @@
 /// How many nodes of the store's list are asked. Of those that wrote there some may be gone.
 const MOST_ASKED: usize = 8;
 
-/// Why lists could not be compared.
+/// Why member lists could not be exchanged.
 #[derive(Debug, Error)]
-pub enum MeetError {
-    /// The other node did not answer.
+pub enum JoinError {
+    /// The call to the other node failed.
     #[error(transparent)]
-    Ask(#[from] RpcError),
-    /// What it said cannot be used.
+    Rpc(#[from] RpcError),
+    /// Its reply is malformed.
     #[error("comparing lists with {peer}: {detail}")]
-    Useless {
+    Malformed {
         /// The node.
         peer: SocketAddr,
         /// What is wrong.
@@ -50,7 +50,7 @@
     },
 }
 
-/// Compares lists of nodes with another, if it answers.
+/// Exchanges member lists with another node, if it answers.
 pub async fn compare(shared: Arc<Shared>, peer: SocketAddr) {
     match try_compare(&shared, peer).await {
         Ok(known) => log::info!(peer:% = peer, nodes = known; "lists of nodes compared"),
@@ -58,13 +58,13 @@
     }
 }
 
-async fn try_compare(shared: &Shared, peer: SocketAddr) -> Result<usize, MeetError> {
+async fn try_compare(shared: &Shared, peer: SocketAddr) -> Result<usize, JoinError> {
     let mut client = rpc::connect(peer).await?;
     let mine = nodes(&shared.roster().records(), quarantine::news::all(shared));
     let answer = timeout(SILENCE, client.meet(mine)).await;
     let answer = answer.map_err(|_| RpcError::Silent { peer })?;
     let answer = answer.map_err(|s| RpcError::Refused { peer, status: Box::new(s) })?;
-    let useless = |error: sardinepick_wire::error::WireError| MeetError::Useless {
+    let useless = |error: sardinepick_wire::error::WireError| JoinError::Malformed {
         peer,
         detail: error.to_string(),
     };
@@ -77,7 +77,7 @@
     Ok(roster.known())
 }
 
-/// Finds the other nodes, until one has answered.
+/// Joins the cluster: returns once another node has answered.
 pub async fn join(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut failures = 0;
     loop {
--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -16,7 +16,7 @@
 use crate::serve::metrics::Metrics;
 use crate::serve::settings::Settings;
 use crate::serve::shared::Shared;
-use crate::serve::{beat, copy, duty, follow, meet, order, peer, quarantine, scheduler};
+use crate::serve::{beat, copy, duty, follow, join, order, peer, quarantine, scheduler};
 use crate::usage::exchange::Exchange;
 
 /// Why a node does not start.
@@ -133,7 +133,7 @@
     tokio::spawn(scheduler::report(shared.clone()));
     tokio::spawn(quarantine::run(shared.clone()));
     tokio::spawn(quarantine::store::run(shared.clone()));
-    tokio::spawn(meet::join(shared.clone(), socket.clone()));
+    tokio::spawn(join::join(shared.clone(), socket.clone()));
     tokio::spawn(follow::tidy(shared.clone()));
     tokio::spawn(order::run(shared.clone()));
     let exchange = duty::start(&shared, socket);
