--- a/node/src/serve/ended.rs
+++ b/node/src/serve/crash.rs
@@ -1,8 +1,8 @@
-//! Whether a runner has ended under a call that broke off, and what was under way there then.
+//! The crash detector: whether the runner of a call that broke off has crashed.
 //!
 //! A call breaks off for many reasons: the network resets its connection, the runner spoils its
-//! answer, the runner leaves. Only a process that has ended refuses connections, so that is asked,
-//! once for all calls of this node that broke off there.
+//! answer, the runner leaves. Only a process that has ended refuses connections, so the runner's address
+//! is probed, once for all calls of this node that broke off there.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -27,15 +27,15 @@
 /// The most lives of runners whose end is remembered.
 const MOST: usize = 256;
 
-/// The lives of runners that are known to have ended.
+/// The lives of runners that are known to have crashed.
 #[derive(Debug, Default)]
-pub struct Ends(Mutex<HashMap<Tag, Arc<OnceCell<bool>>>>);
+pub struct Detector(Mutex<HashMap<Tag, Arc<OnceCell<bool>>>>);
 
-impl Ends {
+impl Detector {
     fn cell(&self, life: Tag) -> Arc<OnceCell<bool>> {
         let mut cells = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         if cells.len() >= MOST && !cells.contains_key(&life) {
-            // What is forgotten is asked again.
+            // What is forgotten is probed again.
             cells.clear();
         }
         cells.entry(life).or_default().clone()
@@ -64,9 +64,9 @@
     false
 }
 
-/// Finds out whether the runner of a call that broke off has ended, and gives the life that has. One
-/// that was leaving, or whose entry was gone, was to end, and nothing follows from it.
-pub async fn find(
+/// Detects whether the runner of a call that broke off has crashed, and gives the life that has. The
+/// end of one that was leaving, or whose entry was gone, was planned.
+pub async fn detect(
     shared: &Shared,
     ticket: &Ticket,
     request: &Request,
@@ -75,7 +75,7 @@
     let (life, address) = ticket
         .with_runner(|r| (r.entry.state == State::Ready).then(|| (r.entry.tag(), r.entry.address)))
         .flatten()?;
-    if !shared.ends.has_ended(shared, life, address).await {
+    if !shared.crashes.has_ended(shared, life, address).await {
         return None;
     }
     shared.metrics.ends.inc();
--- a/node/src/serve/quarantine/count.rs
+++ b/node/src/serve/quarantine/count.rs
@@ -13,7 +13,7 @@
 use tokio::time::timeout;
 
 use super::{State, note_stage, set};
-use crate::serve::ended;
+use crate::serve::crash;
 use crate::serve::request::Request;
 use crate::serve::scheduler::transmit;
 use crate::serve::shared::Shared;
@@ -32,7 +32,7 @@
     request: &Request,
     reach: Reach,
 ) -> usize {
-    let Some(life) = ended::find(shared, ticket, request, reach).await else { return 0 };
+    let Some(life) = crash::detect(shared, ticket, request, reach).await else { return 0 };
     let end = End { life, reach };
     let fingerprint = request.fingerprint;
     let here = count(shared, fingerprint, end);
@@ -69,10 +69,10 @@
 /// Tells a node that counts of an end. Gives how many it has counted; none if it does not answer.
 async fn tell(shared: &Shared, peer: SocketAddr, request: Fingerprint, end: End) -> Option<u32> {
     for _ in 0..TRIES {
-        let (number, answer) = shared.keeper.state().questions.ask();
+        let (number, answer) = shared.keeper.state().questions.register();
         transmit(shared, peer, &Schedule::Ended { number, request, end }).await;
         let answer = timeout(PATIENCE, answer).await;
-        shared.keeper.state().questions.give_up(number);
+        shared.keeper.state().questions.cancel(number);
         if let Ok(Ok(ends)) = answer {
             return Some(ends);
         }
@@ -95,7 +95,7 @@
 
 /// Takes the answer of a node that counts.
 pub fn take_counted(shared: &Shared, number: u64, ends: u32) {
-    shared.keeper.state().questions.answer(number, ends);
+    shared.keeper.state().questions.resolve(number, ends);
 }
 
 /// The nodes that count a request's ends, the first of them first: where each is reached, or none for
--- a/node/src/serve/quarantine/mod.rs
+++ b/node/src/serve/quarantine/mod.rs
@@ -13,7 +13,7 @@
 use tokio::time::{sleep, timeout};
 
 use self::count::counts_first;
-use crate::serve::question::Questions;
+use crate::serve::pending::Pending;
 use crate::serve::request::Request;
 use crate::serve::shared::Shared;
 
@@ -29,7 +29,7 @@
     suspects: Suspects,
     quarantine: Quarantine,
     /// Ends that other nodes were told of.
-    questions: Questions<u32>,
+    questions: Pending<u32>,
     /// What was decided here and the store does not keep yet.
     unwritten: HashSet<Fingerprint>,
 }
--- a/node/src/serve/scheduler.rs
+++ b/node/src/serve/scheduler.rs
@@ -23,7 +23,7 @@
 use tokio::sync::Notify;
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
-use crate::serve::question::Questions;
+use crate::serve::pending::Pending;
 use crate::serve::shared::Shared;
 use crate::serve::{inventory, quarantine};
 
@@ -67,7 +67,7 @@
 
 #[derive(Debug, Default)]
 struct State {
-    questions: Questions<Option<Decision>>,
+    questions: Pending<Option<Decision>>,
     silences: HashMap<NodeId, Silence>,
     holders: HashMap<(ServiceId, Pool), (Holder, Instant)>,
     /// The pools that this node schedules, and when it was last asked.
@@ -250,12 +250,12 @@
 
 /// Asks a node, and gives its answer; none if there was none in time.
 async fn question(shared: &Shared, peer: SocketAddr, ask: &Ask) -> Option<Option<Decision>> {
-    let (number, answer) = shared.scheduling.state().questions.ask();
+    let (number, answer) = shared.scheduling.state().questions.register();
     let question =
         Schedule::Question { number, node: shared.me.id.clone(), ask: Box::new(ask.clone()) };
     transmit(shared, peer, &question).await;
     let answer = timeout(PATIENCE, answer).await;
-    shared.scheduling.state().questions.give_up(number);
+    shared.scheduling.state().questions.cancel(number);
     answer.ok()?.ok()
 }
 
@@ -278,7 +278,7 @@
             transmit(shared, from, &Schedule::Answer { number, decision }).await;
         }
         Ok(Schedule::Answer { number, decision }) => {
-            shared.scheduling.state().questions.answer(number, decision);
+            shared.scheduling.state().questions.resolve(number, decision);
         }
         Ok(Schedule::Report(report)) => take_report(shared, &report),
         Ok(Schedule::Ended { number, request, end }) => {
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -32,7 +32,7 @@
 use crate::duty::view::{COLLECTORS, SUBJECT, View};
 use crate::serve::connection::Connections;
 use crate::serve::copy::Copies;
-use crate::serve::ended::Ends;
+use crate::serve::crash::Detector;
 use crate::serve::knowledge::Knowledge;
 use crate::serve::metrics::Metrics;
 use crate::serve::quarantine::Keeper;
@@ -86,7 +86,7 @@
     /// What this node keeps of schedulers, and as one.
     pub scheduling: Scheduling,
     /// The runners that have ended under calls.
-    pub ends: Ends,
+    pub crashes: Detector,
     /// Requests under which runners end.
     pub keeper: Keeper,
     /// Signals that a beat should go out now.
@@ -159,7 +159,7 @@
             copies: Copies::default(),
             register_transfers: Arc::default(),
             scheduling: Scheduling::default(),
-            ends: Ends::default(),
+            crashes: Detector::default(),
             keeper: Keeper::default(),
             beat_now: Notify::new(),
             register: Mutex::default(),
