--- a/node/src/account/mod.rs
+++ b/node/src/account/mod.rs
@@ -87,7 +87,7 @@
 /// Reads what has changed since `from`. Mostly nothing has, and the answer is a few bytes.
 async fn read(store: &Client, from: Revision) -> Result<(Option<Object>, Revision), StoreError> {
     let purpose = Purpose::ConfigurationCheck;
-    let objects = match store.watch(purpose, config::KIND, from, Duration::ZERO).await {
+    let (objects, as_of) = match store.watch(purpose, config::KIND, from, Duration::ZERO).await {
         Ok(changes) => {
             let put = changes.changes.into_iter().filter_map(|change| match change {
                 Change::Put(object) => Some(object),
@@ -98,7 +98,6 @@
         Err(error) if error.is_forgotten() => store.list(purpose, config::KIND).await?,
         Err(error) => return Err(error),
     };
-    let (objects, as_of) = objects;
     let newest = objects.into_iter().filter(|o| o.name == config::NAME).max_by_key(|o| o.revision);
     Ok((newest, as_of))
 }
--- a/testutils/benches/cost.rs
+++ b/testutils/benches/cost.rs
@@ -1,11 +1,13 @@
 //! `cargo bench --bench cost`: what a node adds to a call of a stand-in engine, against calling it
-//! directly in the same run. Times depend on the machine, so nothing is held against bounds.
+//! directly in the same run, and what finding the account of a key takes. Times depend on the machine,
+//! so nothing is held against bounds. `-- accounts` runs the second part alone.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use http::Method;
 use http_body_util::BodyExt as _;
+use sardinepick_lib::account::directory::{Account, Directory, Entry, Identity, digest, identify};
 use sardinepick_lib::config::object::Role;
 use sardinepick_lib::hash::Digest;
 use sardinepick_testutils::caller::Caller;
@@ -21,6 +23,7 @@
 const THROUGHPUT_CALLERS: usize = 32;
 const THROUGHPUT_CALLS: usize = 40;
 const THROUGHPUT_TOKENS: u64 = 268;
+const LOOKUPS: usize = 200_000;
 
 /// The times of one streamed call: to the first bytes, and between frames.
 struct Times {
@@ -97,6 +100,26 @@
     println!("{}", Figure::new(format!("cost.{label}.tokens_per_s"), tokens / passed));
 }
 
+/// What finding the account of a key takes, among so many accounts with two keys each.
+fn key_lookup(accounts: usize) {
+    let key = |at: usize| format!("key-of-an-account-{at:012}");
+    let entries = (0..accounts).map(|at| Entry {
+        account: Account { name: format!("account-{at}").parse().expect("a name"), rank: None },
+        keys: [at * 2, at * 2 + 1].iter().filter_map(|at| digest(key(*at).as_bytes())).collect(),
+    });
+    let directory = Directory::new(entries, Vec::new());
+    let keys: Vec<String> = (0..LOOKUPS).map(|n| key(n * 7_919 % (accounts * 4))).collect();
+    let began = Instant::now();
+    let found = keys.iter().filter(|key| {
+        let identity = identify(Some(&directory), false, Some(key.as_bytes()));
+        matches!(identity, Identity::Account(_))
+    });
+    let found = found.count();
+    let each = began.elapsed().as_secs_f64() * 1e6 / LOOKUPS as f64;
+    println!("{}", Figure::new(format!("cost.accounts.{accounts}.lookup_us"), each));
+    println!("{}", Figure::new(format!("cost.accounts.{accounts}.found"), found as f64));
+}
+
 async fn with_speed(label: &str, speed: Speed) -> (Engine, Cluster) {
     let engine = Engine::start(free_address(own_ip()), Role::Mixed, speed).await.expect("free");
     let key = Digest::of(KEY.as_bytes());
@@ -113,6 +136,13 @@
 
 #[tokio::main]
 async fn main() {
+    println!("# keys of client accounts, half of them unknown");
+    for accounts in [75, 10_000] {
+        key_lookup(accounts);
+    }
+    if std::env::args().any(|arg| arg == "accounts") {
+        return;
+    }
     let caller = Caller::new(KEY);
     let paced = Speed { prefill: 1_000_000, decode: 500, ..Speed::default() };
     let (engine, cluster) = with_speed("latency at 500 tokens a second", paced).await;
