duty: the first node stays the first while the store is away for all

The store was away for all from 18 to 26 s; each node that came first found that out by two calls and stood back for the next, over 40 of them. When the store was back a node far down took the lease and gave it back to the first, which then waited a turn, was itself turned away at 31 s, and waited another. The holder renews its own lease when the store is back, without a turn of waiting.

--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -254,9 +254,15 @@
         let time = self.usage.time_at(now);
         let roster = self.roster();
         let me = roster.me();
-        let serves = |record: &&Record| record.standing == Standing::Ready && record.served;
-        let fitting = roster.present_records().chain([me]).filter(serves);
-        let first = rank::first(SUBJECT, fitting, |record| &record.contact.id, COLLECTORS);
+        let ready = roster.present_records().chain([me]);
+        let ready = ready.filter(|record| record.standing == Standing::Ready);
+        let mut first = rank::first(SUBJECT, ready, |record| &record.contact.id, MOST_FOLLOWERS);
+        // Where the store serves none of these it is away for all, and a change of the holder would only
+        // add a turn of waiting once it is back.
+        if first.iter().any(|record| record.served) {
+            first.retain(|record| record.served);
+        }
+        first.truncate(COLLECTORS);
         let collector = |record: &Record| Collector {
             node: record.contact.id.clone(),
             incarnation: record.contact.incarnation,
--- a/node/tests/duties.rs
+++ b/node/tests/duties.rs
@@ -171,3 +171,20 @@
     assert_eq!(windows.last().expect("a window")["outcome"], json!("reported"));
     assert_eq!(state["accounts"], json!([{"name": "kitchen"}, {"name": "cellar"}]));
 }
+
+/// Guards against duties that are handed from node to node while the store serves none of them.
+#[tokio::test]
+async fn view_store_away_for_all_first_stays() {
+    let set = deployment(3).await;
+    first_report(&set).await;
+    let first = set.nodes[0].shared.view().first[0].clone();
+    set.store.set_fault(store::Fault::Busy);
+    let none_served = |node: &sardinepick_node::serve::run::Running| {
+        let roster = node.shared.roster();
+        !roster.me().served && roster.present_records().all(|record| !record.served)
+    };
+    wait_until("no node is served", async || set.nodes.iter().all(none_served)).await;
+    for node in &set.nodes {
+        assert_eq!(node.shared.view().first[0], first);
+    }
+}
