usage: nothing is counted where nothing is reported

What could happen: a node with [usage] and without [platform] in its settings counted requests and never dropped a window. Found by reading.

--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -140,7 +140,9 @@
             Tenure::new(store.clone(), clock.clone(), metrics.clone(), holder, settings.turns);
         let tenure = Arc::new(tenure);
         let collector = Collector { node: me.id.clone(), incarnation };
-        let usage = Arc::new(Usage::new(collector, settings.usage_window, clock.clone()));
+        // What nobody reports would be counted without end.
+        let window = settings.usage_window.filter(|_| settings.platform.is_some());
+        let usage = Arc::new(Usage::new(collector, window, clock.clone()));
         Self {
             store,
             tenure,
