rank, shared: one ranking of nodes for those that watch the store and the holder of the duties

Both must be the same, since the holder relies on being among the nodes that watch the store; it was written twice, once with the text of the subject and once with its constant.

--- a/lib/src/rank.rs
+++ b/lib/src/rank.rs
@@ -5,6 +5,11 @@
 use crate::hash::{place, rendezvous};
 use crate::id::NodeId;
 
+/// The weight of a node for a duty; the node with the highest comes first.
+pub fn weight(duty: &str, node: &NodeId) -> u64 {
+    rendezvous(place(0, duty.as_bytes()), node.as_str().as_bytes())
+}
+
 /// The first `count` of `nodes` for a duty, the very first in front.
 pub fn first<T>(
     duty: &str,
@@ -12,11 +17,9 @@
     id: impl Fn(&T) -> &NodeId,
     count: usize,
 ) -> SmallVec<[T; 2]> {
-    let duty = place(0, duty.as_bytes());
-    let weight = |node: &T| rendezvous(duty, id(node).as_str().as_bytes());
     let mut first: SmallVec<[(u64, T); 4]> = SmallVec::new();
     for node in nodes {
-        let weight = weight(&node);
+        let weight = weight(duty, id(&node));
         let at = first.iter().position(|(other, _)| *other < weight).unwrap_or(first.len());
         if at < count {
             first.insert(at, (weight, node));
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -18,7 +18,7 @@
 use sardinepick_lib::fleet::roster::{Contact, Record, Roster, Standing, Status};
 use sardinepick_lib::fleet::route::Configuration;
 use sardinepick_lib::fleet::runner::Tag;
-use sardinepick_lib::hash::{place, rendezvous};
+use sardinepick_lib::hash::place;
 use sardinepick_lib::id::{Incarnation, NodeId, ServiceId};
 use sardinepick_lib::lease::Holder;
 use sardinepick_lib::rank;
@@ -240,12 +240,10 @@
     /// are there and served by the store. Where one of those fails, the next steps in. While the store
     /// serves nobody, those far behind leave it alone all the same: it counts their calls.
     pub fn follows(&self) -> bool {
-        let duty = place(0, b"store");
-        let rank = |id: &str| rendezvous(duty, id.as_bytes());
-        let mine = rank(self.me.id.as_str());
+        let mine = rank::weight(SUBJECT, &self.me.id);
         let roster = self.roster();
         let before = |ids: &mut dyn Iterator<Item = &NodeId>| {
-            ids.filter(|id| rank(id.as_str()) > mine).count()
+            ids.filter(|id| rank::weight(SUBJECT, id) > mine).count()
         };
         before(&mut roster.served()) < FOLLOWERS && before(&mut roster.ids()) < MOST_FOLLOWERS
     }
