--- a/testutils/src/fleet/mod.rs
+++ b/testutils/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 pub mod platform;
 pub mod proxy;
 pub mod runner;
+pub mod signal;
 pub mod soak;
 pub mod store;
 pub mod supervised;
--- a/testutils/src/fleet/runner.rs
+++ b/testutils/src/fleet/runner.rs
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, sleep};
 use tokio_stream::wrappers::ReceiverStream;
 
+use crate::fleet::signal::Signals;
 use crate::fleet::store::Store;
 use crate::server::{Body, Cut, Server, answer, full, json as json_answer, read};
 
@@ -73,6 +74,7 @@
 #[derive(Debug, Default)]
 struct Inner {
     faults: Faults,
+    signals: Signals,
     seen: Vec<Seen>,
     orders: Vec<Order>,
     handles: HashSet<String>,
@@ -227,6 +229,11 @@
         lock(&self.inner).faults = faults;
     }
 
+    /// Has all its answers carry these signals from now on, in place of those before.
+    pub fn set_signals(&self, signals: Signals) {
+        lock(&self.inner).signals = signals;
+    }
+
     /// Has it end when it runs a request with this body.
     pub fn end_under(&self, body: Bytes) {
         lock(&self.inner).ends_under = Some(body);
@@ -289,6 +296,12 @@
 }
 
 async fn handle(work: Arc<Work>, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+    let mut response = respond(work.clone(), request).await?;
+    lock(&work.inner).signals.sign(&mut response);
+    Ok(response)
+}
+
+async fn respond(work: Arc<Work>, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
     let (head, body) = request.into_parts();
     let body = read(body).await?;
     if let Some(expected) = text(&head.headers, "expect-instance")
