limit, dispatch: requests to a runner stay within the rate limit that it announces

Cause: no answer's announcement was read, so placement, retries and second stages went on as before. Its class: a word of a runner about itself that only some of the nodes hear and all have to obey.

Change: all requests to runners go through one function that reads the head of each answer. The node that schedules a runner's pool has a token bucket for it, and the others ask it for a permit before each request. A closed runner is no candidate; what no runner can take is refused at once, with the time until a token. Changes go from node to node with beats. A prompt that has been read goes on at another engine when the first is closed.

Why it holds: there is one bucket for a runner, filled at its rate; a node that begins to grant begins with an empty one, one that hears a part of the nodes grants that part, and one that is not the grantor by its own view grants nothing.

--- a/lib/src/fleet/gate.rs
+++ b/lib/src/fleet/gate.rs
@@ -66,6 +66,8 @@
     Budget,
     /// The runners that were tried refused it.
     Shed,
+    /// The rate limits of the runners leave no room for it.
+    RateLimited,
 }
 
 /// The part of the objective that a predicted first answer may use up: the rest covers the
@@ -138,6 +140,16 @@
     }
 }
 
+impl Terms {
+    /// When a caller should come back that is refused because no runner accepts a request for `wait`:
+    /// after that, spread as in [`Terms::come_back`].
+    pub fn come_back_after<R: Rng>(&self, wait: Duration, rng: &mut R) -> Duration {
+        let until = wait.as_secs_f64().max(SHORTEST_RETURN) * rng.random_range(1.0..1.4);
+        let most = self.left.as_secs_f64() / 3.0;
+        Duration::from_secs_f64(until.min(most).max(0.001))
+    }
+}
+
 /// The shortest time after which a refused caller is asked back, in seconds: a few steps of an
 /// engine, so that it is not the same moment.
 const SHORTEST_RETURN: f64 = 0.1;
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 pub mod fingerprint;
 pub mod gate;
 pub mod health;
+pub mod limit;
 pub mod load;
 pub mod outage;
 pub mod patience;
--- a/lib/src/fleet/place.rs
+++ b/lib/src/fleet/place.rs
@@ -102,7 +102,7 @@
 
 fn candidates<'a>(register: &'a Register, question: &Question<'a>) -> Vec<Candidate<'a>> {
     let left = |r: &&Runner| !question.skip.contains(&r.entry.id);
-    let usable = |r: &&Runner| r.takes_work(question.now);
+    let usable = |r: &&Runner| r.accepts(question.now);
     let all = || register.of(question.service).filter(left);
     let with_load = |runner: &'a Runner| Candidate { runner, load: runner.load(question.now) };
     let in_pool = |r: &&Runner| question.pool.is_none_or(|pool| r.pool == pool);
@@ -113,7 +113,8 @@
     }
     if good.is_empty() {
         // A runner on trial is still better than a refusal.
-        return all().filter(|r| r.is_last_resort()).map(with_load).collect();
+        let open = |r: &&Runner| r.is_last_resort() && r.limit.is_open(question.now);
+        return all().filter(open).map(with_load).collect();
     }
     good
 }
--- a/lib/src/fleet/register.rs
+++ b/lib/src/fleet/register.rs
@@ -10,7 +10,7 @@
 //! changes nothing, and what was begun in one life ends in it ([`Stay`]).
 
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::cache::{Part, Progress};
 use super::engine::{Pace, Work};
@@ -227,6 +227,13 @@
         self.runners.values().filter(move |r| r.entry.service == *service)
     }
 
+    /// How long it is until a runner of a service accepts a request that takes work and that its rate
+    /// limit alone closes now; none if there is no such runner.
+    pub fn opens_in(&self, service: &ServiceId, now: Instant) -> Option<Duration> {
+        let closed = self.of(service).filter(|r| r.takes_work(now) && !r.limit.is_open(now));
+        closed.map(|runner| runner.limit.opens_in(now)).min()
+    }
+
     /// Notes that work begins at a runner, and gives the stay to which it is counted; none if the
     /// runner is not known.
     pub fn begin(&mut self, id: &RunnerId, share: Share, now: Instant) -> Option<Stay> {
--- a/lib/src/fleet/roster.rs
+++ b/lib/src/fleet/roster.rs
@@ -408,6 +408,15 @@
         self.members.values().filter(|m| !m.record.silent)
     }
 
+    /// The nodes that are there as a part of those that could be, this one among both. Nodes that
+    /// said that they leave could not; silent ones may be on the other side of a partition.
+    pub fn part(&self) -> f64 {
+        let heard = self.members.values().filter(|m| m.record.serial > 0);
+        let could = heard.filter(|m| m.record.standing != Standing::Leaving).count() + 1;
+        let there = self.present().filter(|m| m.record.standing != Standing::Leaving).count() + 1;
+        there.min(could) as f64 / could as f64
+    }
+
     /// What a node said last of itself.
     pub fn status(&self, id: &NodeId) -> Option<Status> {
         self.members.get(id).map(|m| m.status)
--- a/lib/src/fleet/runner.rs
+++ b/lib/src/fleet/runner.rs
@@ -8,6 +8,7 @@
 use super::cache::Cache;
 use super::engine::{Engine, Pace, Stage, prefill_time, start_time, step_time};
 use super::health::Record;
+use super::limit::Limit;
 use super::load::{Class, Load, Others};
 use super::pool::Pool;
 use crate::hash::place;
@@ -108,6 +109,8 @@
     pub stream_time: f64,
     /// Until when it gets no new work, since it is on its way to another stage.
     pub reserved: Option<Instant>,
+    /// Its rate limit.
+    pub limit: Limit,
 }
 
 /// What is assumed of a plain answer's time until some have come, in seconds (users' sheets: 15 ms
@@ -136,6 +139,7 @@
             answer_time: FIRST_ANSWER_TIME,
             stream_time: FIRST_STREAM_TIME,
             reserved: None,
+            limit: Limit::default(),
         }
     }
 
@@ -155,6 +159,11 @@
         self.entry.state == State::Ready && !reserved && self.health.takes_work(now)
     }
 
+    /// Whether a request may be sent there now: it takes work, and its rate limit leaves room.
+    pub fn accepts(&self, now: Instant) -> bool {
+        self.takes_work(now) && self.limit.is_open(now)
+    }
+
     /// Whether it could do work at all if no better one were left.
     pub fn is_last_resort(&self) -> bool {
         self.entry.state == State::Ready && !self.health.is_gone()
--- a/lib/tests/roster.rs
+++ b/lib/tests/roster.rs
@@ -395,3 +395,24 @@
     }
     assert!(noticed);
 }
+
+/// Guards against two sides of a partition that each take the whole of what all nodes share.
+#[test]
+fn part_partitioned_sides_add_up() {
+    let now = Instant::now();
+    let side = |me: usize, there: std::ops::Range<usize>| {
+        let mut roster = Roster::new(contact(me, 1));
+        for at in (0..9).filter(|at| *at != me) {
+            roster.take_record(&record(at, 1), now);
+            if !there.contains(&at) {
+                roster.take_record(&Record { silent: true, ..record(at, 1) }, now);
+            }
+        }
+        roster.part()
+    };
+    assert_eq!(side(0, 0..9), 1.0);
+    assert!((side(0, 0..2) + side(5, 2..9) - 1.0).abs() < 1e-9);
+    let mut roster = Roster::new(contact(0, 1));
+    roster.take_record(&Record { standing: Standing::Leaving, ..record(1, 2) }, now);
+    assert_eq!(roster.part(), 1.0, "one that leaves has no part");
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod explain;
 pub mod front;
 pub mod gather;
+pub mod limit;
 pub mod logging;
 pub mod metrics;
 pub mod node;
--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -24,6 +24,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::limit::Denied;
 use crate::serve::metrics::Metrics;
 
 /// Why there is no answer.
@@ -43,6 +44,14 @@
         /// The other side.
         peer: SocketAddr,
     },
+    /// The runner's rate limit leaves no room: nothing was sent.
+    #[error("sending to {peer}: {denied}")]
+    RateLimited {
+        /// The other side.
+        peer: SocketAddr,
+        /// When there may be room.
+        denied: Denied,
+    },
     /// The connection broke after something may have been sent.
     #[error("answer of {peer} broke off: {detail}")]
     Broken {
@@ -56,7 +65,17 @@
 impl SendError {
     /// Whether it is certain that the other side has not got the request.
     pub fn proves_unsent(&self) -> bool {
-        matches!(self, SendError::Connect { .. } | SendError::Unsent { .. })
+        match self {
+            SendError::Connect { .. }
+            | SendError::Unsent { .. }
+            | SendError::RateLimited { .. } => true,
+            SendError::Broken { .. } => false,
+        }
+    }
+
+    /// Whether it says nothing against the other side, which was not tried.
+    pub fn is_denied(&self) -> bool {
+        matches!(self, SendError::RateLimited { .. })
     }
 }
 
@@ -71,6 +90,10 @@
     Unknown,
 }
 
+/// How long a connection to a runner may take. One way between data centres is at most a few
+/// milliseconds, and a runner takes one to accept.
+pub const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+
 type Sender = SendRequest<Full<Bytes>>;
 
 struct Idle {
--- a/node/src/serve/generation/mod.rs
+++ b/node/src/serve/generation/mod.rs
@@ -96,6 +96,8 @@
     CallerLeft,
     /// The runner has not run it; another may.
     NotRun,
+    /// Nothing was sent, since the runner's rate limit leaves no room; another may run it.
+    Denied,
     /// It may have run, and broke off.
     Broken,
     /// The time is over.
@@ -145,7 +147,7 @@
                 Ok(Came::CallerLeft) | Err(Stop::CallerLeft) => break Err(None),
                 Err(Stop::Refuse(refusal)) => break Err(Some(refusal)),
                 Ok(Came::Late) => break Err(Some(self.late())),
-                Ok(Came::NotRun) => {}
+                Ok(Came::NotRun | Came::Denied) => {}
                 Ok(Came::Broken) => {
                     self.doubt = true;
                     if !self.may_run_again() {
@@ -214,8 +216,7 @@
         if self.doubt || self.runs > 0 {
             return Refusal::Broken;
         }
-        let terms = self.request.terms(self.shared.clock.now());
-        Refusal::NotRun(reason, terms.come_back(0.0, &mut *self.shared.rng()))
+        self.request.refusal(&self.shared, reason)
     }
 
     async fn attempt(&mut self) -> Result<Came, Stop> {
@@ -256,13 +257,19 @@
             return Ok(Came::NotRun);
         };
         let mut spare = SpareHandle::new(&self.shared, prefill, handle.clone());
-        let Some(decode) = self.place_decode(class, prefill).await else {
-            return Err(Stop::Refuse(self.give_up(Reason::NoRunner)));
-        };
         let share = Share { class, fresh: 0, footprint: self.work.footprint() };
-        let came = self.run_at(&decode, Ask::RunFrom(handle), share, placement).await;
+        let came = loop {
+            let Some(decode) = self.place_decode(class, prefill).await else {
+                return Err(Stop::Refuse(self.give_up(Reason::NoRunner)));
+            };
+            match self.run_at(&decode, Ask::RunFrom(handle.clone()), share, placement).await {
+                // What has been read waits for another runner.
+                Ok(Came::Denied) if self.calls < MOST_CALLS => {}
+                came => break came,
+            }
+        };
         // Once the run has been taken up the cache is the other runner's.
-        if !matches!(came, Ok(Came::NotRun)) {
+        if !matches!(came, Ok(Came::NotRun | Came::Denied)) {
             spare.take();
         }
         came
--- a/node/src/serve/generation/read.rs
+++ b/node/src/serve/generation/read.rs
@@ -19,8 +19,9 @@
 use tokio::time::timeout;
 
 use super::{LARGEST, Stop, Way, millis};
+use crate::serve::connection::CONNECT_LIMIT;
 use crate::serve::connection::{Answer, Incomplete, SendError};
-use crate::serve::plain::CONNECT_LIMIT;
+use crate::serve::dispatch;
 use crate::serve::shared::Shared;
 use crate::serve::ticket::{Step, Ticket};
 
@@ -48,6 +49,11 @@
 }
 
 impl ReadError {
+    /// Whether the runner was not tried, since its rate limit leaves no room.
+    fn is_denied(&self) -> bool {
+        matches!(self, ReadError::Send(error) if error.is_denied())
+    }
+
     /// Whether a call that had been sent broke off.
     fn is_broken(&self) -> bool {
         match self {
@@ -78,9 +84,9 @@
         let outgoing = self.outgoing(id, Ask::Read, share.class, left, fetch);
         let limit = patience::reading(share.class, placement.read, left);
         self.note_cached(&ticket, Progress::Begun);
-        let sent = self.shared.connections.send(address, outgoing, CONNECT_LIMIT);
         let request_id = self.request.id.clone();
         let reading = async {
+            let sent = dispatch::send(&self.shared, &ticket, &request_id, address, outgoing);
             let answer = sent.await?;
             read_handle(id, &request_id, address, answer).await
         };
@@ -108,8 +114,10 @@
                 Ok(Some(handle))
             }
             Err(error) => {
-                self.arrivals += 1;
-                ticket.conclude(Outcome::Broken);
+                if !error.is_denied() {
+                    self.arrivals += 1;
+                    ticket.conclude(Outcome::Broken);
+                }
                 log::info!(
                     request:% = self.request.id, runner:% = id, error:% = error,
                     held_ms = ticket.held().as_millis() as u64; "prompt not read"
--- a/node/src/serve/generation/stream.rs
+++ b/node/src/serve/generation/stream.rs
@@ -27,7 +27,8 @@
 use super::{Caller, Came, LARGEST, Stop, Way, millis, send_head};
 use crate::serve::answer::{pass_on, whole};
 use crate::serve::connection::{Answer, Lease};
-use crate::serve::plain::{CONNECT_LIMIT, promises_not_run};
+use crate::serve::dispatch;
+use crate::serve::plain::promises_not_run;
 use crate::serve::quarantine;
 use crate::serve::shared::Shared;
 use crate::serve::ticket::{Step, Ticket};
@@ -61,7 +62,7 @@
             if self.may_run_again() { left.min(self.silence(placement.first)) } else { left };
         self.runs += 1;
         self.arrivals += 1;
-        let sent = self.shared.connections.send(address, outgoing, CONNECT_LIMIT);
+        let sent = dispatch::send(&self.shared, &ticket, &self.request.id, address, outgoing);
         let sent = tokio::select! {
             () = self.caller.left() => {
                 if is_whole {
@@ -74,7 +75,9 @@
         let answer = match sent {
             Ok(Ok(answer)) => answer,
             Ok(Err(error)) => {
-                ticket.conclude(Outcome::Broken);
+                if !error.is_denied() {
+                    ticket.conclude(Outcome::Broken);
+                }
                 log::info!(
                     request:% = self.request.id, runner:% = id, error:% = error,
                     unsent = error.proves_unsent(); "call failed"
@@ -82,7 +85,7 @@
                 if error.proves_unsent() {
                     self.runs -= 1;
                     self.arrivals -= 1;
-                    return Ok(Came::NotRun);
+                    return Ok(if error.is_denied() { Came::Denied } else { Came::NotRun });
                 }
                 self.note_broken(&ticket, false).await;
                 return Ok(Came::Broken);
--- a/node/src/serve/inventory.rs
+++ b/node/src/serve/inventory.rs
@@ -18,7 +18,7 @@
 use sardinepick_platform::runner::{Kept, ask_kept, read_kept};
 use tokio::time::timeout;
 
-use crate::serve::plain::CONNECT_LIMIT;
+use crate::serve::connection::CONNECT_LIMIT;
 use crate::serve::shared::Shared;
 
 /// How long an answer may take; later it tells what other requests have shown by then.
--- a/node/src/serve/listener.rs
+++ b/node/src/serve/listener.rs
@@ -195,6 +195,8 @@
                 "pace": runner.pace.factor(), "own_requests": runner.own.requests,
                 "all_requests": load.requests, "backlog": load.backlog,
                 "cached_tokens": runner.cache.tokens(),
+                "rate_limit": runner.limit.rate(),
+                "opens_in_ms": runner.limit.opens_in(now).as_millis() as u64,
             })
         };
         register.runners().map(line).collect()
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -22,6 +22,10 @@
     pub calls: IntCounterVec,
     /// Generations by the way they took.
     pub plans: IntCounterVec,
+    /// Permits to send to runners with a rate limit, by what came of them and who decided.
+    pub permits: IntCounterVec,
+    /// Rate limits of runners by how they changed.
+    pub limits: IntCounterVec,
     /// Extra arrivals by what the budget said.
     pub extras: IntCounterVec,
     /// Calls under which a runner ended.
@@ -136,6 +140,16 @@
                 "Calls to runners by how they ended",
                 &["runner", "step", "outcome"],
             ),
+            permits: m.counters(
+                "sardinepick_permits_total",
+                "Permits to send to runners with a rate limit, by what came of them and who decided",
+                &["outcome", "by"],
+            ),
+            limits: m.counters(
+                "sardinepick_rate_limit_changes_total",
+                "Rate limits of runners by how they changed",
+                &["change"],
+            ),
             plans: m.counters("sardinepick_plans_total", "Generations by their way", &["plan"]),
             extras: m.counters(
                 "sardinepick_extra_arrivals_total",
--- a/node/src/serve/order.rs
+++ b/node/src/serve/order.rs
@@ -17,7 +17,7 @@
 use sardinepick_platform::order::{Order, Reply, Report, ask, read_report, reply, request};
 use tokio::time::{sleep, timeout};
 
-use crate::serve::plain::CONNECT_LIMIT;
+use crate::serve::connection::CONNECT_LIMIT;
 use crate::serve::shared::Shared;
 
 /// How often the need for orders is looked at.
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -19,15 +19,13 @@
 use tokio::time::timeout;
 
 use crate::serve::answer::{Body, Refusal, pass_on, whole};
-use crate::serve::connection::Answer;
+use crate::serve::connection::{Answer, SendError};
+use crate::serve::dispatch;
 use crate::serve::quarantine::{self, Admission};
 use crate::serve::request::{End, Request, UnderWay};
 use crate::serve::shared::Shared;
 use crate::serve::ticket::{Step, Ticket};
 
-/// How long a connection to a runner may take. One way between data centres is at most a few
-/// milliseconds, and a runner takes one to accept.
-pub const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 /// The most calls for one request, those included that reached nobody.
 const MOST_CALLS: u32 = 6;
 /// How many mean answer times a runner may take before a request that may be repeated goes
@@ -180,9 +178,7 @@
         if self.runs > 0 {
             return if reason == Reason::Late { Refusal::Late } else { Refusal::Broken };
         }
-        let now = self.shared.clock.now();
-        let after = self.request.terms(now).come_back(0.0, &mut *self.shared.rng());
-        Refusal::NotRun(reason, after)
+        self.request.refusal(self.shared, reason)
     }
 
     fn choose(&self) -> Option<place::Plain> {
@@ -228,7 +224,7 @@
         let limit = if last { left } else { left.min(patience) };
         // From here on the request may run.
         self.runs += 1;
-        let sent = self.shared.connections.send(address, outgoing, CONNECT_LIMIT);
+        let sent = dispatch::send(self.shared, &ticket, &request.id, address, outgoing);
         match timeout(limit, async { self.finish(id, &ticket, sent.await?).await }).await {
             Ok(Ok(came)) => {
                 let outcome = match &came {
@@ -252,7 +248,9 @@
                 came
             }
             Ok(Err(error)) => {
-                ticket.conclude(Outcome::Broken);
+                if !error.is_denied() {
+                    ticket.conclude(Outcome::Broken);
+                }
                 log::info!(
                     request:% = request.id, runner:% = id, address:% = address, error:% = error,
                     unsent = error.proves_unsent(); "call failed"
@@ -290,7 +288,7 @@
         id: &RunnerId,
         ticket: &Ticket,
         answer: Answer,
-    ) -> Result<Came, crate::serve::connection::SendError> {
+    ) -> Result<Came, SendError> {
         let request = self.request;
         let verdict = judge(answer.head.status, &answer.head.headers, id, &request.id);
         match verdict {
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -76,6 +76,24 @@
         Terms::new(&self.route, self.left(now), Wait { before: self.waited, here }, self.size)
     }
 
+    /// The refusal of the request, which has not run. Where only rate limits keep runners from it, it
+    /// says when they leave room.
+    pub fn refusal(&self, shared: &Shared, reason: Reason) -> Refusal {
+        let now = shared.clock.now();
+        let terms = self.terms(now);
+        let closed = match reason {
+            Reason::NoRunner | Reason::Shed => shared.register().opens_in(&self.service, now),
+            _ => None,
+        };
+        let mut rng = shared.rng();
+        match closed {
+            Some(wait) => {
+                Refusal::NotRun(Reason::RateLimited, terms.come_back_after(wait, &mut *rng))
+            }
+            None => Refusal::NotRun(reason, terms.come_back(0.0, &mut *rng)),
+        }
+    }
+
     /// Writes the line that says how it ended, and counts it.
     pub fn log_end(&self, shared: &Shared, end: &End<'_>) {
         let now = shared.clock.now();
--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -117,6 +117,7 @@
     let socket = Arc::new(sockets.beats);
     let shared = Arc::new(Shared::new(settings, clock, metrics));
     shared.scheduling.set_socket(socket.clone());
+    shared.limiter.set_socket(socket.clone());
     let (closing, staying) = (watch::Sender::new(false), watch::Sender::new(false));
     for (port, listener) in ports {
         // The platform asks whether the node is ready until the very end.
--- a/node/src/serve/scheduler.rs
+++ b/node/src/serve/scheduler.rs
@@ -234,7 +234,7 @@
     }
     let Some((id, _)) = decision.share(&ask.work, &ask.step) else { return true };
     let now = shared.clock.now();
-    let usable = shared.register().get(id).is_some_and(|runner| runner.takes_work(now));
+    let usable = shared.register().get(id).is_some_and(|runner| runner.accepts(now));
     if !usable {
         ask.skip.push(id.clone());
     }
@@ -287,6 +287,10 @@
         Ok(Schedule::Counted { number, ends }) => {
             quarantine::count::take_counted(shared, number, ends);
         }
+        Ok(Schedule::Acquire { number, limit }) => {
+            shared.limiter.answer(from, number, limit).await;
+        }
+        Ok(Schedule::Acquired { number, wait }) => shared.limiter.take_answer(number, wait),
         Err(error) => log::warn!(peer:% = from, error:% = error; "datagram is not taken"),
     }
 }
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -30,6 +30,7 @@
 use crate::account::Checks;
 use crate::duty::tenure::Tenure;
 use crate::duty::view::{COLLECTORS, SUBJECT, View};
+use crate::limit::Limiter;
 use crate::serve::connection::Connections;
 use crate::serve::copy::Copies;
 use crate::serve::crash::Detector;
@@ -90,9 +91,11 @@
     /// Requests under which runners end.
     pub keeper: Keeper,
     /// Signals that a beat should go out now.
-    pub beat_now: Notify,
-    register: Mutex<Register>,
-    roster: Mutex<Roster>,
+    pub beat_now: Arc<Notify>,
+    /// Rate limits of runners.
+    pub limiter: Limiter,
+    register: Arc<Mutex<Register>>,
+    roster: Arc<Mutex<Roster>>,
     knowledge: Mutex<Knowledge>,
     outage: Mutex<Outage>,
     served: AtomicBool,
@@ -143,13 +146,23 @@
         // What nobody reports would be counted without end.
         let window = settings.usage_window.filter(|_| settings.platform.is_some());
         let usage = Arc::new(Usage::new(collector, window, clock.clone()));
+        let roster = Arc::new(Mutex::new(Roster::new(me.clone())));
+        let (register, beat_now): (Arc<Mutex<Register>>, Arc<Notify>) = Default::default();
+        let limiter = Limiter::new(
+            register.clone(),
+            roster.clone(),
+            beat_now.clone(),
+            clock.clone(),
+            metrics.clone(),
+        );
         Self {
+            limiter,
             store,
             tenure,
             usage,
             connections,
             began: clock.now(),
-            roster: Mutex::new(Roster::new(me.clone())),
+            roster,
             me,
             metrics,
             configuration: ArcSwapOption::empty(),
@@ -163,8 +176,8 @@
             scheduling: Scheduling::default(),
             crashes: Detector::default(),
             keeper: Keeper::default(),
-            beat_now: Notify::new(),
-            register: Mutex::default(),
+            beat_now,
+            register,
             knowledge: Mutex::default(),
             outage: Mutex::default(),
             served: AtomicBool::new(true),
--- a/node/tests/scheduler.rs
+++ b/node/tests/scheduler.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use sardinepick_lib::fleet::limit::{Announced, Rate};
 use sardinepick_lib::fleet::load::Class;
 use sardinepick_lib::fleet::place::{Placement, Plan};
 use sardinepick_lib::fleet::pool::Pool;
@@ -15,6 +16,7 @@
 use sardinepick_testutils::fleet::caller::Ask;
 use sardinepick_testutils::fleet::deployment::{Deployment, MODEL};
 use sardinepick_testutils::fleet::runner::Runner;
+use sardinepick_testutils::fleet::signal::Signals;
 use sardinepick_wire::schedule::Schedule;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -199,3 +201,35 @@
 async fn decide_scheduler_knows_no_runner_node_places() {
     served_despite(|_| Conduct::Refusing).await;
 }
+
+/// Guards against requests to a limited runner without a permit, when the node that grants is silent
+/// or names that runner itself.
+#[tokio::test]
+async fn decide_scheduler_grants_nothing_other_runner_taken() {
+    let set = Deployment::new().await.with_engines(1, 2).await.with_plain(2).await;
+    let set = set.with_nodes(1).await;
+    let shared = set.nodes[0].shared.clone();
+    let limited = [1, 3].map(|at: usize| set.runners[at].clone());
+    for runner in &limited {
+        runner.set_signals(Signals::limit("5"));
+    }
+    let announced = limited.each_ref().map(|runner| {
+        let id: RunnerId = runner.id.parse().expect("an id");
+        let runner = shared.register().get(&id).expect("it is known").entry.tag();
+        Announced { runner, rate: Rate::new(5.0), age: Duration::ZERO }
+    });
+    shared.limiter.take(&announced, "another node");
+    let conduct = Conduct::Naming(decoder(&set.runners));
+    let _questions = add_false(&shared.me.id, shared.me.peer, conduct).await;
+    wait_until("the false scheduler is heard", async || shared.roster().fronts().len() == 1).await;
+    sleep(Duration::from_millis(80)).await;
+    let before = limited.each_ref().map(|runner| runner.seen().len());
+    for n in 0..6 {
+        for (path, headers) in [("/count/a", &GENERATION[..]), ("/board/a", &[])] {
+            let id = format!("s{n}{path}");
+            let told = set.send(0, &Ask { headers, ..Ask::new(path, &id) }).await;
+            assert_eq!((told.status, set.ran(&id)), (Some(StatusCode::OK), 1), "{path}");
+        }
+    }
+    assert_eq!(limited.each_ref().map(|runner| runner.seen().len()), before);
+}
--- a/testutils/src/fleet/beat.rs
+++ b/testutils/src/fleet/beat.rs
@@ -28,6 +28,7 @@
         news: None,
         quarantine: 0,
         quarantined: Vec::new(),
+        limits: Vec::new(),
         time: None,
     }
 }
--- a/testutils/src/fleet/signal.rs
+++ b/testutils/src/fleet/signal.rs
@@ -16,7 +16,7 @@
         Self::default()
     }
 
-    /// Names a rate limit, in requests a second; `rate` may also be no number.
+    /// Announces a rate limit, in requests a second; `rate` may also be no number.
     pub fn limit(rate: impl Into<Cow<'static, str>>) -> Self {
         Self::none().with("server-limit", rate)
     }
--- a/wire/src/beat.rs
+++ b/wire/src/beat.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use prost::Message as _;
+use sardinepick_lib::fleet::limit::Announced;
 use sardinepick_lib::fleet::roster::{Contact, Record, Standing, Status};
 use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_lib::id::{ConfigVersion, Incarnation, Mark};
 
 use crate::error::WireError;
 use crate::fleet as pb;
+use crate::limit;
 
 /// The most bytes of a beat, so that it travels in one packet.
 pub const MOST_BYTES: usize = 1_400;
@@ -37,6 +39,8 @@
     pub quarantined: Vec<pb::Quarantined>,
     /// What it takes for the true time, since the start of 1970; none if it does not say.
     pub time: Option<Duration>,
+    /// What it has heard of rate limits of runners.
+    pub limits: Vec<Announced>,
 }
 
 impl Beat {
@@ -63,6 +67,7 @@
             quarantine: self.quarantine,
             quarantined: self.quarantined.clone(),
             time_ms: self.time.map_or(0, |time| u64::try_from(time.as_millis()).unwrap_or(0)),
+            rate_limits: self.limits.iter().map(limit::announced).collect(),
         };
         beat.encode_to_vec()
     }
@@ -101,6 +106,7 @@
             quarantine: beat.quarantine,
             quarantined: beat.quarantined,
             time: (beat.time_ms > 0).then(|| Duration::from_millis(beat.time_ms)),
+            limits: beat.rate_limits.iter().map(limit::read_announced).collect::<Result<_, _>>()?,
         })
     }
 }
--- a/wire/src/schedule.rs
+++ b/wire/src/schedule.rs
@@ -12,6 +12,7 @@
 use sardinepick_lib::fleet::fingerprint::Fingerprint;
 use sardinepick_lib::fleet::gate::Terms;
 use sardinepick_lib::fleet::health::Outcome;
+use sardinepick_lib::fleet::limit::Announced;
 use sardinepick_lib::fleet::load::{CLASSES, Class, Load};
 use sardinepick_lib::fleet::place::{Placement, Plan};
 use sardinepick_lib::fleet::register::Reading;
@@ -22,6 +23,7 @@
 
 use crate::error::WireError;
 use crate::fleet as pb;
+use crate::limit;
 
 /// The first byte, which is not one of a field's number.
 pub const MARK: u8 = 0;
@@ -69,6 +71,20 @@
         /// How many ends count against the request.
         ends: u32,
     },
+    /// Asks for a permit to send one request to a runner with a rate limit.
+    Acquire {
+        /// The number of the question at the node that asks.
+        number: u64,
+        /// The limit as that node knows it.
+        limit: Announced,
+    },
+    /// The answer to that.
+    Acquired {
+        /// Its number.
+        number: u64,
+        /// When to ask again; none with a permit.
+        wait: Option<Duration>,
+    },
 }
 
 /// What a node has under way at runners, and what it has learned of them.
@@ -111,6 +127,14 @@
             Schedule::Counted { number, ends } => {
                 pb::schedule::Body::Counted(pb::Counted { number: *number, ends: *ends })
             }
+            Schedule::Acquire { number, limit } => pb::schedule::Body::Acquire(pb::Acquire {
+                number: *number,
+                limit: Some(limit::announced(limit)),
+            }),
+            Schedule::Acquired { number, wait } => {
+                let wait_us = wait.map(micros);
+                pb::schedule::Body::Acquired(pb::Acquired { number: *number, wait_us })
+            }
         };
         let mut bytes = vec![MARK];
         let whole = pb::Schedule { body: Some(body) };
@@ -149,6 +173,15 @@
             pb::schedule::Body::Counted(counted) => {
                 Ok(Schedule::Counted { number: counted.number, ends: counted.ends })
             }
+            pb::schedule::Body::Acquire(acquire) => {
+                let limit = acquire.limit.ok_or(WireError::Missing("limit"))?;
+                let limit = limit::read_announced(&limit)?;
+                Ok(Schedule::Acquire { number: acquire.number, limit })
+            }
+            pb::schedule::Body::Acquired(acquired) => {
+                let wait = acquired.wait_us.map(Duration::from_micros);
+                Ok(Schedule::Acquired { number: acquired.number, wait })
+            }
         }
     }
 }
--- a/wire/tests/beat.rs
+++ b/wire/tests/beat.rs
@@ -3,7 +3,9 @@
 use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
+use prost::Message as _;
 use sardinepick_lib::fleet::fingerprint::Fingerprint;
+use sardinepick_lib::fleet::limit::{Announced, Rate};
 use sardinepick_lib::fleet::quarantine::{Entry, MOST_TOLD, Stage};
 use sardinepick_lib::fleet::roster::{Contact, MOST_RECORDS, Record, Standing, Status};
 use sardinepick_lib::fleet::runner::Tag;
@@ -45,6 +47,7 @@
         news: None,
         quarantine: u64::MAX,
         quarantined: Vec::new(),
+        limits: Vec::new(),
         time: Some(std::time::Duration::from_millis(1 << 42)),
     }
 }
@@ -108,6 +111,30 @@
     assert!(read.iter().all(|entry| entry.ends.len() <= MOST_ENDS && entry.since <= now));
 }
 
+/// What is told of rate limits fits beside all else that a beat says without records.
+#[test]
+fn decode_full_of_limits_round_trip() {
+    let limit = |n: u64| Announced {
+        runner: Tag(u64::MAX - n),
+        rate: Rate::new(6.7).filter(|_| n.is_multiple_of(2)),
+        age: Duration::from_millis(80_000_000),
+    };
+    let full = Beat { limits: (0..16).map(limit).collect(), ..beat(0) };
+    let bytes = full.encode();
+    assert!(bytes.len() <= MOST_BYTES, "{}", bytes.len());
+    assert_eq!(Beat::decode(&bytes).expect("it is one"), full);
+}
+
+#[test]
+fn decode_absurd_limit_error() {
+    for rate in [-1.0, f64::NAN] {
+        let limit = pb::RateLimit { runner: 1, rate: Some(rate), age_ms: u64::MAX };
+        let sent = pb::Beat::decode(&beat(0).encode()[..]).expect("it is one");
+        let sent = pb::Beat { rate_limits: vec![limit], ..sent };
+        assert!(Beat::decode(&sent.encode_to_vec()).is_err(), "{rate}");
+    }
+}
+
 proptest! {
     #[test]
     fn decode_any_bytes_no_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
--- a/wire/tests/schedule.rs
+++ b/wire/tests/schedule.rs
@@ -8,6 +8,7 @@
 use sardinepick_lib::fleet::fingerprint::Fingerprint;
 use sardinepick_lib::fleet::gate::Terms;
 use sardinepick_lib::fleet::health::Outcome;
+use sardinepick_lib::fleet::limit::{Announced, Rate};
 use sardinepick_lib::fleet::load::{Class, Load};
 use sardinepick_lib::fleet::place::{Placement, Plan};
 use sardinepick_lib::fleet::register::Reading;
@@ -124,6 +125,16 @@
     round_trip(&Schedule::Counted { number: 1 << 40, ends: 3 });
 }
 
+#[test]
+fn decode_permit_round_trip() {
+    let rate = Rate::new(6.7);
+    let limit = Announced { runner: Tag(u64::MAX), rate, age: Duration::from_secs(80_000) };
+    round_trip(&Schedule::Acquire { number: 1 << 40, limit });
+    for wait in [None, Some(Duration::ZERO), Some(Duration::from_millis(250))] {
+        round_trip(&Schedule::Acquired { number: 1 << 40, wait });
+    }
+}
+
 #[test]
 fn decode_absurd_load_bounded() {
     let mut absurd = full_report();
