limit, scheduler: no prompt is read for an engine whose rate limit leaves no room

Cause: a split plan was made while the engine that goes on had a token, and many plans for the one token; the readers had spent their time when the second stage was denied. A node also took a scheduler's word that there is no runner for ignorance, and placed by itself.

Change: the granting node sets tokens aside for both runners of a plan as it places, for a second; a scheduler says that rate limits leave no room, and until when; a node does not go back to a runner that it has tried because the scheduler names it again. Any mix of tokens that are set aside, asked for or left unused stays within the rule (grant_any_asking_rate_kept).

--- a/lib/src/fleet/limit.rs
+++ b/lib/src/fleet/limit.rs
@@ -4,6 +4,7 @@
 //! node knows of a limit comes from answers of the runner, its own or those of other nodes, each with
 //! the time at which it came; the latest holds.
 
+use std::collections::VecDeque;
 use std::fmt;
 use std::str::FromStr;
 use std::time::{Duration, Instant};
@@ -144,6 +145,8 @@
     notice: Option<Notice>,
     /// What this node grants from, if it has.
     bucket: Option<Bucket>,
+    /// Tokens set aside for requests that were placed, each until when.
+    reserved: VecDeque<Instant>,
     /// Requests that were refused a permit and are to come back, by the rate that works them off.
     waiting: f64,
     /// Until when this node sends the runner nothing.
@@ -152,6 +155,8 @@
     has_malformed: bool,
 }
 
+/// For how long a token is set aside. A window of the users' rule sees up to this more of the rate.
+const RESERVED: Duration = Duration::from_secs(1);
 /// The longest time after which a node that was refused a permit asks again.
 const LONGEST_WAIT: Duration = Duration::from_secs(2);
 
@@ -171,6 +176,11 @@
         self.opens_in(now).is_zero()
     }
 
+    /// Whether a token is set aside there.
+    pub fn has_reserved(&self, now: Instant) -> bool {
+        self.reserved.back().is_some_and(|until| now < *until)
+    }
+
     /// How long it is until a request may be sent there.
     pub fn opens_in(&self, now: Instant) -> Duration {
         let closed = self.closed_until.filter(|_| self.rate().is_some());
@@ -215,6 +225,7 @@
             return None;
         }
         (self.closed_until, self.waiting) = (None, 0.0);
+        self.reserved.clear();
         Some(notice.rate.map_or(Change::Lifted, Change::Set))
     }
 
@@ -223,6 +234,37 @@
         !std::mem::replace(&mut self.has_malformed, true)
     }
 
+    /// Sets a token aside for a request that is placed there and is to ask for its permit soon, or
+    /// once its prompt has been read elsewhere.
+    pub fn reserve(&mut self, part: f64, now: Instant) {
+        if self.rate().is_some() && self.take_token(part, now) {
+            self.reserved.push_back(now + RESERVED);
+        }
+    }
+
+    /// Takes a token of the part `part` of the rate if there is one. The runner is closed until the
+    /// next one comes.
+    fn take_token(&mut self, part: f64, now: Instant) -> bool {
+        let Some(rate) = self.rate() else { return true };
+        let rate = rate.per_second() * part;
+        let bucket = self.bucket.get_or_insert_with(|| Bucket::new(now));
+        let filled = now.saturating_duration_since(bucket.at).as_secs_f64() * rate;
+        self.waiting = (self.waiting - filled).max(0.0);
+        let taken = bucket.take(rate, now);
+        self.closed_until = Some(now + bucket.wait(rate));
+        taken
+    }
+
+    /// Takes the token that was set aside longest ago, if one is left.
+    fn take_reserved(&mut self, now: Instant) -> bool {
+        while let Some(until) = self.reserved.pop_front() {
+            if now < until {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Grants a permit to send one request, out of the part `part` of the rate that this node may
     /// grant, or tells when to ask again. Those who have to wait are given different times.
     ///
@@ -230,16 +272,11 @@
     /// When to ask again.
     pub fn grant(&mut self, part: f64, now: Instant) -> Result<(), Duration> {
         let Some(rate) = self.rate() else { return Ok(()) };
-        let rate = rate.per_second() * part;
-        let bucket = self.bucket.get_or_insert_with(|| Bucket::new(now));
-        let filled = now.saturating_duration_since(bucket.at).as_secs_f64() * rate;
-        self.waiting = (self.waiting - filled).max(0.0);
-        let granted = bucket.take(rate, now);
-        let wait = bucket.wait(rate);
-        self.closed_until = Some(now + wait);
-        if granted {
+        if self.take_reserved(now) || self.take_token(part, now) {
             return Ok(());
         }
+        let rate = rate.per_second() * part;
+        let wait = self.opens_in(now);
         let behind = Duration::try_from_secs_f64(self.waiting / rate).unwrap_or(LONGEST_WAIT);
         self.waiting = (self.waiting + 1.0).min(rate * LONGEST_WAIT.as_secs_f64());
         Err((wait + behind).min(LONGEST_WAIT.max(wait)))
--- a/lib/src/fleet/place.rs
+++ b/lib/src/fleet/place.rs
@@ -69,6 +69,9 @@
     pub home: &'a DataCentre,
     /// Runners that are not to be taken.
     pub skip: &'a [RunnerId],
+    /// Whether the work goes on from what was read elsewhere. For such work room within a rate limit
+    /// was set aside when its reading was placed.
+    pub goes_on: bool,
     /// The time.
     pub now: Instant,
 }
@@ -102,7 +105,10 @@
 
 fn candidates<'a>(register: &'a Register, question: &Question<'a>) -> Vec<Candidate<'a>> {
     let left = |r: &&Runner| !question.skip.contains(&r.entry.id);
-    let usable = |r: &&Runner| r.accepts(question.now);
+    let now = question.now;
+    let usable = |r: &&Runner| {
+        r.accepts(now) || question.goes_on && r.takes_work(now) && r.limit.has_reserved(now)
+    };
     let all = || register.of(question.service).filter(left);
     let with_load = |runner: &'a Runner| Candidate { runner, load: runner.load(question.now) };
     let in_pool = |r: &&Runner| question.pool.is_none_or(|pool| r.pool == pool);
--- a/lib/src/fleet/scheduler.rs
+++ b/lib/src/fleet/scheduler.rs
@@ -96,9 +96,25 @@
     Late(Placement),
     /// No runner of the service can run it.
     NoRunner,
+    /// The rate limits of the runners that could run it leave no room for so long.
+    RateLimited(Duration),
 }
 
 impl Decision {
+    /// The runners at which work is placed anew: it will ask for a permit at each with a rate limit.
+    pub fn placed(&self) -> SmallVec<[&RunnerId; 2]> {
+        match self {
+            Decision::Placed { placement, .. } => match &placement.plan {
+                Plan::Whole { runner } => SmallVec::from_slice(&[runner]),
+                Plan::Split { prefill, decode } => SmallVec::from_slice(&[prefill, decode]),
+            },
+            Decision::GoesOn(_)
+            | Decision::Late(_)
+            | Decision::NoRunner
+            | Decision::RateLimited(_) => SmallVec::new(),
+        }
+    }
+
     /// What the decided work takes of the runner that it begins at.
     pub fn share(&self, work: &Work, step: &Step) -> Option<(&RunnerId, Share)> {
         match (self, step) {
@@ -126,7 +142,9 @@
     rng: &mut R,
 ) -> Decision {
     let pool = Some(register.pool_of(&ask.service, &ask.work));
+    let goes_on = matches!(ask.step, Step::GoOn { .. });
     let question = |class| Question {
+        goes_on,
         service: &ask.service,
         pool,
         class,
@@ -134,16 +152,20 @@
         skip: &ask.skip,
         now,
     };
+    let none = || {
+        let closed = register.opens_in(&ask.service, now);
+        closed.map_or(Decision::NoRunner, Decision::RateLimited)
+    };
     let firmness = match &ask.step {
         Step::GoOn { reader, class } => {
             let next = place::decode(register, &question(*class), engine, &ask.work, reader, rng);
-            return next.map_or(Decision::NoRunner, Decision::GoesOn);
+            return next.map_or_else(none, Decision::GoesOn);
         }
         Step::Start(firmness) => *firmness,
     };
     let mut place = |class| place::generation(register, &question(class), engine, &ask.work, rng);
     let terms = &ask.terms;
-    let Some(placement) = place(terms.class) else { return Decision::NoRunner };
+    let Some(placement) = place(terms.class) else { return none() };
     if firmness == Firmness::Streaming || terms.on_time(placement.first) {
         return Decision::Placed { placement, class: terms.class };
     }
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -81,7 +81,15 @@
 
 fn choose(register: &Register, class: Class, work: &Work, now: Instant) -> Option<Placement> {
     let (service, home) = (service(), home());
-    let question = Question { service: &service, pool: None, class, home: &home, skip: &[], now };
+    let question = Question {
+        service: &service,
+        pool: None,
+        class,
+        home: &home,
+        skip: &[],
+        goes_on: false,
+        now,
+    };
     let mut rng = StdRng::seed_from_u64(1);
     place::generation(register, &question, &ENGINE, work, &mut rng)
 }
@@ -534,7 +542,15 @@
     let (service, home) = (service(), home());
     let now = Instant::now();
     let class = Class::of_rank(0);
-    let question = Question { service: &service, pool: None, class, home: &home, skip: &[], now };
+    let question = Question {
+        service: &service,
+        pool: None,
+        class,
+        home: &home,
+        skip: &[],
+        goes_on: false,
+        now,
+    };
     let placed = |seed| {
         let mut rng = StdRng::seed_from_u64(seed);
         place::generation(&register, &question, &ENGINE, &work, &mut rng).expect("a place").plan
@@ -612,7 +628,15 @@
     register.apply(Entry { state: State::Draining, ..entry("d0", Some(Stage::Decode), 2) });
     let (service, home) = (service(), home());
     let class = Class::of_rank(0);
-    let question = Question { service: &service, pool: None, class, home: &home, skip: &[], now };
+    let question = Question {
+        service: &service,
+        pool: None,
+        class,
+        home: &home,
+        skip: &[],
+        goes_on: false,
+        now,
+    };
     let work = work("a", 300, 100);
     for seed in 0..20 {
         let mut rng = StdRng::seed_from_u64(seed);
@@ -633,8 +657,15 @@
     let (service, home, class) = (service(), home(), Class::of_rank(0));
     let mut rng = StdRng::seed_from_u64(2);
     for _ in 0..90 {
-        let question =
-            Question { service: &service, pool: None, class, home: &home, skip: &[], now };
+        let question = Question {
+            service: &service,
+            pool: None,
+            class,
+            home: &home,
+            skip: &[],
+            goes_on: false,
+            now,
+        };
         let work = work("a", 300, 100);
         let chosen = place::decode(&register, &question, &small, &work, &id("p0"), &mut rng);
         let share = Share { class, fresh: 0, footprint: 400 };
@@ -653,8 +684,15 @@
     let mut register = engines(2, 4);
     let small = Engine { slots: 4, ..ENGINE };
     let (service, home) = (service(), home());
-    let question =
-        |class| Question { service: &service, pool: None, class, home: &home, skip: &[], now };
+    let question = |class| Question {
+        service: &service,
+        pool: None,
+        class,
+        home: &home,
+        skip: &[],
+        goes_on: false,
+        now,
+    };
     let work = work("a", 300, 100);
     let late = Share { class: Class::LATE, fresh: 0, footprint: 400 };
     let mut sent = 0;
@@ -720,7 +758,15 @@
     }
     let (service, home) = (service(), home());
     let class = Class::of_rank(0);
-    let question = Question { service: &service, pool: None, class, home: &home, skip: &[], now };
+    let question = Question {
+        service: &service,
+        pool: None,
+        class,
+        home: &home,
+        skip: &[],
+        goes_on: false,
+        now,
+    };
     for seed in 0..20 {
         let mut rng = StdRng::seed_from_u64(seed);
         let chosen = place::plain(&register, &question, &mut rng).expect("a runner");
--- a/lib/tests/limit.rs
+++ b/lib/tests/limit.rs
@@ -131,26 +131,50 @@
     assert!(limit.is_open(now + Duration::from_secs(8)), "no answer keeps a runner for hours");
 }
 
+/// Guards against a prompt that is read for an engine which then has no room for it.
+#[test]
+fn reserve_token_kept_for_who_placed() {
+    let now = Instant::now();
+    let mut limit = limited("2", now);
+    limit.reserve(1.0, now);
+    assert!(!limit.has_reserved(now), "there was no token");
+    limit.reserve(1.0, now + 500 * MS);
+    assert!(limit.has_reserved(now + 500 * MS) && !limit.is_open(now + 900 * MS));
+    assert_eq!(limit.grant(1.0, now + 900 * MS), Ok(()));
+    assert!(limit.grant(1.0, now + 900 * MS).is_err());
+    limit.reserve(1.0, now + 1_000 * MS);
+    assert!(!limit.has_reserved(now + 2_000 * MS), "what is not asked for lapses");
+}
+
 proptest! {
     /// Guards against more requests than the users' rule allows: in any 4 s one and a half times the
     /// rate, and five, whatever asks at whatever times, and while a second node grants for 1 s.
     #[test]
     fn grant_any_asking_rate_kept(
         tenths in 3_u32..500,
-        asks in prop::collection::vec(0_u64..12_000, 1..2_000),
+        asks in prop::collection::vec((0_u64..12_000, 0_u64..3_000), 1..2_000),
         takes_over in 0_u64..12_000,
     ) {
         let now = Instant::now();
         let text = format!("{}.{}", tenths / 10, tenths % 10);
         let mut grantors = [limited(&text, now), limited(&text, now)];
-        let mut asks = asks;
-        asks.sort_unstable();
+        // Some tokens are set aside up to a second before they are asked for, or are never asked for.
+        let ask = |(n, (at, _)): (usize, &(u64, u64))| (*at, n, false);
+        let reserve = |(n, (at, lead)): (usize, &(u64, u64))| {
+            (*lead < 1_000).then(|| (at.saturating_sub(*lead), n, true))
+        };
+        let mut events: Vec<_> = asks.iter().enumerate().map(ask).collect();
+        events.extend(asks.iter().enumerate().filter_map(reserve));
+        events.sort_unstable();
         let mut granted = Vec::new();
-        for (n, at) in asks.iter().enumerate() {
-            let both = (takes_over..takes_over + 1_000).contains(at);
-            let grantor = usize::from(*at >= takes_over && (!both || n % 2 == 0));
-            if grantors[grantor].grant(1.0, now + Duration::from_millis(*at)).is_ok() {
-                granted.push(*at);
+        for (at, n, reserves) in events {
+            let both = (takes_over..takes_over + 1_000).contains(&at);
+            let grantor = usize::from(at >= takes_over && (!both || n % 2 == 0));
+            let (grantor, time) = (&mut grantors[grantor], now + Duration::from_millis(at));
+            if reserves {
+                grantor.reserve(1.0, time);
+            } else if grantor.grant(1.0, time).is_ok() {
+                granted.push(at);
             }
         }
         let most = f64::from(tenths) / 10.0 * 4.0 * 1.5 + 5.0;
--- a/node/src/limit/mod.rs
+++ b/node/src/limit/mod.rs
@@ -129,6 +129,18 @@
         })
     }
 
+    /// Sets tokens aside at runners where work has been placed, if this node grants for them.
+    pub fn reserve(&self, runners: &[&RunnerId]) {
+        for id in runners {
+            let limited = lock(&self.register).get(id).and_then(limited);
+            let Some((tag, service, pool, _)) = limited else { continue };
+            if let Grantor::Me(part) = self.grantor(&service, pool) {
+                let now = self.clock.now();
+                self.with_limit(tag, |limit| limit.reserve(part, now));
+            }
+        }
+    }
+
     fn grant(&self, tag: Tag, part: f64) -> Result<(), Duration> {
         let now = self.clock.now();
         // A runner that is not known any more gets nothing.
--- a/node/src/serve/generation/admit.rs
+++ b/node/src/serve/generation/admit.rs
@@ -1,5 +1,7 @@
 //! Whether a generation may go to a runner, and to which.
 
+use std::time::Duration;
+
 use sardinepick_lib::fleet::gate::Reason;
 use sardinepick_lib::fleet::load::Class;
 use sardinepick_lib::fleet::place::Placement;
@@ -30,10 +32,15 @@
     }
 
     /// Chooses the runner that goes on from a prompt that has been read.
-    pub(super) async fn place_decode(&self, class: Class, reader: &RunnerId) -> Option<RunnerId> {
-        match self.decide(Step::GoOn { reader: reader.clone(), class }).await? {
-            Decision::GoesOn(runner) => Some(runner),
-            _ => None,
+    pub(super) async fn place_decode(
+        &self,
+        class: Class,
+        reader: &RunnerId,
+    ) -> Result<RunnerId, Stop> {
+        match self.decide(Step::GoOn { reader: reader.clone(), class }).await {
+            Some(Decision::GoesOn(runner)) => Ok(runner),
+            Some(Decision::RateLimited(wait)) => Err(Stop::Refuse(self.refuse_limited(wait))),
+            _ => Err(Stop::Refuse(self.give_up(Reason::NoRunner))),
         }
     }
 
@@ -58,10 +65,22 @@
                 self.note_demand(&placement);
                 Err(Stop::Refuse(self.refuse_late(&placement)))
             }
+            Some(Decision::RateLimited(wait)) => Err(Stop::Refuse(self.refuse_limited(wait))),
             _ => Err(Stop::Refuse(self.give_up(Reason::NoRunner))),
         }
     }
 
+    /// The refusal of a request for which rate limits leave no room for `wait`.
+    fn refuse_limited(&self, wait: Duration) -> Refusal {
+        match self.give_up(Reason::RateLimited) {
+            Refusal::NotRun(reason, _) => {
+                let terms = self.request.terms(self.shared.clock.now());
+                Refusal::NotRun(reason, terms.come_back_after(wait, &mut *self.shared.rng()))
+            }
+            other => other,
+        }
+    }
+
     fn note_demand(&self, placement: &Placement) {
         if self.calls == 0 {
             let mut demand = self.shared.demand();
--- a/node/src/serve/generation/mod.rs
+++ b/node/src/serve/generation/mod.rs
@@ -259,9 +259,7 @@
         let mut spare = SpareHandle::new(&self.shared, prefill, handle.clone());
         let share = Share { class, fresh: 0, footprint: self.work.footprint() };
         let came = loop {
-            let Some(decode) = self.place_decode(class, prefill).await else {
-                return Err(Stop::Refuse(self.give_up(Reason::NoRunner)));
-            };
+            let decode = self.place_decode(class, prefill).await?;
             match self.run_at(&decode, Ask::RunFrom(handle.clone()), share, placement).await {
                 // What has been read waits for another runner.
                 Ok(Came::Denied) if self.calls < MOST_CALLS => {}
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -188,6 +188,7 @@
             class: Class::of_rank(self.request.route.rank),
             home: &self.shared.me.data_centre,
             skip: &self.tried,
+            goes_on: false,
             now: self.shared.clock.now(),
         };
         place::plain(&self.shared.register(), &question, &mut *self.shared.rng())
--- a/node/src/serve/scheduler.rs
+++ b/node/src/serve/scheduler.rs
@@ -198,7 +198,9 @@
     for _ in 0..TRIES {
         let Holder::Other(node, peer) = holder(shared, &ask.service, pool) else {
             take_over(shared, &ask.service, pool);
-            return (decide_here(shared, &ask, engine), "here");
+            let decision = decide_here(shared, &ask, engine);
+            shared.limiter.reserve(&decision.placed());
+            return (decision, "here");
         };
         match question(shared, peer, &ask).await {
             Some(answer) => {
@@ -234,7 +236,10 @@
     }
     let Some((id, _)) = decision.share(&ask.work, &ask.step) else { return true };
     let now = shared.clock.now();
-    let usable = shared.register().get(id).is_some_and(|runner| runner.accepts(now));
+    if ask.skip.contains(id) {
+        return false;
+    }
+    let usable = shared.register().get(id).is_some_and(|runner| runner.takes_work(now));
     if !usable {
         ask.skip.push(id.clone());
     }
@@ -300,6 +305,7 @@
     let configuration = shared.configuration.load_full()?;
     let engine = configuration.service(&ask.service)?.engine?;
     let decision = decide_here(shared, ask, &engine);
+    shared.limiter.reserve(&decision.placed());
     let now = shared.clock.now();
     let mut register = shared.register();
     scheduler::note(&mut register, node, ask, &decision, &engine, now);
--- a/node/tests/limits.rs
+++ b/node/tests/limits.rs
@@ -255,3 +255,23 @@
     assert!(came >= 3.0 * spent / 3.0, "{came} requests in {spent} s at 3 a second");
     stopping.abort();
 }
+
+/// Guards against prompts that are read for nothing, since no engine goes on with them.
+#[tokio::test]
+async fn decode_runners_all_limited_few_prompts_read_in_vain() {
+    let set = Deployment::new().await.with_engines(2, 2).await.with_nodes(3).await;
+    for runner in &set.runners[2..] {
+        runner.set_signals(Signals::limit("10"));
+    }
+    for runner in &set.runners[..2] {
+        let takes = Duration::from_millis(100);
+        runner.set_faults(Faults { takes, ..Faults::default() });
+    }
+    let counted_from = Instant::now() + HEARD;
+    flood(&set, "/count/a").await;
+    let reads: usize = set.runners[..2].iter().map(|r| arrivals(r, counted_from)).sum();
+    let runs: usize = set.runners[2..].iter().map(|r| arrivals(r, counted_from)).sum();
+    assert!(reads <= runs * 3 / 2, "{reads} prompts read for {runs} runs");
+    let rate = 2.0 * 10.0 * WINDOW.as_secs_f64();
+    assert!(runs as f64 >= rate / 2.0, "{runs} runs where {rate} are allowed");
+}
--- a/wire/src/schedule.rs
+++ b/wire/src/schedule.rs
@@ -287,6 +287,7 @@
     match decision {
         None => Wire::Unknown(true),
         Some(Decision::NoRunner) => Wire::NoRunner(true),
+        Some(Decision::RateLimited(wait)) => Wire::RateLimitedUs(micros(*wait)),
         Some(Decision::GoesOn(runner)) => Wire::GoesOn(runner.to_string()),
         Some(Decision::Placed { placement, class }) => Wire::Placed(placed(placement, *class)),
         Some(Decision::Late(placement)) => Wire::Late(placed(placement, Class::LATE)),
@@ -335,6 +336,7 @@
     let decision = match answer.decision.as_ref().ok_or(WireError::Missing("decision"))? {
         Wire::Unknown(_) => None,
         Wire::NoRunner(_) => Some(Decision::NoRunner),
+        Wire::RateLimitedUs(wait) => Some(Decision::RateLimited(Duration::from_micros(*wait))),
         Wire::GoesOn(runner) => Some(Decision::GoesOn(read_runner(runner)?)),
         Wire::Placed(placed) => {
             let (placement, class) = read_placed(placed)?;
--- a/wire/tests/schedule.rs
+++ b/wire/tests/schedule.rs
@@ -96,6 +96,7 @@
     let decisions = [
         None,
         Some(Decision::NoRunner),
+        Some(Decision::RateLimited(Duration::from_millis(250))),
         Some(Decision::GoesOn(runner("i-9"))),
         Some(Decision::Late(whole.clone())),
         Some(Decision::Placed { placement: whole, class: Class::LATE }),
