soak: runners announce rate limits, and the rule is checked once all is calm

Runners' rate limits come and go during the faults, malformed and doubled too, without a draw, so that seeds stand for the faults that they stood for.

--- a/testutils/src/fleet/mod.rs
+++ b/testutils/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 pub mod link;
 pub mod platform;
 pub mod proxy;
+pub mod rule;
 pub mod runner;
 pub mod signal;
 pub mod soak;
--- a/testutils/src/fleet/soak.rs
+++ b/testutils/src/fleet/soak.rs
@@ -23,7 +23,9 @@
 use crate::fleet::caller::{Ask, Caller, Told};
 use crate::fleet::deployment::{HOME, MODEL, PLAIN, configuration, large_configuration};
 use crate::fleet::proxy::{Harm, Proxy};
+use crate::fleet::rule::{LIMIT_AFTER, LIMIT_WINDOW, broken_limit};
 use crate::fleet::runner::{Faults, Kind, Runner, event};
+use crate::fleet::signal::Signals;
 use crate::fleet::store::{Fault, Store};
 use crate::process::Daemon;
 
@@ -99,6 +101,8 @@
     nodes: Vec<Node>,
     version: u64,
     next_runner: u64,
+    /// How often runners were given signals.
+    signals: u64,
     /// Runners that said that they leave, with when.
     left: Vec<(Runner, Instant)>,
 }
@@ -140,6 +144,7 @@
             nodes: Vec::new(),
             version: 1,
             next_runner: 0,
+            signals: 0,
             left: Vec::new(),
         };
         for (service, stage, count) in
@@ -212,7 +217,11 @@
             }
             7 => self.store.compact(),
             8 => self.store.lose_answers(3),
-            9 | 10 => self.runners[runner].0.set_faults(some_faults(rng)),
+            9 | 10 => {
+                self.runners[runner].0.set_faults(some_faults(rng));
+                self.runners[runner].0.set_signals(some_signals(self.signals));
+                self.signals += 1;
+            }
             11 => self.replace(runner).await,
             _ => {
                 self.version += rng.random_range(1..4);
@@ -231,6 +240,7 @@
         for (runner, proxy) in &self.runners {
             proxy.set(Harm::None);
             runner.set_faults(Faults::default());
+            runner.set_signals(Signals::none());
         }
     }
 
@@ -288,6 +298,18 @@
     }
 }
 
+/// The signals of a runner, each kind in its turn: without a draw, which would change what a seed
+/// stands for.
+fn some_signals(turn: u64) -> Signals {
+    match turn % 5 {
+        0 => Signals::limit("3"),
+        1 => Signals::limit("0"),
+        2 => Signals::limit("soon"),
+        3 => Signals::limit("2.5").with("server-limit", "40"),
+        _ => Signals::none(),
+    }
+}
+
 async fn call(callers: Arc<Callers>, seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
     let caller = Caller::default();
@@ -332,7 +354,7 @@
     soak.heal();
     let healed = Instant::now();
     recover(&callers.fronts, &mut report, "after all faults").await;
-    check_drains(&soak, healed, &mut report).await;
+    check_signals(&soak, healed, &mut report).await;
     callers.stop.store(true, Ordering::Relaxed);
     for task in tasks {
         if let Err(error) = task.await {
@@ -372,11 +394,22 @@
     }
 }
 
-/// Once all is calm, runners that have said that they leave get nothing more.
-async fn check_drains(soak: &Soak, healed: Instant, report: &mut Report) {
-    sleep(DRAIN.saturating_sub(healed.elapsed())).await;
+/// The rate that some runners announce once all is calm, in requests a second.
+const LIMIT: f64 = 3.0;
+
+/// Once all is calm, runners that have said that they leave get nothing more, and those with a rate
+/// limit no more than that.
+async fn check_signals(soak: &Soak, healed: Instant, report: &mut Report) {
+    let plain = soak.runners.iter().find(|(runner, _)| !runner.is_engine());
+    let engines = soak.runners.iter().filter(|(runner, _)| runner.is_engine()).take(2);
+    let limited: Vec<&Runner> = plain.into_iter().chain(engines).map(|(r, _)| r).collect();
+    for runner in &limited {
+        runner.set_signals(Signals::limit(LIMIT.to_string()));
+    }
+    sleep(DRAIN.saturating_sub(healed.elapsed()).max(LIMIT_AFTER)).await;
     let since = Instant::now();
-    sleep(Duration::from_secs(1)).await;
+    sleep(LIMIT_WINDOW).await;
+    report.broken.extend(limited.iter().filter_map(|r| broken_limit(r, LIMIT, since)));
     for (runner, _) in &soak.left {
         let late = runner.seen().iter().filter(|seen| seen.at.is_some_and(|at| at > since)).count();
         if late > 0 {
