drain: failing tests of runners that say in an answer that they leave

What callers saw: nothing, their requests were answered; a runner that is about to end got new ones (DRAIN). With the store silent a stand-in says in its answers that it leaves, and goes on being used: by plain requests, readings, whole runs, second stages, by other nodes, and as the only one.

--- a/testutils/src/fleet/signal.rs
+++ b/testutils/src/fleet/signal.rs
@@ -21,6 +21,11 @@
         Self::none().with("server-limit", rate)
     }
 
+    /// Says that the runner leaves.
+    pub fn leaving() -> Self {
+        Self::none().with("server-leaving", "1")
+    }
+
     /// Adds a header, as the protocol has it or not.
     ///
     /// # Panics
