outbox, limit: what beats tell of runners stands in the core

The queue of changes that go with beats, once and again, moves from the node's rate limits to the core, where what else nodes tell each other of runners can use it.

--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 pub mod limit;
 pub mod load;
 pub mod outage;
+pub mod outbox;
 pub mod patience;
 pub mod place;
 pub mod pool;
--- a/node/src/limit/mod.rs
+++ b/node/src/limit/mod.rs
@@ -11,6 +11,7 @@
 
 use sardinepick_lib::clock::Clock;
 use sardinepick_lib::fleet::limit::{Announced, Change, Limit, Notice, Rate, RateError};
+use sardinepick_lib::fleet::outbox::Outbox;
 use sardinepick_lib::fleet::pool::Pool;
 use sardinepick_lib::fleet::register::Register;
 use sardinepick_lib::fleet::roster::{Roster, Standing};
@@ -23,7 +24,6 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-use self::news::News;
 use crate::serve::metrics::Metrics;
 use crate::serve::pending::Pending;
 
@@ -58,7 +58,7 @@
     roster: Arc<Mutex<Roster>>,
     socket: OnceLock<Arc<UdpSocket>>,
     asked: Mutex<Pending<Result<(), Duration>>>,
-    news: Mutex<News>,
+    outbox: Mutex<Outbox>,
     /// Has news told at once.
     wake: Arc<Notify>,
     clock: Arc<dyn Clock>,
@@ -78,8 +78,8 @@
         clock: Arc<dyn Clock>,
         metrics: Metrics,
     ) -> Self {
-        let (socket, asked, news) = (OnceLock::new(), Mutex::default(), Mutex::default());
-        Self { register, roster, socket, asked, news, wake, clock, metrics }
+        let (socket, asked, outbox) = (OnceLock::new(), Mutex::default(), Mutex::default());
+        Self { register, roster, socket, asked, outbox, wake, clock, metrics }
     }
 
     /// Sets the socket by which other nodes are asked; until then they cannot be.
@@ -232,7 +232,7 @@
             Change::Lifted => "lifted",
         };
         self.metrics.limits.with_label_values(&[label]).inc();
-        lock(&self.news).note(tag, self.clock.now());
+        lock(&self.outbox).push(tag, self.clock.now());
         self.wake.notify_one();
     }
 }
