drain: a runner that says in an answer that it leaves gets nothing more

What callers saw: their requests were answered, by a runner that was about to end; it got second stages 2.3 s after it had told the node that sent them (DRAIN). Cause: that a runner leaves was known from the register alone, and the store was away. Its class is that of the rate limits: a runner's word about itself that was not read.

Change: the head of each answer is read for it. The word holds for that life of the runner, beside the register's; no choice takes such a runner, as a last resort neither, and an entry that goes missing is not doubted. Nodes tell each other with beats, and with a transfer of the register, which now carries rate limits too: a node that knows no runners yet could take neither from a beat.

Why it holds: all choices go through the one test of whether a runner takes work, made when a request is sent on, also for a second stage and for a scheduler's word. The soak's runners say so when they leave.

--- a/lib/src/fleet/runner.rs
+++ b/lib/src/fleet/runner.rs
@@ -111,6 +111,8 @@
     pub reserved: Option<Instant>,
     /// Its rate limit.
     pub limit: Limit,
+    /// Whether this life of it has said in an answer that it leaves.
+    has_said_leaving: bool,
 }
 
 /// What is assumed of a plain answer's time until some have come, in seconds (users' sheets: 15 ms
@@ -140,6 +142,7 @@
             stream_time: FIRST_STREAM_TIME,
             reserved: None,
             limit: Limit::default(),
+            has_said_leaving: false,
         }
     }
 
@@ -156,7 +159,7 @@
     /// Whether new work may go there.
     pub fn takes_work(&self, now: Instant) -> bool {
         let reserved = self.reserved.is_some_and(|until| now < until);
-        self.entry.state == State::Ready && !reserved && self.health.takes_work(now)
+        !self.is_leaving() && !reserved && self.health.takes_work(now)
     }
 
     /// Whether a request may be sent there now: it takes work, and its rate limit leaves room.
@@ -166,7 +169,22 @@
 
     /// Whether it could do work at all if no better one were left.
     pub fn is_last_resort(&self) -> bool {
-        self.entry.state == State::Ready && !self.health.is_gone()
+        !self.is_leaving() && !self.health.is_gone()
+    }
+
+    /// Whether it leaves, by the register or by its own word.
+    pub fn is_leaving(&self) -> bool {
+        self.has_said_leaving || self.entry.state == State::Draining
+    }
+
+    /// Whether this life of it has said in an answer that it leaves.
+    pub fn has_said_leaving(&self) -> bool {
+        self.has_said_leaving
+    }
+
+    /// Notes that it has said in an answer that it leaves. True if that is new.
+    pub fn note_leaving(&mut self) -> bool {
+        !std::mem::replace(&mut self.has_said_leaving, true)
     }
 
     /// The rate at which it reads prompts, in tokens a second.
--- a/node/src/limit/mod.rs
+++ b/node/src/limit/mod.rs
@@ -6,7 +6,7 @@
 //! differ. Of a rate a node grants the part that its side of a partition is of all nodes.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 use sardinepick_lib::clock::Clock;
@@ -24,6 +24,7 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use crate::lock::lock;
 use crate::serve::metrics::Metrics;
 use crate::serve::pending::Pending;
 
@@ -65,10 +66,6 @@
     metrics: Metrics,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Limiter {
     /// A node that knows of no limits.
     pub fn new(
--- a/node/src/limit/news.rs
+++ b/node/src/limit/news.rs
@@ -6,10 +6,10 @@
 use std::time::{Duration, Instant};
 
 use sardinepick_lib::fleet::limit::{Announced, Notice};
-use sardinepick_lib::fleet::outbox::MOST_TOLD;
 use sardinepick_lib::fleet::runner::Tag;
 
-use super::{Limiter, lock, log_change};
+use super::{Limiter, log_change};
+use crate::lock::lock;
 
 /// For how long the end of a limit is told again. A limit that is there is told as long as it is.
 const ENDED: Duration = Duration::from_secs(30);
@@ -31,15 +31,15 @@
         told
     }
 
-    /// The limits that are there, as many as one beat tells of.
-    pub fn current(&self) -> Vec<Announced> {
+    /// The limits that are there.
+    pub fn all(&self) -> Vec<Announced> {
         let now = self.clock.now();
         let register = lock(&self.register);
         let limited = register.runners().filter_map(|runner| {
             let notice = runner.limit.notice().filter(|notice| notice.rate.is_some())?;
             Some(announced(runner.entry.tag(), &notice, now))
         });
-        limited.take(MOST_TOLD).collect()
+        limited.collect()
     }
 
     /// Whether there is a change that no beat has told yet.
--- a/node/src/serve/beat.rs
+++ b/node/src/serve/beat.rs
@@ -78,9 +78,9 @@
             beat_all(&shared, &socket, &told, &watchers).await;
         }
         let again = due && count.is_multiple_of(GREETING);
-        let limits = shared.limiter.next(again);
-        if !limits.is_empty() {
-            let told = Beat { limits, records: Vec::new(), ..beat.clone() };
+        let (limits, leaving) = (shared.limiter.next(again), shared.drains.next(again));
+        if !limits.is_empty() || !leaving.is_empty() {
+            let told = Beat { limits, leaving, records: Vec::new(), ..beat.clone() };
             beat_all(&shared, &socket, &told, &watchers).await;
         }
         if due || !told || !beat.records.is_empty() {
@@ -102,7 +102,8 @@
         log::info!(node:% = id; "node forgotten");
     }
     shared.metrics.nodes.set(roster.fronts().len() as i64);
-    if roster.has_news() || quarantine::news::has_news(shared) || shared.limiter.has_news() {
+    let has_signals = shared.limiter.has_news() || shared.drains.has_news();
+    if roster.has_news() || quarantine::news::has_news(shared) || has_signals {
         shared.beat_now.notify_one();
     }
 }
@@ -137,6 +138,7 @@
         quarantined: Vec::new(),
         time: Some(shared.usage.time_at(shared.clock.now())),
         limits: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
@@ -228,6 +230,7 @@
     }
     quarantine::news::take(shared, &told.quarantined, told.sender.contact.id.as_str());
     shared.limiter.take(&told.limits, told.sender.contact.id.as_str());
+    shared.drains.take(&told.leaving, told.sender.contact.id.as_str());
     let differs =
         quarantine::news::note_digest(shared, &told.sender.contact.id, told.quarantine) || differs;
     let mine = shared.status();
@@ -247,11 +250,6 @@
         let answer = Beat { records, ..beat(shared, mine) };
         let peer = told.sender.contact.peer;
         transmit(shared, socket, &answer.encode(), peer).await;
-        let limits = shared.limiter.current();
-        if !limits.is_empty() {
-            let more = Beat { limits, ..beat(shared, mine) };
-            transmit(shared, socket, &more.encode(), peer).await;
-        }
         // It must not send to runners what ends them until it has compared lists.
         for quarantined in quarantine::news::all(shared).chunks(MOST_TOLD).take(MOST_MESSAGES) {
             let more = Beat { quarantined: quarantined.to_vec(), ..beat(shared, mine) };
--- a/node/src/serve/crash.rs
+++ b/node/src/serve/crash.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use sardinepick_lib::fleet::runner::{State, Tag};
+use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_lib::fleet::suspect::Reach;
 use tokio::sync::OnceCell;
 use tokio::time::sleep;
@@ -73,7 +73,7 @@
     reach: Reach,
 ) -> Option<Tag> {
     let (life, address) = ticket
-        .with_runner(|r| (r.entry.state == State::Ready).then(|| (r.entry.tag(), r.entry.address)))
+        .with_runner(|r| (!r.is_leaving()).then(|| (r.entry.tag(), r.entry.address)))
         .flatten()?;
     if !shared.crashes.has_ended(shared, life, address).await {
         return None;
--- a/node/src/serve/dispatch.rs
+++ b/node/src/serve/dispatch.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::Request;
 use sardinepick_platform::answer::speaks_for;
-use sardinepick_platform::signal::rate_limit;
+use sardinepick_platform::signal::{is_leaving, rate_limit};
 
 use crate::serve::connection::{Answer, CONNECT_LIMIT, SendError};
 use crate::serve::shared::Shared;
@@ -31,6 +31,9 @@
     let headers = &answer.head.headers;
     if let Some(stay) = ticket.stay().filter(|_| speaks_for(headers, ticket.runner(), id)) {
         shared.limiter.note_answer(stay, id, sent, rate_limit(headers));
+        if is_leaving(headers) {
+            shared.drains.note_answer(stay, id);
+        }
     }
     Ok(answer)
 }
--- a/node/src/serve/duty.rs
+++ b/node/src/serve/duty.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sardinepick_lib::fleet::runner::State;
 use sardinepick_lib::scale::plan::Supply;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -91,7 +90,7 @@
         let mut supply = vec![Supply::default(); scaling.prices.len()];
         for runner in shared.register().of(&service.name) {
             let place = scaling.prices.iter().position(|(dc, _)| *dc == runner.entry.data_centre);
-            let Some(place) = place.filter(|_| runner.entry.state == State::Ready) else {
+            let Some(place) = place.filter(|_| !runner.is_leaving()) else {
                 continue;
             };
             let kind = usize::from(runner.entry.reclaimable);
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -24,6 +24,8 @@
     pub plans: IntCounterVec,
     /// Permits to send to runners with a rate limit, by what came of them and who decided.
     pub permits: IntCounterVec,
+    /// Runners that leave by their own word, by where that was heard.
+    pub drains: IntCounterVec,
     /// Rate limits of runners by how they changed.
     pub limits: IntCounterVec,
     /// Extra arrivals by what the budget said.
@@ -145,6 +147,11 @@
                 "Permits to send to runners with a rate limit, by what came of them and who decided",
                 &["outcome", "by"],
             ),
+            drains: m.counters(
+                "sardinepick_runners_leaving_total",
+                "Runners that leave by their own word, by where that was heard",
+                &["source"],
+            ),
             limits: m.counters(
                 "sardinepick_rate_limit_changes_total",
                 "Rate limits of runners by how they changed",
--- a/node/src/serve/peer.rs
+++ b/node/src/serve/peer.rs
@@ -8,12 +8,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sardinepick_lib::fleet::limit::Announced;
 use sardinepick_lib::fleet::roster::{Contact, Status as RosterStatus};
+use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_lib::id::{Mark, Revision};
 use sardinepick_platform::store::Object;
 use sardinepick_wire::beat::{nodes, read_nodes};
 use sardinepick_wire::fleet as pb;
 use sardinepick_wire::fleet::fleet_server::{Fleet, FleetServer};
+use sardinepick_wire::limit::{announced, read_all};
 use smol_str::SmolStr;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -114,14 +117,14 @@
     let mark = Mark(asked.mark);
     let difference = shared.knowledge().since(mark);
     if !difference.whole {
-        return send_parts(&difference, parts).await;
+        return send_parts(shared, &difference, parts).await;
     }
     let bytes = difference.entries.iter().map(|object| object.content.len()).sum();
     match shared.register_transfers.wait(parts, bytes).await? {
         Grant::Slot(slot) => {
             // Its turn may have come after further changes.
             let difference = shared.knowledge().since(mark);
-            send_parts(&difference, parts).await?;
+            send_parts(shared, &difference, parts).await?;
             slot.finish(parts, &asked.peer).await
         }
         Grant::Referral(address) => {
@@ -162,7 +165,18 @@
     take_difference(shared, told, None, "news");
 }
 
+/// Adds what runners have announced of themselves: it says nothing to a node that does not know them.
+fn with_signals(shared: &Shared, part: pb::Knowledge) -> pb::Knowledge {
+    let limits = shared.limiter.all();
+    pb::Knowledge {
+        rate_limits: limits.iter().map(announced).collect(),
+        leaving: shared.drains.all().into_iter().map(|tag| tag.0).collect(),
+        ..part
+    }
+}
+
 async fn send_parts(
+    shared: &Shared,
     difference: &Difference,
     parts: &Parts<pb::Knowledge>,
 ) -> Result<(), Disconnected> {
@@ -182,7 +196,10 @@
             elsewhere: None,
             last,
             since: 0,
+            rate_limits: Vec::new(),
+            leaving: Vec::new(),
         };
+        let part = if last && difference.whole { with_signals(shared, part) } else { part };
         send(parts, part).await?;
         if last {
             return Ok(());
@@ -223,13 +240,14 @@
         let told = rpc::referred(contact.peer, |peer| ask(&shared, peer)).await;
         let took = began.elapsed().as_millis() as u64;
         match told {
-            Ok((peer, knowledge)) => {
+            Ok((peer, told)) => {
                 log::info!(
                     node:% = contact.id, peer:% = peer, register:% = status.register,
-                    entries = knowledge.entries.len(), took_ms = took; "learned from another node"
+                    entries = told.difference.entries.len(), took_ms = took;
+                    "learned from another node"
                 );
                 failures.clear();
-                take(&shared, knowledge);
+                take(&shared, told, contact.id.as_str());
             }
             Err(error) => {
                 log::warn!(
@@ -255,7 +273,15 @@
     newest.map(|(contact, status)| (contact.clone(), status))
 }
 
-async fn ask(shared: &Shared, peer: SocketAddr) -> Result<Reply<Difference>, RpcError> {
+/// What another node has told of the register.
+struct Told {
+    difference: Difference,
+    /// What runners have announced of themselves.
+    limits: Vec<Announced>,
+    leaving: Vec<Tag>,
+}
+
+async fn ask(shared: &Shared, peer: SocketAddr) -> Result<Reply<Told>, RpcError> {
     let mut client = rpc::connect(peer).await?;
     let known = pb::KnowledgeRequest {
         mark: shared.knowledge().mark().0,
@@ -278,14 +304,21 @@
             told.gone = part.gone.into_iter().map(SmolStr::new).collect();
             told.doubted = part.doubted.into_iter().map(SmolStr::new).collect();
             (told.mark, told.whole) = (Mark(part.mark), part.whole);
-            return Ok(Reply::Whole(told));
+            let limits = read_all(&part.rate_limits).unwrap_or_else(|error| {
+                log::warn!(peer:% = peer, error:% = error; "rate limits of a node are not taken");
+                Vec::new()
+            });
+            let leaving = part.leaving.into_iter().map(Tag).collect();
+            return Ok(Reply::Whole(Told { difference: told, limits, leaving }));
         }
     }
 }
 
-fn take(shared: &Shared, told: Difference) {
+fn take(shared: &Shared, told: Told, from: &str) {
     // What a node that is served by the store has dropped is not in doubt any more.
-    if told.mark > shared.knowledge().mark() {
-        take_difference(shared, told, None, "node");
+    if told.difference.mark > shared.knowledge().mark() {
+        take_difference(shared, told.difference, None, "node");
     }
+    shared.limiter.take(&told.limits, from);
+    shared.drains.take(&told.leaving, from);
 }
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use arc_swap::ArcSwapOption;
@@ -28,9 +28,11 @@
 use tokio::sync::{Notify, watch};
 
 use crate::account::Checks;
+use crate::drain::Drains;
 use crate::duty::tenure::Tenure;
 use crate::duty::view::{COLLECTORS, SUBJECT, View};
 use crate::limit::Limiter;
+use crate::lock::lock;
 use crate::serve::connection::Connections;
 use crate::serve::copy::Copies;
 use crate::serve::crash::Detector;
@@ -94,6 +96,8 @@
     pub beat_now: Arc<Notify>,
     /// Rate limits of runners.
     pub limiter: Limiter,
+    /// Runners that leave by their own word.
+    pub drains: Drains,
     register: Arc<Mutex<Register>>,
     roster: Arc<Mutex<Roster>>,
     knowledge: Mutex<Knowledge>,
@@ -107,12 +111,6 @@
     began: Instant,
 }
 
-/// A lock whose holders do not panic in the middle of a change; if one did, what it guards is still
-/// a hint or is replaced as a whole.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// How many nodes follow the store. Each learns of a change by itself, so that one whose path is
 /// silent delays nobody; more cost a call for each change and node.
 const FOLLOWERS: usize = 3;
@@ -155,8 +153,11 @@
             clock.clone(),
             metrics.clone(),
         );
+        let drains =
+            Drains::new(register.clone(), beat_now.clone(), clock.clone(), metrics.clone());
         Self {
             limiter,
+            drains,
             store,
             tenure,
             usage,
--- a/node/tests/drain.rs
+++ b/node/tests/drain.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use sardinepick_testutils::cluster::{any_address, wait_until};
 use sardinepick_testutils::fleet::caller::{Ask, Caller, Told};
 use sardinepick_testutils::fleet::deployment::Deployment;
 use sardinepick_testutils::fleet::runner::Faults;
@@ -32,6 +33,25 @@
     panic!("the runner that leaves is never used");
 }
 
+/// Has the engine that runs generations now say that it leaves, until it is heard; gives which it is.
+async fn hear_decode_runner(set: &Deployment) -> usize {
+    for n in 0..200 {
+        let id = format!("h{n}");
+        let told = set.send(0, &generation(&id)).await;
+        assert!(is_answered(&told));
+        let at = (1..set.runners.len()).find(|at| set.runners[*at].ran(&id) == 1);
+        let at = at.expect("an engine ran it");
+        if told.header("server-leaving").is_some() {
+            return at;
+        }
+        for runner in &set.runners {
+            runner.set_signals(Signals::none());
+        }
+        set.runners[at].set_signals(Signals::leaving());
+    }
+    panic!("the runner that leaves is never used");
+}
+
 fn is_answered(told: &Told) -> bool {
     told.status == Some(StatusCode::OK) && told.whole
 }
@@ -79,11 +99,12 @@
     sleep(takes / 2).await;
     // Those that come now are read at once.
     set.runners[0].set_faults(Faults::default());
-    let before = hear(&set, generation, 1).await;
+    let leaving = hear_decode_runner(&set).await;
+    let before = set.runners[leaving].seen().len();
     for one in asked {
         assert!(is_answered(&one.await.expect("it ends")));
     }
-    assert_eq!(set.runners[1].seen().len(), before);
+    assert_eq!(set.runners[leaving].seen().len(), before);
 }
 
 /// Guards against readings of prompts at an engine that has said in an answer that it leaves.
@@ -135,3 +156,13 @@
     }
     assert_eq!(set.runners[0].seen().len(), before);
 }
+
+/// Guards against a runner that is not used since its former life has left.
+#[tokio::test]
+async fn runner_started_again_after_leaving_used() {
+    let mut set = Deployment::new().await.with_plain(1).await.with_nodes(1).await;
+    hear(&set, |id| Ask::new("/board/a", id), 0).await;
+    set.store.set_fault(Fault::None);
+    set.runners[0] = set.runners[0].start_again(any_address()).await.expect("a free address");
+    wait_until("its new life is used", async || is_answered(&set.ask("/board/a", "r").await)).await;
+}
--- a/testutils/src/fleet/beat.rs
+++ b/testutils/src/fleet/beat.rs
@@ -29,6 +29,7 @@
         quarantine: 0,
         quarantined: Vec::new(),
         limits: Vec::new(),
+        leaving: Vec::new(),
         time: None,
     }
 }
--- a/testutils/src/fleet/soak.rs
+++ b/testutils/src/fleet/soak.rs
@@ -268,6 +268,7 @@
         if self.add_runner(&service, stage).await.is_ok() {
             let (old, proxy) = self.runners.remove(at);
             old.drain();
+            old.set_signals(Signals::leaving());
             proxy.set(Harm::None);
             self.left.push((old.clone(), Instant::now()));
             // It goes on serving what it has; its proxy must live as long.
--- a/wire/src/beat.rs
+++ b/wire/src/beat.rs
@@ -41,6 +41,8 @@
     pub time: Option<Duration>,
     /// What it has heard of rate limits of runners.
     pub limits: Vec<Announced>,
+    /// Runners that it has heard say in an answer that they leave.
+    pub leaving: Vec<Tag>,
 }
 
 impl Beat {
@@ -67,6 +69,7 @@
             quarantine: self.quarantine,
             quarantined: self.quarantined.clone(),
             time_ms: self.time.map_or(0, |time| u64::try_from(time.as_millis()).unwrap_or(0)),
+            leaving: self.leaving.iter().map(|tag| tag.0).collect(),
             rate_limits: self.limits.iter().map(limit::announced).collect(),
         };
         beat.encode_to_vec()
@@ -106,7 +109,8 @@
             quarantine: beat.quarantine,
             quarantined: beat.quarantined,
             time: (beat.time_ms > 0).then(|| Duration::from_millis(beat.time_ms)),
-            limits: beat.rate_limits.iter().map(limit::read_announced).collect::<Result<_, _>>()?,
+            leaving: beat.leaving.into_iter().map(Tag).collect(),
+            limits: limit::read_all(&beat.rate_limits)?,
         })
     }
 }
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -16,7 +16,7 @@
 pub mod claim;
 pub mod error;
 pub mod gossip;
-mod limit;
+pub mod limit;
 pub mod load;
 pub mod quarantine;
 pub mod schedule;
--- a/wire/src/limit.rs
+++ b/wire/src/limit.rs
@@ -1,4 +1,4 @@
-//! Rate limits of runners on the wire.
+//! What runners announce of themselves, on the wire.
 
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
 const LONGEST_AGE: Duration = Duration::from_secs(86_400);
 
 /// What was announced, for the wire.
-pub(crate) fn announced(announced: &Announced) -> pb::RateLimit {
+pub fn announced(announced: &Announced) -> pb::RateLimit {
     pb::RateLimit {
         runner: announced.runner.0,
         rate: announced.rate.map(Rate::per_second),
@@ -24,7 +24,7 @@
 ///
 /// # Errors
 /// Its rate is none.
-pub(crate) fn read_announced(limit: &pb::RateLimit) -> Result<Announced, WireError> {
+pub fn read_announced(limit: &pb::RateLimit) -> Result<Announced, WireError> {
     let rate = |per_second| Rate::new(per_second).ok_or(WireError::Value("rate"));
     Ok(Announced {
         runner: Tag(limit.runner),
@@ -32,3 +32,11 @@
         age: Duration::from_millis(limit.age_ms).min(LONGEST_AGE),
     })
 }
+
+/// Reads several.
+///
+/// # Errors
+/// A rate is none.
+pub fn read_all(limits: &[pb::RateLimit]) -> Result<Vec<Announced>, WireError> {
+    limits.iter().map(read_announced).collect()
+}
--- a/wire/tests/beat.rs
+++ b/wire/tests/beat.rs
@@ -48,6 +48,7 @@
         quarantine: u64::MAX,
         quarantined: Vec::new(),
         limits: Vec::new(),
+        leaving: Vec::new(),
         time: Some(std::time::Duration::from_millis(1 << 42)),
     }
 }
@@ -111,15 +112,16 @@
     assert!(read.iter().all(|entry| entry.ends.len() <= MOST_ENDS && entry.since <= now));
 }
 
-/// What is told of rate limits fits beside all else that a beat says without records.
+/// What is told of rate limits and of runners that leave fits beside all else that a beat says without records.
 #[test]
-fn decode_full_of_limits_round_trip() {
+fn decode_full_of_signals_round_trip() {
     let limit = |n: u64| Announced {
         runner: Tag(u64::MAX - n),
         rate: Rate::new(6.7).filter(|_| n.is_multiple_of(2)),
         age: Duration::from_millis(80_000_000),
     };
-    let full = Beat { limits: (0..16).map(limit).collect(), ..beat(0) };
+    let leaving = (0..16).map(|n| Tag(u64::MAX - n)).collect();
+    let full = Beat { limits: (0..16).map(limit).collect(), leaving, ..beat(0) };
     let bytes = full.encode();
     assert!(bytes.len() <= MOST_BYTES, "{}", bytes.len());
     assert_eq!(Beat::decode(&bytes).expect("it is one"), full);
