--- a/lib/src/fleet/limit.rs
+++ b/lib/src/fleet/limit.rs
@@ -10,27 +10,14 @@
 use std::time::{Duration, Instant};
 
 use serde::{Serialize, Serializer};
-use thiserror::Error;
 
 use super::runner::Tag;
+use crate::decimal::{self, DecimalError};
 
 /// Requests a second.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub struct Rate(f64);
 
-/// Why a text is no rate.
-#[derive(Clone, Debug, Eq, Error, PartialEq)]
-pub enum RateError {
-    /// It is longer than any rate is.
-    #[error("a rate of {0} bytes")]
-    TooLong(usize),
-    /// It is no decimal number that is not negative.
-    #[error("{0:?} is no rate in requests a second")]
-    NotARate(String),
-}
-
-/// The longest text that is read as a rate, in bytes.
-const LONGEST_TEXT: usize = 24;
 /// The least rate that is kept to, in requests a second. A runner that announces less still gets a request
 /// now and then: only its answers tell that the limit is over.
 const LEAST: f64 = 0.25;
@@ -50,16 +37,11 @@
 }
 
 impl FromStr for Rate {
-    type Err = RateError;
+    type Err = DecimalError;
 
-    fn from_str(text: &str) -> Result<Self, RateError> {
-        let text = text.trim();
-        if text.len() > LONGEST_TEXT {
-            return Err(RateError::TooLong(text.len()));
-        }
-        let is_decimal = text.chars().all(|c| c.is_ascii_digit() || c == '.');
-        let number = is_decimal.then(|| text.parse().ok()).flatten();
-        number.and_then(Rate::new).ok_or_else(|| RateError::NotARate(text.to_owned()))
+    fn from_str(text: &str) -> Result<Self, DecimalError> {
+        let per_second = decimal::read(text)?;
+        Rate::new(per_second).ok_or_else(|| DecimalError::NotANumber(text.to_owned()))
     }
 }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod claim;
 pub mod clock;
 pub mod config;
+pub mod decimal;
 pub mod directory;
 pub mod fleet;
 pub mod hash;
--- a/lib/tests/limit.rs
+++ b/lib/tests/limit.rs
@@ -5,7 +5,8 @@
 use proptest::prelude::*;
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
-use sardinepick_lib::fleet::limit::{Change, Limit, Notice, Rate, RateError};
+use sardinepick_lib::decimal::DecimalError;
+use sardinepick_lib::fleet::limit::{Change, Limit, Notice, Rate};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -23,10 +24,10 @@
 #[test]
 fn rate_malformed_error() {
     for text in ["", "-1", "NaN", "inf", "1e9", "2, 3", "two", "1.2.3", "."] {
-        assert_eq!(text.parse::<Rate>(), Err(RateError::NotARate(text.to_owned())), "{text}");
+        assert_eq!(text.parse::<Rate>(), Err(DecimalError::NotANumber(text.to_owned())), "{text}");
     }
     let long = "9".repeat(5_000);
-    assert_eq!(long.parse::<Rate>(), Err(RateError::TooLong(5_000)));
+    assert_eq!(long.parse::<Rate>(), Err(DecimalError::TooLong(5_000)));
 }
 
 /// Guards against a runner that is never asked again, and so never says that its limit is over.
--- a/node/src/limit/mod.rs
+++ b/node/src/limit/mod.rs
@@ -10,7 +10,8 @@
 use std::time::{Duration, Instant};
 
 use sardinepick_lib::clock::Clock;
-use sardinepick_lib::fleet::limit::{Announced, Change, Limit, Notice, Rate, RateError};
+use sardinepick_lib::decimal::DecimalError;
+use sardinepick_lib::fleet::limit::{Announced, Change, Limit, Notice, Rate};
 use sardinepick_lib::fleet::outbox::Outbox;
 use sardinepick_lib::fleet::pool::Pool;
 use sardinepick_lib::fleet::register::Register;
@@ -196,7 +197,7 @@
         stay: &Stay,
         request: &str,
         sent: Instant,
-        named: Result<Option<Rate>, RateError>,
+        named: Result<Option<Rate>, DecimalError>,
     ) {
         let now = self.clock.now();
         let tag = Tag::of(&stay.id, stay.born);
