back_off: a runner that refuses a request for a time gets nothing from that node until then

What callers saw: a second and third request within the time was refused by the same runner, and went on to another; where it was the only one, callers were told to come back after 0.1 s. Cause: Retry-After was written for callers and never read from a runner. Its class is that of the rate limits and drains: a runner's word about itself that was not read.

Change: a 503 with Retry-After closes the runner, in that life, for this node; of two answers the later end holds, at most 300 s, and what is no number of seconds changes nothing. It is no candidate, as a last resort neither; a scheduler, which other answers bind, is told not to take it. Where all runners are closed, the request is refused at once with the time until the first opens (`backing_off`).

Why it holds: every choice, a scheduler's too, is looked at again for it as the request is sent on.

--- a/lib/src/fleet/gate.rs
+++ b/lib/src/fleet/gate.rs
@@ -68,6 +68,8 @@
     Shed,
     /// The rate limits of the runners leave no room for it.
     RateLimited,
+    /// The runners have refused requests of this node for a time.
+    BackingOff,
 }
 
 /// The part of the objective that a predicted first answer may use up: the rest covers the
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! The serving core on a platform that keeps configuration and runners: routes, runners, the
 //! choice among them, and the gate before them.
 
+pub mod back_off;
 pub mod balance;
 pub mod budget;
 pub mod cache;
--- a/lib/src/fleet/place.rs
+++ b/lib/src/fleet/place.rs
@@ -107,7 +107,8 @@
     let left = |r: &&Runner| !question.skip.contains(&r.entry.id);
     let now = question.now;
     let usable = |r: &&Runner| {
-        r.accepts(now) || question.goes_on && r.takes_work(now) && r.limit.has_reserved(now)
+        let has_reserved = question.goes_on && r.limit.has_reserved(now);
+        r.accepts(now) || has_reserved && r.takes_work(now) && r.back_off.is_over(now)
     };
     let all = || register.of(question.service).filter(left);
     let with_load = |runner: &'a Runner| Candidate { runner, load: runner.load(question.now) };
@@ -119,7 +120,7 @@
     }
     if good.is_empty() {
         // A runner on trial is still better than a refusal.
-        let open = |r: &&Runner| r.is_last_resort() && r.limit.is_open(question.now);
+        let open = |r: &&Runner| r.is_last_resort() && r.closed(question.now).is_none();
         return all().filter(open).map(with_load).collect();
     }
     good
--- a/lib/src/fleet/register.rs
+++ b/lib/src/fleet/register.rs
@@ -10,14 +10,14 @@
 //! changes nothing, and what was begun in one life ends in it ([`Stay`]).
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use super::cache::{Part, Progress};
 use super::engine::{Pace, Work};
 use super::health::Record;
 use super::load::{Class, Load};
 use super::pool::{self, Pool};
-use super::runner::{Entry, Runner, State, Stay, Tag};
+use super::runner::{Closed, Entry, Runner, State, Stay, Tag};
 use crate::id::{NodeId, Revision, RunnerId, ServiceId};
 
 /// What a change of the register did.
@@ -227,11 +227,21 @@
         self.runners.values().filter(move |r| r.entry.service == *service)
     }
 
-    /// How long it is until a runner of a service accepts a request that takes work and that its rate
-    /// limit alone closes now; none if there is no such runner.
-    pub fn opens_in(&self, service: &ServiceId, now: Instant) -> Option<Duration> {
-        let closed = self.of(service).filter(|r| r.takes_work(now) && !r.limit.is_open(now));
-        closed.map(|runner| runner.limit.opens_in(now)).min()
+    /// What closes the runner of a service that opens first, of those that take work; none if no
+    /// runner that takes work is closed.
+    pub fn closed(&self, service: &ServiceId, now: Instant) -> Option<Closed> {
+        let closed = self.of(service).filter(|r| r.takes_work(now)).filter_map(|r| r.closed(now));
+        closed.min_by_key(|closed| closed.wait())
+    }
+
+    /// The runners of a service from which this node backs off.
+    pub fn backing_off<'a>(
+        &'a self,
+        service: &'a ServiceId,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a RunnerId> {
+        let some = self.of(service).filter(move |r| !r.back_off.is_over(now));
+        some.map(|runner| &runner.entry.id)
     }
 
     /// Notes that work begins at a runner, and gives the stay to which it is counted; none if the
--- a/lib/src/fleet/runner.rs
+++ b/lib/src/fleet/runner.rs
@@ -1,10 +1,11 @@
 //! One runner as a node sees it.
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use strum::{Display, EnumString, IntoStaticStr};
 
+use super::back_off::BackOff;
 use super::cache::Cache;
 use super::engine::{Engine, Pace, Stage, prefill_time, start_time, step_time};
 use super::health::Record;
@@ -111,10 +112,30 @@
     pub reserved: Option<Instant>,
     /// Its rate limit.
     pub limit: Limit,
+    /// Until when this node sends it nothing, by its own word.
+    pub back_off: BackOff,
     /// Whether this life of it has said in an answer that it leaves.
     has_said_leaving: bool,
 }
 
+/// What closes a runner for a time, and for how long.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Closed {
+    /// Its rate limit.
+    RateLimit(Duration),
+    /// It has refused a request of this node for so long.
+    BackOff(Duration),
+}
+
+impl Closed {
+    /// For how long.
+    pub fn wait(self) -> Duration {
+        match self {
+            Closed::RateLimit(wait) | Closed::BackOff(wait) => wait,
+        }
+    }
+}
+
 /// What is assumed of a plain answer's time until some have come, in seconds (users' sheets: 15 ms
 /// of work).
 const FIRST_ANSWER_TIME: f64 = 0.015;
@@ -142,6 +163,7 @@
             stream_time: FIRST_STREAM_TIME,
             reserved: None,
             limit: Limit::default(),
+            back_off: BackOff::default(),
             has_said_leaving: false,
         }
     }
@@ -162,9 +184,19 @@
         !self.is_leaving() && !reserved && self.health.takes_work(now)
     }
 
-    /// Whether a request may be sent there now: it takes work, and its rate limit leaves room.
+    /// Whether a request may be sent there now: it takes work, and nothing that it has said of itself
+    /// closes it for a time.
     pub fn accepts(&self, now: Instant) -> bool {
-        self.takes_work(now) && self.limit.is_open(now)
+        self.takes_work(now) && self.closed(now).is_none()
+    }
+
+    /// What closes it for a time though it takes work, and for how long; none if nothing does.
+    pub fn closed(&self, now: Instant) -> Option<Closed> {
+        let (limited, backs_off) = (self.limit.opens_in(now), self.back_off.ends_in(now));
+        if backs_off > limited {
+            return Some(Closed::BackOff(backs_off));
+        }
+        (!limited.is_zero()).then_some(Closed::RateLimit(limited))
     }
 
     /// Whether it could do work at all if no better one were left.
--- a/lib/src/fleet/scheduler.rs
+++ b/lib/src/fleet/scheduler.rs
@@ -21,7 +21,7 @@
 use super::place::{self, Placement, Plan, Question};
 use super::pool::Pool;
 use super::register::{Register, Share};
-use super::runner::Runner;
+use super::runner::{Closed, Runner};
 use crate::hash::rendezvous;
 use crate::id::{DataCentre, NodeId, RunnerId, ServiceId};
 
@@ -153,8 +153,11 @@
         now,
     };
     let none = || {
-        let closed = register.opens_in(&ask.service, now);
-        closed.map_or(Decision::NoRunner, Decision::RateLimited)
+        match register.closed(&ask.service, now) {
+            Some(Closed::RateLimit(wait)) => Decision::RateLimited(wait),
+            // From whom this node backs off says nothing of others.
+            Some(Closed::BackOff(_)) | None => Decision::NoRunner,
+        }
     };
     let firmness = match &ask.step {
         Step::GoOn { reader, class } => {
--- /dev/null
+++ b/lib/tests/back_off.rs
@@ -0,0 +1,37 @@
+//! Backing off from a runner that has refused a request for a time.
+
+use std::time::{Duration, Instant};
+
+use sardinepick_lib::decimal::DecimalError;
+use sardinepick_lib::fleet::back_off::{BackOff, LONGEST, read};
+
+const S: Duration = Duration::from_secs(1);
+
+#[test]
+fn read_seconds_with_fractions() {
+    assert_eq!(read("3"), Ok(3 * S));
+    assert_eq!(read("0.25"), Ok(S / 4));
+    assert_eq!(read("0"), Ok(Duration::ZERO));
+}
+
+/// Guards against a runner that is lost for hours by one answer.
+#[test]
+fn read_long_bounded() {
+    assert_eq!(read("99999999999999999999"), Ok(LONGEST));
+    assert_eq!(read(&"9".repeat(3_000)), Err(DecimalError::TooLong(3_000)));
+    for text in ["", "-1", "NaN", "inf", "1e9", "Wed, 21 Oct 2026"] {
+        assert!(read(text).is_err(), "{text}");
+    }
+}
+
+/// Guards against an answer with an earlier end that comes after one with a later.
+#[test]
+fn note_two_ends_later_holds() {
+    let (mut back_off, now) = (BackOff::default(), Instant::now());
+    assert!(back_off.is_over(now));
+    assert!(back_off.note(3 * S, now));
+    assert!(!back_off.note(S, now + S));
+    assert_eq!(back_off.ends_in(now + S), 2 * S);
+    assert!(!back_off.is_over(now + 2 * S) && back_off.is_over(now + 3 * S));
+    assert!(back_off.note(S, now + 4 * S), "it begins anew");
+}
--- /dev/null
+++ b/node/src/back_off/mod.rs
@@ -0,0 +1,53 @@
+//! Backing off from runners that refuse requests of this node for a time.
+//!
+//! What a runner says so binds the node that it was said to, and no other.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use sardinepick_lib::clock::Clock;
+use sardinepick_lib::decimal::DecimalError;
+use sardinepick_lib::fleet::register::Register;
+use sardinepick_lib::fleet::runner::Stay;
+
+use crate::lock::lock;
+use crate::serve::metrics::Metrics;
+
+/// What a node does when runners refuse its requests for a time.
+pub struct BackOffs {
+    register: Arc<Mutex<Register>>,
+    clock: Arc<dyn Clock>,
+    metrics: Metrics,
+}
+
+impl BackOffs {
+    /// A node that no runner has refused.
+    pub fn new(register: Arc<Mutex<Register>>, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
+        Self { register, clock, metrics }
+    }
+
+    /// Notes that a runner has refused `request`, and for how long it takes no more.
+    pub fn note_refused(&self, stay: &Stay, request: &str, after: Result<Duration, DecimalError>) {
+        let now = self.clock.now();
+        let mut register = lock(&self.register);
+        let Some(runner) = register.in_stay_mut(stay) else { return };
+        let outcome = match &after {
+            Ok(after) if runner.back_off.note(*after, now) => "begun",
+            Ok(_) => "extended",
+            Err(_) if runner.back_off.note_malformed() => "malformed",
+            Err(_) => return,
+        };
+        drop(register);
+        self.metrics.back_offs.with_label_values(&[outcome]).inc();
+        match after {
+            Ok(after) => log::info!(
+                runner:% = stay.id, request = request, after_ms = after.as_millis() as u64;
+                "backing off from a runner"
+            ),
+            Err(error) => log::warn!(
+                runner:% = stay.id, request = request, error:% = error;
+                "time to back off is not taken"
+            ),
+        }
+    }
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod account;
 pub mod authority;
+pub mod back_off;
 pub mod claims;
 pub mod clock;
 pub mod configuration;
--- a/node/src/serve/dispatch.rs
+++ b/node/src/serve/dispatch.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::Request;
 use sardinepick_platform::answer::speaks_for;
-use sardinepick_platform::signal::{is_leaving, rate_limit};
+use sardinepick_platform::signal::{back_off, is_leaving, rate_limit};
 
 use crate::serve::connection::{Answer, CONNECT_LIMIT, SendError};
 use crate::serve::shared::Shared;
@@ -34,6 +34,9 @@
         if is_leaving(headers) {
             shared.drains.note_answer(stay, id);
         }
+        if let Some(after) = back_off(answer.head.status, headers).transpose() {
+            shared.back_offs.note_refused(stay, id, after);
+        }
     }
     Ok(answer)
 }
--- a/node/src/serve/generation/admit.rs
+++ b/node/src/serve/generation/admit.rs
@@ -1,6 +1,6 @@
 //! Whether a generation may go to a runner, and to which.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sardinepick_lib::fleet::gate::Reason;
 use sardinepick_lib::fleet::load::Class;
@@ -9,21 +9,28 @@
 use sardinepick_lib::fleet::suspect::ENDS;
 use sardinepick_lib::id::RunnerId;
 
+use smallvec::SmallVec;
+
 use super::{LEAST_LEFT, Stop, Way, millis};
 use crate::serve::answer::Refusal;
 use crate::serve::quarantine::{self, Admission};
 use crate::serve::scheduler as scheduling;
 
+/// The most runners from which this node backs off that a scheduler is told not to take, at up to 24
+/// bytes each.
+const MOST_SKIPPED: usize = 12;
+
 impl Way {
     /// Has it decided where the request goes; none if its service has no engines.
     async fn decide(&self, step: Step) -> Option<Decision> {
         let engine = self.request.engine?;
+        let now = self.shared.clock.now();
         let ask = scheduler::Ask {
             service: self.request.service.clone(),
             data_centre: self.shared.me.data_centre.clone(),
-            terms: self.request.terms(self.shared.clock.now()),
+            terms: self.request.terms(now),
             work: self.work.clone(),
-            skip: self.tried.clone(),
+            skip: self.skipped(now),
             step,
         };
         let (decision, by) = scheduling::decide(&self.shared, ask, &engine).await;
@@ -31,6 +38,13 @@
         Some(decision)
     }
 
+    /// The runners that are not to be taken: a scheduler does not know from whom this node backs off.
+    fn skipped(&self, now: Instant) -> SmallVec<[RunnerId; 4]> {
+        let register = self.shared.register();
+        let others = register.backing_off(&self.request.service, now).take(MOST_SKIPPED);
+        self.tried.iter().chain(others).cloned().collect()
+    }
+
     /// Chooses the runner that goes on from a prompt that has been read.
     pub(super) async fn place_decode(
         &self,
--- a/node/src/serve/listener.rs
+++ b/node/src/serve/listener.rs
@@ -198,6 +198,7 @@
                 "leaving": runner.is_leaving(), "said_leaving": runner.has_said_leaving(),
                 "rate_limit": runner.limit.rate(),
                 "opens_in_ms": runner.limit.opens_in(now).as_millis() as u64,
+                "backs_off_ms": runner.back_off.ends_in(now).as_millis() as u64,
             })
         };
         register.runners().map(line).collect()
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -26,6 +26,8 @@
     pub permits: IntCounterVec,
     /// Runners that leave by their own word, by where that was heard.
     pub drains: IntCounterVec,
+    /// Answers by which runners refuse requests of this node for a time, by what came of them.
+    pub back_offs: IntCounterVec,
     /// Rate limits of runners by how they changed.
     pub limits: IntCounterVec,
     /// Extra arrivals by what the budget said.
@@ -152,6 +154,11 @@
                 "Runners that leave by their own word, by where that was heard",
                 &["source"],
             ),
+            back_offs: m.counters(
+                "sardinepick_back_offs_total",
+                "Answers by which runners refuse requests for a time, by what came of them",
+                &["outcome"],
+            ),
             limits: m.counters(
                 "sardinepick_rate_limit_changes_total",
                 "Rate limits of runners by how they changed",
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -14,6 +14,7 @@
 use sardinepick_lib::fleet::fingerprint::Fingerprint;
 use sardinepick_lib::fleet::gate::{Reason, Terms, Wait};
 use sardinepick_lib::fleet::route::{Configuration, Route};
+use sardinepick_lib::fleet::runner::Closed;
 use sardinepick_lib::id::{AccountId, ServiceId};
 use sardinepick_platform::caller::{self, Ask};
 use sardinepick_platform::runner::forwarded;
@@ -76,22 +77,24 @@
         Terms::new(&self.route, self.left(now), Wait { before: self.waited, here }, self.size)
     }
 
-    /// The refusal of the request, which has not run. Where only rate limits keep runners from it, it
-    /// says when they leave room.
+    /// The refusal of the request, which has not run. Where all runners are closed for a time, it says
+    /// when one opens.
     pub fn refusal(&self, shared: &Shared, reason: Reason) -> Refusal {
         let now = shared.clock.now();
         let terms = self.terms(now);
         let closed = match reason {
-            Reason::NoRunner | Reason::Shed => shared.register().opens_in(&self.service, now),
+            Reason::NoRunner | Reason::Shed => shared.register().closed(&self.service, now),
             _ => None,
         };
         let mut rng = shared.rng();
-        match closed {
-            Some(wait) => {
-                Refusal::NotRun(Reason::RateLimited, terms.come_back_after(wait, &mut *rng))
-            }
-            None => Refusal::NotRun(reason, terms.come_back(0.0, &mut *rng)),
-        }
+        let Some(closed) = closed else {
+            return Refusal::NotRun(reason, terms.come_back(0.0, &mut *rng));
+        };
+        let reason = match closed {
+            Closed::RateLimit(_) => Reason::RateLimited,
+            Closed::BackOff(_) => Reason::BackingOff,
+        };
+        Refusal::NotRun(reason, terms.come_back_after(closed.wait(), &mut *rng))
     }
 
     /// Writes the line that says how it ended, and counts it.
--- a/node/src/serve/scheduler.rs
+++ b/node/src/serve/scheduler.rs
@@ -239,7 +239,8 @@
     if ask.skip.contains(id) {
         return false;
     }
-    let usable = shared.register().get(id).is_some_and(|runner| runner.takes_work(now));
+    let usable =
+        shared.register().get(id).is_some_and(|r| r.takes_work(now) && r.back_off.is_over(now));
     if !usable {
         ask.skip.push(id.clone());
     }
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -28,6 +28,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::account::Checks;
+use crate::back_off::BackOffs;
 use crate::drain::Drains;
 use crate::duty::tenure::Tenure;
 use crate::duty::view::{COLLECTORS, SUBJECT, View};
@@ -98,6 +99,8 @@
     pub limiter: Limiter,
     /// Runners that leave by their own word.
     pub drains: Drains,
+    /// Backing off from runners that refuse for a time.
+    pub back_offs: BackOffs,
     register: Arc<Mutex<Register>>,
     roster: Arc<Mutex<Roster>>,
     knowledge: Mutex<Knowledge>,
@@ -155,9 +158,11 @@
         );
         let drains =
             Drains::new(register.clone(), beat_now.clone(), clock.clone(), metrics.clone());
+        let back_offs = BackOffs::new(register.clone(), clock.clone(), metrics.clone());
         Self {
             limiter,
             drains,
+            back_offs,
             store,
             tenure,
             usage,
--- a/testutils/src/fleet/soak.rs
+++ b/testutils/src/fleet/soak.rs
@@ -307,7 +307,7 @@
         1 => Signals::limit("0"),
         2 => Signals::limit("soon"),
         3 => Signals::limit("2.5").with("server-limit", "40"),
-        _ => Signals::none(),
+        _ => Signals::none().with("retry-after", "1.5"),
     }
 }
 
