limits: a test that engines without a limit take what limited ones may not

Four of nine engines are limited, three nodes send 77 generations a second: none is refused, and none of the limited engines gets more than its rule allows.

--- a/node/tests/limits.rs
+++ b/node/tests/limits.rs
@@ -275,3 +275,36 @@
     let rate = 2.0 * 10.0 * WINDOW.as_secs_f64();
     assert!(runs as f64 >= rate / 2.0, "{runs} runs where {rate} are allowed");
 }
+
+/// Guards against callers that are refused though engines without a limit could take their requests.
+#[tokio::test]
+async fn some_engines_limited_others_answer_all() {
+    let set = Deployment::new().await.with_engines(4, 5).await.with_nodes(3).await;
+    for (at, rate) in [(0, "2"), (4, "6.7"), (5, "4.3"), (6, "2")] {
+        set.runners[at].set_signals(Signals::limit(rate));
+    }
+    let counted_from = Instant::now() + HEARD;
+    let mut ticks = interval(Duration::from_millis(13));
+    let mut asked = Vec::new();
+    let mut n = 0;
+    while Instant::now() < counted_from + WINDOW {
+        ticks.tick().await;
+        n += 1;
+        let front = set.front(n % 3);
+        asked.push(tokio::spawn(async move {
+            let prefix = format!("{:x}:800,{:x}:410,{n:x}:250", n % 7, 100 + n % 31);
+            let headers = [("model", "m"), ("token-count", "1460,80"), ("prompt-prefix", &prefix)];
+            let id = format!("r{n}");
+            let ask = Ask { headers: &headers, ..Ask::new("/count/a", &id) };
+            Caller::default().send(front, &ask).await.status
+        }));
+    }
+    let mut refused = 0;
+    for one in asked {
+        refused += usize::from(one.await.expect("it ends") != Some(StatusCode::OK));
+    }
+    assert_eq!(refused, 0, "of {n}");
+    for (at, rate) in [(0, 2.0), (4, 6.7), (5, 4.3), (6, 2.0)] {
+        assert!(arrivals(&set.runners[at], counted_from) <= allowed(rate));
+    }
+}
