explain: from a request to which runners were closed to the answers in which they said so

A line that names another request was no belief of the node, so that `explain` of a refused request did not lead to the answer that had announced a limit, a drain or a time to back off. Where a refusal follows from such signals, they are shown with the requests whose answers had them, from all nodes.

--- a/cli/src/trace.rs
+++ b/cli/src/trace.rs
@@ -56,6 +56,9 @@
     pub beliefs: Vec<Line>,
     /// The runners that ended under the same request, in whichever attempt, and what came of it.
     pub ends: Vec<Line>,
+    /// Where runners were closed to it: what runners had said of themselves, in answers to whichever
+    /// requests.
+    pub signals: Vec<Line>,
 }
 
 /// How many lines of belief are shown: those nearest to the end.
@@ -64,6 +67,17 @@
 const ENDS: [&str; 2] = ["runner ended under a request", "quarantine changes"];
 /// How many of them are shown: the first ones, which caused the rest.
 const MOST_ENDS: usize = 24;
+/// The lines that tell what runners say of themselves.
+const SIGNALS: [&str; 4] = [
+    "rate limit set",
+    "rate limit lifted",
+    "runner leaves by its own word",
+    "backing off from a runner",
+];
+/// The reasons of refusals that follow from it.
+const CLOSED: [&str; 3] = ["rate_limited", "backing_off", "no_runner"];
+/// How many of these lines are shown: those nearest to the end.
+const MOST_SIGNALS: usize = 24;
 
 impl Trace {
     /// Finds the lines of a request; none if no line names it.
@@ -81,10 +95,41 @@
         let of_it = |line: &&Line| line.fingerprint().is_some_and(|f| fingerprints.contains(&f));
         let ends = |line: &&Line| ENDS.contains(&line.message.as_str());
         let ends = lines.iter().filter(ends).filter(of_it).take(MOST_ENDS).cloned().collect();
-        Some(Self { way, beliefs, ends })
+        let signals = if way.iter().any(is_closed) { signals(&lines, &end) } else { Vec::new() };
+        Some(Self { way, beliefs, ends, signals })
     }
 }
 
+/// Whether a line refuses a request since runners are closed to it.
+fn is_closed(line: &Line) -> bool {
+    let reason = line.fields.get("reason").and_then(Value::as_str);
+    reason.is_some_and(|reason| CLOSED.contains(&reason))
+}
+
+/// What runners had said of themselves until `end`, at all nodes: one may have heard it of another.
+fn signals(lines: &[Line], end: &str) -> Vec<Line> {
+    let told = |line: &&Line| SIGNALS.contains(&line.message.as_str()) && line.time.as_str() <= end;
+    let mut signals: Vec<Line> =
+        lines.iter().filter(told).rev().take(MOST_SIGNALS).cloned().collect();
+    signals.reverse();
+    signals
+}
+
+/// Writes lines of other requests, each behind the request's id.
+fn write_others(f: &mut fmt::Formatter<'_>, title: &str, lines: &[Line]) -> fmt::Result {
+    if lines.is_empty() {
+        return Ok(());
+    }
+    writeln!(f, "{title}:")?;
+    for line in lines {
+        if let Some(request) = line.request().filter(|request| !request.is_empty()) {
+            write!(f, "  {request}")?;
+        }
+        write_line(f, line)?;
+    }
+    Ok(())
+}
+
 fn write_line(f: &mut fmt::Formatter<'_>, line: &Line) -> fmt::Result {
     write!(f, "  {}  {}  {}", line.time, line.source, line.message)?;
     for (name, value) in line.fields.iter().filter(|(name, _)| *name != "request") {
@@ -103,16 +148,9 @@
         self.way.iter().try_for_each(|line| write_line(f, line))?;
         writeln!(f, "what its nodes had come to believe before:")?;
         self.beliefs.iter().try_for_each(|line| write_line(f, line))?;
-        if self.ends.is_empty() {
-            return Ok(());
-        }
-        writeln!(f, "runners that ended under the same request, in any attempt:")?;
-        for line in &self.ends {
-            if let Some(request) = line.request() {
-                write!(f, "  {request}")?;
-            }
-            write_line(f, line)?;
-        }
-        Ok(())
+        let ended = "runners that ended under the same request, in any attempt";
+        write_others(f, ended, &self.ends)?;
+        let told = "what runners had said of themselves, in answers to other requests";
+        write_others(f, told, &self.signals)
     }
 }
--- a/cli/tests/trace.rs
+++ b/cli/tests/trace.rs
@@ -53,3 +53,24 @@
     "#]]
     .assert_eq(&trace.to_string());
 }
+
+/// From a request that is refused to the answers that closed the runners to it, at other nodes too.
+#[test]
+fn of_request_runners_closed_answers_that_caused_it() {
+    let lines = r#"
+edge-1 {"time":"2026-01-01T00:00:01.000Z","message":"rate limit set","request":"r1","runner":"i-1","rate":"2/s","source":"answer"}
+edge-2 {"time":"2026-01-01T00:00:01.004Z","message":"rate limit set","request":"","runner":"i-1","rate":"2/s","source":"edge-1"}
+edge-2 {"time":"2026-01-01T00:00:02.000Z","message":"request refused","request":"r9","reason":"rate_limited","status":503}
+edge-1 {"time":"2026-01-01T00:00:03.000Z","message":"rate limit lifted","request":"r2","runner":"i-1","source":"answer"}
+"#;
+    let trace = Trace::of("r9", read("", lines)).expect("it is named");
+    expect![[r#"
+        the request's way:
+          2026-01-01T00:00:02.000Z  edge-2  request refused  reason=rate_limited  status=503
+        what its nodes had come to believe before:
+        what runners had said of themselves, in answers to other requests:
+          r1  2026-01-01T00:00:01.000Z  edge-1  rate limit set  rate=2/s  runner=i-1  source=answer
+          2026-01-01T00:00:01.004Z  edge-2  rate limit set  rate=2/s  runner=i-1  source=edge-1
+    "#]]
+    .assert_eq(&trace.to_string());
+}
