--- /dev/null
+++ b/testutils/src/fleet/runner/work.rs
@@ -0,0 +1,249 @@
+//! What a stand-in for a runner does with each request.
+
+use std::future::pending;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use futures_util::stream;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt as _, StreamBody};
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+use super::event::events;
+use super::{Inner, Kind, Order, Seen, lock};
+use crate::server::{Body, Cut, answer, full, json as json_answer, read};
+
+/// What a runner does with requests.
+pub(super) struct Work {
+    pub(super) id: String,
+    pub(super) kind: Kind,
+    pub(super) inner: Arc<Mutex<Inner>>,
+}
+
+fn text(headers: &HeaderMap, name: &str) -> Option<String> {
+    headers.get(name).and_then(|v| v.to_str().ok()).map(str::to_owned)
+}
+
+/// Answers a request, with the signals of the runner.
+pub(super) async fn handle(
+    work: Arc<Work>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Cut> {
+    let mut response = respond(work.clone(), request).await?;
+    lock(&work.inner).signals.sign(&mut response);
+    Ok(response)
+}
+
+async fn respond(work: Arc<Work>, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+    let (head, body) = request.into_parts();
+    let body = read(body).await?;
+    if let Some(expected) = text(&head.headers, "expect-instance")
+        && expected != work.id
+    {
+        return Ok(with_instance(answer(StatusCode::MISDIRECTED_REQUEST, ""), &work.id));
+    }
+    match (&head.method, head.uri.path()) {
+        (&Method::GET, "/api/report") => return Ok(work.report()),
+        (&Method::GET, "/api/kv-list") => return Ok(work.list_kept()),
+        (&Method::POST, "/api/order") => return work.order(&body),
+        (&Method::DELETE, path) if path.starts_with("/api/kv-handle/") => {
+            let name = path.rsplit('/').next().unwrap_or_default().to_owned();
+            let mut inner = lock(&work.inner);
+            inner.freed += u64::from(inner.handles.remove(&name));
+            return Ok(answer(StatusCode::OK, ""));
+        }
+        _ => {}
+    }
+    let seen = Seen {
+        id: text(&head.headers, "request-id").unwrap_or_default(),
+        path: head.uri.path_and_query().map_or_else(String::new, ToString::to_string),
+        headers: head.headers,
+        body,
+        ran: false,
+        at: Some(Instant::now()),
+    };
+    work.serve(seen).await
+}
+
+fn with_instance(mut response: Response<Body>, id: &str) -> Response<Body> {
+    if let Ok(id) = HeaderValue::from_str(id) {
+        response.headers_mut().insert("instance-id", id);
+    }
+    response
+}
+
+/// Counts a request as under way until it is dropped.
+pub(super) struct Running(Arc<Mutex<Inner>>);
+
+impl Running {
+    fn new(inner: &Arc<Mutex<Inner>>) -> Self {
+        lock(inner).running += 1;
+        Self(inner.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        lock(&self.0).running -= 1;
+    }
+}
+
+impl Work {
+    fn report(&self) -> Response<Body> {
+        let inner = lock(&self.inner);
+        let body = json!({"stage": inner.stage, "models": [], "busy": false, "born": inner.born,
+            "seq": inner.accepted, "queued": 0, "running": inner.running});
+        json_answer(StatusCode::OK, &body)
+    }
+
+    fn list_kept(&self) -> Response<Body> {
+        let inner = lock(&self.inner);
+        let held: Vec<_> =
+            inner.kept.iter().map(|(id, tokens)| json!(["", id, tokens, "m"])).collect();
+        json_answer(StatusCode::OK, &json!({"epoch": inner.born, "next": 1, "held": held}))
+    }
+
+    /// Keeps the parts of a request's prompt.
+    fn keep(&self, seen: &Seen) {
+        let parts = text(&seen.headers, "prompt-prefix").unwrap_or_default();
+        let parts = parts.split(',').filter_map(|part| part.split_once(':'));
+        let parts = parts.filter_map(|(id, tokens)| Some((id.to_owned(), tokens.parse().ok()?)));
+        lock(&self.inner).kept.extend(parts);
+    }
+
+    fn order(&self, body: &[u8]) -> Result<Response<Body>, Cut> {
+        let order: Value = serde_json::from_slice(body).map_err(|_| Cut)?;
+        let mut inner = lock(&self.inner);
+        if order["expected"].as_u64().is_some_and(|expected| expected != inner.accepted) {
+            return Ok(answer(StatusCode::CONFLICT, ""));
+        }
+        let stage = order["stage"].as_str().unwrap_or_default().to_owned();
+        inner.orders.push(Order {
+            holder: order["holder"].as_str().unwrap_or_default().to_owned(),
+            token: order["fencingToken"].as_u64().unwrap_or_default(),
+            stage: stage.clone(),
+        });
+        inner.accepted += 1;
+        inner.stage = Some(stage);
+        if inner.faults.mute_orders {
+            return Err(Cut);
+        }
+        Ok(answer(StatusCode::ACCEPTED, ""))
+    }
+
+    fn refuse(&self, mut seen: Seen, status: StatusCode) -> Response<Body> {
+        let mut response = answer(status, "");
+        if let Ok(id) = HeaderValue::from_str(&seen.id) {
+            response.headers_mut().insert("request-id", id);
+        }
+        response.headers_mut().insert("not-executed", HeaderValue::from_static("1"));
+        seen.ran = false;
+        lock(&self.inner).seen.push(seen);
+        with_instance(response, &self.id)
+    }
+
+    fn sign(&self, response: &mut Response<Body>, id: &str) {
+        let signature = format!("{}.{id}", self.id);
+        let headers = response.headers_mut();
+        for (name, value) in [("request-id", id), ("response-signature", signature.as_str())] {
+            if let Ok(value) = HeaderValue::from_str(value) {
+                headers.insert(name, value);
+            }
+        }
+    }
+
+    async fn serve(self: Arc<Self>, mut seen: Seen) -> Result<Response<Body>, Cut> {
+        let faults = lock(&self.inner).faults;
+        if faults.sheds {
+            return Ok(self.refuse(seen, StatusCode::SERVICE_UNAVAILABLE));
+        }
+        let running = Running::new(&self.inner);
+        let reads = text(&seen.headers, "stage").as_deref() == Some("prefill");
+        if faults.hangs {
+            // A prompt that is only read is no run, also where it is read for ever.
+            seen.ran = !reads;
+            lock(&self.inner).seen.push(seen);
+            sleep(Duration::from_secs(60)).await;
+            return Err(Cut);
+        }
+        sleep(faults.takes).await;
+        if reads {
+            if self.ends_under(&seen) {
+                lock(&self.inner).seen.push(seen);
+                lock(&self.inner).ends.notify_one();
+                return pending().await;
+            }
+            return Ok(self.read_prompt(seen));
+        }
+        if self.is_prefill() {
+            return Ok(self.refuse(seen, StatusCode::MISDIRECTED_REQUEST));
+        }
+        seen.ran = true;
+        let (id, from) = (seen.id.clone(), text(&seen.headers, "last-event-id"));
+        let ends = self.ends_under(&seen);
+        lock(&self.inner).seen.push(seen);
+        if ends {
+            return Ok(self.end(&id).await);
+        }
+        if faults.loses_answers {
+            return Err(Cut);
+        }
+        let shown = if faults.crosses { "another" } else { id.as_str() };
+        if faults.fails {
+            let mut response = answer(StatusCode::INTERNAL_SERVER_ERROR, "failed");
+            self.sign(&mut response, shown);
+            return Ok(response);
+        }
+        let mut response = if self.kind.stage.is_some() {
+            let first = from.and_then(|f| f.parse::<u64>().ok()).map_or(1, |last| last + 1);
+            let body = events(first, self.kind.events, faults, running);
+            let mut response = Response::new(body);
+            let kind = HeaderValue::from_static("text/event-stream");
+            response.headers_mut().insert(header::CONTENT_TYPE, kind);
+            response
+        } else {
+            Response::new(full(format!("answer to {id}")))
+        };
+        self.sign(&mut response, shown);
+        Ok(response)
+    }
+
+    fn ends_under(&self, seen: &Seen) -> bool {
+        lock(&self.inner).ends_under.as_ref() == Some(&seen.body)
+    }
+
+    /// Begins a run that gives nothing but, for a stream, its head.
+    async fn end(&self, id: &str) -> Response<Body> {
+        lock(&self.inner).ends.notify_one();
+        if self.kind.stage.is_none() {
+            return pending().await;
+        }
+        let mut response = Response::new(StreamBody::new(stream::pending()).boxed());
+        let kind = HeaderValue::from_static("text/event-stream");
+        response.headers_mut().insert(header::CONTENT_TYPE, kind);
+        self.sign(&mut response, id);
+        response
+    }
+
+    fn is_prefill(&self) -> bool {
+        lock(&self.inner).stage.as_deref() == Some("prefill")
+    }
+
+    fn read_prompt(&self, seen: Seen) -> Response<Body> {
+        let id = seen.id.clone();
+        self.keep(&seen);
+        let mut inner = lock(&self.inner);
+        inner.next_handle += 1;
+        let handle = format!("h{}", inner.next_handle);
+        inner.handles.insert(handle.clone());
+        inner.seen.push(seen);
+        let body = json!({"kvHandle": handle, "tokens": 1, "version": 1});
+        let mut response = json_answer(StatusCode::OK, &body);
+        if let Ok(id) = HeaderValue::from_str(&id) {
+            response.headers_mut().insert("request-id", id);
+        }
+        response
+    }
+}
