--- a/lib/src/fleet/back_off.rs
+++ b/lib/src/fleet/back_off.rs
@@ -1,5 +1,4 @@
-//! Backing off from a runner that has refused a request and said for how long it takes no more from the
-//! node that sent it.
+//! Back-off from a runner that has rejected a request with a time to retry after.
 
 use std::time::{Duration, Instant};
 
@@ -8,7 +7,7 @@
 /// The longest time that is kept to. No one answer takes a runner away for longer.
 pub const LONGEST: Duration = Duration::from_secs(300);
 
-/// Reads for how long a runner takes no more, in seconds with fractions.
+/// Reads a time to retry after, in seconds with fractions.
 ///
 /// # Errors
 /// It is no time in seconds.
@@ -25,8 +24,8 @@
 }
 
 impl BackOff {
-    /// Notes that the runner takes no more for `after`. Of two answers the later end holds. True if
-    /// this node was not backing off before.
+    /// Backs off for `after`. Of two answers the later end holds. True if this node was not backing off
+    /// before.
     pub fn note(&mut self, after: Duration, now: Instant) -> bool {
         let begins = self.is_over(now);
         let until = now + after.min(LONGEST);
@@ -34,7 +33,7 @@
         begins
     }
 
-    /// Notes that an answer says it in no way that can be read. True the first time.
+    /// Notes a time that cannot be read. True the first time.
     pub fn note_malformed(&mut self) -> bool {
         !std::mem::replace(&mut self.has_malformed, true)
     }
--- a/lib/src/fleet/limit.rs
+++ b/lib/src/fleet/limit.rs
@@ -1,8 +1,7 @@
-//! The rate limit that a runner announces: the requests a second that it takes from all nodes together.
+//! The rate limit that a runner announces: the requests a second that it accepts from all nodes together.
 //!
-//! One node grants permits for a runner, the others ask it before each request they send there. What a
-//! node knows of a limit comes from answers of the runner, its own or those of other nodes, each with
-//! the time at which it came; the latest holds.
+//! One node grants permits for a runner from a token bucket, the others acquire one for each request.
+//! Announcements come in answers of the runner, to this node or another, and the latest holds.
 
 use std::collections::VecDeque;
 use std::fmt;
--- a/lib/src/fleet/outbox.rs
+++ b/lib/src/fleet/outbox.rs
@@ -1,5 +1,5 @@
-//! What a node has to tell others of runners with its beats: each change once as soon as it is known, and
-//! again later, since datagrams are lost and nodes start late.
+//! Gossip about runners that is yet to be sent with heartbeats: each change once as soon as it is known,
+//! and again later, since datagrams are lost and nodes start late.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
--- a/node/src/back_off/mod.rs
+++ b/node/src/back_off/mod.rs
@@ -1,6 +1,6 @@
-//! Backing off from runners that refuse requests of this node for a time.
+//! Back-off from runners that reject requests with a time to retry after.
 //!
-//! What a runner says so binds the node that it was said to, and no other.
+//! A runner addresses it to the node whose request it rejects; other nodes do not back off.
 
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -13,7 +13,7 @@
 use crate::lock::lock;
 use crate::serve::metrics::Metrics;
 
-/// What a node does when runners refuse its requests for a time.
+/// The back-off of one node from runners.
 pub struct BackOffs {
     register: Arc<Mutex<Register>>,
     clock: Arc<dyn Clock>,
@@ -21,12 +21,12 @@
 }
 
 impl BackOffs {
-    /// A node that no runner has refused.
+    /// A node whose requests no runner has rejected.
     pub fn new(register: Arc<Mutex<Register>>, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
         Self { register, clock, metrics }
     }
 
-    /// Notes that a runner has refused `request`, and for how long it takes no more.
+    /// Notes that a runner has rejected `request`, and how long it is to be left out.
     pub fn note_refused(&self, stay: &Stay, request: &str, after: Result<Duration, DecimalError>) {
         let now = self.clock.now();
         let mut register = lock(&self.register);
--- a/node/src/drain/mod.rs
+++ b/node/src/drain/mod.rs
@@ -1,7 +1,7 @@
-//! Runners that say in their answers that they leave, and what nodes tell each other of them.
+//! Drains that runners announce in their answers, and gossip of them.
 //!
-//! The register says so too, but not while the store is away. A life of a runner that leaves once
-//! does not come back.
+//! The register announces drains too, but not while the store is unavailable. A drain lasts until the
+//! runner's process ends.
 
 use std::sync::{Arc, Mutex};
 
@@ -14,18 +14,18 @@
 use crate::lock::lock;
 use crate::serve::metrics::Metrics;
 
-/// What a node knows of runners that leave by their own word.
+/// The drains that runners have announced, at one node.
 pub struct Drains {
     register: Arc<Mutex<Register>>,
     outbox: Mutex<Outbox>,
-    /// Has news told at once.
+    /// Has gossip sent at once.
     wake: Arc<Notify>,
     clock: Arc<dyn Clock>,
     metrics: Metrics,
 }
 
 impl Drains {
-    /// A node that knows of no such runners.
+    /// A node that knows of none.
     pub fn new(
         register: Arc<Mutex<Register>>,
         wake: Arc<Notify>,
--- a/node/src/limit/mod.rs
+++ b/node/src/limit/mod.rs
@@ -1,9 +1,10 @@
-//! Rate limits of runners: permits to send within them, and what nodes tell each other of them.
+//! Distributed rate limiting: permits to send requests to runners with a rate limit, and gossip of the
+//! limits.
 //!
-//! The scheduler of a runner's pool grants the permits for it. A node that knows of a limit sends the
-//! runner nothing without one. Only the node that by its own view schedules the pool grants: where
-//! views differ, a request goes to another runner, and no rate is granted twice for longer than views
-//! differ. Of a rate a node grants the part that its side of a partition is of all nodes.
+//! The node that schedules a runner's pool has the token bucket for the runner and grants permits from
+//! it; other nodes acquire one before each request. A node grants only if by its own view it schedules
+//! the pool, so that two nodes grant only while their views differ. In a partition each side grants its
+//! part of the rate.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, OnceLock};
@@ -31,11 +32,11 @@
 
 pub mod news;
 
-/// How long a node that is asked for a permit has to answer; as long as a scheduler.
+/// The timeout of a request for a permit; that of a request to a scheduler.
 const PATIENCE: Duration = scheduler::PATIENCE;
-/// How long a runner is left alone after no permit could be had because nobody granted any. The nodes
-/// agree who grants within a second.
-const UNGRANTED: Duration = Duration::from_millis(200);
+/// How long no permit is requested after a timeout, or from a node that does not grant by its own view.
+/// The nodes' views agree within a second.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
 /// Who grants permits for the runners of a pool.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -54,14 +55,14 @@
     pub wait: Duration,
 }
 
-/// What a node knows of rate limits, and grants.
+/// The rate limits of runners at one node.
 pub struct Limiter {
     register: Arc<Mutex<Register>>,
     roster: Arc<Mutex<Roster>>,
     socket: OnceLock<Arc<UdpSocket>>,
     asked: Mutex<Pending<Result<(), Duration>>>,
     outbox: Mutex<Outbox>,
-    /// Has news told at once.
+    /// Has gossip sent at once.
     wake: Arc<Notify>,
     clock: Arc<dyn Clock>,
     metrics: Metrics,
@@ -98,10 +99,10 @@
         }
     }
 
-    /// Gets a permit to send one request to a runner. One that announces no limit needs none.
+    /// Acquires a permit to send one request to a runner; granted at once where there is no limit.
     ///
     /// # Errors
-    /// There is none now.
+    /// The rate is used up, or the grantor does not answer.
     pub async fn permit(&self, id: &RunnerId) -> Result<(), Denied> {
         let Some((tag, service, pool, notice)) = lock(&self.register).get(id).and_then(limited)
         else {
@@ -111,7 +112,7 @@
             Grantor::Me(part) => (self.grant(tag, part), "here"),
             Grantor::Other(peer) => match self.ask(peer, tag, notice).await {
                 Some(granted) => (granted, "grantor"),
-                None => (Err(UNGRANTED), "nobody"),
+                None => (Err(RETRY_PAUSE), "nobody"),
             },
         };
         let outcome = if granted.is_ok() { "granted" } else { "denied" };
@@ -142,7 +143,7 @@
     fn grant(&self, tag: Tag, part: f64) -> Result<(), Duration> {
         let now = self.clock.now();
         // A runner that is not known any more gets nothing.
-        self.with_limit(tag, |limit| limit.grant(part, now)).unwrap_or(Err(UNGRANTED))
+        self.with_limit(tag, |limit| limit.grant(part, now)).unwrap_or(Err(RETRY_PAUSE))
     }
 
     fn with_limit<T>(&self, tag: Tag, change: impl FnOnce(&mut Limit) -> T) -> Option<T> {
@@ -173,7 +174,7 @@
         }
     }
 
-    /// Answers a node that asks for a permit.
+    /// Answers the request of another node for a permit.
     pub async fn answer(&self, from: SocketAddr, number: u64, limit: Announced) {
         let entry = lock(&self.register).by_tag(limit.runner).map(place);
         let wait = match entry.map(|(service, pool)| self.grantor(&service, pool)) {
@@ -181,12 +182,12 @@
                 self.take(&[limit], "a node that asks");
                 self.grant(limit.runner, part).err()
             }
-            Some(Grantor::Other(_)) | None => Some(UNGRANTED),
+            Some(Grantor::Other(_)) | None => Some(RETRY_PAUSE),
         };
         self.transmit(from, &Schedule::Acquired { number, wait }).await;
     }
 
-    /// Takes the answer to a question for a permit.
+    /// Takes the answer to a request for a permit.
     pub fn take_answer(&self, number: u64, wait: Option<Duration>) {
         lock(&self.asked).resolve(number, wait.map_or(Ok(()), Err));
     }
@@ -239,7 +240,7 @@
     (runner.entry.service.clone(), runner.pool)
 }
 
-/// What is needed to ask for a permit; none where the runner announces no limit.
+/// What identifies a runner with a rate limit and its grantor; none where there is no limit.
 fn limited(runner: &Runner) -> Option<(Tag, ServiceId, Pool, Notice)> {
     let notice = runner.limit.notice().filter(|notice| notice.rate.is_some())?;
     let (service, pool) = place(runner);
--- a/node/src/limit/news.rs
+++ b/node/src/limit/news.rs
@@ -1,7 +1,4 @@
-//! What nodes tell each other of rate limits, with their beats.
-//!
-//! A change goes on from each node once, as soon as it knows of it, and again with later beats for a
-//! while, since datagrams are lost and nodes start late. Without limits nothing is told.
+//! Gossip of rate limits, which goes with heartbeats. Nothing is sent while there are no limits.
 
 use std::time::{Duration, Instant};
 
@@ -11,7 +8,7 @@
 use super::{Limiter, log_change};
 use crate::lock::lock;
 
-/// For how long the end of a limit is told again. A limit that is there is told as long as it is.
+/// For how long the end of a limit is sent again. A limit in force is sent again as long as it is.
 const ENDED: Duration = Duration::from_secs(30);
 
 impl Limiter {
--- a/node/tests/back_off.rs
+++ b/node/tests/back_off.rs
@@ -1,4 +1,4 @@
-//! Runners that refuse a request and say for how long they want no more from the node.
+//! Runners that reject requests with a time to retry after.
 
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
 const GENERATION: [(&str, &str); 3] =
     [("model", "m"), ("token-count", "1460,80"), ("prompt-prefix", "5c1e:800,91bd:410,e440:250")];
 
-/// For how long runners of these tests want nothing.
+/// The time to retry after in these tests.
 const PAUSE: Duration = Duration::from_secs(2);
 
 fn ask<'a>(path: &'a str, id: &'a str) -> Ask<'a> {
@@ -30,8 +30,7 @@
     set.runners[at].set_signals(Signals::none().with("retry-after", PAUSE.as_secs().to_string()));
 }
 
-/// Sends requests to a node while the runners want nothing, and checks that none of them gets more than
-/// one.
+/// Sends requests to a node within the time to retry after, and checks that no runner gets more than one.
 async fn check_left_alone(set: &Deployment, path: &str, runners: &[usize]) {
     for at in runners {
         refuse(set, *at);
--- a/node/tests/limits.rs
+++ b/node/tests/limits.rs
@@ -1,4 +1,4 @@
-//! Runners that announce a rate limit: requests a second that they take from all nodes together.
+//! Runners that announce a rate limit: requests a second that they accept from all nodes together.
 
 use std::sync::Arc;
 use std::time::Duration;
