dispatch: requests go to runners through a dispatcher with narrow handles

What sends requests to runners stands in a folder of its own and takes connections, limits, drains, back-off and the clock, and not all that the node shares: no more files than before name serve/shared.rs. Behaviour is the same.

--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod claims;
 pub mod clock;
 pub mod configuration;
+pub mod dispatch;
 pub mod drain;
 pub mod dump;
 pub mod duty;
--- a/node/src/serve/generation/read.rs
+++ b/node/src/serve/generation/read.rs
@@ -21,7 +21,6 @@
 use super::{LARGEST, Stop, Way, millis};
 use crate::serve::connection::CONNECT_LIMIT;
 use crate::serve::connection::{Answer, Incomplete, SendError};
-use crate::serve::dispatch;
 use crate::serve::shared::Shared;
 use crate::serve::ticket::{Step, Ticket};
 
@@ -86,7 +85,8 @@
         self.note_cached(&ticket, Progress::Begun);
         let request_id = self.request.id.clone();
         let reading = async {
-            let sent = dispatch::send(&self.shared, &ticket, &request_id, address, outgoing);
+            let target = ticket.target(address);
+            let sent = self.shared.dispatcher.send(target, &request_id, outgoing);
             let answer = sent.await?;
             read_handle(id, &request_id, address, answer).await
         };
--- a/node/src/serve/generation/stream.rs
+++ b/node/src/serve/generation/stream.rs
@@ -27,7 +27,6 @@
 use super::{Caller, Came, LARGEST, Stop, Way, millis, send_head};
 use crate::serve::answer::{pass_on, whole};
 use crate::serve::connection::{Answer, Lease};
-use crate::serve::dispatch;
 use crate::serve::plain::promises_not_run;
 use crate::serve::quarantine;
 use crate::serve::shared::Shared;
@@ -62,7 +61,8 @@
             if self.may_run_again() { left.min(self.silence(placement.first)) } else { left };
         self.runs += 1;
         self.arrivals += 1;
-        let sent = dispatch::send(&self.shared, &ticket, &self.request.id, address, outgoing);
+        let target = ticket.target(address);
+        let sent = self.shared.dispatcher.send(target, &self.request.id, outgoing);
         let sent = tokio::select! {
             () = self.caller.left() => {
                 if is_whole {
--- a/node/src/serve/mod.rs
+++ b/node/src/serve/mod.rs
@@ -9,7 +9,6 @@
 pub mod connection;
 pub mod copy;
 pub mod crash;
-pub mod dispatch;
 pub mod duty;
 pub mod follow;
 pub mod generation;
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -20,7 +20,6 @@
 
 use crate::serve::answer::{Body, Refusal, pass_on, whole};
 use crate::serve::connection::{Answer, SendError};
-use crate::serve::dispatch;
 use crate::serve::quarantine::{self, Admission};
 use crate::serve::request::{End, Request, UnderWay};
 use crate::serve::shared::Shared;
@@ -225,7 +224,8 @@
         let limit = if last { left } else { left.min(patience) };
         // From here on the request may run.
         self.runs += 1;
-        let sent = dispatch::send(self.shared, &ticket, &request.id, address, outgoing);
+        let target = ticket.target(address);
+        let sent = self.shared.dispatcher.send(target, &request.id, outgoing);
         match timeout(limit, async { self.finish(id, &ticket, sent.await?).await }).await {
             Ok(Ok(came)) => {
                 let outcome = match &came {
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -29,6 +29,7 @@
 
 use crate::account::Checks;
 use crate::back_off::BackOffs;
+use crate::dispatch::Dispatcher;
 use crate::drain::Drains;
 use crate::duty::tenure::Tenure;
 use crate::duty::view::{COLLECTORS, SUBJECT, View};
@@ -96,11 +97,11 @@
     /// Signals that a beat should go out now.
     pub beat_now: Arc<Notify>,
     /// Rate limits of runners.
-    pub limiter: Limiter,
+    pub limiter: Arc<Limiter>,
     /// Runners that leave by their own word.
-    pub drains: Drains,
-    /// Backing off from runners that refuse for a time.
-    pub back_offs: BackOffs,
+    pub drains: Arc<Drains>,
+    /// Sends requests to runners.
+    pub dispatcher: Dispatcher,
     register: Arc<Mutex<Register>>,
     roster: Arc<Mutex<Roster>>,
     knowledge: Mutex<Knowledge>,
@@ -158,11 +159,18 @@
         );
         let drains =
             Drains::new(register.clone(), beat_now.clone(), clock.clone(), metrics.clone());
-        let back_offs = BackOffs::new(register.clone(), clock.clone(), metrics.clone());
+        let (limiter, drains) = (Arc::new(limiter), Arc::new(drains));
+        let dispatcher = Dispatcher {
+            connections: connections.clone(),
+            limiter: limiter.clone(),
+            drains: drains.clone(),
+            back_offs: BackOffs::new(register.clone(), clock.clone(), metrics.clone()),
+            clock: clock.clone(),
+        };
         Self {
             limiter,
             drains,
-            back_offs,
+            dispatcher,
             store,
             tenure,
             usage,
--- a/node/src/serve/ticket.rs
+++ b/node/src/serve/ticket.rs
@@ -3,6 +3,7 @@
 //! The place is one in a single life of the runner. If the runner starts again meanwhile, what comes
 //! of the work says nothing of its new life, and frees nothing there.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -13,6 +14,7 @@
 use sardinepick_lib::fleet::scheduler::Lesson;
 use sardinepick_lib::id::RunnerId;
 
+use crate::dispatch::Target;
 use crate::serve::shared::Shared;
 
 /// How long a caller may have waited in vain at a runner before its leaving counts against the
@@ -79,6 +81,11 @@
         self.stay.as_ref()
     }
 
+    /// The runner as a target of requests, at its address.
+    pub fn target(&self, address: SocketAddr) -> Target<'_> {
+        Target { runner: &self.runner, stay: self.stay.as_ref(), address }
+    }
+
     /// Changes what is known of the runner, if it is still in the life in which the place was taken.
     pub fn with_runner<T>(&self, change: impl FnOnce(&mut Runner) -> T) -> Option<T> {
         let stay = self.stay.as_ref()?;
