scheduler: the test of a node that grants nothing covers plain services by the false node too

Trace: the false node's name (false-3) won the engines' pool only; the pool of the plain service falls to the node itself, which grants by its own view, and its bucket had a token once the test took longer than 200 ms: an allowed request. Now the false node wins the pools of both services, and the test lasts longer than it takes until a token would be there: it is stricter than before.

--- a/node/tests/scheduler.rs
+++ b/node/tests/scheduler.rs
@@ -14,7 +14,7 @@
 use sardinepick_testutils::cluster::{free_address, own_ip, wait_until};
 use sardinepick_testutils::fleet::beat;
 use sardinepick_testutils::fleet::caller::Ask;
-use sardinepick_testutils::fleet::deployment::{Deployment, MODEL};
+use sardinepick_testutils::fleet::deployment::{Deployment, MODEL, PLAIN};
 use sardinepick_testutils::fleet::runner::Runner;
 use sardinepick_testutils::fleet::signal::Signals;
 use sardinepick_wire::schedule::Schedule;
@@ -44,13 +44,15 @@
     Refusing,
 }
 
-/// A name for which the pool falls to the false scheduler and not to the node.
+/// A name for which the pools of all services fall to the false scheduler and not to the node.
 fn winning_name(node: &NodeId) -> NodeId {
-    let service: ServiceId = MODEL.parse().expect("an id");
-    (0..100)
-        .map(|n| format!("false-{n}").parse::<NodeId>().expect("an id"))
-        .find(|name| holder(&service, Pool(0), [node, name].into_iter()) == Some(name))
-        .expect("one of a hundred wins")
+    let services = [MODEL, PLAIN].map(|name| name.parse::<ServiceId>().expect("an id"));
+    let wins = |name: &NodeId| {
+        let holds = |service| holder(service, Pool(0), [node, name].into_iter()) == Some(name);
+        services.iter().all(holds)
+    };
+    let names = (0..100).map(|n| format!("false-{n}").parse::<NodeId>().expect("an id"));
+    names.into_iter().find(wins).expect("one of a hundred wins")
 }
 
 fn placed(runner: &RunnerId) -> Decision {
@@ -230,6 +232,8 @@
             let told = set.send(0, &Ask { headers, ..Ask::new(path, &id) }).await;
             assert_eq!((told.status, set.ran(&id)), (Some(StatusCode::OK), 1), "{path}");
         }
+        // Longer than it takes until a bucket that this node had would have a token.
+        sleep(Duration::from_millis(60)).await;
     }
     assert_eq!(limited.each_ref().map(|runner| runner.seen().len()), before);
 }
