limits: the users' rule on rate limits is written once

The tests of the nodes had a copy of the formula beside the one by which the soak judges; both call the one in testutils, which takes the window.

--- a/node/tests/limits.rs
+++ b/node/tests/limits.rs
@@ -11,6 +11,7 @@
 use sardinepick_testutils::cluster::{any_address, wait_until};
 use sardinepick_testutils::fleet::caller::{Ask, Caller};
 use sardinepick_testutils::fleet::deployment::{Deployment, PLAIN};
+use sardinepick_testutils::fleet::rule::limit_allows;
 use sardinepick_testutils::fleet::runner::{Faults, Runner};
 use sardinepick_testutils::fleet::signal::Signals;
 use tokio::time::{Instant, interval, sleep};
@@ -45,11 +46,6 @@
     }
 }
 
-/// What a runner with a limit of `rate` may get in [`WINDOW`] (users' rule).
-fn allowed(rate: f64) -> usize {
-    (rate * WINDOW.as_secs_f64() * 1.5) as usize + 5
-}
-
 fn arrivals(runner: &Runner, since: Instant) -> usize {
     runner.seen().iter().filter(|seen| seen.at.is_some_and(|at| at >= since)).count()
 }
@@ -64,7 +60,7 @@
     let counted_from = Instant::now() + HEARD;
     flood(&set, "/board/a").await;
     let came = arrivals(&set.runners[0], counted_from);
-    assert!(came <= allowed(2.0), "{came} requests in {WINDOW:?} at 2 a second");
+    assert!(came <= limit_allows(2.0, WINDOW), "{came} requests in {WINDOW:?} at 2 a second");
     assert!(came > 0, "the rate that it announces is used");
 }
 
@@ -79,7 +75,7 @@
     flood(&set, "/count/a").await;
     for runner in &set.runners[..2] {
         let came = arrivals(runner, counted_from);
-        assert!(came <= allowed(2.0), "{came} requests in {WINDOW:?} at 2 a second");
+        assert!(came <= limit_allows(2.0, WINDOW), "{came} requests in {WINDOW:?} at 2 a second");
     }
 }
 
@@ -94,7 +90,7 @@
     flood(&set, "/count/a").await;
     for runner in &set.runners[1..3] {
         let came = arrivals(runner, counted_from);
-        assert!(came <= allowed(2.0), "{came} requests in {WINDOW:?} at 2 a second");
+        assert!(came <= limit_allows(2.0, WINDOW), "{came} requests in {WINDOW:?} at 2 a second");
     }
 }
 
@@ -305,6 +301,6 @@
     }
     assert_eq!(refused, 0, "of {n}");
     for (at, rate) in [(0, 2.0), (4, 6.7), (5, 4.3), (6, 2.0)] {
-        assert!(arrivals(&set.runners[at], counted_from) <= allowed(rate));
+        assert!(arrivals(&set.runners[at], counted_from) <= limit_allows(rate, WINDOW));
     }
 }
--- a/testutils/src/fleet/rule.rs
+++ b/testutils/src/fleet/rule.rs
@@ -11,9 +11,9 @@
 /// How long after an announcement the rule on rate limits begins to hold.
 pub const LIMIT_AFTER: Duration = Duration::from_secs(3);
 
-/// What a runner with a limit of `rate` requests a second may get in a window.
-pub fn limit_allows(rate: f64) -> usize {
-    (rate * LIMIT_WINDOW.as_secs_f64() * 1.5) as usize + 5
+/// What a runner with a limit of `rate` requests a second may get in `window`.
+pub fn limit_allows(rate: f64, window: Duration) -> usize {
+    (rate * window.as_secs_f64() * 1.5) as usize + 5
 }
 
 /// Says where a runner with a limit of `rate` got more than the rule allows, from `since` on.
@@ -25,7 +25,7 @@
         .iter()
         .map(|from| arrived.iter().filter(|at| (*from..*from + LIMIT_WINDOW).contains(at)).count());
     let most = windows.max()?;
-    let allowed = limit_allows(rate);
+    let allowed = limit_allows(rate, LIMIT_WINDOW);
     (most > allowed)
         .then(|| format!("limit: {most} requests in 4 s reached {}, {allowed} allowed", runner.id))
 }
