store: failing tests of runners that leave after the store has come back from a copy

The stand-in for the store keeps copies and comes back from one: revisions go back and are given out again, a watch from one that it does not have gets 410, and the era in its answers rises.

--- a/node/tests/knowledge.rs
+++ b/node/tests/knowledge.rs
@@ -81,3 +81,16 @@
     teller.take(vec![object(1, 12)], &[], mark(Revision(12)));
     assert!(teller.since(Mark(0)).doubted.is_empty(), "it has come back");
 }
+
+/// Guards against a change under an earlier mark, as of a store that came back from a copy, that is told
+/// to nobody.
+#[test]
+fn since_change_under_earlier_mark_told() {
+    let mut teller = Knowledge::default();
+    teller.take(vec![object(1, 5), object(2, 100)], &[], mark(Revision(100)));
+    let known = teller.mark();
+    teller.take(vec![object(1, 60)], &[], mark(Revision(60)));
+    let told = teller.since(known);
+    assert_eq!(told.entries, [object(1, 60)]);
+    assert!(told.mark > known, "a node that hears of the mark has to ask");
+}
--- a/testutils/src/fleet/store.rs
+++ b/testutils/src/fleet/store/mod.rs
@@ -1,16 +1,21 @@
 //! A stand-in for the platform's store of objects.
 
+mod copy;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde_json::{Value, json};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
+pub use self::copy::{Copy, Lost};
+
+use self::copy::{Objects, Write};
 use crate::server::{Body, Cut, Server, answer, json as json_answer, read};
 
 /// How the store fails.
@@ -40,9 +45,19 @@
     tombstone: bool,
 }
 
-#[derive(Debug, Default)]
+/// The header that names the era of the store.
+const ERA: HeaderName = HeaderName::from_static("store-era");
+/// The era of a store that has never come back from a copy.
+const FIRST_ERA: u64 = 1;
+
+#[derive(Debug)]
 struct Inner {
-    objects: BTreeMap<(String, String), Value>,
+    objects: Objects,
+    /// What the operator and the runners have written, in order.
+    writes: Vec<Write>,
+    era: u64,
+    /// The values of the header in place of the era.
+    shown_era: Option<Vec<String>>,
     events: VecDeque<Event>,
     /// Changes up to this one are forgotten.
     forgotten: u64,
@@ -59,6 +74,27 @@
     window: Option<(Instant, u32)>,
 }
 
+impl Default for Inner {
+    fn default() -> Self {
+        Self {
+            era: FIRST_ERA,
+            objects: Objects::new(),
+            writes: Vec::new(),
+            shown_era: None,
+            events: VecDeque::new(),
+            forgotten: 0,
+            revision: 0,
+            fault: Fault::None,
+            lose: 0,
+            calls: 0,
+            refused: 0,
+            watches: BTreeMap::new(),
+            rate: None,
+            window: None,
+        }
+    }
+}
+
 /// The store.
 #[derive(Clone, Debug)]
 pub struct Store {
@@ -122,6 +158,11 @@
         (inner.calls, inner.refused)
     }
 
+    /// The revision of the last change.
+    pub fn revision(&self) -> u64 {
+        lock(&self.inner).revision
+    }
+
     /// How many watches of a kind wait now.
     pub fn watches(&self, kind: &str) -> usize {
         lock(&self.inner).watches.get(kind).copied().unwrap_or_default()
@@ -129,13 +170,19 @@
 
     /// Writes an object as the operator or a runner does.
     pub fn put(&self, kind: &str, name: &str, spec: &Value) {
-        lock(&self.inner).put(kind, name, spec);
+        let mut inner = lock(&self.inner);
+        inner.writes.push(((kind.to_owned(), name.to_owned()), Some(spec.clone())));
+        inner.put(kind, name, spec);
+        drop(inner);
         self.changed.send_modify(|n| *n += 1);
     }
 
     /// Removes an object.
     pub fn remove(&self, kind: &str, name: &str) {
-        lock(&self.inner).remove(kind, name);
+        let mut inner = lock(&self.inner);
+        inner.writes.push(((kind.to_owned(), name.to_owned()), None));
+        inner.remove(kind, name);
+        drop(inner);
         self.changed.send_modify(|n| *n += 1);
     }
 
@@ -188,6 +235,12 @@
         }
     }
 
+    fn era_values(&self) -> Vec<HeaderValue> {
+        let values = self.shown_era.clone().unwrap_or_else(|| vec![self.era.to_string()]);
+        let values = values.iter().filter_map(|value| HeaderValue::from_str(value).ok());
+        values.collect()
+    }
+
     /// Whether a call is beyond the rate.
     fn is_over(&mut self) -> bool {
         let Some(rate) = self.rate else { return false };
@@ -207,6 +260,15 @@
 }
 
 async fn handle(state: State, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+    let inner = state.0.clone();
+    let mut response = respond(state, request).await?;
+    for value in lock(&inner).era_values() {
+        response.headers_mut().append(ERA, value);
+    }
+    Ok(response)
+}
+
+async fn respond(state: State, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
     let (inner, changed) = state;
     let (fault, over) = {
         let mut inner = lock(&inner);
@@ -338,11 +400,15 @@
     let until = Instant::now() + wait;
     let mut changes = changed.subscribe();
     let _waiting = Waiting::new(inner, kind);
+    let era = lock(inner).era;
     loop {
         changes.borrow_and_update();
         {
             let inner = lock(inner);
-            if from < inner.forgotten {
+            if inner.era != era {
+                return Err(Cut);
+            }
+            if from < inner.forgotten || from > inner.revision {
                 return Ok(answer(StatusCode::GONE, ""));
             }
             let events = inner.since(kind, from);
