--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 pub mod health;
 pub mod limit;
 pub mod load;
+pub mod mark;
 pub mod outage;
 pub mod outbox;
 pub mod patience;
--- a/lib/src/fleet/register.rs
+++ b/lib/src/fleet/register.rs
@@ -8,8 +8,11 @@
 //! A runner that starts again under its id holds and knows nothing of before: it takes the place of
 //! its former life as a runner of which only the entry is known. A late entry of a former life
 //! changes nothing, and what was begun in one life ends in it ([`Stay`]).
+//!
+//! A store that comes back from a copy shows what runners wrote before what is known of them, in a
+//! later era. A runner's own count of its writes tells the two apart.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Instant;
 
 use super::cache::{Part, Progress};
@@ -18,7 +21,8 @@
 use super::load::{Class, Load};
 use super::pool::{self, Pool};
 use super::runner::{Closed, Entry, Runner, State, Stay, Tag};
-use crate::id::{NodeId, Revision, RunnerId, ServiceId};
+use crate::history::Point;
+use crate::id::{NodeId, RunnerId, ServiceId};
 
 /// What a change of the register did.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -41,12 +45,18 @@
     Former,
 }
 
+/// How many runners that have left are remembered, for a store that comes back from a copy in which
+/// they are still there.
+const MOST_LEFT: usize = 512;
+
 /// The runners.
 #[derive(Clone, Debug, Default)]
 pub struct Register {
     runners: HashMap<RunnerId, Runner>,
     tags: HashMap<Tag, RunnerId>,
     doubted: HashMap<RunnerId, Instant>,
+    /// The last entries of runners that have left, oldest first.
+    left: VecDeque<Entry>,
     /// How many stays there have been.
     stays: u64,
     /// How many pools each service has.
@@ -59,17 +69,25 @@
     /// Takes in an entry. One that is older than what is known, or of a former life, changes nothing.
     pub fn apply(&mut self, entry: Entry) -> Change {
         let Some(runner) = self.runners.get_mut(&entry.id) else {
+            if self.left.iter().any(|left| entry.is_shown_again(left)) {
+                return Change::Former;
+            }
             self.insert(entry);
             return Change::Added;
         };
         // A doubted runner that is back has written anew. What is known of it comes again from nodes that
         // have not heard yet that its entry is missing, and must not keep it in use.
-        if entry.revision <= runner.entry.revision {
+        if entry.at <= runner.entry.at {
             return Change::None;
         }
+        if entry.is_shown_again(&runner.entry) {
+            let was_doubted = self.doubted.remove(&entry.id).is_some();
+            runner.entry.at = entry.at;
+            return if was_doubted { Change::Updated } else { Change::None };
+        }
         match (entry.born, runner.entry.born) {
             // The runner says when it began; who does not is not the runner.
-            (None, Some(_)) => return self.disown(&entry.id, entry.revision),
+            (None, Some(_)) => return self.disown(&entry.id, entry.at),
             (new, known) if new < known => return Change::Former,
             _ => {}
         }
@@ -94,12 +112,11 @@
         if leaves { Change::Leaving } else { Change::Updated }
     }
 
-    /// Takes in that what stands under the id of a runner since `revision` is not of that runner's
-    /// making. There is no runner to use under that id then, and nothing to doubt: the store has
+    /// Takes in that what stands under the id of a runner since `at` is not of that runner's making. There is no runner to use under that id then, and nothing to doubt: the store has
     /// just shown what it has.
-    pub fn disown(&mut self, id: &RunnerId, revision: Revision) -> Change {
+    pub fn disown(&mut self, id: &RunnerId, at: Point) -> Change {
         match self.runners.get(id) {
-            Some(runner) if runner.entry.revision < revision => {
+            Some(runner) if runner.entry.at < at => {
                 self.drop_runner(id);
                 Change::Removed
             }
@@ -124,6 +141,10 @@
             self.doubted.entry(id.clone()).or_insert(until);
             return Change::Doubted;
         }
+        self.left.push_back(runner.entry.clone());
+        if self.left.len() > MOST_LEFT {
+            self.left.pop_front();
+        }
         self.drop_runner(id);
         Change::Removed
     }
--- a/lib/src/fleet/roster.rs
+++ b/lib/src/fleet/roster.rs
@@ -18,8 +18,9 @@
 use smallvec::SmallVec;
 
 use super::digest::Differences;
+use super::mark::Mark;
 use crate::hash::place;
-use crate::id::{ConfigVersion, DataCentre, Incarnation, Mark, NodeId};
+use crate::id::{ConfigVersion, DataCentre, Incarnation, NodeId};
 
 /// How many nodes a node beats to. In a graph drawn so, news reaches 550 nodes in four steps, and a
 /// node is cut from all its watchers at once only when most nodes are lost.
--- a/lib/src/fleet/route.rs
+++ b/lib/src/fleet/route.rs
@@ -9,7 +9,8 @@
 
 use super::engine::Engine;
 use crate::account::directory::Directory;
-use crate::id::{ConfigVersion, Revision, ServiceId};
+use crate::history::Point;
+use crate::id::{ConfigVersion, ServiceId};
 use crate::scale::plan::Scaling;
 
 /// What may be repeated of a request on a route, and what its answer looks like.
@@ -144,7 +145,7 @@
     /// The client accounts; none where requests need no key.
     pub accounts: Option<Directory>,
     /// The change of the store that made it; none until it is known.
-    pub revision: Revision,
+    pub at: Point,
 }
 
 impl Configuration {
@@ -163,14 +164,7 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
-        Self {
-            version,
-            routes: by_host,
-            services,
-            limits,
-            accounts: None,
-            revision: Revision::default(),
-        }
+        Self { version, routes: by_host, services, limits, accounts: None, at: Point::default() }
     }
 
     /// The route of a request: of those of its host, the one with the longest prefix of its path.
--- a/lib/src/fleet/runner.rs
+++ b/lib/src/fleet/runner.rs
@@ -13,7 +13,8 @@
 use super::load::{Class, Load, Others};
 use super::pool::Pool;
 use crate::hash::place;
-use crate::id::{Born, DataCentre, Revision, RunnerId, ServiceId};
+use crate::history::Point;
+use crate::id::{Born, DataCentre, RunnerId, ServiceId};
 
 /// Whether a runner takes new work, in its own words.
 #[derive(Clone, Copy, Debug, Display, EnumString, Eq, IntoStaticStr, PartialEq)]
@@ -46,8 +47,10 @@
     pub slots: u32,
     /// Whether it costs less and may be taken back.
     pub reclaimable: bool,
+    /// How often the runner had written it, by its own count within this life.
+    pub writes: u64,
     /// The change by which the entry came to be as it is.
-    pub revision: Revision,
+    pub at: Point,
 }
 
 /// A hash of a runner's id and birth, by which nodes name one life of it to each other in few bytes.
@@ -69,6 +72,16 @@
     pub fn tag(&self) -> Tag {
         Tag::of(&self.id, self.born)
     }
+
+    /// Whether the store, back from a copy, shows with this entry no more than what the same life of the
+    /// runner had written when it wrote `known`. Who leaves does not come back in that life.
+    pub fn is_shown_again(&self, known: &Entry) -> bool {
+        let same_life = self.id == known.id && self.born == known.born;
+        let leaves = self.state == State::Draining && known.state == State::Ready;
+        let returns = self.state == State::Ready && known.state == State::Draining;
+        let wrote_no_more = self.writes <= known.writes;
+        same_life && self.at.era > known.at.era && !leaves && (wrote_no_more || returns)
+    }
 }
 
 /// One stay of a runner in this node's register: from when the node first heard of this life of it
--- a/lib/src/id.rs
+++ b/lib/src/id.rs
@@ -215,15 +215,6 @@
     /// The version of the platform's configuration; it only ever goes up, in uneven steps.
     ConfigVersion
 );
-counter!(
-    /// The place of a change in the platform's one order of changes.
-    Revision
-);
-counter!(
-    /// How new a node's knowledge of the register of runners is. It goes up with the store's
-    /// revisions, with room between two of them for what a node concludes by itself.
-    Mark
-);
 counter!(
     /// The number of a lease's holding; each new holder has a higher one. It is the fencing number
     /// that goes with every order to an engine.
--- a/lib/src/lease.rs
+++ b/lib/src/lease.rs
@@ -15,7 +15,8 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use crate::id::{Epoch, Incarnation, NodeId, Revision};
+use crate::history::Point;
+use crate::id::{Epoch, Incarnation, NodeId};
 
 /// One life of a node, as the holder of leases.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
@@ -68,7 +69,7 @@
     /// exist yet.
     Write {
         /// The revision that the object must have.
-        expected: Option<Revision>,
+        expected: Option<Point>,
         /// The new content.
         record: Record,
     },
@@ -78,7 +79,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Written {
     /// It took effect and made this revision.
-    Done(Revision),
+    Done(Point),
     /// The object had another revision.
     Conflict,
     /// No answer came: it may have taken effect.
@@ -87,7 +88,7 @@
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct Seen {
-    revision: Option<Revision>,
+    revision: Option<Point>,
     record: Record,
     first: Instant,
     /// The latest time at which a holder before it can have acted, once the lease has been given back.
@@ -242,7 +243,7 @@
     }
 
     /// Takes in what a read gave: the revision and content, or nothing where there is no object.
-    pub fn take_read(&mut self, now: Instant, term: Term, found: Option<(Revision, Record)>) {
+    pub fn take_read(&mut self, now: Instant, term: Term, found: Option<(Point, Record)>) {
         let (revision, record) = match found {
             Some((revision, record)) => (Some(revision), record),
             None => (None, Record::default()),
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod directory;
 pub mod fleet;
 pub mod hash;
+pub mod history;
 pub mod id;
 pub mod language;
 pub mod lease;
--- a/lib/src/order.rs
+++ b/lib/src/order.rs
@@ -13,8 +13,8 @@
 use smol_str::SmolStr;
 
 use crate::config::object::{Fencing, Role};
+use crate::history::Point;
 use crate::id::Epoch;
-use crate::id::Revision;
 
 /// The identity of an order; an engine does an order of the same identity once.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
@@ -78,7 +78,7 @@
     /// Write the intent if the stored one has the expected revision.
     Write {
         /// The revision that the stored intent must have; none if there must be none.
-        expected: Option<Revision>,
+        expected: Option<Point>,
         /// The intent.
         intent: Intent,
     },
@@ -122,7 +122,7 @@
 pub struct Desk {
     fencing: Fencing,
     epoch: Option<Epoch>,
-    revision: Option<Revision>,
+    revision: Option<Point>,
     intent: Option<Intent>,
     condition: Option<Condition>,
     writing: Option<Intent>,
@@ -258,7 +258,7 @@
     }
 
     /// Takes in the stored intent.
-    pub fn take_read(&mut self, found: Option<(Revision, Intent)>) {
+    pub fn take_read(&mut self, found: Option<(Point, Intent)>) {
         let settles = self.writing.take();
         let (revision, intent) = found.unzip();
         if revision < self.revision {
@@ -277,7 +277,7 @@
 
     /// Takes in what came of a write: its revision, or `None` when it conflicted or no answer
     /// came. In both cases the stored intent is read again, which settles whose it is.
-    pub fn take_written(&mut self, revision: Option<Revision>) {
+    pub fn take_written(&mut self, revision: Option<Point>) {
         if self.step != Step::Writing {
             return;
         }
--- a/lib/tests/authority_model.rs
+++ b/lib/tests/authority_model.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use sardinepick_lib::config::object::{Fencing, Role};
-use sardinepick_lib::id::Revision;
+use sardinepick_lib::history::Point;
 use sardinepick_lib::id::{Epoch, Incarnation};
 use sardinepick_lib::lease::{self, Holder, Lease, Term, Written};
 use sardinepick_lib::order::{self, Answer, Condition, Desk, Id, Intent, Order};
@@ -140,7 +140,7 @@
         world.nodes[at].call = None;
         match call {
             Call::Lease(lease::Action::Read) => {
-                let found = world.lease.clone().map(|(r, record)| (Revision(r), record));
+                let found = world.lease.clone().map(|(r, record)| (Point::without_era(r), record));
                 let now = world.now;
                 world.nodes[at].lease.take_read(now, TERM, found);
                 vec![world]
@@ -149,7 +149,7 @@
                 world.write_lease(at, *expected, record)
             }
             Call::Order(order::Action::Read) => {
-                let found = world.intent.clone().map(|(r, intent)| (Revision(r), intent));
+                let found = world.intent.clone().map(|(r, intent)| (Point::without_era(r), intent));
                 world.nodes[at].desk.take_read(found);
                 vec![world]
             }
@@ -169,18 +169,18 @@
     fn write_lease(
         mut self,
         at: usize,
-        expected: Option<Revision>,
+        expected: Option<Point>,
         record: &lease::Record,
     ) -> Vec<World> {
         let now = self.now;
-        if self.lease.as_ref().map(|(r, _)| Revision(*r)) != expected {
+        if self.lease.as_ref().map(|(r, _)| Point::without_era(*r)) != expected {
             self.nodes[at].lease.take_written(now, TERM, Written::Conflict);
             return vec![self];
         }
         self.revision += 1;
         self.lease = Some((self.revision, record.clone()));
         let mut lost = self.clone();
-        let done = Written::Done(Revision(self.revision));
+        let done = Written::Done(Point::without_era(self.revision));
         self.nodes[at].lease.take_written(now, TERM, done);
         let mut worlds = vec![self];
         if lost.lost == 0 {
@@ -194,20 +194,15 @@
         worlds
     }
 
-    fn write_intent(
-        mut self,
-        at: usize,
-        expected: Option<Revision>,
-        intent: &Intent,
-    ) -> Vec<World> {
-        if self.intent.as_ref().map(|(r, _)| Revision(*r)) != expected {
+    fn write_intent(mut self, at: usize, expected: Option<Point>, intent: &Intent) -> Vec<World> {
+        if self.intent.as_ref().map(|(r, _)| Point::without_era(*r)) != expected {
             self.nodes[at].desk.take_written(None);
             return vec![self];
         }
         self.revision += 1;
         self.intent = Some((self.revision, intent.clone()));
         let mut lost = self.clone();
-        self.nodes[at].desk.take_written(Some(Revision(self.revision)));
+        self.nodes[at].desk.take_written(Some(Point::without_era(self.revision)));
         let mut worlds = vec![self];
         if lost.lost == 0 {
             lost.lost += 1;
--- a/lib/tests/duty_model.rs
+++ b/lib/tests/duty_model.rs
@@ -8,7 +8,8 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
-use sardinepick_lib::id::{Epoch, Incarnation, Revision};
+use sardinepick_lib::history::Point;
+use sardinepick_lib::id::{Epoch, Incarnation};
 use sardinepick_lib::lease::{Action, Holder, Lease, Record, Term, Written};
 
 const MS: Duration = Duration::from_millis(1);
@@ -43,7 +44,7 @@
     answered: Option<Instant>,
     sent: Instant,
     outcome: Option<Written>,
-    found: Option<Option<(Revision, Record)>>,
+    found: Option<Option<(Point, Record)>>,
 }
 
 struct Node {
@@ -65,11 +66,11 @@
     rng: StdRng,
     variant: Variant,
     now: Instant,
-    store: Option<(Revision, Record)>,
+    store: Option<(Point, Record)>,
     revision: u64,
     nodes: Vec<Node>,
     /// Writes whose senders do not wait for them any more.
-    late: Vec<(Instant, Option<Revision>, Record)>,
+    late: Vec<(Instant, Option<Point>, Record)>,
     /// Calls to the platform: when they arrive, of which node, with which number.
     calls: Vec<(Instant, usize, Epoch)>,
 }
@@ -114,13 +115,13 @@
         MS * u32::try_from(self.rng.random_range(from..to)).expect("a short time")
     }
 
-    fn write(&mut self, expected: Option<Revision>, record: &Record) -> Option<Revision> {
+    fn write(&mut self, expected: Option<Point>, record: &Record) -> Option<Point> {
         if self.store.as_ref().map(|(revision, _)| *revision) != expected {
             return None;
         }
         self.revision += 1;
-        self.store = Some((Revision(self.revision), record.clone()));
-        Some(Revision(self.revision))
+        self.store = Some((Point::without_era(self.revision), record.clone()));
+        Some(Point::without_era(self.revision))
     }
 
     fn step(&mut self) {
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -20,7 +20,8 @@
 use sardinepick_lib::fleet::register::{Change as Changed, Reading, Register, Share};
 use sardinepick_lib::fleet::route::{Configuration, Kind, Limits, Route, Target};
 use sardinepick_lib::fleet::runner::{Entry, State, Tag};
-use sardinepick_lib::id::{ConfigVersion, DataCentre, Revision, RunnerId, ServiceId};
+use sardinepick_lib::history::Point;
+use sardinepick_lib::id::{ConfigVersion, DataCentre, RunnerId, ServiceId};
 use smallvec::smallvec;
 
 const MS: Duration = Duration::from_millis(1);
@@ -49,7 +50,8 @@
         stage,
         reclaimable: false,
         slots: 8,
-        revision: Revision(revision),
+        writes: 0,
+        at: Point::without_era(revision),
     }
 }
 
--- a/lib/tests/life_model.rs
+++ b/lib/tests/life_model.rs
@@ -13,7 +13,8 @@
 use sardinepick_lib::fleet::load::{Class, Load};
 use sardinepick_lib::fleet::register::{Reading, Register, Share};
 use sardinepick_lib::fleet::runner::{Entry, State, Stay, Tag};
-use sardinepick_lib::id::{Born, NodeId, Revision, RunnerId};
+use sardinepick_lib::history::Point;
+use sardinepick_lib::id::{Born, NodeId, RunnerId};
 
 const NODES: usize = 2;
 /// Events explored from each start.
@@ -128,7 +129,8 @@
             stage: None,
             slots: 1,
             reclaimable: false,
-            revision: Revision(self.written.len() as u64 + 1),
+            writes: 0,
+            at: Point::without_era(self.written.len() as u64 + 1),
         });
     }
 
--- a/lib/tests/scheduler.rs
+++ b/lib/tests/scheduler.rs
@@ -16,7 +16,8 @@
 use sardinepick_lib::fleet::runner::{Entry, State, Tag};
 use sardinepick_lib::fleet::scheduler::{self, Ask, Decision, Firmness, Lesson, Step};
 use sardinepick_lib::hash::place;
-use sardinepick_lib::id::{NodeId, Revision, RunnerId, ServiceId};
+use sardinepick_lib::history::Point;
+use sardinepick_lib::id::{NodeId, RunnerId, ServiceId};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -59,7 +60,8 @@
             stage: Some(stage(at)),
             slots: 128,
             reclaimable: false,
-            revision: Revision(1),
+            writes: 0,
+            at: Point::without_era(1),
         });
     }
     register.divide();
--- a/node/src/account/mod.rs
+++ b/node/src/account/mod.rs
@@ -5,7 +5,7 @@
 use sardinepick_lib::account::freshness::{Freshness, VALID};
 use sardinepick_lib::clock::Clock;
 use sardinepick_lib::fleet::route::Configuration;
-use sardinepick_lib::id::Revision;
+use sardinepick_lib::history::Point;
 use sardinepick_platform::config;
 use sardinepick_platform::store::{Change, Object};
 use tokio::sync::Mutex;
@@ -31,7 +31,7 @@
 struct State {
     freshness: Freshness,
     /// Up to where the store's history of the configuration is known.
-    from: Option<Revision>,
+    from: Option<Point>,
     /// When the last check failed.
     failed: Option<Instant>,
 }
@@ -57,7 +57,7 @@
             return Checked::Unconfirmed;
         }
         let began = clock.now();
-        let from = state.from.unwrap_or(known.revision);
+        let from = state.from.unwrap_or(known.at);
         let checked = timeout(LIMIT, read(store, from)).await;
         let (newest, as_of) = match checked {
             Ok(Ok(read)) => read,
@@ -75,7 +75,7 @@
         state.from = Some(as_of);
         state.failed = None;
         match newest {
-            Some(object) if object.revision > known.revision => Checked::Newer(object),
+            Some(object) if object.at > known.at => Checked::Newer(object),
             _ => {
                 state.freshness.note(known.version, began);
                 Checked::Newest
@@ -85,7 +85,7 @@
 }
 
 /// Reads what has changed since `from`. Mostly nothing has, and the answer is a few bytes.
-async fn read(store: &Client, from: Revision) -> Result<(Option<Object>, Revision), StoreError> {
+async fn read(store: &Client, from: Point) -> Result<(Option<Object>, Point), StoreError> {
     let purpose = Purpose::ConfigurationCheck;
     let (objects, as_of) = match store.watch(purpose, config::KIND, from, Duration::ZERO).await {
         Ok(changes) => {
@@ -98,6 +98,6 @@
         Err(error) if error.is_forgotten() => store.list(purpose, config::KIND).await?,
         Err(error) => return Err(error),
     };
-    let newest = objects.into_iter().filter(|o| o.name == config::NAME).max_by_key(|o| o.revision);
+    let newest = objects.into_iter().filter(|o| o.name == config::NAME).max_by_key(|o| o.at);
     Ok((newest, as_of))
 }
--- a/node/src/authority.rs
+++ b/node/src/authority.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use sardinepick_lib::config::object::{Form, Role, Runner, Service};
 use sardinepick_lib::config::snapshot::Snapshot;
-use sardinepick_lib::id::Revision;
+use sardinepick_lib::history::Point;
 use sardinepick_lib::id::{Epoch, Name};
 use sardinepick_lib::lease::{self, Holder, Lease, Written};
 use sardinepick_lib::order::{self, Answer, Desk, Intent};
@@ -243,7 +243,7 @@
         self.lease.take_read(now, self.node.settings.term, found);
     }
 
-    async fn write_lease(&mut self, expected: Option<Revision>, record: lease::Record) {
+    async fn write_lease(&mut self, expected: Option<Point>, record: lease::Record) {
         let object = lease_object(&self.service);
         let value = Bytes::from(serde_json::to_vec(&record).expect("a lease is JSON"));
         let written = match self.node.store.put(&object, expected, value).await {
@@ -442,7 +442,7 @@
     }
 }
 
-async fn read_intent(node: &Node, runner: &Name) -> Result<Option<(Revision, Intent)>, StoreError> {
+async fn read_intent(node: &Node, runner: &Name) -> Result<Option<(Point, Intent)>, StoreError> {
     let object = intent_object(runner);
     let Some(found) = node.store.get(&object).await? else { return Ok(None) };
     match serde_json::from_slice(&found.value) {
@@ -457,9 +457,9 @@
 async fn write_intent(
     node: &Node,
     runner: &Name,
-    expected: Option<Revision>,
+    expected: Option<Point>,
     intent: &Intent,
-) -> Option<Revision> {
+) -> Option<Point> {
     let value = Bytes::from(serde_json::to_vec(intent).expect("an intent is JSON"));
     match node.store.put(&intent_object(runner), expected, value).await {
         Ok(revision) => Some(revision),
--- a/node/src/configuration.rs
+++ b/node/src/configuration.rs
@@ -8,8 +8,8 @@
 use sardinepick_lib::config::chunk::Chunk;
 use sardinepick_lib::config::head::Head;
 use sardinepick_lib::hash::Digest;
+use sardinepick_lib::history::Point;
 use sardinepick_lib::id::Name;
-use sardinepick_lib::id::Revision;
 use sardinepick_lib::member::State;
 use sardinepick_lib::spread::{Action, Source, SpreadError};
 use sardinepick_lib::supply;
@@ -72,7 +72,7 @@
 ///
 /// # Errors
 /// The platform does not answer, or not with a head.
-pub async fn read_head(node: &Node) -> Result<Option<(Revision, Head)>, FetchError> {
+pub async fn read_head(node: &Node) -> Result<Option<(Point, Head)>, FetchError> {
     let Some(object) = node.store.get(HEAD).await? else { return Ok(None) };
     let head = serde_json::from_slice(&object.value)?;
     Ok(Some((object.revision, head)))
@@ -93,7 +93,7 @@
 /// Watches the platform where it is this node's duty, or where it has no configuration yet, until
 /// the node stops.
 pub async fn watch(node: Arc<Node>) {
-    let mut seen = Revision(0);
+    let mut seen = Point::default();
     loop {
         let step = async {
             if !is_watcher(&node) {
@@ -115,7 +115,7 @@
 
 /// A watch may miss events or replay old ones, so it is only a hint to read the head; the head is
 /// read at the latest when a watch has waited its time.
-async fn watch_once(node: &Node, seen: &mut Revision) -> Result<(), FetchError> {
+async fn watch_once(node: &Node, seen: &mut Point) -> Result<(), FetchError> {
     if let Some((revision, head)) = read_head(node).await? {
         *seen = (*seen).max(revision);
         node.spreader().take_head(head);
--- a/node/src/duty/tenure.rs
+++ b/node/src/duty/tenure.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use sardinepick_lib::clock::Clock;
-use sardinepick_lib::id::{Epoch, Incarnation, NodeId, Revision};
+use sardinepick_lib::history::Point;
+use sardinepick_lib::id::{Epoch, Incarnation, NodeId};
 use sardinepick_lib::lease::{Action, Holder, Lease, Record, Term, Written};
 use sardinepick_platform::duty::LEASES;
 use sardinepick_platform::store::{Object, Refused};
@@ -164,7 +165,7 @@
         }
     }
 
-    async fn write(&self, expected: Option<Revision>, record: &Record) {
+    async fn write(&self, expected: Option<Point>, record: &Record) {
         let content = serde_json::json!(record);
         let result = match expected {
             None => self.store.create(Purpose::Lease, LEASES, LEASE, &content).await,
@@ -173,7 +174,7 @@
         let now = self.clock.now();
         let mut state = self.state();
         let written = match result {
-            Ok(object) => Written::Done(object.revision),
+            Ok(object) => Written::Done(object.at),
             Err(StoreError::Refused {
                 refused: Refused::Conflict(_) | Refused::Missing, ..
             }) => Written::Conflict,
@@ -211,13 +212,13 @@
 
 /// Reads the lease. One that cannot be read is held by nobody that is known, for a whole term, and has
 /// a number that none before it can have had: each holding is a change of the store.
-fn decode(object: &Object) -> (Revision, Record) {
-    let revision = object.revision;
+fn decode(object: &Object) -> (Point, Record) {
+    let at = object.at;
     let record = serde_json::from_slice(&object.content).unwrap_or_else(|error| {
-        log::error!(revision:% = revision, error:% = error; "lease cannot be read; it is replaced");
+        log::error!(revision:% = at, error:% = error; "lease cannot be read; it is replaced");
         let name: NodeId = UNKNOWN.parse().expect("a right name");
         let holder = Some(Holder { name, incarnation: Incarnation(0) });
-        Record { holder, epoch: Epoch(revision.0), ..Record::default() }
+        Record { holder, epoch: Epoch(at.revision.0), ..Record::default() }
     });
-    (revision, record)
+    (at, record)
 }
--- /dev/null
+++ b/node/src/history/mod.rs
@@ -0,0 +1,161 @@
+//! The era of the platform's store, as one node knows it from the store's answers and other nodes.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use http::HeaderMap;
+use sardinepick_lib::clock::Clock;
+use sardinepick_lib::fleet::outage::DOUBT;
+use sardinepick_lib::history::{Era, Present, Sight};
+use sardinepick_platform::store::read_era;
+use thiserror::Error;
+use tokio::sync::watch;
+
+use crate::lock::lock;
+use crate::serve::metrics::Metrics;
+
+/// How often the log tells of eras that are not believed.
+const LOG_PERIOD: Duration = Duration::from_secs(10);
+
+/// Why an answer is not used.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum EraError {
+    /// It is of an era that is over.
+    #[error("the answer is of era {shown}, which ended when {known} began")]
+    Former {
+        /// The era that it names.
+        shown: Era,
+        /// The present one.
+        known: Era,
+    },
+    /// Its era is not believed yet.
+    #[error("the answer is of era {shown}, more than one after {known}, and is not believed yet")]
+    Unconfirmed {
+        /// The era that it names.
+        shown: Era,
+        /// The present one.
+        known: Era,
+    },
+}
+
+/// What is known of the store's era.
+pub struct Tracker {
+    clock: Arc<dyn Clock>,
+    metrics: Metrics,
+    present: Mutex<Present>,
+    logged: Mutex<Option<Instant>>,
+    changed: watch::Sender<Era>,
+}
+
+impl Tracker {
+    /// A tracker to which no era has been shown.
+    pub fn new(clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
+        let changed = watch::Sender::new(Era::default());
+        Self { clock, metrics, present: Mutex::default(), logged: Mutex::default(), changed }
+    }
+
+    fn present(&self) -> MutexGuard<'_, Present> {
+        lock(&self.present)
+    }
+
+    /// The present era.
+    pub fn era(&self) -> Era {
+        self.present().era()
+    }
+
+    /// Since when the present era has been known; none if none is.
+    pub fn since(&self) -> Option<Instant> {
+        self.present().since()
+    }
+
+    /// Until when an entry that is missing now is doubted, as who wrote it writes it again after the
+    /// store has come back from a copy.
+    pub fn doubt(&self, now: Instant) -> Option<Instant> {
+        self.present().doubt(now, DOUBT)
+    }
+
+    /// Tells of each change of the era.
+    pub fn changes(&self) -> watch::Receiver<Era> {
+        self.changed.subscribe()
+    }
+
+    /// Takes in the headers of an answer, and gives the era of what it says. An answer that names none,
+    /// or names it so that it cannot be read, is taken to be of the present one.
+    ///
+    /// # Errors
+    /// The answer must not be used.
+    pub fn note_answer(&self, headers: &HeaderMap) -> Result<Era, EraError> {
+        match read_era(headers) {
+            Ok(Some(shown)) => self.note(shown, "store"),
+            Ok(None) => Ok(self.era()),
+            Err(fault) => {
+                self.count("unreadable");
+                if self.is_log_due() {
+                    log::warn!(error:% = fault, era:% = self.era(); "store's era cannot be read");
+                }
+                Ok(self.era())
+            }
+        }
+    }
+
+    /// Takes in the era that another node knows.
+    pub fn note_told(&self, shown: Era, node: &str) {
+        // What another node says late is no fault of the store.
+        if shown > self.era() {
+            let _ = self.note(shown, node);
+        }
+    }
+
+    fn note(&self, shown: Era, source: &str) -> Result<Era, EraError> {
+        let (known, sight) = {
+            let mut present = self.present();
+            let known = present.era();
+            (known, present.note(shown, self.clock.now()))
+        };
+        match sight {
+            Sight::Same => return Ok(shown),
+            Sight::First => {
+                self.count("first");
+                log::info!(era:% = shown, source = source; "store's era known");
+            }
+            Sight::Later { before } => {
+                self.count("later");
+                log::warn!(
+                    era:% = shown, before:% = before, source = source;
+                    "store came back from a copy"
+                );
+            }
+            Sight::Former => {
+                self.count("former");
+                if self.is_log_due() {
+                    log::warn!(era:% = shown, known:% = known; "answer of a former era not used");
+                }
+                return Err(EraError::Former { shown, known });
+            }
+            Sight::Unconfirmed => {
+                self.count("unconfirmed");
+                if self.is_log_due() {
+                    log::warn!(era:% = shown, known:% = known; "store's era not believed yet");
+                }
+                return Err(EraError::Unconfirmed { shown, known });
+            }
+        }
+        self.metrics.era.set(i64::from(shown.0));
+        self.changed.send_replace(shown);
+        Ok(shown)
+    }
+
+    fn count(&self, outcome: &str) {
+        self.metrics.eras.with_label_values(&[outcome]).inc();
+    }
+
+    fn is_log_due(&self) -> bool {
+        let now = self.clock.now();
+        let mut logged = lock(&self.logged);
+        let due = logged.is_none_or(|at| now >= at + LOG_PERIOD);
+        if due {
+            *logged = Some(now);
+        }
+        due
+    }
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod explain;
 pub mod front;
 pub mod gather;
+pub mod history;
 pub mod limit;
 pub mod lock;
 pub mod logging;
--- a/node/src/serve/beat.rs
+++ b/node/src/serve/beat.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use rand::seq::IteratorRandom as _;
+use sardinepick_lib::fleet::mark::Mark;
 use sardinepick_lib::fleet::quarantine::MOST_TOLD;
 use sardinepick_lib::fleet::roster::{PERIOD, Record, Standing, Status};
-use sardinepick_lib::id::Mark;
 use sardinepick_wire::beat::{Beat, MOST_BYTES};
 use sardinepick_wire::fleet as pb;
 use sardinepick_wire::{schedule, usage};
@@ -40,7 +40,7 @@
     let mut count: u64 = 0;
     let mut next = Instant::now();
     // Up to where the register's changes have been passed on.
-    let mut passed_on = Mark(0);
+    let mut passed_on = Mark::default();
     loop {
         let due = tokio::select! {
             () = sleep_until(next) => true,
@@ -121,7 +121,7 @@
     let bytes: usize = changed.entries.iter().map(|o| o.name.len() + o.content.len()).sum();
     let bytes = bytes + changed.gone.iter().map(smol_str::SmolStr::len).sum::<usize>();
     let little = !changed.whole && bytes <= MOST_NEWS;
-    little.then(|| pb::Knowledge { since: since.0, ..peer::knowledge(&changed) })
+    little.then(|| peer::news(&changed, since))
 }
 
 fn beat(shared: &Shared, status: Status) -> Beat {
@@ -197,7 +197,7 @@
                 }
                 let counter = shared.metrics.beat_bytes.with_label_values(&["received"]);
                 counter.inc_by(length as u64);
-                match Beat::decode(bytes) {
+                match Beat::decode(bytes, shared.history.era()) {
                     Ok(beat) => take(&shared, &socket, &beat).await,
                     Err(error) => log::warn!(peer:% = from, error:% = error; "beat is not taken"),
                 }
@@ -221,6 +221,7 @@
         let mistaken = roster.is_mistaken(&told.sender).cloned();
         (roster.has_news(), mistaken, differs)
     };
+    shared.history.note_told(told.status.register.era, told.sender.contact.id.as_str());
     if let Some(time) = told.time {
         shared.usage.note_time(&told.sender.contact.id, time, now);
     }
--- a/node/src/serve/copy.rs
+++ b/node/src/serve/copy.rs
@@ -12,9 +12,11 @@
 use rand::seq::IteratorRandom as _;
 use sardinepick_lib::fleet::outage::pause;
 use sardinepick_lib::fleet::roster::Contact;
-use sardinepick_lib::id::{ConfigVersion, Revision};
+use sardinepick_lib::history::Point;
+use sardinepick_lib::id::ConfigVersion;
 use sardinepick_platform::store::Object;
 use sardinepick_wire::fleet as pb;
+use sardinepick_wire::mark::read_point;
 use smol_str::SmolStr;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep};
@@ -38,7 +40,7 @@
 struct Original {
     version: ConfigVersion,
     name: SmolStr,
-    revision: Revision,
+    at: Point,
     packed: Bytes,
 }
 
@@ -52,9 +54,9 @@
 impl Copies {
     /// Has a configuration given to those that ask from now on, packed as it came if it did.
     pub fn offer(&self, version: ConfigVersion, object: Object, packed: Option<Bytes>) {
-        let Object { name, revision, content } = object;
+        let Object { name, at, content } = object;
         let packed = packed.unwrap_or_else(|| pack(&content));
-        self.newest.send_replace(Some(Arc::new(Original { version, name, revision, packed })));
+        self.newest.send_replace(Some(Arc::new(Original { version, name, at, packed })));
     }
 }
 
@@ -119,8 +121,11 @@
         let piece = content.split_to(content.len().min(PIECE));
         sent.inc_by(piece.len() as u64);
         let last = content.is_empty();
-        let (name, revision) = (original.name.to_string(), original.revision.0);
-        let end = last.then_some(pb::CopyEnd { name, revision });
+        let end = last.then(|| pb::CopyEnd {
+            name: original.name.to_string(),
+            revision: original.at.revision.0,
+            era: Some(original.at.era.0),
+        });
         send(parts, pb::CopyPart { elsewhere: None, content: piece.into(), end }).await?;
         if last {
             return Ok(());
@@ -223,7 +228,14 @@
         }
     };
     let was = shared.status().version;
-    let (name, revision) = (SmolStr::new(end.name), Revision(end.revision));
-    install(shared, Object { name, revision, content }, Some(packed), "node");
+    let at = match read_point(end.revision, end.era, shared.history.era()) {
+        Ok(at) => at,
+        Err(error) => {
+            log::error!(revision = end.revision, error:% = error; "copy is not taken");
+            return None;
+        }
+    };
+    let name = SmolStr::new(end.name);
+    install(shared, Object { name, at, content }, Some(packed), "node");
     (shared.status().version > was).then_some(())
 }
--- a/node/src/serve/duty.rs
+++ b/node/src/serve/duty.rs
@@ -81,7 +81,7 @@
 fn services(shared: &Shared) -> Option<Vec<Service>> {
     let configuration = shared.configuration.load_full()?;
     let now = shared.clock.now();
-    if !shared.is_ready() || shared.outage().doubt(now).is_some() {
+    if !shared.is_ready() || shared.doubt().is_some() {
         return None;
     }
     let nodes = shared.roster().fronts().len() + 1;
--- a/node/src/serve/follow.rs
+++ b/node/src/serve/follow.rs
@@ -11,17 +11,20 @@
 use bytes::Bytes;
 use rand::RngExt as _;
 use sardinepick_lib::account::directory::Directory;
+use sardinepick_lib::fleet::mark::Mark;
 use sardinepick_lib::fleet::outage::{DOUBT, pause};
 use sardinepick_lib::fleet::register::Change as Changed;
 use sardinepick_lib::fleet::runner::State;
-use sardinepick_lib::id::{Mark, Revision, RunnerId};
+use sardinepick_lib::history::{Era, Point};
+use sardinepick_lib::id::RunnerId;
 use sardinepick_platform::config::{self, decode, without_keys};
 use sardinepick_platform::discovery::{RUNNERS, decode_runner};
-use sardinepick_platform::store::{Change, Object};
+use sardinepick_platform::store::{Change, Changes, Object};
 use smol_str::SmolStr;
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::serve::knowledge::{Difference, mark, revision};
+use crate::serve::knowledge::Difference;
 use crate::serve::shared::Shared;
 use crate::serve::store::{Purpose, StoreError};
 use crate::serve::{join, quarantine};
@@ -51,14 +54,17 @@
     /// Calls in a row without an answer.
     failures: u32,
     /// From where to go on; none if all has to be read.
-    from: Option<Revision>,
+    from: Option<Point>,
     /// Whether this node follows it now.
     on_duty: bool,
+    /// Changes of the store's era.
+    eras: watch::Receiver<Era>,
 }
 
 impl Follower {
     fn new(shared: Arc<Shared>, what: &'static str) -> Self {
-        Self { shared, what, failures: 0, from: None, on_duty: false }
+        let eras = shared.history.changes();
+        Self { shared, what, failures: 0, from: None, on_duty: false, eras }
     }
 
     /// Whether this node is to follow. Before it has met others each would take itself for the one, so
@@ -95,8 +101,25 @@
         }
     }
 
+    /// Waits for changes after `from`, unless the store's era changes meanwhile: what follows in another
+    /// era does not go on from there.
+    async fn watch(
+        &mut self,
+        purpose: Purpose,
+        kind: &str,
+        from: Point,
+    ) -> Result<Changes, StoreError> {
+        let shared = self.shared.clone();
+        tokio::select! {
+            brought = shared.store.watch(purpose, kind, from, WATCH_WAIT) => brought,
+            era = next_era(&mut self.eras, from.era) => {
+                Err(StoreError::Crossed { purpose, was: from, era })
+            }
+        }
+    }
+
     /// Notes an answer, with the place from which to go on.
-    fn note_answer(&mut self, as_of: Revision) {
+    fn note_answer(&mut self, as_of: Point) {
         self.shared.note_served();
         self.failures = 0;
         self.from = Some(as_of);
@@ -135,6 +158,16 @@
     }
 }
 
+/// Waits until the era is another one than `era`.
+async fn next_era(eras: &mut watch::Receiver<Era>, era: Era) -> Era {
+    let next = eras.wait_for(|known| *known != era).await.map(|known| *known);
+    match next {
+        Ok(known) => known,
+        // The tracker lives as long as all that follows the store.
+        Err(_) => std::future::pending().await,
+    }
+}
+
 /// Follows the configuration until the process ends.
 pub async fn configuration(shared: Arc<Shared>) {
     let mut follower = Follower::new(shared.clone(), CONFIGURATION);
@@ -144,7 +177,7 @@
             None => shared.store.list(Purpose::Configuration, config::KIND).await,
             Some(from) => {
                 let purpose = Purpose::ConfigurationWatch;
-                let brought = shared.store.watch(purpose, config::KIND, from, WATCH_WAIT).await;
+                let brought = follower.watch(purpose, config::KIND, from).await;
                 brought.map(|brought| {
                     let objects = brought.changes.into_iter().filter_map(|change| match change {
                         Change::Put(object) => Some(object),
@@ -175,13 +208,12 @@
     }
     let mut next = match decode(&object.content) {
         Ok(mut next) => {
-            next.revision = object.revision;
+            next.at = object.at;
             next
         }
         Err(error) => {
-            let revision = object.revision;
             shared.metrics.foreign.with_label_values(&["configuration", error.reason()]).inc();
-            log::error!(revision:% = revision, error:% = error; "configuration is not taken");
+            log::error!(revision:% = object.at, error:% = error; "configuration is not taken");
             return;
         }
     };
@@ -195,7 +227,7 @@
         accounts.succeed(before);
     }
     log::info!(
-        version:% = next.version, was:% = was.unwrap_or_default(), revision:% = object.revision,
+        version:% = next.version, was:% = was.unwrap_or_default(), revision:% = object.at,
         routes = next.routes(), source = source; "configuration in force"
     );
     for fault in next.accounts.iter().flat_map(Directory::faults) {
@@ -230,14 +262,14 @@
                 let purpose = Purpose::RegisterWatch;
                 sleep_until(next).await;
                 next = Instant::now() + TOGETHER;
-                let brought = shared.store.watch(purpose, RUNNERS, from, WATCH_WAIT).await;
+                let brought = follower.watch(purpose, RUNNERS, from).await;
                 brought.map(|brought| (difference(brought.changes, brought.as_of), brought.as_of))
             }
         };
         match result {
             Ok((told, as_of)) => {
                 follower.note_answer(as_of);
-                let doubt = shared.outage().doubt(shared.clock.now());
+                let doubt = shared.doubt();
                 take_difference(&shared, told, doubt, "store");
             }
             Err(error) => follower.back_off(&error).await,
@@ -258,11 +290,11 @@
     let (mut taken, mut foreign) = (Vec::with_capacity(objects.len()), Vec::new());
     let mut unlogged = 0;
     for object in objects {
-        let changed = match decode_runner(&object.name, object.revision, &object.content) {
+        let changed = match decode_runner(&object.name, object.at, &object.content) {
             Ok(entry) => {
-                let (id, revision) = (entry.id.clone(), entry.revision);
+                let (id, at) = (entry.id.clone(), entry.at);
                 let (address, changed) = (entry.address, shared.register().apply(entry));
-                log_change(&id, changed, revision, source);
+                log_change(&id, changed, at, source);
                 if changed == Changed::Reborn {
                     // Nobody is left to answer at the other end of them.
                     shared.connections.forget(address);
@@ -273,7 +305,7 @@
                 shared.metrics.foreign.with_label_values(&["runner", error.reason()]).inc();
                 if foreign.len() < MOST_FOREIGN_LINES {
                     log::warn!(
-                        name:% = object.name, revision:% = object.revision, source = source,
+                        name:% = object.name, revision:% = object.at, source = source,
                         error:% = error; "entry names no runner to use"
                     );
                 } else {
@@ -297,12 +329,12 @@
 
 fn disown(shared: &Shared, object: &Object, source: &'static str) -> Changed {
     let Ok(id) = RunnerId::try_from(object.name.clone()) else { return Changed::None };
-    let changed = shared.register().disown(&id, object.revision);
-    log_change(&id, changed, object.revision, source);
+    let changed = shared.register().disown(&id, object.at);
+    log_change(&id, changed, object.at, source);
     changed
 }
 
-fn log_change(id: &RunnerId, change: Changed, revision: Revision, source: &'static str) {
+fn log_change(id: &RunnerId, change: Changed, at: Point, source: &'static str) {
     let what: &'static str = match change {
         Changed::Added => "runner added",
         Changed::Reborn => "runner started again",
@@ -313,24 +345,25 @@
         Changed::Updated => "runner changed",
         Changed::None => return,
     };
-    log::info!(runner:% = id, revision:% = revision, source = source; "{what}");
+    log::info!(runner:% = id, revision:% = at, source = source; "{what}");
 }
 
 /// What a list shows, as a difference. It is as new as its newest entry; only where an entry is
 /// missing does it tell something later.
-fn listed_difference(shared: &Shared, entries: Vec<Object>, as_of: Revision) -> Difference {
-    let newest = entries.iter().map(|o| o.revision).max().unwrap_or_default();
+fn listed_difference(shared: &Shared, entries: Vec<Object>, as_of: Point) -> Difference {
+    let first = Point::new(as_of.era, 0);
+    let newest = entries.iter().map(|o| o.at).max().unwrap_or(first);
     let named: HashSet<&str> = entries.iter().map(|o| o.name.as_str()).collect();
     let misses = shared.register().runners().any(|r| !named.contains(r.entry.id.as_str()));
     // Whoever knows that there is no runner knows more than a node that knows nothing, to whom it has
     // to be told: without it, nodes of a deployment without runners do not get ready.
-    let mark = mark(if misses { as_of } else { newest }).max(Mark(1));
+    let mark = Mark::of(if misses { as_of } else { newest }).at_least_first();
     Difference { whole: true, entries, mark, ..Difference::default() }
 }
 
 /// What a watch brought, as a difference. One that brought nothing makes nothing newer.
-pub fn difference(changes: Vec<Change>, as_of: Revision) -> Difference {
-    let mark = if changes.is_empty() { Mark(0) } else { mark(as_of) };
+pub fn difference(changes: Vec<Change>, as_of: Point) -> Difference {
+    let mark = if changes.is_empty() { Mark::default() } else { Mark::of(as_of) };
     let mut difference = Difference { mark, ..Difference::default() };
     for change in changes {
         match change {
@@ -365,7 +398,7 @@
     let remove = |name: &SmolStr, doubt: Option<std::time::Instant>| {
         let Ok(id) = RunnerId::try_from(name.clone()) else { return Changed::None };
         let changed = shared.register().remove(&id, doubt);
-        log_change(&id, changed, revision(told.mark), source);
+        log_change(&id, changed, told.mark.point(), source);
         changed
     };
     let mut doubted = Vec::new();
--- a/node/src/serve/knowledge.rs
+++ b/node/src/serve/knowledge.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use sardinepick_lib::id::{Mark, Revision};
+use sardinepick_lib::fleet::mark::Mark;
 use sardinepick_platform::store::Object;
 use smol_str::SmolStr;
 
@@ -28,20 +28,6 @@
     pub mark: Mark,
 }
 
-/// The bits of a mark below the store's revision: room for what a node concludes by itself, such as
-/// that an entry did not come back after an outage.
-const OWN_BITS: u32 = 16;
-
-/// The mark of a change in the store.
-pub fn mark(revision: Revision) -> Mark {
-    Mark(revision.0 << OWN_BITS)
-}
-
-/// The store's revision that a mark belongs to.
-pub fn revision(mark: Mark) -> Revision {
-    Revision(mark.0 >> OWN_BITS)
-}
-
 /// What a node knows.
 #[derive(Clone, Debug, Default)]
 pub struct Knowledge {
@@ -91,7 +77,10 @@
         mark: Mark,
     ) {
         self.known = true;
-        let mark = self.mark.max(mark);
+        let changes = !(entries.is_empty() && gone.is_empty() && doubted.is_empty());
+        // Whoever has reached the present mark would not be told of a change under it.
+        let mark =
+            if changes && mark <= self.mark { self.mark.next() } else { self.mark.max(mark) };
         for name in entries.iter().map(|object| &object.name).chain(gone) {
             self.doubted.remove(name);
         }
@@ -122,7 +111,7 @@
 
     /// What has changed for a node whose knowledge is as new as `since`.
     pub fn since(&self, since: Mark) -> Difference {
-        let whole = since == Mark(0) || since < self.forgotten;
+        let whole = since.is_nothing() || since < self.forgotten;
         let newer = self.runners.values().filter(|(mark, _)| whole || *mark > since);
         // An entry that went and came back is not gone.
         let is_gone = |name: &SmolStr| !self.runners.contains_key(name);
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -66,6 +66,10 @@
     pub under_way: IntGauge,
     /// The version of the configuration in force.
     pub version: IntGauge,
+    /// The era of the store.
+    pub era: IntGauge,
+    /// Eras that were shown, by what became of it.
+    pub eras: IntCounterVec,
     /// Runners known, by state.
     pub runners: IntGaugeVec,
     /// Other nodes heard lately.
@@ -233,6 +237,12 @@
             lines_dropped: m.counter("sardinepick_log_lines_dropped_total", "Log lines dropped"),
             under_way: m.gauge("sardinepick_under_way", "Requests under way"),
             version: m.gauge("sardinepick_configuration_version", "Version of the configuration"),
+            era: m.gauge("sardinepick_store_era", "Era of the store"),
+            eras: m.counters(
+                "sardinepick_store_eras_total",
+                "Eras of the store that were new, or not believed",
+                &["outcome"],
+            ),
             runners: m.gauges("sardinepick_runners", "Runners known", &["state"]),
             nodes: m.gauge("sardinepick_nodes", "Other nodes heard lately"),
             answered: m.gauges(
--- a/node/src/serve/peer.rs
+++ b/node/src/serve/peer.rs
@@ -9,14 +9,17 @@
 use std::time::Duration;
 
 use sardinepick_lib::fleet::limit::Announced;
+use sardinepick_lib::fleet::mark::Mark;
 use sardinepick_lib::fleet::roster::{Contact, Status as RosterStatus};
 use sardinepick_lib::fleet::runner::Tag;
-use sardinepick_lib::id::{Mark, Revision};
+use sardinepick_lib::history::Era;
 use sardinepick_platform::store::Object;
 use sardinepick_wire::beat::{nodes, read_nodes};
+use sardinepick_wire::error::WireError;
 use sardinepick_wire::fleet as pb;
 use sardinepick_wire::fleet::fleet_server::{Fleet, FleetServer};
 use sardinepick_wire::limit::{announced, read_all};
+use sardinepick_wire::mark::{read_mark, read_point};
 use smol_str::SmolStr;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -46,20 +49,23 @@
     shared: Arc<Shared>,
 }
 
-fn to_wire(object: &Object) -> pb::Object {
+/// An object for a message of an era.
+fn to_wire(object: &Object, era: Era) -> pb::Object {
     pb::Object {
         name: object.name.to_string(),
-        revision: object.revision.0,
+        revision: object.at.revision.0,
         content: object.content.to_vec(),
+        era: (object.at.era != era).then_some(object.at.era.0),
     }
 }
 
-fn from_wire(object: pb::Object) -> Object {
-    Object {
+/// Reads an object of a message of an era.
+fn from_wire(object: pb::Object, era: Era) -> Result<Object, WireError> {
+    Ok(Object {
+        at: read_point(object.revision, object.era, era)?,
         name: SmolStr::new(object.name),
-        revision: Revision(object.revision),
         content: object.content.into(),
-    }
+    })
 }
 
 #[tonic::async_trait]
@@ -114,7 +120,11 @@
     asked: &pb::KnowledgeRequest,
     parts: &Parts<pb::Knowledge>,
 ) -> Result<(), Disconnected> {
-    let mark = Mark(asked.mark);
+    let known = shared.knowledge().mark();
+    let mark = read_mark(asked.mark, asked.era, known.era).unwrap_or_else(|error| {
+        log::warn!(node = asked.node, error:% = error; "mark of a node is not taken");
+        Mark::default()
+    });
     let difference = shared.knowledge().since(mark);
     if !difference.whole {
         return send_parts(shared, &difference, parts).await;
@@ -134,13 +144,17 @@
     }
 }
 
-/// A difference for the wire, as one part.
-pub fn knowledge(difference: &Difference) -> pb::Knowledge {
+/// A difference for the wire, told unasked to those who know all up to `since`.
+pub fn news(difference: &Difference, since: Mark) -> pb::Knowledge {
+    let era = difference.mark.era;
     pb::Knowledge {
-        runners: difference.entries.iter().map(to_wire).collect(),
+        since: since.order,
+        since_era: (since.era != era).then_some(since.era.0),
+        era: Some(era.0),
+        runners: difference.entries.iter().map(|object| to_wire(object, era)).collect(),
         gone: difference.gone.iter().map(ToString::to_string).collect(),
         doubted: difference.doubted.iter().map(ToString::to_string).collect(),
-        mark: difference.mark.0,
+        mark: difference.mark.order,
         whole: difference.whole,
         last: true,
         ..Default::default()
@@ -150,19 +164,32 @@
 /// Takes in what another node tells unasked, if it follows on what this one knows. If not, this node
 /// is behind and asks.
 pub fn take_news(shared: &Shared, news: &pb::Knowledge) {
-    let mine = shared.knowledge().mark();
-    let follows_on = Mark(news.since) <= mine && mine < Mark(news.mark) && !news.whole;
-    if !follows_on || !shared.knowledge().is_known() {
-        return;
+    match read_news(shared, news) {
+        Ok(Some(told)) => take_difference(shared, told, None, "news"),
+        Ok(None) => {}
+        Err(error) => log::warn!(error:% = error; "news of the register is not taken"),
+    }
+}
+
+/// Reads news; nothing where it does not follow on what this node knows.
+fn read_news(shared: &Shared, news: &pb::Knowledge) -> Result<Option<Difference>, WireError> {
+    let (mine, is_known) = {
+        let knowledge = shared.knowledge();
+        (knowledge.mark(), knowledge.is_known())
+    };
+    let mark = read_mark(news.mark, news.era, mine.era)?;
+    let since = read_mark(news.since, news.since_era, mark.era)?;
+    if !is_known || news.whole || since > mine || mine >= mark {
+        return Ok(None);
     }
-    let told = Difference {
+    let entries = news.runners.iter().cloned().map(|object| from_wire(object, mark.era));
+    Ok(Some(Difference {
         whole: false,
-        entries: news.runners.iter().cloned().map(from_wire).collect(),
+        entries: entries.collect::<Result<_, _>>()?,
         gone: news.gone.iter().map(SmolStr::new).collect(),
         doubted: news.doubted.iter().map(SmolStr::new).collect(),
-        mark: Mark(news.mark),
-    };
-    take_difference(shared, told, None, "news");
+        mark,
+    }))
 }
 
 /// Adds what runners have announced of themselves: it says nothing to a node that does not know them.
@@ -188,16 +215,14 @@
         let gone = if last { difference.gone.as_slice() } else { &[] };
         let doubted = if last { difference.doubted.as_slice() } else { &[] };
         let part = pb::Knowledge {
-            runners: runners.iter().map(to_wire).collect(),
+            runners: runners.iter().map(|object| to_wire(object, difference.mark.era)).collect(),
             gone: gone.iter().map(ToString::to_string).collect(),
             doubted: doubted.iter().map(ToString::to_string).collect(),
-            mark: difference.mark.0,
+            mark: difference.mark.order,
+            era: Some(difference.mark.era.0),
             whole: difference.whole,
-            elsewhere: None,
             last,
-            since: 0,
-            rate_limits: Vec::new(),
-            leaving: Vec::new(),
+            ..Default::default()
         };
         let part = if last && difference.whole { with_signals(shared, part) } else { part };
         send(parts, part).await?;
@@ -283,12 +308,15 @@
 
 async fn ask(shared: &Shared, peer: SocketAddr) -> Result<Reply<Told>, RpcError> {
     let mut client = rpc::connect(peer).await?;
+    let mine = shared.knowledge().mark();
     let known = pb::KnowledgeRequest {
-        mark: shared.knowledge().mark().0,
+        mark: mine.order,
+        era: Some(mine.era.0),
         node: shared.me.id.to_string(),
         peer: shared.me.peer.to_string(),
     };
     let mut parts = rpc::Parts::begin(peer, client.tell(known)).await?;
+    let malformed = |error: WireError| RpcError::Malformed { peer, detail: error.to_string() };
     let (mut told, mut bytes) = (Difference::default(), 0);
     loop {
         let part = parts.next(told.entries.is_empty()).await?;
@@ -296,14 +324,17 @@
             return Reply::referral(address, peer, shared.me.peer);
         }
         bytes += part.runners.iter().map(|object| object.content.len()).sum::<usize>();
-        told.entries.extend(part.runners.into_iter().map(from_wire));
+        let mark = read_mark(part.mark, part.era, mine.era).map_err(malformed)?;
+        for object in part.runners {
+            told.entries.push(from_wire(object, mark.era).map_err(malformed)?);
+        }
         if bytes > LARGEST {
             return Err(RpcError::TooLarge { peer, most: LARGEST });
         }
         if part.last {
             told.gone = part.gone.into_iter().map(SmolStr::new).collect();
             told.doubted = part.doubted.into_iter().map(SmolStr::new).collect();
-            (told.mark, told.whole) = (Mark(part.mark), part.whole);
+            (told.mark, told.whole) = (mark, part.whole);
             let limits = read_all(&part.rate_limits).unwrap_or_else(|error| {
                 log::warn!(peer:% = peer, error:% = error; "rate limits of a node are not taken");
                 Vec::new()
--- a/node/src/serve/rpc.rs
+++ b/node/src/serve/rpc.rs
@@ -62,6 +62,14 @@
         /// The node.
         peer: SocketAddr,
     },
+    /// The answer says what it may not.
+    #[error("asking {peer}: {detail}")]
+    Malformed {
+        /// The node.
+        peer: SocketAddr,
+        /// What is wrong.
+        detail: String,
+    },
     /// The answer is larger than any should be.
     #[error("asking {peer}: the answer is beyond {most} bytes")]
     TooLarge {
@@ -95,7 +103,8 @@
             RpcError::Silent { .. } => "silent",
             RpcError::QueueTimeout { .. } => "queue_timeout",
             RpcError::Broken { .. } => "broken",
-            RpcError::TooLarge { .. }
+            RpcError::Malformed { .. }
+            | RpcError::TooLarge { .. }
             | RpcError::Misdirected { .. }
             | RpcError::Unusable { .. } => "useless",
         }
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -33,6 +33,7 @@
 use crate::drain::Drains;
 use crate::duty::tenure::Tenure;
 use crate::duty::view::{COLLECTORS, SUBJECT, View};
+use crate::history::Tracker;
 use crate::limit::Limiter;
 use crate::lock::lock;
 use crate::serve::connection::Connections;
@@ -68,6 +69,8 @@
     pub configuration: ArcSwapOption<Configuration>,
     /// Connections to runners and the store.
     pub connections: Arc<Connections>,
+    /// The era of the store.
+    pub history: Arc<Tracker>,
     /// The store.
     pub store: Arc<Client>,
     /// How this node stands towards callers.
@@ -138,7 +141,9 @@
         };
         let seed = place(incarnation.0, settings.name.as_str().as_bytes());
         let connections = Arc::new(Connections::new(clock.clone(), metrics.clone()));
-        let store = Client::new(settings.store, connections.clone(), metrics.clone());
+        let history = Arc::new(Tracker::new(clock.clone(), metrics.clone()));
+        let store =
+            Client::new(settings.store, connections.clone(), history.clone(), metrics.clone());
         let store = Arc::new(store);
         let holder = Holder { name: me.id.clone(), incarnation };
         let tenure =
@@ -171,6 +176,7 @@
             limiter,
             drains,
             dispatcher,
+            history,
             store,
             tenure,
             usage,
@@ -225,6 +231,13 @@
         lock(&self.outage)
     }
 
+    /// Until when an entry that is missing in the register is doubted, if it is: the store has been
+    /// away, or has come back from a copy.
+    pub fn doubt(&self) -> Option<Instant> {
+        let now = self.clock.now();
+        self.outage().doubt(now).max(self.history.doubt(now))
+    }
+
     /// Random numbers.
     pub fn rng(&self) -> MutexGuard<'_, StdRng> {
         lock(&self.rng)
--- a/node/src/serve/store.rs
+++ b/node/src/serve/store.rs
@@ -6,12 +6,13 @@
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
-use sardinepick_lib::id::Revision;
+use sardinepick_lib::history::{Era, Point};
 use sardinepick_platform::store::{self, Changes, Object, Page, Refused};
 use strum::{Display, IntoStaticStr};
 use thiserror::Error;
 use tokio::time::timeout;
 
+use crate::history::{EraError, Tracker};
 use crate::serve::connection::{Connections, Incomplete, SendError};
 use crate::serve::metrics::Metrics;
 
@@ -42,6 +43,27 @@
         /// What went wrong.
         source: Incomplete,
     },
+    /// The answer is of an era that it must not be used of.
+    #[error("{purpose}: {source}")]
+    Era {
+        /// What the call was for.
+        purpose: Purpose,
+        /// What is wrong with the era.
+        source: EraError,
+    },
+    /// The store came back from a copy between what the call builds on and its answer. A write may have
+    /// replaced other content than was meant.
+    #[error(
+        "{purpose}: the store came back from a copy; the call built on {was}, the answer is of era {era}"
+    )]
+    Crossed {
+        /// What the call was for.
+        purpose: Purpose,
+        /// What it built on.
+        was: Point,
+        /// The era of the answer.
+        era: Era,
+    },
     /// The answer did not come in time.
     #[error("{purpose}: no answer within {limit:?}")]
     Late {
@@ -53,9 +75,13 @@
 }
 
 impl StoreError {
-    /// Whether the store has forgotten the history that was asked for.
+    /// Whether the store has forgotten the history that was asked for, or has another one by now.
     pub fn is_forgotten(&self) -> bool {
-        matches!(self, StoreError::Refused { refused: Refused::Forgotten, .. })
+        match self {
+            StoreError::Refused { refused, .. } => *refused == Refused::Forgotten,
+            StoreError::Crossed { .. } => true,
+            _ => false,
+        }
     }
 }
 
@@ -101,13 +127,19 @@
 pub struct Client {
     address: SocketAddr,
     connections: Arc<Connections>,
+    history: Arc<Tracker>,
     metrics: Metrics,
 }
 
 impl Client {
     /// A client for the store at `address`.
-    pub fn new(address: SocketAddr, connections: Arc<Connections>, metrics: Metrics) -> Self {
-        Self { address, connections, metrics }
+    pub fn new(
+        address: SocketAddr,
+        connections: Arc<Connections>,
+        history: Arc<Tracker>,
+        metrics: Metrics,
+    ) -> Self {
+        Self { address, connections, history, metrics }
     }
 
     /// Reads all objects of a kind, page by page, and the revision of the first page. Changes made
@@ -119,7 +151,7 @@
         &self,
         purpose: Purpose,
         kind: &str,
-    ) -> Result<(Vec<Object>, Revision), StoreError> {
+    ) -> Result<(Vec<Object>, Point), StoreError> {
         let mut objects = Vec::new();
         let mut as_of = None;
         let mut after = None;
@@ -127,6 +159,7 @@
             let request = store::list(self.address, kind, after.as_deref());
             let page: Page = self.call(purpose, request, CALL_LIMIT, store::read_page).await?;
             let first = *as_of.get_or_insert(page.as_of);
+            self.same_era(purpose, first, page.as_of.era)?;
             objects.extend(page.objects);
             match page.next {
                 Some(next) => after = Some(next),
@@ -157,11 +190,21 @@
         &self,
         purpose: Purpose,
         kind: &str,
-        from: Revision,
+        from: Point,
         wait: Duration,
     ) -> Result<Changes, StoreError> {
+        self.same_era(purpose, from, self.history.era())?;
         let request = store::watch(self.address, kind, from, wait);
-        self.call(purpose, request, wait + WATCH_SLACK, store::read_changes).await
+        let limit = wait + WATCH_SLACK;
+        let changes = self.call(purpose, request, limit, store::read_changes).await?;
+        self.same_era(purpose, from, changes.as_of.era)?;
+        Ok(changes)
+    }
+
+    /// Makes sure that an answer of `era` goes on from `was`: revisions are given out again in another
+    /// era.
+    fn same_era(&self, purpose: Purpose, was: Point, era: Era) -> Result<(), StoreError> {
+        if was.era == era { Ok(()) } else { Err(StoreError::Crossed { purpose, was, era }) }
     }
 
     /// Writes an object, new or in place of whatever is there.
@@ -180,7 +223,7 @@
         else {
             return created.map(|_| ());
         };
-        self.replace(purpose, kind, name, object.revision, content).await.map(|_| ())
+        self.replace(purpose, kind, name, object.at, content).await.map(|_| ())
     }
 
     /// Removes an object, if it is there.
@@ -189,7 +232,7 @@
     /// It cannot be removed.
     pub async fn remove(&self, purpose: Purpose, kind: &str, name: &str) -> Result<(), StoreError> {
         let Some(object) = self.get(purpose, kind, name).await? else { return Ok(()) };
-        let request = store::remove(self.address, kind, name, object.revision);
+        let request = store::remove(self.address, kind, name, object.at);
         match self.call(purpose, request, CALL_LIMIT, store::read_done).await {
             Err(StoreError::Refused { refused: Refused::Missing, .. }) => Ok(()),
             other => other,
@@ -229,20 +272,26 @@
         self.call(purpose, request, CALL_LIMIT, store::read_object).await
     }
 
-    /// Replaces an object that must still have the revision `was`.
+    /// Replaces an object whose last change must still be `was`.
     ///
     /// # Errors
-    /// It is another one by now, or cannot be written.
+    /// It is another one by now, or cannot be written. After [`StoreError::Crossed`] it may have been
+    /// written in place of another one.
     pub async fn replace(
         &self,
         purpose: Purpose,
         kind: &str,
         name: &str,
-        was: Revision,
+        was: Point,
         content: &serde_json::Value,
     ) -> Result<Object, StoreError> {
+        if was.era != self.history.era() {
+            return Err(StoreError::Refused { purpose, refused: Refused::Conflict(None) });
+        }
         let request = store::replace(self.address, kind, name, was, content);
-        self.call(purpose, request, CALL_LIMIT, store::read_object).await
+        let object = self.call(purpose, request, CALL_LIMIT, store::read_object).await?;
+        self.same_era(purpose, was, object.at.era)?;
+        Ok(object)
     }
 
     async fn call<T>(
@@ -250,14 +299,16 @@
         purpose: Purpose,
         request: Request<Bytes>,
         limit: Duration,
-        read: impl Fn(StatusCode, &[u8]) -> Result<T, Refused>,
+        read: impl Fn(Era, StatusCode, &[u8]) -> Result<T, Refused>,
     ) -> Result<T, StoreError> {
-        let result = self.exchange(purpose, request, limit).await.and_then(|(status, body)| {
-            read(status, &body).map_err(|refused| StoreError::Refused { purpose, refused })
-        });
+        let result =
+            self.exchange(purpose, request, limit).await.and_then(|(era, status, body)| {
+                read(era, status, &body).map_err(|refused| StoreError::Refused { purpose, refused })
+            });
         let outcome = match &result {
             Ok(_) => "answered",
             Err(StoreError::Refused { .. }) => "refused",
+            Err(StoreError::Era { .. } | StoreError::Crossed { .. }) => "another_era",
             Err(StoreError::Send { .. } | StoreError::Broken { .. }) => "broken",
             Err(StoreError::Late { .. }) => "late",
         };
@@ -270,12 +321,14 @@
         purpose: Purpose,
         request: Request<Bytes>,
         limit: Duration,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
+    ) -> Result<(Era, StatusCode, Bytes), StoreError> {
         let sent = self.connections.send(self.address, request, CONNECT_LIMIT);
         let answer = timeout(limit, sent).await.map_err(|_| StoreError::Late { purpose, limit })?;
         let answer = answer.map_err(|source| StoreError::Send { purpose, source })?;
         let read = answer.read_while_it_comes(LARGEST, CALL_LIMIT).await;
         let (head, body) = read.map_err(|source| StoreError::Broken { purpose, source })?;
-        Ok((head.status, body))
+        let era = self.history.note_answer(&head.headers);
+        let era = era.map_err(|source| StoreError::Era { purpose, source })?;
+        Ok((era, head.status, body))
     }
 }
--- a/node/src/store.rs
+++ b/node/src/store.rs
@@ -12,7 +12,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use prometheus::IntCounterVec;
-use sardinepick_lib::id::Revision;
+use sardinepick_lib::history::Point;
 use sardinepick_lib::member::Vm;
 use serde::Deserialize;
 use smol_str::SmolStr;
@@ -99,7 +99,7 @@
 #[derive(Clone, Debug)]
 pub struct Object {
     /// The revision.
-    pub revision: Revision,
+    pub revision: Point,
     /// The value.
     pub value: Bytes,
 }
@@ -123,12 +123,12 @@
     async fn put(
         &self,
         object: &str,
-        expected: Option<Revision>,
+        expected: Option<Point>,
         value: Bytes,
-    ) -> Result<Revision, StoreError>;
+    ) -> Result<Point, StoreError>;
 
     /// Removes an object if it has the expected revision.
-    async fn delete(&self, object: &str, expected: Revision) -> Result<(), StoreError>;
+    async fn delete(&self, object: &str, expected: Point) -> Result<(), StoreError>;
 
     /// Names the objects below a prefix.
     async fn list(&self, prefix: &str) -> Result<Vec<Changed>, StoreError>;
@@ -137,7 +137,7 @@
     async fn watch(
         &self,
         prefix: &str,
-        after: Revision,
+        after: Point,
         wait: Duration,
     ) -> Result<Vec<Changed>, StoreError>;
 
@@ -246,9 +246,9 @@
     }
 }
 
-fn revision(head: &Response<()>) -> Revision {
+fn revision(head: &Response<()>) -> Point {
     let text = head.headers().get(header::ETAG).and_then(|v| v.to_str().ok());
-    Revision(text.and_then(|t| t.parse().ok()).unwrap_or_default())
+    Point::without_era(text.and_then(|t| t.parse().ok()).unwrap_or_default())
 }
 
 #[async_trait]
@@ -265,12 +265,14 @@
     async fn put(
         &self,
         object: &str,
-        expected: Option<Revision>,
+        expected: Option<Point>,
         value: Bytes,
-    ) -> Result<Revision, StoreError> {
+    ) -> Result<Point, StoreError> {
         let mut request = self.request(Method::PUT, &format!("/v1/objects/{object}"), value);
         match expected {
-            Some(revision) => request.headers_mut().insert(header::IF_MATCH, revision.0.into()),
+            Some(revision) => {
+                request.headers_mut().insert(header::IF_MATCH, revision.revision.0.into())
+            }
             None => {
                 request.headers_mut().insert(header::IF_NONE_MATCH, HeaderValue::from_static("*"))
             }
@@ -279,10 +281,10 @@
         Ok(revision(&head))
     }
 
-    async fn delete(&self, object: &str, expected: Revision) -> Result<(), StoreError> {
+    async fn delete(&self, object: &str, expected: Point) -> Result<(), StoreError> {
         let path = format!("/v1/objects/{object}");
         let mut request = self.request(Method::DELETE, &path, Bytes::new());
-        request.headers_mut().insert(header::IF_MATCH, expected.0.into());
+        request.headers_mut().insert(header::IF_MATCH, expected.revision.0.into());
         self.call(Step::Delete, object, request, self.timeout).await.map(|_| ())
     }
 
@@ -293,11 +295,12 @@
     async fn watch(
         &self,
         prefix: &str,
-        after: Revision,
+        after: Point,
         wait: Duration,
     ) -> Result<Vec<Changed>, StoreError> {
         let millis = wait.as_millis();
-        let path = format!("/v1/watch?prefix={prefix}&after={}&timeout_ms={millis}", after.0);
+        let path =
+            format!("/v1/watch?prefix={prefix}&after={}&timeout_ms={millis}", after.revision);
         self.read_json(Step::Watch, &path, self.timeout + wait).await
     }
 
--- a/node/src/sweep.rs
+++ b/node/src/sweep.rs
@@ -14,7 +14,7 @@
 use sardinepick_lib::config::chunk::Root;
 use sardinepick_lib::config::head::Head;
 use sardinepick_lib::hash::Digest;
-use sardinepick_lib::id::Revision;
+use sardinepick_lib::history::Point;
 use sardinepick_lib::supply;
 
 use crate::configuration::{FetchError, HEAD, read_chunks, read_head};
@@ -63,13 +63,13 @@
     let listed = node.store.list(PREFIX).await?;
     let Some((revision, head)) = read_head(node).await? else { return Ok(0) };
     let needed = needed(node, &head, kept).await?;
-    let unused: Vec<(String, Revision)> = listed
+    let unused: Vec<(String, Point)> = listed
         .into_iter()
         .filter(|line| {
             let digest = line.name.strip_prefix(PREFIX).and_then(|d| d.parse::<Digest>().ok());
             digest.is_some_and(|digest| !needed.contains(&digest))
         })
-        .map(|line| (line.name.to_string(), Revision(line.revision)))
+        .map(|line| (line.name.to_string(), Point::without_era(line.revision)))
         .collect();
     if unused.is_empty() {
         return Ok(0);
--- a/node/src/tables.rs
+++ b/node/src/tables.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use sardinepick_lib::id::Revision;
+use sardinepick_lib::history::Point;
 use sardinepick_lib::id::{Name, Version};
 use sardinepick_lib::member::State;
 use sardinepick_lib::owner::{LONGEST_STEP, Member, SHORTEST_STEP, Table};
@@ -70,7 +70,7 @@
 ///
 /// # Errors
 /// The platform does not answer, or not with a table.
-pub async fn refresh(node: &Node) -> Result<Option<Revision>, TableError> {
+pub async fn refresh(node: &Node) -> Result<Option<Point>, TableError> {
     let Some(object) = node.store.get(OBJECT).await? else { return Ok(None) };
     let table: Table = serde_json::from_slice(&object.value)?;
     take(node, &table);
--- a/node/src/usage/report.rs
+++ b/node/src/usage/report.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use sardinepick_lib::clock::Clock;
-use sardinepick_lib::id::{Revision, Window};
+use sardinepick_lib::history::Point;
+use sardinepick_lib::id::Window;
 use sardinepick_lib::usage::collection::Verdict;
 use sardinepick_lib::usage::ledger::{Ledger, Settled};
 use sardinepick_lib::usage::tally::KEPT;
@@ -36,7 +37,7 @@
 /// The ledger as the store has it.
 #[derive(Debug)]
 struct Known {
-    revision: Option<Revision>,
+    at: Option<Point>,
     ledger: Ledger,
 }
 
@@ -105,21 +106,21 @@
         let Some(object) = object else {
             // The first holder settles what has ended while it came to hold the duties.
             let before = windows.at(self.time().saturating_sub(windows.length() * 2));
-            return Some(Known { revision: None, ledger: Ledger::starting_at(before) });
+            return Some(Known { at: None, ledger: Ledger::starting_at(before) });
         };
-        let revision = Some(object.revision);
+        let at = Some(object.at);
         let ledger = serde_json::from_slice(&object.content).unwrap_or_else(|error| {
             log::error!(
-                revision:% = object.revision, error:% = error;
+                revision:% = object.at, error:% = error;
                 "settled usage cannot be read; it begins anew"
             );
             Ledger::starting_at(current.next())
         });
         log::info!(
-            next:% = ledger.next, waiting = ledger.waiting.len(), revision:% = object.revision;
+            next:% = ledger.next, waiting = ledger.waiting.len(), revision:% = object.at;
             "settled usage read"
         );
-        Some(Known { revision, ledger })
+        Some(Known { at, ledger })
     }
 
     /// Settles windows that have ended. False if the ledger has to be read anew.
@@ -174,13 +175,13 @@
             return true;
         }
         let content = serde_json::json!(next);
-        let written = match known.revision {
+        let written = match known.at {
             None => self.store.create(Purpose::Usage, USAGE, LEDGER, &content).await,
             Some(was) => self.store.replace(Purpose::Usage, USAGE, LEDGER, was, &content).await,
         };
         match written {
             Ok(object) => {
-                *known = Known { revision: Some(object.revision), ledger: next };
+                *known = Known { at: Some(object.at), ledger: next };
                 true
             }
             Err(StoreError::Refused {
--- a/node/src/write.rs
+++ b/node/src/write.rs
@@ -14,7 +14,7 @@
 use sardinepick_lib::config::chunk::{Chunk, Root, join};
 use sardinepick_lib::config::head::{ChangeId, Head, Operation};
 use sardinepick_lib::config::snapshot::Snapshot;
-use sardinepick_lib::id::Revision;
+use sardinepick_lib::history::Point;
 use sardinepick_lib::id::{Generation, Name};
 use sardinepick_lib::spread::Installed;
 use smol_str::SmolStr;
@@ -132,7 +132,7 @@
 async fn try_once(
     node: &Node,
     wanted: &Wanted,
-    revision: Option<Revision>,
+    revision: Option<Point>,
     head: &Head,
 ) -> Result<Try, WriteError> {
     let current = load(node, head).await?;
@@ -192,7 +192,7 @@
 /// two can take effect.
 async fn settle(
     node: &Node,
-    revision: Option<Revision>,
+    revision: Option<Point>,
     next: &Head,
     change: &ChangeId,
 ) -> Result<bool, WriteError> {
--- a/node/tests/copy.rs
+++ b/node/tests/copy.rs
@@ -61,7 +61,7 @@
                 send(pb::CopyPart { elsewhere, ..Default::default() }).await;
             }
             Conduct::Garbling => {
-                let end = Some(pb::CopyEnd { name: "main".to_owned(), revision: 9 });
+                let end = Some(pb::CopyEnd { name: "main".to_owned(), revision: 9, era: None });
                 send(pb::CopyPart { end, ..content(vec![7; 100]) }).await;
             }
             Conduct::Endless => while send(content(vec![7; 16 << 10])).await {},
--- a/node/tests/lives.rs
+++ b/node/tests/lives.rs
@@ -4,7 +4,8 @@
 
 use http::StatusCode;
 use sardinepick_lib::fleet::cache::Chain;
-use sardinepick_lib::id::{Revision, RunnerId};
+use sardinepick_lib::history::Point;
+use sardinepick_lib::id::RunnerId;
 use sardinepick_node::serve::follow::{difference, take_difference};
 use sardinepick_node::serve::shared::Shared;
 use sardinepick_platform::store::{Change, Object};
@@ -278,11 +279,12 @@
     entry["state"] = json!("draining");
     let leaves = Object {
         name: runner.id.clone().into(),
-        revision: Revision(1_000),
+        at: Point::new(shared.history.era(), 1_000),
         content: entry.to_string().into(),
     };
     let changes = vec![Change::Put(leaves), Change::Gone(runner.id.clone().into())];
     let doubt = Some(shared.clock.now() + Duration::from_secs(60));
-    take_difference(shared, difference(changes, Revision(1_001)), doubt, "store");
+    let as_of = Point::new(shared.history.era(), 1_001);
+    take_difference(shared, difference(changes, as_of), doubt, "store");
     assert!(shared.register().get(&id(runner)).is_none(), "it has said that it leaves");
 }
--- a/node/tests/store_copy.rs
+++ b/node/tests/store_copy.rs
@@ -1,9 +1,11 @@
 //! A store that comes back from a copy: revisions go back and are given out again.
 
+use http::StatusCode;
+use sardinepick_lib::fleet;
 use sardinepick_lib::id::RunnerId;
 use sardinepick_testutils::cluster::wait_until;
 use sardinepick_testutils::fleet::caller::Ask;
-use sardinepick_testutils::fleet::deployment::Deployment;
+use sardinepick_testutils::fleet::deployment::{Deployment, configuration};
 use sardinepick_testutils::fleet::runner::Runner;
 use sardinepick_testutils::fleet::store::Fault;
 
@@ -16,6 +18,19 @@
     runner.id.parse().expect("an id")
 }
 
+/// Waits until all nodes know the last change of the store, which is the entry of `writer`.
+async fn wait_written(set: &Deployment, writer: &Runner) {
+    let written = set.store.revision();
+    wait_until("all nodes know what was written", async || {
+        set.nodes.iter().all(|node| {
+            let register = node.shared.register();
+            let runner = register.get(&id(writer)).expect("it is known");
+            runner.entry.at.revision.0 == written
+        })
+    })
+    .await;
+}
+
 /// A deployment with a copy of its store, after which the runner at `writer` has written its entry
 /// often, as all nodes know; then the store has come back from the copy.
 async fn come_back(writer: usize) -> Deployment {
@@ -24,15 +39,7 @@
     for _ in 0..WRITES {
         set.runners[writer].write_entry();
     }
-    let written = set.store.revision();
-    wait_until("all nodes know what was written", async || {
-        set.nodes.iter().all(|node| {
-            let register = node.shared.register();
-            let runner = register.get(&id(&set.runners[writer])).expect("it is known");
-            runner.entry.revision.0 == written
-        })
-    })
-    .await;
+    wait_written(&set, &set.runners[writer]).await;
     set.store.set_fault(Fault::Reset);
     let lost = set.store.come_back(&copy);
     set.store.set_fault(Fault::None);
@@ -45,7 +52,7 @@
     wait_until("all nodes know that it leaves", async || {
         set.nodes.iter().all(|node| {
             let register = node.shared.register();
-            register.get(&id(runner)).is_none_or(|known| known.is_leaving())
+            register.get(&id(runner)).is_none_or(fleet::runner::Runner::is_leaving)
         })
     })
     .await;
@@ -70,3 +77,60 @@
     let set = come_back(0).await;
     assert_leaving_known(&set, &set.runners[0]).await;
 }
+
+/// Guards against a change that is never seen: the store has passed the revision from which a watch
+/// goes on again, so it does not answer that it lacks it.
+#[tokio::test]
+async fn change_in_lost_revisions_seen() {
+    let set = Deployment::new().await.with_plain(3).await.with_nodes(NODES).await;
+    let copy = set.store.copy();
+    set.runners[1].write_entry();
+    wait_written(&set, &set.runners[1]).await;
+    set.store.set_fault(Fault::Reset);
+    let lost = set.store.come_back(&copy);
+    // The leaving has a revision that was given out before, and others follow it at once.
+    set.runners[0].drain();
+    set.store.write_again(&lost);
+    for _ in 0..WRITES {
+        set.runners[2].write_entry();
+    }
+    set.store.set_fault(Fault::None);
+    assert_leaving_known(&set, &set.runners[0]).await;
+}
+
+/// Guards against a node that stops following a store whose answers name no era that can be believed.
+#[tokio::test]
+async fn era_not_believed_store_followed() {
+    let set = Deployment::new().await.with_plain(2).await.with_nodes(2).await;
+    let shown: [&[&str]; 6] =
+        [&[], &["x"], &["1", "2"], &["99999999999999999999"], &["-1"], &["4096"]];
+    for (at, values) in shown.into_iter().enumerate() {
+        set.store.show_era(values);
+        let version = 10 + at as u64;
+        set.store.put("config", "main", &configuration(version));
+        wait_until("the configuration is in force", async || {
+            set.nodes.iter().all(|node| node.shared.status().version.0 == version)
+        })
+        .await;
+    }
+    set.store.show_own_era();
+    assert!(set.nodes.iter().all(|node| node.shared.history.era().0 == 1));
+}
+
+/// Guards against answers of a former era that are taken for new ones, and against a node that serves
+/// nobody while it gets no others.
+#[tokio::test]
+async fn era_falls_service_goes_on() {
+    let set = Deployment::new().await.with_plain(2).await.with_nodes(2).await;
+    set.store.show_era(&["0"]);
+    set.store.put("config", "main", &configuration(20));
+    let former = set.nodes[0].shared.metrics.eras.with_label_values(&["former"]);
+    wait_until("an answer is not believed", async || former.get() > 0).await;
+    assert_eq!(set.ask("/board/a", "r1").await.status, Some(StatusCode::OK));
+    assert_eq!(set.nodes[0].shared.status().version.0, 1);
+    set.store.show_own_era();
+    wait_until("the configuration is in force", async || {
+        set.nodes.iter().all(|node| node.shared.status().version.0 == 20)
+    })
+    .await;
+}
--- a/wire/src/beat.rs
+++ b/wire/src/beat.rs
@@ -7,11 +7,13 @@
 use sardinepick_lib::fleet::limit::Announced;
 use sardinepick_lib::fleet::roster::{Contact, Record, Standing, Status};
 use sardinepick_lib::fleet::runner::Tag;
-use sardinepick_lib::id::{ConfigVersion, Incarnation, Mark};
+use sardinepick_lib::history::Era;
+use sardinepick_lib::id::{ConfigVersion, Incarnation};
 
 use crate::error::WireError;
 use crate::fleet as pb;
 use crate::limit;
+use crate::mark::read_mark;
 
 /// The most bytes of a beat, so that it travels in one packet.
 pub const MOST_BYTES: usize = 1_400;
@@ -60,7 +62,8 @@
             served: sender.served,
             serial: sender.serial,
             version: self.status.version.0,
-            register: self.status.register.0,
+            register: self.status.register.order,
+            era: Some(self.status.register.era.0),
             answer: self.answer,
             away: self.away.iter().map(|tag| tag.0).collect(),
             digest: self.digest,
@@ -75,11 +78,11 @@
         beat.encode_to_vec()
     }
 
-    /// Reads a beat.
+    /// Reads a beat. One that names no era is taken to be of the `present` one.
     ///
     /// # Errors
     /// The bytes are not one, or it says what it may not.
-    pub fn decode(bytes: &[u8]) -> Result<Self, WireError> {
+    pub fn decode(bytes: &[u8], present: Era) -> Result<Self, WireError> {
         let beat = pb::Beat::decode(bytes).map_err(|error| WireError::Decode(error.to_string()))?;
         let sender = read_record(&pb::Record {
             node: beat.node,
@@ -95,7 +98,7 @@
         let status = Status {
             standing: sender.standing,
             version: ConfigVersion(beat.version),
-            register: Mark(beat.register),
+            register: read_mark(beat.register, beat.era, present)?,
             served: sender.served,
         };
         Ok(Self {
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod gossip;
 pub mod limit;
 pub mod load;
+pub mod mark;
 pub mod quarantine;
 pub mod schedule;
 pub mod usage;
--- a/wire/tests/beat.rs
+++ b/wire/tests/beat.rs
@@ -6,11 +6,13 @@
 use prost::Message as _;
 use sardinepick_lib::fleet::fingerprint::Fingerprint;
 use sardinepick_lib::fleet::limit::{Announced, Rate};
+use sardinepick_lib::fleet::mark::Mark;
 use sardinepick_lib::fleet::quarantine::{Entry, MOST_TOLD, Stage};
 use sardinepick_lib::fleet::roster::{Contact, MOST_RECORDS, Record, Standing, Status};
 use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_lib::fleet::suspect::MOST_ENDS;
-use sardinepick_lib::id::{ConfigVersion, Incarnation, Mark};
+use sardinepick_lib::history::{Era, LAST_ERA};
+use sardinepick_lib::id::{ConfigVersion, Incarnation};
 use sardinepick_wire::beat::{Beat, MOST_BYTES, nodes, read_nodes};
 use sardinepick_wire::fleet as pb;
 use sardinepick_wire::quarantine::{quarantined, read_quarantined};
@@ -37,7 +39,7 @@
         status: Status {
             standing: Standing::Ready,
             version: ConfigVersion(1 << 40),
-            register: Mark(1 << 56),
+            register: Mark { era: LAST_ERA, order: 1 << 56 },
             served: true,
         },
         answer: true,
@@ -55,12 +57,13 @@
 
 #[test]
 fn decode_full_beat_round_trip() {
-    let object = pb::Object { name: "i-7f3a".to_owned(), revision: 7, content: vec![1; 300] };
+    let object =
+        pb::Object { name: "i-7f3a".to_owned(), revision: 7, content: vec![1; 300], era: None };
     let gone = vec!["i-1".to_owned()];
     let news =
         pb::Knowledge { runners: vec![object], gone, mark: 9, since: 8, ..Default::default() };
     let full = Beat { news: Some(news), ..beat(3) };
-    assert_eq!(Beat::decode(&full.encode()).expect("it is one"), full);
+    assert_eq!(Beat::decode(&full.encode(), Era(1)).expect("it is one"), full);
     let records = full.records;
     assert_eq!(read_nodes(&nodes(&records, Vec::new())).expect("they are nodes"), records);
 }
@@ -93,7 +96,7 @@
     let full = Beat { quarantined: quarantined(&entries, now), ..beat(0) };
     let bytes = full.encode();
     assert!(bytes.len() <= MOST_BYTES, "{}", bytes.len());
-    let read = Beat::decode(&bytes).expect("it is one");
+    let read = Beat::decode(&bytes, Era(1)).expect("it is one");
     assert_eq!(read_quarantined(&read.quarantined, now).expect("they are entries"), entries);
 }
 
@@ -124,7 +127,7 @@
     let full = Beat { limits: (0..16).map(limit).collect(), leaving, ..beat(0) };
     let bytes = full.encode();
     assert!(bytes.len() <= MOST_BYTES, "{}", bytes.len());
-    assert_eq!(Beat::decode(&bytes).expect("it is one"), full);
+    assert_eq!(Beat::decode(&bytes, Era(1)).expect("it is one"), full);
 }
 
 #[test]
@@ -133,13 +136,13 @@
         let limit = pb::RateLimit { runner: 1, rate: Some(rate), age_ms: u64::MAX };
         let sent = pb::Beat::decode(&beat(0).encode()[..]).expect("it is one");
         let sent = pb::Beat { rate_limits: vec![limit], ..sent };
-        assert!(Beat::decode(&sent.encode_to_vec()).is_err(), "{rate}");
+        assert!(Beat::decode(&sent.encode_to_vec(), Era(1)).is_err(), "{rate}");
     }
 }
 
 proptest! {
     #[test]
     fn decode_any_bytes_no_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
-        let _ = Beat::decode(&bytes);
+        let _ = Beat::decode(&bytes, Era(1));
     }
 }
--- a/wire/tests/schedule.rs
+++ b/wire/tests/schedule.rs
@@ -15,6 +15,7 @@
 use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_lib::fleet::scheduler::{Ask, Decision, Firmness, Lesson, Step};
 use sardinepick_lib::fleet::suspect::{End, Reach};
+use sardinepick_lib::history::Era;
 use sardinepick_lib::id::RunnerId;
 use sardinepick_wire::beat::{Beat, MOST_BYTES};
 use sardinepick_wire::schedule::{MOST_LESSONS, MOST_LOADS, MOST_READINGS, Report, Schedule};
@@ -64,7 +65,7 @@
     let bytes = schedule.encode();
     assert!(bytes.len() <= MOST_BYTES, "{} bytes", bytes.len());
     assert_eq!(Schedule::decode(&bytes).expect("it is one"), *schedule);
-    assert!(Beat::decode(&bytes).is_err(), "a node that knows beats alone drops it");
+    assert!(Beat::decode(&bytes, Era(1)).is_err(), "a node that knows beats alone drops it");
 }
 
 #[test]
