history: a store that names no era and whose revisions fall has come back from a copy

A follower that lists a kind as of an earlier revision than its own last answer takes the next era for the present one, if no answer has ever named one; others hear it by beats. Where eras are named, a falling revision is logged and counted alone.

--- a/node/src/history/mod.rs
+++ b/node/src/history/mod.rs
@@ -1,12 +1,13 @@
 //! The era of the platform's store, as one node knows it from the store's answers and other nodes.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use http::HeaderMap;
 use sardinepick_lib::clock::Clock;
 use sardinepick_lib::fleet::outage::DOUBT;
-use sardinepick_lib::history::{Era, Present, Sight};
+use sardinepick_lib::history::{Era, Point, Present, Sight};
 use sardinepick_platform::store::read_era;
 use thiserror::Error;
 use tokio::sync::watch;
@@ -43,6 +44,8 @@
     clock: Arc<dyn Clock>,
     metrics: Metrics,
     present: Mutex<Present>,
+    /// Whether an answer of the store has ever named an era.
+    is_named: AtomicBool,
     logged: Mutex<Option<Instant>>,
     changed: watch::Sender<Era>,
 }
@@ -51,7 +54,14 @@
     /// A tracker to which no era has been shown.
     pub fn new(clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
         let changed = watch::Sender::new(Era::default());
-        Self { clock, metrics, present: Mutex::default(), logged: Mutex::default(), changed }
+        Self {
+            clock,
+            metrics,
+            present: Mutex::default(),
+            is_named: AtomicBool::new(false),
+            logged: Mutex::default(),
+            changed,
+        }
     }
 
     fn present(&self) -> MutexGuard<'_, Present> {
@@ -86,8 +96,14 @@
     /// The answer must not be used.
     pub fn note_answer(&self, headers: &HeaderMap) -> Result<Era, EraError> {
         match read_era(headers) {
-            Ok(Some(shown)) => self.note(shown, "store"),
-            Ok(None) => Ok(self.era()),
+            Ok(Some(shown)) => {
+                self.is_named.store(true, Ordering::Relaxed);
+                self.note(shown, "store")
+            }
+            Ok(None) => {
+                self.begin_unnamed();
+                Ok(self.era())
+            }
             Err(fault) => {
                 self.count("unreadable");
                 if self.is_log_due() {
@@ -106,6 +122,30 @@
         }
     }
 
+    /// Takes in that a list is as of an earlier revision than an answer before it, in one era. A store
+    /// that names no eras has come back from a copy then; all nodes that see it take the next era for
+    /// the present one.
+    pub fn note_fall(&self, was: Point, as_of: Point) {
+        self.count("revision_fell");
+        let is_named = self.is_named.load(Ordering::Relaxed);
+        if self.is_log_due() {
+            log::warn!(was:% = was, as_of:% = as_of, named = is_named; "store's revision fell");
+        }
+        if !is_named {
+            self.begin_unnamed();
+            // Another part of this node may have seen it first.
+            let _ = self.note(Era(was.era.0 + 1), "revisions");
+        }
+    }
+
+    /// Has the era of a store that names none be the present one, if none is known.
+    fn begin_unnamed(&self) {
+        let mut present = self.present();
+        if present.since().is_none() {
+            present.note(Era::default(), self.clock.now());
+        }
+    }
+
     fn note(&self, shown: Era, source: &str) -> Result<Era, EraError> {
         let (known, sight) = {
             let mut present = self.present();
--- a/node/src/serve/follow.rs
+++ b/node/src/serve/follow.rs
@@ -55,6 +55,8 @@
     failures: u32,
     /// From where to go on; none if all has to be read.
     from: Option<Point>,
+    /// The last point of which an answer was.
+    last: Point,
     /// Whether this node follows it now.
     on_duty: bool,
     /// Changes of the store's era.
@@ -64,7 +66,7 @@
 impl Follower {
     fn new(shared: Arc<Shared>, what: &'static str) -> Self {
         let eras = shared.history.changes();
-        Self { shared, what, failures: 0, from: None, on_duty: false, eras }
+        Self { shared, what, failures: 0, from: None, last: Point::default(), on_duty: false, eras }
     }
 
     /// Whether this node is to follow. Before it has met others each would take itself for the one, so
@@ -101,6 +103,25 @@
         }
     }
 
+    /// Lists a kind. Where that shows that the store came back from a copy without naming an era, the
+    /// list is of none that is known and not used.
+    async fn list(
+        &mut self,
+        purpose: Purpose,
+        kind: &str,
+    ) -> Result<(Vec<Object>, Point), StoreError> {
+        let (objects, as_of) = self.shared.store.list(purpose, kind).await?;
+        if as_of.era == self.last.era && as_of < self.last {
+            let was = std::mem::replace(&mut self.last, as_of);
+            self.shared.history.note_fall(was, as_of);
+            let era = self.shared.history.era();
+            if era != was.era {
+                return Err(StoreError::Crossed { purpose, was, era });
+            }
+        }
+        Ok((objects, as_of))
+    }
+
     /// Waits for changes after `from`, unless the store's era changes meanwhile: what follows in another
     /// era does not go on from there.
     async fn watch(
@@ -122,7 +143,7 @@
     fn note_answer(&mut self, as_of: Point) {
         self.shared.note_served();
         self.failures = 0;
-        self.from = Some(as_of);
+        (self.from, self.last) = (Some(as_of), as_of);
         let since = self.shared.clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
         let answered = self.shared.metrics.answered.with_label_values(&[self.what]);
         answered.set(i64::try_from(since.as_secs()).unwrap_or(i64::MAX));
@@ -174,7 +195,7 @@
     loop {
         follower.wait_for_duty().await;
         let read = match follower.from {
-            None => shared.store.list(Purpose::Configuration, config::KIND).await,
+            None => follower.list(Purpose::Configuration, config::KIND).await,
             Some(from) => {
                 let purpose = Purpose::ConfigurationWatch;
                 let brought = follower.watch(purpose, config::KIND, from).await;
@@ -255,7 +276,7 @@
         follower.wait_for_duty().await;
         let result = match follower.from {
             None => {
-                let listed = shared.store.list(Purpose::Register, RUNNERS).await;
+                let listed = follower.list(Purpose::Register, RUNNERS).await;
                 listed.map(|(entries, as_of)| (listed_difference(&shared, entries, as_of), as_of))
             }
             Some(from) => {
--- a/node/tests/store_copy.rs
+++ b/node/tests/store_copy.rs
@@ -34,7 +34,16 @@
 /// A deployment with a copy of its store, after which the runner at `writer` has written its entry
 /// often, as all nodes know; then the store has come back from the copy.
 async fn come_back(writer: usize) -> Deployment {
-    let set = Deployment::new().await.with_plain(3).await.with_nodes(NODES).await;
+    come_back_shown(writer, None).await
+}
+
+/// The same with a store that names its era as `shown`.
+async fn come_back_shown(writer: usize, shown: Option<&[&str]>) -> Deployment {
+    let set = Deployment::new().await;
+    if let Some(shown) = shown {
+        set.store.show_era(shown);
+    }
+    let set = set.with_plain(3).await.with_nodes(NODES).await;
     let copy = set.store.copy();
     for _ in 0..WRITES {
         set.runners[writer].write_entry();
@@ -63,6 +72,13 @@
     assert_eq!(runner.seen().len(), before);
 }
 
+/// Guards against a store that comes back from a copy and names no era.
+#[tokio::test]
+async fn leaving_after_copy_without_era_told_to_all() {
+    let set = come_back_shown(0, Some(&[])).await;
+    assert_leaving_known(&set, &set.runners[0]).await;
+}
+
 /// Guards against a runner's leaving that nodes which do not follow the store are not told of.
 #[tokio::test]
 async fn leaving_under_earlier_revision_told_to_all() {
