lease: a holder goes on, and nobody else begins, when the store comes back from a copy

A copy shows an earlier holder, or none; a challenger that took it at its word acted beside the holder, and took the next number after the copy's, which had been given out. A renewal sent before the return could replace another holder's record that had got the same revision.

Two broken variants are caught: nodes that know no eras (the code before), and no waiting on a copy that shows nobody.

--- a/lib/src/history.rs
+++ b/lib/src/history.rs
@@ -22,6 +22,9 @@
 
 /// The largest era that is believed. Fencing numbers have room for so many.
 pub const LAST_ERA: Era = Era(4_095);
+/// The bits of a point's number below its era: room for 400 changes a second over 87 years. With the
+/// last era it is less than 2^52, which a number of JSON holds exactly.
+const REVISION_BITS: u32 = 40;
 
 impl fmt::Display for Era {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -77,6 +80,11 @@
         Self { era, revision: Revision(revision) }
     }
 
+    /// A number that is larger than that of any earlier point, in this era or one before.
+    pub fn number(self) -> u64 {
+        u64::from(self.era.0) << REVISION_BITS | self.revision.0
+    }
+
     /// A point in the history of a store that names no eras.
     pub fn without_era(revision: u64) -> Self {
         Self::new(Era::default(), revision)
--- a/lib/tests/duty_model.rs
+++ b/lib/tests/duty_model.rs
@@ -1,5 +1,5 @@
-//! Seeded schedules of nodes that share the lease on the duties, a store that fails, and calls under
-//! way.
+//! Seeded schedules of nodes that share the lease on the duties, a store that fails and comes back from
+//! copies, and calls under way.
 //!
 //! What must never be: a call with a lower number after one with a higher, one number of two nodes, or
 //! calls of two nodes by turns within the time that has to lie between them.
@@ -8,7 +8,7 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
-use sardinepick_lib::history::Point;
+use sardinepick_lib::history::{Era, Point};
 use sardinepick_lib::id::{Epoch, Incarnation};
 use sardinepick_lib::lease::{Action, Holder, Lease, Record, Term, Written};
 
@@ -33,6 +33,10 @@
     NoTerm,
     /// Broken on purpose: a successor does not wait for the whole term.
     ShortTerm,
+    /// Broken on purpose: nodes do not know eras.
+    NoEra,
+    /// Broken on purpose: nodes know eras, and take a copy that shows no holder at its word.
+    NoGrace,
 }
 
 /// A call to the store.
@@ -45,6 +49,9 @@
     sent: Instant,
     outcome: Option<Written>,
     found: Option<Option<(Point, Record)>>,
+    /// The era that the node knew when it asked, and that of the answer.
+    known: Era,
+    shown: Era,
 }
 
 struct Node {
@@ -60,14 +67,21 @@
     mistaken: Instant,
     leads: bool,
     read: Option<Instant>,
+    /// The era that it knows, and since when.
+    era: Option<(Era, Instant)>,
 }
 
 struct World {
     rng: StdRng,
     variant: Variant,
     now: Instant,
-    store: Option<(Point, Record)>,
+    store: Option<(u64, Record)>,
     revision: u64,
+    era: Era,
+    /// The store as it was, every second.
+    copies: Vec<(Option<(u64, Record)>, u64)>,
+    steps: u32,
+    drills: u32,
     nodes: Vec<Node>,
     /// Writes whose senders do not wait for them any more.
     late: Vec<(Instant, Option<Point>, Record)>,
@@ -94,6 +108,7 @@
             mistaken: now,
             leads: at == 0,
             read: None,
+            era: None,
         };
         Self {
             rng: StdRng::seed_from_u64(seed),
@@ -101,6 +116,10 @@
             now,
             store: None,
             revision: 0,
+            era: Era(1),
+            copies: Vec::new(),
+            steps: 0,
+            drills: 0,
             nodes: (0..NODES).map(node).collect(),
             late: Vec::new(),
             calls: Vec::new(),
@@ -115,13 +134,54 @@
         MS * u32::try_from(self.rng.random_range(from..to)).expect("a short time")
     }
 
+    /// Writes under a condition on the revision alone, as the store does.
     fn write(&mut self, expected: Option<Point>, record: &Record) -> Option<Point> {
+        let expected = expected.map(|point| point.revision.0);
         if self.store.as_ref().map(|(revision, _)| *revision) != expected {
             return None;
         }
         self.revision += 1;
-        self.store = Some((Point::without_era(self.revision), record.clone()));
-        Some(Point::without_era(self.revision))
+        self.store = Some((self.revision, record.clone()));
+        Some(Point::new(self.shown_era(), self.revision))
+    }
+
+    /// The era that answers name.
+    fn shown_era(&self) -> Era {
+        if self.variant == Variant::NoEra { Era(0) } else { self.era }
+    }
+
+    /// Takes copies, and has the store come back from one.
+    fn drill(&mut self) {
+        self.steps += 1;
+        if self.steps.is_multiple_of(20) {
+            self.copies.push((self.store.clone(), self.revision));
+        }
+        if self.chance(0.003) && !self.copies.is_empty() {
+            let back = self.rng.random_range(0..self.copies.len().min(10));
+            let at = self.copies.len() - 1 - back;
+            (self.store, self.revision) = self.copies[at].clone();
+            self.copies.truncate(at + 1);
+            // Others have written there since.
+            self.revision += self.rng.random_range(0..4);
+            self.era = Era(self.era.0 + 1);
+            self.drills += 1;
+        }
+    }
+
+    /// Has a node learn an era.
+    fn show(&mut self, at: usize, era: Era) {
+        let now = self.now;
+        let node = &mut self.nodes[at];
+        if node.era.is_none_or(|(known, _)| known < era) {
+            node.era = Some((era, now));
+        }
+        if self.variant != Variant::NoEra
+            && let Some((era, since)) = node.era
+        {
+            let grace = self.variant != Variant::NoGrace;
+            let since = if grace { since } else { since - TERM.ttl - TERM.margin };
+            node.lease.note_era(era, since);
+        }
     }
 
     fn step(&mut self) {
@@ -132,6 +192,7 @@
         for (_, expected, record) in Vec::from_iter::<Vec<_>>(due) {
             self.write(expected, &record);
         }
+        self.drill();
         self.disturb();
         for at in 0..NODES {
             self.carry_out(at);
@@ -158,6 +219,7 @@
                 let node = &mut self.nodes[at];
                 node.incarnation += 1;
                 node.lease = Lease::new(holder(at, node.incarnation));
+                node.era = None;
                 node.down = now + down;
             }
             if self.chance(0.002) {
@@ -197,9 +259,13 @@
         if asked.done > now || asked.outcome.is_some() || asked.found.is_some() {
             return;
         }
+        let shown = self.shown_era();
+        self.nodes[at].asked.as_mut().expect("it is asked").shown = shown;
+        let asked = self.nodes[at].asked.as_ref().expect("it is asked");
         match asked.action.clone() {
             Action::Read => {
                 let found = self.store.clone();
+                let found = found.map(|(revision, record)| (Point::new(shown, revision), record));
                 self.nodes[at].asked.as_mut().expect("it is asked").found = Some(found);
             }
             Action::Write { expected, record } => {
@@ -226,7 +292,16 @@
             return;
         }
         let asked = self.nodes[at].asked.take().expect("it is asked");
+        let known = self.nodes[at].era.map(|(era, _)| era).unwrap_or_default();
+        self.show(at, asked.shown);
+        // The client uses no answer of a former era, and takes a write across two for one in doubt.
+        let crossed = matches!(asked.outcome, Some(Written::Done(_))) && asked.known != asked.shown;
         let lease = &mut self.nodes[at].lease;
+        if asked.shown < known || crossed {
+            lease.take_written(now, TERM, Written::Lost);
+            lease.want_read();
+            return;
+        }
         match (asked.found, asked.outcome) {
             (Some(found), _) => lease.take_read(now, TERM, found),
             (None, Some(outcome)) => lease.take_written(now, TERM, outcome),
@@ -238,7 +313,7 @@
         let now = self.now;
         let term = match self.variant {
             Variant::ShortTerm => Term { ttl: TERM.ttl / 2, margin: MS * 100 },
-            Variant::Right | Variant::NoTerm => TERM,
+            _ => TERM,
         };
         let lives: Vec<Holder> = (0..NODES).map(|n| holder(n, self.nodes[n].incarnation)).collect();
         let is_gone = |old: &Holder| {
@@ -266,7 +341,7 @@
                 let me = holder(at, self.nodes[at].incarnation);
                 lease.record().filter(|r| r.holder.as_ref() == Some(&me)).map(|r| r.epoch)
             }
-            Variant::Right | Variant::ShortTerm => lease.authority_for(now, CALL),
+            _ => lease.authority_for(now, CALL),
         };
         if let Some(epoch) = authority
             && self.chance(0.3)
@@ -284,13 +359,28 @@
         let done = if is_cut || is_late { self.span(1_000, 6_000) } else { self.span(1, 200) };
         let answered = (!is_cut && !is_lost).then(|| now + done + MS * 10);
         let done = now + done;
+        let known = self.nodes[at].era.map(|(era, _)| era).unwrap_or_default();
+        let (outcome, found, shown) = (None, None, Era(0));
         self.nodes[at].asked =
-            Some(Asked { action, done, answered, sent: now, outcome: None, found: None });
+            Some(Asked { action, done, answered, sent: now, outcome, found, known, shown });
     }
 
     fn violation(&self) -> Option<String> {
         let mut calls = self.calls.clone();
         calls.sort_by_key(|call| call.0);
+        // Fencing numbers never fall, and each is of one holding.
+        let mut highest: Option<(Epoch, usize)> = None;
+        for (_, node, epoch) in &calls {
+            match highest {
+                Some((number, of)) if number > *epoch => {
+                    return Some(format!("{epoch} of {node} after {number} of {of}"));
+                }
+                Some((number, of)) if number == *epoch && of != *node => {
+                    return Some(format!("{epoch} of {node} and of {of}"));
+                }
+                _ => highest = Some((*epoch, *node)),
+            }
+        }
         for (at, (time, node, epoch)) in calls.iter().enumerate() {
             let before = calls[..at].iter().rev().take_while(|c| *time - c.0 < TURNS * 2);
             let mut other = false;
@@ -311,34 +401,48 @@
     }
 }
 
-fn play(seed: u64, variant: Variant) -> (Option<String>, usize, usize) {
+struct Played {
+    violation: Option<String>,
+    calls: usize,
+    holders: usize,
+    drills: u32,
+}
+
+fn play(seed: u64, variant: Variant) -> Played {
     let mut world = World::new(seed, variant);
     for _ in 0..STEPS {
         world.step();
     }
     let mut holders: Vec<usize> = world.calls.iter().map(|call| call.1).collect();
     holders.dedup();
-    (world.violation(), world.calls.len(), holders.len())
+    Played {
+        violation: world.violation(),
+        calls: world.calls.len(),
+        holders: holders.len(),
+        drills: world.drills,
+    }
 }
 
 #[test]
 fn schedules_calls_in_order() {
-    let (mut calls, mut changes) = (0, 0);
+    let (mut calls, mut changes, mut drills) = (0, 0, 0);
     for seed in 0..SCHEDULES {
-        let (violation, made, holders) = play(seed, Variant::Right);
-        assert_eq!(violation, None, "seed {seed}");
-        calls += made;
-        changes += holders;
+        let played = play(seed, Variant::Right);
+        assert_eq!(played.violation, None, "seed {seed}");
+        calls += played.calls;
+        changes += played.holders;
+        drills += u64::from(played.drills);
     }
     // Schedules in which nobody holds the duties would show nothing.
     assert!(calls as u64 > SCHEDULES * 50, "{calls} calls");
     assert!(changes as u64 > SCHEDULES * 2, "{changes} changes of the holder");
+    assert!(drills > SCHEDULES * 2, "{drills} returns from a copy");
 }
 
 #[test]
 fn schedules_broken_variants_caught() {
-    for variant in [Variant::NoTerm, Variant::ShortTerm] {
-        let caught = (0..SCHEDULES).any(|seed| play(seed, variant).0.is_some());
+    for variant in [Variant::NoTerm, Variant::ShortTerm, Variant::NoEra, Variant::NoGrace] {
+        let caught = (0..SCHEDULES).any(|seed| play(seed, variant).violation.is_some());
         assert!(caught, "{variant:?}");
     }
 }
--- a/node/src/duty/tenure.rs
+++ b/node/src/duty/tenure.rs
@@ -11,6 +11,7 @@
 use sardinepick_platform::store::{Object, Refused};
 use smol_str::SmolStr;
 
+use crate::history::Tracker;
 use crate::serve::metrics::Metrics;
 use crate::serve::store::{Client, Purpose, StoreError};
 
@@ -43,6 +44,7 @@
 /// This node's part in the lease on the duties.
 pub struct Tenure {
     store: Arc<Client>,
+    history: Arc<Tracker>,
     clock: Arc<dyn Clock>,
     metrics: Metrics,
     term: Term,
@@ -65,6 +67,7 @@
     /// holders must be.
     pub fn new(
         store: Arc<Client>,
+        history: Arc<Tracker>,
         clock: Arc<dyn Clock>,
         metrics: Metrics,
         holder: Holder,
@@ -73,7 +76,7 @@
         let term = Term { ttl: TTL, margin: turns + TURN_MARGIN };
         let lease = Lease::new(holder);
         let state = State { lease, wished: None, read: None, failures: 0 };
-        Self { store, clock, metrics, term, state: Mutex::new(state) }
+        Self { store, history, clock, metrics, term, state: Mutex::new(state) }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -117,6 +120,7 @@
         };
         let (wanted, settles) = {
             let mut state = self.state();
+            self.note_era(&mut state.lease);
             let wanted = leads && within(state.wished, KEPT);
             let holds = state.lease.holding(now).is_some();
             let settles = state.lease.wants_settling();
@@ -135,7 +139,9 @@
         for _ in 0..2 {
             let action = {
                 let now = self.clock.now();
-                self.state().lease.poll(now, self.term, wanted, &is_gone)
+                let mut state = self.state();
+                self.note_era(&mut state.lease);
+                state.lease.poll(now, self.term, wanted, &is_gone)
             };
             match action {
                 Some(Action::Read) => self.read().await,
@@ -146,10 +152,17 @@
         self.state().failures < FAILURES
     }
 
+    fn note_era(&self, lease: &mut Lease) {
+        if let Some(since) = self.history.since() {
+            lease.note_era(self.history.era(), since);
+        }
+    }
+
     async fn read(&self) {
         let result = self.store.get(Purpose::Lease, LEASES, LEASE).await;
         let now = self.clock.now();
         let mut state = self.state();
+        self.note_era(&mut state.lease);
         state.read = Some(now);
         match result {
             Ok(found) => {
@@ -218,7 +231,7 @@
         log::error!(revision:% = at, error:% = error; "lease cannot be read; it is replaced");
         let name: NodeId = UNKNOWN.parse().expect("a right name");
         let holder = Some(Holder { name, incarnation: Incarnation(0) });
-        Record { holder, epoch: Epoch(at.revision.0), ..Record::default() }
+        Record { holder, epoch: Epoch(at.number()), ..Record::default() }
     });
     (at, record)
 }
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -146,8 +146,14 @@
             Client::new(settings.store, connections.clone(), history.clone(), metrics.clone());
         let store = Arc::new(store);
         let holder = Holder { name: me.id.clone(), incarnation };
-        let tenure =
-            Tenure::new(store.clone(), clock.clone(), metrics.clone(), holder, settings.turns);
+        let tenure = Tenure::new(
+            store.clone(),
+            history.clone(),
+            clock.clone(),
+            metrics.clone(),
+            holder,
+            settings.turns,
+        );
         let tenure = Arc::new(tenure);
         let collector = Collector { node: me.id.clone(), incarnation };
         // What nobody reports would be counted without end.
--- a/node/src/serve/store.rs
+++ b/node/src/serve/store.rs
@@ -268,8 +268,11 @@
         name: &str,
         content: &serde_json::Value,
     ) -> Result<Object, StoreError> {
+        let was = Point::new(self.history.era(), 0);
         let request = store::create(self.address, kind, name, content);
-        self.call(purpose, request, CALL_LIMIT, store::read_object).await
+        let object = self.call(purpose, request, CALL_LIMIT, store::read_object).await?;
+        self.same_era(purpose, was, object.at.era)?;
+        Ok(object)
     }
 
     /// Replaces an object whose last change must still be `was`.
