usage: no window is reported a second time after the store came back from a copy

The record of what has been reported is the ledger in the store alone. After a return from a copy its holder read the copy's, settled the last windows anew and reported them again: five windows twice each in both tests, with whatever sum the nodes still gave.

A ledger says in which era it was written. The holder that stays goes on from what it knows and writes it over the copy's, and leaves no window out. Any other that finds a ledger of a former era passes over all that had ended by then: nothing is reported rather than something false. What the copy shows as settled is reported as it stands there, as after any loss of a holder.

usage_holder_stays_each_window_once and usage_holder_gone_no_window_twice failed before.

--- a/lib/src/history.rs
+++ b/lib/src/history.rs
@@ -197,6 +197,11 @@
         }
     }
 
+    /// Whether the store has come back from a copy since the first era was known.
+    pub fn has_come_back(&self) -> bool {
+        self.came_back.is_some()
+    }
+
     /// Until when an entry that is missing now is doubted for `span` after a return from a copy, if
     /// it is: who wrote it writes it again.
     pub fn doubt(&self, now: Instant, span: Duration) -> Option<Instant> {
--- a/node/src/history/mod.rs
+++ b/node/src/history/mod.rs
@@ -84,6 +84,11 @@
         self.present().doubt(now, DOUBT)
     }
 
+    /// Whether the store has come back from a copy in this process's life.
+    pub fn has_come_back(&self) -> bool {
+        self.present().has_come_back()
+    }
+
     /// Tells of each change of the era.
     pub fn changes(&self) -> watch::Receiver<Era> {
         self.changed.subscribe()
--- a/node/src/serve/duty.rs
+++ b/node/src/serve/duty.rs
@@ -55,6 +55,7 @@
         tenure,
         caller,
         store: shared.store.clone(),
+        history: shared.history.clone(),
         clock: shared.clock.clone(),
         metrics,
     };
--- a/node/src/usage/report.rs
+++ b/node/src/usage/report.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use sardinepick_lib::clock::Clock;
-use sardinepick_lib::history::Point;
+use sardinepick_lib::history::{Era, Point};
 use sardinepick_lib::id::Window;
 use sardinepick_lib::usage::collection::Verdict;
 use sardinepick_lib::usage::ledger::{Ledger, Settled};
@@ -18,6 +18,7 @@
 use crate::duty::caller::{Caller, Outcome};
 use crate::duty::tenure::Tenure;
 use crate::duty::view::Views;
+use crate::history::Tracker;
 use crate::serve::metrics::Metrics;
 use crate::serve::store::{Client, Purpose, StoreError};
 
@@ -37,10 +38,23 @@
 /// The ledger as the store has it.
 #[derive(Debug)]
 struct Known {
+    /// The era in which it was read or written.
+    era: Era,
     at: Option<Point>,
     ledger: Ledger,
 }
 
+/// What became of looking after the ledger.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Kept {
+    /// It is as it is known.
+    Known,
+    /// It has to be read anew.
+    Unknown,
+    /// The store came back from a copy; what this node knows is newer than what that shows.
+    Crossed,
+}
+
 /// Reports usage while this node holds the duties.
 pub struct Reporter {
     /// The counts.
@@ -53,6 +67,8 @@
     pub caller: Arc<Caller>,
     /// The store.
     pub store: Arc<Client>,
+    /// The era of the store.
+    pub history: Arc<Tracker>,
     /// The clock.
     pub clock: Arc<dyn Clock>,
     /// Metrics.
@@ -77,10 +93,17 @@
                 known = self.read(windows).await;
             }
             let Some(ledger) = &mut known else { continue };
-            if !self.settle(windows, ledger).await {
-                known = None;
+            if ledger.era != self.history.era() && self.rebase(ledger).await != Kept::Known {
                 continue;
             }
+            match self.settle(windows, ledger).await {
+                Kept::Known => {}
+                Kept::Unknown => {
+                    known = None;
+                    continue;
+                }
+                Kept::Crossed => continue,
+            }
             if paused.is_some_and(|until| self.clock.now() < until) {
                 continue;
             }
@@ -103,13 +126,16 @@
             }
         };
         let current = windows.at(self.time());
+        let (era, has_come_back) = (self.history.era(), self.history.has_come_back());
         let Some(object) = object else {
             // The first holder settles what has ended while it came to hold the duties.
             let before = windows.at(self.time().saturating_sub(windows.length() * 2));
-            return Some(Known { at: None, ledger: Ledger::starting_at(before) });
+            let next = if has_come_back { current } else { before };
+            return Some(Known { era, at: None, ledger: Ledger::starting_at(next) });
         };
+        let era = object.at.era;
         let at = Some(object.at);
-        let ledger = serde_json::from_slice(&object.content).unwrap_or_else(|error| {
+        let mut ledger: Ledger = serde_json::from_slice(&object.content).unwrap_or_else(|error| {
             log::error!(
                 revision:% = object.at, error:% = error;
                 "settled usage cannot be read; it begins anew"
@@ -120,14 +146,41 @@
             next:% = ledger.next, waiting = ledger.waiting.len(), revision:% = object.at;
             "settled usage read"
         );
-        Some(Known { at, ledger })
+        if !ledger.is_whole(era, has_come_back) && ledger.next < current {
+            log::error!(
+                from:% = ledger.next, to:% = current, era:% = era;
+                "windows of usage are passed over: the store's copy may lack some that were reported"
+            );
+            self.note(ledger.next, "in_doubt");
+            ledger.next = current;
+        }
+        Some(Known { era, at, ledger })
     }
 
-    /// Settles windows that have ended. False if the ledger has to be read anew.
-    async fn settle(&self, windows: Windows, known: &mut Known) -> bool {
+    /// Has what this node knows of the ledger go on in another era of the store, in which a copy shows
+    /// less of it. This node has held the duties all the while.
+    async fn rebase(&self, known: &mut Known) -> Kept {
+        let object = match self.store.get(Purpose::Usage, USAGE, LEDGER).await {
+            Ok(object) => object,
+            Err(error) => {
+                log::info!(error:% = error; "settled usage not read");
+                return Kept::Crossed;
+            }
+        };
+        let era = object.as_ref().map_or(self.history.era(), |object| object.at.era);
+        log::warn!(
+            next:% = known.ledger.next, was:% = known.era, era:% = era;
+            "settled usage goes on in another era"
+        );
+        (known.era, known.at) = (era, object.map(|object| object.at));
+        Kept::Known
+    }
+
+    /// Settles windows that have ended.
+    async fn settle(&self, windows: Windows, known: &mut Known) -> Kept {
         let ended = windows.at(self.time().saturating_sub(SETTLING));
         if known.ledger.next >= ended {
-            return true;
+            return Kept::Known;
         }
         let mut next = known.ledger.clone();
         // Counts are kept for some windows only.
@@ -172,8 +225,9 @@
         }
         if !changed {
             known.ledger = next;
-            return true;
+            return Kept::Known;
         }
+        next.era = Some(known.era);
         let content = serde_json::json!(next);
         let written = match known.at {
             None => self.store.create(Purpose::Usage, USAGE, LEDGER, &content).await,
@@ -181,19 +235,23 @@
         };
         match written {
             Ok(object) => {
-                *known = Known { at: Some(object.at), ledger: next };
-                true
+                *known = Known { era: object.at.era, at: Some(object.at), ledger: next };
+                Kept::Known
+            }
+            Err(error) if self.history.era() != known.era => {
+                log::info!(error:% = error; "usage not settled in the era that it was read in");
+                Kept::Crossed
             }
             Err(StoreError::Refused {
                 refused: Refused::Conflict(_) | Refused::Missing, ..
             }) => {
                 log::info!(next:% = next.next; "another node has settled usage");
-                false
+                Kept::Unknown
             }
             Err(error) => {
                 // It may have been written, or be written later; what is there decides.
                 log::info!(error:% = error; "usage not known to be settled");
-                false
+                Kept::Unknown
             }
         }
     }
