account: a copy that shows an earlier configuration does not confirm that a key is unknown

A key that no known account has was refused with 401 on the word of the store, also where that had come back from a copy older than the configuration in force; a later one that had been acknowledged may have the key, and the operator writes it again. The answer is now that the request has not run and may come again; a version is compared with a version, not by the place of its object. What was taken away stays so, since no configuration goes back.

--- a/node/src/account/mod.rs
+++ b/node/src/account/mod.rs
@@ -6,6 +6,7 @@
 use sardinepick_lib::clock::Clock;
 use sardinepick_lib::fleet::route::Configuration;
 use sardinepick_lib::history::Point;
+use sardinepick_lib::id::ConfigVersion;
 use sardinepick_platform::config;
 use sardinepick_platform::store::{Change, Object};
 use tokio::sync::Mutex;
@@ -23,6 +24,9 @@
     Newest,
     /// There is a newer one.
     Newer(Object),
+    /// The store, back from a copy, has an earlier one: a newer may have been lost with its last changes,
+    /// and is written again.
+    Earlier,
     /// The store does not say.
     Unconfirmed,
 }
@@ -34,6 +38,8 @@
     from: Option<Point>,
     /// When the last check failed.
     failed: Option<Instant>,
+    /// Than which configuration the store last showed an earlier one, and when.
+    earlier: Option<(ConfigVersion, Instant)>,
 }
 
 /// The checks of one node. One is under way at a time; requests that come meanwhile share it.
@@ -56,6 +62,9 @@
         if state.failed.is_some_and(|at| arrived < at + VALID) {
             return Checked::Unconfirmed;
         }
+        if state.earlier.is_some_and(|(of, at)| of == known.version && arrived < at + VALID) {
+            return Checked::Earlier;
+        }
         let began = clock.now();
         let from = state.from.unwrap_or(known.at);
         let checked = timeout(LIMIT, read(store, from)).await;
@@ -72,11 +81,23 @@
                 return Checked::Unconfirmed;
             }
         };
-        state.from = Some(as_of);
         state.failed = None;
-        match newest {
-            Some(object) if object.at > known.at => Checked::Newer(object),
+        let shown = newest.as_ref().and_then(|object| Some((object, version(object)?)));
+        match shown {
+            Some((object, version)) if version > known.version => {
+                state.from = Some(as_of);
+                Checked::Newer(object.clone())
+            }
+            Some((_, shown)) if shown < known.version => {
+                log::warn!(
+                    version:% = known.version, shown:% = shown, as_of:% = as_of;
+                    "store shows an earlier configuration"
+                );
+                state.earlier = Some((known.version, began));
+                Checked::Earlier
+            }
             _ => {
+                state.from = Some(as_of);
                 state.freshness.note(known.version, began);
                 Checked::Newest
             }
@@ -84,6 +105,17 @@
     }
 }
 
+/// The version of a configuration; none where it cannot be read, and so cannot be put in force.
+fn version(object: &Object) -> Option<ConfigVersion> {
+    match config::decode(&object.content) {
+        Ok(configuration) => Some(configuration.version),
+        Err(error) => {
+            log::error!(revision:% = object.at, error:% = error; "configuration is not checked against");
+            None
+        }
+    }
+}
+
 /// Reads what has changed since `from`. Mostly nothing has, and the answer is a few bytes.
 async fn read(store: &Client, from: Point) -> Result<(Option<Object>, Point), StoreError> {
     let purpose = Purpose::ConfigurationCheck;
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -244,6 +244,9 @@
         Checked::Unconfirmed if !shared.roster().fronts().is_empty() => {
             ("others", Err(Refusal::UnknownKey))
         }
+        Checked::Earlier => {
+            ("earlier", Err(Refusal::NotRun(Reason::KeyUnconfirmed, UNTIL_CONFIGURED)))
+        }
         Checked::Unconfirmed => {
             ("none", Err(Refusal::NotRun(Reason::KeyUnconfirmed, UNTIL_CONFIGURED)))
         }
