quarantine, join: what nodes keep in the store is written again after a return from a copy

Requests that are not run, and where nodes are reached, were gone from the store for good: if all nodes then start anew, the requests run again and the nodes find nobody. Each is written again once, by the node that counts first for a request, and by each node that follows the store.

--- a/node/src/serve/follow.rs
+++ b/node/src/serve/follow.rs
@@ -57,6 +57,8 @@
     from: Option<Point>,
     /// The last point of which an answer was.
     last: Point,
+    /// The era in which this node's entry was written last.
+    entered: Era,
     /// Whether this node follows it now.
     on_duty: bool,
     /// Changes of the store's era.
@@ -66,7 +68,16 @@
 impl Follower {
     fn new(shared: Arc<Shared>, what: &'static str) -> Self {
         let eras = shared.history.changes();
-        Self { shared, what, failures: 0, from: None, last: Point::default(), on_duty: false, eras }
+        Self {
+            shared,
+            what,
+            failures: 0,
+            from: None,
+            last: Point::default(),
+            entered: Era::default(),
+            on_duty: false,
+            eras,
+        }
     }
 
     /// Whether this node is to follow. Before it has met others each would take itself for the one, so
@@ -95,12 +106,17 @@
         }
         self.on_duty = true;
         log::info!(what = self.what; "this node follows the store");
-        // Those that find nobody else find this node in the store.
-        if self.what == CONFIGURATION
-            && let Err(error) = join::write_entry(&self.shared).await
-        {
+        if self.what == CONFIGURATION {
+            self.write_entry().await;
+        }
+    }
+
+    /// Writes this node's entry: those that find nobody else find this node in the store.
+    async fn write_entry(&mut self) {
+        if let Err(error) = join::write_entry(&self.shared).await {
             log::info!(error:% = error; "this node's entry is not written");
         }
+        self.entered = self.shared.history.era();
     }
 
     /// Lists a kind. Where that shows that the store came back from a copy without naming an era, the
@@ -215,6 +231,9 @@
                 for object in objects {
                     install(&shared, object, None, "store");
                 }
+                if as_of.era != follower.entered {
+                    follower.write_entry().await;
+                }
             }
             Err(error) => follower.back_off(&error).await,
         }
--- a/node/src/serve/quarantine/store.rs
+++ b/node/src/serve/quarantine/store.rs
@@ -11,7 +11,7 @@
 use sardinepick_platform::quarantine::{QUARANTINE, decode, encode};
 use tokio::time::sleep;
 
-use super::{heed, note_stage};
+use super::{counts_first, heed, keep, note_stage};
 use crate::serve::shared::Shared;
 use crate::serve::store::{Purpose, StoreError};
 
@@ -45,6 +45,31 @@
     }
 }
 
+/// Has what is not run written again whenever the store has come back from a copy, until the process
+/// ends. Of the nodes that know of a request one writes it.
+pub async fn write_again(shared: Arc<Shared>) {
+    let mut eras = shared.history.changes();
+    while eras.changed().await.is_ok() {
+        if !shared.history.has_come_back() {
+            continue;
+        }
+        let confirmed: Vec<Fingerprint> = {
+            let state = shared.keeper.state();
+            let entries = state.quarantine.entries();
+            entries.filter(|entry| entry.stage == Stage::Confirmed).map(|e| e.request).collect()
+        };
+        let mine = confirmed.into_iter().filter(|request| counts_first(&shared, request));
+        let mut count = 0;
+        for request in mine {
+            keep(&shared, request);
+            count += 1;
+        }
+        if count > 0 {
+            log::info!(requests = count, era:% = shared.history.era(); "quarantine is written again");
+        }
+    }
+}
+
 /// Brings the store up to what was decided here, until the process ends.
 pub async fn run(shared: Arc<Shared>) {
     let mut failures = 0;
--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -134,6 +134,7 @@
     tokio::spawn(scheduler::report(shared.clone()));
     tokio::spawn(quarantine::run(shared.clone()));
     tokio::spawn(quarantine::store::run(shared.clone()));
+    tokio::spawn(quarantine::store::write_again(shared.clone()));
     tokio::spawn(join::join(shared.clone(), socket.clone()));
     tokio::spawn(follow::tidy(shared.clone()));
     tokio::spawn(order::run(shared.clone()));
--- a/node/tests/crash.rs
+++ b/node/tests/crash.rs
@@ -332,3 +332,19 @@
     let line = state["requests"].as_array()?.iter().find(|line| line["stage"] == "confirmed")?;
     line["fingerprint"].as_str().map(str::to_owned)
 }
+
+/// Guards against a request that is not run and that the store, back from a copy, has forgotten: all
+/// nodes that start anew would run it again.
+#[tokio::test]
+async fn quarantine_copy_lacks_request_written_again() {
+    let mut set = Deployment::new().await;
+    set.add_supervised(None, 6, &ending(), AWAY).await;
+    let set = set.with_nodes(3).await;
+    let copy = set.store.copy();
+    ends_at_most_three(&set, "/board/a").await;
+    wait_until("the store keeps it", async || set.store.count(QUARANTINE) == 1).await;
+    let lost = set.store.come_back(&copy);
+    assert_eq!(set.store.count(QUARANTINE), 0);
+    set.store.write_again(&lost);
+    wait_until("the store has it again", async || set.store.count(QUARANTINE) == 1).await;
+}
--- a/node/tests/store_copy.rs
+++ b/node/tests/store_copy.rs
@@ -5,7 +5,7 @@
 use sardinepick_lib::id::RunnerId;
 use sardinepick_testutils::cluster::wait_until;
 use sardinepick_testutils::fleet::caller::Ask;
-use sardinepick_testutils::fleet::deployment::{Deployment, configuration};
+use sardinepick_testutils::fleet::deployment::{Deployment, configuration, with_accounts};
 use sardinepick_testutils::fleet::runner::Runner;
 use sardinepick_testutils::fleet::store::Fault;
 
@@ -150,3 +150,53 @@
     })
     .await;
 }
+
+async fn send_with_key(set: &Deployment, id: &str, key: &str) -> Option<StatusCode> {
+    set.send(0, &Ask { headers: &[("credential", key)], ..Ask::new("/board/a", id) }).await.status
+}
+
+async fn in_force(set: &Deployment, version: u64) {
+    wait_until("the configuration is in force", async || {
+        set.nodes.iter().all(|node| node.shared.status().version.0 == version)
+    })
+    .await;
+}
+
+/// Guards against a key that is refused since a copy shows an earlier configuration as the newest, and
+/// against one that was taken away and holds again.
+#[tokio::test]
+async fn unknown_key_copy_shows_earlier_configuration_not_denied() {
+    let set = Deployment::new().await.with_plain(2).await.with_nodes(2).await;
+    set.store.put("config", "main", &with_accounts(2, &[("kitchen", &["key-1", "key-2"], None)]));
+    in_force(&set, 2).await;
+    let copy = set.store.copy();
+    set.store.put("config", "main", &with_accounts(3, &[("kitchen", &["key-1"], None)]));
+    in_force(&set, 3).await;
+    set.store.come_back(&copy);
+    let eras = || set.nodes.iter().map(|node| node.shared.history.era().0);
+    wait_until("all nodes know the era", async || eras().all(|era| era == 2)).await;
+    assert_eq!(send_with_key(&set, "r1", "key-1").await, Some(StatusCode::OK));
+    assert_eq!(send_with_key(&set, "r2", "key-2").await, Some(StatusCode::UNAUTHORIZED));
+    // A later configuration that was acknowledged may have it.
+    assert_eq!(send_with_key(&set, "r3", "key-3").await, Some(StatusCode::SERVICE_UNAVAILABLE));
+    let accounts = [("kitchen", &["key-1", "key-3"][..], None)];
+    set.store.put("config", "main", &with_accounts(4, &accounts));
+    in_force(&set, 4).await;
+    assert_eq!(send_with_key(&set, "r4", "key-3").await, Some(StatusCode::OK));
+    assert_eq!(send_with_key(&set, "r5", "key-4").await, Some(StatusCode::UNAUTHORIZED));
+}
+
+/// Guards against entries of nodes, and requests that are not run, that the store lacks for good.
+#[tokio::test]
+async fn copy_lacks_own_objects_written_again() {
+    let mut set = Deployment::new().await.with_plain(2).await;
+    let copy = set.store.copy();
+    set = set.with_nodes(NODES).await;
+    wait_until("nodes have written", async || set.store.count("sardinepick-nodes") >= 3).await;
+    let before = set.store.calls().0;
+    let lost = set.store.come_back(&copy);
+    set.store.write_again(&lost);
+    wait_until("they are there again", async || set.store.count("sardinepick-nodes") >= 3).await;
+    // Two lists, two watches and the entry of each node that follows the store, with room for one pause.
+    assert!(set.store.calls().0 - before <= 60, "{} calls", set.store.calls().0 - before);
+}
