soak: the store comes back from copies between the other faults

Every fourth fault the store comes back from a copy as old as three faults, and the operator and the runners write again what was lost within a second, in a drawn order.

--- a/node/benches/soak.rs
+++ b/node/benches/soak.rs
@@ -1,5 +1,6 @@
 //! The soak: `cargo bench --bench soak -- --seed 1 --seconds 30 --nodes 6 --callers 12 --count 10`; with
-//! `--ending` the one of requests under which runners end.
+//! `--ending` the one of requests under which runners end, with `--copies` one whose store comes back
+//! from copies.
 //!
 //! Runs seeds one after the other and fails if any breaks a promise.
 
@@ -18,6 +19,7 @@
     options.optopt("", "seconds", "how long each lasts", "N");
     options.optopt("", "nodes", "how many processes", "N");
     options.optopt("", "callers", "how many callers", "N");
+    options.optflag("", "copies", "with a store that comes back from copies");
     options.optflag("", "ending", "of requests under which runners end");
     options.optflag("", "bench", "given by cargo");
     options
@@ -41,6 +43,7 @@
             lasts: Duration::from_secs(number("seconds", 20)),
             nodes: number("nodes", 6) as usize,
             callers: number("callers", 12) as usize,
+            copies: matches.opt_present("copies"),
         };
         let exe = Path::new(env!("CARGO_BIN_EXE_sardinepickd"));
         let ending = matches.opt_present("ending");
--- a/node/tests/soak.rs
+++ b/node/tests/soak.rs
@@ -13,7 +13,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_seeds_no_promise_broken() {
     for seed in SEEDS {
-        let plan = Plan { seed, lasts: Duration::from_secs(8), nodes: 4, callers: 8 };
+        let plan =
+            Plan { seed, lasts: Duration::from_secs(8), nodes: 4, callers: 8, copies: false };
         let exe = Path::new(env!("CARGO_BIN_EXE_sardinepickd"));
         let report = run(exe, plan).await.expect("the stand-ins have addresses");
         println!("seed {seed}: {report}");
@@ -22,11 +23,24 @@
     }
 }
 
+/// The same with a store that comes back from copies between the other faults.
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_copies_no_promise_broken() {
+    let lasts = Duration::from_secs(10);
+    let plan = Plan { seed: 3, lasts, nodes: 4, callers: 8, copies: true };
+    let exe = Path::new(env!("CARGO_BIN_EXE_sardinepickd"));
+    let report = run(exe, plan).await.expect("the stand-ins have addresses");
+    println!("{report}");
+    assert!(report.broken.is_empty(), "{report}");
+    assert!(report.ends.get("answered").copied().unwrap_or(0) > 0, "nothing was served");
+}
+
 /// A request under which runners end, sent all the time beside others, while nodes and runners also end
 /// for no reason.
 #[tokio::test(flavor = "multi_thread")]
 async fn ending_seed_no_promise_broken() {
-    let plan = Plan { seed: 1, lasts: Duration::from_secs(12), nodes: 4, callers: 8 };
+    let plan =
+        Plan { seed: 1, lasts: Duration::from_secs(12), nodes: 4, callers: 8, copies: false };
     let exe = Path::new(env!("CARGO_BIN_EXE_sardinepickd"));
     let report = ending::run(exe, plan).await.expect("the stand-ins have addresses");
     println!("{report}");
--- a/testutils/src/fleet/soak.rs
+++ b/testutils/src/fleet/soak.rs
@@ -6,7 +6,7 @@
 //! cut one way or silenced; the store fails, forgets, and loses answers; runners fail in all their
 //! ways, leave, and are replaced; configurations follow each other. Clocks are not touched.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -26,7 +26,7 @@
 use crate::fleet::rule::{LIMIT_AFTER, LIMIT_WINDOW, broken_limit};
 use crate::fleet::runner::{Faults, Kind, Runner, event};
 use crate::fleet::signal::Signals;
-use crate::fleet::store::{Fault, Store};
+use crate::fleet::store::{Copy, Fault, Store};
 use crate::process::Daemon;
 
 /// How a soak runs.
@@ -40,6 +40,8 @@
     pub nodes: usize,
     /// How many callers there are.
     pub callers: usize,
+    /// Whether the store comes back from copies.
+    pub copies: bool,
 }
 
 /// How many routes a version has beside the usual ones: every third is large, so that small ones
@@ -84,6 +86,12 @@
 /// the users' two seconds, and what callers and clocks of a busy machine take.
 const DRAIN: Duration = Duration::from_secs(4);
 
+/// After how many faults the store comes back from a copy, and how many faults old that is at most.
+const RETURN_EVERY: u64 = 4;
+const OLDEST_COPY: usize = 3;
+/// How long the operator and the runners take to write again what was lost.
+const WRITE_AGAIN: Duration = Duration::from_secs(1);
+
 /// How long all nodes may take to serve every kind of request again.
 const RECOVERY: Duration = Duration::from_secs(20);
 
@@ -103,6 +111,8 @@
     next_runner: u64,
     /// How often runners were given signals.
     signals: u64,
+    /// The store as it was before the last faults.
+    copies: VecDeque<Copy>,
     /// Runners that said that they leave, with when.
     left: Vec<(Runner, Instant)>,
 }
@@ -145,6 +155,7 @@
             version: 1,
             next_runner: 0,
             signals: 0,
+            copies: VecDeque::new(),
             left: Vec::new(),
         };
         for (service, stage, count) in
@@ -234,6 +245,24 @@
         }
     }
 
+    /// Takes a copy of the store, and has it come back from one from time to time. It takes no draw,
+    /// which would change what a seed stands for.
+    fn copy(&mut self, faults: u64) {
+        self.copies.push_back(self.store.copy());
+        if self.copies.len() > OLDEST_COPY {
+            self.copies.pop_front();
+        }
+        if !faults.is_multiple_of(RETURN_EVERY) {
+            return;
+        }
+        let Some(copy) = self.copies.front() else { return };
+        let lost = self.store.come_back(copy);
+        // The others have revisions that are given out again.
+        self.copies.clear();
+        let store = self.store.clone();
+        tokio::spawn(async move { store.write_again_drawn(&lost, faults, WRITE_AGAIN).await });
+    }
+
     fn heal(&self) {
         self.store.set_fault(Fault::None);
         self.store_proxy.set(Harm::None);
@@ -350,6 +379,9 @@
     while Instant::now() < until {
         soak.fault(exe, &mut rng).await;
         report.faults += 1;
+        if plan.copies {
+            soak.copy(report.faults);
+        }
         sleep(Duration::from_millis(rng.random_range(50..700))).await;
     }
     soak.heal();
--- a/testutils/src/fleet/store/copy.rs
+++ b/testutils/src/fleet/store/copy.rs
@@ -53,7 +53,8 @@
     pub fn come_back(&self, copy: &Copy) -> Lost {
         let mut inner = lock(&self.inner);
         let mut lost = BTreeMap::new();
-        for (key, content) in inner.writes.drain(copy.writes..) {
+        let kept = copy.writes.min(inner.writes.len());
+        for (key, content) in inner.writes.drain(kept..) {
             lost.insert(key, content);
         }
         inner.objects = copy.objects.clone();
@@ -62,29 +63,35 @@
         inner.era += 1;
         drop(inner);
         self.changed.send_modify(|n| *n += 1);
-        Lost(lost.into_iter().collect())
+        Lost { writes: lost.into_iter().collect(), since: kept }
     }
 
     /// Writes again what was lost, all at once.
     pub fn write_again(&self, lost: &Lost) {
-        for write in &lost.0 {
-            self.write_one(write);
+        for write in &lost.writes {
+            self.write_one(write, lost.since);
         }
     }
 
     /// Writes again what was lost, in an order and with pauses drawn from `seed`, within `longest`.
     pub async fn write_again_drawn(&self, lost: &Lost, seed: u64, longest: Duration) {
         let mut rng = StdRng::seed_from_u64(seed);
-        let mut writes = lost.0.clone();
+        let mut writes = lost.writes.clone();
         writes.shuffle(&mut rng);
         let pause = longest / u32::try_from(writes.len().max(1)).unwrap_or(u32::MAX);
         for write in &writes {
             sleep(pause.mul_f64(rng.random())).await;
-            self.write_one(write);
+            self.write_one(write, lost.since);
         }
     }
 
-    fn write_one(&self, ((kind, name), content): &Write) {
+    /// Writes one object again, unless its writer has written it since.
+    fn write_one(&self, (key, content): &Write, since: usize) {
+        let is_newer = |writes: &[Write]| writes.iter().any(|(written, _)| written == key);
+        if lock(&self.inner).writes.get(since..).is_some_and(is_newer) {
+            return;
+        }
+        let (kind, name) = key;
         match content {
             Some(content) => self.put(kind, name, content),
             None => self.remove(kind, name),
@@ -110,4 +117,8 @@
 
 /// What the operator and the runners had written after a copy, the last write of each object.
 #[derive(Clone, Debug)]
-pub struct Lost(Vec<Write>);
+pub struct Lost {
+    writes: Vec<Write>,
+    /// How many writes there had been once they were lost.
+    since: usize,
+}
