--- a/node/tests/store_copy.rs
+++ b/node/tests/store_copy.rs
@@ -1,5 +1,7 @@
 //! A store that comes back from a copy: revisions go back and are given out again.
 
+use std::time::{Duration, Instant};
+
 use http::StatusCode;
 use sardinepick_lib::fleet;
 use sardinepick_lib::id::RunnerId;
@@ -8,6 +10,7 @@
 use sardinepick_testutils::fleet::deployment::{Deployment, configuration, with_accounts};
 use sardinepick_testutils::fleet::runner::Runner;
 use sardinepick_testutils::fleet::store::Fault;
+use tokio::time::sleep;
 
 /// More nodes than follow the store, so that some learn of it from others alone.
 const NODES: usize = 6;
@@ -200,3 +203,41 @@
     // Two lists, two watches and the entry of each node that follows the store, with room for one pause.
     assert!(set.store.calls().0 - before <= 60, "{} calls", set.store.calls().0 - before);
 }
+
+/// Calls to the store in `span`, and the time until all nodes knew the register of the new era.
+async fn calls_after(set: &Deployment, span: Duration, returns: bool) -> (u64, Duration) {
+    let before = set.store.calls().0;
+    let began = Instant::now();
+    if returns {
+        let copy = set.store.copy();
+        set.runners[0].write_entry();
+        wait_written(set, &set.runners[0]).await;
+        let lost = set.store.come_back(&copy);
+        set.store.write_again(&lost);
+        let era = set.store.era();
+        wait_until("all nodes know the register of the era", async || {
+            let known = set.nodes.iter().map(|node| node.shared.status().register.era.0);
+            known.map(u64::from).all(|known| known == era)
+        })
+        .await;
+    }
+    let whole = began.elapsed();
+    sleep(span.saturating_sub(whole)).await;
+    (set.store.calls().0 - before, whole)
+}
+
+/// Guards against nodes that all turn to the store when it comes back from a copy.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_after_return_do_not_grow_with_nodes() {
+    let span = Duration::from_secs(4);
+    for nodes in [6, 20] {
+        let set = Deployment::new().await.with_plain(3).await.with_nodes(nodes).await;
+        sleep(span).await;
+        let (calm, _) = calls_after(&set, span, false).await;
+        let (after, whole) = calls_after(&set, span, true).await;
+        println!(
+            "{nodes} nodes: {calm} calls in {span:?}, {after} after a return; whole in {whole:?}"
+        );
+        assert!(after <= calm + 60, "{nodes} nodes: {after} calls after a return, {calm} before");
+    }
+}
--- a/wire/tests/beat.rs
+++ b/wire/tests/beat.rs
@@ -146,3 +146,28 @@
         let _ = Beat::decode(&bytes, Era(1));
     }
 }
+
+/// Guards against beats of nodes of an earlier version, which name no era, that are taken for old ones,
+/// and against an era that no fencing number has room for.
+#[test]
+fn decode_era_absent_or_absurd() {
+    let sent = pb::Beat::decode(&*beat(0).encode()).expect("it is one");
+    let read = |era| Beat::decode(&pb::Beat { era, ..sent.clone() }.encode_to_vec(), Era(7));
+    let era = |era| read(era).expect("it is one").status.register.era;
+    assert_eq!((era(None), era(Some(0)), era(Some(8))), (Era(7), Era(0), Era(8)));
+    assert!(read(Some(LAST_ERA.0 + 1)).is_err());
+}
+
+/// Guards against beats that grow: a node sends 40 a second.
+#[test]
+fn encode_era_few_bytes() {
+    let length = |era| {
+        let register = Mark { era: Era(era), order: 1 << 24 };
+        let status = Status { register, ..beat(0).status };
+        Beat { status, ..beat(0) }.encode().len()
+    };
+    let without = pb::Beat { era: None, ..pb::Beat::decode(&*beat(0).encode()).expect("one") };
+    let register = pb::Beat { register: 1 << 24, ..without };
+    assert!(length(1) <= register.encoded_len() + 4);
+    assert!(length(LAST_ERA.0) <= register.encoded_len() + 4);
+}
