--- a/lib/tests/usage_model.rs
+++ b/lib/tests/usage_model.rs
@@ -1,12 +1,15 @@
-//! Usage under cuts, ends of nodes, moves of the collectors and lost datagrams: what is reported is true.
+//! Usage under cuts, ends of nodes, moves of the collectors, lost datagrams and a store that comes back
+//! from copies: what is reported is true, and reported once.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
+use sardinepick_lib::history::Era;
 use sardinepick_lib::id::{AccountId, Incarnation, NodeId, Window};
 use sardinepick_lib::usage::collection::{Collection, Life, Verdict};
+use sardinepick_lib::usage::ledger::Ledger;
 use sardinepick_lib::usage::tally::{Collector, Message, Tally};
 use sardinepick_lib::usage::window::Windows;
 
@@ -44,6 +47,20 @@
     up_at: Duration,
     /// What it gets in a second.
     rate: f64,
+    /// The ledger, if it has held the duties since it read it.
+    known: Option<Ledger>,
+}
+
+/// The store, with its ledger.
+struct Store {
+    ledger: Ledger,
+    era: Era,
+    /// The ledger as it was, every second.
+    copies: Vec<Ledger>,
+    /// The mean pause between two returns from a copy; none if it does not.
+    returns: Option<Duration>,
+    /// Whether holders take a copy at its word, which is wrong.
+    is_trusted: bool,
 }
 
 impl Node {
@@ -52,6 +69,7 @@
     }
 
     fn start(&mut self, now: Duration) {
+        self.known = None;
         self.life = u64::try_from(now.as_micros()).expect("a short model");
         (self.since, self.tally) = (now, Some(Tally::default()));
         self.collection = Collection::new(self.collector(), now);
@@ -70,7 +88,9 @@
     truth: BTreeMap<Window, u64>,
     reported: BTreeMap<Window, u64>,
     passed_over: usize,
-    next: Window,
+    /// Windows that were reported a second time.
+    twice: usize,
+    store: Store,
     rng: StdRng,
     /// The mean pause between two faults; none on a calm day.
     faults: Option<Duration>,
@@ -98,14 +118,18 @@
                 unheard: None,
                 up_at: now,
                 rate: rng.random_range(5.0..15.0),
+                known: None,
             };
             node.start(now);
             node
         };
         let nodes = (0..nodes).map(node).collect();
         let (truth, reported) = (BTreeMap::new(), BTreeMap::new());
-        let next = windows.at(now).next();
-        Self { now, windows, nodes, truth, reported, passed_over: 0, next, rng, faults }
+        let ledger = Ledger::starting_at(windows.at(now).next());
+        let (copies, era) = (Vec::new(), Era(1));
+        let store = Store { ledger, era, copies, returns: None, is_trusted: false };
+        let (passed_over, twice) = (0, 0);
+        Self { now, windows, nodes, truth, reported, passed_over, twice, store, rng, faults }
     }
 
     fn run(&mut self) {
@@ -115,6 +139,9 @@
             self.now += STEP;
             step += 1;
             self.change_faults();
+            if step % 20 == 0 {
+                self.come_back();
+            }
             self.count();
             if step % ROUND == 0 {
                 self.round();
@@ -123,6 +150,18 @@
         }
     }
 
+    /// Takes a copy of the ledger each second, and brings one of the last ten back from time to time.
+    fn come_back(&mut self) {
+        let Some(pause) = self.store.returns else { return };
+        self.store.copies.push(self.store.ledger.clone());
+        if self.rng.random_bool(1.0 / pause.as_secs_f64()) {
+            let back = self.rng.random_range(0..self.store.copies.len().min(10));
+            self.store.copies.truncate(self.store.copies.len() - back);
+            self.store.ledger = self.store.copies.last().expect("one is left").clone();
+            self.store.era = Era(self.store.era.0 + 1);
+        }
+    }
+
     fn change_faults(&mut self) {
         let now = self.now;
         for node in &mut self.nodes {
@@ -235,20 +274,75 @@
             return;
         }
         let lives = self.lives();
-        while self.windows.end(self.next) + SETTLING <= self.now {
-            let window = self.next;
+        let mut ledger = self.ledger_of(at);
+        while self.windows.end(ledger.next) + SETTLING <= self.now {
+            let window = ledger.next;
             let own = tally.counts(window);
             let total = holder.collection.total(self.windows, window, own, &lives, self.now);
             match total.verdict(self.now - self.windows.end(window)) {
-                Verdict::Wait => return,
+                Verdict::Wait => break,
                 Verdict::PassOver => self.passed_over += 1,
                 Verdict::Settle => {
-                    self.reported.insert(window, total.counts.values().sum());
+                    let before = self.reported.insert(window, total.counts.values().sum());
+                    self.twice += usize::from(before.is_some());
                 }
             }
-            self.next = window.next();
+            ledger.pass_over(window);
+        }
+        ledger.era = Some(self.store.era);
+        self.store.ledger = ledger.clone();
+        for (other, node) in self.nodes.iter_mut().enumerate() {
+            node.known = (other == at).then(|| ledger.clone());
+        }
+    }
+
+    /// The ledger as a holder takes it: what it knows, if it has held the duties all the while, or what
+    /// the store shows, if that is whole.
+    fn ledger_of(&self, at: usize) -> Ledger {
+        if let Some(known) = self.nodes[at].known.as_ref().filter(|_| !self.store.is_trusted) {
+            return known.clone();
+        }
+        let mut ledger = self.store.ledger.clone();
+        let has_come_back = self.store.era > Era(1);
+        if !self.store.is_trusted && !ledger.is_whole(self.store.era, has_come_back) {
+            ledger.next = ledger.next.max(self.windows.at(self.now));
+        }
+        ledger
+    }
+}
+
+fn play_returns(seed: u64, returns: bool, is_trusted: bool) -> Model {
+    let mut model = Model::new(seed, 6, Some(Duration::from_secs(15)));
+    model.store.returns = returns.then_some(Duration::from_secs(12));
+    model.store.is_trusted = is_trusted;
+    model.run();
+    model
+}
+
+/// Guards against a window that is reported a second time after the store came back from a copy, and
+/// against windows that are all given up.
+#[test]
+fn report_returns_from_copies_no_window_twice() {
+    let (mut reported, mut without, mut returns) = (0, 0, 0);
+    for seed in 0..300 {
+        without += play_returns(seed, false, false).reported.len();
+        let model = play_returns(seed, true, false);
+        assert_eq!(model.twice, 0, "seed {seed}");
+        for (window, count) in &model.reported {
+            let truth = model.truth.get(window).copied().unwrap_or_default();
+            assert!(truth.abs_diff(*count) as f64 <= truth as f64 * 0.05, "seed {seed}: {window}");
         }
+        reported += model.reported.len();
+        returns += model.store.era.0 - 1;
     }
+    assert!(returns > 1_000, "{returns} returns");
+    assert!(reported * 10 > without * 8, "{reported} reported, {without} without returns");
+}
+
+/// A holder that takes a copy at its word is caught.
+#[test]
+fn report_copy_trusted_caught() {
+    assert!((0..300).any(|seed| play_returns(seed, true, true).twice > 0));
 }
 
 /// Guards against a window that is reported though counts of it are missing.
--- a/node/tests/store_copy.rs
+++ b/node/tests/store_copy.rs
@@ -4,6 +4,7 @@
 
 use http::StatusCode;
 use sardinepick_lib::fleet;
+use sardinepick_lib::fleet::outage::DOUBT;
 use sardinepick_lib::id::RunnerId;
 use sardinepick_testutils::cluster::wait_until;
 use sardinepick_testutils::fleet::caller::Ask;
@@ -241,3 +242,45 @@
         assert!(after <= calm + 60, "{nodes} nodes: {after} calls after a return, {calm} before");
     }
 }
+
+/// Guards against a node that stays in an era between two, or in which the second changes nothing.
+#[tokio::test]
+async fn returns_two_within_a_second_leaving_known() {
+    let set = come_back(0).await;
+    let copy = set.store.copy();
+    for _ in 0..WRITES {
+        set.runners[1].write_entry();
+    }
+    let lost = set.store.come_back(&copy);
+    let again = set.store.come_back(&set.store.copy());
+    set.store.write_again(&lost);
+    set.store.write_again(&again);
+    assert_leaving_known(&set, &set.runners[0]).await;
+    let era = set.store.era();
+    assert_eq!(era, 4);
+    wait_until("all nodes know the era", async || {
+        set.nodes.iter().all(|node| u64::from(node.shared.history.era().0) == era)
+    })
+    .await;
+}
+
+/// Guards against requests that are refused, or wait, while the store comes back without runners that
+/// are there.
+#[tokio::test]
+async fn runners_missing_from_copy_served_on() {
+    let mut set = Deployment::new().await;
+    let copy = set.store.copy();
+    set = set.with_plain(3).await.with_nodes(3).await;
+    let lost = set.store.come_back(&copy);
+    let eras = || set.nodes.iter().map(|node| node.shared.history.era().0);
+    wait_until("all nodes know the era", async || eras().all(|era| era == 2)).await;
+    for n in 0..30 {
+        let told = set.send(n % 3, &Ask::new("/board/a", &format!("r{n}"))).await;
+        assert_eq!(told.status, Some(StatusCode::OK), "r{n}");
+    }
+    set.store.write_again_drawn(&lost, 7, Duration::from_millis(500)).await;
+    sleep(DOUBT + Duration::from_millis(500)).await;
+    for node in &set.nodes {
+        assert_eq!(node.shared.register().runners().count(), 3);
+    }
+}
