history: the number of a point has 2^20 for each era, not 2^40

Fencing numbers of a store that names eras stay below 2^32 for a store of some million changes; a reader of less than 64 bits takes them as before. A copy would have to lack more than a million changes for them to fall.

--- a/lib/src/history.rs
+++ b/lib/src/history.rs
@@ -20,11 +20,12 @@
 #[serde(transparent)]
 pub struct Era(pub u32);
 
-/// The largest era that is believed. Fencing numbers have room for so many.
+/// The largest era that is believed: the numbers of its points have 32 bits for a store of some
+/// thousand changes.
 pub const LAST_ERA: Era = Era(4_095);
-/// The bits of a point's number below its era: room for 400 changes a second over 87 years. With the
-/// last era it is less than 2^52, which a number of JSON holds exactly.
-const REVISION_BITS: u32 = 40;
+/// How many changes a copy may lack without the numbers of points falling: 43 minutes of 400 changes a
+/// second, while copies are some seconds old.
+const MOST_LOST: u64 = 1 << 20;
 
 impl fmt::Display for Era {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -80,9 +81,10 @@
         Self { era, revision: Revision(revision) }
     }
 
-    /// A number that is larger than that of any earlier point, in this era or one before.
+    /// A number that is larger than that of any earlier point, in this era or one before, unless a copy
+    /// lacked more than 2^20 changes.
     pub fn number(self) -> u64 {
-        u64::from(self.era.0) << REVISION_BITS | self.revision.0
+        u64::from(self.era.0) * MOST_LOST + self.revision.0
     }
 
     /// A point in the history of a store that names no eras.
--- a/lib/tests/history.rs
+++ b/lib/tests/history.rs
@@ -49,6 +49,18 @@
     assert!(Mark::of(Point::new(Era(2), 1)) > Mark::of(Point::new(Era(1), 900)).next());
 }
 
+/// Guards against fencing numbers that fall: the copy lacks the last changes of the era before.
+#[test]
+fn point_number_grows_over_eras() {
+    let lost = 400 * 60;
+    for revision in [lost, 1 << 20, 1 << 36] {
+        let before = Point::new(Era(1), revision);
+        assert!(Point::new(Era(1), revision + 1).number() > before.number());
+        assert!(Point::new(Era(2), revision - lost).number() > before.number());
+    }
+    assert_eq!(Point::without_era(41).number(), 41);
+}
+
 #[test]
 fn point_text_round_trip() {
     let point = Point::new(Era(3), 55);
