--- a/lib/src/fleet/register.rs
+++ b/lib/src/fleet/register.rs
@@ -112,8 +112,9 @@
         if leaves { Change::Leaving } else { Change::Updated }
     }
 
-    /// Takes in that what stands under the id of a runner since `at` is not of that runner's making. There is no runner to use under that id then, and nothing to doubt: the store has
-    /// just shown what it has.
+    /// Takes in that what stands under the id of a runner since `at` is not of that runner's making.
+    /// There is no runner to use under that id then, and nothing to doubt: the store has just shown what
+    /// it has.
     pub fn disown(&mut self, id: &RunnerId, at: Point) -> Change {
         match self.runners.get(id) {
             Some(runner) if runner.entry.at < at => {
