history: eras are told to followers in their order

Cause: the present era was told after its lock was released, so two changes within an instant could be told in the other order; a follower would then have found its own era over, and listed anew, until the next change.

--- a/node/src/history/mod.rs
+++ b/node/src/history/mod.rs
@@ -186,7 +186,12 @@
             }
         }
         self.metrics.era.set(i64::from(shown.0));
-        self.changed.send_replace(shown);
+        // Two changes close together may come here in the other order.
+        self.changed.send_if_modified(|known| {
+            let is_later = shown > *known;
+            *known = shown.max(*known);
+            is_later
+        });
         Ok(shown)
     }
 
