node: log the register behind each decision and difference

The hypotheses of the incident could not be told apart: no line said on which version of the register of runners a request rested, nor from whom, from which version and with what content a difference was taken, and two nodes with different registers under one version looked alike.

- placed and the last line of each request: register, the version by which the runner was chosen
- register difference applied, learned from another node: versions, whole, entries, gone, doubted
- /state and two metrics: a digest of the register beside its version

--- a/node/src/serve/generation/mod.rs
+++ b/node/src/serve/generation/mod.rs
@@ -19,6 +19,7 @@
 use sardinepick_lib::fleet::load::Class;
 use sardinepick_lib::fleet::placement::{Placement, Plan};
 use sardinepick_lib::fleet::register::WorkCost;
+use sardinepick_lib::fleet::register_version::RegisterVersion;
 use sardinepick_lib::id::RunnerId;
 use sardinepick_platform::runner::{self, Call, CallKind};
 use smallvec::SmallVec;
@@ -67,6 +68,7 @@
         last_event_at: None,
         error_answer: None,
         plan: "none",
+        register: RegisterVersion::default(),
     };
     tokio::spawn(task.run(in_progress));
     // The task always sends a response; if it panicked the request may have run.
@@ -143,6 +145,8 @@
     /// An error response of a runner, kept while other runners are tried.
     error_answer: Option<(Parts, Bytes)>,
     plan: &'static str,
+    /// The version of the register by which the last placement was made.
+    register: RegisterVersion,
 }
 
 impl GenerationTask {
@@ -170,7 +174,12 @@
 
     /// Completes the caller's response and logs the outcome.
     async fn finish(mut self, end: Result<Outcome, Option<Refusal>>) {
-        let mut line = End { tries: self.calls, events: self.events, ..End::default() };
+        let mut line = End {
+            register: self.register,
+            tries: self.calls,
+            events: self.events,
+            ..End::default()
+        };
         match end {
             Ok(outcome) => {
                 quarantine::note_answered(&self.shared, &self.request.fingerprint);
@@ -229,13 +238,14 @@
         self.check_quarantine().await?;
         let (placement, class) = self.admit().await?;
         self.plan = (&placement.plan).into();
+        self.register = self.shared.register_replica().version();
         self.shared.metrics.plans.with_label_values(&[self.plan]).inc();
         log::info!(
             request:% = self.request.id, plan = self.plan, class = class.index(),
             prefill = prefill_runner(&placement.plan), decode = decode_runner(&placement.plan),
             first_ms = millis(placement.first_event), fresh = placement.prefill_tokens,
             fetch = placement.fetch.as_ref().map_or("", RunnerId::as_str), prompt = self.work.prompt,
-            fingerprint:% = self.request.fingerprint, attempt = self.calls + 1; "placed"
+            register:% = self.register, fingerprint:% = self.request.fingerprint, attempt = self.calls + 1; "placed"
         );
         match &placement.plan {
             Plan::Whole { runner } => {
--- a/node/src/serve/listener.rs
+++ b/node/src/serve/listener.rs
@@ -210,7 +210,9 @@
         shared.roster().ready_contacts().iter().map(|contact| contact.id.to_string()).collect();
     serde_json::json!({
         "node": shared.me.id, "standing": format!("{:?}", status.standing),
-        "configuration": status.version, "register": status.register.to_string(), "store_era": shared.era_tracker.era(),
+        "configuration": status.version, "register": status.register.to_string(),
+        "register_digest": format!("{:016x}", shared.register_replica().digest()),
+        "store_era": shared.era_tracker.era(),
         "nodes_heard": nodes, "runners": runners, "quarantine": quarantine::state(shared),
         "accounts": accounts(shared), "duties": duties(shared),
     })
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -70,6 +70,10 @@
     pub store_era: IntGauge,
     /// Announcements of new store eras, by outcome.
     pub store_eras: IntCounterVec,
+    /// The revision of the store that the register of runners is as new as.
+    pub register_revision: IntGauge,
+    /// The low 32 bits of the digest of the register of runners.
+    pub register_digest: IntGauge,
     /// Known runners by state.
     pub runners: IntGaugeVec,
     /// Other nodes that are currently up.
@@ -250,6 +254,14 @@
                 "Eras of the store that were new, or not believed",
                 &["outcome"],
             ),
+            register_revision: m.gauge(
+                "sardinepick_register_revision",
+                "Revision of the store that the register of runners is as new as",
+            ),
+            register_digest: m.gauge(
+                "sardinepick_register_digest",
+                "Low 32 bits of the digest of the register of runners",
+            ),
             runners: m.gauges("sardinepick_runners", "Runners known", &["state"]),
             nodes: m.gauge("sardinepick_nodes", "Other nodes heard lately"),
             store_answered: m.gauges(
--- a/node/src/serve/peer.rs
+++ b/node/src/serve/peer.rs
@@ -277,7 +277,11 @@
             Ok((peer, received)) => {
                 log::info!(
                     node:% = contact.id, peer:% = peer, register:% = status.register,
-                    entries = received.difference.entries.len(), took_ms = took;
+                    asked_from:% = received.asked_from, version:% = received.difference.version,
+                    whole = received.difference.whole,
+                    entries = received.difference.entries.len(),
+                    gone = received.difference.gone.len(),
+                    doubted = received.difference.doubted.len(), took_ms = took;
                     "learned from another node"
                 );
                 failures.clear();
@@ -310,6 +314,8 @@
 
 /// The register as received from another node.
 struct ReceivedRegister {
+    /// The version of this node's register when it asked.
+    asked_from: RegisterVersion,
     difference: Difference,
     /// Rate limits that runners have announced.
     limits: Vec<LimitReport>,
@@ -353,7 +359,12 @@
                 Vec::new()
             });
             let leaving = part.leaving.into_iter().map(Tag).collect();
-            return Ok(Reply::Complete(ReceivedRegister { difference: changes, limits, leaving }));
+            return Ok(Reply::Complete(ReceivedRegister {
+                asked_from: mine,
+                difference: changes,
+                limits,
+                leaving,
+            }));
         }
     }
 }
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -11,6 +11,7 @@
 use sardinepick_lib::fleet::load::Class;
 use sardinepick_lib::fleet::placement::{self, Criteria};
 use sardinepick_lib::fleet::register::WorkCost;
+use sardinepick_lib::fleet::register_version::RegisterVersion;
 use sardinepick_lib::fleet::suspect::{QUARANTINE_ENDS, RunProgress};
 use sardinepick_lib::id::RunnerId;
 use sardinepick_platform::answer::{Verdict, classify};
@@ -65,13 +66,14 @@
         runs: 0,
         crashes: 0,
         is_trial: false,
+        register: RegisterVersion::default(),
     };
     let end = task.run().await;
     if task.is_trial && task.runs == 0 && task.crashes == 0 {
         quarantine::return_trial(shared, &request.fingerprint);
     }
     let runner = task.tried.last().map(RunnerId::as_str).unwrap_or_default();
-    let mut line = End { runner, tries: task.calls, ..End::default() };
+    let mut line = End { runner, register: task.register, tries: task.calls, ..End::default() };
     match end {
         Ok((head, body)) => {
             quarantine::note_answered(shared, &request.fingerprint);
@@ -110,6 +112,8 @@
     crashes: usize,
     /// Whether this is a trial run of a quarantined request, to see if it still crashes runners.
     is_trial: bool,
+    /// The version of the register by which the runner of the last call was chosen.
+    register: RegisterVersion,
 }
 
 impl PlainTask<'_> {
@@ -200,6 +204,7 @@
     }
 
     async fn call(&mut self, id: &RunnerId, left: Duration, last: bool) -> CallResult {
+        self.register = self.shared.register_replica().version();
         let class = Class::of_rank(self.request.route.rank);
         let cost = WorkCost { class, prefill_tokens: 0, footprint: 0 };
         let mut reservation = Reservation::new(self.shared, id, Step::Plain, cost);
--- a/node/src/serve/register_replica.rs
+++ b/node/src/serve/register_replica.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use sardinepick_lib::fleet::register_version::RegisterVersion;
+use sardinepick_lib::hash::stable_hash;
 use sardinepick_platform::store::Object;
 use smol_str::SmolStr;
 
@@ -63,6 +64,12 @@
         self.runners.len()
     }
 
+    /// A digest of the names and positions of all entries.
+    pub fn digest(&self) -> u64 {
+        let entries = self.runners.values();
+        entries.fold(0, |digest, (_, object)| digest ^ entry_hash(object))
+    }
+
     /// Applies changes, all at once: a node that is sent the state up to a version is sent
     /// everything that the version covers.
     pub fn apply(&mut self, entries: Vec<Object>, gone: &[SmolStr], version: RegisterVersion) {
@@ -133,3 +140,9 @@
         }
     }
 }
+
+/// A hash of an entry's name and position, which determine its content.
+fn entry_hash(object: &Object) -> u64 {
+    let at = stable_hash(object.at.revision.0, &object.at.era.0.to_le_bytes());
+    stable_hash(at, object.name.as_bytes())
+}
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -14,6 +14,7 @@
 use sardinepick_lib::fleet::admission::{Reason, Terms, Wait};
 use sardinepick_lib::fleet::engine::Engine;
 use sardinepick_lib::fleet::fingerprint::Fingerprint;
+use sardinepick_lib::fleet::register_version::RegisterVersion;
 use sardinepick_lib::fleet::route::{Configuration, Route};
 use sardinepick_lib::fleet::runner::Closed;
 use sardinepick_lib::id::{AccountId, ServiceId};
@@ -107,7 +108,7 @@
         log::info!(
             request:% = self.id, route:% = self.route.name, service:% = self.service,
             version:% = self.configuration.version, runner = end.runner, tries = end.tries,
-            status = end.status, reason = end.reason,
+            register:% = end.register, status = end.status, reason = end.reason,
             took_ms = took.as_millis() as u64, left_ms = self.time_left(now).as_millis() as u64,
             events = end.events; "request {}", end.outcome
         );
@@ -125,6 +126,8 @@
     pub status: u16,
     /// The runner that was tried last.
     pub runner: &'a str,
+    /// The version of the register by which that runner was chosen.
+    pub register: RegisterVersion,
     /// The number of calls made.
     pub tries: u32,
     /// The number of events forwarded.
--- a/node/src/serve/store_watch.rs
+++ b/node/src/serve/store_watch.rs
@@ -264,6 +264,8 @@
     source: &'static str,
 ) {
     let before = shared.register_replica().version();
+    let (whole, to) = (difference.whole, difference.version);
+    let received = difference.entries.len();
     let mut gone = difference.gone;
     if difference.whole {
         let named: HashSet<&SmolStr> = difference.entries.iter().map(|o| &o.name).collect();
@@ -296,8 +298,19 @@
     }
     gone.extend(invalid);
     shared.register_replica().apply_with_doubts(entries, &gone, &doubted, difference.version);
+    let (version, digest) = {
+        let replica = shared.register_replica();
+        (replica.version(), replica.digest())
+    };
+    if whole || received + gone.len() + doubted.len() > 0 {
+        log::info!(
+            source = source, whole = whole, from:% = before, to:% = to, version:% = version,
+            entries = received, gone = gone.len(), doubted = doubted.len(),
+            digest:% = format_args!("{digest:016x}"); "register difference applied"
+        );
+    }
     shared.update_standing();
-    if shared.register_replica().version() > before {
+    if version > before {
         shared.announce();
     }
 }
@@ -327,6 +340,12 @@
             }
             register.runners().map(|r| r.entry.address).collect()
         };
+        {
+            let replica = shared.register_replica();
+            let revision = replica.version().point().revision.0;
+            shared.metrics.register_revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
+            shared.metrics.register_digest.set(i64::from(replica.digest() as u32));
+        }
         shared.metrics.runners.with_label_values(&["ready"]).set(ready);
         shared.metrics.runners.with_label_values(&["draining"]).set(draining);
         let store = shared.settings.store;
