register: compute a difference from the entries that the other node has

Cause: a replica answered for a time that it had not seen. RegisterReplica::since computed a difference from the asker's version, and answered any version above `forgotten`, which moved only when 512 removals had been passed. A node that had started since, and was sent the whole register or listed it, knows no earlier removal; it sent its new entries and nothing gone. The asker took over the version, counted as up to date and asked nobody again. The same holds between two removals that nodes made of their own accord under one version (the low bits counted local changes), and for a list, whose version was that of its newest entry.

Change: a copy holds exactly what the store held at its version. An asking node sends the hashes of its entries, and is sent what differs; without any it is sent the whole. Announcements and answers say the digest of the sender's copy, and are applied only if the result has it. With equal digests a later version is taken over from the heartbeat, without a call, so a list may have the version that it was answered at. Doubted entries stand beside the copy, so dropping them is no change of it. Nodes of the version before get the whole register, and are asked for it.

Why it holds: nothing about the past is inferred any more, neither from a version nor from remembered removals.

--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 pub mod pool;
 pub mod quarantine;
 pub mod register;
+pub mod register_digest;
 pub mod register_version;
 pub mod roster;
 pub mod route;
--- a/lib/src/fleet/register_version.rs
+++ b/lib/src/fleet/register_version.rs
@@ -4,8 +4,8 @@
 
 use crate::history::{Era, Point};
 
-/// The low bits of `order`, below the store's revision: they count the changes that a node makes
-/// without the store, such as removing an entry that did not come back after an outage.
+/// The low bits of `order`, below the store's revision: they count corrections of copies that
+/// differed although they had the same version.
 const LOCAL_BITS: u32 = 16;
 
 /// The version of a node's copy of the runner register: the era of the store, then an order within
--- a/node/src/serve/heartbeat.rs
+++ b/node/src/serve/heartbeat.rs
@@ -112,8 +112,8 @@
     }
 }
 
-/// Returns the changes of the register since they were last passed on, if they are small. Each node
-/// passes a change on once, as soon as it knows it.
+/// Returns the changes of the register since they were last passed on, if they are small and known
+/// one by one. Each node passes a change on once, as soon as it knows it.
 fn register_changes(shared: &Shared, passed_on: &mut RegisterVersion) -> Option<pb::Knowledge> {
     let replica = shared.register_replica();
     let (since, version) = (*passed_on, replica.version());
@@ -121,14 +121,15 @@
         return None;
     }
     *passed_on = version;
-    let changed = replica.since(since);
+    let changed = replica.recent_changes(since, shared.clock.now())?;
     let bytes: usize = changed.entries.iter().map(|o| o.name.len() + o.content.len()).sum();
-    let bytes = bytes + changed.gone.iter().map(smol_str::SmolStr::len).sum::<usize>();
-    let is_small = !changed.whole && bytes <= MAX_CHANGE_BYTES;
-    is_small.then(|| peer::to_announcement(&changed, since))
+    let names = changed.gone.iter().chain(changed.doubts.iter().map(|doubt| &doubt.name));
+    let bytes = bytes + names.map(smol_str::SmolStr::len).sum::<usize>();
+    (bytes <= MAX_CHANGE_BYTES).then(|| peer::to_announcement(&changed, since))
 }
 
 fn build_heartbeat(shared: &Shared, status: Status) -> Heartbeat {
+    let register_digest = Some(shared.register_replica().digest());
     let roster = shared.roster();
     Heartbeat {
         sender: roster.me().clone(),
@@ -137,6 +138,7 @@
         switching: shared.switching(),
         roster_digest: roster.digest(),
         records: Vec::new(),
+        register_digest,
         register_update: None,
         quarantine_digest: quarantine::gossip::digest(shared),
         quarantined: Vec::new(),
@@ -249,6 +251,7 @@
         &received.sender.contact.id,
         received.quarantine_digest,
     ) || digest_differs;
+    compare_registers(shared, received);
     let mine = shared.status();
     if received.status.register > mine.register || received.status.version > mine.version {
         shared.note_outdated();
@@ -278,6 +281,15 @@
     }
 }
 
+/// Compares this node's register with the sender's: with the same digest, the later version applies
+/// to both.
+fn compare_registers(shared: &Shared, received: &Heartbeat) {
+    let mut replica = shared.register_replica();
+    if replica.is_known() && received.register_digest == Some(replica.digest()) {
+        replica.adopt(received.status.register);
+    }
+}
+
 /// Applies records of nodes, and logs each that changes the roster.
 pub fn apply_records(
     roster: &mut sardinepick_lib::fleet::roster::Roster,
--- a/node/src/serve/listener.rs
+++ b/node/src/serve/listener.rs
@@ -211,7 +211,7 @@
     serde_json::json!({
         "node": shared.me.id, "standing": format!("{:?}", status.standing),
         "configuration": status.version, "register": status.register.to_string(),
-        "register_digest": format!("{:016x}", shared.register_replica().digest()),
+        "register_digest": shared.register_replica().digest().to_string(),
         "store_era": shared.era_tracker.era(),
         "nodes_heard": nodes, "runners": runners, "quarantine": quarantine::state(shared),
         "accounts": accounts(shared), "duties": duties(shared),
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -74,6 +74,9 @@
     pub register_revision: IntGauge,
     /// The low 32 bits of the digest of the register of runners.
     pub register_digest: IntGauge,
+    /// Registers of other nodes that differ from this node's although they should not, by how that
+    /// was found.
+    pub register_conflicts: IntCounterVec,
     /// Known runners by state.
     pub runners: IntGaugeVec,
     /// Other nodes that are currently up.
@@ -262,6 +265,11 @@
                 "sardinepick_register_digest",
                 "Low 32 bits of the digest of the register of runners",
             ),
+            register_conflicts: m.counters(
+                "sardinepick_register_conflicts_total",
+                "Registers of nodes that differ although they should not, by how that was found",
+                &["found"],
+            ),
             runners: m.gauges("sardinepick_runners", "Runners known", &["state"]),
             nodes: m.gauge("sardinepick_nodes", "Other nodes heard lately"),
             store_answered: m.gauges(
--- a/node/src/serve/peer.rs
+++ b/node/src/serve/peer.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 
 use sardinepick_lib::fleet::limit::LimitReport;
+use sardinepick_lib::fleet::outage::DOUBT;
+use sardinepick_lib::fleet::register_digest::{EntryHash, RegisterDigest};
 use sardinepick_lib::fleet::register_version::RegisterVersion;
 use sardinepick_lib::fleet::roster::{Contact, Status as RosterStatus};
 use sardinepick_lib::fleet::runner::Tag;
@@ -30,7 +32,7 @@
 use crate::serve::copy;
 use crate::serve::heartbeat::apply_records;
 use crate::serve::quarantine;
-use crate::serve::register_replica::Difference;
+use crate::serve::register_replica::{Difference, Doubt};
 use crate::serve::rpc::{self, Failures, Reply, RpcError};
 use crate::serve::shared::Shared;
 use crate::serve::store_watch::apply_difference;
@@ -117,28 +119,24 @@
     }
 }
 
-/// Sends a node what it does not know of the register. Differences are small and sent at once; the
-/// whole register is large and goes to few nodes at a time.
+/// Sends a node what it does not know of the register. Small differences are sent at once; larger
+/// ones, such as the whole register, go to few nodes at a time.
 async fn tell(
     shared: &Shared,
     request: &pb::KnowledgeRequest,
     parts: &Parts<pb::Knowledge>,
 ) -> Result<(), Disconnected> {
-    let known = shared.register_replica().version();
-    let version = decode_mark(request.mark, request.era, known.era).unwrap_or_else(|error| {
-        log::warn!(node = request.node, error:% = error; "invalid register version from a node");
-        RegisterVersion::default()
-    });
-    let difference = shared.register_replica().since(version);
-    if !difference.whole {
-        return send_parts(shared, &difference, parts).await;
+    let known = request.entries.iter().copied().map(EntryHash).collect();
+    let difference = || shared.register_replica().difference_for(&known, shared.clock.now());
+    let first = difference();
+    let bytes = first.entries.iter().map(|object| object.content.len()).sum();
+    if bytes <= PART_BYTES {
+        return send_parts(shared, &first, parts).await;
     }
-    let bytes = difference.entries.iter().map(|object| object.content.len()).sum();
     match shared.register_transfers.wait(parts, bytes).await? {
         Grant::Slot(slot) => {
             // The register may have changed while the call was queued.
-            let difference = shared.register_replica().since(version);
-            send_parts(shared, &difference, parts).await?;
+            send_parts(shared, &difference(), parts).await?;
             slot.finish(parts, &request.peer).await
         }
         Grant::Referral(address) => {
@@ -148,34 +146,80 @@
     }
 }
 
-/// Encodes a difference to be announced to nodes that know everything up to `since`.
-pub fn to_announcement(difference: &Difference, since: RegisterVersion) -> pb::Knowledge {
+/// Encodes all of a difference but its entries.
+fn encode(difference: &Difference) -> pb::Knowledge {
     let era = difference.version.era;
+    let doubt = |doubt: &Doubt| pb::Doubt {
+        name: doubt.name.to_string(),
+        left_ms: u64::try_from(doubt.left.as_millis()).unwrap_or(u64::MAX),
+        object: doubt.object.as_ref().map(|object| to_wire(object, era)),
+    };
     pb::Knowledge {
-        since: since.order,
-        since_era: (since.era != era).then_some(since.era.0),
-        era: Some(era.0),
-        runners: difference.entries.iter().map(|object| to_wire(object, era)).collect(),
         gone: difference.gone.iter().map(ToString::to_string).collect(),
-        doubted: difference.doubted.iter().map(ToString::to_string).collect(),
+        absent: difference.absent.iter().map(|hash| hash.0).collect(),
+        // Nodes of earlier versions read the names alone.
+        doubted: difference.doubts.iter().map(|doubt| doubt.name.to_string()).collect(),
+        doubts: difference.doubts.iter().map(doubt).collect(),
+        digest: difference.digest.map(|digest| digest.0),
         mark: difference.version.order,
+        era: Some(era.0),
         whole: difference.whole,
         last: true,
         ..Default::default()
     }
 }
 
-/// Applies an announced difference if it continues from what this node knows. Otherwise this node
-/// is behind and asks.
+/// Decodes all of a difference but its entries.
+fn decode(message: &pb::Knowledge, version: RegisterVersion) -> Result<Difference, WireError> {
+    let doubt = |doubt: &pb::Doubt| {
+        let object = doubt.object.clone().map(|object| from_wire(object, version.era));
+        Ok(Doubt {
+            name: SmolStr::new(&doubt.name),
+            // A node of another version, or a faulty one, must not extend the time of doubt.
+            left: Duration::from_millis(doubt.left_ms).min(DOUBT),
+            object: object.transpose()?,
+        })
+    };
+    Ok(Difference {
+        whole: message.whole,
+        entries: Vec::new(),
+        gone: message.gone.iter().map(SmolStr::new).collect(),
+        absent: message.absent.iter().copied().map(EntryHash).collect(),
+        doubts: message.doubts.iter().map(doubt).collect::<Result<_, WireError>>()?,
+        version,
+        digest: message.digest.map(RegisterDigest),
+    })
+}
+
+/// Encodes a difference to be announced to nodes that know everything up to `since`, which only
+/// nodes of earlier versions read.
+pub fn to_announcement(difference: &Difference, since: RegisterVersion) -> pb::Knowledge {
+    let era = difference.version.era;
+    pb::Knowledge {
+        since: since.order,
+        since_era: (since.era != era).then_some(since.era.0),
+        runners: difference.entries.iter().map(|object| to_wire(object, era)).collect(),
+        ..encode(difference)
+    }
+}
+
+/// Applies an announced difference if that makes this node's copy the sender's. Otherwise this node
+/// has missed an earlier one, and asks.
 pub fn apply_announcement(shared: &Shared, announcement: &pb::Knowledge) {
     match decode_announcement(shared, announcement) {
-        Ok(Some(difference)) => apply_difference(shared, difference, None, "news"),
+        Ok(Some(difference)) => {
+            if let Err(mismatch) = apply_difference(shared, &difference, None, "news") {
+                log::debug!(error:% = mismatch; "announcement does not fit");
+                shared.note_outdated();
+            }
+        }
         Ok(None) => {}
         Err(error) => log::warn!(error:% = error; "invalid register announcement"),
     }
 }
 
-/// Decodes an announced difference; `None` if it does not continue from what this node knows.
+/// Decodes an announced difference; `None` if this node's copy is as new, or if the announcement
+/// comes from a node of an earlier version, which does not say what it results in.
 fn decode_announcement(
     shared: &Shared,
     announcement: &pb::Knowledge,
@@ -185,18 +229,13 @@
         (replica.version(), replica.is_known())
     };
     let version = decode_mark(announcement.mark, announcement.era, mine.era)?;
-    let since = decode_mark(announcement.since, announcement.since_era, version.era)?;
-    if !is_known || announcement.whole || since > mine || mine >= version {
+    let is_usable = announcement.digest.is_some() && !announcement.whole;
+    if !is_known || !is_usable || mine >= version {
         return Ok(None);
     }
     let entries = announcement.runners.iter().cloned().map(|object| from_wire(object, version.era));
-    Ok(Some(Difference {
-        whole: false,
-        entries: entries.collect::<Result<_, _>>()?,
-        gone: announcement.gone.iter().map(SmolStr::new).collect(),
-        doubted: announcement.doubted.iter().map(SmolStr::new).collect(),
-        version,
-    }))
+    let entries = entries.collect::<Result<_, _>>()?;
+    Ok(Some(Difference { entries, ..decode(announcement, version)? }))
 }
 
 /// Adds what runners have announced themselves, which only makes sense to a node that knows the
@@ -220,17 +259,14 @@
         let (runners, rest) = left.split_at(next_part_length(left));
         left = rest;
         let last = left.is_empty();
-        let gone = if last { difference.gone.as_slice() } else { &[] };
-        let doubted = if last { difference.doubted.as_slice() } else { &[] };
+        let era = difference.version.era;
+        let part = if last { encode(difference) } else { pb::Knowledge::default() };
         let part = pb::Knowledge {
-            runners: runners.iter().map(|object| to_wire(object, difference.version.era)).collect(),
-            gone: gone.iter().map(ToString::to_string).collect(),
-            doubted: doubted.iter().map(ToString::to_string).collect(),
+            runners: runners.iter().map(|object| to_wire(object, era)).collect(),
             mark: difference.version.order,
-            era: Some(difference.version.era.0),
+            era: Some(era.0),
             whole: difference.whole,
-            last,
-            ..Default::default()
+            ..part
         };
         let part = if last && difference.whole { with_announcements(shared, part) } else { part };
         send(parts, part).await?;
@@ -265,13 +301,16 @@
 /// Asks other nodes whenever this one is behind, until the process ends.
 pub async fn fetch_updates(shared: Arc<Shared>) {
     let mut failures = Failures::default();
+    let mut wants_whole = false;
     loop {
         shared.register_outdated.notified().await;
         sleep(FETCH_DELAY).await;
         let Some((contact, status)) = newest(&shared, &mut failures) else { continue };
         let began = Instant::now();
-        let received =
-            rpc::follow_referrals(contact.peer, |peer| request_difference(&shared, peer)).await;
+        let received = rpc::follow_referrals(contact.peer, |peer| {
+            request_difference(&shared, peer, wants_whole)
+        })
+        .await;
         let took = began.elapsed().as_millis() as u64;
         match received {
             Ok((peer, received)) => {
@@ -280,12 +319,12 @@
                     asked_from:% = received.asked_from, version:% = received.difference.version,
                     whole = received.difference.whole,
                     entries = received.difference.entries.len(),
-                    gone = received.difference.gone.len(),
-                    doubted = received.difference.doubted.len(), took_ms = took;
+                    gone = received.difference.absent.len(),
+                    doubted = received.difference.doubts.len(), took_ms = took;
                     "learned from another node"
                 );
                 failures.clear();
-                apply_received(&shared, received, contact.id.as_str());
+                wants_whole = !apply_received(&shared, &received, contact.id.as_str());
             }
             Err(error) => {
                 log::warn!(
@@ -325,35 +364,41 @@
 async fn request_difference(
     shared: &Shared,
     peer: SocketAddr,
+    wants_whole: bool,
 ) -> Result<Reply<ReceivedRegister>, RpcError> {
     let mut client = rpc::connect(peer).await?;
-    let mine = shared.register_replica().version();
+    let (mine, entries) = {
+        let replica = shared.register_replica();
+        let hashes = if wants_whole { Vec::new() } else { replica.hashes() };
+        (replica.version(), hashes.into_iter().map(|hash| hash.0).collect())
+    };
     let known = pb::KnowledgeRequest {
-        mark: mine.order,
+        // Nodes of earlier versions compute a difference from this version, which may lack removals;
+        // if it is unknown, they send the whole register.
+        mark: 0,
+        entries,
         era: Some(mine.era.0),
         node: shared.me.id.to_string(),
         peer: shared.me.peer.to_string(),
     };
     let mut parts = rpc::Parts::begin(peer, client.tell(known)).await?;
     let malformed = |error: WireError| RpcError::Malformed { peer, detail: error.to_string() };
-    let (mut changes, mut bytes) = (Difference::default(), 0);
+    let (mut entries, mut bytes) = (Vec::new(), 0);
     loop {
-        let part = parts.next(changes.entries.is_empty()).await?;
+        let part = parts.next(entries.is_empty()).await?;
         if let Some(address) = part.elsewhere {
             return Reply::referral(address, peer, shared.me.peer);
         }
         bytes += part.runners.iter().map(|object| object.content.len()).sum::<usize>();
         let version = decode_mark(part.mark, part.era, mine.era).map_err(malformed)?;
-        for object in part.runners {
-            changes.entries.push(from_wire(object, version.era).map_err(malformed)?);
+        for object in &part.runners {
+            entries.push(from_wire(object.clone(), version.era).map_err(malformed)?);
         }
         if bytes > MAX_ANSWER_BYTES {
             return Err(RpcError::TooLarge { peer, limit: MAX_ANSWER_BYTES });
         }
         if part.last {
-            changes.gone = part.gone.into_iter().map(SmolStr::new).collect();
-            changes.doubted = part.doubted.into_iter().map(SmolStr::new).collect();
-            (changes.version, changes.whole) = (version, part.whole);
+            let changes = Difference { entries, ..decode(&part, version).map_err(malformed)? };
             let limits = decode_limits(&part.rate_limits).unwrap_or_else(|error| {
                 log::warn!(peer:% = peer, error:% = error; "invalid rate limits from a node");
                 Vec::new()
@@ -369,11 +414,22 @@
     }
 }
 
-fn apply_received(shared: &Shared, received: ReceivedRegister, from: &str) {
+/// Applies a received register. Returns whether it fits this node's copy.
+fn apply_received(shared: &Shared, received: &ReceivedRegister, from: &str) -> bool {
+    let mut fits = true;
     // The sending node is served by the store: what it has removed is not in doubt any more.
-    if received.difference.version > shared.register_replica().version() {
-        apply_difference(shared, received.difference, None, "node");
+    if received.difference.version > shared.register_replica().version()
+        && let Err(mismatch) = apply_difference(shared, &received.difference, None, "node")
+    {
+        // It was computed from the entries of this node, which may have changed since.
+        fits = mismatch.from != received.asked_from;
+        if !fits {
+            shared.metrics.register_conflicts.with_label_values(&["difference"]).inc();
+            log::error!(node = from, error:% = mismatch; "difference does not fit");
+        }
+        shared.note_outdated();
     }
     shared.limiter.apply_gossip(&received.limits, from);
     shared.drains.apply_gossip(&received.leaving, from);
+    fits
 }
--- a/node/src/serve/register_replica.rs
+++ b/node/src/serve/register_replica.rs
@@ -1,148 +1,252 @@
-//! The register of runners as a node knows it from the platform's store, in a form to pass on.
+//! A node's copy of the register of runners in the platform's store.
 //!
-//! A few nodes watch the store, the others learn from them. Changes since a given version are sent
-//! as a difference, so that a fleet of hundreds of runners does not transfer its whole register at
-//! each change.
+//! A few nodes watch the store, the others learn from them. A copy holds exactly what the store held
+//! at the copy's version. A difference for another node is computed from the entries that the other
+//! node has, not from its version: a node that has started since knows no earlier removal, and a
+//! difference by version alone would leave removed runners in use.
+//!
+//! Entries that are missing since an outage of the store are retained beside the copy for a while.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
+use std::time::{Duration, Instant};
 
+use sardinepick_lib::fleet::register_digest::{EntryHash, RegisterDigest};
 use sardinepick_lib::fleet::register_version::RegisterVersion;
-use sardinepick_lib::hash::stable_hash;
 use sardinepick_platform::store::Object;
 use smol_str::SmolStr;
+use thiserror::Error;
+
+/// How many recent changes are remembered to be announced: more than fit into a datagram.
+const MAX_RECENT: usize = 128;
 
-/// How many removals are remembered. A node that is further behind is sent everything.
-const MAX_REMOVED: usize = 512;
+/// An entry that is missing from the store since an outage, as told to another node.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Doubt {
+    /// The name of the entry.
+    pub name: SmolStr,
+    /// How long it is still used. It is a time left, not a period that each node starts anew: over
+    /// several nodes a runner that has left would be used longer than the platform allows.
+    pub left: Duration,
+    /// The entry, for a node that has none.
+    pub object: Option<Object>,
+}
 
-/// A set of changes.
+/// Changes of a copy.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Difference {
-    /// Whether this is the complete state, so that entries not in it are removed.
+    /// Whether this is the complete register, so that entries not in it are removed.
     pub whole: bool,
     /// New or changed entries.
     pub entries: Vec<Object>,
-    /// Removed entries.
+    /// The names of removed entries.
     pub gone: Vec<SmolStr>,
-    /// Entries that have been missing since a store outage, and may come back.
-    pub doubted: Vec<SmolStr>,
-    /// How new this is.
+    /// The hashes of entries of the receiver that the sender does not have.
+    pub absent: Vec<EntryHash>,
+    /// Removed entries that are still used.
+    pub doubts: Vec<Doubt>,
+    /// The version of the copy with these changes.
     pub version: RegisterVersion,
+    /// The digest of the copy with these changes; `None` if it comes from the store, or from a node
+    /// of an earlier version of this program.
+    pub digest: Option<RegisterDigest>,
+}
+
+/// A difference does not fit this node's copy: applied to it, the result is not the sender's copy.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("register at {from} would get the digest {digest} at {to}, the sender has {expected}")]
+pub struct Mismatch {
+    /// The version of the copy.
+    pub from: RegisterVersion,
+    /// The version of the difference.
+    pub to: RegisterVersion,
+    /// The digest that the copy would get.
+    pub digest: RegisterDigest,
+    /// The digest of the sender's copy.
+    pub expected: RegisterDigest,
+}
+
+#[derive(Clone, Debug)]
+struct Retained {
+    object: Object,
+    until: Instant,
 }
 
-/// The register as this node knows it.
+/// A copy of the register.
 #[derive(Clone, Debug, Default)]
 pub struct RegisterReplica {
-    /// The entries of the register, each with the version under which it became known.
-    runners: BTreeMap<SmolStr, (RegisterVersion, Object)>,
-    removed: VecDeque<(RegisterVersion, SmolStr)>,
-    /// Entries in doubt, each with the version under which it became doubted. A node that is sent
-    /// the state up to that version must be sent the doubt too. Otherwise it would consider itself
-    /// up to date, never ask a node that knows of the removal, and keep using a runner that has
-    /// left for as long as it answers.
-    doubted: BTreeMap<SmolStr, RegisterVersion>,
-    /// Removals up to this version may no longer be in `removed`.
-    forgotten: RegisterVersion,
-    /// How new the whole state is, for comparison between nodes. Two nodes may have the same state
-    /// with different versions, if one has received a later answer from the store.
+    entries: BTreeMap<SmolStr, Object>,
+    digest: RegisterDigest,
+    /// Entries that are missing from the store since an outage, and still used.
+    retained: BTreeMap<SmolStr, Retained>,
+    /// The names of changed entries, oldest first, each with the version of its change.
+    recent: VecDeque<(RegisterVersion, SmolStr)>,
+    /// The version after which `recent` has all changes.
+    recent_since: RegisterVersion,
     version: RegisterVersion,
     known: bool,
 }
 
+fn hash(object: &Object) -> EntryHash {
+    EntryHash::of(&object.name, object.at)
+}
+
 impl RegisterReplica {
     /// Returns whether the register has been read or received at all.
     pub fn is_known(&self) -> bool {
         self.known
     }
 
-    /// How new this is.
+    /// The version of the copy.
     pub fn version(&self) -> RegisterVersion {
         self.version
     }
 
-    /// The number of entries.
+    /// The digest of the copy.
+    pub fn digest(&self) -> RegisterDigest {
+        self.digest
+    }
+
+    /// The number of entries, including the retained ones.
     pub fn entries(&self) -> usize {
-        self.runners.len()
+        self.entries.len() + self.retained.len()
     }
 
-    /// A digest of the names and positions of all entries.
-    pub fn digest(&self) -> u64 {
-        let entries = self.runners.values();
-        entries.fold(0, |digest, (_, object)| digest ^ entry_hash(object))
+    /// The names of the entries that the store has at this version.
+    pub fn names(&self) -> impl Iterator<Item = &SmolStr> {
+        self.entries.keys()
     }
 
-    /// Applies changes, all at once: a node that is sent the state up to a version is sent
-    /// everything that the version covers.
-    pub fn apply(&mut self, entries: Vec<Object>, gone: &[SmolStr], version: RegisterVersion) {
-        self.apply_with_doubts(entries, gone, &[], version);
+    /// The hashes of all entries, by which another node computes the difference.
+    pub fn hashes(&self) -> Vec<EntryHash> {
+        self.entries.values().map(hash).collect()
     }
 
-    /// Applies changes and newly doubted entries.
-    pub fn apply_with_doubts(
-        &mut self,
-        entries: Vec<Object>,
-        gone: &[SmolStr],
-        doubted: &[SmolStr],
-        version: RegisterVersion,
-    ) {
-        self.known = true;
-        let changes = !(entries.is_empty() && gone.is_empty() && doubted.is_empty());
-        // A node that has already reached the current version would not be sent a change under it.
-        let version = if changes && version <= self.version {
+    /// Applies a difference, and returns the entries that it removes. The copy is unchanged if the
+    /// result would differ from the sender's copy.
+    ///
+    /// # Errors
+    /// The difference does not fit this copy.
+    pub fn apply(&mut self, difference: &Difference) -> Result<Vec<Object>, Mismatch> {
+        let changes = self.changes(difference);
+        let mut digest = self.digest;
+        for (name, object) in &changes {
+            let hashes = [self.entries.get(name), object.as_ref()].into_iter().flatten().map(hash);
+            hashes.for_each(|hash| digest.toggle(hash));
+        }
+        if let Some(expected) = difference.digest
+            && digest != expected
+        {
+            return Err(Mismatch { from: self.version, to: difference.version, digest, expected });
+        }
+        let version = if !changes.is_empty() && difference.version <= self.version {
+            // A node that has reached the present version would not ask for a change under it.
             self.version.next()
         } else {
-            self.version.max(version)
+            self.version.max(difference.version)
         };
-        for name in entries.iter().map(|object| &object.name).chain(gone) {
-            self.doubted.remove(name);
-        }
-        for name in doubted {
-            self.doubted.entry(name.clone()).or_insert(version);
+        let was_known = std::mem::replace(&mut self.known, true);
+        (self.digest, self.version) = (digest, version);
+        if !was_known {
+            self.recent_since = version;
         }
-        for object in entries {
-            self.runners.insert(object.name.clone(), (version, object));
-        }
-        for name in gone {
-            if self.runners.remove(name).is_some() {
-                self.removed.push_back((version, name.clone()));
+        Ok(self.replace(changes))
+    }
+
+    /// The entries that a difference replaces, with what replaces them.
+    fn changes(&self, difference: &Difference) -> BTreeMap<SmolStr, Option<Object>> {
+        let absent: HashSet<EntryHash> = difference.absent.iter().copied().collect();
+        let dropped = self.entries.values().filter(|object| {
+            difference.whole || (!absent.is_empty() && absent.contains(&hash(object)))
+        });
+        let mut changes: BTreeMap<_, _> =
+            dropped.map(|object| (object.name.clone(), None)).collect();
+        let entries = difference.entries.iter();
+        changes.extend(entries.map(|object| (object.name.clone(), Some(object.clone()))));
+        changes.extend(difference.gone.iter().map(|name| (name.clone(), None)));
+        changes.retain(|name, object| self.entries.get(name) != object.as_ref());
+        changes
+    }
+
+    fn replace(&mut self, changes: BTreeMap<SmolStr, Option<Object>>) -> Vec<Object> {
+        let mut removed = Vec::new();
+        for (name, object) in changes {
+            self.recent.push_back((self.version, name.clone()));
+            self.retained.remove(&name);
+            match object {
+                Some(object) => drop(self.entries.insert(name, object)),
+                None => removed.extend(self.entries.remove(&name)),
             }
         }
-        while self.removed.len() > MAX_REMOVED {
-            if let Some((version, _)) = self.removed.pop_front() {
-                self.forgotten = version;
+        while self.recent.len() > MAX_RECENT {
+            if let Some((version, _)) = self.recent.pop_front() {
+                self.recent_since = version;
             }
         }
-        self.version = version;
+        removed
+    }
+
+    /// Takes over the version of another node whose copy has the same digest.
+    pub fn adopt(&mut self, version: RegisterVersion) {
+        self.version = self.version.max(version);
+    }
+
+    /// Keeps a removed entry until the given time.
+    pub fn retain(&mut self, object: Object, until: Instant) {
+        self.retained.entry(object.name.clone()).or_insert(Retained { object, until });
     }
 
-    /// Removes expired entries, for which the store reports no change of its own.
-    pub fn apply_expired(&mut self, gone: &[SmolStr]) {
-        let version = self.version.next();
-        self.apply(Vec::new(), gone, version);
+    /// Drops retained entries whose time is over.
+    pub fn release(&mut self, names: &[SmolStr]) {
+        for name in names {
+            self.retained.remove(name);
+        }
     }
 
-    /// Returns the changes for a node whose state is as new as `since`.
-    pub fn since(&self, since: RegisterVersion) -> Difference {
-        let whole = since.is_unknown() || since < self.forgotten;
-        let newer = self.runners.values().filter(|(version, _)| whole || *version > since);
-        // An entry that was removed and added again is not gone.
-        let is_gone = |name: &SmolStr| !self.runners.contains_key(name);
-        let gone = self
-            .removed
-            .iter()
-            .filter(|(version, name)| !whole && *version > since && is_gone(name));
-        let doubted = self.doubted.iter().filter(|(_, version)| whole || **version > since);
+    /// The difference for a node that has the entries with the hashes `known`; the whole register
+    /// if it has none.
+    pub fn difference_for(&self, known: &HashSet<EntryHash>, now: Instant) -> Difference {
+        let whole = known.is_empty();
+        let mine: HashSet<EntryHash> = self.entries.values().map(hash).collect();
+        let new = self.entries.values().filter(|object| !known.contains(&hash(object)));
+        let doubts = self.retained.values().map(|retained| doubt(retained, whole, now));
         Difference {
             whole,
-            doubted: doubted.map(|(name, _)| name.clone()).collect(),
-            entries: newer.map(|(_, object)| object.clone()).collect(),
-            gone: gone.map(|(_, name)| name.clone()).collect(),
+            entries: new.cloned().collect(),
+            gone: Vec::new(),
+            absent: known.difference(&mine).copied().collect(),
+            doubts: doubts.collect(),
             version: self.version,
+            digest: Some(self.digest),
         }
     }
+
+    /// The changes since `since`, which this copy has had itself, for nodes that have all earlier
+    /// ones. `None` if they are no longer remembered.
+    pub fn recent_changes(&self, since: RegisterVersion, now: Instant) -> Option<Difference> {
+        if since < self.recent_since {
+            return None;
+        }
+        let names = self.recent.iter().filter(|(version, _)| *version > since);
+        let names: BTreeSet<&SmolStr> = names.map(|(_, name)| name).collect();
+        let mut difference =
+            Difference { version: self.version, digest: Some(self.digest), ..Default::default() };
+        for name in names {
+            match self.entries.get(name) {
+                Some(object) => difference.entries.push(object.clone()),
+                None => difference.gone.push(name.clone()),
+            }
+            if let Some(retained) = self.retained.get(name) {
+                difference.doubts.push(doubt(retained, false, now));
+            }
+        }
+        Some(difference)
+    }
 }
 
-/// A hash of an entry's name and position, which determine its content.
-fn entry_hash(object: &Object) -> u64 {
-    let at = stable_hash(object.at.revision.0, &object.at.era.0.to_le_bytes());
-    stable_hash(at, object.name.as_bytes())
+fn doubt(retained: &Retained, with_object: bool, now: Instant) -> Doubt {
+    Doubt {
+        name: retained.object.name.clone(),
+        left: retained.until.saturating_duration_since(now),
+        object: with_object.then(|| retained.object.clone()),
+    }
 }
--- a/node/src/serve/store_watch.rs
+++ b/node/src/serve/store_watch.rs
@@ -4,7 +4,6 @@
 //! the store; the others learn from them (`peer.rs`), also while the store refuses to serve them.
 //! Older state never replaces newer state.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,7 +23,7 @@
 
 use crate::serve::kind_watch::{Kind, KindWatch};
 use crate::serve::quarantine;
-use crate::serve::register_replica::Difference;
+use crate::serve::register_replica::{Difference, Mismatch};
 use crate::serve::shared::Shared;
 use crate::serve::store::Purpose;
 
@@ -128,10 +127,11 @@
     let mut next = Instant::now();
     loop {
         kind_watch.wait_until_watching().await;
+        let known = shared.register_replica().version();
         let result = match kind_watch.from {
             None => {
                 let listed = kind_watch.list(Purpose::Register, RUNNER_KIND).await;
-                listed.map(|(entries, as_of)| (listed_difference(&shared, entries, as_of), as_of))
+                listed.map(|(entries, as_of)| (listed_difference(entries, as_of), as_of))
             }
             Some(from) => {
                 let purpose = Purpose::RegisterWatch;
@@ -144,28 +144,45 @@
         match result {
             Ok((difference, as_of)) => {
                 kind_watch.note_answer(as_of);
-                let doubt = shared.doubt();
-                apply_difference(&shared, difference, doubt, "store");
+                apply_answer(&shared, &difference, known);
             }
             Err(error) => kind_watch.back_off(&error).await,
         }
     }
 }
 
-/// Applies objects of the register's kind. Returns those that name a runner, and the names of
-/// objects that do not: whatever was known under such a name is no longer used.
+/// Applies an answer of the store. An answer that is older than what other nodes have passed on since
+/// the call is not used: the watch goes on from there, and the next answer brings what followed.
+fn apply_answer(shared: &Shared, difference: &Difference, known_at_call: RegisterVersion) {
+    let mine = shared.register_replica().version();
+    let (is_newer, is_list) = (difference.version > mine, difference.whole);
+    // The store's answers are linearizable, so a version that was known before the call and is later
+    // than a list was not the store's.
+    let refutes = is_list && difference.version < known_at_call;
+    if refutes {
+        shared.metrics.register_conflicts.with_label_values(&["store"]).inc();
+        log::error!(
+            listed:% = difference.version, known:% = known_at_call;
+            "register of another node is later than the store"
+        );
+    }
+    if is_newer || refutes || (is_list && difference.version == mine) {
+        let doubt = shared.doubt();
+        if let Err(mismatch) = apply_difference(shared, difference, doubt, "store") {
+            log::error!(error:% = mismatch; "answer of the store is not applied");
+        }
+    }
+}
+
+/// Applies objects of the register's kind to the runners in use. An object that names no runner
+/// removes what was known under its name.
 ///
 /// Other writers can write there too. An invalid entry must not keep the runner in use whose entry
 /// it replaced, nor keep the valid entries beside it from being applied.
-fn apply_entries(
-    shared: &Shared,
-    objects: Vec<Object>,
-    source: &'static str,
-) -> (Vec<Object>, Vec<SmolStr>) {
-    let (mut accepted, mut invalid) = (Vec::with_capacity(objects.len()), Vec::new());
-    let mut unlogged = 0;
+fn apply_entries(shared: &Shared, objects: &[Object], source: &'static str) {
+    let mut invalid = 0;
     for object in objects {
-        let changed = match decode_runner(&object.name, object.at, &object.content) {
+        match decode_runner(&object.name, object.at, &object.content) {
             Ok(entry) => {
                 let (id, at) = (entry.id.clone(), entry.at);
                 let (address, changed) = (entry.address, shared.register().apply(entry));
@@ -174,39 +191,32 @@
                     // The process at the other end of these connections has ended.
                     shared.connections.close_idle(address);
                 }
-                changed
             }
             Err(error) => {
                 shared.metrics.invalid_objects.with_label_values(&["runner", error.reason()]).inc();
-                if invalid.len() < MAX_INVALID_LINES {
+                invalid += 1;
+                if invalid <= MAX_INVALID_LINES {
                     log::warn!(
                         name:% = object.name, revision:% = object.at, source = source,
                         error:% = error; "entry names no runner to use"
                     );
-                } else {
-                    unlogged += 1;
                 }
-                remove_invalid(shared, &object, source)
+                remove_invalid(shared, object, source);
             }
-        };
-        match changed {
-            Changed::Removed => invalid.push(object.name),
-            // Known already, or of a previous incarnation, which must not be passed on.
-            Changed::None | Changed::Outdated => {}
-            _ => accepted.push(object),
         }
     }
-    if unlogged > 0 {
-        log::warn!(entries = unlogged, source = source; "more entries name no runner to use");
+    if invalid > MAX_INVALID_LINES {
+        log::warn!(
+            entries = invalid - MAX_INVALID_LINES, source = source;
+            "more entries name no runner to use"
+        );
     }
-    (accepted, invalid)
 }
 
-fn remove_invalid(shared: &Shared, object: &Object, source: &'static str) -> Changed {
-    let Ok(id) = RunnerId::try_from(object.name.clone()) else { return Changed::None };
+fn remove_invalid(shared: &Shared, object: &Object, source: &'static str) {
+    let Ok(id) = RunnerId::try_from(object.name.clone()) else { return };
     let changed = shared.register().reject(&id, object.at);
     log_change(&id, changed, object.at, source);
-    changed
 }
 
 fn log_change(id: &RunnerId, change: Changed, at: Point, source: &'static str) {
@@ -223,17 +233,11 @@
     log::info!(runner:% = id, revision:% = at, source = source; "{what}");
 }
 
-/// Converts a list to a difference. The difference is as new as its newest entry; only a missing
-/// entry makes it as new as the list itself.
-fn listed_difference(shared: &Shared, entries: Vec<Object>, as_of: Point) -> Difference {
-    let first = Point::new(as_of.era, 0);
-    let newest = entries.iter().map(|o| o.at).max().unwrap_or(first);
-    let named: HashSet<&str> = entries.iter().map(|o| o.name.as_str()).collect();
-    let misses = shared.register().runners().any(|r| !named.contains(r.entry.id.as_str()));
-    // A node that knows that there are no runners must count as newer than one that knows nothing.
-    // Otherwise nodes of a deployment without runners never receive the register and never become
-    // ready.
-    let version = RegisterVersion::of(if misses { as_of } else { newest }).or_first();
+/// Converts a list to a difference. A node that knows that there are no runners must count as newer
+/// than one that knows nothing. Otherwise nodes of a deployment without runners never receive the
+/// register and never become ready.
+fn listed_difference(entries: Vec<Object>, as_of: Point) -> Difference {
+    let version = RegisterVersion::of(as_of).or_first();
     Difference { whole: true, entries, version, ..Difference::default() }
 }
 
@@ -256,63 +260,69 @@
     difference
 }
 
-/// Applies a change of the register. A heartbeat announces it to all nodes at once.
+/// Applies a change of the register. A heartbeat announces it to all nodes at once. Removed runners
+/// are kept until `doubt`, if it is given, or as long as the difference says.
+///
+/// # Errors
+/// The difference does not fit this node's copy. Nothing has changed.
 pub fn apply_difference(
     shared: &Shared,
-    difference: Difference,
+    difference: &Difference,
     doubt: Option<std::time::Instant>,
     source: &'static str,
-) {
-    let before = shared.register_replica().version();
-    let (whole, to) = (difference.whole, difference.version);
-    let received = difference.entries.len();
-    let mut gone = difference.gone;
-    if difference.whole {
-        let named: HashSet<&SmolStr> = difference.entries.iter().map(|o| &o.name).collect();
-        let register = shared.register();
-        let known = register.runners().map(|r| SmolStr::new(r.entry.id.as_str()));
-        gone.extend(known.filter(|name| !named.contains(name)));
-    }
-    let (entries, invalid) = apply_entries(shared, difference.entries, source);
+) -> Result<(), Mismatch> {
+    let now = shared.clock.now();
+    // Locked until the register has changed too: other tasks apply differences as well.
+    let mut replica = shared.register_replica();
+    let (was_known, from) = (replica.is_known(), replica.version());
+    let removed = replica.apply(difference)?;
+    apply_entries(shared, &difference.entries, source);
     let remove = |name: &SmolStr, doubt: Option<std::time::Instant>| {
         let Ok(id) = RunnerId::try_from(name.clone()) else { return Changed::None };
         let changed = shared.register().remove(&id, doubt);
         log_change(&id, changed, difference.version.point(), source);
         changed
     };
-    let mut doubted = Vec::new();
-    gone.retain(|name| {
-        let changed = remove(name, doubt);
-        if changed == Changed::Missing {
-            doubted.push(name.clone());
+    // An entry that was added and removed within the difference is in `gone` alone.
+    let is_removed = |name: &&SmolStr| !removed.iter().any(|object| object.name == **name);
+    for name in difference.gone.iter().filter(is_removed) {
+        remove(name, doubt);
+    }
+    let (gone, mut retained) = (removed.len(), 0);
+    for object in removed {
+        let told = difference.doubts.iter().find(|doubt| doubt.name == object.name);
+        if let Some(until) = told.map(|_| now + DOUBT).or(doubt)
+            && remove(&object.name, Some(until)) == Changed::Missing
+        {
+            replica.retain(object, until);
+            retained += 1;
+        } else {
+            remove(&object.name, None);
         }
-        changed == Changed::Removed
-    });
-    // What another node doubts is doubted here too, for the full period from now.
-    for name in difference.doubted {
-        match remove(&name, Some(shared.clock.now() + DOUBT)) {
-            Changed::Missing => doubted.push(name),
-            Changed::Removed => gone.push(name),
-            _ => {}
+    }
+    // A node that knew the register before knows by itself which runners have left.
+    let told = difference.doubts.iter().filter(|_| !was_known);
+    for object in told.filter_map(|told| told.object.as_ref()) {
+        apply_entries(shared, std::slice::from_ref(object), source);
+        if remove(&object.name, Some(now + DOUBT)) == Changed::Missing {
+            replica.retain(object.clone(), now + DOUBT);
+            retained += 1;
         }
     }
-    gone.extend(invalid);
-    shared.register_replica().apply_with_doubts(entries, &gone, &doubted, difference.version);
-    let (version, digest) = {
-        let replica = shared.register_replica();
-        (replica.version(), replica.digest())
-    };
-    if whole || received + gone.len() + doubted.len() > 0 {
+    let (to, digest) = (replica.version(), replica.digest());
+    drop(replica);
+    if difference.whole || difference.entries.len() + gone + retained > 0 {
         log::info!(
-            source = source, whole = whole, from:% = before, to:% = to, version:% = version,
-            entries = received, gone = gone.len(), doubted = doubted.len(),
-            digest:% = format_args!("{digest:016x}"); "register difference applied"
+            source = source, whole = difference.whole, from:% = from, to:% = to,
+            entries = difference.entries.len(), gone = gone, doubted = retained, digest:% = digest;
+            "register difference applied"
         );
     }
     shared.update_standing();
-    if version > before {
+    if to > from {
         shared.announce();
     }
+    Ok(())
 }
 
 /// Removes expired runners and idle connections until the process ends.
@@ -323,8 +333,7 @@
         let expired = shared.register().expire(now);
         if !expired.is_empty() {
             let names: Vec<_> = expired.iter().map(|id| SmolStr::new(id.as_str())).collect();
-            shared.register_replica().apply_expired(&names);
-            shared.announce();
+            shared.register_replica().release(&names);
         }
         for id in expired {
             log::info!(runner:% = id; "runner gone: its entry did not come back");
@@ -344,7 +353,7 @@
             let replica = shared.register_replica();
             let revision = replica.version().point().revision.0;
             shared.metrics.register_revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
-            shared.metrics.register_digest.set(i64::from(replica.digest() as u32));
+            shared.metrics.register_digest.set(i64::from(replica.digest().0 as u32));
         }
         shared.metrics.runners.with_label_values(&["ready"]).set(ready);
         shared.metrics.runners.with_label_values(&["draining"]).set(draining);
--- a/node/tests/lives.rs
+++ b/node/tests/lives.rs
@@ -298,6 +298,6 @@
     let changes = vec![Change::Put(leaves), Change::Removed(runner.id.clone().into())];
     let doubt = Some(shared.clock.now() + Duration::from_secs(60));
     let as_of = Point::new(shared.era_tracker.era(), 1_001);
-    apply_difference(shared, difference(changes, as_of), doubt, "store");
+    apply_difference(shared, &difference(changes, as_of), doubt, "store").expect("from the store");
     assert!(shared.register().get(&id(runner)).is_none(), "it has said that it leaves");
 }
--- a/testutils/src/fleet/heartbeat.rs
+++ b/testutils/src/fleet/heartbeat.rs
@@ -27,6 +27,7 @@
         switching: Vec::new(),
         roster_digest: 0,
         records: Vec::new(),
+        register_digest: None,
         register_update: None,
         quarantine_digest: 0,
         quarantined: Vec::new(),
--- /dev/null
+++ b/testutils/src/fleet/killable_node.rs
@@ -0,0 +1,85 @@
+//! A node in the test's process that can be killed, and whose incoming datagrams can be dropped.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use sardinepick_lib::clock::System;
+use sardinepick_node::serve::metrics::Metrics;
+use sardinepick_node::serve::run::{self, Running, Sockets};
+use sardinepick_node::serve::settings::Settings;
+use sardinepick_node::serve::shared::Shared;
+use tokio::net::UdpSocket;
+use tokio::runtime::{Builder, Runtime};
+
+use crate::cluster::any_address;
+
+/// Larger than any datagram between nodes.
+const BUFFER_BYTES: usize = 64 << 10;
+
+/// A node with a runtime of its own. Dropping it kills the node.
+pub struct KillableNode {
+    /// The node's state.
+    pub shared: Arc<Shared>,
+    /// The runtime of all of its tasks; `None` once it is shut down.
+    runtime: Option<Runtime>,
+    drops_datagrams: Arc<AtomicBool>,
+    _running: Running,
+}
+
+impl KillableNode {
+    /// Starts a node.
+    ///
+    /// # Errors
+    /// An address cannot be bound.
+    ///
+    /// # Panics
+    /// It does not start.
+    pub async fn start(settings: Settings) -> io::Result<Self> {
+        let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
+        let drops_datagrams = Arc::new(AtomicBool::new(false));
+        let drops = drops_datagrams.clone();
+        let node = runtime.spawn(async move {
+            let mut sockets = Sockets::bind(&settings).await.expect("free addresses");
+            // The relay takes over the node's address for datagrams.
+            let own = UdpSocket::bind(any_address()).await.expect("a free address");
+            let server = own.local_addr().expect("a socket has an address");
+            let public = std::mem::replace(&mut sockets.heartbeats, own);
+            tokio::spawn(relay(public, server, drops));
+            run::start_at(settings, Arc::new(System), Metrics::default(), sockets)
+        });
+        let running = node.await.expect("the node starts");
+        let shared = running.shared.clone();
+        Ok(Self { shared, runtime: Some(runtime), drops_datagrams, _running: running })
+    }
+
+    /// Drops all datagrams to the node from now on, or none.
+    pub fn drop_datagrams(&self, drops: bool) {
+        self.drops_datagrams.store(drops, Ordering::Relaxed);
+    }
+
+    /// Ends all tasks of the node and closes its sockets.
+    pub fn kill(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl Drop for KillableNode {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+async fn relay(public: UdpSocket, server: SocketAddr, drops: Arc<AtomicBool>) {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    while let Ok((length, _)) = public.recv_from(&mut buffer).await {
+        if !drops.load(Ordering::Relaxed)
+            && let Err(error) = public.send_to(&buffer[..length], server).await
+        {
+            log::debug!(error:% = error; "cannot relay a datagram");
+        }
+    }
+}
--- a/testutils/src/fleet/mod.rs
+++ b/testutils/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 pub mod crashing_runner;
 pub mod deployment;
 pub mod heartbeat;
+pub mod killable_node;
 pub mod link;
 pub mod platform;
 pub mod proxy;
--- a/wire/src/beat.rs
+++ b/wire/src/beat.rs
@@ -5,6 +5,7 @@
 
 use prost::Message as _;
 use sardinepick_lib::fleet::limit::LimitReport;
+use sardinepick_lib::fleet::register_digest::RegisterDigest;
 use sardinepick_lib::fleet::roster::{Contact, Record, Standing, Status};
 use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_lib::history::Era;
@@ -33,6 +34,8 @@
     pub roster_digest: u64,
     /// Records of other nodes that the sender has recently received.
     pub records: Vec<Record>,
+    /// The digest of the sender's copy of the register; `None` from nodes of earlier versions.
+    pub register_digest: Option<RegisterDigest>,
     /// Recent changes to the register of runners.
     pub register_update: Option<pb::Knowledge>,
     /// A digest of the sender's quarantined requests, or 0 if there are none.
@@ -68,6 +71,7 @@
             away: self.switching.iter().map(|tag| tag.0).collect(),
             digest: self.roster_digest,
             records: self.records.iter().map(encode_record).collect(),
+            register_digest: self.register_digest.map(|digest| digest.0),
             news: self.register_update.clone(),
             quarantine: self.quarantine_digest,
             quarantined: self.quarantined.clone(),
@@ -108,6 +112,7 @@
             switching: beat.away.into_iter().map(Tag).collect(),
             roster_digest: beat.digest,
             records: decode_records(&beat.records)?,
+            register_digest: beat.register_digest.map(RegisterDigest),
             register_update: beat.news,
             quarantine_digest: beat.quarantine,
             quarantined: beat.quarantined,
--- a/wire/tests/beat.rs
+++ b/wire/tests/beat.rs
@@ -7,6 +7,7 @@
 use sardinepick_lib::fleet::fingerprint::Fingerprint;
 use sardinepick_lib::fleet::limit::{LimitReport, Rate};
 use sardinepick_lib::fleet::quarantine::{Entry, MAX_ENTRIES_PER_MESSAGE, Stage};
+use sardinepick_lib::fleet::register_digest::RegisterDigest;
 use sardinepick_lib::fleet::register_version::RegisterVersion;
 use sardinepick_lib::fleet::roster::{Contact, MAX_RECORDS, Record, Standing, Status};
 use sardinepick_lib::fleet::runner::Tag;
@@ -46,6 +47,7 @@
         switching: vec![Tag(1), Tag(2)],
         roster_digest: u64::MAX,
         records: (0..records).map(|at| record(100 + at)).collect(),
+        register_digest: Some(RegisterDigest(u64::MAX)),
         register_update: None,
         quarantine_digest: u64::MAX,
         quarantined: Vec::new(),
