register: tell how long a doubt lasts, not that it begins

A runner whose removal is in doubt after an outage of the store was used for the full 1.7 s from the moment that each node heard of the doubt. A node that hears of it late, or over several others, sent requests to a runner that had left for seconds longer than the nodes that had found its entry missing.

Why it holds: the end is the same moment at all nodes, but for the time that the message takes.

--- a/lib/src/fleet/register.rs
+++ b/lib/src/fleet/register.rs
@@ -201,6 +201,11 @@
         over
     }
 
+    /// Until when a runner is kept although its entry is missing; `None` if its entry is there.
+    pub fn doubted_until(&self, id: &RunnerId) -> Option<Instant> {
+        self.doubtful.get(id).copied()
+    }
+
     /// Assigns the runners to pools again, if they have changed.
     pub fn assign_pools(&mut self) {
         if std::mem::take(&mut self.pools_outdated) {
--- a/node/src/serve/listener.rs
+++ b/node/src/serve/listener.rs
@@ -198,6 +198,9 @@
                 "pace": runner.pace.factor(), "own_requests": runner.own.requests,
                 "all_requests": load.requests, "backlog": load.backlog,
                 "cached_tokens": runner.cache.tokens(),
+                "doubted_ms": register.doubted_until(&runner.entry.id).map(|until| {
+                    until.saturating_duration_since(now).as_millis() as u64
+                }),
                 "leaving": runner.is_leaving(), "said_leaving": runner.has_announced_leaving(),
                 "rate_limit": runner.limit.rate(),
                 "opens_in_ms": runner.limit.opens_in(now).as_millis() as u64,
--- a/node/src/serve/store_watch.rs
+++ b/node/src/serve/store_watch.rs
@@ -9,7 +9,6 @@
 
 use bytes::Bytes;
 use sardinepick_lib::account::directory::Directory;
-use sardinepick_lib::fleet::outage::DOUBT;
 use sardinepick_lib::fleet::register::Change as Changed;
 use sardinepick_lib::fleet::register_version::RegisterVersion;
 use sardinepick_lib::fleet::runner::State;
@@ -291,7 +290,7 @@
     let (gone, mut retained) = (removed.len(), 0);
     for object in removed {
         let told = difference.doubts.iter().find(|doubt| doubt.name == object.name);
-        if let Some(until) = told.map(|_| now + DOUBT).or(doubt)
+        if let Some(until) = told.map(|told| now + told.left).or(doubt)
             && remove(&object.name, Some(until)) == Changed::Missing
         {
             replica.retain(object, until);
@@ -302,10 +301,10 @@
     }
     // A node that knew the register before knows by itself which runners have left.
     let told = difference.doubts.iter().filter(|_| !was_known);
-    for object in told.filter_map(|told| told.object.as_ref()) {
+    for (object, left) in told.filter_map(|told| Some((told.object.as_ref()?, told.left))) {
         apply_entries(shared, std::slice::from_ref(object), source);
-        if remove(&object.name, Some(now + DOUBT)) == Changed::Missing {
-            replica.retain(object.clone(), now + DOUBT);
+        if remove(&object.name, Some(now + left)) == Changed::Missing {
+            replica.retain(object.clone(), now + left);
             retained += 1;
         }
     }
--- a/node/tests/register_catch_up.rs
+++ b/node/tests/register_catch_up.rs
@@ -3,14 +3,19 @@
 
 use std::net::SocketAddr;
 
+use sardinepick_lib::fleet::outage::DOUBT;
 use sardinepick_lib::id::{NodeId, RunnerId};
 use sardinepick_lib::rank;
 use sardinepick_node::duty::view::SUBJECT;
+use sardinepick_node::serve::settings::Settings;
 use sardinepick_node::serve::shared::Shared;
-use sardinepick_testutils::cluster::wait_until;
+use sardinepick_testutils::cluster::{any_address, wait_until};
 use sardinepick_testutils::fleet::deployment::Deployment;
 use sardinepick_testutils::fleet::killable_node::KillableNode;
+use sardinepick_testutils::fleet::proxy::{NetworkFault, Proxy};
 use sardinepick_testutils::fleet::runner::Runner;
+use sardinepick_testutils::fleet::store::Fault;
+use tokio::time::sleep;
 
 /// Names of nodes, those first that watch the store before the others do.
 fn names(count: usize) -> Vec<NodeId> {
@@ -35,9 +40,12 @@
     nodes
 }
 
+fn id(runner: &Runner) -> RunnerId {
+    runner.id.parse().expect("an id")
+}
+
 fn knows(shared: &Shared, runner: &Runner) -> bool {
-    let id: RunnerId = runner.id.parse().expect("an id");
-    shared.register().get(&id).is_some()
+    shared.register().get(&id(runner)).is_some()
 }
 
 async fn wait_known(nodes: &[KillableNode], runners: usize) {
@@ -83,3 +91,52 @@
     assert!(!knows(&behind.shared, removed), "the runner was removed from the store");
     assert!(knows(&behind.shared, changed));
 }
+
+/// Guards against a runner that has left and is used for longer the more nodes pass on that its
+/// removal is in doubt.
+#[tokio::test(flavor = "multi_thread")]
+async fn doubt_learned_late_ends_with_that_of_watchers() {
+    let deployment = Deployment::new().await.with_plain(2).await;
+    let names = names(4);
+    let (watching, behind) = names.split_at(3);
+    let watching = start(&deployment, watching, &[]).await;
+    let seeds: Vec<SocketAddr> = watching.iter().map(|node| node.shared.me.peer).collect();
+    // A node whose own path to the store is down hears of the removal from the others alone.
+    let path = Proxy::start(any_address(), deployment.store.address()).await;
+    let path = path.expect("a free address");
+    path.set(NetworkFault::Reset);
+    let settings = deployment.settings(behind[0].as_str(), seeds);
+    let settings = Settings { store: path.address, ..settings };
+    let behind = KillableNode::start(settings).await.expect("free addresses");
+    wait_known(&watching, 2).await;
+    wait_known(std::slice::from_ref(&behind), 2).await;
+
+    behind.drop_datagrams(true);
+    deployment.store.set_fault(Fault::Reset);
+    wait_until("the nodes notice the outage", async || {
+        watching.iter().all(|node| node.shared.doubt().is_some())
+    })
+    .await;
+    let lapsed = &deployment.runners[0];
+    deployment.store.remove("servers", &lapsed.id);
+    deployment.store.set_fault(Fault::None);
+    let doubted = |node: &KillableNode| node.shared.register().doubted_until(&id(lapsed));
+    wait_until("the watching nodes doubt the removal", async || {
+        watching.iter().all(|node| doubted(node).is_some())
+    })
+    .await;
+    let until = watching.iter().filter_map(doubted).max().expect("they doubt it");
+    sleep(DOUBT / 2).await;
+    behind.drop_datagrams(false);
+    wait_until("the node has heard of the removal", async || {
+        doubted(&behind).is_some() || !knows(&behind.shared, lapsed)
+    })
+    .await;
+    if let Some(late) = doubted(&behind) {
+        assert!(late < until + DOUBT / 4, "doubted {:?} longer", late - until);
+    }
+    wait_until("all nodes drop it", async || {
+        watching.iter().chain([&behind]).all(|node| !knows(&node.shared, lapsed))
+    })
+    .await;
+}
