register: find and correct copies that differ at one version

Two nodes with other runners under one version would have kept them for good: neither asks the other, and nothing showed it. No such case is known since differences are computed from entries; this is for a fault that nobody knows of.

If two nodes differ at one version for a second, that is counted (sardinepick_register_conflicts_total) and logged, and the nodes that watch the store list it again and raise their version; the others then compare with them, which costs those with the same digest no call.

--- a/node/src/serve/heartbeat.rs
+++ b/node/src/serve/heartbeat.rs
@@ -251,7 +251,7 @@
         &received.sender.contact.id,
         received.quarantine_digest,
     ) || digest_differs;
-    compare_registers(shared, received);
+    compare_registers(shared, socket, received).await;
     let mine = shared.status();
     if received.status.register > mine.register || received.status.version > mine.version {
         shared.note_outdated();
@@ -281,13 +281,34 @@
     }
 }
 
-/// Compares this node's register with the sender's: with the same digest, the later version applies
-/// to both.
-fn compare_registers(shared: &Shared, received: &Heartbeat) {
-    let mut replica = shared.register_replica();
-    if replica.is_known() && received.register_digest == Some(replica.digest()) {
-        replica.adopt(received.status.register);
+/// Compares this node's register with the sender's by their digests. With the same digest, the later
+/// version applies to both; with the same version, the digests must be the same.
+async fn compare_registers(shared: &Shared, socket: &UdpSocket, received: &Heartbeat) {
+    let Some(digest) = received.register_digest else { return };
+    let theirs = received.status.register;
+    let (version, mine) = {
+        let mut replica = shared.register_replica();
+        if replica.is_known() && digest == replica.digest() {
+            replica.adopt(theirs);
+        }
+        (replica.version(), replica.digest())
+    };
+    let is_conflict = theirs == version && digest != mine;
+    let sender = &received.sender.contact.id;
+    let is_due = shared.register_conflicts().note(sender, !is_conflict, shared.clock.now());
+    if !is_due {
+        return;
     }
+    shared.metrics.register_conflicts.with_label_values(&["heartbeat"]).inc();
+    log::error!(
+        node:% = sender, version:% = theirs, digest:% = mine, theirs:% = digest;
+        "registers of two nodes differ at one version"
+    );
+    // A node that watches the store compares its register with the store's; others make those that
+    // do notice the difference too.
+    shared.register_conflict.notify_one();
+    let watchers = shared.store_watchers();
+    request_heartbeats(shared, socket, &watchers).await;
 }
 
 /// Applies records of nodes, and logs each that changes the roster.
--- a/node/src/serve/kind_watch.rs
+++ b/node/src/serve/kind_watch.rs
@@ -127,6 +127,11 @@
         Ok((objects, as_of))
     }
 
+    /// Makes the next call list everything.
+    pub(super) fn list_again(&mut self) {
+        self.from = None;
+    }
+
     /// Waits for changes after `from`, unless the store's era changes meanwhile: the history of
     /// another era does not continue from there.
     pub(super) async fn watch(
--- a/node/src/serve/register_replica.rs
+++ b/node/src/serve/register_replica.rs
@@ -185,6 +185,11 @@
         removed
     }
 
+    /// Makes other nodes compare their copies with this one.
+    pub fn advance(&mut self) {
+        self.version = self.version.next();
+    }
+
     /// Takes over the version of another node whose copy has the same digest.
     pub fn adopt(&mut self, version: RegisterVersion) {
         self.version = self.version.max(version);
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -1,6 +1,7 @@
 //! The state shared by the tasks of a serving node.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, UNIX_EPOCH};
@@ -13,6 +14,7 @@
 use sardinepick_lib::fleet::balance::Demand;
 use sardinepick_lib::fleet::budget::Budget;
 use sardinepick_lib::fleet::deadline::Deadlines;
+use sardinepick_lib::fleet::digest::Differences;
 use sardinepick_lib::fleet::outage::Outage;
 use sardinepick_lib::fleet::register::Register;
 use sardinepick_lib::fleet::roster::{Contact, Record, Roster, Standing, Status};
@@ -79,6 +81,8 @@
     pub membership_settled: watch::Sender<bool>,
     /// Signals that other nodes have a newer register.
     pub register_outdated: Notify,
+    /// Signals that another node's register differs at the same version.
+    pub register_conflict: Notify,
     /// Signals that other nodes have a newer configuration.
     pub configuration_outdated: Notify,
     /// This node's side of the duties lease, which one node holds at a time.
@@ -108,6 +112,7 @@
     register: Arc<Mutex<Register>>,
     roster: Arc<Mutex<Roster>>,
     register_replica: Mutex<RegisterReplica>,
+    register_conflicts: Mutex<Differences>,
     outage: Mutex<Outage>,
     served: AtomicBool,
     budgets: Mutex<HashMap<ServiceId, Budget>>,
@@ -197,6 +202,7 @@
             standing: watch::channel(Standing::Starting).0,
             membership_settled: watch::channel(false).0,
             register_outdated: Notify::new(),
+            register_conflict: Notify::new(),
             configuration_outdated: Notify::new(),
             checks: Checks::default(),
             copies: Copies::default(),
@@ -207,6 +213,7 @@
             heartbeat_now,
             register,
             register_replica: Mutex::default(),
+            register_conflicts: Mutex::default(),
             outage: Mutex::default(),
             served: AtomicBool::new(true),
             budgets: Mutex::default(),
@@ -234,6 +241,11 @@
         lock(&self.register_replica)
     }
 
+    /// Locks the nodes whose registers differ from this node's at the same version.
+    pub fn register_conflicts(&self) -> MutexGuard<'_, Differences> {
+        lock(&self.register_conflicts)
+    }
+
     /// Locks the state of the current store outage, as seen by all watches.
     pub fn outage(&self) -> MutexGuard<'_, Outage> {
         lock(&self.outage)
@@ -297,6 +309,14 @@
         before(&mut roster.served()) < WATCHERS && before(&mut roster.ids()) < MAX_WATCHERS
     }
 
+    /// The addresses of the other nodes that watch the store, as far as known.
+    pub fn store_watchers(&self) -> Vec<SocketAddr> {
+        let roster = self.roster();
+        let served = roster.present_records().filter(|record| record.served);
+        let first = rank::highest_ranked(SUBJECT, served, |record| &record.contact.id, WATCHERS);
+        first.iter().map(|record| record.contact.peer).collect()
+    }
+
     /// Returns the membership view for the duties.
     pub fn view(&self) -> View {
         let now = self.clock.now();
--- a/node/src/serve/store_watch.rs
+++ b/node/src/serve/store_watch.rs
@@ -124,6 +124,7 @@
 pub async fn register(shared: Arc<Shared>) {
     let mut kind_watch = KindWatch::new(shared.clone(), Kind::Register);
     let mut next = Instant::now();
+    let mut is_correction = false;
     loop {
         kind_watch.wait_until_watching().await;
         let known = shared.register_replica().version();
@@ -136,7 +137,14 @@
                 let purpose = Purpose::RegisterWatch;
                 sleep_until(next).await;
                 next = Instant::now() + WATCH_PAUSE;
-                let reply = kind_watch.watch(purpose, RUNNER_KIND, from).await;
+                let reply = tokio::select! {
+                    reply = kind_watch.watch(purpose, RUNNER_KIND, from) => reply,
+                    () = shared.register_conflict.notified() => {
+                        kind_watch.list_again();
+                        is_correction = true;
+                        continue;
+                    }
+                };
                 reply.map(|reply| (difference(reply.changes, reply.as_of), reply.as_of))
             }
         };
@@ -144,6 +152,12 @@
             Ok((difference, as_of)) => {
                 kind_watch.note_answer(as_of);
                 apply_answer(&shared, &difference, known);
+                if std::mem::take(&mut is_correction) {
+                    // All nodes compare with the register just listed; where the digest is the same,
+                    // that costs no call.
+                    shared.register_replica().advance();
+                    shared.announce();
+                }
             }
             Err(error) => kind_watch.back_off(&error).await,
         }
--- a/node/tests/register_catch_up.rs
+++ b/node/tests/register_catch_up.rs
@@ -4,11 +4,15 @@
 use std::net::SocketAddr;
 
 use sardinepick_lib::fleet::outage::DOUBT;
+use sardinepick_lib::history::{Point, Revision};
 use sardinepick_lib::id::{NodeId, RunnerId};
 use sardinepick_lib::rank;
 use sardinepick_node::duty::view::SUBJECT;
+use sardinepick_node::serve::register_replica::Difference;
 use sardinepick_node::serve::settings::Settings;
 use sardinepick_node::serve::shared::Shared;
+use sardinepick_node::serve::store_watch::apply_difference;
+use sardinepick_platform::store::Object;
 use sardinepick_testutils::cluster::{any_address, wait_until};
 use sardinepick_testutils::fleet::deployment::Deployment;
 use sardinepick_testutils::fleet::killable_node::KillableNode;
@@ -140,3 +144,47 @@
     })
     .await;
 }
+
+/// Guards against a register that differs from the store's for good because of a fault that nobody
+/// knows of: a node holds a runner that the store does not have, at the version of the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn register_differing_at_one_version_corrected() {
+    let deployment = Deployment::new().await.with_plain(2).await;
+    let names = names(5);
+    let nodes = start(&deployment, &names, &[]).await;
+    wait_known(&nodes, 2).await;
+    wait_until("only the watches of the settled nodes are left", async || {
+        let settled = nodes.iter().all(|node| *node.shared.membership_settled.borrow());
+        settled && deployment.store.watches("servers") == 3
+    })
+    .await;
+    let registers = || nodes.iter().map(|node| node.shared.status().register);
+    wait_until("all nodes have one version", async || {
+        registers().all(|version| version == nodes[0].shared.status().register)
+    })
+    .await;
+    let mut entry = deployment.runners[0].entry();
+    entry["address"] = serde_json::json!("127.0.0.1:9");
+    // One node that watches the store, and one that does not.
+    for node in [&nodes[0], &nodes[4]] {
+        let version = node.shared.status().register;
+        let at = Point { revision: Revision(1), ..version.point() };
+        let content = entry.to_string().into();
+        let object = Object { name: "i-99".into(), at, content };
+        let stray = Difference { entries: vec![object], version, ..Difference::default() };
+        apply_difference(&node.shared, &stray, None, "test").expect("it has no digest");
+        assert_eq!(node.shared.register().runners().count(), 3);
+    }
+    // The change has got a version of its own, which the others are given too.
+    for node in &nodes[1..4] {
+        node.shared.register_replica().advance();
+    }
+    wait_until("all nodes hold what the store holds", async || {
+        nodes.iter().all(|node| {
+            let digest = node.shared.register_replica().digest();
+            digest == nodes[1].shared.register_replica().digest()
+                && node.shared.register().runners().count() == 2
+        })
+    })
+    .await;
+}
