--- a/node/src/serve/peer.rs
+++ b/node/src/serve/peer.rs
@@ -418,8 +418,8 @@
 fn apply_received(shared: &Shared, received: &ReceivedRegister, from: &str) -> bool {
     let mut fits = true;
     // The sending node is served by the store: what it has removed is not in doubt any more.
-    if received.difference.version > shared.register_replica().version()
-        && let Err(mismatch) = apply_difference(shared, &received.difference, None, "node")
+    let is_behind = shared.register_replica().is_behind(&received.difference);
+    if is_behind && let Err(mismatch) = apply_difference(shared, &received.difference, None, "node")
     {
         // It was computed from the entries of this node, which may have changed since.
         fits = mismatch.from != received.asked_from;
--- a/node/src/serve/register_replica.rs
+++ b/node/src/serve/register_replica.rs
@@ -121,6 +121,19 @@
         self.entries.values().map(hash).collect()
     }
 
+    /// Whether an answer of the store is used. One that is older than what other nodes have passed on
+    /// since the call is not: the watch goes on from it, and the next answer brings what followed.
+    pub fn uses_answer(&self, answer: &Difference, known_at_call: RegisterVersion) -> bool {
+        let is_newer = !self.known || answer.version > self.version;
+        let is_listed_again = answer.whole && answer.version == self.version;
+        is_newer || is_listed_again || refutes(answer, known_at_call)
+    }
+
+    /// Whether this copy is older than a difference of another node.
+    pub fn is_behind(&self, difference: &Difference) -> bool {
+        !self.known || difference.version > self.version
+    }
+
     /// Applies a difference, and returns the entries that it removes. The copy is unchanged if the
     /// result would differ from the sender's copy.
     ///
@@ -255,3 +268,9 @@
         object: with_object.then(|| retained.object.clone()),
     }
 }
+
+/// Whether a list shows that the version known at the time of the call was not the store's: its answers
+/// are linearizable, so a list is not older than what was known before it.
+pub fn refutes(answer: &Difference, known_at_call: RegisterVersion) -> bool {
+    answer.whole && answer.version < known_at_call
+}
--- a/node/src/serve/store_watch.rs
+++ b/node/src/serve/store_watch.rs
@@ -22,7 +22,7 @@
 
 use crate::serve::kind_watch::{Kind, KindWatch};
 use crate::serve::quarantine;
-use crate::serve::register_replica::{Difference, Mismatch};
+use crate::serve::register_replica::{Difference, Mismatch, refutes};
 use crate::serve::shared::Shared;
 use crate::serve::store::Purpose;
 
@@ -164,26 +164,20 @@
     }
 }
 
-/// Applies an answer of the store. An answer that is older than what other nodes have passed on since
-/// the call is not used: the watch goes on from there, and the next answer brings what followed.
-fn apply_answer(shared: &Shared, difference: &Difference, known_at_call: RegisterVersion) {
-    let mine = shared.register_replica().version();
-    let (is_newer, is_list) = (difference.version > mine, difference.whole);
-    // The store's answers are linearizable, so a version that was known before the call and is later
-    // than a list was not the store's.
-    let refutes = is_list && difference.version < known_at_call;
-    if refutes {
+/// Applies an answer of the store, if it is used.
+fn apply_answer(shared: &Shared, answer: &Difference, known_at_call: RegisterVersion) {
+    if refutes(answer, known_at_call) {
         shared.metrics.register_conflicts.with_label_values(&["store"]).inc();
         log::error!(
-            listed:% = difference.version, known:% = known_at_call;
+            listed:% = answer.version, known:% = known_at_call;
             "register of another node is later than the store"
         );
     }
-    if is_newer || refutes || (is_list && difference.version == mine) {
-        let doubt = shared.doubt();
-        if let Err(mismatch) = apply_difference(shared, difference, doubt, "store") {
-            log::error!(error:% = mismatch; "answer of the store is not applied");
-        }
+    if !shared.register_replica().uses_answer(answer, known_at_call) {
+        return;
+    }
+    if let Err(mismatch) = apply_difference(shared, answer, shared.doubt(), "store") {
+        log::error!(error:% = mismatch; "answer of the store is not applied");
     }
 }
 
