dispatch: look again whether the runner leaves before sending to it

A request waits after its runner has been chosen: for a permit of a rate-limited runner, for a prompt to be read by another runner, for its turn at the scheduler. Whether the runner has left meanwhile was not looked at again, so the request reached a runner after its leaving was known to this very node.

Evidence: runner_gone_since_choice_gets_no_request, for a runner that drains and for one that is removed, fails with the check switched off ('it is not sent').

Change: the dispatcher compares the registration that the request is counted against with the register as the last step before the connection. What is not sent counts as unsent: another runner is tried, and no failure is noted.

--- a/node/src/dispatch/mod.rs
+++ b/node/src/dispatch/mod.rs
@@ -2,11 +2,12 @@
 //! head of each response: rate limits, drains and back-off.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
 use http::Request;
 use sardinepick_lib::clock::Clock;
+use sardinepick_lib::fleet::register::Register;
 use sardinepick_lib::fleet::runner::Registration;
 use sardinepick_lib::id::RunnerId;
 use sardinepick_platform::answer::is_from;
@@ -15,10 +16,13 @@
 use crate::back_off::BackOffs;
 use crate::drain::Drains;
 use crate::limit::Limiter;
+use crate::lock::lock;
 use crate::serve::connection::{Answer, CONNECT_TIMEOUT, Connections, SendError};
 
 /// Sends requests to runners.
 pub struct Dispatcher {
+    /// The runners.
+    pub register: Arc<Mutex<Register>>,
     /// Connections to runners.
     pub connections: Arc<Connections>,
     /// Rate limits of runners.
@@ -47,7 +51,8 @@
     /// Sends a caller's request `id` to a runner, and waits for the head of the response.
     ///
     /// # Errors
-    /// There is no response, or the runner's rate limit is exhausted.
+    /// There is no response, the runner's rate limit is exhausted, or the runner has left since it was
+    /// chosen.
     pub async fn send(
         &self,
         target: Target<'_>,
@@ -57,6 +62,10 @@
         let Target { runner, registration, address } = target;
         let permit = self.limiter.acquire(runner).await;
         permit.map_err(|denied| SendError::RateLimited { peer: address, denied })?;
+        // The caller may have waited for another runner or a permit since the runner was chosen.
+        if !self.is_in_use(target) {
+            return Err(SendError::Leaving { peer: address, runner: runner.clone() });
+        }
         let sent = self.clock.now();
         let answer = self.connections.send(address, request, CONNECT_TIMEOUT).await?;
         let headers = &answer.head.headers;
@@ -71,4 +80,13 @@
         }
         Ok(answer)
     }
+
+    /// Whether the runner that was chosen is still there and does not leave.
+    fn is_in_use(&self, target: Target<'_>) -> bool {
+        let register = lock(&self.register);
+        let runner = register.get(target.runner);
+        runner.zip(target.registration).is_some_and(|(runner, registration)| {
+            runner.is_current(registration) && !runner.is_leaving()
+        })
+    }
 }
--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -19,6 +19,7 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use sardinepick_lib::clock::Clock;
+use sardinepick_lib::id::RunnerId;
 use sardinepick_platform::answer::keep_alive;
 use socket2::SockRef;
 use thiserror::Error;
@@ -53,6 +54,15 @@
         /// When the limit may permit it.
         denied: Denied,
     },
+    /// The runner has announced that it leaves, or has left the register, since it was chosen:
+    /// nothing was sent.
+    #[error("sending to {peer}: runner {runner} leaves or has left the register")]
+    Leaving {
+        /// The remote address.
+        peer: SocketAddr,
+        /// The runner.
+        runner: RunnerId,
+    },
     /// The connection broke after something may have been sent.
     #[error("connection to {peer} broke: {detail}")]
     Broken {
@@ -69,15 +79,21 @@
         match self {
             SendError::Connect { .. }
             | SendError::Unsent { .. }
-            | SendError::RateLimited { .. } => true,
+            | SendError::RateLimited { .. }
+            | SendError::Leaving { .. } => true,
             SendError::Broken { .. } => false,
         }
     }
 
-    /// Returns whether the request was denied locally, which says nothing about the peer.
+    /// Returns whether the runner's rate limit denied the request.
     pub fn is_rate_limited(&self) -> bool {
         matches!(self, SendError::RateLimited { .. })
     }
+
+    /// Returns whether this node itself did not send the request, which is no failure of the peer.
+    pub fn is_local(&self) -> bool {
+        matches!(self, SendError::RateLimited { .. } | SendError::Leaving { .. })
+    }
 }
 
 /// The result of probing an address.
--- a/node/src/serve/generation/prefill.rs
+++ b/node/src/serve/generation/prefill.rs
@@ -48,9 +48,9 @@
 }
 
 impl PrefillError {
-    /// Whether nothing was sent because the runner's rate limit is exhausted.
+    /// Whether this node itself did not send the request.
     fn is_denied(&self) -> bool {
-        matches!(self, PrefillError::Send(error) if error.is_rate_limited())
+        matches!(self, PrefillError::Send(error) if error.is_local())
     }
 
     /// Whether the connection failed after the request may have been sent.
--- a/node/src/serve/generation/stream.rs
+++ b/node/src/serve/generation/stream.rs
@@ -79,7 +79,7 @@
         let answer = match sent {
             Ok(Ok(answer)) => answer,
             Ok(Err(error)) => {
-                if !error.is_rate_limited() {
+                if !error.is_local() {
                     reservation.conclude(Outcome::Broken);
                 }
                 log::info!(
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -266,7 +266,7 @@
                 result
             }
             Ok(Err(error)) => {
-                if !error.is_rate_limited() {
+                if !error.is_local() {
                     reservation.conclude(Outcome::Broken);
                 }
                 log::info!(
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -179,6 +179,7 @@
             Drains::new(register.clone(), heartbeat_now.clone(), clock.clone(), metrics.clone());
         let (limiter, drains) = (Arc::new(limiter), Arc::new(drains));
         let dispatcher = Dispatcher {
+            register: register.clone(),
             connections: connections.clone(),
             limiter: limiter.clone(),
             drains: drains.clone(),
--- a/node/tests/drain.rs
+++ b/node/tests/drain.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use sardinepick_lib::id::RunnerId;
+use sardinepick_node::dispatch::Target;
 use sardinepick_testutils::cluster::{any_address, wait_until};
 use sardinepick_testutils::fleet::caller::{Caller, Reply, RequestSpec};
 use sardinepick_testutils::fleet::deployment::Deployment;
@@ -178,3 +180,32 @@
     })
     .await;
 }
+
+/// Guards against requests that wait, for a permit or for their prompt to be read, while the runner
+/// that was chosen for them leaves.
+#[tokio::test]
+async fn runner_gone_since_choice_gets_no_request() {
+    let set = Deployment::new().await.with_plain(2).await.with_nodes(1).await;
+    let shared = &set.nodes[0].shared;
+    for (at, leave) in [(0, true), (1, false)] {
+        let runner = &set.runners[at];
+        let id: RunnerId = runner.id.parse().expect("an id");
+        let chosen = shared.register().get(&id).expect("known").registration();
+        if leave {
+            runner.drain();
+        } else {
+            set.store.remove("servers", &runner.id);
+        }
+        wait_until("the node knows that the runner leaves", async || {
+            shared.register().get(&id).is_none_or(|runner| runner.is_leaving())
+        })
+        .await;
+        let address = runner.address();
+        let target = Target { runner: &id, registration: Some(&chosen), address };
+        let request = http::Request::new(bytes::Bytes::new());
+        let sent = shared.dispatcher.send(target, "r1", request).await;
+        let error = sent.err().expect("it is not sent");
+        assert!(error.proves_unsent() && error.is_local(), "{error}");
+        assert!(runner.received().is_empty());
+    }
+}
