--- a/node/benches/soak.rs
+++ b/node/benches/soak.rs
@@ -1,6 +1,6 @@
 //! A randomized soak test: `cargo bench --bench soak -- --seed 1 --seconds 30 --nodes 6 --callers 12
 //! --count 10`. With `--ending` it sends requests that crash runners, with `--copies` its store is
-//! restored from backups.
+//! restored from backups, with `--leaving` runners leave while nodes start in waves and are paused.
 //!
 //! Runs one seed after the other and fails if any of them violates an invariant.
 
@@ -10,7 +10,7 @@
 
 use getopts::Options;
 use sardinepick_testutils::fleet::soak::SoakOptions;
-use sardinepick_testutils::fleet::{crash_soak, soak};
+use sardinepick_testutils::fleet::{crash_soak, drain_soak, soak};
 
 fn options() -> Options {
     let mut options = Options::new();
@@ -21,6 +21,7 @@
     options.optopt("", "callers", "number of callers", "N");
     options.optflag("", "copies", "restore the store from backups");
     options.optflag("", "ending", "send requests that crash runners");
+    options.optflag("", "leaving", "runners leave beside waves of starts and pauses of nodes");
     options.optflag("", "bench", "passed by cargo, ignored");
     options
 }
@@ -46,9 +47,13 @@
             restore_backups: matches.opt_present("copies"),
         };
         let exe = Path::new(env!("CARGO_BIN_EXE_sardinepickd"));
-        let ending = matches.opt_present("ending");
-        let report =
-            if ending { crash_soak::run(exe, plan).await } else { soak::run(exe, plan).await };
+        let report = if matches.opt_present("ending") {
+            crash_soak::run(exe, plan).await
+        } else if matches.opt_present("leaving") {
+            drain_soak::run(exe, plan).await
+        } else {
+            soak::run(exe, plan).await
+        };
         match report {
             Ok(report) => {
                 passed &= report.violations.is_empty();
--- a/node/tests/soak.rs
+++ b/node/tests/soak.rs
@@ -4,8 +4,8 @@
 use std::path::Path;
 use std::time::Duration;
 
-use sardinepick_testutils::fleet::crash_soak;
 use sardinepick_testutils::fleet::soak::{SoakOptions, run};
+use sardinepick_testutils::fleet::{crash_soak, drain_soak};
 
 /// Seed 1 is arbitrary. Seed 2 reported streams that ran twice, because a hanging test runner counted
 /// prefill as a run.
@@ -58,3 +58,16 @@
     assert!(report.violations.is_empty(), "{report}");
     assert!(report.outcomes.get("answered").copied().unwrap_or(0) > 0, "no request was served");
 }
+
+/// Runners leave, with and without announcing it, while nodes start in waves, are paused until they
+/// miss datagrams, and run slowly.
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_with_leaving_runners_keeps_invariants() {
+    let duration = Duration::from_secs(12);
+    let plan = SoakOptions { seed: 1, duration, nodes: 8, callers: 8, restore_backups: false };
+    let exe = Path::new(env!("CARGO_BIN_EXE_sardinepickd"));
+    let report = drain_soak::run(exe, plan).await.expect("free addresses");
+    println!("{report}");
+    assert!(report.violations.is_empty(), "{report}");
+    assert!(report.outcomes.get("answered").copied().unwrap_or(0) > 0, "no request was served");
+}
--- a/testutils/src/fleet/mod.rs
+++ b/testutils/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 pub mod crash_soak;
 pub mod crashing_runner;
 pub mod deployment;
+pub mod drain_soak;
 pub mod heartbeat;
 pub mod killable_node;
 pub mod link;
--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -2,7 +2,8 @@
 
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
 use rustix::process::{Pid, Signal, kill_process};
 
@@ -13,6 +14,34 @@
 pub struct Daemon {
     child: Child,
     settings: PathBuf,
+    /// Set to false before the process is waited for, as its id may be used again after that.
+    is_running: Arc<AtomicBool>,
+}
+
+/// Pauses and resumes a process.
+#[derive(Clone, Debug)]
+pub struct Switch {
+    pid: Pid,
+    is_running: Arc<AtomicBool>,
+}
+
+impl Switch {
+    fn signal(&self, signal: Signal) {
+        if self.is_running.load(Ordering::Relaxed) {
+            // This fails if the process has already exited.
+            let _ = kill_process(self.pid, signal);
+        }
+    }
+
+    /// Suspends the process.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Resumes the process.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
 }
 
 /// The resource usage of a process.
@@ -56,29 +85,34 @@
             .stdout(log_output(start))
             .spawn()
             .expect("the program can be started");
-        Self { child, settings }
+        Self { child, settings, is_running: Arc::new(AtomicBool::new(true)) }
     }
 
     fn signal(&self, signal: Signal) {
+        self.switch().signal(signal);
+    }
+
+    /// A handle that pauses and resumes the process, also from another task.
+    pub fn switch(&self) -> Switch {
         let pid = Pid::from_raw(self.child.id().cast_signed()).expect("a process has an id");
-        // This fails if the process has already exited.
-        let _ = kill_process(pid, signal);
+        Switch { pid, is_running: self.is_running.clone() }
     }
 
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         self.signal(Signal::KILL);
+        self.is_running.store(false, Ordering::Relaxed);
         let _ = self.child.wait();
     }
 
     /// Suspends the process, as when its VM is suspended.
     pub fn pause(&self) {
-        self.signal(Signal::STOP);
+        self.switch().pause();
     }
 
     /// Resumes a suspended process.
     pub fn resume(&self) {
-        self.signal(Signal::CONT);
+        self.switch().resume();
     }
 
     /// Requests a graceful shutdown.
@@ -89,6 +123,7 @@
     /// Requests a graceful shutdown and waits for the end of the process.
     pub fn terminate_and_wait(&mut self) {
         self.terminate();
+        self.is_running.store(false, Ordering::Relaxed);
         let _ = self.child.wait();
     }
 
