--- a/node/tests/drain.rs
+++ b/node/tests/drain.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use sardinepick_lib::fleet::runner::Runner;
 use sardinepick_lib::id::RunnerId;
 use sardinepick_node::dispatch::Target;
 use sardinepick_testutils::cluster::{any_address, wait_until};
@@ -197,7 +198,7 @@
             set.store.remove("servers", &runner.id);
         }
         wait_until("the node knows that the runner leaves", async || {
-            shared.register().get(&id).is_none_or(|runner| runner.is_leaving())
+            shared.register().get(&id).is_none_or(Runner::is_leaving)
         })
         .await;
         let address = runner.address();
