register: name entries to each other by four bytes

A node that asks sends what it has; with 1,600 runners that was 12.8 KB a call.

Two entries that share a key make the digest of the result differ, so the node asks for the whole register next.

--- a/lib/src/fleet/register_digest.rs
+++ b/lib/src/fleet/register_digest.rs
@@ -17,6 +17,17 @@
     }
 }
 
+/// Half of an entry's hash, by which nodes name entries to each other in few bytes. If two entries of
+/// a register share it, the digest shows that, and the whole register is sent.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct EntryKey(pub u32);
+
+impl From<EntryHash> for EntryKey {
+    fn from(hash: EntryHash) -> Self {
+        Self(hash.0 as u32)
+    }
+}
+
 /// A digest of all entries of a copy of the register. It does not depend on their order.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
 pub struct RegisterDigest(pub u64);
--- a/node/src/serve/peer.rs
+++ b/node/src/serve/peer.rs
@@ -10,7 +10,7 @@
 
 use sardinepick_lib::fleet::limit::LimitReport;
 use sardinepick_lib::fleet::outage::DOUBT;
-use sardinepick_lib::fleet::register_digest::{EntryHash, RegisterDigest};
+use sardinepick_lib::fleet::register_digest::{EntryKey, RegisterDigest};
 use sardinepick_lib::fleet::register_version::RegisterVersion;
 use sardinepick_lib::fleet::roster::{Contact, Status as RosterStatus};
 use sardinepick_lib::fleet::runner::Tag;
@@ -126,7 +126,7 @@
     request: &pb::KnowledgeRequest,
     parts: &Parts<pb::Knowledge>,
 ) -> Result<(), Disconnected> {
-    let known = request.entries.iter().copied().map(EntryHash).collect();
+    let known = request.entries.iter().copied().map(EntryKey).collect();
     let difference = || shared.register_replica().difference_for(&known, shared.clock.now());
     let first = difference();
     let bytes = first.entries.iter().map(|object| object.content.len()).sum();
@@ -156,7 +156,7 @@
     };
     pb::Knowledge {
         gone: difference.gone.iter().map(ToString::to_string).collect(),
-        absent: difference.absent.iter().map(|hash| hash.0).collect(),
+        absent: difference.absent.iter().map(|key| key.0).collect(),
         // Nodes of earlier versions read the names alone.
         doubted: difference.doubts.iter().map(|doubt| doubt.name.to_string()).collect(),
         doubts: difference.doubts.iter().map(doubt).collect(),
@@ -184,7 +184,7 @@
         whole: message.whole,
         entries: Vec::new(),
         gone: message.gone.iter().map(SmolStr::new).collect(),
-        absent: message.absent.iter().copied().map(EntryHash).collect(),
+        absent: message.absent.iter().copied().map(EntryKey).collect(),
         doubts: message.doubts.iter().map(doubt).collect::<Result<_, WireError>>()?,
         version,
         digest: message.digest.map(RegisterDigest),
@@ -369,8 +369,8 @@
     let mut client = rpc::connect(peer).await?;
     let (mine, entries) = {
         let replica = shared.register_replica();
-        let hashes = if wants_whole { Vec::new() } else { replica.hashes() };
-        (replica.version(), hashes.into_iter().map(|hash| hash.0).collect())
+        let keys = if wants_whole { Vec::new() } else { replica.keys() };
+        (replica.version(), keys.into_iter().map(|key| key.0).collect())
     };
     let known = pb::KnowledgeRequest {
         // Nodes of earlier versions compute a difference from this version, which may lack removals;
--- a/node/src/serve/register_replica.rs
+++ b/node/src/serve/register_replica.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
-use sardinepick_lib::fleet::register_digest::{EntryHash, RegisterDigest};
+use sardinepick_lib::fleet::register_digest::{EntryHash, EntryKey, RegisterDigest};
 use sardinepick_lib::fleet::register_version::RegisterVersion;
 use sardinepick_platform::store::Object;
 use smol_str::SmolStr;
@@ -40,8 +40,8 @@
     pub entries: Vec<Object>,
     /// The names of removed entries.
     pub gone: Vec<SmolStr>,
-    /// The hashes of entries of the receiver that the sender does not have.
-    pub absent: Vec<EntryHash>,
+    /// The keys of entries of the receiver that the sender does not have.
+    pub absent: Vec<EntryKey>,
     /// Removed entries that are still used.
     pub doubts: Vec<Doubt>,
     /// The version of the copy with these changes.
@@ -90,6 +90,10 @@
     EntryHash::of(&object.name, object.at)
 }
 
+fn key(object: &Object) -> EntryKey {
+    hash(object).into()
+}
+
 impl RegisterReplica {
     /// Returns whether the register has been read or received at all.
     pub fn is_known(&self) -> bool {
@@ -116,9 +120,9 @@
         self.entries.keys()
     }
 
-    /// The hashes of all entries, by which another node computes the difference.
-    pub fn hashes(&self) -> Vec<EntryHash> {
-        self.entries.values().map(hash).collect()
+    /// The keys of all entries, by which another node computes the difference.
+    pub fn keys(&self) -> Vec<EntryKey> {
+        self.entries.values().map(key).collect()
     }
 
     /// Whether an answer of the store is used. One that is older than what other nodes have passed on
@@ -167,9 +171,9 @@
 
     /// The entries that a difference replaces, with what replaces them.
     fn changes(&self, difference: &Difference) -> BTreeMap<SmolStr, Option<Object>> {
-        let absent: HashSet<EntryHash> = difference.absent.iter().copied().collect();
+        let absent: HashSet<EntryKey> = difference.absent.iter().copied().collect();
         let dropped = self.entries.values().filter(|object| {
-            difference.whole || (!absent.is_empty() && absent.contains(&hash(object)))
+            difference.whole || (!absent.is_empty() && absent.contains(&key(object)))
         });
         let mut changes: BTreeMap<_, _> =
             dropped.map(|object| (object.name.clone(), None)).collect();
@@ -220,12 +224,12 @@
         }
     }
 
-    /// The difference for a node that has the entries with the hashes `known`; the whole register
+    /// The difference for a node that has the entries with the keys `known`; the whole register
     /// if it has none.
-    pub fn difference_for(&self, known: &HashSet<EntryHash>, now: Instant) -> Difference {
+    pub fn difference_for(&self, known: &HashSet<EntryKey>, now: Instant) -> Difference {
         let whole = known.is_empty();
-        let mine: HashSet<EntryHash> = self.entries.values().map(hash).collect();
-        let new = self.entries.values().filter(|object| !known.contains(&hash(object)));
+        let mine: HashSet<EntryKey> = self.entries.values().map(key).collect();
+        let new = self.entries.values().filter(|object| !known.contains(&key(object)));
         let doubts = self.retained.values().map(|retained| doubt(retained, whole, now));
         Difference {
             whole,
--- a/node/tests/register_model.rs
+++ b/node/tests/register_model.rs
@@ -9,7 +9,7 @@
 use rand::seq::IndexedRandom as _;
 use rand::{RngExt as _, SeedableRng as _};
 use sardinepick_lib::fleet::outage::DOUBT;
-use sardinepick_lib::fleet::register_digest::{EntryHash, RegisterDigest};
+use sardinepick_lib::fleet::register_digest::{EntryHash, EntryKey, RegisterDigest};
 use sardinepick_lib::fleet::register_version::RegisterVersion;
 use sardinepick_lib::history::{Era, Point};
 use sardinepick_node::serve::register_replica::{Difference, RegisterReplica};
@@ -144,8 +144,8 @@
 /// A message on its way to a node.
 enum Message {
     Announcement(Difference),
-    /// The sender, and the hashes and the version of what it has.
-    Request(usize, HashSet<EntryHash>, RegisterVersion),
+    /// The sender, and the keys and the version of what it has.
+    Request(usize, HashSet<EntryKey>, RegisterVersion),
     Answer(Difference),
     /// A list or an answer to a watch, what was known at the call, and where the watch goes on.
     Listed(Difference, RegisterVersion, Point),
@@ -250,13 +250,13 @@
     /// Asks a node with a later version.
     fn ask(&mut self, node: usize, share: f64) {
         let replica = &self.nodes[node].replica;
-        let (mine, hashes) = (replica.version(), replica.hashes().into_iter().collect());
+        let (mine, keys) = (replica.version(), replica.keys().into_iter().collect());
         let ahead = |other: &usize| self.nodes[*other].replica.version() > mine;
         let ahead: Vec<usize> = (0..NODES).filter(ahead).collect();
         if let Some(other) = ahead.choose(&mut self.rng).copied()
             && self.rng.random_bool(share)
         {
-            self.messages.push((other, self.now, Message::Request(node, hashes, mine)));
+            self.messages.push((other, self.now, Message::Request(node, keys, mine)));
         }
     }
 
@@ -275,8 +275,8 @@
     fn deliver(&mut self, index: usize) {
         let (node, _, message) = self.messages.swap_remove(index);
         match message {
-            Message::Request(sender, hashes, version) => {
-                let answer = self.answer(node, &hashes, version);
+            Message::Request(sender, keys, version) => {
+                let answer = self.answer(node, &keys, version);
                 self.messages.push((sender, self.now, Message::Answer(answer)));
             }
             Message::Announcement(mut difference) => {
@@ -308,11 +308,11 @@
     fn answer(
         &self,
         node: usize,
-        hashes: &HashSet<EntryHash>,
+        keys: &HashSet<EntryKey>,
         version: RegisterVersion,
     ) -> Difference {
         let replica = &self.nodes[node].replica;
-        let answer = replica.difference_for(hashes, self.now);
+        let answer = replica.difference_for(keys, self.now);
         if self.broken != Broken::AnswersByVersion || answer.whole {
             return answer;
         }
--- a/node/tests/register_replica.rs
+++ b/node/tests/register_replica.rs
@@ -42,7 +42,7 @@
 
 /// The answer of `sender` to `receiver`.
 fn answer(sender: &RegisterReplica, receiver: &RegisterReplica, now: Instant) -> Difference {
-    sender.difference_for(&receiver.hashes().into_iter().collect(), now)
+    sender.difference_for(&receiver.keys().into_iter().collect(), now)
 }
 
 fn catch_up(receiver: &mut RegisterReplica, sender: &RegisterReplica, now: Instant) {
