register: shorter functions, one copy of the nodes of the tests

apply_difference was 60 lines with two loops over doubted entries; the tests of several nodes each had their own names and starts.

--- a/node/src/serve/store_watch.rs
+++ b/node/src/serve/store_watch.rs
@@ -282,42 +282,29 @@
     doubt: Option<std::time::Instant>,
     source: &'static str,
 ) -> Result<(), Mismatch> {
-    let now = shared.clock.now();
     // Locked until the register has changed too: other tasks apply differences as well.
     let mut replica = shared.register_replica();
     let (was_known, from) = (replica.is_known(), replica.version());
     let removed = replica.apply(difference)?;
     apply_entries(shared, &difference.entries, source);
-    let remove = |name: &SmolStr, doubt: Option<std::time::Instant>| {
-        let Ok(id) = RunnerId::try_from(name.clone()) else { return Changed::None };
-        let changed = shared.register().remove(&id, doubt);
-        log_change(&id, changed, difference.version.point(), source);
-        changed
-    };
     // An entry that was added and removed within the difference is in `gone` alone.
     let is_removed = |name: &&SmolStr| !removed.iter().any(|object| object.name == **name);
     for name in difference.gone.iter().filter(is_removed) {
-        remove(name, doubt);
+        remove(shared, name, doubt, difference.version, source);
     }
-    let (gone, mut retained) = (removed.len(), 0);
-    for object in removed {
-        let told = difference.doubts.iter().find(|doubt| doubt.name == object.name);
-        if let Some(until) = told.map(|told| now + told.left).or(doubt)
-            && remove(&object.name, Some(until)) == Changed::Missing
+    let gone = removed.len();
+    let mut doubted = with_doubts(shared, difference, removed, doubt);
+    if !was_known {
+        doubted.extend(told_doubts(shared, difference, source));
+    }
+    let mut retained = 0;
+    for (object, until) in doubted {
+        let changed = remove(shared, &object.name, until, difference.version, source);
+        if let Some(until) = until
+            && changed == Changed::Missing
         {
             replica.retain(object, until);
             retained += 1;
-        } else {
-            remove(&object.name, None);
-        }
-    }
-    // A node that knew the register before knows by itself which runners have left.
-    let told = difference.doubts.iter().filter(|_| !was_known);
-    for (object, left) in told.filter_map(|told| Some((told.object.as_ref()?, told.left))) {
-        apply_entries(shared, std::slice::from_ref(object), source);
-        if remove(&object.name, Some(now + left)) == Changed::Missing {
-            replica.retain(object.clone(), now + left);
-            retained += 1;
         }
     }
     let (to, digest) = (replica.version(), replica.digest());
@@ -336,6 +323,51 @@
     Ok(())
 }
 
+/// A removed entry, and until when it is kept; `None` if it is not.
+type Removal = (Object, Option<std::time::Instant>);
+
+/// The removed entries, each with the end of its doubt: as the difference says, or else `doubt`.
+fn with_doubts(
+    shared: &Shared,
+    difference: &Difference,
+    removed: Vec<Object>,
+    doubt: Option<std::time::Instant>,
+) -> Vec<Removal> {
+    let now = shared.clock.now();
+    let removal = |object: Object| {
+        let told = difference.doubts.iter().find(|doubt| doubt.name == object.name);
+        (object, told.map(|told| now + told.left).or(doubt))
+    };
+    removed.into_iter().map(removal).collect()
+}
+
+/// Uses the doubted entries that a difference contains, and returns them. Only a node without a
+/// register does so; others know which runners they have dropped.
+fn told_doubts(shared: &Shared, difference: &Difference, source: &'static str) -> Vec<Removal> {
+    let now = shared.clock.now();
+    let told = difference.doubts.iter();
+    let told = told.filter_map(|told| Some((told.object.clone()?, Some(now + told.left))));
+    let told: Vec<Removal> = told.collect();
+    for (object, _) in &told {
+        apply_entries(shared, std::slice::from_ref(object), source);
+    }
+    told
+}
+
+/// Removes a runner, or keeps it until `doubt`.
+fn remove(
+    shared: &Shared,
+    name: &SmolStr,
+    doubt: Option<std::time::Instant>,
+    version: RegisterVersion,
+    source: &'static str,
+) -> Changed {
+    let Ok(id) = RunnerId::try_from(name.clone()) else { return Changed::None };
+    let changed = shared.register().remove(&id, doubt);
+    log_change(&id, changed, version.point(), source);
+    changed
+}
+
 /// Removes expired runners and idle connections until the process ends.
 pub async fn clean_up(shared: Arc<Shared>) {
     loop {
--- a/node/tests/register_catch_up.rs
+++ b/node/tests/register_catch_up.rs
@@ -1,13 +1,9 @@
-//! The register of runners over several nodes: a node that has missed changes gets them from whoever
-//! it asks.
-
-use std::net::SocketAddr;
+//! The register of runners over several nodes: a node that has missed changes gets them from any node
+//! that has them.
 
 use sardinepick_lib::fleet::outage::DOUBT;
 use sardinepick_lib::history::{Point, Revision};
-use sardinepick_lib::id::{NodeId, RunnerId};
-use sardinepick_lib::rank;
-use sardinepick_node::duty::view::SUBJECT;
+use sardinepick_lib::id::RunnerId;
 use sardinepick_node::serve::register_replica::Difference;
 use sardinepick_node::serve::settings::Settings;
 use sardinepick_node::serve::shared::Shared;
@@ -15,35 +11,14 @@
 use sardinepick_platform::store::Object;
 use sardinepick_testutils::cluster::{any_address, wait_until};
 use sardinepick_testutils::fleet::deployment::Deployment;
-use sardinepick_testutils::fleet::killable_node::KillableNode;
+use sardinepick_testutils::fleet::killable_node::{
+    KillableNode, peer_addresses, ranked_names, start_nodes,
+};
 use sardinepick_testutils::fleet::proxy::{NetworkFault, Proxy};
 use sardinepick_testutils::fleet::runner::Runner;
 use sardinepick_testutils::fleet::store::Fault;
 use tokio::time::sleep;
 
-/// Names of nodes, those first that watch the store before the others do.
-fn names(count: usize) -> Vec<NodeId> {
-    let mut names: Vec<NodeId> =
-        (0..count).map(|n| format!("edge-{n}").parse().expect("a name")).collect();
-    names.sort_by_key(|name| std::cmp::Reverse(rank::weight(SUBJECT, name)));
-    names
-}
-
-async fn start(
-    deployment: &Deployment,
-    names: &[NodeId],
-    seeds: &[SocketAddr],
-) -> Vec<KillableNode> {
-    let mut nodes: Vec<KillableNode> = Vec::new();
-    for name in names {
-        let started = nodes.iter().map(|node| node.shared.me.peer);
-        let seeds = seeds.iter().copied().chain(started).take(3).collect();
-        let settings = deployment.settings(name.as_str(), seeds);
-        nodes.push(KillableNode::start(settings).await.expect("free addresses"));
-    }
-    nodes
-}
-
 fn id(runner: &Runner) -> RunnerId {
     runner.id.parse().expect("an id")
 }
@@ -67,11 +42,11 @@
 async fn removal_missed_by_node_learned_from_started_nodes() {
     let deployment = Deployment::new().await.with_plain(3).await;
     let [removed, changed, _] = &deployment.runners[..] else { panic!("three runners") };
-    let names = names(8);
+    let names = ranked_names(8);
     let (watching, behind) = names.split_at(7);
-    let mut former = start(&deployment, &watching[..3], &[]).await;
-    let seeds: Vec<SocketAddr> = former.iter().map(|node| node.shared.me.peer).collect();
-    let behind = start(&deployment, behind, &seeds).await.remove(0);
+    let mut former = start_nodes(&deployment, &watching[..3], &[]).await;
+    let seeds = peer_addresses(&former);
+    let behind = start_nodes(&deployment, behind, &seeds).await.remove(0);
     wait_known(&former, 3).await;
     wait_known(std::slice::from_ref(&behind), 3).await;
 
@@ -79,7 +54,7 @@
     deployment.store.remove("servers", &removed.id);
     wait_known(&former, 2).await;
     changed.write_entry();
-    let started = start(&deployment, &watching[3..], &seeds).await;
+    let started = start_nodes(&deployment, &watching[3..], &seeds).await;
     wait_known(&started, 2).await;
     for node in &mut former {
         node.kill();
@@ -101,10 +76,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn doubt_learned_late_ends_with_that_of_watchers() {
     let deployment = Deployment::new().await.with_plain(2).await;
-    let names = names(4);
+    let names = ranked_names(4);
     let (watching, behind) = names.split_at(3);
-    let watching = start(&deployment, watching, &[]).await;
-    let seeds: Vec<SocketAddr> = watching.iter().map(|node| node.shared.me.peer).collect();
+    let watching = start_nodes(&deployment, watching, &[]).await;
+    let seeds = peer_addresses(&watching);
     // A node whose own path to the store is down hears of the removal from the others alone.
     let path = Proxy::start(any_address(), deployment.store.address()).await;
     let path = path.expect("a free address");
@@ -150,8 +125,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn register_differing_at_one_version_corrected() {
     let deployment = Deployment::new().await.with_plain(2).await;
-    let names = names(5);
-    let nodes = start(&deployment, &names, &[]).await;
+    let names = ranked_names(5);
+    let nodes = start_nodes(&deployment, &names, &[]).await;
     wait_known(&nodes, 2).await;
     wait_until("only the watches of the settled nodes are left", async || {
         let settled = nodes.iter().all(|node| *node.shared.membership_settled.borrow());
--- a/node/tests/register_model.rs
+++ b/node/tests/register_model.rs
@@ -1,6 +1,6 @@
 //! Seeded exploration of several copies of the register: nodes start, list and watch the store, miss
 //! and reorder messages, answer each other late, doubt and drop entries, while the store changes,
-//! loses its history and comes back from a copy.
+//! loses its history and is restored from a backup.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
@@ -77,12 +77,12 @@
         self.digests.insert(self.at, digest);
     }
 
-    /// Comes back from the backup, in the next era.
+    /// Restores the backup, which begins the next era.
     fn restore(&mut self) {
         let era = Era(self.at.era.0 + 1);
         self.at = Point::new(era, self.backup.0.revision.0);
         self.entries = self.backup.1.clone();
-        // A copy reads the entries in the new era.
+        // Nodes read the restored entries in the next era.
         self.entries
             .values_mut()
             .for_each(|object| object.at = Point::new(era, object.at.revision.0));
--- a/node/tests/register_replica.rs
+++ b/node/tests/register_replica.rs
@@ -168,7 +168,7 @@
     assert!(answer(&sender, &receiver, now).doubts.is_empty(), "the entry is back");
 }
 
-/// Guards against a doubt whose time starts anew at each node that is told.
+/// Guards against a doubt whose time starts anew at each node that receives it.
 #[test]
 fn difference_for_doubt_time_left() {
     let now = Instant::now();
--- a/node/tests/store_copy_starts.rs
+++ b/node/tests/store_copy_starts.rs
@@ -1,17 +1,15 @@
 //! Nodes that start, are cut off or end while the store is restored from a backup.
 
-use std::net::SocketAddr;
-
 use sardinepick_lib::history::Era;
 use sardinepick_lib::id::{NodeId, RunnerId};
-use sardinepick_lib::rank;
-use sardinepick_node::duty::view::SUBJECT;
 use sardinepick_node::serve::settings::Settings;
 use sardinepick_node::serve::shared::Shared;
 use sardinepick_testutils::cluster::{any_address, wait_until};
 use sardinepick_testutils::fleet::caller::RequestSpec;
-use sardinepick_testutils::fleet::deployment::Deployment;
-use sardinepick_testutils::fleet::killable_node::KillableNode;
+use sardinepick_testutils::fleet::deployment::{Deployment, configuration};
+use sardinepick_testutils::fleet::killable_node::{
+    KillableNode, peer_addresses, ranked_names, start_nodes,
+};
 use sardinepick_testutils::fleet::proxy::{NetworkFault, Proxy};
 use sardinepick_testutils::fleet::runner::Runner;
 use sardinepick_testutils::fleet::store::Fault;
@@ -19,28 +17,8 @@
 /// Requests per node when it is checked that a runner gets none.
 const REQUESTS: usize = 12;
 
-/// Names of nodes, those first that watch the store before the others do.
-fn names(count: usize) -> Vec<NodeId> {
-    let mut names: Vec<NodeId> =
-        (0..count).map(|n| format!("edge-{n}").parse().expect("a name")).collect();
-    names.sort_by_key(|name| std::cmp::Reverse(rank::weight(SUBJECT, name)));
-    names
-}
-
-fn addresses(nodes: &[KillableNode]) -> Vec<SocketAddr> {
-    nodes.iter().map(|node| node.shared.me.peer).take(3).collect()
-}
-
-async fn start(deployment: &Deployment, name: &NodeId, seeds: &[SocketAddr]) -> KillableNode {
-    let settings = deployment.settings(name.as_str(), seeds.to_vec());
-    KillableNode::start(settings).await.expect("free addresses")
-}
-
 async fn start_all(deployment: &Deployment, names: &[NodeId]) -> Vec<KillableNode> {
-    let mut nodes = Vec::new();
-    for name in names {
-        nodes.push(start(deployment, name, &addresses(&nodes)).await);
-    }
+    let nodes = start_nodes(deployment, names, &[]).await;
     wait_until("all nodes know all runners", async || {
         nodes.iter().all(|node| {
             let known = node.shared.register().runners().count();
@@ -99,12 +77,13 @@
 
 async fn check_start_after_restore(announces: bool, watches: bool) {
     let deployment = Deployment::new().await.with_plain(3).await;
-    let names = names(5);
+    let names = ranked_names(5);
     let (started, former) =
         if watches { (&names[0], &names[1..]) } else { (&names[4], &names[..4]) };
     let nodes = start_all(&deployment, former).await;
     leave_and_restore(&deployment, &nodes, announces).await;
-    let node = start(&deployment, started, &addresses(&nodes)).await;
+    let seeds = peer_addresses(&nodes);
+    let node = start_nodes(&deployment, std::slice::from_ref(started), &seeds).await.remove(0);
     wait_until("the node is ready", async || node.shared.is_ready()).await;
     let left = &deployment.runners[0];
     wait_until("the node has heard that the runner has left", async || {
@@ -138,11 +117,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn node_cut_across_restore_takes_next_era() {
     let deployment = Deployment::new().await.with_plain(3).await;
-    let names = names(5);
+    let names = ranked_names(5);
     let nodes = start_all(&deployment, &names[..4]).await;
     let path = Proxy::start(any_address(), deployment.store.address()).await;
     let path = path.expect("a free address");
-    let settings = deployment.settings(names[4].as_str(), addresses(&nodes));
+    let settings = deployment.settings(names[4].as_str(), peer_addresses(&nodes));
     let settings = Settings { store: path.address, ..settings };
     let cut = KillableNode::start(settings).await.expect("free addresses");
     wait_until("the node knows all runners", async || {
@@ -177,14 +156,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn all_nodes_killed_in_restore_serve_and_follow() {
     let deployment = Deployment::new().await.with_plain(3).await;
-    let names = names(4);
+    let names = ranked_names(4);
     let mut nodes = start_all(&deployment, &names).await;
     let backup = deployment.store.backup();
-    deployment.store.put(
-        "config",
-        "main",
-        &sardinepick_testutils::fleet::deployment::configuration(2),
-    );
+    deployment.store.put("config", "main", &configuration(2));
     deployment.runners[0].drain();
     wait_until("all nodes know that the runner leaves", async || {
         nodes.iter().all(|node| !is_used(&node.shared, &deployment.runners[0]))
--- a/testutils/src/fleet/deployment.rs
+++ b/testutils/src/fleet/deployment.rs
@@ -32,7 +32,7 @@
 pub const PLAIN_SERVICE: &str = "ontbijtbord";
 
 /// The number of seed nodes in a node's settings, as on the platform.
-const MAX_SEEDS: usize = 3;
+pub const MAX_SEEDS: usize = 3;
 
 /// A deployment.
 pub struct Deployment {
--- a/testutils/src/fleet/killable_node.rs
+++ b/testutils/src/fleet/killable_node.rs
@@ -1,11 +1,15 @@
 //! A node in the test's process that can be killed, and whose incoming datagrams can be dropped.
 
+use std::cmp::Reverse;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use sardinepick_lib::clock::System;
+use sardinepick_lib::id::NodeId;
+use sardinepick_lib::rank;
+use sardinepick_node::duty::view::SUBJECT;
 use sardinepick_node::serve::metrics::Metrics;
 use sardinepick_node::serve::run::{self, Running, Sockets};
 use sardinepick_node::serve::settings::Settings;
@@ -14,6 +18,7 @@
 use tokio::runtime::{Builder, Runtime};
 
 use crate::cluster::any_address;
+use crate::fleet::deployment::{Deployment, MAX_SEEDS};
 
 /// Larger than any datagram between nodes.
 const BUFFER_BYTES: usize = 64 << 10;
@@ -73,6 +78,37 @@
     }
 }
 
+/// Names for nodes, by the order in which they would watch the store.
+pub fn ranked_names(count: usize) -> Vec<NodeId> {
+    let names = (0..count).map(|n| format!("edge-{n}").parse().expect("a name"));
+    let mut names: Vec<NodeId> = names.collect();
+    names.sort_by_key(|name| Reverse(rank::weight(SUBJECT, name)));
+    names
+}
+
+/// Starts nodes one after the other. Their seeds are `seeds` and the nodes before them.
+///
+/// # Panics
+/// A node does not start.
+pub async fn start_nodes(
+    deployment: &Deployment,
+    names: &[NodeId],
+    seeds: &[SocketAddr],
+) -> Vec<KillableNode> {
+    let mut nodes: Vec<KillableNode> = Vec::new();
+    for name in names {
+        let seeds = seeds.iter().copied().chain(peer_addresses(&nodes)).take(MAX_SEEDS).collect();
+        let settings = deployment.settings(name.as_str(), seeds);
+        nodes.push(KillableNode::start(settings).await.expect("free addresses"));
+    }
+    nodes
+}
+
+/// The addresses of nodes for other nodes.
+pub fn peer_addresses(nodes: &[KillableNode]) -> Vec<SocketAddr> {
+    nodes.iter().map(|node| node.shared.me.peer).collect()
+}
+
 async fn relay(public: UdpSocket, server: SocketAddr, drops: Arc<AtomicBool>) {
     let mut buffer = vec![0; BUFFER_BYTES];
     while let Ok((length, _)) = public.recv_from(&mut buffer).await {
