--- a/testutils/src/fleet/drain_soak.rs
+++ b/testutils/src/fleet/drain_soak.rs
@@ -1,9 +1,9 @@
 //! A soak test of runners that leave, with and without announcing it, while nodes start in waves, are
 //! paused until they miss datagrams, and run slowly. The real program runs as processes.
 //!
-//! Guarantee: a runner receives no request later than [`DRAIN_BOUND`] after the store has acknowledged
-//! that it leaves, from a node that has run undisturbed for [`STABLE`]. It is checked from what runners
-//! received; a request's id names the node that the caller sent it to.
+//! Guarantee: a runner receives no request later than 3 s after the store has acknowledged that it
+//! leaves, from a node that has run undisturbed for 4 s. It is checked from what runners received; a
+//! request's id names the node that the caller sent it to.
 
 use std::net::SocketAddr;
 use std::path::Path;
