generation: log what kept a request from another attempt

The line at the end of a request says `broken` for a stream that was cut by the retry budget, a missing runner, the scheduler's gate, a rate limit, quarantine or the limit on attempts alike, so a cut stream cannot be traced to its cause. The line has a stop_cause now. The line about a stream that breaks off has how long it was silent, when this node last heard from its runner, and the time left: they tell a runner that is lost from one that is slow.

No decision changes.

--- a/node/src/serve/generation/admit.rs
+++ b/node/src/serve/generation/admit.rs
@@ -11,7 +11,7 @@
 
 use smallvec::SmallVec;
 
-use super::{GenerationTask, MIN_TIME_LEFT, Stop, millis};
+use super::{GenerationTask, MIN_TIME_LEFT, Stop, StopCause, millis};
 use crate::serve::quarantine::{self, Admission};
 use crate::serve::response::Refusal;
 use crate::serve::scheduler as scheduling;
@@ -54,8 +54,10 @@
     ) -> Result<RunnerId, Stop> {
         match self.decide(Step::Continue { prefill_runner: prefill_runner.clone(), class }).await {
             Some(Decision::Continue(runner)) => Ok(runner),
-            Some(Decision::RateLimited(wait)) => Err(Stop::Refuse(self.rate_limit_refusal(wait))),
-            _ => Err(Stop::Refuse(self.final_refusal(Reason::NoRunner))),
+            Some(Decision::RateLimited(wait)) => {
+                Err(Stop::Refuse(self.rate_limit_refusal(wait), StopCause::RateLimit))
+            }
+            _ => Err(Stop::Refuse(self.final_refusal(Reason::NoRunner), StopCause::NoRunner)),
         }
     }
 
@@ -63,7 +65,7 @@
     pub(super) async fn admit(&mut self) -> Result<(Placement, Class), Stop> {
         let terms = self.request.terms(self.shared.clock.now());
         if terms.left < MIN_TIME_LEFT && self.calls > 0 {
-            return Err(Stop::Refuse(self.deadline_refusal()));
+            return Err(Stop::Refuse(self.deadline_refusal(), StopCause::Deadline));
         }
         let firmness = match (self.events, self.runs) {
             // A stream that has started keeps its class, since the caller is already reading it.
@@ -78,10 +80,12 @@
             }
             Some(Decision::Late(placement)) => {
                 self.record_demand(&placement);
-                Err(Stop::Refuse(self.late_refusal(&placement)))
+                Err(Stop::Refuse(self.late_refusal(&placement), StopCause::Gate))
+            }
+            Some(Decision::RateLimited(wait)) => {
+                Err(Stop::Refuse(self.rate_limit_refusal(wait), StopCause::RateLimit))
             }
-            Some(Decision::RateLimited(wait)) => Err(Stop::Refuse(self.rate_limit_refusal(wait))),
-            _ => Err(Stop::Refuse(self.final_refusal(Reason::NoRunner))),
+            _ => Err(Stop::Refuse(self.final_refusal(Reason::NoRunner), StopCause::NoRunner)),
         }
     }
 
@@ -132,10 +136,12 @@
             admission = quarantine::admit(&self.shared, &self.request) => admission,
         };
         match admission {
-            Admission::Refused => Err(Stop::Refuse(Refusal::Quarantined)),
-            Admission::Trial if self.calls > 0 => Err(Stop::Refuse(Refusal::Quarantined)),
+            Admission::Refused => Err(Stop::Refuse(Refusal::Quarantined, StopCause::Quarantine)),
+            Admission::Trial if self.calls > 0 => {
+                Err(Stop::Refuse(Refusal::Quarantined, StopCause::Quarantine))
+            }
             Admission::Free if self.crashes >= QUARANTINE_ENDS => {
-                Err(Stop::Refuse(Refusal::Broken))
+                Err(Stop::Refuse(Refusal::Broken, StopCause::Quarantine))
             }
             Admission::Free => Ok(()),
             Admission::Trial => {
@@ -149,11 +155,11 @@
     /// first prefill that a runner accepts; a second prefill counts like a second run.
     pub(super) fn take_retry_budget(&mut self) -> Result<(), Stop> {
         if !self.is_trial && quarantine::is_refused(&self.shared, &self.request) {
-            return Err(Stop::Refuse(Refusal::Quarantined));
+            return Err(Stop::Refuse(Refusal::Quarantined, StopCause::Quarantine));
         }
         if self.arrivals == 0 || self.shared.take_extra_arrival(&self.request.service) {
             return Ok(());
         }
-        Err(Stop::Refuse(self.final_refusal(Reason::Budget)))
+        Err(Stop::Refuse(self.final_refusal(Reason::Budget), StopCause::Budget))
     }
 }
--- a/node/src/serve/generation/mod.rs
+++ b/node/src/serve/generation/mod.rs
@@ -24,6 +24,7 @@
 use sardinepick_platform::runner::{self, Call, CallKind};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
+use strum::IntoStaticStr;
 use tokio::sync::{mpsc, oneshot};
 
 use self::prefill::KvHandleGuard;
@@ -114,7 +115,29 @@
 /// Ends the task without a complete answer.
 enum Stop {
     CallerLeft,
-    Refuse(Refusal),
+    Refuse(Refusal, StopCause),
+}
+
+/// What kept a request from another attempt.
+#[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+enum StopCause {
+    /// The retry budget is exhausted.
+    Budget,
+    /// No runner can take it.
+    NoRunner,
+    /// The scheduler predicts that the answer would come too late.
+    Gate,
+    /// The rate limits of the runners are exhausted.
+    RateLimit,
+    /// It is quarantined, or has crashed too many runners.
+    Quarantine,
+    /// Its deadline has passed, or is too close for another attempt.
+    Deadline,
+    /// Its route allows no more runs.
+    Attempts,
+    /// It has made [`MAX_CALLS`] calls.
+    Calls,
 }
 
 struct GenerationTask {
@@ -155,25 +178,27 @@
             match self.attempt().await {
                 Ok(AttemptOutcome::Done(outcome)) => break Ok(outcome),
                 Ok(AttemptOutcome::CallerLeft) | Err(Stop::CallerLeft) => break Err(None),
-                Err(Stop::Refuse(refusal)) => break Err(Some(refusal)),
-                Ok(AttemptOutcome::Late) => break Err(Some(self.deadline_refusal())),
+                Err(Stop::Refuse(refusal, cause)) => break Err(Some((refusal, cause))),
+                Ok(AttemptOutcome::Late) => {
+                    break Err(Some((self.deadline_refusal(), StopCause::Deadline)));
+                }
                 Ok(AttemptOutcome::NotRun | AttemptOutcome::Denied) => {}
                 Ok(AttemptOutcome::Broken) => {
                     self.may_have_run = true;
                     if !self.may_retry() {
-                        break Err(Some(Refusal::Broken));
+                        break Err(Some((Refusal::Broken, StopCause::Attempts)));
                     }
                 }
             }
             if self.calls >= MAX_CALLS {
-                break Err(Some(self.final_refusal(Reason::Shed)));
+                break Err(Some((self.final_refusal(Reason::Shed), StopCause::Calls)));
             }
         };
         self.finish(end).await;
     }
 
     /// Completes the caller's response and logs the outcome.
-    async fn finish(mut self, end: Result<Outcome, Option<Refusal>>) {
+    async fn finish(mut self, end: Result<Outcome, Option<(Refusal, StopCause)>>) {
         let mut line = End {
             register: self.register,
             tries: self.calls,
@@ -187,8 +212,9 @@
                 line.status = StatusCode::OK.as_u16();
             }
             Err(None) => line.outcome = "left",
-            Err(Some(refusal)) => {
+            Err(Some((refusal, cause))) => {
                 line.outcome = "refused";
+                line.stop_cause = cause.into();
                 line.reason = refusal.reason();
                 line.status = refusal.status().as_u16();
                 if let Caller::Streaming(_) = self.caller {
--- a/node/src/serve/generation/stream.rs
+++ b/node/src/serve/generation/stream.rs
@@ -1,7 +1,7 @@
 //! Running a generation on a runner and forwarding its events.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::StreamExt as _;
@@ -252,10 +252,17 @@
         self.crashes = self.crashes.max(crashes);
     }
 
+    /// Logs that a stream broke off: how long it was silent, and how long ago the runner last
+    /// answered anything of this node.
     fn log_broken_stream(&self, reservation: &Reservation, detail: &str) {
+        let now = self.shared.clock.now();
+        let since = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
+        let seen = reservation.with_runner(|runner| runner.health.last_seen()).flatten();
         log::info!(
             request:% = self.request.id, runner:% = reservation.runner(), error = detail,
-            events = self.events; "stream broke off"
+            events = self.events, silent_ms = self.last_event_at.map(since),
+            runner_seen_ms = seen.map(since),
+            left_ms = self.request.time_left(now).as_millis() as u64; "stream broke off"
         );
     }
 
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -109,6 +109,7 @@
             request:% = self.id, route:% = self.route.name, service:% = self.service,
             version:% = self.configuration.version, runner = end.runner, tries = end.tries,
             register:% = end.register, status = end.status, reason = end.reason,
+            stop_cause = end.stop_cause,
             took_ms = took.as_millis() as u64, left_ms = self.time_left(now).as_millis() as u64,
             events = end.events; "request {}", end.outcome
         );
@@ -122,6 +123,8 @@
     pub outcome: &'static str,
     /// The reason, as a metric label.
     pub reason: &'static str,
+    /// What kept the request from another attempt; empty if nothing did.
+    pub stop_cause: &'static str,
     /// The status sent to the caller; 0 if the caller had disconnected.
     pub status: u16,
     /// The runner that was tried last.
