generation: give up a silent runner only for a successor

Callers saw streams cut (LOST, 502) whose runner was sound: after 1.0 s without an event the node dropped the connection, and only then looked for another runner. Where the retry budget, the scheduler's gate, a rate limit or a missing runner then stopped it, the answer was lost. The budget was taken call by call, so the prompt of a resumed stream was prefilled again for a run that could not be paid for.

A silent attempt now goes on while its successor is placed, paid for with all its calls or none, and prefilled; the first event of either decides, and the other is cancelled. Two runs overlap for 250 ms at most, of the 400 ms that the platform allows. A successor that cannot be had leaves the first attempt as it is, until the caller's deadline. A runner counts as broken only if it has sent nothing since and does not answer a health check. If the budget has one call left, a runner that prefills the prompt itself is used.

GenerationTask had all state of a request; it is split into the attempts (shared by the calls), one attempt, its run, and the task.

--- a/lib/src/fleet/budget.rs
+++ b/lib/src/fleet/budget.rs
@@ -41,12 +41,14 @@
     started_at: Instant,
     requests: VecDeque<Instant>,
     extras: VecDeque<Instant>,
+    /// Extra arrivals that are reserved and not yet spent or released.
+    reserved: usize,
 }
 
 impl Budget {
     /// Creates a budget for a process started at `started_at`.
     pub fn new(bounds: Bounds, started_at: Instant) -> Self {
-        Self { bounds, started_at, requests: VecDeque::new(), extras: VecDeque::new() }
+        Self { bounds, started_at, requests: VecDeque::new(), extras: VecDeque::new(), reserved: 0 }
     }
 
     /// Records a request.
@@ -58,23 +60,46 @@
     /// Takes one extra arrival. Returns false if the budget is exhausted. `nodes` is the number of
     /// nodes that share the allowance, including nodes that may be partitioned.
     pub fn take(&mut self, now: Instant, nodes: usize) -> bool {
+        let granted = self.reserve(1, now, nodes);
+        if granted {
+            self.spend(now);
+        }
+        granted
+    }
+
+    /// Reserves `calls` extra arrivals, all or none, so that an attempt of several calls cannot run
+    /// out of budget half way. Returns false if the budget does not have them. `nodes` is as for
+    /// [`Budget::take`].
+    pub fn reserve(&mut self, calls: usize, now: Instant, nodes: usize) -> bool {
         self.prune(now);
         let window_passed = now.saturating_duration_since(self.started_at) >= self.bounds.window;
         let allowance =
             if window_passed { self.bounds.allowance / nodes.max(1) as f64 } else { 0.0 };
         let mut ages =
             (1..=CHECKED_WINDOWS).map(|part| self.bounds.window * part / CHECKED_WINDOWS);
-        let granted = ages.all(|age| self.fits(now, age, allowance));
+        let granted = ages.all(|age| self.fits(calls, now, age, allowance));
         if granted {
-            self.extras.push_back(now);
+            self.reserved += calls;
         }
         granted
     }
 
-    /// Whether one more extra arrival fits into the window that started `age` ago.
-    fn fits(&self, now: Instant, age: Duration, allowance: f64) -> bool {
+    /// Spends one reserved extra arrival.
+    pub fn spend(&mut self, now: Instant) {
+        self.reserved -= 1;
+        self.extras.push_back(now);
+    }
+
+    /// Returns `calls` reserved extra arrivals that will not happen.
+    pub fn release(&mut self, calls: usize) {
+        self.reserved -= calls;
+    }
+
+    /// Whether `calls` more extra arrivals fit into the window that started `age` ago. Reserved ones
+    /// may arrive at any time, so they count in every window.
+    fn fits(&self, calls: usize, now: Instant, age: Duration, allowance: f64) -> bool {
         let (window, half) = (self.bounds.window, self.bounds.window / 2);
-        let spent = count_since(&self.extras, now, age);
+        let spent = count_since(&self.extras, now, age) + self.reserved;
         let between = |from: Duration, to: Option<Duration>| {
             let later = to.map_or(0, |to| count_since(&self.requests, now, to));
             count_since(&self.requests, now, from) - later
@@ -83,7 +108,7 @@
         let half_before = between(age + half, age.checked_sub(half));
         let before = between(age + window, Some(age));
         let earned = same.max(half_before).max(before) as f64 * self.bounds.ratio;
-        ((earned + allowance) * USABLE_FRACTION) as usize > spent
+        ((earned + allowance) * USABLE_FRACTION) as usize >= spent + calls
     }
 
     /// Drops entries that are too old for any open window.
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 pub mod event;
 pub mod fanout;
 pub mod fingerprint;
+pub mod handover;
 pub mod health;
 pub mod limit;
 pub mod load;
--- a/lib/src/fleet/placement.rs
+++ b/lib/src/fleet/placement.rs
@@ -361,6 +361,15 @@
     if idle.len() as f64 > reserve { own.chain(idle).collect() } else { own.collect() }
 }
 
+/// Which plans are considered for a generation.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Plans {
+    /// All of them.
+    Any,
+    /// Those with a single call to a runner.
+    Whole,
+}
+
 /// Chooses the runners for a generation. Returns `None` if no runner of the service can run it.
 pub fn place_generation<R: Rng>(
     register: &Register,
@@ -368,6 +377,18 @@
     engine: &Engine,
     work: &Work,
     rng: &mut R,
+) -> Option<Placement> {
+    place_among(register, criteria, engine, work, Plans::Any, rng)
+}
+
+/// Chooses the runners for a generation like [`place_generation`], among some of the plans.
+pub fn place_among<R: Rng>(
+    register: &Register,
+    criteria: &Criteria<'_>,
+    engine: &Engine,
+    work: &Work,
+    plans: Plans,
+    rng: &mut R,
 ) -> Option<Placement> {
     let all = candidates(register, criteria);
     let mut roles = assign_roles(&all, criteria, engine, work);
@@ -391,9 +412,11 @@
         })
         .min_by(|a, b| a.rank.total_cmp(&b.rank));
     let split = best_prefill
+        .filter(|_| plans == Plans::Any)
         .and_then(|prefill| split(&prefill, &roles.decode, criteria, engine, work, rng));
-    let whole = roles
-        .whole
+    let wholes =
+        if plans == Plans::Whole && roles.whole.is_empty() { &roles.decode } else { &roles.whole };
+    let whole = wholes
         .iter()
         .map(|c| {
             let estimate = estimate_prefill(c, criteria, &inputs, rng.random());
--- a/lib/src/fleet/scheduler.rs
+++ b/lib/src/fleet/scheduler.rs
@@ -19,7 +19,7 @@
 use super::engine::{Engine, Work, startup_latency};
 use super::health::Outcome;
 use super::load::Class;
-use super::placement::{self, Criteria, Placement, Plan};
+use super::placement::{self, Criteria, Placement, Plan, Plans};
 use super::pool::Pool;
 use super::register::{Register, WorkCost};
 use super::runner::{Closed, Runner};
@@ -147,6 +147,18 @@
     engine: &Engine,
     now: Instant,
     rng: &mut R,
+) -> Decision {
+    decide_among(register, query, engine, Plans::Any, now, rng)
+}
+
+/// Makes the decision like [`decide`], among some of the plans.
+pub fn decide_among<R: Rng>(
+    register: &Register,
+    query: &Query,
+    engine: &Engine,
+    plans: Plans,
+    now: Instant,
+    rng: &mut R,
 ) -> Decision {
     let pool = Some(register.pool_of(&query.service, &query.work));
     let continues = matches!(query.step, Step::Continue { .. });
@@ -181,7 +193,7 @@
         Step::Start(firmness) => *firmness,
     };
     let mut place =
-        |class| placement::place_generation(register, &criteria(class), engine, &query.work, rng);
+        |class| placement::place_among(register, &criteria(class), engine, &query.work, plans, rng);
     let terms = &query.terms;
     let Some(placement) = place(terms.class) else { return no_placement() };
     if firmness == Firmness::Streaming || terms.on_time(placement.first_event) {
--- a/node/src/serve/generation/admit.rs
+++ b/node/src/serve/generation/admit.rs
@@ -1,17 +1,20 @@
 //! Admission of generation requests, and the choice of their runners.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use sardinepick_lib::fleet::admission::Reason;
 use sardinepick_lib::fleet::load::Class;
-use sardinepick_lib::fleet::placement::Placement;
+use sardinepick_lib::fleet::placement::{Placement, Plan};
 use sardinepick_lib::fleet::scheduler::{self, Decision, Firmness, Step};
 use sardinepick_lib::fleet::suspect::QUARANTINE_ENDS;
 use sardinepick_lib::id::RunnerId;
 
 use smallvec::SmallVec;
 
-use super::{GenerationTask, MIN_TIME_LEFT, Stop, StopCause, millis};
+use super::attempt::{Failure, Placed};
+use super::{Generation, MIN_TIME_LEFT, StopCause, millis};
+use crate::serve::payment::Payment;
 use crate::serve::quarantine::{self, Admission};
 use crate::serve::response::Refusal;
 use crate::serve::scheduler as scheduling;
@@ -20,22 +23,25 @@
 /// 24 bytes each.
 const MAX_EXCLUDED: usize = 12;
 
-impl GenerationTask {
+impl Generation {
     /// Requests a placement decision from the scheduler; `None` if the service has no engines.
     async fn decide(&self, step: Step) -> Option<Decision> {
         let engine = self.request.engine?;
-        let now = self.shared.clock.now();
-        let ask = scheduler::Query {
+        let (decision, by) = scheduling::decide(&self.shared, self.query(step), &engine).await;
+        self.shared.metrics.placements.with_label_values(&[by]).inc();
+        Some(decision)
+    }
+
+    fn query(&self, step: Step) -> scheduler::Query {
+        let now = self.now();
+        scheduler::Query {
             service: self.request.service.clone(),
             data_centre: self.shared.me.data_centre.clone(),
             terms: self.request.terms(now),
             work: self.work.clone(),
             skip: self.excluded_runners(now),
             step,
-        };
-        let (decision, by) = scheduling::decide(&self.shared, ask, &engine).await;
-        self.shared.metrics.placements.with_label_values(&[by]).inc();
-        Some(decision)
+        }
     }
 
     /// The runners to exclude from placement. A scheduler does not know which runners this node
@@ -43,7 +49,8 @@
     fn excluded_runners(&self, now: Instant) -> SmallVec<[RunnerId; 4]> {
         let register = self.shared.register();
         let backed_off = register.backing_off(&self.request.service, now).take(MAX_EXCLUDED);
-        self.tried.iter().chain(backed_off).cloned().collect()
+        let tried = self.attempts().tried.clone();
+        tried.into_iter().chain(backed_off.cloned()).collect()
     }
 
     /// Chooses the decode runner for a prompt that has been processed.
@@ -51,41 +58,102 @@
         &self,
         class: Class,
         prefill_runner: &RunnerId,
-    ) -> Result<RunnerId, Stop> {
+    ) -> Result<RunnerId, Failure> {
         match self.decide(Step::Continue { prefill_runner: prefill_runner.clone(), class }).await {
             Some(Decision::Continue(runner)) => Ok(runner),
             Some(Decision::RateLimited(wait)) => {
-                Err(Stop::Refuse(self.rate_limit_refusal(wait), StopCause::RateLimit))
+                Err(Failure::Stopped(self.rate_limit_refusal(wait), StopCause::RateLimit))
             }
-            _ => Err(Stop::Refuse(self.final_refusal(Reason::NoRunner), StopCause::NoRunner)),
+            _ => Err(Failure::Stopped(self.final_refusal(Reason::NoRunner), StopCause::NoRunner)),
         }
     }
 
-    /// Finds a placement and its class, or a refusal.
-    pub(super) async fn admit(&mut self) -> Result<(Placement, Class), Stop> {
-        let terms = self.request.terms(self.shared.clock.now());
-        if terms.left < MIN_TIME_LEFT && self.calls > 0 {
-            return Err(Stop::Refuse(self.deadline_refusal(), StopCause::Deadline));
-        }
-        let firmness = match (self.events, self.runs) {
+    fn firmness(&self) -> Firmness {
+        let attempts = self.attempts();
+        match (attempts.events, attempts.runs) {
             // A stream that has started keeps its class, since the caller is already reading it.
             (1.., _) => Firmness::Streaming,
             (0, 1..) => Firmness::HasRun,
             (0, 0) => Firmness::New,
+        }
+    }
+
+    /// Places the request, and reserves its calls in the retry budget.
+    pub(super) async fn place(self: Arc<Self>) -> Result<Placed, Failure> {
+        self.check_quarantine().await?;
+        let (placement, class) = self.admit().await?;
+        let placed = self.pay(placement, class)?;
+        let placement = &placed.placement;
+        let (plan, calls) = {
+            let mut attempts = self.attempts();
+            attempts.plan = (&placement.plan).into();
+            attempts.register = self.shared.register_replica().version();
+            (attempts.plan, attempts.calls)
+        };
+        self.shared.metrics.plans.with_label_values(&[plan]).inc();
+        let (prefill, decode) = match &placement.plan {
+            Plan::Whole { runner } => ("", runner.as_str()),
+            Plan::Split { prefill, decode } => (prefill.as_str(), decode.as_str()),
         };
-        match self.decide(Step::Start(firmness)).await {
+        log::info!(
+            request:% = self.request.id, plan = plan, class = placed.class.index(),
+            prefill = prefill, decode = decode,
+            first_ms = millis(placement.first_event), fresh = placement.prefill_tokens,
+            fetch = placement.fetch.as_ref().map_or("", RunnerId::as_str),
+            prompt = self.work.prompt, register:% = self.attempts().register,
+            fingerprint:% = self.request.fingerprint, attempt = calls + 1; "placed"
+        );
+        Ok(placed)
+    }
+
+    /// Reserves all calls of a placement in the retry budget, so that a prompt is not prefilled for
+    /// a run that cannot be paid for. If the budget has fewer, a plan of a single call is used.
+    fn pay(&self, placement: Placement, class: Class) -> Result<Placed, Failure> {
+        let reserve = |plan: &Plan| {
+            let calls = self.attempts().extra_arrivals(plan);
+            Payment::reserve(&self.shared, &self.request.service, calls)
+        };
+        if let Some(payment) = reserve(&placement.plan) {
+            return Ok(Placed { placement, class, payment });
+        }
+        let out_of_budget =
+            || Failure::Stopped(self.final_refusal(Reason::Budget), StopCause::Budget);
+        let engine = match (&placement.plan, self.request.engine) {
+            (Plan::Split { .. }, Some(engine)) => engine,
+            (Plan::Split { .. }, None) | (Plan::Whole { .. }, _) => return Err(out_of_budget()),
+        };
+        let query = self.query(Step::Start(self.firmness()));
+        match scheduling::decide_single_call(&self.shared, &query, &engine) {
+            Decision::Placed { placement, class } => {
+                let payment = reserve(&placement.plan).ok_or_else(out_of_budget)?;
+                Ok(Placed { placement, class, payment })
+            }
+            Decision::Continue(_)
+            | Decision::Late(_)
+            | Decision::NoRunner
+            | Decision::RateLimited(_) => Err(out_of_budget()),
+        }
+    }
+
+    /// Finds a placement and its class, or a refusal.
+    async fn admit(&self) -> Result<(Placement, Class), Failure> {
+        let terms = self.request.terms(self.now());
+        if terms.left < MIN_TIME_LEFT && self.attempts().calls > 0 {
+            return Err(Failure::Stopped(self.deadline_refusal(), StopCause::Deadline));
+        }
+        match self.decide(Step::Start(self.firmness())).await {
             Some(Decision::Placed { placement, class }) => {
                 self.record_demand(&placement);
                 Ok((placement, class))
             }
             Some(Decision::Late(placement)) => {
                 self.record_demand(&placement);
-                Err(Stop::Refuse(self.late_refusal(&placement), StopCause::Gate))
+                Err(Failure::Stopped(self.late_refusal(&placement), StopCause::Gate))
             }
             Some(Decision::RateLimited(wait)) => {
-                Err(Stop::Refuse(self.rate_limit_refusal(wait), StopCause::RateLimit))
+                Err(Failure::Stopped(self.rate_limit_refusal(wait), StopCause::RateLimit))
             }
-            _ => Err(Stop::Refuse(self.final_refusal(Reason::NoRunner), StopCause::NoRunner)),
+            _ => Err(Failure::Stopped(self.final_refusal(Reason::NoRunner), StopCause::NoRunner)),
         }
     }
 
@@ -93,7 +161,7 @@
     fn rate_limit_refusal(&self, wait: Duration) -> Refusal {
         match self.final_refusal(Reason::RateLimited) {
             Refusal::NotRun(reason, _) => {
-                let terms = self.request.terms(self.shared.clock.now());
+                let terms = self.request.terms(self.now());
                 Refusal::NotRun(reason, terms.retry_delay_after(wait, &mut *self.shared.rng()))
             }
             other => other,
@@ -101,7 +169,7 @@
     }
 
     fn record_demand(&self, placement: &Placement) {
-        if self.calls == 0 {
+        if self.attempts().calls == 0 {
             let mut demand = self.shared.demand();
             demand.entry(self.request.service.clone()).or_default().note(placement.prefill_tokens);
         }
@@ -109,7 +177,7 @@
 
     /// The refusal of a request that cannot meet its deadline or latency objective.
     fn late_refusal(&self, placement: &Placement) -> Refusal {
-        let terms = self.request.terms(self.shared.clock.now());
+        let terms = self.request.terms(self.now());
         log::info!(
             request:% = self.request.id, first_ms = millis(placement.first_event),
             read_ms = millis(placement.prefill_end), fresh = placement.prefill_tokens,
@@ -127,39 +195,36 @@
     /// Checks that quarantine allows the request to run. Without this check a request that crashes
     /// every runner it reaches would be retried within its attempts, and again through other nodes,
     /// until no runner is left.
-    pub(super) async fn check_quarantine(&mut self) -> Result<(), Stop> {
-        if self.is_trial && self.runs == 0 && self.crashes == 0 {
+    async fn check_quarantine(&self) -> Result<(), Failure> {
+        if self.attempts().is_unused_trial() {
             return Ok(());
         }
-        let admission = tokio::select! {
-            () = self.caller.disconnected() => return Err(Stop::CallerLeft),
-            admission = quarantine::admit(&self.shared, &self.request) => admission,
-        };
+        let admission = quarantine::admit(&self.shared, &self.request).await;
+        let mut attempts = self.attempts();
         match admission {
-            Admission::Refused => Err(Stop::Refuse(Refusal::Quarantined, StopCause::Quarantine)),
-            Admission::Trial if self.calls > 0 => {
-                Err(Stop::Refuse(Refusal::Quarantined, StopCause::Quarantine))
+            Admission::Refused => {
+                Err(Failure::Stopped(Refusal::Quarantined, StopCause::Quarantine))
             }
-            Admission::Free if self.crashes >= QUARANTINE_ENDS => {
-                Err(Stop::Refuse(Refusal::Broken, StopCause::Quarantine))
+            Admission::Trial if attempts.calls > 0 => {
+                Err(Failure::Stopped(Refusal::Quarantined, StopCause::Quarantine))
+            }
+            Admission::Free if attempts.crashes >= QUARANTINE_ENDS => {
+                Err(Failure::Stopped(Refusal::Broken, StopCause::Quarantine))
             }
             Admission::Free => Ok(()),
             Admission::Trial => {
-                self.is_trial = true;
+                attempts.is_trial = true;
                 Ok(())
             }
         }
     }
 
-    /// Takes one call from the retry budget. The first call of a request is free, and so is the
-    /// first prefill that a runner accepts; a second prefill counts like a second run.
-    pub(super) fn take_retry_budget(&mut self) -> Result<(), Stop> {
-        if !self.is_trial && quarantine::is_refused(&self.shared, &self.request) {
-            return Err(Stop::Refuse(Refusal::Quarantined, StopCause::Quarantine));
-        }
-        if self.arrivals == 0 || self.shared.take_extra_arrival(&self.request.service) {
-            return Ok(());
+    /// Checks immediately before a call that the request has not been quarantined since it was
+    /// placed.
+    pub(super) fn check_not_quarantined(&self) -> Result<(), Failure> {
+        if !self.attempts().is_trial && quarantine::is_refused(&self.shared, &self.request) {
+            return Err(Failure::Stopped(Refusal::Quarantined, StopCause::Quarantine));
         }
-        Err(Stop::Refuse(self.final_refusal(Reason::Budget), StopCause::Budget))
+        Ok(())
     }
 }
--- a/node/src/serve/generation/prefill.rs
+++ b/node/src/serve/generation/prefill.rs
@@ -2,23 +2,21 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use http::StatusCode;
 use sardinepick_lib::fleet::cache::Progress;
 use sardinepick_lib::fleet::health::Outcome;
-use sardinepick_lib::fleet::placement::Placement;
 use sardinepick_lib::fleet::register::{PrefillReport, WorkCost};
 use sardinepick_lib::fleet::runner::Tag;
-use sardinepick_lib::fleet::timeout;
 use sardinepick_lib::id::RunnerId;
 use sardinepick_platform::answer::{Verdict, classify};
 use sardinepick_platform::error::FormatError;
 use sardinepick_platform::runner::{self, CallKind, KvHandle, read_handle as decode_handle};
 use thiserror::Error;
-use tokio::time::timeout;
 
-use super::{GenerationTask, MAX_ANSWER_BYTES, Stop, millis};
+use super::attempt::{Failure, Placed};
+use super::attempts::Arrival;
+use super::{Generation, MAX_ANSWER_BYTES, millis};
 use crate::serve::connection::CONNECT_TIMEOUT;
 use crate::serve::connection::{Answer, Incomplete, SendError};
 use crate::serve::reservation::{Reservation, Step};
@@ -42,9 +40,6 @@
     /// The response belongs to another request.
     #[error("the response belongs to another request")]
     Mismatched,
-    /// The runner did not respond within this time.
-    #[error("no answer within {0:?}")]
-    TimedOut(Duration),
 }
 
 impl PrefillError {
@@ -53,69 +48,78 @@
         matches!(self, PrefillError::Send(error) if error.is_local())
     }
 
+    /// Whether the runner has certainly not received the request.
+    fn proves_unsent(&self) -> bool {
+        matches!(self, PrefillError::Send(error) if error.proves_unsent())
+    }
+
     /// Whether the connection failed after the request may have been sent.
     fn is_broken(&self) -> bool {
         match self {
             PrefillError::Send(error) => !error.proves_unsent(),
             PrefillError::Incomplete(_) => true,
-            PrefillError::Format(_)
-            | PrefillError::Status(_)
-            | PrefillError::Mismatched
-            | PrefillError::TimedOut(_) => false,
+            PrefillError::Format(_) | PrefillError::Status(_) | PrefillError::Mismatched => false,
         }
     }
 }
 
-impl GenerationTask {
+impl Generation {
     /// Processes the prompt on a prefill runner; `None` if that failed.
     pub(super) async fn prefill_on(
-        &mut self,
+        &self,
         id: &RunnerId,
-        cost: WorkCost,
-        placement: &Placement,
-    ) -> Result<Option<KvHandle>, Stop> {
-        self.take_retry_budget()?;
-        let left = self.request.time_left(self.shared.clock.now());
+        placed: &mut Placed,
+    ) -> Result<Option<KvHandle>, Failure> {
+        self.check_not_quarantined()?;
+        let Placed { placement, class, payment } = placed;
+        let cost = WorkCost {
+            class: *class,
+            prefill_tokens: placement.prefill_tokens,
+            footprint: self.work.prompt,
+        };
         let mut reservation = Reservation::new(&self.shared, id, Step::Prefill, cost);
-        self.calls += 1;
+        self.attempts().calls += 1;
         let Some(address) = self.address(id) else { return Ok(None) };
         let fetch = placement.fetch.as_ref().and_then(|source| self.address(source));
-        let request = self.runner_request(id, CallKind::Prefill, cost.class, left, fetch);
-        let limit = timeout::prefill(cost.class, placement.prefill_end, left);
+        let request = self.runner_request(id, CallKind::Prefill, cost.class, fetch);
         self.note_cached(&reservation, Progress::Started);
-        let request_id = self.request.id.clone();
+        reservation.expect(placement, placement.prefill_end);
+        let is_first = {
+            let mut attempts = self.attempts();
+            attempts.prefills += 1;
+            attempts.prefills == 1
+        };
+        let arrival = Arrival::of_prefill(self, payment);
+        let request_id = &self.request.id;
         let prefill = async {
             let target = reservation.target(address);
-            let sent = self.shared.dispatcher.send(target, &request_id, request);
+            let sent = self.shared.dispatcher.send(target, request_id, request);
             let answer = sent.await?;
-            receive_handle(id, &request_id, address, answer).await
-        };
-        let result = tokio::select! {
-            () = self.caller.disconnected() => {
-                reservation.learn_abandoned(placement, placement.prefill_end);
-                return Err(Stop::CallerLeft);
-            }
-            result = timeout(limit, prefill) => result,
+            receive_handle(id, request_id, address, answer).await
         };
-        let result = result.unwrap_or(Err(PrefillError::TimedOut(limit)));
-        match result {
+        match prefill.await {
             Ok(handle) => {
-                self.arrivals += u32::from(self.prefilled);
-                self.prefilled = true;
+                if is_first {
+                    arrival.waive();
+                    // The rest was reserved in case the runner rejects the prefill.
+                    payment.keep(1);
+                }
                 reservation.conclude(Outcome::Answered);
                 log::info!(
                     request:% = self.request.id, runner:% = id, fresh = placement.prefill_tokens,
                     predicted_ms = millis(placement.prefill_end),
                     held_ms = reservation.held().as_millis() as u64; "prompt read"
                 );
-                let held = reservation.held().as_secs_f64();
-                reservation.learn(placement.observation(placement.prefill_end, held));
+                reservation.learn_expected();
                 self.note_cached(&reservation, Progress::Prefilled);
                 Ok(Some(handle))
             }
             Err(error) => {
+                if error.proves_unsent() {
+                    self.attempts().prefills -= 1;
+                    arrival.waive();
+                }
                 if !error.is_denied() {
-                    self.arrivals += 1;
                     reservation.conclude(Outcome::Broken);
                 }
                 log::info!(
@@ -183,8 +187,19 @@
         Self { shared: shared.clone(), runner: runner.clone(), handle: Some(handle) }
     }
 
-    pub(super) fn disarm(&mut self) {
-        self.handle = None;
+    /// The runner that has the cache.
+    pub(super) fn runner(&self) -> &RunnerId {
+        &self.runner
+    }
+
+    /// Leaves the cache to a decode runner, which may have taken it over.
+    pub(super) fn disarm(&mut self) -> Option<KvHandle> {
+        self.handle.take()
+    }
+
+    /// Owns the cache again, which no runner has taken over.
+    pub(super) fn rearm(&mut self, handle: Option<KvHandle>) {
+        self.handle = handle;
     }
 }
 
--- /dev/null
+++ b/node/src/serve/generation/run.rs
@@ -0,0 +1,310 @@
+//! Running a generation on a runner, and reading its events.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use http::header::CONTENT_LENGTH;
+use http::response::Parts;
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+use sardinepick_lib::fleet::cache::Progress;
+use sardinepick_lib::fleet::event::{Event, Splitter};
+use sardinepick_lib::fleet::health::Outcome;
+use sardinepick_lib::fleet::placement::Plan;
+use sardinepick_lib::fleet::register::WorkCost;
+use sardinepick_lib::fleet::scheduler::Observation;
+use sardinepick_lib::id::ServiceId;
+use sardinepick_platform::answer::{Verdict, classify, is_stream};
+use sardinepick_platform::runner::CallKind;
+
+use super::attempt::{Failure, Placed, Prepared};
+use super::attempts::Arrival;
+use super::prefill::KvHandleGuard;
+use super::{Generation, MAX_ANSWER_BYTES};
+use crate::serve::connection::{Answer, Lease};
+use crate::serve::reservation::{Reservation, Step};
+use crate::serve::shared::Shared;
+
+impl Generation {
+    /// Prefills the prompt of a placed attempt, and chooses the runner that goes on.
+    pub(super) async fn prepare(self: Arc<Self>, mut placed: Placed) -> Result<Prepared, Failure> {
+        let prefill = match &placed.placement.plan {
+            Plan::Whole { runner } | Plan::Split { prefill: runner, .. } => runner.clone(),
+        };
+        let Some(handle) = self.prefill_on(&prefill, &mut placed).await? else {
+            self.attempts().tried.push(prefill);
+            return Err(Failure::NotRun);
+        };
+        let cache = KvHandleGuard::new(&self.shared, &prefill, handle);
+        let runner = self.place_decode(placed.class, &prefill).await?;
+        Ok(Prepared { placed, runner, cache: Some(cache) })
+    }
+
+    /// Chooses another runner for a prepared attempt whose runner did not permit the request.
+    pub(super) async fn prepare_again(
+        self: Arc<Self>,
+        mut prepared: Prepared,
+    ) -> Result<Prepared, Failure> {
+        let Some(cache) = &prepared.cache else { return Err(Failure::NotRun) };
+        prepared.runner = self.place_decode(prepared.placed.class, cache.runner()).await?;
+        Ok(prepared)
+    }
+
+    /// Sends the request to the runner that runs it, and waits for the first event.
+    pub(super) async fn start(
+        self: Arc<Self>,
+        mut prepared: Prepared,
+    ) -> Result<(Run, RunStep), Failure> {
+        self.check_not_quarantined()?;
+        let Prepared { placed, runner: id, cache } = &mut prepared;
+        self.attempts().tried.push(id.clone());
+        let is_whole = cache.is_none();
+        let cost = WorkCost {
+            class: placed.class,
+            prefill_tokens: if is_whole { placed.placement.prefill_tokens } else { 0 },
+            footprint: self.work.footprint(),
+        };
+        let mut reservation = Reservation::new(&self.shared, id, Step::Run, cost);
+        self.attempts().calls += 1;
+        let Some(address) = self.address(id) else { return Err(Failure::NotRun) };
+        let fetch = placed.placement.fetch.as_ref().filter(|_| is_whole);
+        let fetch = fetch.and_then(|source| self.address(source));
+        if is_whole {
+            self.note_cached(&reservation, Progress::Started);
+            reservation.expect(&placed.placement, placed.placement.first_event);
+        }
+        // Once a run may have started, its runner owns the KV cache.
+        let handle = cache.as_mut().and_then(KvHandleGuard::disarm);
+        let kind = handle.clone().map_or(CallKind::Run, CallKind::RunFromKv);
+        let request = self.runner_request(id, kind, placed.class, fetch);
+        self.attempts().runs += 1;
+        let arrival = Arrival::of_run(&self, &mut placed.payment);
+        let target = reservation.target(address);
+        let answer = match self.shared.dispatcher.send(target, &self.request.id, request).await {
+            Ok(answer) => answer,
+            Err(error) => {
+                if !error.is_local() {
+                    reservation.conclude(Outcome::Broken);
+                }
+                log::info!(
+                    request:% = self.request.id, runner:% = id, error:% = error,
+                    unsent = error.proves_unsent(); "call failed"
+                );
+                if !error.proves_unsent() {
+                    self.note_broken(&reservation, false).await;
+                    return Err(Failure::Broken);
+                }
+                arrival.waive();
+                self.attempts().runs -= 1;
+                if let Some(cache) = cache {
+                    cache.rearm(handle);
+                }
+                if error.is_rate_limited() {
+                    return Err(Failure::Denied(Box::new(prepared)));
+                }
+                return Err(Failure::NotRun);
+            }
+        };
+        drop(arrival);
+        match classify(answer.head.status, &answer.head.headers, id, &self.request.id) {
+            Verdict::Ran if answer.head.status.is_success() && is_stream(&answer.head.headers) => {
+                let mut run = Run::new(self.clone(), reservation, answer, is_whole);
+                let first = run.next().await;
+                if let RunStep::Broken { begun } = first {
+                    run.note_broken(begun).await;
+                    return Err(Failure::Broken);
+                }
+                Ok((run, first))
+            }
+            Verdict::Ran => Err(self.read_plain(&mut reservation, answer).await),
+            verdict @ (Verdict::NotRun | Verdict::OtherInstance) => {
+                self.attempts().runs -= 1;
+                let replaced = verdict == Verdict::OtherInstance;
+                reservation.conclude(if replaced { Outcome::Gone } else { Outcome::Failed });
+                log::info!(
+                    request:% = self.request.id, runner:% = id,
+                    status = answer.head.status.as_u16(); "runner did not run it"
+                );
+                answer.discard(MAX_ANSWER_BYTES).await;
+                if let Some(cache) = cache {
+                    cache.rearm(handle);
+                }
+                Err(Failure::NotRun)
+            }
+            Verdict::Mismatched => {
+                reservation.conclude(Outcome::Broken);
+                log::warn!(request:% = self.request.id, runner:% = id; "answer to another request");
+                Err(Failure::Broken)
+            }
+        }
+    }
+
+    /// Reads a response that is not a stream.
+    async fn read_plain(&self, reservation: &mut Reservation, answer: Answer) -> Failure {
+        let Ok((head, body)) = answer.read(MAX_ANSWER_BYTES).await else {
+            reservation.conclude(Outcome::Broken);
+            self.note_broken(reservation, true).await;
+            return Failure::Broken;
+        };
+        let is_success = head.status.is_success();
+        reservation.conclude(if is_success { Outcome::Answered } else { Outcome::Failed });
+        Failure::Answer(Box::new(head), body)
+    }
+}
+
+/// How a run has advanced.
+pub(super) enum RunStep {
+    /// The next event of its stream.
+    Event(Event),
+    /// The stream is complete.
+    Complete,
+    /// The stream broke off.
+    Broken {
+        /// Whether the runner's own part of the connection was intact until then.
+        begun: bool,
+    },
+}
+
+/// A run whose runner has sent the head of its response.
+pub(super) struct Run {
+    generation: Arc<Generation>,
+    reservation: Reservation,
+    /// The head of the response, without the length of the body: the caller may receive events of
+    /// several runs.
+    pub head: Parts,
+    body: Incoming,
+    lease: Option<Lease>,
+    splitter: Splitter,
+    is_whole: bool,
+    started_at: Option<Instant>,
+    active_stream: Option<ActiveStream>,
+}
+
+impl Run {
+    fn new(
+        generation: Arc<Generation>,
+        reservation: Reservation,
+        answer: Answer,
+        is_whole: bool,
+    ) -> Self {
+        let Answer { mut head, body, lease } = answer;
+        head.headers.remove(CONTENT_LENGTH);
+        Self {
+            generation,
+            reservation,
+            head,
+            body,
+            lease: Some(lease),
+            splitter: Splitter::default(),
+            is_whole,
+            started_at: None,
+            active_stream: None,
+        }
+    }
+
+    /// Waits until it advances. Nothing is lost if the future is dropped.
+    pub async fn next(&mut self) -> RunStep {
+        loop {
+            if let Some(event) = self.splitter.next_event() {
+                if self.started_at.is_none() {
+                    self.note_started();
+                }
+                self.reservation.note_alive();
+                return RunStep::Event(event);
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.splitter.push(&data);
+                    }
+                }
+                Some(Err(error)) => {
+                    self.reservation.conclude(Outcome::Broken);
+                    self.log_broken(&error.to_string());
+                    return RunStep::Broken { begun: true };
+                }
+                None => return self.finish(),
+            }
+        }
+    }
+
+    /// Records the first event.
+    fn note_started(&mut self) {
+        let generation = &self.generation;
+        self.started_at = Some(generation.now());
+        self.active_stream = Some(ActiveStream::new(generation));
+        self.reservation.note_prefilled();
+        if self.is_whole {
+            self.reservation.learn_expected();
+        }
+        generation.note_cached(&self.reservation, Progress::Prefilled);
+    }
+
+    /// Decides whether a stream that ended is complete.
+    fn finish(&mut self) -> RunStep {
+        if let Some(at) = self.started_at {
+            let took = self.generation.now().saturating_duration_since(at);
+            self.reservation.learn(Observation::Stream(took.as_secs_f64()));
+        }
+        if !self.splitter.rest().is_empty() {
+            self.reservation.conclude(Outcome::Broken);
+            self.log_broken("ended within an event");
+            return RunStep::Broken { begun: true };
+        }
+        if let Some(lease) = self.lease.take() {
+            lease.return_to_pool();
+        }
+        self.reservation.conclude(Outcome::Answered);
+        RunStep::Complete
+    }
+
+    /// Records that the runner is lost as far as this node can tell.
+    pub fn note_lost(&mut self) {
+        self.reservation.conclude(Outcome::Broken);
+        self.log_broken("no answer to a health check");
+    }
+
+    /// Records a crash if the runner's process ended during the run.
+    pub async fn note_broken(&self, begun: bool) {
+        self.generation.note_broken(&self.reservation, begun).await;
+    }
+
+    /// Logs that the stream broke off: how long it was silent, and how long ago the runner last
+    /// answered anything of this node.
+    fn log_broken(&self, detail: &str) {
+        let generation = &self.generation;
+        let now = generation.now();
+        let since = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
+        let seen = self.reservation.with_runner(|runner| runner.health.last_seen()).flatten();
+        log::info!(
+            request:% = generation.request.id, runner:% = self.reservation.runner(),
+            error = detail, events = generation.attempts().events,
+            runner_seen_ms = seen.map(since),
+            left_ms = generation.request.time_left(now).as_millis() as u64; "stream broke off"
+        );
+    }
+}
+
+/// Counts a stream as active until it is dropped.
+struct ActiveStream {
+    shared: Arc<Shared>,
+    service: ServiceId,
+    tokens: u64,
+}
+
+impl ActiveStream {
+    fn new(generation: &Generation) -> Self {
+        let (shared, service) = (generation.shared.clone(), generation.request.service.clone());
+        let tokens = generation.work.footprint();
+        shared.demand().entry(service.clone()).or_default().begin(tokens);
+        Self { shared, service, tokens }
+    }
+}
+
+impl Drop for ActiveStream {
+    fn drop(&mut self) {
+        if let Some(demand) = self.shared.demand().get_mut(&self.service) {
+            demand.end(self.tokens);
+        }
+    }
+}
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -32,6 +32,8 @@
     pub rate_limit_changes: IntCounterVec,
     /// Arrivals beyond the first, by whether the retry budget granted them.
     pub extra_arrivals: IntCounterVec,
+    /// Moves of generations to another runner, by cause and outcome.
+    pub moves: IntCounterVec,
     /// Calls during which a runner crashed.
     pub runner_crashes: IntCounter,
     /// Quarantined requests by event.
@@ -177,6 +179,11 @@
                 &["change"],
             ),
             plans: m.counters("sardinepick_plans_total", "Generations by their way", &["plan"]),
+            moves: m.counters(
+                "sardinepick_generation_moves_total",
+                "Moves of generations to another runner.",
+                &["cause", "outcome"],
+            ),
             extra_arrivals: m.counters(
                 "sardinepick_extra_arrivals_total",
                 "Arrivals beyond the first, by what the budget said",
--- a/node/src/serve/mod.rs
+++ b/node/src/serve/mod.rs
@@ -17,6 +17,7 @@
 pub mod listener;
 pub mod metrics;
 pub mod order;
+pub mod payment;
 pub mod peer;
 pub mod pending;
 pub mod plain;
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -20,6 +20,7 @@
 use tokio::time::timeout;
 
 use crate::serve::connection::{Answer, SendError};
+use crate::serve::payment::Payment;
 use crate::serve::quarantine::{self, Admission};
 use crate::serve::request::{End, InProgress, Request};
 use crate::serve::reservation::{Reservation, Step};
@@ -147,9 +148,12 @@
                 let after = terms.retry_delay(choice.answer, &mut *self.shared.rng());
                 return Err(Refusal::NotRun(Reason::Late, after));
             }
-            if self.arrivals > 0 && !self.shared.take_extra_arrival(&self.request.service) {
+            let extra = usize::from(self.arrivals > 0);
+            let Some(mut payment) = Payment::reserve(self.shared, &self.request.service, extra)
+            else {
                 return failed.ok_or_else(|| self.final_refusal(Reason::Budget));
-            }
+            };
+            payment.spend();
             self.calls += 1;
             let last = !self.is_repeatable() || self.runs + 1 >= self.request.route.max_attempts;
             match self.call(&choice.runner, left, last).await {
--- a/node/src/serve/reservation.rs
+++ b/node/src/serve/reservation.rs
@@ -46,6 +46,9 @@
     began: Instant,
     prefilled: bool,
     concluded: bool,
+    /// The predicted time to the result, in seconds, and its placement, until something is learned
+    /// from it.
+    expected: Option<(Placement, f64)>,
 }
 
 impl Reservation {
@@ -65,6 +68,7 @@
             began,
             prefilled: false,
             concluded: false,
+            expected: None,
         }
     }
 
@@ -114,10 +118,23 @@
         }
     }
 
-    /// Records that the caller disconnected before an event that was predicted after `predicted`
-    /// seconds: it takes at least the time waited so far. Without this, abandoned prompts would
-    /// yield no measurement, and a runner that is too slow for them would keep getting them.
-    pub fn learn_abandoned(&self, placement: &Placement, predicted: f64) {
+    /// Sets the time after which a result is predicted, in seconds.
+    pub fn expect(&mut self, placement: &Placement, predicted: f64) {
+        self.expected = Some((placement.clone(), predicted));
+    }
+
+    /// Records that the predicted result has arrived.
+    pub fn learn_expected(&mut self) {
+        if let Some((placement, predicted)) = self.expected.take() {
+            self.learn(placement.observation(predicted, self.held().as_secs_f64()));
+        }
+    }
+
+    /// Records that the work was given up before its predicted result: it takes at least the time
+    /// waited so far. Without this, abandoned prompts would yield no measurement, and a runner that
+    /// is too slow for them would keep getting them.
+    fn learn_abandoned(&mut self) {
+        let Some((placement, predicted)) = self.expected.take() else { return };
         let held = self.held().as_secs_f64();
         if held > predicted {
             self.learn(placement.observation(predicted, held));
@@ -147,6 +164,9 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
+        if !self.concluded {
+            self.learn_abandoned();
+        }
         self.note_prefilled();
         if let Some(registration) = &self.registration {
             self.shared.register().end(registration, self.cost);
--- a/node/src/serve/scheduler.rs
+++ b/node/src/serve/scheduler.rs
@@ -12,6 +12,7 @@
 
 use sardinepick_lib::fleet::engine::Engine;
 use sardinepick_lib::fleet::load::Load;
+use sardinepick_lib::fleet::placement::Plans;
 use sardinepick_lib::fleet::pool::Pool;
 use sardinepick_lib::fleet::register::PrefillReport;
 use sardinepick_lib::fleet::runner::Tag;
@@ -258,11 +259,20 @@
     usable
 }
 
+/// Places a request on a single runner, by this node's own prediction.
+pub fn decide_single_call(shared: &Shared, query: &Query, engine: &Engine) -> Decision {
+    decide_among(shared, query, engine, Plans::Whole)
+}
+
 fn decide_locally(shared: &Shared, query: &Query, engine: &Engine) -> Decision {
+    decide_among(shared, query, engine, Plans::Any)
+}
+
+fn decide_among(shared: &Shared, query: &Query, engine: &Engine, plans: Plans) -> Decision {
     let now = shared.clock.now();
     let mut register = shared.register();
     register.assign_pools();
-    scheduler::decide(&register, query, engine, now, &mut *shared.rng())
+    scheduler::decide_among(&register, query, engine, plans, now, &mut *shared.rng())
 }
 
 /// Asks a node for a decision; `None` if it does not answer in time.
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -387,18 +387,22 @@
         self.with_budget(service, |budget| budget.note_request(now));
     }
 
-    /// Takes an extra arrival from the retry budget of a service, and returns whether it was
-    /// granted.
-    pub fn take_extra_arrival(&self, service: &ServiceId) -> bool {
+    /// Reserves extra arrivals, all or none, in the retry budget of a service, and returns whether
+    /// they were granted.
+    pub fn reserve_extra_arrivals(&self, service: &ServiceId, calls: usize) -> bool {
         let now = self.clock.now();
         let nodes = self.roster().known() + 1;
-        let granted = self.with_budget(service, |budget| budget.take(now, nodes));
+        let granted = self.with_budget(service, |budget| budget.reserve(calls, now, nodes));
         let label = if granted { "yes" } else { "no" };
-        self.metrics.extra_arrivals.with_label_values(&[service.as_str(), label]).inc();
+        self.metrics
+            .extra_arrivals
+            .with_label_values(&[service.as_str(), label])
+            .inc_by(calls as u64);
         granted
     }
 
-    fn with_budget<T>(&self, service: &ServiceId, change: impl FnOnce(&mut Budget) -> T) -> T {
+    /// Changes the retry budget of a service.
+    pub fn with_budget<T>(&self, service: &ServiceId, change: impl FnOnce(&mut Budget) -> T) -> T {
         let mut budgets = lock(&self.budgets);
         if !budgets.contains_key(service) {
             let budget = Budget::new(self.settings.budget, self.began);
--- a/testutils/src/fleet/deployment.rs
+++ b/testutils/src/fleet/deployment.rs
@@ -34,6 +34,10 @@
 /// The number of seed nodes in a node's settings, as on the platform.
 pub const MAX_SEEDS: usize = 3;
 
+/// The retry budget of nodes unless a test sets another: more than any test needs.
+pub const DEFAULT_BUDGET: Bounds =
+    Bounds { ratio: 0.2, allowance: 50.0, window: Duration::from_millis(20) };
+
 /// A deployment.
 pub struct Deployment {
     /// The store.
@@ -48,6 +52,8 @@
     pub caller: Caller,
     /// The fake platform endpoint, and the length of usage windows.
     pub platform: Option<(Platform, Duration)>,
+    /// The retry budget in the settings of nodes.
+    pub budget: Bounds,
 }
 
 fn route(name: &str, prefix: &str, kind: &str, service: &str, attempts: u32) -> Value {
@@ -126,7 +132,7 @@
         metrics: address(),
         seeds,
         store,
-        budget: Bounds { ratio: 0.2, allowance: 50.0, window: Duration::from_millis(20) },
+        budget: DEFAULT_BUDGET,
         grace: Duration::from_secs(2),
         max_lookup_ttl: Duration::from_secs(5),
         call_gap: Duration::from_millis(300),
@@ -147,7 +153,8 @@
         store.put("config", "main", &configuration(1));
         let (runners, crashing_runners, nodes) = (Vec::new(), Vec::new(), Vec::new());
         let platform = None;
-        Self { store, runners, crashing_runners, nodes, caller: Caller::default(), platform }
+        let (caller, budget) = (Caller::default(), DEFAULT_BUDGET);
+        Self { store, runners, crashing_runners, nodes, caller, platform, budget }
     }
 
     /// Starts a fake platform, to which nodes report usage in windows of `window`.
@@ -160,6 +167,11 @@
         self
     }
 
+    /// Sets the retry budget of nodes that are started later.
+    pub fn with_budget(self, budget: Bounds) -> Self {
+        Self { budget, ..self }
+    }
+
     /// Settings for a node of this deployment.
     pub fn settings(&self, name: &str, seeds: Vec<SocketAddr>) -> Settings {
         let settings = settings(name, self.store.address(), seeds);
@@ -167,6 +179,7 @@
         Settings {
             platform: platform.map(|(platform, _)| platform.address()),
             usage_window: platform.map(|(_, window)| *window),
+            budget: self.budget,
             ..settings
         }
     }
--- a/testutils/src/fleet/runner/event.rs
+++ b/testutils/src/fleet/runner/event.rs
@@ -31,6 +31,9 @@
         if next > first {
             sleep(faults.event_interval).await;
         }
+        if let Some((_, pause)) = faults.stall.filter(|(event, _)| *event == next) {
+            sleep(pause).await;
+        }
         if faults.abort_after.is_some_and(|after| next > after) {
             // A part of the event is sent before the connection is aborted.
             let part = Bytes::from(event(next)).slice(..6);
--- a/testutils/src/fleet/runner/mod.rs
+++ b/testutils/src/fleet/runner/mod.rs
@@ -40,6 +40,8 @@
     pub response_delay: Duration,
     /// The time between events of a stream.
     pub event_interval: Duration,
+    /// Sends nothing for a time before the event with this id, and then goes on.
+    pub stall: Option<(u64, Duration)>,
     /// Carries out orders, but aborts the connection before it answers them.
     pub drop_order_response: bool,
 }
