dispatch: acquire the permit of a run before its prefill

Prompts were prefilled for runs that no node then permitted: 157 prefills for 60 runs in a test run beside load. The permit was requested when the run was sent, after the prefill; a grantor that replied after 30 ms counted as a refusal.

Evidence: beside 12 busy processes six copies of the test had permit requests without a reply ("nobody") 17 and 9 times at nodes that were granted 1 and 3. grantor_silent_no_prefill_wasted has 7 prefills for no run on the code before.

The permit is acquired before the prefill and held for a second at most; without one, nothing is prefilled.

--- a/node/src/dispatch/mod.rs
+++ b/node/src/dispatch/mod.rs
@@ -8,14 +8,14 @@
 use http::Request;
 use sardinepick_lib::clock::Clock;
 use sardinepick_lib::fleet::register::Register;
-use sardinepick_lib::fleet::runner::Registration;
+use sardinepick_lib::fleet::runner::{Registration, Tag};
 use sardinepick_lib::id::RunnerId;
 use sardinepick_platform::answer::is_from;
 use sardinepick_platform::signal::{back_off, is_leaving, rate_limit};
 
 use crate::back_off::BackOffs;
 use crate::drain::Drains;
-use crate::limit::Limiter;
+use crate::limit::{Denied, Limiter, Permit};
 use crate::lock::lock;
 use crate::serve::connection::{Answer, CONNECT_TIMEOUT, Connections, SendError};
 
@@ -48,20 +48,46 @@
 }
 
 impl Dispatcher {
+    /// Acquires a permit for a request to a runner that is sent later; `None` if the runner has no
+    /// rate limit.
+    ///
+    /// # Errors
+    /// The rate is exhausted, or no node grants permits.
+    pub async fn acquire(&self, runner: &RunnerId) -> Result<Option<Permit>, Denied> {
+        self.limiter.acquire(runner).await
+    }
+
     /// Sends a caller's request `id` to a runner, and waits for the head of the response.
     ///
     /// # Errors
+    /// As for [`Dispatcher::send_permitted`].
+    pub async fn send(
+        &self,
+        target: Target<'_>,
+        id: &str,
+        request: Request<Bytes>,
+    ) -> Result<Answer, SendError> {
+        self.send_permitted(target, None, id, request).await
+    }
+
+    /// Sends a caller's request like [`Dispatcher::send`]. A permit is acquired unless `permit` is
+    /// valid.
+    ///
+    /// # Errors
     /// There is no response, the runner's rate limit is exhausted, or the runner has left since it was
     /// chosen.
-    pub async fn send(
+    pub async fn send_permitted(
         &self,
         target: Target<'_>,
+        permit: Option<Permit>,
         id: &str,
         request: Request<Bytes>,
     ) -> Result<Answer, SendError> {
         let Target { runner, registration, address } = target;
-        let permit = self.limiter.acquire(runner).await;
-        permit.map_err(|denied| SendError::RateLimited { peer: address, denied })?;
+        if !self.is_permitted(target, permit) {
+            let permit = self.limiter.acquire(runner).await;
+            permit.map_err(|denied| SendError::RateLimited { peer: address, denied })?;
+        }
         // The caller may have waited for another runner or a permit since the runner was chosen.
         if !self.is_in_use(target) {
             return Err(SendError::Leaving { peer: address, runner: runner.clone() });
@@ -81,6 +107,11 @@
         Ok(answer)
     }
 
+    fn is_permitted(&self, target: Target<'_>, permit: Option<Permit>) -> bool {
+        let Some((permit, registration)) = permit.zip(target.registration) else { return false };
+        permit.covers(Tag::of(&registration.id, registration.born), self.clock.now())
+    }
+
     /// Whether the runner that was chosen is still there and does not leave.
     fn is_in_use(&self, target: Target<'_>) -> bool {
         let register = lock(&self.register);
--- a/node/src/limit/mod.rs
+++ b/node/src/limit/mod.rs
@@ -32,8 +32,12 @@
 
 pub mod gossip;
 
-/// The timeout of a permit request, the same as that of a scheduling request.
-const PERMIT_TIMEOUT: Duration = scheduler::REPLY_TIMEOUT;
+/// The timeout of a permit request. A grantor on a busy machine replies late; a permit that it
+/// grants after the timeout is lost, and the runner's rate is not used.
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(150);
+/// How long a permit may be held before the request is sent, while its prompt is prefilled. A
+/// window in which the platform counts requests can exceed the rate by what is granted in this time.
+const PERMIT_TTL: Duration = Duration::from_secs(1);
 /// How long no permit is requested after a timeout, or from a node that by its own view is not the
 /// grantor. The nodes' views converge within a second.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -47,6 +51,20 @@
     Remote(SocketAddr),
 }
 
+/// A permit to send one request to a runner.
+#[derive(Clone, Copy, Debug)]
+pub struct Permit {
+    runner: Tag,
+    until: Instant,
+}
+
+impl Permit {
+    /// Whether it permits a request to this incarnation of a runner now.
+    pub fn covers(&self, runner: Tag, now: Instant) -> bool {
+        self.runner == runner && now < self.until
+    }
+}
+
 /// A permit was denied.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 #[error("no permit within the rate limit for {wait:?}")]
@@ -99,16 +117,15 @@
         }
     }
 
-    /// Acquires a permit to send one request to a runner; granted at once if the runner has no
-    /// limit.
+    /// Acquires a permit to send one request to a runner; `None` if the runner has no limit.
     ///
     /// # Errors
     /// The rate is exhausted, or the grantor does not reply.
-    pub async fn acquire(&self, id: &RunnerId) -> Result<(), Denied> {
+    pub async fn acquire(&self, id: &RunnerId) -> Result<Option<Permit>, Denied> {
         let Some((tag, service, pool, announcement)) =
             lock(&self.register).get(id).and_then(limit_of)
         else {
-            return Ok(());
+            return Ok(None);
         };
         let (granted, by) = match self.grantor(&service, pool) {
             Grantor::Local(fraction) => (self.grant(tag, fraction), "here"),
@@ -119,8 +136,9 @@
         };
         let outcome = if granted.is_ok() { "granted" } else { "denied" };
         self.metrics.permits.with_label_values(&[outcome, by]).inc();
-        granted.map_err(|wait| {
-            let now = self.clock.now();
+        let now = self.clock.now();
+        let permit = granted.map(|()| Some(Permit { runner: tag, until: now + PERMIT_TTL }));
+        permit.map_err(|wait| {
             if by != "here" {
                 self.with_limit(tag, |limit| limit.note_denied(wait, now));
             }
--- a/node/src/serve/generation/attempt.rs
+++ b/node/src/serve/generation/attempt.rs
@@ -16,6 +16,7 @@
 use super::prefill::KvHandleGuard;
 use super::run::{Run, RunStep};
 use super::{Generation, StopCause};
+use crate::limit::Permit;
 use crate::serve::payment::Payment;
 use crate::serve::response::Refusal;
 
@@ -29,7 +30,7 @@
     NotRun,
     /// Nothing was sent because the runner's rate limit is exhausted. Another runner may run the
     /// request, with the prompt that has been prefilled, if one has.
-    Denied(Box<Prepared>),
+    Denied(Option<Box<Prepared>>),
     /// The call failed after the request may have run.
     Broken,
     /// A complete response that is not a stream, usually an error of the runner itself.
@@ -49,6 +50,8 @@
     pub runner: RunnerId,
     /// The KV cache of the prompt, if another runner has prefilled it.
     pub cache: Option<KvHandleGuard>,
+    /// The permit to send the request, if the runner has a rate limit.
+    pub permit: Option<Permit>,
 }
 
 impl Prepared {
@@ -110,7 +113,7 @@
         match &placed.placement.plan {
             Plan::Whole { runner } => {
                 let runner = runner.clone();
-                Some(Prepared { placed, runner, cache: None })
+                Some(Prepared { placed, runner, cache: None, permit: None })
             }
             Plan::Split { prefill, .. } => {
                 let left = self.generation.time_left();
--- a/node/src/serve/generation/run.rs
+++ b/node/src/serve/generation/run.rs
@@ -13,7 +13,7 @@
 use sardinepick_lib::fleet::placement::Plan;
 use sardinepick_lib::fleet::register::WorkCost;
 use sardinepick_lib::fleet::scheduler::Observation;
-use sardinepick_lib::id::ServiceId;
+use sardinepick_lib::id::{RunnerId, ServiceId};
 use sardinepick_platform::answer::{Verdict, classify, is_stream};
 use sardinepick_platform::runner::CallKind;
 
@@ -26,18 +26,43 @@
 use crate::serve::shared::Shared;
 
 impl Generation {
-    /// Prefills the prompt of a placed attempt, and chooses the runner that goes on.
+    /// Prefills the prompt of a placed attempt, and chooses the runner that goes on. If that has a
+    /// rate limit, a permit is acquired before: a prompt that is prefilled for a run that is then
+    /// not permitted is prefilled in vain.
     pub(super) async fn prepare(self: Arc<Self>, mut placed: Placed) -> Result<Prepared, Failure> {
-        let prefill = match &placed.placement.plan {
-            Plan::Whole { runner } | Plan::Split { prefill: runner, .. } => runner.clone(),
+        let (prefill, planned) = match &placed.placement.plan {
+            Plan::Whole { runner } => (runner.clone(), runner.clone()),
+            Plan::Split { prefill, decode } => (prefill.clone(), decode.clone()),
+        };
+        let permit = match self.shared.dispatcher.acquire(&planned).await {
+            Ok(permit) => permit,
+            Err(denied) => {
+                let mut attempts = self.attempts();
+                attempts.calls += 1;
+                log::info!(
+                    request:% = self.request.id, runner:% = planned, error:% = denied;
+                    "prompt not prefilled"
+                );
+                attempts.tried.push(planned);
+                return Err(Failure::Denied(None));
+            }
         };
         let Some(handle) = self.prefill_on(&prefill, &mut placed).await? else {
             self.attempts().tried.push(prefill);
             return Err(Failure::NotRun);
         };
         let cache = KvHandleGuard::new(&self.shared, &prefill, handle);
-        let runner = self.place_decode(placed.class, &prefill).await?;
-        Ok(Prepared { placed, runner, cache: Some(cache) })
+        let runner = if permit.is_some() && self.is_usable(&planned) {
+            planned
+        } else {
+            self.place_decode(placed.class, &prefill).await?
+        };
+        Ok(Prepared { placed, runner, cache: Some(cache), permit })
+    }
+
+    fn is_usable(&self, id: &RunnerId) -> bool {
+        let now = self.now();
+        self.shared.register().get(id).is_some_and(|r| r.takes_work(now) && r.back_off.is_over(now))
     }
 
     /// Chooses another runner for a prepared attempt whose runner did not permit the request.
@@ -47,6 +72,7 @@
     ) -> Result<Prepared, Failure> {
         let Some(cache) = &prepared.cache else { return Err(Failure::NotRun) };
         prepared.runner = self.place_decode(prepared.placed.class, cache.runner()).await?;
+        prepared.permit = None;
         Ok(prepared)
     }
 
@@ -56,7 +82,7 @@
         mut prepared: Prepared,
     ) -> Result<(Run, RunStep), Failure> {
         self.check_not_quarantined()?;
-        let Prepared { placed, runner: id, cache } = &mut prepared;
+        let Prepared { placed, runner: id, cache, permit } = &mut prepared;
         self.attempts().tried.push(id.clone());
         let is_whole = cache.is_none();
         let cost = WorkCost {
@@ -80,7 +106,9 @@
         self.attempts().runs += 1;
         let arrival = Arrival::of_run(&self, &mut placed.payment);
         let target = reservation.target(address);
-        let answer = match self.shared.dispatcher.send(target, &self.request.id, request).await {
+        let sent =
+            self.shared.dispatcher.send_permitted(target, *permit, &self.request.id, request);
+        let answer = match sent.await {
             Ok(answer) => answer,
             Err(error) => {
                 if !error.is_local() {
@@ -100,7 +128,7 @@
                     cache.rearm(handle);
                 }
                 if error.is_rate_limited() {
-                    return Err(Failure::Denied(Box::new(prepared)));
+                    return Err(Failure::Denied(Some(Box::new(prepared))));
                 }
                 return Err(Failure::NotRun);
             }
--- a/node/src/serve/generation/task.rs
+++ b/node/src/serve/generation/task.rs
@@ -278,7 +278,9 @@
                 self.note_move(cause.into());
                 return Some(Err(Some((refusal, cause))));
             }
-            Failure::Denied(prepared) if prepared.cache.is_some() && !self.is_out_of_calls() => {
+            Failure::Denied(Some(prepared))
+                if prepared.cache.is_some() && !self.is_out_of_calls() =>
+            {
                 // The KV cache is kept for another decode runner.
                 self.current.prepare_again(*prepared);
                 self.note_advanced();
--- a/node/tests/limits.rs
+++ b/node/tests/limits.rs
@@ -11,7 +11,8 @@
 use sardinepick_lib::id::{NodeId, RunnerId, ServiceId};
 use sardinepick_testutils::cluster::{any_address, wait_until};
 use sardinepick_testutils::fleet::caller::{Caller, RequestSpec};
-use sardinepick_testutils::fleet::deployment::{Deployment, PLAIN_SERVICE};
+use sardinepick_testutils::fleet::deployment::{Deployment, MODEL_SERVICE, PLAIN_SERVICE};
+use sardinepick_testutils::fleet::killable_node::KillableNode;
 use sardinepick_testutils::fleet::rate_limit::max_requests;
 use sardinepick_testutils::fleet::runner::{Faults, Runner};
 use sardinepick_testutils::fleet::signal::Signals;
@@ -297,6 +298,57 @@
     assert!(runs as f64 >= rate / 2.0, "{runs} runs, {rate} allowed");
 }
 
+/// Guards against prompts that are processed in vain because the node that grants permits does not
+/// reply.
+#[tokio::test]
+async fn grantor_silent_no_prefill_wasted() {
+    let set = Deployment::new().await.with_engines(1, 2).await;
+    for runner in &set.runners[1..] {
+        runner.set_signals(Signals::limit("10"));
+    }
+    let names: Vec<NodeId> = ["edge-0", "edge-1"].map(|n| n.parse().expect("valid ID")).into();
+    let first = KillableNode::start(set.settings(names[0].as_str(), Vec::new())).await;
+    let first = first.expect("free addresses");
+    let seeds = vec![first.shared.me.peer];
+    let second = KillableNode::start(set.settings(names[1].as_str(), seeds)).await;
+    let nodes = [first, second.expect("free addresses")];
+    wait_until("the nodes know each other", async || {
+        nodes.iter().all(|node| {
+            node.shared.is_ready()
+                && node.shared.roster().ready_contacts().len() == 1
+                && node.shared.register().runners().count() == set.runners.len()
+        })
+    })
+    .await;
+    let service: ServiceId = MODEL_SERVICE.parse().expect("valid ID");
+    let grantor = choose_scheduler(&service, Pool(0), names.iter()).expect("two nodes");
+    let (grantor, asking) =
+        if *grantor == names[0] { (&nodes[0], &nodes[1]) } else { (&nodes[1], &nodes[0]) };
+    let front = asking.shared.me.front;
+    let send = async |id: &str| {
+        let request = RequestSpec { headers: &GENERATION, ..RequestSpec::new("/count/a", id) };
+        set.caller.send(front, &request).await
+    };
+    wait_until("the asking node knows both limits", async || {
+        send("warm-up").await;
+        let register = asking.shared.register();
+        set.runners[1..]
+            .iter()
+            .all(|r| register.get(&id(r)).is_some_and(|r| r.limit.rate().is_some()))
+    })
+    .await;
+    sleep(WINDOW / 3).await;
+    grantor.drop_datagrams(true);
+    let counted_from = Instant::now();
+    for n in 0..20 {
+        send(&format!("r{n}")).await;
+        sleep(Duration::from_millis(60)).await;
+    }
+    let reads = arrivals(&set.runners[0], counted_from);
+    let runs: usize = set.runners[1..].iter().map(|r| arrivals(r, counted_from)).sum();
+    assert_eq!(reads, runs, "{reads} prefills for {runs} runs");
+}
+
 /// Guards against callers that are refused although engines without a limit could serve them.
 #[tokio::test]
 async fn requests_served_by_engines_without_limit() {
