plain: give up a slow runner only for another call

Callers of plain requests that may be repeated got 502 or 504 although their runner answered in time: after five mean response times the call was dropped, and the next one was then refused by the retry budget or found no runner.

The next call is now chosen and paid for before the current one is given up; without a next call the response is awaited until the deadline.

slow_plain_request_without_next_call_answered fails on the code before.

--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -68,6 +68,7 @@
         crashes: 0,
         is_trial: false,
         register: RegisterVersion::default(),
+        next: None,
     };
     let end = task.run().await;
     if task.is_trial && task.runs == 0 && task.crashes == 0 {
@@ -115,6 +116,14 @@
     is_trial: bool,
     /// The version of the register by which the runner of the last call was chosen.
     register: RegisterVersion,
+    /// The next call, if it was planned before the last one was given up.
+    next: Option<NextCall>,
+}
+
+/// A call whose runner has been chosen and that is paid for.
+struct NextCall {
+    choice: placement::Plain,
+    payment: Payment,
 }
 
 impl PlainTask<'_> {
@@ -137,8 +146,10 @@
             if left.is_zero() {
                 return failed.ok_or_else(|| self.final_refusal(Reason::Late));
             }
-            let Some(choice) = self.choose() else {
-                return failed.ok_or_else(|| self.final_refusal(Reason::NoRunner));
+            let next = self.next.take().map_or_else(|| self.plan(self.arrivals > 0, None), Ok);
+            let NextCall { choice, mut payment } = match next {
+                Ok(next) => next,
+                Err(reason) => return failed.ok_or_else(|| self.final_refusal(reason)),
             };
             let terms = self.request.terms(now);
             if self.calls == 0
@@ -148,11 +159,6 @@
                 let after = terms.retry_delay(choice.answer, &mut *self.shared.rng());
                 return Err(Refusal::NotRun(Reason::Late, after));
             }
-            let extra = usize::from(self.arrivals > 0);
-            let Some(mut payment) = Payment::reserve(self.shared, &self.request.service, extra)
-            else {
-                return failed.ok_or_else(|| self.final_refusal(Reason::Budget));
-            };
             payment.spend();
             self.calls += 1;
             let last = !self.is_repeatable() || self.runs + 1 >= self.request.route.max_attempts;
@@ -194,13 +200,22 @@
         self.request.refusal(self.shared, reason)
     }
 
-    fn choose(&self) -> Option<placement::Plain> {
+    /// Chooses a runner other than `current` for the next call, and reserves the call in the retry
+    /// budget if it is `extra`.
+    fn plan(&self, extra: bool, current: Option<&RunnerId>) -> Result<NextCall, Reason> {
+        let choice = self.choose(current).ok_or(Reason::NoRunner)?;
+        let payment = Payment::reserve(self.shared, &self.request.service, usize::from(extra));
+        Ok(NextCall { choice, payment: payment.ok_or(Reason::Budget)? })
+    }
+
+    fn choose(&self, current: Option<&RunnerId>) -> Option<placement::Plain> {
+        let skip: SmallVec<[RunnerId; 4]> = self.tried.iter().chain(current).cloned().collect();
         let criteria = Criteria {
             service: &self.request.service,
             pool: None,
             class: Class::of_rank(self.request.route.rank),
             data_centre: &self.shared.me.data_centre,
-            skip: &self.tried,
+            skip: &skip,
             continues: false,
             now: self.shared.clock.now(),
         };
@@ -236,14 +251,32 @@
         );
         let objective = request.route.objective;
         let runner_timeout = Duration::from_secs_f64(mean * TIMEOUT_FACTOR).max(objective / 2);
-        let limit = if last { left } else { left.min(runner_timeout) };
+        let mut limit = if last { left } else { left.min(runner_timeout) };
         // From here on the request may run.
         self.runs += 1;
-        let target = reservation.target(address);
-        let sent = self.shared.dispatcher.send(target, &request.id, outgoing);
-        match timeout(limit, async { self.read_response(id, &reservation, sent.await?).await })
-            .await
-        {
+        let (result, next) = {
+            let target = reservation.target(address);
+            let sent = self.shared.dispatcher.send(target, &request.id, outgoing);
+            let response = async { self.read_response(id, &reservation, sent.await?).await };
+            let mut response = std::pin::pin!(response);
+            // A runner that does not answer in time is given up only for another one that can be
+            // called: its response may still come.
+            loop {
+                let result = timeout(limit, &mut response).await;
+                let left = request.time_left(self.shared.clock.now());
+                if result.is_ok() || last || left.is_zero() {
+                    break (result, None);
+                }
+                if self.calls < MAX_CALLS
+                    && let Ok(next) = self.plan(true, Some(id))
+                {
+                    break (result, Some(next));
+                }
+                limit = left.min(runner_timeout);
+            }
+        };
+        self.next = next;
+        match result {
             Ok(Ok(result)) => {
                 let outcome = match &result {
                     CallResult::Complete(head, _) if head.status.is_server_error() => {
@@ -290,7 +323,7 @@
                 reservation.conclude(Outcome::Broken);
                 log::info!(
                     request:% = request.id, runner:% = id, address:% = address,
-                    waited_ms = limit.as_millis() as u64; "call without an answer"
+                    waited_ms = reservation.held().as_millis() as u64; "call without an answer"
                 );
                 CallResult::TimedOut
             }
--- a/node/tests/handover.rs
+++ b/node/tests/handover.rs
@@ -201,3 +201,35 @@
         assert_eq!(runner.health.failure_rate(), 0.0, "{} has failed", runner.entry.id);
     }
 }
+
+/// Guards against a plain request that is given up at a slow runner although no other call follows.
+#[tokio::test]
+async fn slow_plain_request_without_next_call_answered() {
+    for (runners, calls) in [(2, 0), (1, 4)] {
+        let set = Deployment::new().await.with_budget(budget(calls)).with_plain(runners).await;
+        let set = set.with_nodes(1).await;
+        sleep(WINDOW * 2).await;
+        let response_delay = Duration::from_millis(900);
+        set_faults(&set.runners, Faults { response_delay, ..Faults::default() });
+        let reply = set.send_default("/board/a", "r1").await;
+        assert_eq!(reply.text(), "answer to r1", "{runners} runners, {calls} extra calls");
+        assert_eq!(set.run_count("r1"), 1);
+    }
+}
+
+/// Guards against a plain request that waits for a slow runner although another can answer it.
+#[tokio::test]
+async fn slow_plain_request_moved() {
+    let set = Deployment::new().await.with_budget(budget(4)).with_plain(2).await;
+    let set = set.with_nodes(1).await;
+    sleep(WINDOW * 2).await;
+    set_faults(&set.runners, Faults { hang: true, ..Faults::default() });
+    let front = set.front(0);
+    let task = tokio::spawn(async move {
+        Caller::default().send(front, &RequestSpec::new("/board/a", "r1")).await
+    });
+    first_runner(&set, "r1").await;
+    let reply = task.await.expect("the caller does not panic");
+    assert_eq!(reply.text(), "answer to r1");
+    assert!(reply.elapsed < Duration::from_secs(1), "it took {:?}", reply.elapsed);
+}
