--- a/testutils/src/fleet/soak.rs
+++ b/testutils/src/fleet/soak.rs
@@ -236,7 +236,8 @@
             7 => self.store.compact(),
             8 => self.store.drop_responses(3),
             9 | 10 => {
-                self.runners[runner].0.set_faults(random_faults(rng));
+                let stall = stall_for_turn(self.signals);
+                self.runners[runner].0.set_faults(Faults { stall, ..random_faults(rng) });
                 self.runners[runner].0.set_signals(signals_for_turn(self.signals));
                 self.signals += 1;
             }
@@ -335,6 +336,14 @@
     }
 }
 
+/// The pause in the streams of a runner that falls silent and goes on, for one in three turns, so
+/// that a stream is taken over or not. It draws no random number, so that the fault sequence of a
+/// seed stays the same.
+fn stall_for_turn(turn: u64) -> Option<(u64, Duration)> {
+    let pause = Duration::from_millis(if turn.is_multiple_of(2) { 1_300 } else { 2_600 });
+    turn.is_multiple_of(3).then_some((STREAM_EVENTS / 2, pause))
+}
+
 /// The signals for a runner, each kind in turn. It draws no random number, so that the fault
 /// sequence of a seed stays the same.
 fn signals_for_turn(turn: u64) -> Signals {
