generation: a superseded attempt says nothing of its runner

A prefill that was cancelled after half a second, because the attempt that it was to succeed had gone on, counted as a failure of its runner: the loop that the handover is to end, by another way. Found by reading; attempts that another one has made unnecessary are marked, and their reservations draw no conclusion. prefill_runner_of_unneeded_successor_stays_in_use guards it; it was not run on the code before.

--- a/node/src/serve/generation/admit.rs
+++ b/node/src/serve/generation/admit.rs
@@ -16,6 +16,7 @@
 use super::{Generation, MIN_TIME_LEFT, StopCause, millis};
 use crate::serve::payment::Payment;
 use crate::serve::quarantine::{self, Admission};
+use crate::serve::reservation::Superseded;
 use crate::serve::response::Refusal;
 use crate::serve::scheduler as scheduling;
 
@@ -79,10 +80,11 @@
     }
 
     /// Places the request, and reserves its calls in the retry budget.
-    pub(super) async fn place(self: Arc<Self>) -> Result<Placed, Failure> {
+    pub(super) async fn place(self: Arc<Self>, superseded: Superseded) -> Result<Placed, Failure> {
         self.check_quarantine().await?;
         let (placement, class) = self.admit().await?;
-        let placed = self.pay(placement, class)?;
+        let (placement, class, payment) = self.pay(placement, class)?;
+        let placed = Placed { placement, class, payment, superseded };
         let placement = &placed.placement;
         let (plan, calls) = {
             let mut attempts = self.attempts();
@@ -108,13 +110,17 @@
 
     /// Reserves all calls of a placement in the retry budget, so that a prompt is not prefilled for
     /// a run that cannot be paid for. If the budget has fewer, a plan of a single call is used.
-    fn pay(&self, placement: Placement, class: Class) -> Result<Placed, Failure> {
+    fn pay(
+        &self,
+        placement: Placement,
+        class: Class,
+    ) -> Result<(Placement, Class, Payment), Failure> {
         let reserve = |plan: &Plan| {
             let calls = self.attempts().extra_arrivals(plan);
             Payment::reserve(&self.shared, &self.request.service, calls)
         };
         if let Some(payment) = reserve(&placement.plan) {
-            return Ok(Placed { placement, class, payment });
+            return Ok((placement, class, payment));
         }
         let out_of_budget =
             || Failure::Stopped(self.final_refusal(Reason::Budget), StopCause::Budget);
@@ -126,7 +132,7 @@
         match scheduling::decide_single_call(&self.shared, &query, &engine) {
             Decision::Placed { placement, class } => {
                 let payment = reserve(&placement.plan).ok_or_else(out_of_budget)?;
-                Ok(Placed { placement, class, payment })
+                Ok((placement, class, payment))
             }
             Decision::Continue(_)
             | Decision::Late(_)
--- a/node/src/serve/generation/attempt.rs
+++ b/node/src/serve/generation/attempt.rs
@@ -18,6 +18,7 @@
 use super::{Generation, StopCause};
 use crate::limit::Permit;
 use crate::serve::payment::Payment;
+use crate::serve::reservation::Superseded;
 use crate::serve::response::Refusal;
 
 type Work<T> = Pin<Box<dyn Future<Output = Result<T, Failure>> + Send>>;
@@ -42,6 +43,7 @@
     pub placement: Placement,
     pub class: Class,
     pub payment: Payment,
+    pub superseded: Superseded,
 }
 
 /// An attempt that is ready to be sent to the runner that runs it.
@@ -97,15 +99,17 @@
     pub runner: Option<RunnerId>,
     /// How long it may be silent in its stage.
     pub silence: Duration,
+    superseded: Superseded,
 }
 
 impl Attempt {
     /// Starts an attempt by placing the request.
     pub fn place(generation: &Arc<Generation>) -> Self {
-        let state = State::Placing(Box::pin(generation.clone().place()));
+        let superseded = Superseded::default();
+        let state = State::Placing(Box::pin(generation.clone().place(superseded.clone())));
         // Placement has timeouts of its own.
         let silence = generation.time_left();
-        Self { generation: generation.clone(), state, runner: None, silence }
+        Self { generation: generation.clone(), state, runner: None, silence, superseded }
     }
 
     /// Starts the prefill of a placed attempt; one that needs none is ready at once.
@@ -139,6 +143,11 @@
         self.state = State::Sent(Box::pin(self.generation.clone().start(prepared)));
     }
 
+    /// Records that another attempt has made this one unnecessary, before it is dropped.
+    pub fn supersede(&self) {
+        self.superseded.set();
+    }
+
     /// The stage that it is in.
     pub fn stage(&self) -> Stage {
         match self.state {
--- a/node/src/serve/generation/prefill.rs
+++ b/node/src/serve/generation/prefill.rs
@@ -71,13 +71,14 @@
         placed: &mut Placed,
     ) -> Result<Option<KvHandle>, Failure> {
         self.check_not_quarantined()?;
-        let Placed { placement, class, payment } = placed;
+        let Placed { placement, class, payment, superseded } = placed;
         let cost = WorkCost {
             class: *class,
             prefill_tokens: placement.prefill_tokens,
             footprint: self.work.prompt,
         };
-        let mut reservation = Reservation::new(&self.shared, id, Step::Prefill, cost);
+        let mut reservation =
+            Reservation::new(&self.shared, id, Step::Prefill, cost).part_of(superseded);
         self.attempts().calls += 1;
         let Some(address) = self.address(id) else { return Ok(None) };
         let fetch = placement.fetch.as_ref().and_then(|source| self.address(source));
--- a/node/src/serve/generation/run.rs
+++ b/node/src/serve/generation/run.rs
@@ -90,7 +90,8 @@
             prefill_tokens: if is_whole { placed.placement.prefill_tokens } else { 0 },
             footprint: self.work.footprint(),
         };
-        let mut reservation = Reservation::new(&self.shared, id, Step::Run, cost);
+        let mut reservation =
+            Reservation::new(&self.shared, id, Step::Run, cost).part_of(&placed.superseded);
         self.attempts().calls += 1;
         let Some(address) = self.address(id) else { return Err(Failure::NotRun) };
         let fetch = placed.placement.fetch.as_ref().filter(|_| is_whole);
--- a/node/src/serve/generation/task.rs
+++ b/node/src/serve/generation/task.rs
@@ -127,10 +127,7 @@
         let may_move = self.may_move();
         match self.handover.poll(self.generation.now(), may_move) {
             Action::Prepare => self.prepare_successor(),
-            Action::Drop => {
-                self.note_move("stayed");
-                self.successor = None;
-            }
+            Action::Drop => self.drop_successor("stayed"),
             Action::Promote => self.promote(),
             Action::None | Action::Send => {}
         }
@@ -198,6 +195,9 @@
             silent_ms = now.saturating_duration_since(self.handover.heard()).as_millis() as u64,
             events = self.generation.attempts().events; "request moved"
         );
+        if self.move_cause == Some(MoveCause::Silent) {
+            self.current.supersede();
+        }
         self.note_move("moved");
         if self.current.stage() != Stage::Preparing {
             self.generation.attempts().has_broken = true;
@@ -207,6 +207,14 @@
         self.current = successor;
     }
 
+    /// Gives up the successor, which is not needed or too slow.
+    fn drop_successor(&mut self, outcome: &'static str) {
+        self.note_move(outcome);
+        if let Some(successor) = self.successor.take() {
+            successor.supersede();
+        }
+    }
+
     /// Counts the end of a move, or of an attempt to move.
     fn note_move(&mut self, outcome: &'static str) {
         if let Some(cause) = self.move_cause.take() {
@@ -223,8 +231,7 @@
     fn note_advanced(&mut self) {
         let (stage, silence) = (self.current.stage(), self.current.silence);
         if self.handover.note_advanced(stage, silence, self.generation.now()) {
-            self.note_move("stayed");
-            self.successor = None;
+            self.drop_successor("stayed");
         }
     }
 
@@ -376,10 +383,7 @@
                     self.promote();
                 }
             }
-            Action::Drop | Action::None | Action::Prepare => {
-                self.note_move("too_slow");
-                self.successor = None;
-            }
+            Action::Drop | Action::None | Action::Prepare => self.drop_successor("too_slow"),
         }
     }
 
--- a/node/src/serve/reservation.rs
+++ b/node/src/serve/reservation.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use sardinepick_lib::fleet::health::Outcome;
@@ -49,6 +50,24 @@
     /// The predicted time to the result, in seconds, and its placement, until something is learned
     /// from it.
     expected: Option<(Placement, f64)>,
+    /// Whether another attempt has made the work unnecessary.
+    superseded: Superseded,
+}
+
+/// Whether an attempt is cancelled because another one has made it unnecessary, which says nothing
+/// of its runners. Shared by the attempt and its reservations.
+#[derive(Clone, Debug, Default)]
+pub struct Superseded(Arc<AtomicBool>);
+
+impl Superseded {
+    /// Records that the attempt is unnecessary.
+    pub fn set(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    fn is_set(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
 }
 
 impl Reservation {
@@ -69,6 +88,7 @@
             prefilled: false,
             concluded: false,
             expected: None,
+            superseded: Superseded::default(),
         }
     }
 
@@ -118,6 +138,12 @@
         }
     }
 
+    /// Sets the flag of the attempt that the work is part of.
+    pub fn part_of(mut self, superseded: &Superseded) -> Self {
+        self.superseded = superseded.clone();
+        self
+    }
+
     /// Sets the time after which a result is predicted, in seconds.
     pub fn expect(&mut self, placement: &Placement, predicted: f64) {
         self.expected = Some((placement.clone(), predicted));
@@ -174,7 +200,8 @@
         }
         let alive_since = self.with_runner(|runner| runner.health.last_seen()).flatten();
         let silent = alive_since.is_none_or(|at| at < self.began);
-        if !self.concluded && silent && self.held() >= ABANDONED_FAILURE_AFTER {
+        let abandoned = !self.concluded && !self.superseded.is_set();
+        if abandoned && silent && self.held() >= ABANDONED_FAILURE_AFTER {
             self.conclude(Outcome::Broken);
         }
     }
--- a/node/tests/handover.rs
+++ b/node/tests/handover.rs
@@ -233,3 +233,21 @@
     assert_eq!(reply.text(), "answer to r1");
     assert!(reply.elapsed < Duration::from_secs(1), "it took {:?}", reply.elapsed);
 }
+
+/// Guards against a sound prefill runner that is treated as broken because its work was no longer
+/// needed.
+#[tokio::test]
+async fn prefill_runner_of_unneeded_successor_stays_in_use() {
+    let set = deployment(1, 2, 4).await;
+    set_faults(&set.runners[1..], stall(Duration::from_millis(2_000)));
+    let task = request(&set, "r1");
+    first_runner(&set, "r1").await;
+    let response_delay = Duration::from_millis(2_500);
+    set.runners[0].set_faults(Faults { response_delay, ..Faults::default() });
+    assert_whole(&task.await.expect("the caller does not panic"));
+    wait_until("the prefill is cancelled", async || set.runners[0].running() == 0).await;
+    let register = set.nodes[0].shared.register();
+    for runner in register.runners() {
+        assert_eq!(runner.health.failure_rate(), 0.0, "{} has failed", runner.entry.id);
+    }
+}
