handover: keep a lost attempt until its successor runs

The run is now kept while the successor is sent, as for any other silent run, and is given up when both have been silent for the overlap. The model has runners that reject runs, and no exemption for attempts that count as lost when the successor is sent; it fails on the code before.

--- a/lib/src/fleet/handover.rs
+++ b/lib/src/fleet/handover.rs
@@ -158,10 +158,11 @@
     /// Records that the successor is ready to be sent, and that its first event is expected
     /// `expected` later. [`Action::Drop`] means that it would take longer than both may run.
     pub fn note_prepared(&mut self, expected: Duration, now: Instant) -> Action {
-        if self.stage == Stage::Preparing || self.counts_as_lost(now) {
+        if self.stage == Stage::Preparing {
             return Action::Promote;
         }
-        if expected > MAX_OVERLAP {
+        // A lost attempt is kept too until the successor runs, as its runner may reject it.
+        if expected > MAX_OVERLAP && !self.counts_as_lost(now) {
             self.note_no_successor(now);
             return Action::Drop;
         }
--- a/lib/tests/handover_model.rs
+++ b/lib/tests/handover_model.rs
@@ -51,6 +51,8 @@
     /// When each event is sent; `None` if it never is.
     times: [Option<u64>; EVENTS],
     breaks_at: Option<u64>,
+    /// Whether the runner rejects it on arrival.
+    is_rejected: bool,
     /// Whether the runner answers health checks.
     answers: bool,
 }
@@ -72,7 +74,9 @@
             at += rng.random_range(20..120);
         }
         let answers = stall.is_some() || stalls_at.is_none() || rng.random_bool(0.3);
-        Self { sent_at: now, next, times, breaks_at, answers }
+        let is_rejected = rng.random_bool(0.2);
+        let breaks_at = if is_rejected { Some(now + TICK) } else { breaks_at };
+        Self { sent_at: now, next, times, breaks_at, is_rejected, answers }
     }
 
     fn due(&self, now: u64) -> bool {
@@ -289,6 +293,7 @@
             }
             Attempt::Running(mut run) => {
                 if run.is_broken(now) {
+                    self.note_rejected(number, &run);
                     return self.restart(number, now);
                 }
                 let request = &mut self.requests[number];
@@ -334,17 +339,15 @@
                 }
                 let run = self.send(number, calls, expected, now);
                 if action == Action::Promote {
-                    let silent = now.saturating_sub(self.last_heard(number, now));
                     let current = self.requests[number].current.take();
-                    if silent < PROBED {
-                        self.give_up(number, current);
-                    }
+                    self.give_up(number, current);
                     let run = run.expect("its calls are reserved");
                     return self.promote(number, run, now);
                 }
                 self.requests[number].successor = run;
             }
             Attempt::Running(run) if run.is_broken(now) => {
+                self.note_rejected(number, &run);
                 self.requests[number].handover.note_no_successor(at);
             }
             Attempt::Running(run) if run.due(now) => {
@@ -354,6 +357,11 @@
         }
     }
 
+    /// A run that its runner has rejected is not one.
+    fn note_rejected(&mut self, number: usize, run: &Run) {
+        self.requests[number].runs -= usize::from(run.is_rejected);
+    }
+
     /// When the current run of a request was last heard of.
     fn last_heard(&self, number: usize, now: u64) -> u64 {
         match &self.requests[number].current {
