testutils: a caller that writes its own bytes, and runners that fall silent

Faults of kept connections show only to a caller that decides how its bytes are split and sees whether a connection was closed or reset before a response was complete; the hyper client hides both. RawCaller does that. A runner can fall silent on all of its connections for a time and go on, and can pad responses and events beyond the buffers of a connection. node_settings is public for tests of one process.

--- a/testutils/src/fleet/mod.rs
+++ b/testutils/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 pub mod platform;
 pub mod proxy;
 pub mod rate_limit;
+pub mod raw_caller;
 pub mod runner;
 pub mod signal;
 pub mod soak;
--- a/testutils/src/fleet/runner/event.rs
+++ b/testutils/src/fleet/runner/event.rs
@@ -16,7 +16,11 @@
 
 /// The encoding of one event.
 pub fn event(id: u64) -> String {
-    format!("id: {id}\ndata: token {id}\n\n")
+    padded_event(id, 0)
+}
+
+fn padded_event(id: u64, padding: usize) -> String {
+    format!("id: {id}\ndata: token {id}{}\n\n", "x".repeat(padding))
 }
 
 /// A stream of the events from `first` to `last`. `running` counts it as in flight until it ends.
@@ -34,12 +38,13 @@
         if let Some((_, pause)) = faults.stall.filter(|(event, _)| *event == next) {
             sleep(pause).await;
         }
+        running.wait_while_silent().await;
         if faults.abort_after.is_some_and(|after| next > after) {
             // A part of the event is sent before the connection is aborted.
-            let part = Bytes::from(event(next)).slice(..6);
+            let part = Bytes::from(padded_event(next, faults.padding)).slice(..6);
             return Some((Ok(Frame::data(part)), (ABORT, running)));
         }
-        let frame = Frame::data(Bytes::from(event(next)));
+        let frame = Frame::data(Bytes::from(padded_event(next, faults.padding)));
         Some((Ok(frame), (next + 1, running)))
     };
     let stream = stream::unfold((first, running), step);
--- a/testutils/src/fleet/runner/mod.rs
+++ b/testutils/src/fleet/runner/mod.rs
@@ -9,7 +9,7 @@
 use http::HeaderMap;
 use serde_json::{Value, json};
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 use self::work::{Handler, handle};
 use crate::fleet::signal::Signals;
@@ -44,6 +44,8 @@
     pub stall: Option<(u64, Duration)>,
     /// Carries out orders, but aborts the connection before it answers them.
     pub drop_order_response: bool,
+    /// The number of bytes added to a plain response, and to each event of a stream.
+    pub padding: usize,
 }
 
 /// A request as a runner received it.
@@ -96,6 +98,8 @@
     crash_body: Option<Bytes>,
     /// Notified when it starts to run that request.
     crash_triggered: Arc<Notify>,
+    /// Until when it neither reads nor sends anything.
+    silent_until: Option<Instant>,
 }
 
 /// The start time of a runner's first instance.
@@ -131,6 +135,17 @@
     inner.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Waits while the runner is silent.
+async fn wait_while_silent(inner: &Mutex<Inner>) {
+    loop {
+        let until = lock(inner).silent_until;
+        match until {
+            Some(until) if until > Instant::now() => sleep_until(until).await,
+            Some(_) | None => return,
+        }
+    }
+}
+
 impl Runner {
     /// Starts a runner and writes its entry.
     ///
@@ -239,6 +254,12 @@
         lock(&self.inner).faults = faults;
     }
 
+    /// Handles nothing and sends nothing for a time, as a process that is suspended, and then goes on.
+    /// Connections stay open.
+    pub fn fall_silent(&self, duration: Duration) {
+        lock(&self.inner).silent_until = Some(Instant::now() + duration);
+    }
+
     /// Replaces the signals that all responses carry.
     pub fn set_signals(&self, signals: Signals) {
         lock(&self.inner).signals = signals;
--- a/testutils/src/fleet/runner/work.rs
+++ b/testutils/src/fleet/runner/work.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::event::events;
-use super::{Inner, Kind, Order, ReceivedRequest, lock};
+use super::{Inner, Kind, Order, ReceivedRequest, lock, wait_while_silent};
 use crate::server::{Aborted, Body, full_body, json_response, read_body, text_response};
 
 /// The request handler of a runner.
@@ -31,7 +31,10 @@
     handler: Arc<Handler>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Aborted> {
-    let mut response = respond(handler.clone(), request).await?;
+    wait_while_silent(&handler.inner).await;
+    let response = respond(handler.clone(), request).await;
+    wait_while_silent(&handler.inner).await;
+    let mut response = response?;
     lock(&handler.inner).signals.add_to(&mut response);
     Ok(response)
 }
@@ -85,6 +88,11 @@
         lock(inner).running += 1;
         Self(inner.clone())
     }
+
+    /// Waits while the runner is silent.
+    pub(super) async fn wait_while_silent(&self) {
+        wait_while_silent(&self.0).await;
+    }
 }
 
 impl Drop for Running {
@@ -210,7 +218,7 @@
             response.headers_mut().insert(header::CONTENT_TYPE, kind);
             response
         } else {
-            Response::new(full_body(format!("answer to {id}")))
+            Response::new(full_body(format!("answer to {id}{}", "x".repeat(faults.padding))))
         };
         self.sign(&mut response, signed_id);
         Ok(response)
--- a/testutils/src/fleet/soak.rs
+++ b/testutils/src/fleet/soak.rs
@@ -130,7 +130,9 @@
     replies: Mutex<Vec<(String, &'static str, Reply)>>,
 }
 
-pub(super) fn node_settings(
+/// The settings file of a node at these addresses: for callers, readiness checks, look-ups, other nodes
+/// and metrics.
+pub fn node_settings(
     name: &str,
     addresses: &[SocketAddr; 5],
     store: SocketAddr,
