--- /dev/null
+++ b/node/tests/kept_connections.rs
@@ -0,0 +1,158 @@
+//! Connections that callers keep: each request that the node has read ends in a complete response.
+
+use std::time::Duration;
+
+use sardinepick_testutils::cluster::wait_until;
+use sardinepick_testutils::fleet::deployment::{Deployment, configuration};
+use sardinepick_testutils::fleet::raw_caller::{RawCaller, RawReply, RawRequest};
+use sardinepick_testutils::fleet::runner::{Faults, Runner};
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+/// Longer than any request of these tests takes.
+const LIMIT: Duration = Duration::from_secs(10);
+/// A body that does not fit into one segment.
+const LONG_BODY: &[u8] = &[b'x'; 40_000];
+const PIECES: usize = 4;
+const PIECE_PAUSE: Duration = Duration::from_millis(30);
+
+/// The default configuration with these timeouts of callers' connections, in milliseconds.
+fn with_timeouts(version: u64, idle: u64, head: u64) -> Value {
+    let mut config = configuration(version);
+    config["limits"]["idleTimeoutMs"] = json!(idle);
+    config["limits"]["headerTimeoutMs"] = json!(head);
+    config
+}
+
+/// One node with this configuration, and two plain runners.
+async fn deployment(config: &Value) -> Deployment {
+    let set = Deployment::new().await.with_plain(2).await;
+    set.store.put("config", "main", config);
+    let set = set.with_nodes(1).await;
+    wait_in_force(&set, config).await;
+    set
+}
+
+async fn wait_in_force(set: &Deployment, config: &Value) {
+    let version = config["version"].as_u64().expect("a version");
+    wait_until("the configuration is in force", async || {
+        set.nodes.iter().all(|node| node.shared.status().version.0 >= version)
+    })
+    .await;
+}
+
+async fn apply(set: &Deployment, config: &Value) {
+    set.store.put("config", "main", config);
+    wait_in_force(set, config).await;
+}
+
+/// A caller whose connection has carried one request.
+async fn kept_caller(set: &Deployment) -> RawCaller {
+    let mut caller = RawCaller::connect(set.front(0)).await;
+    let reply = caller.send(&RawRequest::new("/board/a", "first"), LIMIT).await;
+    assert_answered(&reply, "first");
+    caller
+}
+
+fn assert_answered(reply: &RawReply, id: &str) {
+    assert!(reply.is_complete(), "{id}: {:?} after {:?}", reply.end, reply.text());
+    assert_eq!((reply.status, reply.text()), (200, format!("answer to {id}")));
+}
+
+/// Guards against a long body in pieces that is not passed on.
+#[tokio::test]
+async fn long_body_in_pieces_answered() {
+    let set = deployment(&configuration(1)).await;
+    let mut caller = kept_caller(&set).await;
+    let request = RawRequest { body: LONG_BODY, ..RawRequest::new("/eggs/a", "r1") };
+    assert!(caller.write_pieces(&request.bytes(), PIECES, PIECE_PAUSE).await);
+    assert_answered(&caller.read_reply(LIMIT).await, "r1");
+    assert_answered(&caller.send(&RawRequest::new("/board/a", "r2"), LIMIT).await, "r2");
+}
+
+/// Guards against a request in progress that is cut by a lowered idle timeout.
+#[tokio::test]
+async fn request_in_progress_not_cut_by_lowered_timeout() {
+    let set = deployment(&with_timeouts(1, 20_000, 1_000)).await;
+    let mut caller = kept_caller(&set).await;
+    let faults = Faults { response_delay: Duration::from_secs(2), ..Faults::default() };
+    set.runners.iter().for_each(|runner| runner.set_faults(faults));
+    assert!(caller.write(&RawRequest::new("/eggs/a", "r1").bytes()).await);
+    sleep(Duration::from_millis(100)).await;
+    apply(&set, &with_timeouts(2, 500, 500)).await;
+    assert_answered(&caller.read_reply(LIMIT).await, "r1");
+}
+
+/// Guards against a request whose head arrives in two pieces and is cut by a lowered idle timeout.
+#[tokio::test]
+async fn half_read_head_not_cut_by_lowered_timeout() {
+    let set = deployment(&with_timeouts(1, 20_000, 3_000)).await;
+    let mut caller = kept_caller(&set).await;
+    let bytes = RawRequest::new("/eggs/a", "r1").bytes();
+    let (begin, rest) = bytes.split_at(40);
+    assert!(caller.write(begin).await);
+    sleep(Duration::from_millis(100)).await;
+    apply(&set, &with_timeouts(2, 500, 3_000)).await;
+    sleep(Duration::from_millis(1_200)).await;
+    assert!(caller.write(rest).await);
+    assert_answered(&caller.read_reply(LIMIT).await, "r1");
+}
+
+/// Guards against a request that is lost because the idle timeout expires while its body arrives.
+#[tokio::test]
+async fn body_begun_before_idle_timeout_answered() {
+    let set = deployment(&with_timeouts(1, 1_000, 500)).await;
+    let mut caller = kept_caller(&set).await;
+    let request = RawRequest { body: LONG_BODY, ..RawRequest::new("/eggs/a", "r1") };
+    sleep(Duration::from_millis(800)).await;
+    let pause = Duration::from_millis(250);
+    assert!(caller.write_pieces(&request.bytes(), PIECES, pause).await);
+    assert_answered(&caller.read_reply(LIMIT).await, "r1");
+}
+
+/// Guards against a request that goes on although its caller has closed its half of the connection,
+/// which is how callers give up.
+#[tokio::test]
+async fn request_of_half_closed_connection_cancelled() {
+    let set = deployment(&configuration(1)).await;
+    let mut caller = kept_caller(&set).await;
+    let faults = Faults { response_delay: Duration::from_secs(2), ..Faults::default() };
+    set.runners.iter().for_each(|runner| runner.set_faults(faults));
+    assert!(caller.write(&RawRequest::new("/board/a", "r1").bytes()).await);
+    let running = || set.runners.iter().map(Runner::running).sum::<u64>();
+    wait_until("the request is at a runner", async || running() == 1).await;
+    caller.close_write().await;
+    assert!(caller.wait_closed(Duration::from_secs(1)).await);
+    wait_until("the request is cancelled", async || running() == 0).await;
+}
+
+/// Guards against pipelined requests that are answered out of order or not at all.
+#[tokio::test]
+async fn pipelined_requests_answered_in_order() {
+    let set = deployment(&configuration(1)).await;
+    let mut caller = kept_caller(&set).await;
+    let requests = [("/eggs/a", "r1"), ("/gone/a", "r2"), ("/board/a", "r3")];
+    let bytes = requests.map(|(path, id)| RawRequest::new(path, id).bytes()).concat();
+    assert!(caller.write(&bytes).await);
+    assert_answered(&caller.read_reply(LIMIT).await, "r1");
+    let refusal = caller.read_reply(LIMIT).await;
+    assert_eq!((refusal.status, refusal.is_complete()), (404, true));
+    assert_answered(&caller.read_reply(LIMIT).await, "r3");
+}
+
+/// Guards against a pipelined request that is lost because the configuration changes while the one
+/// before it is in progress.
+#[tokio::test]
+async fn pipelined_request_answered_after_change() {
+    let set = deployment(&with_timeouts(1, 3_000, 1_000)).await;
+    let mut caller = kept_caller(&set).await;
+    let faults = Faults { response_delay: Duration::from_millis(800), ..Faults::default() };
+    set.runners.iter().for_each(|runner| runner.set_faults(faults));
+    let requests = [("/eggs/a", "r1"), ("/board/a", "r2")];
+    let bytes = requests.map(|(path, id)| RawRequest::new(path, id).bytes()).concat();
+    assert!(caller.write(&bytes).await);
+    sleep(Duration::from_millis(100)).await;
+    apply(&set, &with_timeouts(2, 500, 500)).await;
+    assert_answered(&caller.read_reply(LIMIT).await, "r1");
+    assert_answered(&caller.read_reply(LIMIT).await, "r2");
+}
--- /dev/null
+++ b/node/tests/stop_connections.rs
@@ -0,0 +1,94 @@
+//! Callers' connections while a node process stops: what it has read or handled is still delivered.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use sardinepick_testutils::cluster::{free_address, own_ip, wait_until};
+use sardinepick_testutils::fleet::deployment::Deployment;
+use sardinepick_testutils::fleet::raw_caller::{RawCaller, RawReply, RawRequest};
+use sardinepick_testutils::fleet::runner::Faults;
+use sardinepick_testutils::fleet::soak::node_settings;
+use sardinepick_testutils::process::Daemon;
+use tokio::time::sleep;
+
+/// The grace period in the settings of the node.
+const GRACE: Duration = Duration::from_secs(4);
+/// When a stopping node has closed its idle connections, with half of the grace period left.
+const AFTER_CLOSE: Duration = Duration::from_millis(2_000);
+
+/// One node as a process.
+struct Process {
+    daemon: Daemon,
+    front: SocketAddr,
+}
+
+impl Process {
+    async fn start(set: &Deployment) -> Self {
+        let addresses = [(); 5].map(|()| free_address(own_ip()));
+        let ini = node_settings("edge-0", &addresses, set.store.address(), &[]);
+        let daemon = Daemon::serve(Path::new(env!("CARGO_BIN_EXE_sardinepickd")), &ini);
+        let front = addresses[0];
+        let request = RawRequest { headers: &[KEY], ..RawRequest::new("/board/a", "ready") };
+        wait_until("the node serves requests", async || {
+            if tokio::net::TcpStream::connect(front).await.is_err() {
+                return false;
+            }
+            RawCaller::connect(front).await.send(&request, GRACE).await.status == 200
+        })
+        .await;
+        Self { daemon, front }
+    }
+}
+
+const KEY: (&str, &str) = ("credential", "key-1");
+
+async fn deployment() -> Deployment {
+    Deployment::new().await.with_plain(2).await
+}
+
+fn assert_answered(reply: &RawReply, id: &str) {
+    assert!(reply.is_complete(), "{id}: {:?} with status {}", reply.end, reply.status);
+    assert_eq!((reply.status, reply.text()), (200, format!("answer to {id}")));
+}
+
+/// Guards against requests that are cut while a runner works on them.
+#[tokio::test]
+async fn stop_waits_for_runner() {
+    let set = deployment().await;
+    let node = Process::start(&set).await;
+    let faults = Faults { response_delay: AFTER_CLOSE, ..Faults::default() };
+    set.runners.iter().for_each(|runner| runner.set_faults(faults));
+    let mut caller = RawCaller::connect(node.front).await;
+    assert!(caller.write(&RawRequest::new("/eggs/a", "r1").bytes()).await);
+    sleep(Duration::from_millis(200)).await;
+    node.daemon.terminate();
+    assert_answered(&caller.read_reply(GRACE).await, "r1");
+}
+
+/// Guards against requests of kept connections that a stopping node closes without saying so.
+#[tokio::test]
+async fn kept_connection_served_while_stopping() {
+    let set = deployment().await;
+    let node = Process::start(&set).await;
+    let mut caller = RawCaller::connect(node.front).await;
+    assert_answered(&caller.send(&RawRequest::new("/eggs/a", "r1"), GRACE).await, "r1");
+    node.daemon.terminate();
+    sleep(Duration::from_millis(500)).await;
+    let reply = caller.send(&RawRequest::new("/eggs/a", "r2"), GRACE).await;
+    assert_answered(&reply, "r2");
+    assert!(reply.closes(), "a stopping node says that it closes the connection");
+}
+
+/// Guards against a refusal that the caller has not read when the process exits.
+#[tokio::test]
+async fn refusal_delivered_after_exit() {
+    let set = deployment().await;
+    let mut node = Process::start(&set).await;
+    let mut caller = RawCaller::connect(node.front).await;
+    assert!(caller.write(&RawRequest::new("/gone/a", "r1").bytes()).await);
+    sleep(Duration::from_millis(100)).await;
+    tokio::task::spawn_blocking(move || node.daemon.terminate_and_wait()).await.expect("it ends");
+    let reply = caller.read_reply(GRACE).await;
+    assert_eq!((reply.status, reply.is_complete()), (404, true));
+}
