node tests: refusals of long bodies, which fail

A refusal that is given before the body has been read (404 of a route that a configuration has just removed, 401, 503 without a configuration, 413) does not say `Connection: close`, and the connection is closed while the rest of the body still arrives: hyper tries one read of the body and gives up.

--- a/node/tests/kept_connections.rs
+++ b/node/tests/kept_connections.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use sardinepick_testutils::cluster::wait_until;
-use sardinepick_testutils::fleet::deployment::{Deployment, configuration};
+use sardinepick_testutils::fleet::deployment::{Deployment, configuration, with_accounts};
 use sardinepick_testutils::fleet::raw_caller::{RawCaller, RawReply, RawRequest};
 use sardinepick_testutils::fleet::runner::{Faults, Runner};
 use serde_json::{Value, json};
@@ -59,6 +59,64 @@
     assert_eq!((reply.status, reply.text()), (200, format!("answer to {id}")));
 }
 
+/// Sends a request whose body arrives in pieces, some after its refusal. The caller reads once it has
+/// written all of it, and then sends another request on the connection if that stays open.
+async fn assert_refused_with_long_body(set: &Deployment, request: &RawRequest<'_>, status: u16) {
+    let mut caller = RawCaller::connect(set.front(0)).await;
+    let is_written = caller.write_pieces(&request.bytes(), PIECES, PIECE_PAUSE).await;
+    // Segments that arrive after a close have reset the connection by then.
+    sleep(PIECE_PAUSE).await;
+    let reply = caller.read_reply(LIMIT).await;
+    let (end, got) = (reply.end, reply.status);
+    assert!(is_written, "the connection broke in the body; after that: {end:?} with status {got}");
+    assert!(reply.is_complete(), "{end:?} with status {got}");
+    assert_eq!(reply.status, status);
+    if !reply.closes() {
+        let next = caller.send(&RawRequest { id: "next", ..*request }, LIMIT).await;
+        assert!(next.is_complete(), "the next request: {:?}, {}", next.end, next.status);
+    }
+}
+
+/// Guards against a refusal that is lost because the connection is closed while the rest of the body
+/// of the request still arrives.
+#[tokio::test]
+async fn long_body_for_removed_route_refused() {
+    let set = deployment(&configuration(1)).await;
+    let mut config = configuration(2);
+    let routes = config["routes"].as_array_mut().expect("it has routes");
+    routes.retain(|route| route["name"] != "eggs");
+    apply(&set, &config).await;
+    let request = RawRequest { body: LONG_BODY, ..RawRequest::new("/eggs/a", "r1") };
+    assert_refused_with_long_body(&set, &request, 404).await;
+}
+
+/// Guards against a refusal for a missing key that is lost while the body still arrives.
+#[tokio::test]
+async fn long_body_without_key_refused() {
+    let set = deployment(&with_accounts(1, &[("kitchen", &["key-1"], None)])).await;
+    let request = RawRequest { body: LONG_BODY, ..RawRequest::new("/board/a", "r1") };
+    assert_refused_with_long_body(&set, &request, 401).await;
+}
+
+/// Guards against a refusal of a starting node that is lost while the body still arrives.
+#[tokio::test]
+async fn long_body_without_configuration_refused() {
+    let mut set = Deployment::new().await.with_plain(1).await;
+    set.store.remove("config", "main");
+    set.add_node("edge-0", Vec::new()).await;
+    let request = RawRequest { body: LONG_BODY, ..RawRequest::new("/board/a", "r1") };
+    assert_refused_with_long_body(&set, &request, 503).await;
+}
+
+/// Guards against a refusal for its size that is lost while the body still arrives.
+#[tokio::test]
+async fn oversized_body_refused() {
+    let set = deployment(&configuration(1)).await;
+    let body = [b'x'; 100_000];
+    let request = RawRequest { body: &body, ..RawRequest::new("/board/a", "r1") };
+    assert_refused_with_long_body(&set, &request, 413).await;
+}
+
 /// Guards against a long body in pieces that is not passed on.
 #[tokio::test]
 async fn long_body_in_pieces_answered() {
