node tests: raised idle timeout on accepted connections, which fail

A connection keeps the idle timeout of the configuration that was in force when it was accepted, so after a raise it is closed while callers still may use it.

Raised from 1 to 3 s, a connection that is idle for 2.4 s is closed, also if it has carried a request since the raise; one accepted without a configuration is closed after 15 s when 20 s are configured.

--- a/node/tests/kept_connections.rs
+++ b/node/tests/kept_connections.rs
@@ -128,6 +128,45 @@
     assert_answered(&caller.send(&RawRequest::new("/board/a", "r2"), LIMIT).await, "r2");
 }
 
+/// Guards against a kept connection that is closed by the idle timeout of an earlier configuration.
+#[tokio::test]
+async fn idle_connection_kept_for_raised_timeout() {
+    let set = deployment(&with_timeouts(1, 1_000, 1_000)).await;
+    let mut caller = kept_caller(&set).await;
+    apply(&set, &with_timeouts(2, 3_000, 1_000)).await;
+    sleep(Duration::from_millis(2_400)).await;
+    assert_answered(&caller.send(&RawRequest::new("/eggs/a", "r1"), LIMIT).await, "r1");
+}
+
+/// Guards against a kept connection that is closed by an earlier idle timeout although it has
+/// carried requests since that was raised.
+#[tokio::test]
+async fn used_connection_kept_for_raised_timeout() {
+    let set = deployment(&with_timeouts(1, 1_000, 1_000)).await;
+    let mut caller = kept_caller(&set).await;
+    apply(&set, &with_timeouts(2, 3_000, 1_000)).await;
+    assert_answered(&caller.send(&RawRequest::new("/eggs/a", "r1"), LIMIT).await, "r1");
+    sleep(Duration::from_millis(2_400)).await;
+    assert_answered(&caller.send(&RawRequest::new("/eggs/a", "r2"), LIMIT).await, "r2");
+}
+
+/// Guards against a connection that is closed by the default idle timeout because it was accepted
+/// before a configuration was known.
+#[tokio::test]
+async fn connection_accepted_without_configuration_kept() {
+    let mut set = Deployment::new().await.with_plain(1).await;
+    set.store.remove("config", "main");
+    set.add_node("edge-0", Vec::new()).await;
+    let mut caller = RawCaller::connect(set.front(0)).await;
+    let reply = caller.send(&RawRequest::new("/board/a", "first"), LIMIT).await;
+    assert_eq!((reply.status, reply.closes()), (503, false));
+    apply(&set, &with_timeouts(2, 20_000, 3_000)).await;
+    set.wait_ready().await;
+    assert_answered(&caller.send(&RawRequest::new("/board/a", "r1"), LIMIT).await, "r1");
+    sleep(Duration::from_secs(16)).await;
+    assert_answered(&caller.send(&RawRequest::new("/eggs/a", "r2"), LIMIT).await, "r2");
+}
+
 /// Guards against a request in progress that is cut by a lowered idle timeout.
 #[tokio::test]
 async fn request_in_progress_not_cut_by_lowered_timeout() {
