--- a/node/tests/kept_connections.rs
+++ b/node/tests/kept_connections.rs
@@ -15,6 +15,8 @@
 const LONG_BODY: &[u8] = &[b'x'; 40_000];
 const PIECES: usize = 4;
 const PIECE_PAUSE: Duration = Duration::from_millis(30);
+/// How much later than its idle timeout a connection may be closed on a busy machine.
+const CLOSE_DELAY: Duration = Duration::from_millis(800);
 
 /// The default configuration with these timeouts of callers' connections, in milliseconds.
 fn with_timeouts(version: u64, idle: u64, head: u64) -> Value {
@@ -167,6 +169,16 @@
     assert_answered(&caller.send(&RawRequest::new("/eggs/a", "r2"), LIMIT).await, "r2");
 }
 
+/// Guards against an idle connection that outlives a lowered idle timeout.
+#[tokio::test]
+async fn idle_connection_closed_by_lowered_timeout() {
+    let set = deployment(&with_timeouts(1, 20_000, 1_000)).await;
+    let mut caller = kept_caller(&set).await;
+    apply(&set, &with_timeouts(2, 1_500, 1_000)).await;
+    let is_closed = caller.wait_closed(Duration::from_millis(1_500) + CLOSE_DELAY).await;
+    assert!(is_closed, "the connection is still open");
+}
+
 /// Guards against a request in progress that is cut by a lowered idle timeout.
 #[tokio::test]
 async fn request_in_progress_not_cut_by_lowered_timeout() {
