node tests: a head begun before the idle timeout, which fails

The timer for the head of the next request runs from the end of the last response, with the longer of the two timeouts. A head that has begun to arrive before it expires, and is complete soon after, is dropped with the connection.

Measured, debug profile: with an idle timeout of 1.5 s, a head of which 40 bytes are sent after 1.2 s and the rest after 1.7 s gets no response.

--- a/node/tests/kept_connections.rs
+++ b/node/tests/kept_connections.rs
@@ -207,6 +207,21 @@
     assert_answered(&caller.read_reply(LIMIT).await, "r1");
 }
 
+/// Guards against a request that is lost because the idle timeout expires while its head is half
+/// read.
+#[tokio::test]
+async fn head_begun_before_idle_timeout_answered() {
+    let set = deployment(&with_timeouts(1, 1_500, 1_000)).await;
+    let mut caller = kept_caller(&set).await;
+    let bytes = RawRequest::new("/eggs/a", "r1").bytes();
+    let (begin, rest) = bytes.split_at(40);
+    sleep(Duration::from_millis(1_200)).await;
+    assert!(caller.write(begin).await);
+    sleep(Duration::from_millis(500)).await;
+    assert!(caller.write(rest).await);
+    assert_answered(&caller.read_reply(LIMIT).await, "r1");
+}
+
 /// Guards against a request that is lost because the idle timeout expires while its body arrives.
 #[tokio::test]
 async fn body_begun_before_idle_timeout_answered() {
