node tests: responses that a slow caller has not taken at the exit, which fail

A stopping node counts a request as in progress until its handler ends. A large response, or the events of a stream, may still be in the node's buffers then, and the process exits with them about 1.7 s after SIGTERM, with half of the grace period left.

--- a/node/tests/stop_connections.rs
+++ b/node/tests/stop_connections.rs
@@ -7,7 +7,7 @@
 use sardinepick_testutils::cluster::{free_address, own_ip, wait_until};
 use sardinepick_testutils::fleet::deployment::Deployment;
 use sardinepick_testutils::fleet::raw_caller::{RawCaller, RawReply, RawRequest};
-use sardinepick_testutils::fleet::runner::Faults;
+use sardinepick_testutils::fleet::runner::{Faults, Runner};
 use sardinepick_testutils::fleet::soak::node_settings;
 use sardinepick_testutils::process::Daemon;
 use tokio::time::sleep;
@@ -16,6 +16,11 @@
 const GRACE: Duration = Duration::from_secs(4);
 /// When a stopping node has closed its idle connections, with half of the grace period left.
 const AFTER_CLOSE: Duration = Duration::from_millis(2_000);
+/// Larger than the buffers of the kernel for a connection.
+const LARGE: usize = 10 << 20;
+const EVENTS: usize = 12;
+/// The size of a slow caller's receive buffer.
+const RECEIVE_BUFFER_BYTES: u32 = 64 << 10;
 
 /// One node as a process.
 struct Process {
@@ -52,6 +57,11 @@
     assert_eq!((reply.status, reply.text()), (200, format!("answer to {id}")));
 }
 
+async fn wait_run(set: &Deployment, id: &str) {
+    let ran = |runner: &Runner| runner.run_count(id) > 0;
+    wait_until("a runner runs the request", async || set.runners.iter().any(ran)).await;
+}
+
 /// Guards against requests that are cut while a runner works on them.
 #[tokio::test]
 async fn stop_waits_for_runner() {
@@ -80,6 +90,43 @@
     assert!(reply.closes(), "a stopping node says that it closes the connection");
 }
 
+/// Guards against a large response that is cut at the exit of the process because its handler has
+/// ended.
+#[tokio::test]
+async fn large_response_delivered_before_exit() {
+    let set = deployment().await;
+    let node = Process::start(&set).await;
+    let faults = Faults { padding: LARGE, ..Faults::default() };
+    set.runners.iter().for_each(|runner| runner.set_faults(faults));
+    let mut caller = RawCaller::connect_with_buffer(node.front, RECEIVE_BUFFER_BYTES).await;
+    assert!(caller.write(&RawRequest::new("/eggs/a", "r1").bytes()).await);
+    wait_run(&set, "r1").await;
+    sleep(Duration::from_millis(300)).await;
+    node.daemon.terminate();
+    sleep(AFTER_CLOSE).await;
+    let reply = caller.read_reply(GRACE - AFTER_CLOSE).await;
+    assert!(reply.is_complete(), "{:?} after {} bytes", reply.end, reply.body.len());
+}
+
+/// Guards against a stream whose last events are dropped at the exit of the process.
+#[tokio::test]
+async fn buffered_events_delivered_before_exit() {
+    let set = Deployment::new().await.with_plain(1).await.with_engines(0, 1).await;
+    let node = Process::start(&set).await;
+    let faults = Faults { padding: LARGE / EVENTS, ..Faults::default() };
+    set.runners.iter().for_each(|runner| runner.set_faults(faults));
+    let mut caller = RawCaller::connect_with_buffer(node.front, RECEIVE_BUFFER_BYTES).await;
+    let headers = [("model", "m"), ("token-count", "1460,80"), ("prompt-prefix", "5c1e:800")];
+    let request = RawRequest { headers: &headers, ..RawRequest::new("/tally/a", "s1") };
+    assert!(caller.write(&request.bytes()).await);
+    wait_run(&set, "s1").await;
+    sleep(Duration::from_millis(300)).await;
+    node.daemon.terminate();
+    sleep(AFTER_CLOSE).await;
+    let reply = caller.read_reply(GRACE - AFTER_CLOSE).await;
+    assert!(reply.is_complete(), "{:?} after {} bytes", reply.end, reply.body.len());
+}
+
 /// Guards against a refusal that the caller has not read when the process exits.
 #[tokio::test]
 async fn refusal_delivered_after_exit() {
