node tests: a body that is half read when a node closes, which fails

A request counts as in progress only from the end of its body on. A node that stops does not wait for the rest of a body that is arriving.

--- a/node/tests/stop_connections.rs
+++ b/node/tests/stop_connections.rs
@@ -10,10 +10,12 @@
 use sardinepick_testutils::fleet::runner::{Faults, Runner};
 use sardinepick_testutils::fleet::soak::node_settings;
 use sardinepick_testutils::process::Daemon;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// The grace period in the settings of the node.
 const GRACE: Duration = Duration::from_secs(4);
+/// When a stopping node is about to close its idle connections.
+const BEFORE_CLOSE: Duration = Duration::from_millis(1_450);
 /// When a stopping node has closed its idle connections, with half of the grace period left.
 const AFTER_CLOSE: Duration = Duration::from_millis(2_000);
 /// Larger than the buffers of the kernel for a connection.
@@ -139,3 +141,28 @@
     let reply = caller.read_reply(GRACE).await;
     assert_eq!((reply.status, reply.is_complete()), (404, true));
 }
+
+/// Writes a part of a request before the node closes its idle connections, and the rest after it.
+async fn send_across_close(request: &RawRequest<'_>, first_bytes: usize) -> RawReply {
+    let set = deployment().await;
+    let node = Process::start(&set).await;
+    let mut caller = RawCaller::connect(node.front).await;
+    assert_answered(&caller.send(&RawRequest::new("/eggs/a", "first"), GRACE).await, "first");
+    let bytes = request.bytes();
+    let (begin, rest) = bytes.split_at(first_bytes);
+    let began = Instant::now();
+    node.daemon.terminate();
+    sleep_until(began + BEFORE_CLOSE).await;
+    assert!(caller.write(begin).await);
+    sleep_until(began + AFTER_CLOSE).await;
+    caller.write(rest).await;
+    caller.read_reply(GRACE - AFTER_CLOSE).await
+}
+
+/// Guards against a request that is lost because the process exits while its body arrives.
+#[tokio::test]
+async fn request_with_half_read_body_answered_before_exit() {
+    let request = RawRequest { body: &[b'x'; 40_000], ..RawRequest::new("/eggs/a", "r1") };
+    let reply = send_across_close(&request, request.head().len() + 20_000).await;
+    assert_answered(&reply, "r1");
+}
