node tests: a head that is half read when a node closes, which fails

A kept connection counts as idle until the head of its next request is whole, so it is closed with a part of the head in the node's buffer.

--- a/node/tests/stop_connections.rs
+++ b/node/tests/stop_connections.rs
@@ -166,3 +166,11 @@
     let reply = send_across_close(&request, request.head().len() + 20_000).await;
     assert_answered(&reply, "r1");
 }
+
+/// Guards against a request that is lost because its connection counts as idle while its head
+/// arrives.
+#[tokio::test]
+async fn request_with_half_read_head_answered_before_exit() {
+    let request = RawRequest::new("/eggs/a", "r1");
+    assert_answered(&send_across_close(&request, 40).await, "r1");
+}
