node tests: a key that is checked when a node exits, which fails

A request does not count as in progress while its key is checked in the store. The caller has sent all of it, and the process exits.

--- a/node/tests/stop_connections.rs
+++ b/node/tests/stop_connections.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use sardinepick_testutils::cluster::{free_address, own_ip, wait_until};
-use sardinepick_testutils::fleet::deployment::Deployment;
+use sardinepick_testutils::fleet::deployment::{Deployment, with_accounts};
 use sardinepick_testutils::fleet::raw_caller::{RawCaller, RawReply, RawRequest};
 use sardinepick_testutils::fleet::runner::{Faults, Runner};
 use sardinepick_testutils::fleet::soak::node_settings;
+use sardinepick_testutils::fleet::store::Fault;
 use sardinepick_testutils::process::Daemon;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -174,3 +175,22 @@
     let request = RawRequest::new("/eggs/a", "r1");
     assert_answered(&send_across_close(&request, 40).await, "r1");
 }
+
+/// Guards against a request that is cut at the exit of the process while its key is checked in the
+/// store.
+#[tokio::test]
+async fn request_with_unchecked_key_refused_before_exit() {
+    let set = deployment().await;
+    set.store.put("config", "main", &with_accounts(2, &[("kitchen", &[KEY.1], None)]));
+    let node = Process::start(&set).await;
+    let mut caller = RawCaller::connect(node.front).await;
+    set.store.set_fault(Fault::Silent);
+    let began = Instant::now();
+    node.daemon.terminate();
+    sleep_until(began + BEFORE_CLOSE).await;
+    let headers = [("credential", "key-9")];
+    let request = RawRequest { headers: &headers, ..RawRequest::new("/eggs/a", "r1") };
+    let reply = caller.send(&request, GRACE - BEFORE_CLOSE).await;
+    assert!(reply.is_complete(), "{:?} with status {}", reply.end, reply.status);
+    assert!([401, 503].contains(&reply.status), "status {}", reply.status);
+}
