caller connection: idle timeouts of the configuration in force

Callers saw a connection closed under a request: while its head was being read, or although the configuration in force let it be idle for longer.

Cause: the timer of hyper for heads and idle connections is set once for a connection, from the limits at the time of the accept, and runs from the end of the last response, also while the next head is half read. Graceful shutdown of hyper closes a half read head as well.

Evidence: with stand-ins on the code before, a connection that was accepted under 1 s and is idle for 2.4 s of 3 s is closed; one accepted before any configuration after 15 s of 20 s; a head begun 0.3 s before the timeout is cut; a timeout lowered from 20 s to 1.5 s has no effect on open connections.

Change: the connection knows whether it is idle, reading a head, or busy, and is closed only while it is idle, by the limits in force now. A line and a counter say when a connection ends before the response to its request is complete: the request, the cause, how long it was waited for. The line before was at debug level and named neither.

--- /dev/null
+++ b/node/src/caller_connection/io.rs
@@ -0,0 +1,69 @@
+//! A caller's socket, whose reads are recorded.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use super::activity::Activity;
+
+/// A socket that records when bytes are read.
+pub(super) struct Watched {
+    stream: TcpStream,
+    activity: Arc<Activity>,
+}
+
+impl Watched {
+    /// Wraps a socket.
+    pub fn new(stream: TcpStream, activity: Arc<Activity>) -> Self {
+        Self { stream, activity }
+    }
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        if buffer.filled().len() > before {
+            self.activity.note_read();
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/node/src/caller_connection/mod.rs
@@ -0,0 +1,135 @@
+//! Connections of callers: how long they may be idle, when they are closed, and what is recorded
+//! when one ends before the response to its request is complete.
+//!
+//! The limits are those of the configuration in force, not of the one in force when the connection
+//! was accepted. A connection is closed only while it is idle: neither while a request is in
+//! progress, nor once the first byte of its head has been read.
+
+mod activity;
+mod body;
+mod close;
+mod io;
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::sync::Arc;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use sardinepick_lib::clock::Clock;
+use sardinepick_lib::fleet::route::Limits;
+use smol_str::SmolStr;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+pub use self::body::RequestBody;
+
+use self::activity::Activity;
+use self::body::ResponseBody;
+use self::close::{Action, Cause, Close};
+use self::io::Watched;
+use crate::serve::metrics::Metrics;
+use crate::serve::response::Body;
+
+/// The minimum read buffer for the head of a request; hyper accepts no smaller one.
+const MIN_HEAD_BUFFER_BYTES: usize = 8 << 10;
+
+/// Signals connections to close: once it is true, each connection closes as soon as it is idle.
+#[derive(Clone, Debug)]
+pub struct Closing(watch::Receiver<bool>);
+
+impl Closing {
+    /// Subscribes to a signal.
+    pub fn of(switch: &watch::Sender<bool>) -> Self {
+        Self(switch.subscribe())
+    }
+
+    /// Waits until connections are to close; forever if the sender is dropped without the signal.
+    pub async fn wait(&mut self) {
+        if self.0.wait_for(|closing| *closing).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+/// What the connections of one listener share.
+#[derive(Clone)]
+pub struct Context {
+    /// The name of the listener in logs and metrics.
+    pub port: &'static str,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// The limits in force.
+    pub limits: watch::Receiver<Limits>,
+    /// Signals that connections are to close.
+    pub closing: Closing,
+}
+
+/// Serves a connection until it ends. Each request is passed to `handler`.
+pub async fn serve<F, R>(context: Context, stream: TcpStream, handler: F)
+where
+    F: Fn(Request<RequestBody>) -> R,
+    R: Future<Output = Response<Body>>,
+{
+    let gauge = context.metrics.caller_connections.with_label_values(&[context.port]);
+    gauge.inc();
+    let activity = Arc::new(Activity::new(context.clock.clone()));
+    let service = service_fn(|request: Request<Incoming>| {
+        let exchange = activity.begin(request_id(&request));
+        let request = request.map(|body| RequestBody::new(body, exchange.clone()));
+        let response = handler(request);
+        async move { Ok::<_, Infallible>(response.await.map(|body| ResponseBody::new(body, exchange))) }
+    });
+    let head_bytes = context.limits.borrow().head.max(MIN_HEAD_BUFFER_BYTES) * 2;
+    let mut builder = http1::Builder::new();
+    // The timer of hyper is set once for a connection and also ends a half read head.
+    builder.header_read_timeout(None).max_buf_size(head_bytes);
+    let io = TokioIo::new(Watched::new(stream, activity.clone()));
+    let mut connection = std::pin::pin!(builder.serve_connection(io, service));
+    let (mut limits, mut closing) = (context.limits.clone(), context.closing.clone());
+    let mut close = Close::default();
+    let result = loop {
+        let (now, state, in_force) =
+            (context.clock.now(), activity.state(), *limits.borrow_and_update());
+        match close.poll(state, in_force, now) {
+            Action::Wait => {}
+            Action::Shutdown => connection.as_mut().graceful_shutdown(),
+            Action::Drop => break Ok(()),
+        }
+        // Bytes that have arrived are read before the connection is closed.
+        tokio::select! {
+            biased;
+            result = connection.as_mut() => break result,
+            () = closing.wait(), if !close.is_requested() => close.request(),
+            Ok(()) = limits.changed() => {}
+            () = sleep(close.next_check(state, in_force, now)) => {}
+        }
+    };
+    gauge.dec();
+    record_end(&context, &activity, close.cause(), &result);
+}
+
+fn request_id(request: &Request<Incoming>) -> SmolStr {
+    let headers = sardinepick_platform::caller::read_headers(request.headers());
+    headers.id.unwrap_or_default()
+}
+
+/// Counts the end of a connection, and logs one that ended before the response was complete.
+fn record_end(context: &Context, activity: &Activity, cause: Cause, result: &hyper::Result<()>) {
+    let cause: &'static str = cause.into();
+    let unanswered = activity.unanswered();
+    let state = if unanswered.is_some() { "unanswered" } else { "idle" };
+    context.metrics.caller_connection_ends.with_label_values(&[context.port, cause, state]).inc();
+    let Some((unanswered, waited)) = unanswered else { return };
+    let error = result.as_ref().err().map(ToString::to_string).unwrap_or_default();
+    log::info!(
+        port = context.port, request:% = unanswered.request, cause = cause, error = error,
+        waited_ms = waited.as_millis() as u64; "connection ended before the response"
+    );
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod account;
 pub mod authority;
 pub mod back_off;
+pub mod caller_connection;
 pub mod claims;
 pub mod clock;
 pub mod completion;
--- a/node/src/serve/listener.rs
+++ b/node/src/serve/listener.rs
@@ -1,22 +1,18 @@
 //! The HTTP listeners: for callers, for the platform's readiness checks, for look-ups, and for
 //! metrics and state.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
 use http::{Method, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
 use sardinepick_lib::account::directory::{Account, Directory};
 use sardinepick_lib::fleet::roster::Standing;
 use sardinepick_lib::id::Window;
 use sardinepick_platform::caller::{LOOKUP_PATH, READINESS_PATH, lookup_response, read_lookup};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use strum::IntoStaticStr;
+use tokio::net::TcpListener;
 
+use crate::caller_connection::{self, Closing, Context, RequestBody};
 use crate::serve::connection::prepare;
 use crate::serve::response::{Body, Refusal, empty, full_body, json};
 use crate::serve::shared::Shared;
@@ -29,14 +25,13 @@
 const MAX_ADDRESSES: usize = 64;
 /// The pause after a failed `accept`: without free file descriptors, each attempt fails at once.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// The minimum read buffer for the head of a request; hyper accepts no smaller one.
-const MIN_HEAD_BUFFER_BYTES: usize = 8 << 10;
 
 /// The path prefix for releasing quarantined requests, followed by the fingerprint.
 const QUARANTINE_PREFIX: &str = "/quarantine/";
 
 /// The purpose of a listener.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
 pub enum Port {
     /// Requests of callers.
     Front,
@@ -48,26 +43,22 @@
     Metrics,
 }
 
-/// Signals connections to close: once it is true, each connection closes as soon as it is idle.
-#[derive(Clone, Debug)]
-pub struct Closing(watch::Receiver<bool>);
-
-impl Closing {
-    /// Subscribes to a signal.
-    pub fn of(switch: &watch::Sender<bool>) -> Self {
-        Self(switch.subscribe())
-    }
-
-    /// Waits until connections are to close; forever if the sender is dropped without the signal.
-    async fn wait(&mut self) {
-        if self.0.wait_for(|closing| *closing).await.is_err() {
-            std::future::pending::<()>().await;
-        }
+impl Port {
+    /// The name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        self.into()
     }
 }
 
 /// Accepts connections until `closing`.
 pub async fn run(shared: Arc<Shared>, port: Port, listener: TcpListener, mut closing: Closing) {
+    let context = Context {
+        port: port.name(),
+        clock: shared.clock.clone(),
+        metrics: shared.metrics.clone(),
+        limits: shared.limits.subscribe(),
+        closing: closing.clone(),
+    };
     loop {
         let accepted = tokio::select! {
             () = closing.wait() => return,
@@ -75,7 +66,12 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(serve(shared.clone(), port, stream, closing.clone()));
+                prepare(&stream);
+                let (shared, context) = (shared.clone(), context.clone());
+                tokio::spawn(async move {
+                    let handler = |request| handle(&shared, port, request);
+                    caller_connection::serve(context, stream, handler).await;
+                });
             }
             Err(error) => {
                 log::warn!(error:% = error; "cannot accept connection");
@@ -85,36 +81,7 @@
     }
 }
 
-async fn serve(shared: Arc<Shared>, port: Port, stream: TcpStream, mut closing: Closing) {
-    prepare(&stream);
-    let limits = shared.configuration.load().as_ref().map(|c| c.limits).unwrap_or_default();
-    let service = service_fn(|request| {
-        let shared = shared.clone();
-        async move { Ok::<_, Infallible>(handle(&shared, port, request).await) }
-    });
-    let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        // The header timeout also limits how long a connection may be idle before the head, so it
-        // is the longer of the two: callers reuse connections for up to four fifths of the idle
-        // timeout.
-        .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
-        .max_buf_size(limits.head.max(MIN_HEAD_BUFFER_BYTES) * 2);
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = closing.wait() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(error) = result {
-        log::debug!(port:? = port, error:% = error; "connection closed");
-    }
-}
-
-async fn handle(shared: &Arc<Shared>, port: Port, request: Request<Incoming>) -> Response<Body> {
+async fn handle(shared: &Arc<Shared>, port: Port, request: Request<RequestBody>) -> Response<Body> {
     let mut response = match port {
         Port::Front => request::handle(shared, request).await,
         Port::Ready if request.uri().path() == READINESS_PATH => {
@@ -140,7 +107,7 @@
 }
 
 /// Releases a quarantined request: `DELETE` of its fingerprint.
-fn release(shared: &Shared, request: &Request<Incoming>) -> Response<Body> {
+fn release(shared: &Shared, request: &Request<RequestBody>) -> Response<Body> {
     if request.method() != Method::DELETE {
         return empty(StatusCode::METHOD_NOT_ALLOWED);
     }
@@ -156,7 +123,7 @@
     }
 }
 
-fn lookup(shared: &Shared, request: &Request<Incoming>) -> Response<Body> {
+fn lookup(shared: &Shared, request: &Request<RequestBody>) -> Response<Body> {
     let lookup = match read_lookup(request.uri()) {
         Ok(lookup) => lookup,
         Err(error) => {
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -40,6 +40,11 @@
     pub quarantine: IntCounterVec,
     /// Connections opened.
     pub connections: IntCounter,
+    /// Open connections of callers, by listener.
+    pub caller_connections: IntGaugeVec,
+    /// Connections of callers that ended, by listener, cause, and whether a response was not
+    /// complete.
+    pub caller_connection_ends: IntCounterVec,
     /// Calls to the store by purpose and outcome.
     pub store_calls: IntCounterVec,
     /// Requests with an unknown key, by how it was ruled out that the key is new.
@@ -196,6 +201,16 @@
                 "Requests that are not run, by what becomes of them",
                 &["event"],
             ),
+            caller_connections: m.gauges(
+                "sardinepick_caller_connections",
+                "Open connections of callers",
+                &["port"],
+            ),
+            caller_connection_ends: m.counters(
+                "sardinepick_caller_connection_ends_total",
+                "Connections of callers that ended, by cause and by whether a response was incomplete",
+                &["port", "cause", "state"],
+            ),
             connections: m
                 .counter("sardinepick_connections_total", "Connections made to runners and store"),
             lease_changes: m.counters(
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -8,7 +8,6 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Response, Uri, header};
 use http_body_util::{BodyExt as _, Limited};
-use hyper::body::Incoming;
 use rand::RngExt as _;
 use sardinepick_lib::account::directory::{Account, Identity, identify};
 use sardinepick_lib::fleet::admission::{Reason, Terms, Wait};
@@ -24,6 +23,7 @@
 use tokio::time::timeout;
 
 use crate::account::CheckResult;
+use crate::caller_connection::RequestBody;
 use crate::serve::response::{Body, Refusal};
 use crate::serve::shared::Shared;
 use crate::serve::{generation, plain, store_watch};
@@ -138,7 +138,7 @@
 }
 
 /// Handles a caller's request.
-pub async fn handle(shared: &Arc<Shared>, request: http::Request<Incoming>) -> Response<Body> {
+pub async fn handle(shared: &Arc<Shared>, request: http::Request<RequestBody>) -> Response<Body> {
     let arrived = shared.clock.now();
     let (head, body) = request.into_parts();
     let caller_headers = caller::read_headers(&head.headers);
@@ -274,7 +274,7 @@
     Fingerprint::of(&[head.method.as_str().as_bytes(), host, path.as_bytes(), account, body])
 }
 
-async fn read_body(body: Incoming, max_bytes: usize, limit: Duration) -> Result<Bytes, Refusal> {
+async fn read_body(body: RequestBody, max_bytes: usize, limit: Duration) -> Result<Bytes, Refusal> {
     use hyper::body::Body as _;
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(Refusal::TooLarge);
--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -12,7 +12,8 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::serve::listener::{self, Closing, Port};
+use crate::caller_connection::Closing;
+use crate::serve::listener::{self, Port};
 use crate::serve::metrics::Metrics;
 use crate::serve::settings::Settings;
 use crate::serve::shared::Shared;
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -18,7 +18,7 @@
 use sardinepick_lib::fleet::outage::Outage;
 use sardinepick_lib::fleet::register::Register;
 use sardinepick_lib::fleet::roster::{Contact, Record, Roster, Standing, Status};
-use sardinepick_lib::fleet::route::Configuration;
+use sardinepick_lib::fleet::route::{Configuration, Limits};
 use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_lib::hash::stable_hash;
 use sardinepick_lib::id::{Incarnation, NodeId, ServiceId};
@@ -69,6 +69,8 @@
     pub metrics: Metrics,
     /// The configuration in force. A request loads it once and uses it to its end.
     pub configuration: ArcSwapOption<Configuration>,
+    /// The limits for callers of the configuration in force.
+    pub limits: watch::Sender<Limits>,
     /// Connections to runners and the store.
     pub connections: Arc<Connections>,
     /// The tracker of the store's era.
@@ -200,6 +202,7 @@
             me,
             metrics,
             configuration: ArcSwapOption::empty(),
+            limits: watch::Sender::default(),
             standing: watch::channel(Standing::Starting).0,
             membership_settled: watch::channel(false).0,
             register_outdated: Notify::new(),
--- a/node/src/serve/store_watch.rs
+++ b/node/src/serve/store_watch.rs
@@ -108,6 +108,7 @@
     }
     shared.metrics.configuration_version.set(i64::try_from(next.version.0).unwrap_or(i64::MAX));
     let version = next.version;
+    shared.limits.send_replace(next.limits);
     shared.configuration.store(Some(Arc::new(next)));
     // Plain keys stay at the nodes that read the store; the others need only their digests.
     match without_keys(&object.content) {
