caller connection: read the rest of the body of a refused request

Callers whose request was refused before its body had arrived, such as one for a route that a configuration had just removed, saw the connection closed under them, and may have lost the refusal.

Cause: hyper reads once for a body that its handler has dropped, and then closes the connection. Closing a socket with unread bytes resets it.

Evidence: 404 of a removed route, 401, 503 without a configuration and 413, each with a body in four pieces 30 ms apart: the response does not say `Connection: close`, and the node resets the connection.

Change: a body that is dropped before its end is read to its end, for a second and 8 MB at most. The refusal is sent at once.

--- a/node/src/caller_connection/body.rs
+++ b/node/src/caller_connection/body.rs
@@ -3,22 +3,33 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::BodyExt as _;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::time::timeout;
 
 use super::activity::Exchange;
 use crate::serve::response;
 
-/// The body of a request, which is in progress as long as its body is held.
+/// How long the rest of a body is read after its request has been answered.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+/// How much of the rest of a body is read after its request has been answered.
+const MAX_DISCARDED_BYTES: usize = 8 << 20;
+
+/// The body of a request.
+///
+/// If it is dropped before its end, the rest is read and discarded. Closing a socket with unread
+/// bytes resets the connection, and the caller may lose the response.
 pub struct RequestBody {
-    body: Incoming,
-    _exchange: Arc<Exchange>,
+    body: Option<Incoming>,
+    exchange: Arc<Exchange>,
 }
 
 impl RequestBody {
     pub(super) fn new(body: Incoming, exchange: Arc<Exchange>) -> Self {
-        Self { body, _exchange: exchange }
+        Self { body: Some(body), exchange }
     }
 }
 
@@ -30,16 +41,46 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        match &mut self.body {
+            Some(body) => Pin::new(body).poll_frame(context),
+            None => Poll::Ready(None),
+        }
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.body.as_ref().is_none_or(Body::is_end_stream)
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        self.body.as_ref().map(Body::size_hint).unwrap_or_default()
+    }
+}
+
+impl Drop for RequestBody {
+    fn drop(&mut self) {
+        if let Some(body) = self.body.take().filter(|body| !body.is_end_stream()) {
+            tokio::spawn(discard(body, self.exchange.clone()));
+        }
+    }
+}
+
+async fn discard(mut body: Incoming, exchange: Arc<Exchange>) {
+    let mut discarded = 0;
+    let read = async {
+        while let Some(frame) = body.frame().await {
+            discarded += frame?.data_ref().map_or(0, Bytes::len);
+            if discarded > MAX_DISCARDED_BYTES {
+                break;
+            }
+        }
+        Ok::<_, hyper::Error>(())
+    };
+    match timeout(DISCARD_TIMEOUT, read).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => log::debug!(error:% = error; "rest of a request body not read"),
+        Err(_) => log::debug!(bytes = discarded; "rest of a request body not read in time"),
     }
+    drop(exchange);
 }
 
 /// The body of a response.
