run: stop once the connections of callers are closed

Callers of a node that stopped saw large responses and the last events of a stream cut, and requests whose head or body was still being read, or whose key was being checked, closed without a response, with more than half of the grace period left.

Cause: the node counted a request as in progress from when its body had been read until its handler had ended. Bytes that the caller had not taken yet, and everything before the handler, were not counted, and the process exited.

Change: a stopping node also waits, within its grace period, until callers' connections are closed. Each closes after the response to its last request.

--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -167,8 +167,8 @@
     }
 
     /// Stops gracefully: removes the node from look-ups, keeps serving requests that still arrive,
-    /// closes connections as they become idle, and returns when no request is in progress or the
-    /// grace period is over. Returns the number of aborted requests.
+    /// closes connections as they become idle, and returns when no request is in progress and all
+    /// connections are closed, or the grace period is over. Returns the number of aborted requests.
     pub async fn stop(self) -> u64 {
         let shared = self.shared;
         let grace = shared.settings.grace;
@@ -179,10 +179,12 @@
         shared.heartbeat_now.notify_one();
         sleep_until(began + grace.mul_f64(CLOSE_AFTER)).await;
         self.closing.send_replace(true);
+        // A response that is complete here may still be on its way into the caller's socket.
+        let open = shared.metrics.caller_connections.with_label_values(&[Port::Front.name()]);
         let end = began + grace.mul_f64(ABORT_AFTER);
         while Instant::now() < end {
             sleep(STOP_CHECK_PERIOD).await;
-            if in_progress() == 0 {
+            if in_progress() == 0 && open.get() == 0 {
                 break;
             }
         }
