generation: a stream ends as complete only if it is

Found by reading, for the class of requests that end without a response; no caller has provoked it. A panic in the task of a generation dropped the sender of its events, and the body then ended as if it were complete; a panic in the handler of a plain request closed the connection without a response.

Change: the end of a stream is a part of its own, and a body whose parts end without it is cut. A handler that panics is answered with 502, which promises nothing. Sending a part is limited by the deadline of the request, so that a caller that does not read cannot hold a runner for longer: this was left to the kernel's timeout for unacknowledged data.

--- a/node/src/caller_connection/mod.rs
+++ b/node/src/caller_connection/mod.rs
@@ -12,8 +12,10 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 
+use futures_util::FutureExt as _;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -33,7 +35,7 @@
 use self::close::{Action, Cause, Close};
 use self::io::Watched;
 use crate::serve::metrics::Metrics;
-use crate::serve::response::Body;
+use crate::serve::response::{Body, Refusal};
 
 /// The minimum read buffer for the head of a request; hyper accepts no smaller one.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 << 10;
@@ -84,7 +86,10 @@
         let exchange = activity.begin(request_id(&request));
         let request = request.map(|body| RequestBody::new(body, exchange.clone()));
         let response = handler(request);
-        async move { Ok::<_, Infallible>(response.await.map(|body| ResponseBody::new(body, exchange))) }
+        async move {
+            let response = or_broken(response).await;
+            Ok::<_, Infallible>(response.map(|body| ResponseBody::new(body, exchange)))
+        }
     });
     let head_bytes = context.limits.borrow().head.max(MIN_HEAD_BUFFER_BYTES) * 2;
     let mut builder = http1::Builder::new();
@@ -120,6 +125,15 @@
     headers.id.unwrap_or_default()
 }
 
+/// Returns the response of a handler, or one that promises nothing if the handler panics: the
+/// connection would close without a response.
+async fn or_broken(response: impl Future<Output = Response<Body>>) -> Response<Body> {
+    AssertUnwindSafe(response).catch_unwind().await.unwrap_or_else(|_| {
+        log::error!("handler of a request panicked");
+        Refusal::Broken.response()
+    })
+}
+
 /// Counts the end of a connection, and logs one that ended before the response was complete.
 fn record_end(context: &Context, activity: &Activity, cause: Cause, result: &hyper::Result<()>) {
     let cause: &'static str = cause.into();
--- a/node/src/serve/generation/caller.rs
+++ b/node/src/serve/generation/caller.rs
@@ -1,13 +1,15 @@
 //! The caller's end of a generation.
 
+use std::time::Duration;
+
 use bytes::Bytes;
-use futures_util::StreamExt as _;
+use futures_util::stream;
 use http::Response;
 use http::response::Parts;
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::Frame;
 use tokio::sync::{mpsc, oneshot};
-use tokio_stream::wrappers::ReceiverStream;
+use tokio::time::timeout;
 
 use crate::serve::response::{Body, Cut, forward_response, full_body};
 
@@ -19,7 +21,26 @@
     /// The response head has not been sent.
     Waiting(Option<oneshot::Sender<Response<Body>>>),
     /// The head has been sent; events are being forwarded.
-    Streaming(mpsc::Sender<Result<Frame<Bytes>, Cut>>),
+    Streaming(mpsc::Sender<Part>),
+}
+
+/// A part of a streamed body. A body whose parts end without [`Part::End`] is cut.
+pub(super) enum Part {
+    /// An event.
+    Event(Bytes),
+    /// The body is complete.
+    End,
+}
+
+/// The result of sending a part to the caller.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Sent {
+    /// It is on its way.
+    Delivered,
+    /// The caller has disconnected.
+    Disconnected,
+    /// The caller has not read earlier parts in time.
+    TimedOut,
 }
 
 impl Caller {
@@ -62,8 +83,7 @@
             return;
         }
         let (events, receiver) = mpsc::channel(EVENT_BUFFER);
-        let body = StreamBody::new(ReceiverStream::new(receiver).boxed());
-        self.respond(forward_response(head, body.boxed_unsync()));
+        self.respond(forward_response(head, body_of(receiver)));
         *self = Caller::Streaming(events);
     }
 
@@ -72,19 +92,36 @@
         self.respond(forward_response(head, full_body(Bytes::new())));
     }
 
-    /// Sends one event; false if the caller has disconnected.
-    pub async fn send_event(&self, event: Bytes) -> bool {
-        match self {
-            Caller::Streaming(events) => events.send(Ok(Frame::data(event))).await.is_ok(),
-            Caller::Waiting(_) => false,
-        }
+    /// Sends one event, within `limit`.
+    pub async fn send_event(&self, event: Bytes, limit: Duration) -> Sent {
+        self.send(Part::Event(event), limit).await
+    }
+
+    /// Completes a streamed body, within `limit`. A body that is not completed is cut when the
+    /// caller's end is dropped, so that it does not look complete.
+    pub async fn complete(&self, limit: Duration) -> Sent {
+        if self.is_streaming() { self.send(Part::End, limit).await } else { Sent::Delivered }
     }
 
-    /// Ends the body early, so that it does not look complete.
-    pub async fn cut(&self) {
-        if let Caller::Streaming(events) = self {
-            // The send fails only if the caller has disconnected.
-            let _ = events.send(Err(Cut)).await;
+    async fn send(&self, part: Part, limit: Duration) -> Sent {
+        let Caller::Streaming(parts) = self else { return Sent::Disconnected };
+        match timeout(limit, parts.send(part)).await {
+            Ok(Ok(())) => Sent::Delivered,
+            Ok(Err(_)) => Sent::Disconnected,
+            Err(_) => Sent::TimedOut,
         }
     }
 }
+
+/// A body of the events received up to the end of the stream.
+fn body_of(receiver: mpsc::Receiver<Part>) -> Body {
+    let frames = stream::unfold(Some(receiver), async |receiver| {
+        let mut receiver = receiver?;
+        match receiver.recv().await {
+            Some(Part::Event(event)) => Some((Ok(Frame::data(event)), Some(receiver))),
+            Some(Part::End) => None,
+            None => Some((Err(Cut), None)),
+        }
+    });
+    StreamBody::new(frames).boxed_unsync()
+}
--- a/node/src/serve/generation/task.rs
+++ b/node/src/serve/generation/task.rs
@@ -16,7 +16,7 @@
 use tokio::time::sleep;
 
 use super::attempt::{Attempt, Failure, Prepared, Step};
-use super::caller::Caller;
+use super::caller::{Caller, Sent};
 use super::run::RunStep;
 use super::{Generation, MAX_CALLS, MIN_TIME_LEFT, StopCause, millis, probe};
 use crate::serve::plain::promises_not_run;
@@ -122,7 +122,7 @@
     fn on_timer(&mut self) -> Option<Ended> {
         let generation = &self.generation;
         if generation.time_left().is_zero() {
-            return Some(Err(Some((generation.deadline_refusal(), StopCause::Deadline))));
+            return Some(Err(Some(self.out_of_time())));
         }
         let may_move = self.may_move();
         match self.handover.poll(self.generation.now(), may_move) {
@@ -134,6 +134,10 @@
         None
     }
 
+    fn out_of_time(&self) -> (Refusal, StopCause) {
+        (self.generation.deadline_refusal(), StopCause::Deadline)
+    }
+
     /// Whether the request may have another attempt.
     fn may_move(&self) -> bool {
         let generation = &self.generation;
@@ -258,7 +262,11 @@
         match step {
             RunStep::Event(event) => {
                 self.note_advanced();
-                if self.forward_event(event).await { None } else { Some(Err(None)) }
+                match self.forward_event(event).await {
+                    Sent::Delivered => None,
+                    Sent::Disconnected => Some(Err(None)),
+                    Sent::TimedOut => Some(Err(Some(self.out_of_time()))),
+                }
             }
             RunStep::Complete => {
                 self.note_advanced();
@@ -267,7 +275,11 @@
                     // A stream without events is still complete.
                     self.caller.end_empty_stream(&run.head);
                 }
-                Some(Ok(Outcome::Answered))
+                match self.caller.complete(self.generation.time_left()).await {
+                    Sent::Delivered => Some(Ok(Outcome::Answered)),
+                    Sent::Disconnected => Some(Err(None)),
+                    Sent::TimedOut => Some(Err(Some(self.out_of_time()))),
+                }
             }
             RunStep::Broken { begun } => {
                 if let Some(run) = self.current.run() {
@@ -399,8 +411,8 @@
         self.handover.note_no_successor(self.generation.now());
     }
 
-    /// Forwards one event; false if the caller has disconnected.
-    async fn forward_event(&mut self, event: Event) -> bool {
+    /// Forwards one event, before the deadline.
+    async fn forward_event(&mut self, event: Event) -> Sent {
         let generation = &self.generation;
         let (now, request) = (generation.now(), &generation.request);
         let number = {
@@ -434,7 +446,7 @@
         if let Some(run) = self.current.run() {
             self.caller.begin_stream(&run.head);
         }
-        self.caller.send_event(event.bytes).await
+        self.caller.send_event(event.bytes, self.generation.time_left()).await
     }
 
     /// Completes the caller's response and logs the outcome.
@@ -456,7 +468,6 @@
                 line.status = refusal.status().as_u16();
                 if self.caller.is_streaming() {
                     line.outcome = "cut";
-                    self.caller.cut().await;
                 } else if let Some((head, body)) = self.error_answer.take() {
                     line.outcome = "failed";
                     line.status = head.status.as_u16();
