listener: no timeout for unacknowledged data of callers

A caller that did not read for 3 s lost the rest of its response.

Cause: the socket option that ends a connection whose data is not acknowledged for 3 s was set on callers' connections as on those to runners. The kernel also applies it while the caller's window is closed.

Evidence: on the code before, a caller that reads 10 MB after a pause of 5 s gets a reset after 127,448 bytes (response_to_pausing_caller_delivered, red before).

Change: the option is set on connections to runners, the store and the platform only. A caller that has vanished keeps its connection until the idle timeout, and its request until the deadline.

--- a/node/src/serve/listener.rs
+++ b/node/src/serve/listener.rs
@@ -10,10 +10,9 @@
 use sardinepick_lib::id::Window;
 use sardinepick_platform::caller::{LOOKUP_PATH, READINESS_PATH, lookup_response, read_lookup};
 use strum::IntoStaticStr;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::caller_connection::{self, Closing, Context, RequestBody};
-use crate::serve::connection::prepare;
 use crate::serve::response::{Body, Refusal, empty, full_body, json};
 use crate::serve::shared::Shared;
 use crate::serve::{quarantine, request};
@@ -66,7 +65,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                prepare(&stream);
+                send_at_once(&stream);
                 let (shared, context) = (shared.clone(), context.clone());
                 tokio::spawn(async move {
                     let handler = |request| handle(&shared, port, request);
@@ -81,6 +80,16 @@
     }
 }
 
+/// Configures a connection to send small writes at once.
+///
+/// The kernel's timeout for unacknowledged data is not set: it also ends the connection of a caller
+/// that does not read for as long, and a response has its request's deadline.
+fn send_at_once(stream: &TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(error:% = error; "cannot set TCP_NODELAY");
+    }
+}
+
 async fn handle(shared: &Arc<Shared>, port: Port, request: Request<RequestBody>) -> Response<Body> {
     let mut response = match port {
         Port::Front => request::handle(shared, request).await,
