request: read the body within what is left of the deadline

Found in review: the time for the body began after the check of a key, which may take 0.4 s, so a slow body could be awaited beyond the deadline of its request. It is now what is left of it.

--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -161,7 +161,9 @@
         return refuse(Refusal::Malformed);
     };
     let allowed = caller_headers.deadline.map_or(route.timeout, |d| d.min(route.timeout));
-    let body = match read_body(body, configuration.limits.body, allowed).await {
+    let waited = shared.clock.now().saturating_duration_since(arrived);
+    let left = allowed.saturating_sub(waited);
+    let body = match read_body(body, configuration.limits.body, left).await {
         Ok(body) => body,
         Err(refusal) => return refuse(refusal),
     };
