run: count open connections at the end of a stop as cut

Found in review: a node that closed connections under half read requests or unsent responses at the end of its grace period said that it had cut none.

--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -189,7 +189,8 @@
             }
         }
         self.count_sender.send_counts().await;
-        let cut = in_progress();
+        // A connection that is still open waits for its response, or for the rest of it.
+        let cut = in_progress().max(u64::try_from(open.get()).unwrap_or(0));
         log::info!(node:% = shared.me.id, cut = cut; "stopped");
         cut
     }
