--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 pub mod balance;
 pub mod budget;
 pub mod cache;
+pub mod caller_connection;
 pub mod deadline;
 pub mod digest;
 pub mod engine;
--- a/node/src/caller_connection/body.rs
+++ b/node/src/caller_connection/body.rs
@@ -13,8 +13,10 @@
 use super::activity::Exchange;
 use crate::serve::response;
 
+/// How long the rest of a body may pause after its request has been answered.
+const DISCARD_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long the rest of a body is read after its request has been answered.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(10);
 /// How much of the rest of a body is read after its request has been answered.
 const MAX_DISCARDED_BYTES: usize = 8 << 20;
 
@@ -29,6 +31,9 @@
 
 impl RequestBody {
     pub(super) fn new(body: Incoming, exchange: Arc<Exchange>) -> Self {
+        if body.is_end_stream() {
+            exchange.note_body_read();
+        }
         Self { body: Some(body), exchange }
     }
 }
@@ -41,10 +46,12 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        match &mut self.body {
-            Some(body) => Pin::new(body).poll_frame(context),
-            None => Poll::Ready(None),
+        let Some(body) = &mut self.body else { return Poll::Ready(None) };
+        let frame = ready!(Pin::new(body).poll_frame(context));
+        if frame.is_none() || self.is_end_stream() {
+            self.exchange.note_body_read();
         }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
@@ -64,23 +71,26 @@
     }
 }
 
+/// Reads the rest of a body, within limits.
 async fn discard(mut body: Incoming, exchange: Arc<Exchange>) {
     let mut discarded = 0;
     let read = async {
-        while let Some(frame) = body.frame().await {
-            discarded += frame?.data_ref().map_or(0, Bytes::len);
-            if discarded > MAX_DISCARDED_BYTES {
-                break;
+        while discarded <= MAX_DISCARDED_BYTES {
+            match timeout(DISCARD_IDLE_TIMEOUT, body.frame()).await {
+                Ok(Some(Ok(frame))) => discarded += frame.data_ref().map_or(0, Bytes::len),
+                Ok(Some(Err(error))) => {
+                    log::debug!(error:% = error; "rest of a request body not read");
+                    return;
+                }
+                Ok(None) => return exchange.note_body_read(),
+                Err(_) => break,
             }
         }
-        Ok::<_, hyper::Error>(())
+        log::debug!(bytes = discarded; "rest of a request body not read");
     };
-    match timeout(DISCARD_TIMEOUT, read).await {
-        Ok(Ok(())) => {}
-        Ok(Err(error)) => log::debug!(error:% = error; "rest of a request body not read"),
-        Err(_) => log::debug!(bytes = discarded; "rest of a request body not read in time"),
+    if timeout(DISCARD_TIMEOUT, read).await.is_err() {
+        log::debug!("rest of a request body not read in time");
     }
-    drop(exchange);
 }
 
 /// The body of a response.
--- a/node/src/caller_connection/io.rs
+++ b/node/src/caller_connection/io.rs
@@ -1,4 +1,4 @@
-//! A caller's socket, whose reads are recorded.
+//! A caller's socket, whose reads and writes are recorded.
 
 use std::io;
 use std::pin::Pin;
@@ -10,7 +10,7 @@
 
 use super::activity::Activity;
 
-/// A socket that records when bytes are read.
+/// A socket that records when bytes are read and sent, and whether some wait to be sent.
 pub(super) struct Watched {
     stream: TcpStream,
     activity: Arc<Activity>,
@@ -21,6 +21,14 @@
     pub fn new(stream: TcpStream, activity: Arc<Activity>) -> Self {
         Self { stream, activity }
     }
+
+    fn note_write(&self, written: &Poll<io::Result<usize>>) {
+        match written {
+            Poll::Ready(Ok(_)) => self.activity.note_sent(),
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => self.activity.note_blocked(),
+        }
+    }
 }
 
 impl AsyncRead for Watched {
@@ -44,7 +52,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.note_write(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -52,7 +62,9 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.note_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/node/src/caller_connection/mod.rs
+++ b/node/src/caller_connection/mod.rs
@@ -7,7 +7,6 @@
 
 mod activity;
 mod body;
-mod close;
 mod io;
 
 use std::convert::Infallible;
@@ -21,9 +20,11 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use prometheus::IntGauge;
 use sardinepick_lib::clock::Clock;
+use sardinepick_lib::fleet::caller_connection::{Action, Cause, Close};
 use sardinepick_lib::fleet::route::Limits;
-use smol_str::SmolStr;
+use sardinepick_platform::caller::request_id;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -32,7 +33,6 @@
 
 use self::activity::Activity;
 use self::body::ResponseBody;
-use self::close::{Action, Cause, Close};
 use self::io::Watched;
 use crate::serve::metrics::Metrics;
 use crate::serve::response::{Body, Refusal};
@@ -79,11 +79,10 @@
     F: Fn(Request<RequestBody>) -> R,
     R: Future<Output = Response<Body>>,
 {
-    let gauge = context.metrics.caller_connections.with_label_values(&[context.port]);
-    gauge.inc();
+    let _open = OpenConnection::new(&context);
     let activity = Arc::new(Activity::new(context.clock.clone()));
     let service = service_fn(|request: Request<Incoming>| {
-        let exchange = activity.begin(request_id(&request));
+        let exchange = activity.begin(request_id(request.headers()).unwrap_or_default());
         let request = request.map(|body| RequestBody::new(body, exchange.clone()));
         let response = handler(request);
         async move {
@@ -116,13 +115,24 @@
             () = sleep(close.next_check(state, in_force, now)) => {}
         }
     };
-    gauge.dec();
     record_end(&context, &activity, close.cause(), &result);
 }
 
-fn request_id(request: &Request<Incoming>) -> SmolStr {
-    let headers = sardinepick_platform::caller::read_headers(request.headers());
-    headers.id.unwrap_or_default()
+/// Counts a connection as open until dropped.
+struct OpenConnection(IntGauge);
+
+impl OpenConnection {
+    fn new(context: &Context) -> Self {
+        let gauge = context.metrics.caller_connections.with_label_values(&[context.port]);
+        gauge.inc();
+        Self(gauge)
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
 }
 
 /// Returns the response of a handler, or one that promises nothing if the handler panics: the
--- a/node/src/serve/store_watch.rs
+++ b/node/src/serve/store_watch.rs
@@ -108,7 +108,8 @@
     }
     shared.metrics.configuration_version.set(i64::try_from(next.version.0).unwrap_or(i64::MAX));
     let version = next.version;
-    shared.limits.send_replace(next.limits);
+    // Each connection of a caller waits for this.
+    shared.limits.send_if_modified(|limits| std::mem::replace(limits, next.limits) != next.limits);
     shared.configuration.store(Some(Arc::new(next)));
     // Plain keys stay at the nodes that read the store; the others need only their digests.
     match without_keys(&object.content) {
--- a/node/tests/kept_connections.rs
+++ b/node/tests/kept_connections.rs
@@ -175,7 +175,9 @@
     let set = deployment(&with_timeouts(1, 20_000, 1_000)).await;
     let mut caller = kept_caller(&set).await;
     apply(&set, &with_timeouts(2, 1_500, 1_000)).await;
-    let is_closed = caller.wait_closed(Duration::from_millis(1_500) + CLOSE_DELAY).await;
+    let is_closed = caller.wait_closed(Duration::from_millis(1_000)).await;
+    assert!(!is_closed, "the connection is closed before its idle timeout");
+    let is_closed = caller.wait_closed(Duration::from_millis(500) + CLOSE_DELAY).await;
     assert!(is_closed, "the connection is still open");
 }
 
@@ -222,6 +224,23 @@
     assert_answered(&caller.read_reply(LIMIT).await, "r1");
 }
 
+/// Guards against a request that is cut by the idle timeout because an earlier request on its
+/// connection, whose body was still being read, ends after it has begun.
+#[tokio::test]
+async fn request_after_refused_body_not_cut() {
+    let set = deployment(&with_timeouts(2, 500, 500)).await;
+    let faults = Faults { response_delay: Duration::from_millis(1_800), ..Faults::default() };
+    set.runners.iter().for_each(|runner| runner.set_faults(faults));
+    let refused = RawRequest { body: LONG_BODY, ..RawRequest::new("/nowhere/a", "refused") };
+    let (bytes, next) = (refused.bytes(), RawRequest::new("/eggs/a", "next").bytes());
+    let (first, last) = bytes.split_at(bytes.len() - 1_000);
+    let mut caller = RawCaller::connect(set.front(0)).await;
+    assert!(caller.write(first).await);
+    assert_eq!(caller.read_reply(LIMIT).await.status, 404);
+    assert!(caller.write(&[last, &next].concat()).await);
+    assert_answered(&caller.read_reply(LIMIT).await, "next");
+}
+
 /// Guards against a request that is lost because the idle timeout expires while its body arrives.
 #[tokio::test]
 async fn body_begun_before_idle_timeout_answered() {
--- a/node/tests/slow_callers.rs
+++ b/node/tests/slow_callers.rs
@@ -3,9 +3,12 @@
 use std::time::Duration;
 
 use sardinepick_testutils::cluster::{any_address, wait_until};
-use sardinepick_testutils::fleet::deployment::{DEFAULT_DATA_CENTRE, Deployment, MODEL_SERVICE};
+use sardinepick_testutils::fleet::deployment::{
+    DEFAULT_DATA_CENTRE, Deployment, MODEL_SERVICE, configuration,
+};
 use sardinepick_testutils::fleet::raw_caller::{RawCaller, RawRequest};
 use sardinepick_testutils::fleet::runner::{Faults, Kind, Runner};
+use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
 /// Larger than the buffers of the kernel for a connection.
@@ -17,8 +20,16 @@
 const RECEIVE_BUFFER_BYTES: u32 = 64 << 10;
 /// The timeout of the routes.
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(3);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 const READ_LIMIT: Duration = Duration::from_secs(5);
 
+/// The default configuration with this idle timeout of callers' connections.
+fn with_idle_timeout(timeout: Duration) -> Value {
+    let mut config = configuration(2);
+    config["limits"]["idleTimeoutMs"] = json!(timeout.as_millis() as u64);
+    config
+}
+
 /// Guards against a connection that the kernel ends because its caller does not read for 3 s.
 #[tokio::test]
 async fn response_to_pausing_caller_delivered() {
@@ -31,11 +42,28 @@
     assert!(reply.is_complete(), "{:?} after {} bytes", reply.end, reply.body.len());
 }
 
-/// Guards against a stream that its caller does not read and that occupies a runner beyond its
-/// deadline.
+/// Guards against a response that is cut because its connection counts as idle while it is sent.
+#[tokio::test]
+async fn response_longer_than_idle_timeout_delivered() {
+    let set = Deployment::new().await.with_plain(1).await;
+    set.store.put("config", "main", &with_idle_timeout(IDLE_TIMEOUT));
+    let set = set.with_nodes(1).await;
+    set.runners[0].set_faults(Faults { padding: LARGE, ..Faults::default() });
+    let mut caller = RawCaller::connect_with_buffer(set.front(0), RECEIVE_BUFFER_BYTES).await;
+    caller.set_read_pause(Duration::from_millis(20));
+    let began = Instant::now();
+    let reply = caller.send(&RawRequest::new("/board/a", "r1"), 4 * READ_LIMIT).await;
+    assert!(reply.is_complete(), "{:?} after {} bytes", reply.end, reply.body.len());
+    let took = began.elapsed();
+    assert!(took > 2 * IDLE_TIMEOUT, "the response took {took:?}, which tests nothing");
+}
+
+/// Guards against a stream that its caller does not read and that occupies a runner, or its
+/// connection, beyond its deadline.
 #[tokio::test]
 async fn unread_stream_cut_at_its_deadline() {
     let mut set = Deployment::new().await;
+    set.store.put("config", "main", &with_idle_timeout(IDLE_TIMEOUT));
     let kind = Kind {
         service: MODEL_SERVICE.to_owned(),
         data_centre: DEFAULT_DATA_CENTRE.to_owned(),
@@ -57,6 +85,8 @@
     wait_until("the request has ended", async || in_progress.get() == 0).await;
     let took = began.elapsed();
     assert!(took < ROUTE_TIMEOUT + Duration::from_millis(500), "ended after {took:?}");
+    let open = set.nodes[0].shared.metrics.caller_connections.with_label_values(&["front"]);
+    wait_until("the connection is closed", async || open.get() == 0).await;
     let reply = caller.read_reply(READ_LIMIT).await;
     assert!(!reply.is_complete(), "a cut stream must not look complete");
 }
--- a/testutils/src/fleet/raw_caller.rs
+++ b/testutils/src/fleet/raw_caller.rs
@@ -117,6 +117,8 @@
     stream: TcpStream,
     /// Bytes that were read and belong to no response yet.
     buffer: BytesMut,
+    /// The pause before each read.
+    read_pause: Duration,
 }
 
 /// The maximum size of one read.
@@ -152,7 +154,12 @@
 
     fn new(stream: TcpStream) -> Self {
         stream.set_nodelay(true).expect("a connected socket");
-        Self { stream, buffer: BytesMut::new() }
+        Self { stream, buffer: BytesMut::new(), read_pause: Duration::ZERO }
+    }
+
+    /// Sets the pause before each read of up to 64 KB.
+    pub fn set_read_pause(&mut self, pause: Duration) {
+        self.read_pause = pause;
     }
 
     /// Writes bytes; false if the connection is closed.
@@ -214,6 +221,9 @@
 
     /// Reads more bytes into the buffer.
     async fn fill(&mut self, deadline: Instant) -> Result<(), End> {
+        if !self.read_pause.is_zero() {
+            sleep(self.read_pause).await;
+        }
         self.buffer.reserve(READ_BYTES);
         match timeout_at(deadline, self.stream.read_buf(&mut self.buffer)).await {
             Ok(Ok(0)) => Err(End::Closed),
