soak: kept connections under planned work and silent runners

Callers keep connections, idle on them for up to four fifths of the timeout, and send bodies in pieces, while runners are silent for 0.5 to 1.5 s, configurations change timeouts, weights and a route, and nodes get SIGHUP, and SIGTERM with a restart. A request that was written whole without crossing a close must end in a complete response before its deadline.

--- a/node/tests/soak.rs
+++ b/node/tests/soak.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use sardinepick_testutils::fleet::soak::{SoakOptions, run};
-use sardinepick_testutils::fleet::{crash_soak, drain_soak};
+use sardinepick_testutils::fleet::{crash_soak, drain_soak, kept_soak};
 
 /// Seed 1 is arbitrary. Seed 2 reported streams that ran twice, because a hanging test runner counted
 /// prefill as a run.
@@ -72,3 +72,16 @@
     assert!(report.violations.is_empty(), "{report}");
     assert!(report.outcomes.get("answered").copied().unwrap_or(0) > 0, "no request was served");
 }
+
+/// Callers keep connections while runners fall silent for a time, configurations change, and nodes get
+/// SIGHUP and SIGTERM.
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_with_kept_connections_keeps_invariants() {
+    let duration = Duration::from_secs(15);
+    let plan = SoakOptions { seed: 1, duration, nodes: 3, callers: 24, restore_backups: false };
+    let exe = Path::new(env!("CARGO_BIN_EXE_sardinepickd"));
+    let report = kept_soak::run(exe, plan).await.expect("free addresses");
+    println!("{report}");
+    assert!(report.violations.is_empty(), "{report}");
+    assert!(report.outcomes.get("answered").copied().unwrap_or(0) > 0, "no request was served");
+}
--- /dev/null
+++ b/testutils/src/fleet/kept_soak.rs
@@ -0,0 +1,389 @@
+//! A soak test of connections that callers keep, under planned work and silent runners only. The real
+//! program runs as processes.
+//!
+//! Guarantee: a request that was written whole on a connection, without crossing its close, ends in a
+//! complete response before its deadline. Runners fall silent and go on; configurations change
+//! timeouts, weights and routes; nodes get SIGHUP, and SIGTERM with a restart. Nothing is killed and
+//! no path fails.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom as _;
+use rand::{RngExt as _, SeedableRng as _};
+use serde_json::{Value, json};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+use crate::cluster::{any_address, free_address, own_ip};
+use crate::fleet::deployment::{DEFAULT_DATA_CENTRE, MODEL_SERVICE, PLAIN_SERVICE, configuration};
+use crate::fleet::raw_caller::{End, RawCaller, RawReply, RawRequest};
+use crate::fleet::runner::{Faults, Kind, Runner};
+use crate::fleet::soak::{Report, SoakOptions, node_settings, request_headers, wait_for_recovery};
+use crate::fleet::store::Store;
+use crate::process::Daemon;
+
+/// The second service of plain routes whose weights change.
+const SECOND_SERVICE: &str = "broodplank";
+/// The paths of requests; the route of the last one comes and goes.
+const PATHS: [&str; 5] = ["/board/a", "/eggs/a", "/count/a", "/tally/a", "/extra/a"];
+const DEADLINE: Duration = Duration::from_secs(3);
+/// How much later than its deadline a request may get its response.
+const DEADLINE_SLACK: Duration = Duration::from_millis(500);
+/// The timeouts of routes, in milliseconds.
+const TIMEOUTS_MS: [u64; 3] = [2_500, 4_000, 6_000];
+/// A stream that breaks off later than this is cut at its deadline.
+const LATE: Duration = Duration::from_millis(2_400);
+/// The idle timeouts of callers' connections, in milliseconds.
+const IDLE_TIMEOUTS_MS: [u64; 3] = [1_000, 2_000, 4_000];
+/// How long a node may apply the idle timeout of an earlier configuration.
+const APPLY_TIME: Duration = Duration::from_millis(1_500);
+/// A request that was written less than this before the connection ended crosses its close.
+const CROSSING: Duration = Duration::from_millis(100);
+/// How long after SIGTERM a node may cut the requests that remain: five sixths of the grace period.
+const GRACE_END: Duration = Duration::from_millis(3_330);
+const SILENCE_MS: std::ops::Range<u64> = 500..1_500;
+const BODY_BYTES: std::ops::Range<usize> = 1..40_000;
+
+struct Node {
+    ini: String,
+    daemon: Option<Daemon>,
+    /// The next process, once the one that is stopping has exited.
+    restart: Option<JoinHandle<Daemon>>,
+}
+
+/// What callers share.
+struct Callers {
+    fronts: Vec<SocketAddr>,
+    stop: AtomicBool,
+    next: AtomicU64,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    outcomes: HashMap<&'static str, u64>,
+    violations: Vec<String>,
+    /// The idle timeouts in the order in which they were configured.
+    idle_timeouts: Vec<(Instant, Duration)>,
+    /// The last SIGTERM of each node.
+    terminated: HashMap<usize, Instant>,
+    /// The last planned work, for messages.
+    last_work: Option<(Instant, String)>,
+}
+
+impl State {
+    fn count(&mut self, outcome: &'static str) {
+        *self.outcomes.entry(outcome).or_default() += 1;
+    }
+
+    /// The shortest idle timeout that may have been in force since a moment.
+    fn idle_timeout(&self, since: Instant) -> Duration {
+        let current = self.idle_timeouts.iter().rposition(|(at, _)| *at + APPLY_TIME <= since);
+        let rest = &self.idle_timeouts[current.unwrap_or_default()..];
+        rest.iter().map(|(_, timeout)| *timeout).min().unwrap_or_default()
+    }
+
+    fn since_terminated(&self, node: usize) -> Option<Duration> {
+        self.terminated.get(&node).map(Instant::elapsed)
+    }
+}
+
+impl Callers {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn kind(service: &str, stage: Option<&'static str>) -> Kind {
+    let (service, data_centre) = (service.to_owned(), DEFAULT_DATA_CENTRE.to_owned());
+    Kind { service, data_centre, stage, events: 12 }
+}
+
+async fn start_runners(store: &Store) -> std::io::Result<Vec<Runner>> {
+    let kinds = [
+        (PLAIN_SERVICE, None, 3),
+        (SECOND_SERVICE, None, 2),
+        (MODEL_SERVICE, Some("prefill"), 1),
+        (MODEL_SERVICE, Some("decode"), 3),
+    ];
+    let mut runners = Vec::new();
+    for (service, stage, count) in kinds {
+        for _ in 0..count {
+            let id = format!("i-{}", runners.len());
+            let runner = Runner::start(&id, any_address(), kind(service, stage), store).await?;
+            let (response_delay, event_interval) =
+                (Duration::from_millis(20), Duration::from_millis(30));
+            runner.set_faults(Faults { response_delay, event_interval, ..Faults::default() });
+            runners.push(runner);
+        }
+    }
+    Ok(runners)
+}
+
+/// A configuration with these timeouts and the weight of the second service.
+fn configure(version: u64, timeout_ms: u64, idle_ms: u64, weight: u64, has_extra: bool) -> Value {
+    let mut config = configuration(version);
+    let routes = config["routes"].as_array_mut().expect("it has routes");
+    if has_extra {
+        let mut extra = routes[0].clone();
+        (extra["name"], extra["pathPrefix"]) = (json!("extra"), json!("/extra/"));
+        routes.push(extra);
+    }
+    for route in routes {
+        route["timeoutMs"] = json!(timeout_ms);
+        if route["service"] == PLAIN_SERVICE {
+            route["split"] = json!([
+                {"service": PLAIN_SERVICE, "weight": 100 - weight},
+                {"service": SECOND_SERVICE, "weight": weight},
+            ]);
+        }
+    }
+    let services = config["services"].as_array_mut().expect("it has services");
+    services.push(json!({"name": SECOND_SERVICE, "healthPath": "/health", "maxConns": 96}));
+    config["limits"]["idleTimeoutMs"] = json!(idle_ms);
+    config["limits"]["headerTimeoutMs"] = json!(1_000);
+    config
+}
+
+struct Soak {
+    exe: PathBuf,
+    store: Store,
+    runners: Vec<Runner>,
+    nodes: Vec<Node>,
+    version: u64,
+    callers: Arc<Callers>,
+}
+
+impl Soak {
+    async fn start(exe: &Path, options: SoakOptions) -> std::io::Result<Self> {
+        let store = Store::start(any_address()).await?;
+        let runners = start_runners(&store).await?;
+        let (mut nodes, mut fronts, mut seeds) = (Vec::new(), Vec::new(), Vec::new());
+        for at in 0..options.nodes {
+            let addresses = [(); 5].map(|()| free_address(own_ip()));
+            let ini = node_settings(&format!("edge-{at}"), &addresses, store.address(), &seeds);
+            if seeds.len() < 3 {
+                seeds.push(addresses[3]);
+            }
+            fronts.push(addresses[0]);
+            let daemon = Some(Daemon::serve(exe, &ini));
+            nodes.push(Node { ini, daemon, restart: None });
+        }
+        let (stop, next) = (AtomicBool::new(false), AtomicU64::new(0));
+        let callers = Arc::new(Callers { fronts, stop, next, state: Mutex::default() });
+        let exe = exe.to_owned();
+        let mut soak = Self { exe, store, runners, nodes, version: 0, callers };
+        soak.change_configuration(&mut StdRng::seed_from_u64(options.seed));
+        Ok(soak)
+    }
+
+    fn change_configuration(&mut self, rng: &mut StdRng) -> String {
+        self.version += rng.random_range(1..4);
+        let timeout_ms = *TIMEOUTS_MS.choose(rng).expect("there are some");
+        let idle_ms = *IDLE_TIMEOUTS_MS.choose(rng).expect("there are some");
+        let (weight, has_extra) = (rng.random_range(0..100), rng.random_bool(0.5));
+        let config = configure(self.version, timeout_ms, idle_ms, weight, has_extra);
+        let change = (Instant::now(), Duration::from_millis(idle_ms));
+        self.callers.state().idle_timeouts.push(change);
+        self.store.put("config", "main", &config);
+        format!("configuration {}: idle timeout {idle_ms} ms", self.version)
+    }
+
+    fn silence_runner(&self, rng: &mut StdRng) -> String {
+        let silence = Duration::from_millis(rng.random_range(SILENCE_MS));
+        let runner = self.runners.choose(rng).expect("there are runners");
+        runner.fall_silent(silence);
+        format!("{} silent for {silence:?}", runner.id)
+    }
+
+    /// Stops a node and starts it again, unless another one is being restarted.
+    async fn restart_node(&mut self, at: usize) -> String {
+        self.collect_restarted().await;
+        if self.nodes.iter().any(|node| node.restart.is_some()) {
+            return "none".to_owned();
+        }
+        let node = &mut self.nodes[at];
+        let Some(mut daemon) = node.daemon.take() else { return "none".to_owned() };
+        self.callers.state().terminated.insert(at, Instant::now());
+        let (exe, ini) = (self.exe.clone(), node.ini.clone());
+        node.restart = Some(tokio::task::spawn_blocking(move || {
+            daemon.terminate_and_wait();
+            Daemon::serve(&exe, &ini)
+        }));
+        format!("SIGTERM of edge-{at}")
+    }
+
+    /// Takes back the processes that have been restarted.
+    async fn collect_restarted(&mut self) {
+        for node in &mut self.nodes {
+            if let Some(restart) = node.restart.take_if(|restart| restart.is_finished()) {
+                node.daemon = restart.await.ok();
+            }
+        }
+    }
+
+    async fn do_work(&mut self, rng: &mut StdRng) {
+        let node = rng.random_range(0..self.nodes.len());
+        let work = match rng.random_range(0..10) {
+            0..4 => self.silence_runner(rng),
+            4..8 => self.change_configuration(rng),
+            8 => {
+                if let Some(daemon) = &self.nodes[node].daemon {
+                    daemon.reload();
+                }
+                format!("SIGHUP of edge-{node}")
+            }
+            _ => self.restart_node(node).await,
+        };
+        self.callers.state().last_work = Some((Instant::now(), work));
+    }
+}
+
+/// Runs a soak test.
+///
+/// # Errors
+/// A fake server cannot bind an address.
+pub async fn run(exe: &Path, options: SoakOptions) -> std::io::Result<Report> {
+    let mut rng = StdRng::seed_from_u64(options.seed);
+    let mut soak = Soak::start(exe, options).await?;
+    let callers = soak.callers.clone();
+    let mut report = Report::default();
+    wait_for_recovery(&callers.fronts, &mut report, "before any work").await;
+    let tasks: Vec<_> = (0..options.callers as u64)
+        .map(|n| tokio::spawn(call(callers.clone(), options.seed ^ (n << 32))))
+        .collect();
+    let until = Instant::now() + options.duration;
+    while Instant::now() < until {
+        soak.do_work(&mut rng).await;
+        report.faults += 1;
+        sleep(Duration::from_millis(rng.random_range(50..500))).await;
+    }
+    callers.stop.store(true, Ordering::Relaxed);
+    for task in tasks {
+        if let Err(error) = task.await {
+            report.violations.push(format!("a caller task failed: {error}"));
+        }
+    }
+    for node in &mut soak.nodes {
+        if let Some(restart) = node.restart.take() {
+            node.daemon = restart.await.ok();
+        }
+    }
+    let mut state = callers.state();
+    report.outcomes = std::mem::take(&mut state.outcomes);
+    report.violations.append(&mut state.violations);
+    Ok(report)
+}
+
+async fn call(callers: Arc<Callers>, seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    // The node, and the status of the last response.
+    let mut connection: Option<(usize, RawCaller, u16)> = None;
+    while !callers.stop.load(Ordering::Relaxed) {
+        let (node, mut caller, last_status) = match connection.take() {
+            Some(kept) => kept,
+            None => {
+                let node = rng.random_range(0..callers.fronts.len());
+                let Ok(caller) = RawCaller::try_connect(callers.fronts[node]).await else {
+                    sleep(Duration::from_millis(20)).await;
+                    continue;
+                };
+                (node, caller, 0)
+            }
+        };
+        let idle_since = Instant::now();
+        let pause = if rng.random_bool(0.3) {
+            callers.state().idle_timeout(idle_since).mul_f64(rng.random_range(0.1..0.8))
+        } else {
+            Duration::from_millis(rng.random_range(0..30))
+        };
+        sleep(pause).await;
+        if caller.is_closed() {
+            let mut state = callers.state();
+            let kept = idle_since.elapsed() < state.idle_timeout(idle_since).mul_f64(0.8);
+            let stopped = state.since_terminated(node).is_some_and(|since| since < GRACE_END * 2);
+            state.count(match last_status {
+                _ if !kept || stopped => "closed while idle",
+                404 => "closed after a refusal that did not say so",
+                _ => "closed while idle, too early",
+            });
+            continue;
+        }
+        if let Some(status) = send(&callers, &mut rng, node, &mut caller).await {
+            connection = Some((node, caller, status));
+        }
+    }
+}
+
+/// Sends a request and checks its response. Returns its status if the connection can be used again.
+async fn send(
+    callers: &Callers,
+    rng: &mut StdRng,
+    node: usize,
+    caller: &mut RawCaller,
+) -> Option<u16> {
+    let path = PATHS[rng.random_range(0..PATHS.len())];
+    let id = format!("r{}", callers.next.fetch_add(1, Ordering::Relaxed));
+    let body = vec![b'x'; rng.random_range(BODY_BYTES)];
+    let headers = request_headers(path);
+    let request =
+        RawRequest { headers, body: &body, deadline: DEADLINE, ..RawRequest::new(path, &id) };
+    let pieces = rng.random_range(1..5);
+    let pause = Duration::from_millis(rng.random_range(0..30));
+    let began = Instant::now();
+    let is_written = caller.write_pieces(&request.bytes(), pieces, pause).await;
+    let written = Instant::now();
+    let reply = caller.read_reply(DEADLINE + DEADLINE_SLACK).await;
+    let mut state = callers.state();
+    let outcome = classify(&state, node, &reply, is_written, began, written);
+    state.count(outcome.unwrap_or("lost"));
+    if outcome.is_none() {
+        let work = state.last_work.as_ref().map(|(at, work)| (at.elapsed(), work.clone()));
+        let stopped = state.since_terminated(node);
+        let (took, end, status) = (written.elapsed(), reply.end, reply.status);
+        state.violations.push(format!(
+            "lost: {id} {path} at edge-{node}: {end:?} with status {status} and {} bytes, {took:?} \
+             after it was written in {pieces} pieces; SIGTERM {stopped:?} ago; last work {work:?}",
+            reply.body.len()
+        ));
+    }
+    (reply.is_complete() && is_written && !reply.closes()).then_some(reply.status)
+}
+
+/// The outcome of a request; `None` if it violates the guarantee.
+fn classify(
+    state: &State,
+    node: usize,
+    reply: &RawReply,
+    is_written: bool,
+    began: Instant,
+    written: Instant,
+) -> Option<&'static str> {
+    if reply.is_complete() {
+        return Some(match reply.status {
+            _ if !is_written => "refused and closed while it was written",
+            200 => "answered",
+            408 | 421 | 429 | 503 => "refused, not run",
+            404 => "no route",
+            _ => "failed",
+        });
+    }
+    if !is_written {
+        return Some("closed while it was written");
+    }
+    let cut = matches!(reply.end, End::Closed | End::Reset);
+    if cut && reply.status == 0 && written.elapsed() < CROSSING {
+        return Some("crossed a close");
+    }
+    let grace_end = GRACE_END..GRACE_END * 2;
+    if cut && state.since_terminated(node).is_some_and(|since| grace_end.contains(&since)) {
+        return Some("cut at the end of the grace period");
+    }
+    (reply.status == 200 && began.elapsed() >= LATE).then_some("cut at its deadline")
+}
--- a/testutils/src/fleet/mod.rs
+++ b/testutils/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 pub mod deployment;
 pub mod drain_soak;
 pub mod heartbeat;
+pub mod kept_soak;
 pub mod killable_node;
 pub mod link;
 pub mod platform;
