connection: open connections through a trait, dial::Dial

Tests of nodes that are cut from runners need their own network between the two. Connections::connect and Connections::probe open TCP connections through the Dial that a node is started with (run::start_with_dial); run::start and run::start_at pass dial::Tcp, which sets the same socket options as before. A probe's connection now has them as well, so it is closed by a reset.

--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -27,6 +27,7 @@
 use tokio::time::timeout;
 
 use crate::limit::Denied;
+use crate::serve::dial::Dial;
 use crate::serve::metrics::Metrics;
 
 /// Why a request got no answer.
@@ -134,6 +135,7 @@
 /// The connections of this node.
 pub struct Connections {
     idle: Mutex<HashMap<SocketAddr, VecDeque<Idle>>>,
+    dial: Arc<dyn Dial>,
     clock: Arc<dyn Clock>,
     metrics: Metrics,
 }
@@ -221,9 +223,9 @@
 }
 
 impl Connections {
-    /// Creates an empty pool.
-    pub fn new(clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
-        Self { idle: Mutex::new(HashMap::new()), clock, metrics }
+    /// Creates an empty pool, whose connections `dial` opens.
+    pub fn new(dial: Arc<dyn Dial>, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
+        Self { idle: Mutex::new(HashMap::new()), dial, clock, metrics }
     }
 
     /// Sends a request and waits for the head of its answer. `connect_timeout` applies to a new
@@ -300,7 +302,7 @@
     /// Checks whether a process listens at an address.
     pub async fn probe(&self, address: SocketAddr) -> Probe {
         self.metrics.connections.inc();
-        match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
+        match timeout(PROBE_TIMEOUT, self.dial.dial(address)).await {
             Ok(Ok(_)) => Probe::Accepted,
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Probe::Refused,
             Ok(Err(_)) | Err(_) => Probe::Unknown,
@@ -310,13 +312,11 @@
     async fn connect(&self, address: SocketAddr, limit: Duration) -> Result<Sender, SendError> {
         let failed = |detail: String| SendError::Connect { peer: address, detail };
         self.metrics.connections.inc();
-        let stream = match timeout(limit, TcpStream::connect(address)).await {
+        let stream = match timeout(limit, self.dial.dial(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(failed(error.to_string())),
             Err(_) => return Err(failed(format!("no answer within {limit:?}"))),
         };
-        prepare(&stream);
-        discard_unsent_on_close(&stream);
         let (sender, connection) =
             handshake(TokioIo::new(stream)).await.map_err(|e| failed(e.to_string()))?;
         tokio::spawn(async move {
@@ -332,18 +332,6 @@
     SendError::Broken { peer, detail: error.to_string() }
 }
 
-/// Makes closing the connection discard undelivered data.
-///
-/// If a call is abandoned while the path to its peer is down, its bytes stay in the kernel's send
-/// buffer and are delivered once the path recovers. Without this, a runner got a request six
-/// seconds after its caller had disconnected, and more than two after the runner had said that it
-/// leaves. Closing with a reset discards the buffer.
-fn discard_unsent_on_close(stream: &TcpStream) {
-    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
-        log::debug!(error:% = error; "cannot set SO_LINGER");
-    }
-}
-
 /// Configures a connection to send small writes at once and to detect a silent path.
 pub fn prepare(stream: &TcpStream) {
     let socket = SockRef::from(stream);
--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::serve::dial::{Dial, Tcp};
 use crate::serve::listener::{self, Closing, Port};
 use crate::serve::metrics::Metrics;
 use crate::serve::settings::Settings;
@@ -111,6 +112,17 @@
     clock: Arc<dyn Clock>,
     metrics: Metrics,
     sockets: Sockets,
+) -> Running {
+    start_with_dial(settings, clock, metrics, sockets, Arc::new(Tcp))
+}
+
+/// Starts a node like [`start_at`]. `dial` opens its connections to runners and the store.
+pub fn start_with_dial(
+    settings: Settings,
+    clock: Arc<dyn Clock>,
+    metrics: Metrics,
+    sockets: Sockets,
+    dial: Arc<dyn Dial>,
 ) -> Running {
     let ports = [
         (Port::Front, sockets.front),
@@ -119,7 +131,7 @@
         (Port::Metrics, sockets.metrics),
     ];
     let socket = Arc::new(sockets.heartbeats);
-    let shared = Arc::new(Shared::new(settings, clock, metrics));
+    let shared = Arc::new(Shared::new(settings, clock, metrics, dial));
     shared.scheduling.set_socket(socket.clone());
     shared.limiter.set_socket(socket.clone());
     let (closing, always_open) = (watch::Sender::new(false), watch::Sender::new(false));
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -41,6 +41,7 @@
 use crate::serve::connection::Connections;
 use crate::serve::copy::Copies;
 use crate::serve::crash::Detector;
+use crate::serve::dial::Dial;
 use crate::serve::metrics::Metrics;
 use crate::serve::quarantine::QuarantineState;
 use crate::serve::register_replica::RegisterReplica;
@@ -134,8 +135,14 @@
 const MAX_ROUTES: usize = 1_000;
 
 impl Shared {
-    /// Creates the state of a node that has not started yet.
-    pub fn new(settings: Settings, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
+    /// Creates the state of a node that has not started yet. `dial` opens its connections to runners
+    /// and the store.
+    pub fn new(
+        settings: Settings,
+        clock: Arc<dyn Clock>,
+        metrics: Metrics,
+        dial: Arc<dyn Dial>,
+    ) -> Self {
         let since = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
         let incarnation = Incarnation(u64::try_from(since.as_micros()).unwrap_or(u64::MAX));
         let me = Contact {
@@ -146,7 +153,7 @@
             peer: settings.peer,
         };
         let seed = stable_hash(incarnation.0, settings.name.as_str().as_bytes());
-        let connections = Arc::new(Connections::new(clock.clone(), metrics.clone()));
+        let connections = Arc::new(Connections::new(dial, clock.clone(), metrics.clone()));
         let era_tracker = Arc::new(EraTracker::new(clock.clone(), metrics.clone()));
         let store =
             Client::new(settings.store, connections.clone(), era_tracker.clone(), metrics.clone());
