reachability: decide on direct connections and on peers

A node that is partitioned from runners that its peers reach waits 250 ms for each connect and then tries the next runner, which it does not reach either.

lib::fleet::reachability decides, without I/O. Dial decides on one attempt: a direct connect, a peer as well after 60 ms or when the direct connect has failed, a second peer, and within the same 250 ms. Reachability keeps the state of a node: a path is closed only when a peer reached the runner and the node did not; closed paths are probed one at a time; when one has healed the others are tried directly; on evidence of a partition pooled connections are not reused; a runner that nobody reaches is not asked of peers for a second.

Nothing uses it yet.

--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 pub mod placement;
 pub mod pool;
 pub mod quarantine;
+pub mod reachability;
 pub mod register;
 pub mod register_digest;
 pub mod register_version;
--- /dev/null
+++ b/lib/src/fleet/reachability/dial.rs
@@ -0,0 +1,151 @@
+//! One attempt to connect to a runner, directly and through peers.
+
+use std::time::{Duration, Instant};
+
+use super::Path;
+
+/// How long a direct connect may take before a peer is asked as well: ten round trips between data
+/// centres.
+pub const RELAY_DELAY: Duration = Duration::from_millis(60);
+/// How long a peer may take before the next one is asked.
+pub const RELAY_TIMEOUT: Duration = Duration::from_millis(90);
+/// How long a peer tries to connect. Its refusal arrives before the next peer is asked.
+pub const RELAY_CONNECT_TIMEOUT: Duration = Duration::from_millis(75);
+/// The maximum number of peers that are asked in one attempt.
+pub const MAX_RELAYS: usize = 2;
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Connect directly.
+    Direct,
+    /// Ask the next peer, and drop the connect through the one before.
+    Relay,
+    /// Wait for a connect to end, but no longer than until this time.
+    Wait(Instant),
+    /// Drop all connects: the attempt has failed.
+    GiveUp,
+}
+
+/// What an attempt says of the direct path.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// The runner was reached directly.
+    Open,
+    /// A peer reached the runner when this node did not.
+    Closed,
+    /// Neither this node nor a peer reached the runner.
+    Unreachable,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Connect {
+    NotStarted,
+    Pending { since: Instant },
+    Failed,
+}
+
+/// The state of one attempt. The first connect that succeeds is used, and ends the attempt.
+#[derive(Clone, Debug)]
+pub struct Dial {
+    path: Path,
+    started: Instant,
+    deadline: Instant,
+    direct: Connect,
+    relay: Connect,
+    /// The number of peers that may still be asked.
+    relays_left: usize,
+    was_relay_asked: bool,
+}
+
+impl Dial {
+    /// Creates the state of an attempt that starts at `now` and ends within `timeout`, for which up
+    /// to `relays` peers can be asked.
+    pub fn new(path: Path, relays: usize, timeout: Duration, now: Instant) -> Self {
+        Self {
+            path,
+            started: now,
+            deadline: now + timeout,
+            direct: Connect::NotStarted,
+            relay: Connect::NotStarted,
+            relays_left: relays.min(MAX_RELAYS),
+            was_relay_asked: false,
+        }
+    }
+
+    /// Decides what to do now. [`Action::Direct`] and [`Action::Relay`] count as done, and the next
+    /// call follows at once.
+    pub fn poll(&mut self, now: Instant) -> Action {
+        if now >= self.deadline {
+            return Action::GiveUp;
+        }
+        let direct_due = self.direct_due();
+        if direct_due.is_some_and(|due| now >= due) {
+            self.direct = Connect::Pending { since: now };
+            return Action::Direct;
+        }
+        let relay_due = self.relay_due();
+        if relay_due.is_some_and(|due| now >= due) {
+            self.relay = Connect::Pending { since: now };
+            self.relays_left -= 1;
+            self.was_relay_asked = true;
+            return Action::Relay;
+        }
+        let is_pending = |connect| matches!(connect, Connect::Pending { .. });
+        let due = direct_due.into_iter().chain(relay_due).min();
+        if due.is_none() && !is_pending(self.direct) && !is_pending(self.relay) {
+            return Action::GiveUp;
+        }
+        Action::Wait(due.map_or(self.deadline, |due| due.min(self.deadline)))
+    }
+
+    /// When to connect directly; `None` if it depends on the peers, or has been done.
+    fn direct_due(&self) -> Option<Instant> {
+        if self.direct != Connect::NotStarted {
+            return None;
+        }
+        match (self.path, self.relay) {
+            (Path::Open | Path::Unverified, _) => Some(self.started),
+            (Path::Closed, _) if self.relays_left > 0 => None,
+            (Path::Closed, Connect::Pending { since }) => Some(since + RELAY_TIMEOUT),
+            (Path::Closed, Connect::NotStarted | Connect::Failed) => Some(self.started),
+        }
+    }
+
+    /// When to ask the next peer; `None` if there is none.
+    fn relay_due(&self) -> Option<Instant> {
+        let is_direct_awaited = self.path != Path::Closed && self.direct != Connect::Failed;
+        match self.relay {
+            _ if self.relays_left == 0 => None,
+            Connect::NotStarted if is_direct_awaited => Some(self.started + RELAY_DELAY),
+            Connect::NotStarted | Connect::Failed => Some(self.started),
+            Connect::Pending { since } => Some(since + RELAY_TIMEOUT),
+        }
+    }
+
+    /// Records that the direct connect has failed.
+    pub fn note_direct_failed(&mut self) {
+        self.direct = Connect::Failed;
+    }
+
+    /// Records that the connect through the peer that was asked last has failed.
+    pub fn note_relay_failed(&mut self) {
+        self.relay = Connect::Failed;
+    }
+
+    /// What it says that the connect through a peer has succeeded first.
+    pub fn relayed(&self, now: Instant) -> Option<Outcome> {
+        let is_closed = match self.direct {
+            Connect::NotStarted => false,
+            Connect::Pending { since } => now >= since + RELAY_DELAY,
+            Connect::Failed => true,
+        };
+        is_closed.then_some(Outcome::Closed)
+    }
+
+    /// What it says that the attempt was given up; `None` if no peer was asked.
+    pub fn gave_up(&self) -> Option<Outcome> {
+        let was_tried = self.was_relay_asked && self.direct != Connect::NotStarted;
+        was_tried.then_some(Outcome::Unreachable)
+    }
+}
--- /dev/null
+++ b/lib/src/fleet/reachability/mod.rs
@@ -0,0 +1,196 @@
+//! Whether this node reaches runners directly, or only through a peer.
+//!
+//! A node can be partitioned from runners that its peers reach. It then opens the connection to the
+//! runner through a peer. Reachability belongs to a pair of a node and a runner, so each node keeps
+//! its own state, and learns only from its own attempts to connect: [`Dial`] decides on one
+//! attempt, and its [`Outcome`] is recorded here.
+//!
+//! A direct path is closed only if a peer reached the runner when this node did not. A runner that
+//! nobody reaches is probably down, which is for its health record to judge.
+//!
+//! A partition usually concerns all runners. Once this node suspects one, a path without direct
+//! traffic since is unverified: pooled connections may be dead, and are not reused.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+use smallvec::SmallVec;
+
+pub use self::dial::{
+    Action, Dial, MAX_RELAYS, Outcome, RELAY_CONNECT_TIMEOUT, RELAY_DELAY, RELAY_TIMEOUT,
+};
+use self::path::DirectPath;
+use self::peers::Peers;
+use crate::id::NodeId;
+
+mod dial;
+mod path;
+mod peers;
+
+/// The minimum time between two direct probes of one node.
+pub const PROBE_PERIOD: Duration = Duration::from_millis(300);
+/// How long a probe of a closed path may take.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long no peers are asked for a runner that neither this node nor a peer has reached.
+const UNREACHABLE_PAUSE: Duration = Duration::from_secs(1);
+/// The minimum time between two suspicions. It limits how often connections are opened anew.
+const SUSPICION_PERIOD: Duration = Duration::from_secs(1);
+
+/// The direct path from this node to a runner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Path {
+    /// In use, or never used.
+    Open,
+    /// It may be interrupted.
+    Unverified,
+    /// A peer has reached the runner when this node did not.
+    Closed,
+}
+
+/// The reachability of runners from one node.
+#[derive(Clone, Debug, Default)]
+pub struct Reachability {
+    paths: HashMap<SocketAddr, DirectPath>,
+    peers: Peers,
+    /// When this node has last found that it may be partitioned from many runners.
+    suspected_at: Option<Instant>,
+    probed_at: Option<Instant>,
+}
+
+impl Reachability {
+    /// The direct path to a runner.
+    pub fn path(&self, address: SocketAddr) -> Path {
+        match self.paths.get(&address) {
+            Some(path) => path.state(self.suspected_at),
+            None if self.suspected_at.is_some() => Path::Unverified,
+            None => Path::Open,
+        }
+    }
+
+    /// Whether a direct connection that has been idle since `idle_since` may be reused.
+    pub fn may_reuse(&self, address: SocketAddr, idle_since: Instant) -> bool {
+        let doubted = self.paths.get(&address).and_then(DirectPath::doubted_at);
+        self.path(address) == Path::Open && doubted.max(self.suspected_at) < Some(idle_since)
+    }
+
+    /// Whether this node connects to a runner on behalf of a peer.
+    pub fn may_relay(&self, address: SocketAddr, now: Instant) -> bool {
+        self.paths.get(&address).is_none_or(|path| path.may_relay(now))
+    }
+
+    /// Chooses the peers to ask for a connection to a runner, the first one first.
+    pub fn relays<'a, R: Rng>(
+        &self,
+        address: SocketAddr,
+        candidates: impl Iterator<Item = &'a NodeId>,
+        now: Instant,
+        rng: &mut R,
+    ) -> SmallVec<[NodeId; MAX_RELAYS]> {
+        let path = self.paths.get(&address);
+        let unreachable_at = path.and_then(|path| path.unreachable_at);
+        if unreachable_at.is_some_and(|at| now < at + UNREACHABLE_PAUSE) {
+            return SmallVec::new();
+        }
+        self.peers.choose(address, candidates, now, rng)
+    }
+
+    /// Records the outcome of an attempt to connect.
+    pub fn note_outcome(&mut self, address: SocketAddr, outcome: Outcome, now: Instant) {
+        match outcome {
+            Outcome::Open => self.note_connected(address, now),
+            Outcome::Closed => self.note_closed(address, now),
+            Outcome::Unreachable => self.note_unreachable(address, now),
+        }
+    }
+
+    /// Records that a direct connection was established.
+    pub fn note_connected(&mut self, address: SocketAddr, now: Instant) {
+        if self.paths.entry(address).or_default().note_connected(now) {
+            // The partition has probably healed for the other runners too.
+            self.paths.values_mut().for_each(|path| path.release(now));
+        }
+    }
+
+    /// Records that data was received over a direct connection. It says nothing of new connections,
+    /// which can fail while old ones live on.
+    pub fn note_received(&mut self, address: SocketAddr, now: Instant) {
+        self.paths.entry(address).or_default().note_received(now);
+    }
+
+    /// Records that an answer over a direct connection is overdue. Other connections to the runner
+    /// may be dead too.
+    pub fn note_silent(&mut self, address: SocketAddr, now: Instant) {
+        self.paths.entry(address).or_default().note_silent(now);
+    }
+
+    /// Records that a direct connection could not be established, where no [`Outcome`] says more.
+    pub fn note_direct_failed(&mut self, address: SocketAddr, now: Instant) {
+        self.paths.entry(address).or_default().note_failed(now);
+    }
+
+    /// Records that a peer reached a runner when this node did not.
+    pub fn note_closed(&mut self, address: SocketAddr, now: Instant) {
+        // A lost segment can close one path.
+        let is_second =
+            self.paths.iter().any(|(other, path)| *other != address && path.is_closed());
+        let path = self.paths.entry(address).or_default();
+        if path.close(now) && is_second {
+            self.suspect(now);
+        }
+    }
+
+    /// Records that a probe has failed.
+    pub fn note_probe_failed(&mut self, address: SocketAddr, now: Instant) {
+        let path = self.paths.get_mut(&address);
+        if path.is_some_and(|path| path.note_probe_failed(now)) {
+            self.suspect(now);
+        }
+    }
+
+    /// Records that neither this node nor a peer reached a runner.
+    pub fn note_unreachable(&mut self, address: SocketAddr, now: Instant) {
+        self.paths.entry(address).or_default().note_unreachable(now);
+    }
+
+    /// Records that a peer has connected this node to a runner.
+    pub fn note_relayed(&mut self, peer: &NodeId, address: SocketAddr, now: Instant) {
+        self.peers.note_relayed(peer, address, now);
+    }
+
+    /// Records that a peer did not connect this node to a runner.
+    pub fn note_relay_failed(&mut self, peer: &NodeId, address: SocketAddr, now: Instant) {
+        self.peers.note_failed(peer, address, now);
+    }
+
+    /// The runner to probe with a direct connection now: the one on a closed path that was probed
+    /// least recently.
+    pub fn next_probe(&mut self, now: Instant) -> Option<SocketAddr> {
+        if self.probed_at.is_some_and(|at| now < at + PROBE_PERIOD) {
+            return None;
+        }
+        let closed = self.paths.iter_mut().filter(|(_, path)| path.is_closed());
+        let (address, path) = closed.min_by_key(|(address, path)| (path.probed_at(), **address))?;
+        path.note_probed(now);
+        self.probed_at = Some(now);
+        Some(*address)
+    }
+
+    /// Removes what is known of runners that are not `wanted`, and what is too old.
+    pub fn retain(&mut self, wanted: impl Fn(&SocketAddr) -> bool, now: Instant) {
+        self.paths.retain(|address, _| wanted(address));
+        self.peers.retain(wanted, now);
+    }
+
+    /// The number of closed paths.
+    pub fn closed(&self) -> usize {
+        self.paths.values().filter(|path| path.is_closed()).count()
+    }
+
+    fn suspect(&mut self, now: Instant) {
+        if self.suspected_at.is_none_or(|at| now >= at + SUSPICION_PERIOD) {
+            self.suspected_at = Some(now);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/fleet/reachability/peers.rs
@@ -0,0 +1,107 @@
+//! Which peers to ask for a connection to a runner.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use rand::{Rng, RngExt as _};
+use smallvec::SmallVec;
+
+use super::dial::MAX_RELAYS;
+use crate::id::NodeId;
+
+/// How long the result of asking a peer is remembered.
+const RETENTION: Duration = Duration::from_secs(5);
+/// The maximum number of peers that are remembered to have failed for one runner.
+const MAX_FAILED: usize = 16;
+
+/// What the results of asking a peer say of the next time, the best first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Prospect {
+    /// It has reached a runner.
+    Good,
+    Unknown,
+    /// It has failed for another runner.
+    Poor,
+    /// It has failed for this runner.
+    Bad,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Last {
+    is_failure: bool,
+    at: Instant,
+}
+
+/// The results of asking peers.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Peers {
+    last: HashMap<NodeId, Last>,
+    failed: HashMap<SocketAddr, SmallVec<[(NodeId, Instant); 2]>>,
+}
+
+impl Peers {
+    pub(super) fn note_relayed(&mut self, peer: &NodeId, address: SocketAddr, now: Instant) {
+        self.last.insert(peer.clone(), Last { is_failure: false, at: now });
+        if let Some(failed) = self.failed.get_mut(&address) {
+            failed.retain(|(id, _)| id != peer);
+        }
+    }
+
+    pub(super) fn note_failed(&mut self, peer: &NodeId, address: SocketAddr, now: Instant) {
+        self.last.insert(peer.clone(), Last { is_failure: true, at: now });
+        let failed = self.failed.entry(address).or_default();
+        failed.retain(|(id, _)| id != peer);
+        if failed.len() >= MAX_FAILED {
+            failed.remove(0);
+        }
+        failed.push((peer.clone(), now));
+    }
+
+    /// The first peer is any without a failure, so that the load is spread; the second has reached
+    /// a runner if possible.
+    pub(super) fn choose<'a, R: Rng>(
+        &self,
+        address: SocketAddr,
+        candidates: impl Iterator<Item = &'a NodeId>,
+        now: Instant,
+        rng: &mut R,
+    ) -> SmallVec<[NodeId; MAX_RELAYS]> {
+        let mut ranked: Vec<(Prospect, u64, &NodeId)> =
+            candidates.map(|id| (self.prospect(id, address, now), rng.random(), id)).collect();
+        let mut chosen = SmallVec::new();
+        let rank = |(prospect, draw, _): &(Prospect, u64, _)| (*prospect, *draw);
+        let first = |peer: &(Prospect, u64, _)| (peer.0.max(Prospect::Unknown), peer.1);
+        if let Some(index) = (0..ranked.len()).min_by_key(|index| first(&ranked[*index])) {
+            chosen.push(ranked.swap_remove(index).2.clone());
+        }
+        while chosen.len() < MAX_RELAYS {
+            let next = (0..ranked.len()).min_by_key(|index| rank(&ranked[*index]));
+            let Some(index) = next else { break };
+            chosen.push(ranked.swap_remove(index).2.clone());
+        }
+        chosen
+    }
+
+    fn prospect(&self, peer: &NodeId, address: SocketAddr, now: Instant) -> Prospect {
+        let is_recent = |at: Instant| now < at + RETENTION;
+        let failed = self.failed.get(&address).into_iter().flatten();
+        if failed.into_iter().any(|(id, at)| id == peer && is_recent(*at)) {
+            return Prospect::Bad;
+        }
+        match self.last.get(peer).filter(|last| is_recent(last.at)) {
+            Some(last) if last.is_failure => Prospect::Poor,
+            Some(_) => Prospect::Good,
+            None => Prospect::Unknown,
+        }
+    }
+
+    pub(super) fn retain(&mut self, wanted: impl Fn(&SocketAddr) -> bool, now: Instant) {
+        let is_recent = |at: Instant| now < at + RETENTION;
+        self.last.retain(|_, last| is_recent(last.at));
+        self.failed.retain(|address, failed| {
+            failed.retain(|(_, at)| is_recent(*at));
+            wanted(address) && !failed.is_empty()
+        });
+    }
+}
