reachability: ask peers once a second for a runner that nobody reaches

After the pause all attempts that began before the next verdict asked two peers each.

One attempt a second asks now; relays() takes &mut self for it.

--- a/lib/src/fleet/reachability/mod.rs
+++ b/lib/src/fleet/reachability/mod.rs
@@ -33,7 +33,7 @@
 pub const PROBE_PERIOD: Duration = Duration::from_millis(300);
 /// How long a probe of a closed path may take.
 pub const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
-/// How long no peers are asked for a runner that neither this node nor a peer has reached.
+/// The minimum time between two attempts that ask peers for a runner that nobody has reached.
 const UNREACHABLE_PAUSE: Duration = Duration::from_secs(1);
 /// The minimum time between two suspicions. It limits how often connections are opened anew.
 const SUSPICION_PERIOD: Duration = Duration::from_secs(1);
@@ -80,18 +80,21 @@
         self.paths.get(&address).is_none_or(|path| path.may_relay(now))
     }
 
-    /// Chooses the peers to ask for a connection to a runner, the first one first.
+    /// Chooses the peers to ask for a connection to a runner, the first one first. While nobody
+    /// reaches the runner, there are some for one attempt a second.
     pub fn relays<'a, R: Rng>(
-        &self,
+        &mut self,
         address: SocketAddr,
         candidates: impl Iterator<Item = &'a NodeId>,
         now: Instant,
         rng: &mut R,
     ) -> SmallVec<[NodeId; MAX_RELAYS]> {
-        let path = self.paths.get(&address);
-        let unreachable_at = path.and_then(|path| path.unreachable_at);
-        if unreachable_at.is_some_and(|at| now < at + UNREACHABLE_PAUSE) {
-            return SmallVec::new();
+        let unreachable_at = self.paths.get_mut(&address).map(|path| &mut path.unreachable_at);
+        if let Some(Some(at)) = unreachable_at {
+            if now < *at + UNREACHABLE_PAUSE {
+                return SmallVec::new();
+            }
+            *at = now;
         }
         self.peers.choose(address, candidates, now, rng)
     }
@@ -156,6 +159,9 @@
 
     /// Records that a peer has connected this node to a runner.
     pub fn note_relayed(&mut self, peer: &NodeId, address: SocketAddr, now: Instant) {
+        if let Some(path) = self.paths.get_mut(&address) {
+            path.unreachable_at = None;
+        }
         self.peers.note_relayed(peer, address, now);
     }
 
--- a/lib/tests/reachability.rs
+++ b/lib/tests/reachability.rs
@@ -286,8 +286,9 @@
     assert!(others.into_iter().all(|other| reachability.path(other) == Path::Unverified));
 }
 
+/// Guards against a storm of attempts through peers that do not reach the runner either.
 #[test]
-fn relays_unreachable_none_for_a_second() {
+fn relays_unreachable_one_attempt_a_second() {
     let (mut reachability, now) = (Reachability::default(), Instant::now());
     let (nodes, mut rng) = ([node(1), node(2)], StdRng::seed_from_u64(1));
     reachability.note_unreachable(runner(1), now);
@@ -295,11 +296,14 @@
     assert_eq!(count(runner(1), now + ms(999)), 0);
     assert_eq!(count(runner(2), now + ms(999)), 2);
     assert_eq!(count(runner(1), now + ms(1_000)), 2);
+    assert_eq!(count(runner(1), now + ms(1_999)), 0);
+    reachability.note_relayed(&nodes[0], runner(1), now + ms(1_999));
+    assert_eq!(reachability.relays(runner(1), nodes.iter(), now + ms(1_999), &mut rng).len(), 2);
 }
 
 #[test]
 fn relays_few_nodes_as_many() {
-    let (reachability, now) = (Reachability::default(), Instant::now());
+    let (mut reachability, now) = (Reachability::default(), Instant::now());
     let (nodes, mut rng) = ([node(1)], StdRng::seed_from_u64(1));
     assert_eq!(reachability.relays(runner(1), nodes.iter(), now, &mut rng)[..], nodes);
     assert!(reachability.relays(runner(1), [].iter(), now, &mut rng).is_empty());
