relay: forward connections to runners through a peer

A node that is partitioned from the runners cannot serve, although its peers reach them.

Fleet.Relay is a stream in both directions between two nodes. The asked node connects to the runner itself, answers, and forwards bytes in messages of up to 16 KB. It refuses runners that its register does not have at the address, or that leave, paths that it knows to be closed, and more than 512 connections. Only the runner's own end of stream ends the call in order; anything else is an error at the asking node. A dropped call closes the runner's connection with a reset. relay::Client keeps one connection to a peer, with keep-alives of 1 s. Nothing uses it yet.

The server for peers now sets TCP_NODELAY, windows of 64 KB a call, and keep-alives of 2 s with a limit of 4 s, and accepts 576 concurrent calls.

The 14 tests of node/tests/relay.rs pass; also copy and thin_links.

--- a/cli/examples/generate_wire.rs
+++ b/cli/examples/generate_wire.rs
@@ -6,6 +6,9 @@
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     let wire = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../wire");
     let descriptors = protox::compile(["peer.proto", "fleet.proto"], [wire.join("proto")])?;
-    tonic_prost_build::configure().out_dir(wire.join("src/generated")).compile_fds(descriptors)?;
+    tonic_prost_build::configure()
+        .bytes(".sardinepick.fleet.RelayPart.data")
+        .out_dir(wire.join("src/generated"))
+        .compile_fds(descriptors)?;
     Ok(())
 }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod node;
 pub mod peer;
 pub mod pool;
+pub mod relay;
 pub mod rows;
 pub mod run;
 pub mod scale;
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -40,6 +40,12 @@
     pub quarantine: IntCounterVec,
     /// Connections opened.
     pub connections: IntCounter,
+    /// Connections to runners that this node forwards for other nodes.
+    pub relays: IntGauge,
+    /// Connections to runners through another node, by this node's role and outcome.
+    pub relays_opened: IntCounterVec,
+    /// Bytes forwarded for other nodes, by direction.
+    pub relay_bytes: IntCounterVec,
     /// Calls to the store by purpose and outcome.
     pub store_calls: IntCounterVec,
     /// Requests with an unknown key, by how it was ruled out that the key is new.
@@ -198,6 +204,20 @@
             ),
             connections: m
                 .counter("sardinepick_connections_total", "Connections made to runners and store"),
+            relays: m.gauge(
+                "sardinepick_relays",
+                "Connections to runners that are forwarded for other nodes",
+            ),
+            relays_opened: m.counters(
+                "sardinepick_relays_opened_total",
+                "Connections to runners through another node, by the role of this one and outcome",
+                &["role", "outcome"],
+            ),
+            relay_bytes: m.counters(
+                "sardinepick_relay_bytes_total",
+                "Bytes forwarded between other nodes and runners",
+                &["direction"],
+            ),
             lease_changes: m.counters(
                 "sardinepick_lease_changes_total",
                 "Changes of the lease on the duties, by what became of it",
--- a/node/src/serve/peer.rs
+++ b/node/src/serve/peer.rs
@@ -26,9 +26,11 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
-use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
-use tonic::{Request, Response, Status};
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::transport::server::TcpIncoming;
+use tonic::{Request, Response, Status, Streaming};
 
+use crate::relay;
 use crate::serve::copy;
 use crate::serve::heartbeat::apply_records;
 use crate::serve::quarantine;
@@ -45,6 +47,13 @@
 const FETCH_PAUSE: Duration = Duration::from_millis(200);
 /// The size of entries at which a part is full, in bytes: 13 ms on a link of 10 Mbit/s.
 const PART_BYTES: usize = 16 << 10;
+/// The maximum number of concurrent calls of one node: forwarded connections, and some others.
+const MAX_CALLS: u32 = relay::MAX_RELAYS as u32 + 64;
+/// The interval of keep-alives to a calling node that sends nothing.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(2);
+/// How long a keep-alive may take to be answered: it may be queued behind a transfer over a thin
+/// link.
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(4);
 /// The maximum size of entries accepted from one answer, in bytes: 1,600 runners take 0.4 MB.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
@@ -117,6 +126,15 @@
         let parts = copy::serve(self.shared.clone(), request.into_inner());
         Ok(Response::new(ReceiverStream::new(parts)))
     }
+
+    type RelayStream = relay::server::Answer;
+
+    async fn relay(
+        &self,
+        request: Request<Streaming<pb::RelayPart>>,
+    ) -> Result<Response<Self::RelayStream>, Status> {
+        self.shared.relay_server.relay(request.into_inner()).await.map(Response::new)
+    }
 }
 
 /// Sends a node what it does not know of the register. Small differences are sent at once; larger
@@ -291,8 +309,13 @@
 pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
     let service = FleetServer::new(Service { shared });
     let server = tonic::transport::Server::builder()
+        .initial_stream_window_size(relay::WINDOW_BYTES)
+        .initial_connection_window_size(relay::SHARED_WINDOW_BYTES)
+        .max_concurrent_streams(MAX_CALLS)
+        .http2_keepalive_interval(Some(KEEP_ALIVE_INTERVAL))
+        .http2_keepalive_timeout(Some(KEEP_ALIVE_TIMEOUT))
         .add_service(service)
-        .serve_with_incoming(TcpListenerStream::new(listener));
+        .serve_with_incoming(TcpIncoming::from(listener).with_nodelay(Some(true)));
     if let Err(error) = server.await {
         log::error!(error:% = error; "serving other nodes");
     }
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -16,6 +16,7 @@
 use sardinepick_lib::fleet::deadline::Deadlines;
 use sardinepick_lib::fleet::digest::Differences;
 use sardinepick_lib::fleet::outage::Outage;
+use sardinepick_lib::fleet::reachability::Reachability;
 use sardinepick_lib::fleet::register::Register;
 use sardinepick_lib::fleet::roster::{Contact, Record, Roster, Standing, Status};
 use sardinepick_lib::fleet::route::Configuration;
@@ -38,6 +39,7 @@
 use crate::era_tracker::EraTracker;
 use crate::limit::Limiter;
 use crate::lock::lock;
+use crate::relay;
 use crate::serve::connection::Connections;
 use crate::serve::copy::Copies;
 use crate::serve::crash::Detector;
@@ -110,6 +112,8 @@
     pub drains: Arc<Drains>,
     /// Sends requests to runners.
     pub dispatcher: Dispatcher,
+    /// Forwards connections of other nodes to runners.
+    pub relay_server: relay::Server,
     register: Arc<Mutex<Register>>,
     roster: Arc<Mutex<Roster>>,
     register_replica: Mutex<RegisterReplica>,
@@ -153,7 +157,7 @@
             peer: settings.peer,
         };
         let seed = stable_hash(incarnation.0, settings.name.as_str().as_bytes());
-        let connections = Arc::new(Connections::new(dial, clock.clone(), metrics.clone()));
+        let connections = Arc::new(Connections::new(dial.clone(), clock.clone(), metrics.clone()));
         let era_tracker = Arc::new(EraTracker::new(clock.clone(), metrics.clone()));
         let store =
             Client::new(settings.store, connections.clone(), era_tracker.clone(), metrics.clone());
@@ -193,10 +197,22 @@
             back_offs: BackOffs::new(register.clone(), clock.clone(), metrics.clone()),
             clock: clock.clone(),
         };
+        let standing = watch::channel(Standing::Starting).0;
+        let reachability: Arc<Mutex<Reachability>> = Arc::default();
+        let relay_server = relay::Server::new(
+            register.clone(),
+            reachability.clone(),
+            dial,
+            standing.subscribe(),
+            clock.clone(),
+            metrics.clone(),
+        );
         Self {
             limiter,
             drains,
             dispatcher,
+            relay_server,
+            standing,
             era_tracker,
             store,
             duty_lease,
@@ -207,7 +223,6 @@
             me,
             metrics,
             configuration: ArcSwapOption::empty(),
-            standing: watch::channel(Standing::Starting).0,
             membership_settled: watch::channel(false).0,
             register_outdated: Notify::new(),
             register_conflict: Notify::new(),
--- a/node/tests/copy.rs
+++ b/node/tests/copy.rs
@@ -18,7 +18,7 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
-use tonic::{Request, Response, Status};
+use tonic::{Request, Response, Status, Streaming};
 
 /// How a faulty peer handles a request for its configuration.
 #[derive(Clone, Copy, Debug)]
@@ -76,6 +76,7 @@
 impl Fleet for FaultyPeer {
     type TellStream = ReceiverStream<Result<pb::Knowledge, Status>>;
     type CopyStream = ReceiverStream<Result<pb::CopyPart, Status>>;
+    type RelayStream = ReceiverStream<Result<pb::RelayPart, Status>>;
 
     async fn meet(&self, _: Request<pb::Nodes>) -> Result<Response<pb::Nodes>, Status> {
         Err(Status::unimplemented("this peer knows no other nodes"))
@@ -97,6 +98,13 @@
         tokio::spawn(async move { Self::respond(fault, &parts).await });
         Ok(Response::new(ReceiverStream::new(receiver)))
     }
+
+    async fn relay(
+        &self,
+        _: Request<Streaming<pb::RelayPart>>,
+    ) -> Result<Response<Self::RelayStream>, Status> {
+        Err(Status::unimplemented("this peer forwards no connections"))
+    }
 }
 
 /// Starts a faulty peer. Its heartbeats tell `receiver` that it has version 2 of the configuration.
