--- a/testutils/src/fleet/deployment.rs
+++ b/testutils/src/fleet/deployment.rs
@@ -20,6 +20,7 @@
 use crate::fleet::caller::{Caller, Reply, RequestSpec};
 use crate::fleet::crashing_runner::CrashingRunner;
 use crate::fleet::link::Link;
+use crate::fleet::network::{Fault, Network};
 use crate::fleet::platform::Platform;
 use crate::fleet::runner::{Kind, Runner};
 use crate::fleet::store::Store;
@@ -54,6 +55,8 @@
     pub platform: Option<(Platform, Duration)>,
     /// The retry budget in the settings of nodes.
     pub budget: Bounds,
+    /// The network between nodes and runners.
+    pub network: Network,
 }
 
 fn route(name: &str, prefix: &str, kind: &str, service: &str, attempts: u32) -> Value {
@@ -154,7 +157,8 @@
         let (runners, crashing_runners, nodes) = (Vec::new(), Vec::new(), Vec::new());
         let platform = None;
         let (caller, budget) = (Caller::default(), DEFAULT_BUDGET);
-        Self { store, runners, crashing_runners, nodes, caller, platform, budget }
+        let network = Network::default();
+        Self { store, runners, crashing_runners, nodes, caller, platform, budget, network }
     }
 
     /// Starts a fake platform, to which nodes report usage in windows of `window`.
@@ -283,8 +287,18 @@
         clock: Arc<dyn Clock>,
     ) {
         let settings = self.settings(name, seeds);
-        let node = run::start(settings, clock, Metrics::default()).await.expect("free addresses");
-        self.nodes.push(node);
+        let sockets = Sockets::bind(&settings).await.expect("free addresses");
+        let dial = self.network.dial_of(name);
+        self.nodes.push(run::start_with_dial(settings, clock, Metrics::default(), sockets, dial));
+    }
+
+    /// Sets the fault of the paths from the nodes at some indices to some runners.
+    pub fn set_network_fault(&self, nodes: &[usize], runners: &[Runner], fault: Fault) {
+        for node in nodes.iter().map(|at| &self.nodes[*at].shared.me.id) {
+            for runner in runners {
+                self.network.set(node.as_str(), runner.address(), fault);
+            }
+        }
     }
 
     /// Starts a node that reaches the store through a link of `rate` bytes per second.
