reachability: ignore verdicts that later attempts have overtaken

Outcome::Closed and Outcome::Unreachable now say since when, and are ignored if a connect has succeeded since.

--- a/lib/src/fleet/reachability/dial.rs
+++ b/lib/src/fleet/reachability/dial.rs
@@ -33,16 +33,30 @@
     /// The runner was reached directly.
     Open,
     /// A peer reached the runner when this node did not.
-    Closed,
+    Closed {
+        /// When the direct connect began.
+        since: Instant,
+    },
     /// Neither this node nor a peer reached the runner.
-    Unreachable,
+    Unreachable {
+        /// When the attempt began.
+        since: Instant,
+    },
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Connect {
     NotStarted,
     Pending { since: Instant },
-    Failed,
+    Failed { since: Instant },
+}
+
+impl Connect {
+    fn fail(&mut self) {
+        if let Connect::Pending { since } = *self {
+            *self = Connect::Failed { since };
+        }
+    }
 }
 
 /// The state of one attempt. The first connect that succeeds is used, and ends the attempt.
@@ -108,44 +122,46 @@
             (Path::Open | Path::Unverified, _) => Some(self.started),
             (Path::Closed, _) if self.relays_left > 0 => None,
             (Path::Closed, Connect::Pending { since }) => Some(since + RELAY_TIMEOUT),
-            (Path::Closed, Connect::NotStarted | Connect::Failed) => Some(self.started),
+            (Path::Closed, Connect::NotStarted | Connect::Failed { .. }) => Some(self.started),
         }
     }
 
     /// When to ask the next peer; `None` if there is none.
     fn relay_due(&self) -> Option<Instant> {
-        let is_direct_awaited = self.path != Path::Closed && self.direct != Connect::Failed;
+        let has_direct_failed = matches!(self.direct, Connect::Failed { .. });
+        let is_direct_awaited = self.path != Path::Closed && !has_direct_failed;
         match self.relay {
             _ if self.relays_left == 0 => None,
             Connect::NotStarted if is_direct_awaited => Some(self.started + RELAY_DELAY),
-            Connect::NotStarted | Connect::Failed => Some(self.started),
+            Connect::NotStarted | Connect::Failed { .. } => Some(self.started),
             Connect::Pending { since } => Some(since + RELAY_TIMEOUT),
         }
     }
 
     /// Records that the direct connect has failed.
     pub fn note_direct_failed(&mut self) {
-        self.direct = Connect::Failed;
+        self.direct.fail();
     }
 
     /// Records that the connect through the peer that was asked last has failed.
     pub fn note_relay_failed(&mut self) {
-        self.relay = Connect::Failed;
+        self.relay.fail();
     }
 
     /// What it says that the connect through a peer has succeeded first.
     pub fn relayed(&self, now: Instant) -> Option<Outcome> {
-        let is_closed = match self.direct {
-            Connect::NotStarted => false,
-            Connect::Pending { since } => now >= since + RELAY_DELAY,
-            Connect::Failed => true,
-        };
-        is_closed.then_some(Outcome::Closed)
+        match self.direct {
+            Connect::Pending { since } if now < since + RELAY_DELAY => None,
+            Connect::Pending { since } | Connect::Failed { since } => {
+                Some(Outcome::Closed { since })
+            }
+            Connect::NotStarted => None,
+        }
     }
 
     /// What it says that the attempt was given up; `None` if no peer was asked.
     pub fn gave_up(&self) -> Option<Outcome> {
         let was_tried = self.was_relay_asked && self.direct != Connect::NotStarted;
-        was_tried.then_some(Outcome::Unreachable)
+        was_tried.then_some(Outcome::Unreachable { since: self.started })
     }
 }
--- a/lib/src/fleet/reachability/mod.rs
+++ b/lib/src/fleet/reachability/mod.rs
@@ -103,8 +103,8 @@
     pub fn note_outcome(&mut self, address: SocketAddr, outcome: Outcome, now: Instant) {
         match outcome {
             Outcome::Open => self.note_connected(address, now),
-            Outcome::Closed => self.note_closed(address, now),
-            Outcome::Unreachable => self.note_unreachable(address, now),
+            Outcome::Closed { since } => self.note_closed(address, since, now),
+            Outcome::Unreachable { since } => self.note_unreachable(address, since, now),
         }
     }
 
@@ -133,13 +133,14 @@
         self.paths.entry(address).or_default().note_failed(now);
     }
 
-    /// Records that a peer reached a runner when this node did not.
-    pub fn note_closed(&mut self, address: SocketAddr, now: Instant) {
+    /// Records that a peer reached a runner when this node did not, with a connect that began at
+    /// `since`. Does nothing if this node has connected since.
+    pub fn note_closed(&mut self, address: SocketAddr, since: Instant, now: Instant) {
         // A lost segment can close one path.
         let is_second =
             self.paths.iter().any(|(other, path)| *other != address && path.is_closed());
         let path = self.paths.entry(address).or_default();
-        if path.close(now) && is_second {
+        if path.close(since, now) && is_second {
             self.suspect(now);
         }
     }
@@ -152,16 +153,15 @@
         }
     }
 
-    /// Records that neither this node nor a peer reached a runner.
-    pub fn note_unreachable(&mut self, address: SocketAddr, now: Instant) {
-        self.paths.entry(address).or_default().note_unreachable(now);
+    /// Records that neither this node nor a peer reached a runner, in an attempt that began at
+    /// `since`. Does nothing if another attempt has succeeded since.
+    pub fn note_unreachable(&mut self, address: SocketAddr, since: Instant, now: Instant) {
+        self.paths.entry(address).or_default().note_unreachable(since, now);
     }
 
     /// Records that a peer has connected this node to a runner.
     pub fn note_relayed(&mut self, peer: &NodeId, address: SocketAddr, now: Instant) {
-        if let Some(path) = self.paths.get_mut(&address) {
-            path.unreachable_at = None;
-        }
+        self.paths.entry(address).or_default().note_relayed(now);
         self.peers.note_relayed(peer, address, now);
     }
 
--- a/lib/src/fleet/reachability/path.rs
+++ b/lib/src/fleet/reachability/path.rs
@@ -22,6 +22,10 @@
     /// When a direct connection was last established or has delivered data.
     verified_at: Option<Instant>,
     failed_at: Option<Instant>,
+    /// When a direct connection was last established.
+    connected_at: Option<Instant>,
+    /// When a peer last reached the runner.
+    relayed_at: Option<Instant>,
     /// When neither this node nor a peer reached the runner.
     pub(super) unreachable_at: Option<Instant>,
 }
@@ -55,7 +59,7 @@
 
     /// Returns whether the path was closed.
     pub(super) fn note_connected(&mut self, now: Instant) -> bool {
-        self.verified_at = Some(now);
+        (self.verified_at, self.connected_at) = (Some(now), Some(now));
         (self.failed_at, self.unreachable_at) = (None, None);
         self.closed.take().is_some()
     }
@@ -72,13 +76,18 @@
         self.failed_at = Some(now);
     }
 
-    /// Closes the path. Returns whether it was not closed before.
-    pub(super) fn close(&mut self, now: Instant) -> bool {
-        (self.failed_at, self.unreachable_at) = (Some(now), None);
-        if self.is_closed() {
+    pub(super) fn note_relayed(&mut self, now: Instant) {
+        (self.relayed_at, self.unreachable_at) = (Some(now), None);
+    }
+
+    /// Closes the path, as a connect that began at `since` did not succeed. Returns whether it was
+    /// open.
+    pub(super) fn close(&mut self, since: Instant, now: Instant) -> bool {
+        if self.is_closed() || self.connected_at > Some(since) {
             return false;
         }
         (self.closed, self.doubted_at) = (Some(Closed::default()), Some(now));
+        self.failed_at = Some(now);
         true
     }
 
@@ -89,7 +98,11 @@
         }
     }
 
-    pub(super) fn note_unreachable(&mut self, now: Instant) {
+    /// Records that the runner was not reached by an attempt that began at `since`.
+    pub(super) fn note_unreachable(&mut self, since: Instant, now: Instant) {
+        if self.connected_at.max(self.relayed_at) > Some(since) {
+            return;
+        }
         self.release(now);
         (self.failed_at, self.unreachable_at) = (Some(now), Some(now));
     }
--- a/lib/tests/reachability.rs
+++ b/lib/tests/reachability.rs
@@ -50,9 +50,9 @@
         assert_eq!(dial.poll(now + RELAY_DELAY), Action::Wait(second));
         assert_eq!(dial.poll(second), Action::Relay);
         assert_eq!(dial.poll(second), Action::Wait(now + CONNECT_TIMEOUT));
-        assert_eq!(dial.relayed(second), Some(Outcome::Closed));
+        assert_eq!(dial.relayed(second), Some(Outcome::Closed { since: now }));
         assert_eq!(dial.poll(now + CONNECT_TIMEOUT), Action::GiveUp);
-        assert_eq!(dial.gave_up(), Some(Outcome::Unreachable));
+        assert_eq!(dial.gave_up(), Some(Outcome::Unreachable { since: now }));
     }
 }
 
@@ -63,7 +63,7 @@
     let mut dial = dial(Path::Open, 2, Action::Direct, now);
     dial.note_direct_failed();
     assert_eq!(dial.poll(now + ms(1)), Action::Relay);
-    assert_eq!(dial.relayed(now + ms(2)), Some(Outcome::Closed));
+    assert_eq!(dial.relayed(now + ms(2)), Some(Outcome::Closed { since: now }));
 }
 
 /// Guards against a runner that is down costing more time than without peers.
@@ -77,7 +77,7 @@
         dial.note_relay_failed();
     }
     assert_eq!(dial.poll(now + ms(1)), Action::GiveUp);
-    assert_eq!(dial.gave_up(), Some(Outcome::Unreachable));
+    assert_eq!(dial.gave_up(), Some(Outcome::Unreachable { since: now }));
 }
 
 #[test]
@@ -134,8 +134,8 @@
 #[test]
 fn path_one_closed_others_open() {
     let (mut reachability, now) = (Reachability::default(), Instant::now());
-    reachability.note_closed(runner(1), now);
-    reachability.note_closed(runner(1), now + ms(1));
+    reachability.note_closed(runner(1), now, now);
+    reachability.note_closed(runner(1), now + ms(1), now + ms(1));
     assert_eq!(reachability.path(runner(1)), Path::Closed);
     assert_eq!(reachability.path(runner(2)), Path::Open);
     assert_eq!(reachability.closed(), 1);
@@ -146,8 +146,8 @@
 fn path_two_closed_others_unverified() {
     let (mut reachability, now) = (Reachability::default(), Instant::now());
     reachability.note_connected(runner(3), now);
-    reachability.note_closed(runner(1), now + ms(1));
-    reachability.note_closed(runner(2), now + ms(2));
+    reachability.note_closed(runner(1), now + ms(1), now + ms(1));
+    reachability.note_closed(runner(2), now + ms(2), now + ms(2));
     assert_eq!(reachability.path(runner(3)), Path::Unverified);
     assert_eq!(reachability.path(runner(4)), Path::Unverified);
     assert!(!reachability.may_reuse(runner(3), now));
@@ -156,8 +156,8 @@
 #[test]
 fn path_unverified_open_once_used() {
     let (mut reachability, now) = (Reachability::default(), Instant::now());
-    reachability.note_closed(runner(1), now);
-    reachability.note_closed(runner(2), now);
+    reachability.note_closed(runner(1), now, now);
+    reachability.note_closed(runner(2), now, now);
     reachability.note_connected(runner(3), now + ms(10));
     reachability.note_received(runner(4), now + ms(10));
     for open in [runner(3), runner(4)] {
@@ -170,7 +170,7 @@
 #[test]
 fn path_probe_failed_others_unverified_once() {
     let (mut reachability, now) = (Reachability::default(), Instant::now());
-    reachability.note_closed(runner(1), now);
+    reachability.note_closed(runner(1), now, now);
     reachability.note_probe_failed(runner(1), now + ms(100));
     assert_eq!(reachability.path(runner(2)), Path::Unverified);
     reachability.note_received(runner(2), now + ms(200));
@@ -182,12 +182,12 @@
 #[test]
 fn path_many_closed_one_suspicion_a_second() {
     let (mut reachability, now) = (Reachability::default(), Instant::now());
-    reachability.note_closed(runner(1), now);
-    reachability.note_closed(runner(2), now);
+    reachability.note_closed(runner(1), now, now);
+    reachability.note_closed(runner(2), now, now);
     reachability.note_received(runner(9), now + ms(1));
-    reachability.note_closed(runner(3), now + ms(900));
+    reachability.note_closed(runner(3), now + ms(900), now + ms(900));
     assert_eq!(reachability.path(runner(9)), Path::Open);
-    reachability.note_closed(runner(4), now + ms(1_000));
+    reachability.note_closed(runner(4), now + ms(1_000), now + ms(1_000));
     assert_eq!(reachability.path(runner(9)), Path::Unverified);
 }
 
@@ -195,7 +195,7 @@
 #[test]
 fn path_closed_received_stays_closed() {
     let (mut reachability, now) = (Reachability::default(), Instant::now());
-    reachability.note_closed(runner(1), now);
+    reachability.note_closed(runner(1), now, now);
     reachability.note_received(runner(1), now + ms(10));
     assert_eq!(reachability.path(runner(1)), Path::Closed);
     assert!(!reachability.may_reuse(runner(1), now + ms(10)));
@@ -219,19 +219,43 @@
 #[test]
 fn path_unreachable_not_closed() {
     let (mut reachability, now) = (Reachability::default(), Instant::now());
-    reachability.note_unreachable(runner(1), now);
+    reachability.note_unreachable(runner(1), now, now);
     assert_eq!(reachability.path(runner(1)), Path::Open);
-    reachability.note_closed(runner(1), now);
-    reachability.note_unreachable(runner(1), now + ms(10));
+    reachability.note_closed(runner(1), now, now);
+    reachability.note_unreachable(runner(1), now + ms(10), now + ms(10));
     assert_eq!(reachability.path(runner(1)), Path::Unverified);
     assert_eq!(reachability.next_probe(now + ms(10)), None);
 }
 
+/// Guards against a lost segment that closes a path on which another connect has succeeded.
+#[test]
+fn path_connected_since_not_closed() {
+    let (mut reachability, now) = (Reachability::default(), Instant::now());
+    reachability.note_connected(runner(1), now + ms(30));
+    reachability.note_closed(runner(1), now, now + ms(70));
+    assert_eq!(reachability.path(runner(1)), Path::Open);
+    reachability.note_closed(runner(1), now + ms(31), now + ms(100));
+    assert_eq!(reachability.path(runner(1)), Path::Closed);
+}
+
+/// Guards against an attempt that failed late undoing what a later one has found.
+#[test]
+fn path_relayed_since_not_unreachable() {
+    let (mut reachability, now) = (Reachability::default(), Instant::now());
+    let (nodes, mut rng) = ([node(1)], StdRng::seed_from_u64(1));
+    reachability.note_relayed(&nodes[0], runner(1), now + ms(70));
+    reachability.note_closed(runner(1), now, now + ms(70));
+    reachability.note_unreachable(runner(1), now, now + ms(250));
+    assert_eq!(reachability.path(runner(1)), Path::Closed);
+    let chosen = reachability.relays(runner(1), nodes.iter(), now + ms(250), &mut rng);
+    assert_eq!(chosen[..], nodes);
+}
+
 /// Guards against a runner at a used address that is never connected to directly.
 #[test]
 fn path_address_used_again_opened_by_probe() {
     let (mut reachability, now) = (Reachability::default(), Instant::now());
-    reachability.note_closed(runner(1), now);
+    reachability.note_closed(runner(1), now, now);
     reachability.retain(|address| *address == runner(1), now + ms(100));
     assert_eq!(reachability.next_probe(now + ms(200)), Some(runner(1)));
     reachability.note_connected(runner(1), now + ms(201));
@@ -249,7 +273,7 @@
 fn next_probe_one_a_period_in_turn() {
     let (mut reachability, now) = (Reachability::default(), Instant::now());
     for number in 1..=3 {
-        reachability.note_closed(runner(number), now);
+        reachability.note_closed(runner(number), now, now);
     }
     let mut probed = Vec::new();
     for at in 0..PROBE_PERIOD.as_millis() as u64 * 6 {
@@ -264,10 +288,10 @@
 fn next_probe_newly_closed_first() {
     let (mut reachability, now) = (Reachability::default(), Instant::now());
     for number in 1..=3 {
-        reachability.note_closed(runner(number), now);
+        reachability.note_closed(runner(number), now, now);
         assert!(reachability.next_probe(now + PROBE_PERIOD * number.into()).is_some());
     }
-    reachability.note_closed(runner(9), now + PROBE_PERIOD * 4);
+    reachability.note_closed(runner(9), now + PROBE_PERIOD * 4, now + PROBE_PERIOD * 4);
     assert_eq!(reachability.next_probe(now + PROBE_PERIOD * 4), Some(runner(9)));
 }
 
@@ -276,7 +300,7 @@
 fn note_connected_closed_before_others_unverified() {
     let (mut reachability, now) = (Reachability::default(), Instant::now());
     for number in 1..=200 {
-        reachability.note_closed(runner(number), now);
+        reachability.note_closed(runner(number), now, now);
     }
     let probed = reachability.next_probe(now + ms(300)).expect("paths are closed");
     reachability.note_connected(probed, now + ms(301));
@@ -291,7 +315,7 @@
 fn relays_unreachable_one_attempt_a_second() {
     let (mut reachability, now) = (Reachability::default(), Instant::now());
     let (nodes, mut rng) = ([node(1), node(2)], StdRng::seed_from_u64(1));
-    reachability.note_unreachable(runner(1), now);
+    reachability.note_unreachable(runner(1), now, now);
     let mut count = |address, at| reachability.relays(address, nodes.iter(), at, &mut rng).len();
     assert_eq!(count(runner(1), now + ms(999)), 0);
     assert_eq!(count(runner(2), now + ms(999)), 2);
@@ -356,8 +380,8 @@
 fn may_relay_failed_refuses_at_once() {
     let (mut reachability, now) = (Reachability::default(), Instant::now());
     reachability.note_direct_failed(runner(1), now);
-    reachability.note_unreachable(runner(2), now);
-    reachability.note_closed(runner(3), now);
+    reachability.note_unreachable(runner(2), now, now);
+    reachability.note_closed(runner(3), now, now);
     let later = now + ms(1_000);
     for (number, after) in [(1, true), (2, true), (3, false)] {
         assert!(!reachability.may_relay(runner(number), now + ms(999)));
@@ -371,8 +395,8 @@
 #[test]
 fn retain_unwanted_removed() {
     let (mut reachability, now) = (Reachability::default(), Instant::now());
-    reachability.note_closed(runner(1), now);
-    reachability.note_closed(runner(2), now);
+    reachability.note_closed(runner(1), now, now);
+    reachability.note_closed(runner(2), now, now);
     reachability.retain(|address| *address == runner(2), now);
     assert_eq!(reachability.closed(), 1);
     assert_eq!(reachability.next_probe(now), Some(runner(2)));
