connector: reach runners through peers while the direct path is closed

A node that is partitioned from the runners refuses its callers: each connect takes 250 ms, and the next runner is not reached either.

connector::Connector polls reachability::Dial, runs the direct connect and the one through a peer side by side, uses the first, and records what that says of the path. Dispatcher, the health check of a silent run, the release of KV handles and the cache query use it; orders, the store, the platform and the crash probe stay direct. The pool keeps the two ways apart: direct connections are reused while the path is open, relayed ones while it is closed. A task probes closed paths. A call that breaks off while the node is cut is counted as "cut" and not filed as the runner's health, and a runner on a closed path is not taken for crashed. A health check that needs a peer shows that the connection of the silent run is dead. A stopping node waits for the connections that it forwards.

--- a/node/src/dispatch/mod.rs
+++ b/node/src/dispatch/mod.rs
@@ -14,17 +14,18 @@
 use sardinepick_platform::signal::{back_off, is_leaving, rate_limit};
 
 use crate::back_off::BackOffs;
+use crate::connector::Connector;
 use crate::drain::Drains;
 use crate::limit::{Denied, Limiter, Permit};
 use crate::lock::lock;
-use crate::serve::connection::{Answer, CONNECT_TIMEOUT, Connections, SendError};
+use crate::serve::connection::{Answer, SendError};
 
 /// Sends requests to runners.
 pub struct Dispatcher {
     /// The runners.
     pub register: Arc<Mutex<Register>>,
-    /// Connections to runners.
-    pub connections: Arc<Connections>,
+    /// Connects to runners.
+    pub connector: Arc<Connector>,
     /// Rate limits of runners.
     pub limiter: Arc<Limiter>,
     /// Drains that runners announce.
@@ -93,7 +94,7 @@
             return Err(SendError::Leaving { peer: address, runner: runner.clone() });
         }
         let sent = self.clock.now();
-        let answer = self.connections.send(address, request, CONNECT_TIMEOUT).await?;
+        let answer = self.connector.send(runner, address, request).await?;
         let headers = &answer.head.headers;
         if let Some(registration) = registration.filter(|_| is_from(headers, runner, id)) {
             self.limiter.note_answer(registration, id, sent, rate_limit(headers));
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod completion;
 pub mod configuration;
+pub mod connector;
 pub mod dispatch;
 pub mod drain;
 pub mod dump;
--- a/node/src/relay/client.rs
+++ b/node/src/relay/client.rs
@@ -99,7 +99,7 @@
         );
         let answer = client.relay(parts).await;
         let answer = answer.map_err(|status| Error::from_status(peer, address, &status))?;
-        Ok(Stream::new(answer.into_inner(), sender))
+        Ok(Stream::new(answer.into_inner(), sender, self.metrics.clone()))
     }
 
     /// Returns the connection to a peer, which connects when it is first used.
--- a/node/src/relay/stream.rs
+++ b/node/src/relay/stream.rs
@@ -15,6 +15,7 @@
 use tonic::Streaming;
 
 use super::CHUNK_BYTES;
+use crate::serve::metrics::Metrics;
 
 type Reserve = Pin<Box<dyn Future<Output = Result<OwnedPermit<RelayPart>, SendError<()>>> + Send>>;
 
@@ -28,11 +29,17 @@
     sender: Sender<RelayPart>,
     /// The wait for room to send, if there was none.
     reserve: Option<Reserve>,
+    metrics: Metrics,
 }
 
 impl Stream {
-    pub(super) fn new(received: Streaming<RelayPart>, sender: Sender<RelayPart>) -> Self {
-        Self { received, unread: Bytes::new(), ended: false, sender, reserve: None }
+    pub(super) fn new(
+        received: Streaming<RelayPart>,
+        sender: Sender<RelayPart>,
+        metrics: Metrics,
+    ) -> Self {
+        metrics.relayed_connections.inc();
+        Self { received, unread: Bytes::new(), ended: false, sender, reserve: None, metrics }
     }
 
     fn poll_send(&mut self, context: &mut Context<'_>, part: RelayPart) -> Poll<io::Result<()>> {
@@ -57,6 +64,12 @@
     io::Error::new(ErrorKind::BrokenPipe, "the peer forwards no more data to the runner")
 }
 
+impl Drop for Stream {
+    fn drop(&mut self) {
+        self.metrics.relayed_connections.dec();
+    }
+}
+
 impl AsyncRead for Stream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/node/src/serve/cache_query.rs
+++ b/node/src/serve/cache_query.rs
@@ -18,7 +18,6 @@
 use sardinepick_platform::runner::{CachedPrefix, list_cached, read_cached};
 use tokio::time::timeout;
 
-use crate::serve::connection::CONNECT_TIMEOUT;
 use crate::serve::shared::Shared;
 
 /// The timeout of a query; a later answer only says what other requests have shown by then.
@@ -51,7 +50,7 @@
 async fn query_runner(shared: Arc<Shared>, entry: Entry, registration: Registration) {
     let query = async {
         let request = list_cached(&entry.id, entry.address);
-        let sent = shared.connections.send(entry.address, request, CONNECT_TIMEOUT);
+        let sent = shared.connector.send(&entry.id, entry.address, request);
         let answer = sent.await.map_err(|e| e.to_string())?;
         let (head, body) = answer.read(MAX_ANSWER_BYTES).await.map_err(|e| e.to_string())?;
         if !head.status.is_success() {
--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -6,10 +6,11 @@
 //! request.
 
 use std::collections::{HashMap, VecDeque};
+use std::future::Future;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use http::response::Parts;
@@ -27,7 +28,7 @@
 use tokio::time::timeout;
 
 use crate::limit::Denied;
-use crate::serve::dial::Dial;
+use crate::serve::dial::{Dial, Stream};
 use crate::serve::metrics::Metrics;
 
 /// Why a request got no answer.
@@ -114,9 +115,25 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
+/// The way in which a connection was made.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Way {
+    /// By this node itself.
+    Direct,
+    /// Through a peer.
+    Relayed,
+}
+
+/// A connection that carries no request.
+pub struct Link {
+    sender: Sender,
+    way: Way,
+}
+
 struct Idle {
     sender: Sender,
-    until: std::time::Instant,
+    since: Instant,
+    until: Instant,
 }
 
 /// How long a connection is kept idle if the peer announces no timeout. Shorter than any known
@@ -129,12 +146,12 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 /// The timeout of a probe: many times the round trip between data centres.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
-/// The maximum number of idle connections per address.
+/// The maximum number of idle connections per address and way.
 const MAX_IDLE: usize = 32;
 
 /// The connections of this node.
 pub struct Connections {
-    idle: Mutex<HashMap<SocketAddr, VecDeque<Idle>>>,
+    idle: Mutex<HashMap<(SocketAddr, Way), VecDeque<Idle>>>,
     dial: Arc<dyn Dial>,
     clock: Arc<dyn Clock>,
     metrics: Metrics,
@@ -156,6 +173,11 @@
 pub struct Incomplete(String);
 
 impl Answer {
+    /// The way of the connection that it came over.
+    pub fn way(&self) -> Way {
+        self.lease.way
+    }
+
     /// Reads the whole body, up to `max_bytes`, and returns the connection to the pool.
     ///
     /// # Errors
@@ -205,6 +227,7 @@
 pub struct Lease {
     connections: Arc<Connections>,
     address: SocketAddr,
+    way: Way,
     sender: Sender,
     idle_timeout: Option<Duration>,
 }
@@ -213,11 +236,11 @@
     /// Returns the connection to the pool, once the whole answer has been read.
     pub fn return_to_pool(self) {
         let Some(keep) = self.idle_timeout.and_then(|t| t.checked_sub(IDLE_MARGIN)) else { return };
-        let until = self.connections.clock.now() + keep;
+        let since = self.connections.clock.now();
         let mut idle = self.connections.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let queue = idle.entry(self.address).or_default();
+        let queue = idle.entry((self.address, self.way)).or_default();
         if queue.len() < MAX_IDLE {
-            queue.push_back(Idle { sender: self.sender, until });
+            queue.push_back(Idle { sender: self.sender, since, until: since + keep });
         }
     }
 }
@@ -228,8 +251,8 @@
         Self { idle: Mutex::new(HashMap::new()), dial, clock, metrics }
     }
 
-    /// Sends a request and waits for the head of its answer. `connect_timeout` applies to a new
-    /// connection.
+    /// Sends a request over a direct connection and waits for the head of its answer.
+    /// `connect_timeout` applies to a new connection.
     ///
     /// # Errors
     /// There is no answer.
@@ -238,11 +261,27 @@
         address: SocketAddr,
         request: Request<Bytes>,
         connect_timeout: Duration,
+    ) -> Result<Answer, SendError> {
+        let take_idle = || self.take_idle(address, Way::Direct, |_| true);
+        self.send_over(address, request, take_idle, self.connect(address, connect_timeout)).await
+    }
+
+    /// Sends a request over an idle connection, or over a new one if there is none, and waits for
+    /// the head of its answer.
+    ///
+    /// # Errors
+    /// There is no answer.
+    pub async fn send_over(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        take_idle: impl Fn() -> Option<Link>,
+        connect: impl Future<Output = Result<Link, SendError>>,
     ) -> Result<Answer, SendError> {
         let mut request = request.map(Full::new);
-        while let Some(mut sender) = self.take_idle(address) {
-            match sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.answer(address, sender, response)),
+        while let Some(mut link) = take_idle() {
+            match link.sender.try_send_request(request).await {
+                Ok(response) => return Ok(self.answer(address, link, response)),
                 Err(mut error) => match error.take_message() {
                     // Nothing of it was sent: it is retried on the next connection.
                     Some(unsent) => request = unsent,
@@ -250,9 +289,9 @@
                 },
             }
         }
-        let mut sender = self.connect(address, connect_timeout).await?;
-        match sender.try_send_request(request).await {
-            Ok(response) => Ok(self.answer(address, sender, response)),
+        let mut link = connect.await?;
+        match link.sender.try_send_request(request).await {
+            Ok(response) => Ok(self.answer(address, link, response)),
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(SendError::Unsent { peer: address }),
                 None => Err(broken(address, error.error())),
@@ -263,22 +302,29 @@
     fn answer(
         self: &Arc<Self>,
         address: SocketAddr,
-        sender: Sender,
+        link: Link,
         response: Response<Incoming>,
     ) -> Answer {
         let (head, body) = response.into_parts();
         let idle_timeout = keep_alive(&head.headers, DEFAULT_IDLE_TIMEOUT);
-        let lease = Lease { connections: self.clone(), address, sender, idle_timeout };
-        Answer { head, body, lease }
+        let (connections, Link { sender, way }) = (self.clone(), link);
+        Answer { head, body, lease: Lease { connections, address, way, sender, idle_timeout } }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
+    /// Takes the connection that has been idle longest, if `may_reuse` permits that for the time
+    /// since when it is idle. Connections for which it does not are closed.
+    pub fn take_idle(
+        &self,
+        address: SocketAddr,
+        way: Way,
+        may_reuse: impl Fn(Instant) -> bool,
+    ) -> Option<Link> {
         let now = self.clock.now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let queue = idle.get_mut(&address)?;
+        let queue = idle.get_mut(&(address, way))?;
         while let Some(next) = queue.pop_front() {
-            if next.until > now && next.sender.is_ready() {
-                return Some(next.sender);
+            if next.until > now && next.sender.is_ready() && may_reuse(next.since) {
+                return Some(Link { sender: next.sender, way });
             }
         }
         None
@@ -288,7 +334,7 @@
     pub fn close_expired(&self, wanted: impl Fn(&SocketAddr) -> bool) {
         let now = self.clock.now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|address, queue| {
+        idle.retain(|(address, _), queue| {
             queue.retain(|i| i.until > now && !i.sender.is_closed());
             !queue.is_empty() && wanted(address)
         });
@@ -296,35 +342,64 @@
 
     /// Closes the idle connections to an address.
     pub fn close_idle(&self, address: SocketAddr) {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain(|(other, _), _| *other != address);
+    }
+
+    /// Closes the idle connections through peers to addresses that are not `wanted`.
+    pub fn close_idle_relayed(&self, wanted: impl Fn(&SocketAddr) -> bool) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain(|(address, way), _| *way == Way::Direct || wanted(address));
     }
 
     /// Checks whether a process listens at an address.
     pub async fn probe(&self, address: SocketAddr) -> Probe {
-        self.metrics.connections.inc();
-        match timeout(PROBE_TIMEOUT, self.dial.dial(address)).await {
+        match timeout(PROBE_TIMEOUT, self.dial(address)).await {
             Ok(Ok(_)) => Probe::Accepted,
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Probe::Refused,
             Ok(Err(_)) | Err(_) => Probe::Unknown,
         }
     }
 
-    async fn connect(&self, address: SocketAddr, limit: Duration) -> Result<Sender, SendError> {
+    async fn connect(&self, address: SocketAddr, limit: Duration) -> Result<Link, SendError> {
         let failed = |detail: String| SendError::Connect { peer: address, detail };
+        match timeout(limit, self.dial(address)).await {
+            Ok(Ok(stream)) => self.establish(address, Way::Direct, stream).await,
+            Ok(Err(error)) => Err(failed(error.to_string())),
+            Err(_) => Err(failed(format!("no answer within {limit:?}"))),
+        }
+    }
+
+    /// Connects to an address directly.
+    ///
+    /// # Errors
+    /// The address cannot be reached.
+    pub async fn dial(&self, address: SocketAddr) -> std::io::Result<Box<dyn Stream>> {
         self.metrics.connections.inc();
-        let stream = match timeout(limit, self.dial.dial(address)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return Err(failed(error.to_string())),
-            Err(_) => return Err(failed(format!("no answer within {limit:?}"))),
+        self.dial.dial(address).await
+    }
+
+    /// Prepares a connection to an address for requests.
+    ///
+    /// # Errors
+    /// The connection cannot be used.
+    pub async fn establish(
+        &self,
+        address: SocketAddr,
+        way: Way,
+        stream: Box<dyn Stream>,
+    ) -> Result<Link, SendError> {
+        let failed = |error: hyper::Error| {
+            let detail = error.to_string();
+            SendError::Connect { peer: address, detail }
         };
-        let (sender, connection) =
-            handshake(TokioIo::new(stream)).await.map_err(|e| failed(e.to_string()))?;
+        let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(failed)?;
         tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!(peer:% = address, error:% = error; "connection closed");
             }
         });
-        Ok(sender)
+        Ok(Link { sender, way })
     }
 }
 
--- a/node/src/serve/crash.rs
+++ b/node/src/serve/crash.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use sardinepick_lib::fleet::reachability::Path;
 use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_lib::fleet::suspect::RunProgress;
 use tokio::sync::OnceCell;
@@ -75,7 +76,10 @@
     let (incarnation, address) = reservation
         .with_runner(|r| (!r.is_leaving()).then(|| (r.entry.tag(), r.entry.address)))
         .flatten()?;
-    if !shared.crashes.has_crashed(shared, incarnation, address).await {
+    // A network that refuses connections looks like a runner that has ended.
+    if shared.connector.path(address) == Path::Closed
+        || !shared.crashes.has_crashed(shared, incarnation, address).await
+    {
         return None;
     }
     shared.metrics.runner_crashes.inc();
--- a/node/src/serve/generation/prefill.rs
+++ b/node/src/serve/generation/prefill.rs
@@ -17,7 +17,6 @@
 use super::attempt::{Failure, Placed};
 use super::attempts::Arrival;
 use super::{Generation, MAX_ANSWER_BYTES, millis};
-use crate::serve::connection::CONNECT_TIMEOUT;
 use crate::serve::connection::{Answer, Incomplete, SendError};
 use crate::serve::reservation::{Reservation, Step};
 use crate::serve::shared::Shared;
@@ -43,11 +42,6 @@
 }
 
 impl PrefillError {
-    /// Whether this node itself did not send the request.
-    fn is_denied(&self) -> bool {
-        matches!(self, PrefillError::Send(error) if error.is_local())
-    }
-
     /// Whether the runner has certainly not received the request.
     fn proves_unsent(&self) -> bool {
         matches!(self, PrefillError::Send(error) if error.proves_unsent())
@@ -120,8 +114,12 @@
                     self.attempts().prefills -= 1;
                     arrival.waive();
                 }
-                if !error.is_denied() {
-                    reservation.conclude(Outcome::Broken);
+                match &error {
+                    PrefillError::Send(error) => reservation.conclude_unanswered(error),
+                    PrefillError::Incomplete(_)
+                    | PrefillError::Format(_)
+                    | PrefillError::Status(_)
+                    | PrefillError::Mismatched => reservation.conclude(Outcome::Broken),
                 }
                 log::info!(
                     request:% = self.request.id, runner:% = id, error:% = error,
@@ -210,7 +208,7 @@
         let (shared, runner) = (self.shared.clone(), self.runner.clone());
         tokio::spawn(async move {
             let request = runner::release_handle(&handle, &runner);
-            match shared.connections.send(handle.holder, request, CONNECT_TIMEOUT).await {
+            match shared.connector.send(&runner, handle.holder, request).await {
                 Ok(answer) => answer.discard(MAX_ANSWER_BYTES).await,
                 Err(error) => {
                     log::info!(runner:% = runner, error:% = error; "failed to free KV cache");
--- a/node/src/serve/generation/probe.rs
+++ b/node/src/serve/generation/probe.rs
@@ -4,12 +4,13 @@
 use std::time::{Duration, Instant};
 
 use http::StatusCode;
+use sardinepick_lib::fleet::reachability::Path;
 use sardinepick_lib::id::RunnerId;
 use sardinepick_platform::order::request_report;
 use tokio::time::timeout;
 
 use super::MAX_ANSWER_BYTES;
-use crate::serve::connection::CONNECT_TIMEOUT;
+use crate::serve::connection::Way;
 use crate::serve::shared::Shared;
 
 /// How long a runner has to answer a health check. Unlike a request, it waits for no slot.
@@ -23,22 +24,26 @@
 }
 
 /// Checks the health of a runner, and records the answer. Returns false if it has left or does not
-/// answer.
+/// answer, or if it turns out that this node reaches it only through a peer: then the connection of
+/// the silent attempt is dead.
 pub(super) async fn is_alive(shared: Arc<Shared>, id: RunnerId) -> bool {
     let Some((address, registration)) =
         shared.register().get(&id).map(|r| (r.entry.address, r.registration()))
     else {
         return false;
     };
+    let was_closed = shared.connector.path(address) == Path::Closed;
+    shared.connector.note_silent(address);
     let check = async {
         let report = request_report(&id, address);
-        let answer = shared.connections.send(address, report, CONNECT_TIMEOUT).await.ok()?;
-        let status = answer.head.status;
+        let answer = shared.connector.send(&id, address, report).await.ok()?;
+        let (status, way) = (answer.head.status, answer.way());
         answer.discard(MAX_ANSWER_BYTES).await;
-        Some(status)
+        Some((status, way))
     };
-    let status = timeout(PROBE_TIMEOUT, check).await.ok().flatten();
-    let alive = status.is_some_and(|status| status != StatusCode::MISDIRECTED_REQUEST);
+    let answer = timeout(PROBE_TIMEOUT, check).await.ok().flatten();
+    let alive = answer.is_some_and(|(status, _)| status != StatusCode::MISDIRECTED_REQUEST);
+    let was_cut = answer.is_some_and(|(_, way)| way == Way::Relayed) && !was_closed;
     if alive {
         let now = shared.clock.now();
         if let Some(runner) = shared.register().registered_mut(&registration) {
@@ -47,5 +52,5 @@
     }
     let label = if alive { "answered" } else { "silent" };
     shared.metrics.runner_calls.with_label_values(&[id.as_str(), "probe", label]).inc();
-    alive
+    alive && !was_cut
 }
--- a/node/src/serve/generation/run.rs
+++ b/node/src/serve/generation/run.rs
@@ -112,9 +112,7 @@
         let answer = match sent.await {
             Ok(answer) => answer,
             Err(error) => {
-                if !error.is_local() {
-                    reservation.conclude(Outcome::Broken);
-                }
+                reservation.conclude_unanswered(&error);
                 log::info!(
                     request:% = self.request.id, runner:% = id, error:% = error,
                     unsent = error.proves_unsent(); "call failed"
--- a/node/src/serve/listener.rs
+++ b/node/src/serve/listener.rs
@@ -11,6 +11,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sardinepick_lib::account::directory::{Account, Directory};
+use sardinepick_lib::fleet::reachability::Path;
 use sardinepick_lib::fleet::roster::Standing;
 use sardinepick_lib::id::Window;
 use sardinepick_platform::caller::{LOOKUP_PATH, READINESS_PATH, lookup_response, read_lookup};
@@ -205,6 +206,7 @@
                 "rate_limit": runner.limit.rate(),
                 "opens_in_ms": runner.limit.opens_in(now).as_millis() as u64,
                 "backs_off_ms": runner.back_off.ends_in(now).as_millis() as u64,
+                "path": path_name(shared.connector.path(runner.entry.address)),
             })
         };
         register.runners().map(line).collect()
@@ -218,10 +220,22 @@
         "store_era": shared.era_tracker.era(),
         "nodes_heard": nodes, "runners": runners, "quarantine": quarantine::state(shared),
         "accounts": accounts(shared), "duties": duties(shared),
+        "closed_paths": shared.connector.closed(),
+        "relayed_connections": shared.metrics.relayed_connections.get(),
+        "relays": shared.relay_server.open_count(),
     })
     .to_string()
 }
 
+/// How this node reaches a runner.
+fn path_name(path: Path) -> &'static str {
+    match path {
+        Path::Open => "open",
+        Path::Unverified => "unverified",
+        Path::Closed => "closed",
+    }
+}
+
 /// The client accounts, without their keys.
 fn accounts(shared: &Shared) -> Vec<serde_json::Value> {
     let configuration = shared.configuration.load();
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -42,6 +42,10 @@
     pub connections: IntCounter,
     /// Connections to runners that this node forwards for other nodes.
     pub relays: IntGauge,
+    /// Connections of this node to runners through other nodes.
+    pub relayed_connections: IntGauge,
+    /// Runners that this node reaches only through other nodes.
+    pub closed_paths: IntGauge,
     /// Connections to runners through another node, by this node's role and outcome.
     pub relays_opened: IntCounterVec,
     /// Bytes forwarded for other nodes, by direction.
@@ -208,6 +212,14 @@
                 "sardinepick_relays",
                 "Connections to runners that are forwarded for other nodes",
             ),
+            relayed_connections: m.gauge(
+                "sardinepick_relayed_connections",
+                "Connections of this node to runners through other nodes",
+            ),
+            closed_paths: m.gauge(
+                "sardinepick_closed_paths",
+                "Runners that this node reaches only through other nodes",
+            ),
             relays_opened: m.counters(
                 "sardinepick_relays_opened_total",
                 "Connections to runners through another node, by the role of this one and outcome",
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -303,9 +303,7 @@
                 result
             }
             Ok(Err(error)) => {
-                if !error.is_local() {
-                    reservation.conclude(Outcome::Broken);
-                }
+                reservation.conclude_unanswered(&error);
                 log::info!(
                     request:% = request.id, runner:% = id, address:% = address, error:% = error,
                     unsent = error.proves_unsent(); "call failed"
--- a/node/src/serve/reservation.rs
+++ b/node/src/serve/reservation.rs
@@ -16,6 +16,7 @@
 use sardinepick_lib::id::RunnerId;
 
 use crate::dispatch::Target;
+use crate::serve::connection::SendError;
 use crate::serve::shared::Shared;
 
 /// How long a caller must have waited at a runner without a result for its disconnecting to count
@@ -173,16 +174,51 @@
         self.with_runner(|runner| runner.health.note_alive(now));
     }
 
-    /// Records the outcome of the work.
+    /// Records the outcome of the work. A call that breaks off because this node does not reach the
+    /// runner says nothing of the runner.
     pub fn conclude(&mut self, outcome: Outcome) {
+        match outcome {
+            Outcome::Broken if self.note_broken() => {
+                self.concluded = true;
+                self.count("cut");
+            }
+            Outcome::Broken | Outcome::Answered | Outcome::Failed | Outcome::Gone => {
+                self.record(outcome);
+            }
+        }
+    }
+
+    /// Records that the request got no answer.
+    pub fn conclude_unanswered(&mut self, error: &SendError) {
+        match error {
+            // No peer reaches the runner either.
+            SendError::Connect { .. } => self.record(Outcome::Broken),
+            _ if error.is_local() => {}
+            _ => self.conclude(Outcome::Broken),
+        }
+    }
+
+    /// Records that other connections to the runner may be dead. Returns whether this node probably
+    /// does not reach it.
+    fn note_broken(&self) -> bool {
+        let Some(address) = self.with_runner(|runner| runner.entry.address) else { return false };
+        let is_cut = self.shared.connector.is_path_failure(address);
+        self.shared.connector.note_silent(address);
+        is_cut
+    }
+
+    fn record(&mut self, outcome: Outcome) {
         self.concluded = true;
         self.learn(Observation::Outcome(outcome));
-        let label = match outcome {
+        self.count(match outcome {
             Outcome::Answered => "answered",
             Outcome::Failed => "failed",
             Outcome::Broken => "broken",
             Outcome::Gone => "gone",
-        };
+        });
+    }
+
+    fn count(&self, label: &'static str) {
         let labels = [self.runner.as_str(), self.step.into(), label];
         self.shared.metrics.runner_calls.with_label_values(&labels).inc();
     }
--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::connector::probe;
 use crate::serve::dial::{Dial, Tcp};
 use crate::serve::listener::{self, Closing, Port};
 use crate::serve::metrics::Metrics;
@@ -142,6 +143,7 @@
     }
     tokio::spawn(peer::serve(shared.clone(), sockets.peers));
     tokio::spawn(peer::fetch_updates(shared.clone()));
+    tokio::spawn(probe::run(shared.connector.clone()));
     tokio::spawn(copy::fetch_updates(shared.clone()));
     tokio::spawn(heartbeat::receive(shared.clone(), socket.clone()));
     tokio::spawn(heartbeat::send(shared.clone(), socket.clone()));
@@ -178,8 +180,8 @@
     }
 
     /// Stops gracefully: removes the node from look-ups, keeps serving requests that still arrive,
-    /// closes connections as they become idle, and returns when no request is in progress or the
-    /// grace period is over. Returns the number of aborted requests.
+    /// closes connections as they become idle, and returns when no request is in progress and no
+    /// connection is forwarded, or the grace period is over. Returns the number of aborted requests.
     pub async fn stop(self) -> u64 {
         let shared = self.shared;
         let grace = shared.settings.grace;
@@ -193,7 +195,7 @@
         let end = began + grace.mul_f64(ABORT_AFTER);
         while Instant::now() < end {
             sleep(STOP_CHECK_PERIOD).await;
-            if in_progress() == 0 {
+            if in_progress() == 0 && shared.relay_server.open_count() == 0 {
                 break;
             }
         }
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -32,6 +32,7 @@
 
 use crate::account::Checks;
 use crate::back_off::BackOffs;
+use crate::connector::{self, Connector};
 use crate::dispatch::Dispatcher;
 use crate::drain::Drains;
 use crate::duty::lease::DutyLease;
@@ -72,7 +73,7 @@
     pub metrics: Metrics,
     /// The configuration in force. A request loads it once and uses it to its end.
     pub configuration: ArcSwapOption<Configuration>,
-    /// Connections to runners and the store.
+    /// Direct connections to runners and the store.
     pub connections: Arc<Connections>,
     /// The tracker of the store's era.
     pub era_tracker: Arc<EraTracker>,
@@ -110,6 +111,8 @@
     pub limiter: Arc<Limiter>,
     /// Runners that have announced that they leave.
     pub drains: Arc<Drains>,
+    /// Connects to runners, directly or through peers.
+    pub connector: Arc<Connector>,
     /// Sends requests to runners.
     pub dispatcher: Dispatcher,
     /// Forwards connections of other nodes to runners.
@@ -189,19 +192,29 @@
         let drains =
             Drains::new(register.clone(), heartbeat_now.clone(), clock.clone(), metrics.clone());
         let (limiter, drains) = (Arc::new(limiter), Arc::new(drains));
+        let reachability: Arc<Mutex<Reachability>> = Arc::default();
+        let handles = connector::Handles {
+            connections: connections.clone(),
+            relays: relay::Client::new(me.id.clone(), clock.clone(), metrics.clone()),
+            reachability: reachability.clone(),
+            roster: roster.clone(),
+            clock: clock.clone(),
+            metrics: metrics.clone(),
+        };
+        let mut rng = StdRng::seed_from_u64(seed);
+        let connector = Arc::new(Connector::new(handles, StdRng::from_rng(&mut rng)));
         let dispatcher = Dispatcher {
             register: register.clone(),
-            connections: connections.clone(),
+            connector: connector.clone(),
             limiter: limiter.clone(),
             drains: drains.clone(),
             back_offs: BackOffs::new(register.clone(), clock.clone(), metrics.clone()),
             clock: clock.clone(),
         };
         let standing = watch::channel(Standing::Starting).0;
-        let reachability: Arc<Mutex<Reachability>> = Arc::default();
         let relay_server = relay::Server::new(
             register.clone(),
-            reachability.clone(),
+            reachability,
             dial,
             standing.subscribe(),
             clock.clone(),
@@ -211,6 +224,7 @@
             limiter,
             drains,
             dispatcher,
+            connector,
             relay_server,
             standing,
             era_tracker,
@@ -243,7 +257,7 @@
             demand: Mutex::default(),
             route_stats: Mutex::default(),
             switching: Mutex::default(),
-            rng: Mutex::new(StdRng::seed_from_u64(seed)),
+            rng: Mutex::new(rng),
             settings,
             clock,
         }
--- a/node/src/serve/store_watch.rs
+++ b/node/src/serve/store_watch.rs
@@ -405,5 +405,6 @@
         shared.connections.close_expired(|address| {
             *address == store || Some(*address) == platform || addresses.contains(address)
         });
+        shared.connector.clean_up(|address| addresses.contains(address));
     }
 }
