reachability: ask the next peers sooner for a runner that nobody reaches

Peers are now asked again after 250 ms while there are some that have not failed for the runner, up to eight of them, and then once a second as before.

--- a/lib/src/fleet/reachability/mod.rs
+++ b/lib/src/fleet/reachability/mod.rs
@@ -33,7 +33,10 @@
 pub const PROBE_PERIOD: Duration = Duration::from_millis(300);
 /// How long a probe of a closed path may take.
 pub const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
-/// The minimum time between two attempts that ask peers for a runner that nobody has reached.
+/// The minimum time between two attempts that ask peers for a runner that nobody has reached, while
+/// there are peers that have not been asked.
+const NEXT_PEERS_PAUSE: Duration = Duration::from_millis(250);
+/// The same once enough peers have failed for it.
 const UNREACHABLE_PAUSE: Duration = Duration::from_secs(1);
 /// The minimum time between two suspicions. It limits how often connections are opened anew.
 const SUSPICION_PERIOD: Duration = Duration::from_secs(1);
@@ -81,17 +84,18 @@
     }
 
     /// Chooses the peers to ask for a connection to a runner, the first one first. While nobody
-    /// reaches the runner, there are some for one attempt a second.
+    /// reaches the runner, they are chosen for one attempt at a time.
     pub fn relays<'a, R: Rng>(
         &mut self,
         address: SocketAddr,
-        candidates: impl Iterator<Item = &'a NodeId>,
+        candidates: impl Iterator<Item = &'a NodeId> + Clone,
         now: Instant,
         rng: &mut R,
     ) -> SmallVec<[NodeId; MAX_RELAYS]> {
         let unreachable_at = self.paths.get_mut(&address).map(|path| &mut path.unreachable_at);
         if let Some(Some(at)) = unreachable_at {
-            if now < *at + UNREACHABLE_PAUSE {
+            let has_more = self.peers.has_more(address, candidates.clone(), now);
+            if now < *at + if has_more { NEXT_PEERS_PAUSE } else { UNREACHABLE_PAUSE } {
                 return SmallVec::new();
             }
             *at = now;
--- a/lib/src/fleet/reachability/peers.rs
+++ b/lib/src/fleet/reachability/peers.rs
@@ -15,6 +15,9 @@
 /// The maximum number of peers that are remembered to have failed for one runner.
 const MAX_FAILED: usize = 16;
 
+/// The number of peers that must fail for a runner before it counts as unreachable for all.
+const ENOUGH_FAILED: usize = 8;
+
 /// What the results of asking a peer say of the next time, the best first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Prospect {
@@ -83,13 +86,29 @@
         chosen
     }
 
-    fn prospect(&self, peer: &NodeId, address: SocketAddr, now: Instant) -> Prospect {
-        let is_recent = |at: Instant| now < at + RETENTION;
+    /// Whether another peer may reach a runner that some have failed to reach.
+    pub(super) fn has_more<'a>(
+        &self,
+        address: SocketAddr,
+        mut candidates: impl Iterator<Item = &'a NodeId>,
+        now: Instant,
+    ) -> bool {
+        let failed = self.failed(address, now);
+        failed.clone().count() < ENOUGH_FAILED
+            && candidates.any(|peer| failed.clone().all(|failed| failed != peer))
+    }
+
+    /// The peers that have recently failed for a runner.
+    fn failed(&self, address: SocketAddr, now: Instant) -> impl Iterator<Item = &NodeId> + Clone {
         let failed = self.failed.get(&address).into_iter().flatten();
-        if failed.into_iter().any(|(id, at)| id == peer && is_recent(*at)) {
+        failed.filter(move |(_, at)| now < *at + RETENTION).map(|(peer, _)| peer)
+    }
+
+    fn prospect(&self, peer: &NodeId, address: SocketAddr, now: Instant) -> Prospect {
+        if self.failed(address, now).any(|failed| failed == peer) {
             return Prospect::Bad;
         }
-        match self.last.get(peer).filter(|last| is_recent(last.at)) {
+        match self.last.get(peer).filter(|last| now < last.at + RETENTION) {
             Some(last) if last.is_failure => Prospect::Poor,
             Some(_) => Prospect::Good,
             None => Prospect::Unknown,
--- a/lib/tests/reachability.rs
+++ b/lib/tests/reachability.rs
@@ -315,6 +315,9 @@
 fn relays_unreachable_one_attempt_a_second() {
     let (mut reachability, now) = (Reachability::default(), Instant::now());
     let (nodes, mut rng) = ([node(1), node(2)], StdRng::seed_from_u64(1));
+    for peer in &nodes {
+        reachability.note_relay_failed(peer, runner(1), now);
+    }
     reachability.note_unreachable(runner(1), now, now);
     let mut count = |address, at| reachability.relays(address, nodes.iter(), at, &mut rng).len();
     assert_eq!(count(runner(1), now + ms(999)), 0);
@@ -325,6 +328,28 @@
     assert_eq!(reachability.relays(runner(1), nodes.iter(), now + ms(1_999), &mut rng).len(), 2);
 }
 
+/// Guards against a node that finds the one peer that reaches a runner only after many seconds.
+#[test]
+fn relays_unreachable_next_peers_sooner() {
+    let (mut reachability, mut now) = (Reachability::default(), Instant::now());
+    let nodes: Vec<NodeId> = (0..20).map(node).collect();
+    let (mut asked, mut rng) = (Vec::new(), StdRng::seed_from_u64(1));
+    for _ in 0..4 {
+        let chosen = reachability.relays(runner(1), nodes.iter(), now, &mut rng);
+        assert_eq!(chosen.len(), 2);
+        for peer in chosen {
+            assert!(!asked.contains(&peer));
+            reachability.note_relay_failed(&peer, runner(1), now);
+            asked.push(peer);
+        }
+        reachability.note_unreachable(runner(1), now, now);
+        assert!(reachability.relays(runner(1), nodes.iter(), now + ms(249), &mut rng).is_empty());
+        now += ms(250);
+    }
+    assert!(reachability.relays(runner(1), nodes.iter(), now, &mut rng).is_empty());
+    assert_eq!(reachability.relays(runner(1), nodes.iter(), now + ms(750), &mut rng).len(), 2);
+}
+
 #[test]
 fn relays_few_nodes_as_many() {
     let (mut reachability, now) = (Reachability::default(), Instant::now());
