reachability: keep evidence that comes within a second of a suspicion

Evidence of a partition within a second of the last suspicion was dropped, so that connections that were used in between could be reused although they had died since. It now counts from the end of that second on. path() and may_reuse() take the time for it. path_more_closed_unverified_once_a_second replaces the test of one suspicion a second, and also expects the second one to come.

--- a/lib/src/fleet/reachability/mod.rs
+++ b/lib/src/fleet/reachability/mod.rs
@@ -23,11 +23,13 @@
 };
 use self::path::DirectPath;
 use self::peers::Peers;
+use self::suspicion::Suspicion;
 use crate::id::NodeId;
 
 mod dial;
 mod path;
 mod peers;
+mod suspicion;
 
 /// The minimum time between two direct probes of one node.
 pub const PROBE_PERIOD: Duration = Duration::from_millis(300);
@@ -38,8 +40,6 @@
 const NEXT_PEERS_PAUSE: Duration = Duration::from_millis(250);
 /// The same once enough peers have failed for it.
 const UNREACHABLE_PAUSE: Duration = Duration::from_secs(1);
-/// The minimum time between two suspicions. It limits how often connections are opened anew.
-const SUSPICION_PERIOD: Duration = Duration::from_secs(1);
 
 /// The direct path from this node to a runner.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -57,25 +57,26 @@
 pub struct Reachability {
     paths: HashMap<SocketAddr, DirectPath>,
     peers: Peers,
-    /// When this node has last found that it may be partitioned from many runners.
-    suspected_at: Option<Instant>,
+    suspicion: Suspicion,
     probed_at: Option<Instant>,
 }
 
 impl Reachability {
     /// The direct path to a runner.
-    pub fn path(&self, address: SocketAddr) -> Path {
+    pub fn path(&self, address: SocketAddr, now: Instant) -> Path {
+        let suspected_at = self.suspicion.at(now);
         match self.paths.get(&address) {
-            Some(path) => path.state(self.suspected_at),
-            None if self.suspected_at.is_some() => Path::Unverified,
+            Some(path) => path.state(suspected_at),
+            None if suspected_at.is_some() => Path::Unverified,
             None => Path::Open,
         }
     }
 
     /// Whether a direct connection that has been idle since `idle_since` may be reused.
-    pub fn may_reuse(&self, address: SocketAddr, idle_since: Instant) -> bool {
+    pub fn may_reuse(&self, address: SocketAddr, idle_since: Instant, now: Instant) -> bool {
         let doubted = self.paths.get(&address).and_then(DirectPath::doubted_at);
-        self.path(address) == Path::Open && doubted.max(self.suspected_at) < Some(idle_since)
+        let doubted = doubted.max(self.suspicion.at(now));
+        self.path(address, now) == Path::Open && doubted < Some(idle_since)
     }
 
     /// Whether this node connects to a runner on behalf of a peer.
@@ -145,7 +146,7 @@
             self.paths.iter().any(|(other, path)| *other != address && path.is_closed());
         let path = self.paths.entry(address).or_default();
         if path.close(since, now) && is_second {
-            self.suspect(now);
+            self.suspicion.note(now);
         }
     }
 
@@ -153,7 +154,7 @@
     pub fn note_probe_failed(&mut self, address: SocketAddr, now: Instant) {
         let path = self.paths.get_mut(&address);
         if path.is_some_and(|path| path.note_probe_failed(now)) {
-            self.suspect(now);
+            self.suspicion.note(now);
         }
     }
 
@@ -197,10 +198,4 @@
     pub fn closed(&self) -> usize {
         self.paths.values().filter(|path| path.is_closed()).count()
     }
-
-    fn suspect(&mut self, now: Instant) {
-        if self.suspected_at.is_none_or(|at| now >= at + SUSPICION_PERIOD) {
-            self.suspected_at = Some(now);
-        }
-    }
 }
--- a/lib/tests/reachability.rs
+++ b/lib/tests/reachability.rs
@@ -124,10 +124,10 @@
 
 #[test]
 fn path_unknown_open() {
-    let reachability = Reachability::default();
-    assert_eq!(reachability.path(runner(1)), Path::Open);
-    assert!(reachability.may_reuse(runner(1), Instant::now()));
-    assert!(reachability.may_relay(runner(1), Instant::now()));
+    let (reachability, now) = (Reachability::default(), Instant::now());
+    assert_eq!(reachability.path(runner(1), now), Path::Open);
+    assert!(reachability.may_reuse(runner(1), now, now));
+    assert!(reachability.may_relay(runner(1), now));
 }
 
 /// Guards against a lost segment that throws away the connections to all runners.
@@ -136,8 +136,8 @@
     let (mut reachability, now) = (Reachability::default(), Instant::now());
     reachability.note_closed(runner(1), now, now);
     reachability.note_closed(runner(1), now + ms(1), now + ms(1));
-    assert_eq!(reachability.path(runner(1)), Path::Closed);
-    assert_eq!(reachability.path(runner(2)), Path::Open);
+    assert_eq!(reachability.path(runner(1), now), Path::Closed);
+    assert_eq!(reachability.path(runner(2), now), Path::Open);
     assert_eq!(reachability.closed(), 1);
 }
 
@@ -148,9 +148,9 @@
     reachability.note_connected(runner(3), now);
     reachability.note_closed(runner(1), now + ms(1), now + ms(1));
     reachability.note_closed(runner(2), now + ms(2), now + ms(2));
-    assert_eq!(reachability.path(runner(3)), Path::Unverified);
-    assert_eq!(reachability.path(runner(4)), Path::Unverified);
-    assert!(!reachability.may_reuse(runner(3), now));
+    assert_eq!(reachability.path(runner(3), now), Path::Unverified);
+    assert_eq!(reachability.path(runner(4), now), Path::Unverified);
+    assert!(!reachability.may_reuse(runner(3), now, now));
 }
 
 #[test]
@@ -161,9 +161,9 @@
     reachability.note_connected(runner(3), now + ms(10));
     reachability.note_received(runner(4), now + ms(10));
     for open in [runner(3), runner(4)] {
-        assert_eq!(reachability.path(open), Path::Open);
-        assert!(!reachability.may_reuse(open, now));
-        assert!(reachability.may_reuse(open, now + ms(11)));
+        assert_eq!(reachability.path(open, now), Path::Open);
+        assert!(!reachability.may_reuse(open, now, now));
+        assert!(reachability.may_reuse(open, now + ms(11), now));
     }
 }
 
@@ -172,23 +172,24 @@
     let (mut reachability, now) = (Reachability::default(), Instant::now());
     reachability.note_closed(runner(1), now, now);
     reachability.note_probe_failed(runner(1), now + ms(100));
-    assert_eq!(reachability.path(runner(2)), Path::Unverified);
+    assert_eq!(reachability.path(runner(2), now), Path::Unverified);
     reachability.note_received(runner(2), now + ms(200));
     reachability.note_probe_failed(runner(1), now + ms(5_000));
-    assert_eq!(reachability.path(runner(2)), Path::Open);
+    assert_eq!(reachability.path(runner(2), now), Path::Open);
 }
 
 /// Guards against many closings that each throw away the connections to all runners.
 #[test]
-fn path_many_closed_one_suspicion_a_second() {
+fn path_more_closed_unverified_once_a_second() {
     let (mut reachability, now) = (Reachability::default(), Instant::now());
     reachability.note_closed(runner(1), now, now);
     reachability.note_closed(runner(2), now, now);
     reachability.note_received(runner(9), now + ms(1));
     reachability.note_closed(runner(3), now + ms(900), now + ms(900));
-    assert_eq!(reachability.path(runner(9)), Path::Open);
-    reachability.note_closed(runner(4), now + ms(1_000), now + ms(1_000));
-    assert_eq!(reachability.path(runner(9)), Path::Unverified);
+    assert_eq!(reachability.path(runner(9), now + ms(999)), Path::Open);
+    assert_eq!(reachability.path(runner(9), now + ms(1_000)), Path::Unverified);
+    reachability.note_received(runner(9), now + ms(1_001));
+    assert_eq!(reachability.path(runner(9), now + ms(5_000)), Path::Open);
 }
 
 /// Guards against a path that is opened by a connection that lives on while new ones are refused.
@@ -197,11 +198,11 @@
     let (mut reachability, now) = (Reachability::default(), Instant::now());
     reachability.note_closed(runner(1), now, now);
     reachability.note_received(runner(1), now + ms(10));
-    assert_eq!(reachability.path(runner(1)), Path::Closed);
-    assert!(!reachability.may_reuse(runner(1), now + ms(10)));
+    assert_eq!(reachability.path(runner(1), now), Path::Closed);
+    assert!(!reachability.may_reuse(runner(1), now + ms(10), now));
     reachability.note_connected(runner(1), now + ms(20));
-    assert_eq!(reachability.path(runner(1)), Path::Open);
-    assert!(!reachability.may_reuse(runner(1), now));
+    assert_eq!(reachability.path(runner(1), now), Path::Open);
+    assert!(!reachability.may_reuse(runner(1), now, now));
 }
 
 #[test]
@@ -209,10 +210,10 @@
     let (mut reachability, now) = (Reachability::default(), Instant::now());
     reachability.note_connected(runner(1), now);
     reachability.note_silent(runner(1), now + ms(1_000));
-    assert_eq!(reachability.path(runner(1)), Path::Unverified);
-    assert_eq!(reachability.path(runner(2)), Path::Open);
+    assert_eq!(reachability.path(runner(1), now), Path::Unverified);
+    assert_eq!(reachability.path(runner(2), now), Path::Open);
     reachability.note_received(runner(1), now + ms(1_100));
-    assert_eq!(reachability.path(runner(1)), Path::Open);
+    assert_eq!(reachability.path(runner(1), now), Path::Open);
 }
 
 /// Guards against a runner that is down closing the path to it, and being probed for ever.
@@ -220,10 +221,10 @@
 fn path_unreachable_not_closed() {
     let (mut reachability, now) = (Reachability::default(), Instant::now());
     reachability.note_unreachable(runner(1), now, now);
-    assert_eq!(reachability.path(runner(1)), Path::Open);
+    assert_eq!(reachability.path(runner(1), now), Path::Open);
     reachability.note_closed(runner(1), now, now);
     reachability.note_unreachable(runner(1), now + ms(10), now + ms(10));
-    assert_eq!(reachability.path(runner(1)), Path::Unverified);
+    assert_eq!(reachability.path(runner(1), now), Path::Unverified);
     assert_eq!(reachability.next_probe(now + ms(10)), None);
 }
 
@@ -233,9 +234,9 @@
     let (mut reachability, now) = (Reachability::default(), Instant::now());
     reachability.note_connected(runner(1), now + ms(30));
     reachability.note_closed(runner(1), now, now + ms(70));
-    assert_eq!(reachability.path(runner(1)), Path::Open);
+    assert_eq!(reachability.path(runner(1), now), Path::Open);
     reachability.note_closed(runner(1), now + ms(31), now + ms(100));
-    assert_eq!(reachability.path(runner(1)), Path::Closed);
+    assert_eq!(reachability.path(runner(1), now), Path::Closed);
 }
 
 /// Guards against an attempt that failed late undoing what a later one has found.
@@ -246,7 +247,7 @@
     reachability.note_relayed(&nodes[0], runner(1), now + ms(70));
     reachability.note_closed(runner(1), now, now + ms(70));
     reachability.note_unreachable(runner(1), now, now + ms(250));
-    assert_eq!(reachability.path(runner(1)), Path::Closed);
+    assert_eq!(reachability.path(runner(1), now), Path::Closed);
     let chosen = reachability.relays(runner(1), nodes.iter(), now + ms(250), &mut rng);
     assert_eq!(chosen[..], nodes);
 }
@@ -259,7 +260,7 @@
     reachability.retain(|address| *address == runner(1), now + ms(100));
     assert_eq!(reachability.next_probe(now + ms(200)), Some(runner(1)));
     reachability.note_connected(runner(1), now + ms(201));
-    assert_eq!(reachability.path(runner(1)), Path::Open);
+    assert_eq!(reachability.path(runner(1), now), Path::Open);
 }
 
 #[test]
@@ -305,9 +306,9 @@
     let probed = reachability.next_probe(now + ms(300)).expect("paths are closed");
     reachability.note_connected(probed, now + ms(301));
     assert_eq!(reachability.closed(), 0);
-    assert_eq!(reachability.path(probed), Path::Open);
+    assert_eq!(reachability.path(probed, now), Path::Open);
     let others = (1..=200).map(runner).filter(|other| *other != probed);
-    assert!(others.into_iter().all(|other| reachability.path(other) == Path::Unverified));
+    assert!(others.into_iter().all(|other| reachability.path(other, now) == Path::Unverified));
 }
 
 /// Guards against a storm of attempts through peers that do not reach the runner either.
@@ -425,5 +426,5 @@
     reachability.retain(|address| *address == runner(2), now);
     assert_eq!(reachability.closed(), 1);
     assert_eq!(reachability.next_probe(now), Some(runner(2)));
-    assert_ne!(reachability.path(runner(1)), Path::Closed);
+    assert_ne!(reachability.path(runner(1), now), Path::Closed);
 }
