metrics: failures to connect by address and cause, undelivered reservations

The test in drain.rs that builds a dispatch::Target passes a Delivery; it checks the same. connect_failures_and_undelivered_reservations_counted passes.

--- a/node/src/dispatch/mod.rs
+++ b/node/src/dispatch/mod.rs
@@ -18,6 +18,7 @@
 use crate::limit::{Denied, Limiter, Permit};
 use crate::lock::lock;
 use crate::serve::connection::{Answer, CONNECT_TIMEOUT, Connections, SendError};
+use crate::serve::delivery::Delivery;
 
 /// Sends requests to runners.
 pub struct Dispatcher {
@@ -45,6 +46,8 @@
     pub registration: Option<&'a Registration>,
     /// Its address.
     pub address: SocketAddr,
+    /// Records that the request is sent.
+    pub delivery: &'a Delivery,
 }
 
 impl Dispatcher {
@@ -83,7 +86,7 @@
         id: &str,
         request: Request<Bytes>,
     ) -> Result<Answer, SendError> {
-        let Target { runner, registration, address } = target;
+        let Target { runner, registration, address, delivery } = target;
         if !self.is_permitted(target, permit) {
             let permit = self.limiter.acquire(runner).await;
             permit.map_err(|denied| SendError::RateLimited { peer: address, denied })?;
@@ -93,7 +96,9 @@
             return Err(SendError::Leaving { peer: address, runner: runner.clone() });
         }
         let sent = self.clock.now();
-        let answer = self.connections.send(address, request, CONNECT_TIMEOUT).await?;
+        let sending =
+            self.connections.send_reserved(address, request, CONNECT_TIMEOUT, Some(delivery));
+        let answer = sending.await?;
         let headers = &answer.head.headers;
         if let Some(registration) = registration.filter(|_| is_from(headers, runner, id)) {
             self.limiter.note_answer(registration, id, sent, rate_limit(headers));
--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -27,7 +27,8 @@
 use tokio::time::timeout;
 
 use crate::limit::Denied;
-use crate::serve::dial::Dial;
+use crate::serve::delivery::Delivery;
+use crate::serve::dial::{Dial, Failure};
 use crate::serve::metrics::Metrics;
 
 /// Why a request got no answer.
@@ -238,19 +239,38 @@
         address: SocketAddr,
         request: Request<Bytes>,
         connect_timeout: Duration,
+    ) -> Result<Answer, SendError> {
+        self.send_reserved(address, request, connect_timeout, None).await
+    }
+
+    /// Sends a request like [`Connections::send`], and records in `delivery` that it is sent.
+    ///
+    /// # Errors
+    /// There is no answer.
+    pub async fn send_reserved(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        connect_timeout: Duration,
+        delivery: Option<&Delivery>,
     ) -> Result<Answer, SendError> {
         let mut request = request.map(Full::new);
         while let Some(mut sender) = self.take_idle(address) {
+            delivery.inspect(|delivery| delivery.note_sent());
             match sender.try_send_request(request).await {
                 Ok(response) => return Ok(self.answer(address, sender, response)),
                 Err(mut error) => match error.take_message() {
                     // Nothing of it was sent: it is retried on the next connection.
-                    Some(unsent) => request = unsent,
+                    Some(unsent) => {
+                        delivery.inspect(|delivery| delivery.note_unsent());
+                        request = unsent;
+                    }
                     None => return Err(broken(address, error.error())),
                 },
             }
         }
         let mut sender = self.connect(address, connect_timeout).await?;
+        delivery.inspect(|delivery| delivery.note_sent());
         match sender.try_send_request(request).await {
             Ok(response) => Ok(self.answer(address, sender, response)),
             Err(mut error) => match error.take_message() {
@@ -310,15 +330,21 @@
     }
 
     async fn connect(&self, address: SocketAddr, limit: Duration) -> Result<Sender, SendError> {
-        let failed = |detail: String| SendError::Connect { peer: address, detail };
+        let failed = |failure: Failure, detail: String| {
+            let peer = address.to_string();
+            let labels = [peer.as_str(), failure.into()];
+            self.metrics.connect_failures.with_label_values(&labels).inc();
+            SendError::Connect { peer: address, detail }
+        };
         self.metrics.connections.inc();
         let stream = match timeout(limit, self.dial.dial(address)).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return Err(failed(error.to_string())),
-            Err(_) => return Err(failed(format!("no answer within {limit:?}"))),
+            Ok(Err(error)) => return Err(failed((&error).into(), error.to_string())),
+            Err(_) => return Err(failed(Failure::Timeout, format!("no answer within {limit:?}"))),
         };
-        let (sender, connection) =
-            handshake(TokioIo::new(stream)).await.map_err(|e| failed(e.to_string()))?;
+        let (sender, connection) = handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| failed(Failure::Other, e.to_string()))?;
         tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!(peer:% = address, error:% = error; "connection closed");
--- a/node/src/serve/dial.rs
+++ b/node/src/serve/dial.rs
@@ -27,6 +27,31 @@
     fn dial(&self, address: SocketAddr) -> BoxFuture<'_, io::Result<Box<dyn Stream>>>;
 }
 
+/// Why a connection was not opened.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Failure {
+    /// The peer did not answer in time.
+    Timeout,
+    /// No process listens at the address.
+    Refused,
+    /// The connection was reset.
+    Reset,
+    /// Another error, such as a network without a route.
+    Other,
+}
+
+impl From<&io::Error> for Failure {
+    fn from(error: &io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::TimedOut => Failure::Timeout,
+            io::ErrorKind::ConnectionRefused => Failure::Refused,
+            io::ErrorKind::ConnectionReset => Failure::Reset,
+            _ => Failure::Other,
+        }
+    }
+}
+
 /// Opens TCP connections.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Tcp;
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -40,6 +40,10 @@
     pub quarantine: IntCounterVec,
     /// Connections opened.
     pub connections: IntCounter,
+    /// Connections that could not be opened, by address and cause.
+    pub connect_failures: IntCounterVec,
+    /// Reservations of runners whose request has not been sent.
+    pub undelivered_reservations: IntGauge,
     /// Calls to the store by purpose and outcome.
     pub store_calls: IntCounterVec,
     /// Requests with an unknown key, by how it was ruled out that the key is new.
@@ -198,6 +202,15 @@
             ),
             connections: m
                 .counter("sardinepick_connections_total", "Connections made to runners and store"),
+            connect_failures: m.counters(
+                "sardinepick_connect_failures_total",
+                "Connections that could not be opened",
+                &["address", "cause"],
+            ),
+            undelivered_reservations: m.gauge(
+                "sardinepick_undelivered_reservations",
+                "Reservations of runners whose request has not been sent",
+            ),
             lease_changes: m.counters(
                 "sardinepick_lease_changes_total",
                 "Changes of the lease on the duties, by what became of it",
--- a/node/src/serve/mod.rs
+++ b/node/src/serve/mod.rs
@@ -9,6 +9,7 @@
 pub mod connection;
 pub mod copy;
 pub mod crash;
+pub mod delivery;
 pub mod dial;
 pub mod duty;
 pub mod generation;
--- a/node/src/serve/reservation.rs
+++ b/node/src/serve/reservation.rs
@@ -16,6 +16,7 @@
 use sardinepick_lib::id::RunnerId;
 
 use crate::dispatch::Target;
+use crate::serve::delivery::Delivery;
 use crate::serve::shared::Shared;
 
 /// How long a caller must have waited at a runner without a result for its disconnecting to count
@@ -52,6 +53,7 @@
     expected: Option<(Placement, f64)>,
     /// Whether another attempt has made the work unnecessary.
     superseded: Superseded,
+    delivery: Delivery,
 }
 
 /// Whether an attempt is cancelled because another one has made it unnecessary, which says nothing
@@ -89,6 +91,7 @@
             concluded: false,
             expected: None,
             superseded: Superseded::default(),
+            delivery: Delivery::new(&shared.metrics.undelivered_reservations),
         }
     }
 
@@ -109,7 +112,8 @@
 
     /// Returns the runner at its address as the target of a request.
     pub fn target(&self, address: SocketAddr) -> Target<'_> {
-        Target { runner: &self.runner, registration: self.registration.as_ref(), address }
+        let registration = self.registration.as_ref();
+        Target { runner: &self.runner, registration, address, delivery: &self.delivery }
     }
 
     /// Updates the state of the runner if it is still in the reserved incarnation.
--- a/node/tests/drain.rs
+++ b/node/tests/drain.rs
@@ -6,6 +6,7 @@
 use sardinepick_lib::fleet::runner::Runner;
 use sardinepick_lib::id::RunnerId;
 use sardinepick_node::dispatch::Target;
+use sardinepick_node::serve::delivery::Delivery;
 use sardinepick_testutils::cluster::{any_address, wait_until};
 use sardinepick_testutils::fleet::caller::{Caller, Reply, RequestSpec};
 use sardinepick_testutils::fleet::deployment::Deployment;
@@ -202,7 +203,9 @@
         })
         .await;
         let address = runner.address();
-        let target = Target { runner: &id, registration: Some(&chosen), address };
+        let delivery = Delivery::new(&shared.metrics.undelivered_reservations);
+        let registration = Some(&chosen);
+        let target = Target { runner: &id, registration, address, delivery: &delivery };
         let request = http::Request::new(bytes::Bytes::new());
         let sent = shared.dispatcher.send(target, "r1", request).await;
         let error = sent.err().expect("it is not sent");
--- a/node/tests/partition.rs
+++ b/node/tests/partition.rs
@@ -9,6 +9,7 @@
 use sardinepick_lib::fleet::scheduler::choose_scheduler;
 use sardinepick_lib::id::ServiceId;
 use sardinepick_node::serve::connection::CONNECT_TIMEOUT;
+use sardinepick_testutils::cluster::wait_until;
 use sardinepick_testutils::fleet::deployment::{Deployment, MODEL_SERVICE, PLAIN_SERVICE};
 use sardinepick_testutils::fleet::network::Fault;
 use sardinepick_testutils::fleet::runner::{Faults, Runner, run_counts};
@@ -304,6 +305,25 @@
     }
 }
 
+/// Guards against a cut node whose failures to connect and waiting work no metric shows.
+#[tokio::test]
+async fn connect_failures_and_undelivered_reservations_counted() {
+    let set = Deployment::new().await.with_plain(2).await.with_nodes(1).await;
+    set.set_network_fault(&[0], &set.runners, Fault::Hang);
+    let metrics = &set.nodes[0].shared.metrics;
+    let undelivered = || metrics.undelivered_reservations.get();
+    let sent = set.send_default("/board/a", "r1");
+    let seen = wait_until("a reservation is undelivered", async || undelivered() > 0);
+    let (reply, ()) = tokio::join!(sent, seen);
+    assert_eq!(reply.status, Some(StatusCode::SERVICE_UNAVAILABLE));
+    assert_eq!(undelivered(), 0, "all reservations have ended");
+    let count = |runner: &Runner| {
+        let labels = [runner.address().to_string(), "timeout".to_owned()];
+        metrics.connect_failures.with_label_values(&labels).get()
+    };
+    assert!(set.runners.iter().map(count).sum::<u64>() > 0, "no failure to connect is counted");
+}
+
 /// Guards against requests that are held until their deadlines although no runner can be reached.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn all_nodes_cut_by_hang_refused_promptly() {
