--- a/node/src/connector/attempt.rs
+++ b/node/src/connector/attempt.rs
@@ -10,7 +10,7 @@
 use super::{Connector, Destination, Peer};
 use crate::relay;
 use crate::serve::connection::{CONNECT_TIMEOUT, Link, SendError, Way};
-use crate::serve::dial::Stream;
+use crate::serve::dial::{Failure, Stream};
 
 type Connecting<'a, E> = Option<BoxFuture<'a, Result<Box<dyn Stream>, E>>>;
 
@@ -95,7 +95,7 @@
 
     fn connect_directly(&mut self) {
         let (connections, address) = (&self.connector.handles.connections, self.address());
-        self.direct = Some(Box::pin(connections.dial(address)));
+        self.direct = Some(Box::pin(connections.dial(address, CONNECT_TIMEOUT)));
     }
 
     /// Asks the next peer instead of the one before; false if there is none.
@@ -143,20 +143,27 @@
 
     async fn use_relay(self, dial: &Dial, stream: Box<dyn Stream>) -> Result<Link, SendError> {
         let (address, now) = (self.address(), self.connector.now());
+        let outcome = dial.relayed(now);
+        let connections = &self.connector.handles.connections;
+        if self.direct.is_some() && outcome.is_some() {
+            connections.note_connect_failed(address, Failure::Timeout);
+        }
         self.connector.update(|reachability| {
             if let Some(peer) = &self.peer {
                 reachability.note_relayed(&peer.id, address, now);
             }
-            if let Some(outcome) = dial.relayed(now) {
+            if let Some(outcome) = outcome {
                 reachability.note_outcome(address, outcome, now);
             }
         });
-        self.connector.handles.connections.establish(address, Way::Relayed, stream).await
+        connections.establish(address, Way::Relayed, stream).await
     }
 
     fn give_up(mut self, dial: &Dial) -> SendError {
         if self.direct.is_some() {
             self.errors.push(format!("no answer within {CONNECT_TIMEOUT:?}"));
+            let connections = &self.connector.handles.connections;
+            connections.note_connect_failed(self.address(), Failure::Timeout);
         }
         if self.relay.is_some() {
             self.note_peer_failed(None);
--- a/node/src/connector/mod.rs
+++ b/node/src/connector/mod.rs
@@ -23,6 +23,7 @@
 use crate::lock::lock;
 use crate::relay;
 use crate::serve::connection::{Answer, Connections, Link, SendError, Way};
+use crate::serve::delivery::Delivery;
 use crate::serve::metrics::Metrics;
 
 /// What a connector works with.
@@ -68,7 +69,8 @@
         Self { handles, rng: Mutex::new(rng), uses_peers: AtomicBool::new(false) }
     }
 
-    /// Sends a request to a runner and waits for the head of its answer.
+    /// Sends a request to a runner and waits for the head of its answer. Records in `delivery` that
+    /// it is sent.
     ///
     /// # Errors
     /// There is no answer.
@@ -77,11 +79,12 @@
         runner: &RunnerId,
         address: SocketAddr,
         request: Request<Bytes>,
+        delivery: Option<&Delivery>,
     ) -> Result<Answer, SendError> {
         let take_idle = || self.take_idle(address);
         let connect = self.connect(Destination { runner, address });
-        let answer =
-            self.handles.connections.send_over(address, request, take_idle, connect).await?;
+        let connections = &self.handles.connections;
+        let answer = connections.send_over(address, request, delivery, take_idle, connect).await?;
         if answer.way() == Way::Direct {
             self.reachability().note_received(address, self.now());
         }
@@ -90,7 +93,7 @@
 
     /// The direct path to a runner.
     pub fn path(&self, address: SocketAddr) -> Path {
-        self.reachability().path(address)
+        self.reachability().path(address, self.now())
     }
 
     /// The number of runners that are reached only through peers.
@@ -102,7 +105,7 @@
     /// the runner.
     pub fn is_path_failure(&self, address: SocketAddr) -> bool {
         let reachability = self.reachability();
-        reachability.closed() > 0 && reachability.path(address) != Path::Open
+        reachability.closed() > 0 && reachability.path(address, self.now()) != Path::Open
     }
 
     /// Records that a call to a runner has broken off or is overdue: other connections to it may be
@@ -161,7 +164,7 @@
         let connections = &self.handles.connections;
         match self.path(address) {
             Path::Open => connections.take_idle(address, Way::Direct, |since| {
-                self.reachability().may_reuse(address, since)
+                self.reachability().may_reuse(address, since, self.now())
             }),
             Path::Unverified => None,
             Path::Closed => connections.take_idle(address, Way::Relayed, |_| true),
--- a/node/src/connector/probe.rs
+++ b/node/src/connector/probe.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use sardinepick_lib::fleet::reachability::PROBE_TIMEOUT;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use super::Connector;
 
@@ -18,8 +18,7 @@
         let now = connector.now();
         let Some(address) = connector.reachability().next_probe(now) else { continue };
         let connections = &connector.handles.connections;
-        let connected = timeout(PROBE_TIMEOUT, connections.dial(address)).await;
-        let is_connected = matches!(connected, Ok(Ok(_)));
+        let is_connected = connections.dial(address, PROBE_TIMEOUT).await.is_ok();
         let now = connector.now();
         connector.update(|reachability| {
             if is_connected {
--- a/node/src/dispatch/mod.rs
+++ b/node/src/dispatch/mod.rs
@@ -19,6 +19,7 @@
 use crate::limit::{Denied, Limiter, Permit};
 use crate::lock::lock;
 use crate::serve::connection::{Answer, SendError};
+use crate::serve::delivery::Delivery;
 
 /// Sends requests to runners.
 pub struct Dispatcher {
@@ -46,6 +47,8 @@
     pub registration: Option<&'a Registration>,
     /// Its address.
     pub address: SocketAddr,
+    /// Records that the request is sent.
+    pub delivery: &'a Delivery,
 }
 
 impl Dispatcher {
@@ -84,7 +87,7 @@
         id: &str,
         request: Request<Bytes>,
     ) -> Result<Answer, SendError> {
-        let Target { runner, registration, address } = target;
+        let Target { runner, registration, address, delivery } = target;
         if !self.is_permitted(target, permit) {
             let permit = self.limiter.acquire(runner).await;
             permit.map_err(|denied| SendError::RateLimited { peer: address, denied })?;
@@ -94,7 +97,7 @@
             return Err(SendError::Leaving { peer: address, runner: runner.clone() });
         }
         let sent = self.clock.now();
-        let answer = self.connector.send(runner, address, request).await?;
+        let answer = self.connector.send(runner, address, request, Some(delivery)).await?;
         let headers = &answer.head.headers;
         if let Some(registration) = registration.filter(|_| is_from(headers, runner, id)) {
             self.limiter.note_answer(registration, id, sent, rate_limit(headers));
--- a/node/src/relay/client.rs
+++ b/node/src/relay/client.rs
@@ -1,10 +1,15 @@
 //! Opening connections to runners through peers.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
+use futures_util::future::BoxFuture;
+use http::Uri;
+use hyper_util::rt::TokioIo;
 use sardinepick_lib::clock::Clock;
 use sardinepick_lib::id::{NodeId, RunnerId};
 use sardinepick_wire::fleet::fleet_client::FleetClient;
@@ -12,10 +17,12 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 use tokio_stream::wrappers::ReceiverStream;
+use tonic::codegen::Service;
 use tonic::transport::{Channel, Endpoint};
 
 use super::{Error, SHARED_WINDOW_BYTES, Stream, WINDOW_BYTES};
 use crate::lock::lock;
+use crate::serve::dial::{self, Dial};
 use crate::serve::metrics::Metrics;
 
 /// The timeout for connecting to a peer.
@@ -28,6 +35,29 @@
 /// The maximum number of messages that wait to be sent on one connection.
 const MAX_WAITING_PARTS: usize = 2;
 
+/// Connects a channel to a peer. What has not been sent when the connection is closed is discarded:
+/// the peer must not deliver a request that this node has given up.
+#[derive(Clone)]
+struct Connect {
+    dial: Arc<dyn Dial>,
+    peer: SocketAddr,
+}
+
+impl Service<Uri> for Connect {
+    type Response = TokioIo<Box<dyn dial::Stream>>;
+    type Error = io::Error;
+    type Future = BoxFuture<'static, io::Result<Self::Response>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, _: Uri) -> Self::Future {
+        let Connect { dial, peer } = self.clone();
+        Box::pin(async move { dial.dial(peer).await.map(TokioIo::new) })
+    }
+}
+
 struct Connected {
     client: FleetClient<Channel>,
     used_at: Instant,
@@ -36,15 +66,16 @@
 /// The connections of this node to the peers that it reaches runners through.
 pub struct Client {
     me: NodeId,
+    dial: Arc<dyn Dial>,
     peers: Mutex<HashMap<SocketAddr, Connected>>,
     clock: Arc<dyn Clock>,
     metrics: Metrics,
 }
 
 impl Client {
-    /// Creates a client for the node `me` without connections.
-    pub fn new(me: NodeId, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
-        Self { me, peers: Mutex::default(), clock, metrics }
+    /// Creates a client for the node `me`, whose connections to peers `dial` opens.
+    pub fn new(me: NodeId, dial: Arc<dyn Dial>, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
+        Self { me, dial, peers: Mutex::default(), clock, metrics }
     }
 
     /// Connects to a runner through `peer`, within `limit`.
@@ -112,13 +143,13 @@
         }
         let endpoint = Endpoint::from_shared(format!("http://{peer}"))?
             .connect_timeout(CONNECT_TIMEOUT)
-            .tcp_nodelay(true)
             .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
             .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
             .keep_alive_while_idle(true)
             .initial_stream_window_size(WINDOW_BYTES)
             .initial_connection_window_size(SHARED_WINDOW_BYTES);
-        let client = FleetClient::new(endpoint.connect_lazy());
+        let connect = Connect { dial: self.dial.clone(), peer };
+        let client = FleetClient::new(endpoint.connect_with_connector_lazy(connect));
         peers.insert(peer, Connected { client: client.clone(), used_at: now });
         Ok(client)
     }
--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -5,11 +5,10 @@
 //! client closes the connection before the stray bytes can be taken for the answer to another
 //! request.
 
-use std::collections::{HashMap, VecDeque};
 use std::future::Future;
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -17,7 +16,7 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::handshake;
 use hyper_util::rt::TokioIo;
 use sardinepick_lib::clock::Clock;
 use sardinepick_lib::id::RunnerId;
@@ -28,9 +27,13 @@
 use tokio::time::timeout;
 
 use crate::limit::Denied;
-use crate::serve::dial::{Dial, Stream};
+use crate::serve::delivery::Delivery;
+use crate::serve::dial::{Dial, Failure, Stream};
+use crate::serve::idle::Pool;
 use crate::serve::metrics::Metrics;
 
+pub use crate::serve::idle::{Link, Way};
+
 /// Why a request got no answer.
 #[derive(Debug, Error)]
 pub enum SendError {
@@ -113,29 +116,6 @@
 /// few milliseconds, and a runner accepts within one.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-type Sender = SendRequest<Full<Bytes>>;
-
-/// The way in which a connection was made.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub enum Way {
-    /// By this node itself.
-    Direct,
-    /// Through a peer.
-    Relayed,
-}
-
-/// A connection that carries no request.
-pub struct Link {
-    sender: Sender,
-    way: Way,
-}
-
-struct Idle {
-    sender: Sender,
-    since: Instant,
-    until: Instant,
-}
-
 /// How long a connection is kept idle if the peer announces no timeout. Shorter than any known
 /// peer's idle timeout, so that a request does not race with the peer's close.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -146,14 +126,11 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 /// The timeout of a probe: many times the round trip between data centres.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
-/// The maximum number of idle connections per address and way.
-const MAX_IDLE: usize = 32;
 
 /// The connections of this node.
 pub struct Connections {
-    idle: Mutex<HashMap<(SocketAddr, Way), VecDeque<Idle>>>,
+    idle: Pool,
     dial: Arc<dyn Dial>,
-    clock: Arc<dyn Clock>,
     metrics: Metrics,
 }
 
@@ -175,7 +152,7 @@
 impl Answer {
     /// The way of the connection that it came over.
     pub fn way(&self) -> Way {
-        self.lease.way
+        self.lease.link.way
     }
 
     /// Reads the whole body, up to `max_bytes`, and returns the connection to the pool.
@@ -227,8 +204,7 @@
 pub struct Lease {
     connections: Arc<Connections>,
     address: SocketAddr,
-    way: Way,
-    sender: Sender,
+    link: Link,
     idle_timeout: Option<Duration>,
 }
 
@@ -236,19 +212,14 @@
     /// Returns the connection to the pool, once the whole answer has been read.
     pub fn return_to_pool(self) {
         let Some(keep) = self.idle_timeout.and_then(|t| t.checked_sub(IDLE_MARGIN)) else { return };
-        let since = self.connections.clock.now();
-        let mut idle = self.connections.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let queue = idle.entry((self.address, self.way)).or_default();
-        if queue.len() < MAX_IDLE {
-            queue.push_back(Idle { sender: self.sender, since, until: since + keep });
-        }
+        self.connections.idle.put(self.address, self.link, keep);
     }
 }
 
 impl Connections {
     /// Creates an empty pool, whose connections `dial` opens.
     pub fn new(dial: Arc<dyn Dial>, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
-        Self { idle: Mutex::new(HashMap::new()), dial, clock, metrics }
+        Self { idle: Pool::new(clock), dial, metrics }
     }
 
     /// Sends a request over a direct connection and waits for the head of its answer.
@@ -263,11 +234,12 @@
         connect_timeout: Duration,
     ) -> Result<Answer, SendError> {
         let take_idle = || self.take_idle(address, Way::Direct, |_| true);
-        self.send_over(address, request, take_idle, self.connect(address, connect_timeout)).await
+        let connect = self.connect(address, connect_timeout);
+        self.send_over(address, request, None, take_idle, connect).await
     }
 
     /// Sends a request over an idle connection, or over a new one if there is none, and waits for
-    /// the head of its answer.
+    /// the head of its answer. Records in `delivery` that it is sent.
     ///
     /// # Errors
     /// There is no answer.
@@ -275,21 +247,27 @@
         self: &Arc<Self>,
         address: SocketAddr,
         request: Request<Bytes>,
+        delivery: Option<&Delivery>,
         take_idle: impl Fn() -> Option<Link>,
         connect: impl Future<Output = Result<Link, SendError>>,
     ) -> Result<Answer, SendError> {
         let mut request = request.map(Full::new);
         while let Some(mut link) = take_idle() {
+            delivery.inspect(|delivery| delivery.note_sent());
             match link.sender.try_send_request(request).await {
                 Ok(response) => return Ok(self.answer(address, link, response)),
                 Err(mut error) => match error.take_message() {
                     // Nothing of it was sent: it is retried on the next connection.
-                    Some(unsent) => request = unsent,
+                    Some(unsent) => {
+                        delivery.inspect(|delivery| delivery.note_unsent());
+                        request = unsent;
+                    }
                     None => return Err(broken(address, error.error())),
                 },
             }
         }
         let mut link = connect.await?;
+        delivery.inspect(|delivery| delivery.note_sent());
         match link.sender.try_send_request(request).await {
             Ok(response) => Ok(self.answer(address, link, response)),
             Err(mut error) => match error.take_message() {
@@ -307,8 +285,8 @@
     ) -> Answer {
         let (head, body) = response.into_parts();
         let idle_timeout = keep_alive(&head.headers, DEFAULT_IDLE_TIMEOUT);
-        let (connections, Link { sender, way }) = (self.clone(), link);
-        Answer { head, body, lease: Lease { connections, address, way, sender, idle_timeout } }
+        let lease = Lease { connections: self.clone(), address, link, idle_timeout };
+        Answer { head, body, lease }
     }
 
     /// Takes the connection that has been idle longest, if `may_reuse` permits that for the time
@@ -319,42 +297,28 @@
         way: Way,
         may_reuse: impl Fn(Instant) -> bool,
     ) -> Option<Link> {
-        let now = self.clock.now();
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let queue = idle.get_mut(&(address, way))?;
-        while let Some(next) = queue.pop_front() {
-            if next.until > now && next.sender.is_ready() && may_reuse(next.since) {
-                return Some(Link { sender: next.sender, way });
-            }
-        }
-        None
+        self.idle.take(address, way, may_reuse)
     }
 
     /// Closes expired idle connections, and those to addresses that are not `wanted`.
     pub fn close_expired(&self, wanted: impl Fn(&SocketAddr) -> bool) {
-        let now = self.clock.now();
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|(address, _), queue| {
-            queue.retain(|i| i.until > now && !i.sender.is_closed());
-            !queue.is_empty() && wanted(address)
-        });
+        self.idle.close_expired(wanted);
     }
 
     /// Closes the idle connections to an address.
     pub fn close_idle(&self, address: SocketAddr) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|(other, _), _| *other != address);
+        self.idle.retain(|other, _| *other != address);
     }
 
     /// Closes the idle connections through peers to addresses that are not `wanted`.
     pub fn close_idle_relayed(&self, wanted: impl Fn(&SocketAddr) -> bool) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|(address, way), _| *way == Way::Direct || wanted(address));
+        self.idle.retain(|address, way| way == Way::Direct || wanted(address));
     }
 
     /// Checks whether a process listens at an address.
     pub async fn probe(&self, address: SocketAddr) -> Probe {
-        match timeout(PROBE_TIMEOUT, self.dial(address)).await {
+        self.metrics.connections.inc();
+        match timeout(PROBE_TIMEOUT, self.dial.dial(address)).await {
             Ok(Ok(_)) => Probe::Accepted,
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Probe::Refused,
             Ok(Err(_)) | Err(_) => Probe::Unknown,
@@ -362,21 +326,29 @@
     }
 
     async fn connect(&self, address: SocketAddr, limit: Duration) -> Result<Link, SendError> {
-        let failed = |detail: String| SendError::Connect { peer: address, detail };
-        match timeout(limit, self.dial(address)).await {
-            Ok(Ok(stream)) => self.establish(address, Way::Direct, stream).await,
-            Ok(Err(error)) => Err(failed(error.to_string())),
-            Err(_) => Err(failed(format!("no answer within {limit:?}"))),
+        match self.dial(address, limit).await {
+            Ok(stream) => self.establish(address, Way::Direct, stream).await,
+            Err(error) => Err(SendError::Connect { peer: address, detail: error.to_string() }),
         }
     }
 
-    /// Connects to an address directly.
+    /// Connects to an address directly, within `limit`.
     ///
     /// # Errors
     /// The address cannot be reached.
-    pub async fn dial(&self, address: SocketAddr) -> std::io::Result<Box<dyn Stream>> {
+    pub async fn dial(&self, address: SocketAddr, limit: Duration) -> io::Result<Box<dyn Stream>> {
         self.metrics.connections.inc();
-        self.dial.dial(address).await
+        let late = || io::Error::new(ErrorKind::TimedOut, format!("no answer within {limit:?}"));
+        let connected = timeout(limit, self.dial.dial(address)).await;
+        connected.unwrap_or_else(|_| Err(late())).inspect_err(|error| {
+            self.note_connect_failed(address, error.into());
+        })
+    }
+
+    /// Counts a direct connection that was not established.
+    pub fn note_connect_failed(&self, address: SocketAddr, failure: Failure) {
+        let labels = [&*address.to_string(), failure.into()];
+        self.metrics.connect_failures.with_label_values(&labels).inc();
     }
 
     /// Prepares a connection to an address for requests.
@@ -390,6 +362,7 @@
         stream: Box<dyn Stream>,
     ) -> Result<Link, SendError> {
         let failed = |error: hyper::Error| {
+            self.note_connect_failed(address, Failure::Other);
             let detail = error.to_string();
             SendError::Connect { peer: address, detail }
         };
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -50,6 +50,10 @@
     pub relays_opened: IntCounterVec,
     /// Bytes forwarded for other nodes, by direction.
     pub relay_bytes: IntCounterVec,
+    /// Connections that could not be opened, by address and cause.
+    pub connect_failures: IntCounterVec,
+    /// Reservations of runners whose request has not been sent.
+    pub undelivered_reservations: IntGauge,
     /// Calls to the store by purpose and outcome.
     pub store_calls: IntCounterVec,
     /// Requests with an unknown key, by how it was ruled out that the key is new.
@@ -230,6 +234,15 @@
                 "Bytes forwarded between other nodes and runners",
                 &["direction"],
             ),
+            connect_failures: m.counters(
+                "sardinepick_connect_failures_total",
+                "Connections that could not be opened",
+                &["address", "cause"],
+            ),
+            undelivered_reservations: m.gauge(
+                "sardinepick_undelivered_reservations",
+                "Reservations of runners whose request has not been sent",
+            ),
             lease_changes: m.counters(
                 "sardinepick_lease_changes_total",
                 "Changes of the lease on the duties, by what became of it",
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -195,7 +195,7 @@
         let reachability: Arc<Mutex<Reachability>> = Arc::default();
         let handles = connector::Handles {
             connections: connections.clone(),
-            relays: relay::Client::new(me.id.clone(), clock.clone(), metrics.clone()),
+            relays: relay::Client::new(me.id.clone(), dial.clone(), clock.clone(), metrics.clone()),
             reachability: reachability.clone(),
             roster: roster.clone(),
             clock: clock.clone(),
--- a/node/tests/relay.rs
+++ b/node/tests/relay.rs
@@ -10,6 +10,7 @@
 use sardinepick_lib::fleet::runner::Runner;
 use sardinepick_lib::id::RunnerId;
 use sardinepick_node::relay::{self, CHUNK_BYTES, Client, MAX_RELAYS, WINDOW_BYTES};
+use sardinepick_node::serve::dial::Tcp;
 use sardinepick_node::serve::metrics::Metrics;
 use sardinepick_testutils::cluster::{any_address, wait_until};
 use sardinepick_testutils::fleet::deployment::{DEFAULT_DATA_CENTRE, Deployment, PLAIN_SERVICE};
@@ -33,7 +34,7 @@
 
 fn client() -> Client {
     let me = "edge-cut".parse().expect("a name");
-    Client::new(me, Arc::new(System), Metrics::default())
+    Client::new(me, Arc::new(Tcp), Arc::new(System), Metrics::default())
 }
 
 fn runner() -> RunnerId {
