partition soak: seeded cuts beside configurations and leaving runners

Nodes in the test's process are cut from some or all runners by every fault of the network; cuts overlap, heal, and come and go, while configurations change and runners leave. Checked from callers and runners: a request that must not be repeated runs at most once and never after a refusal, no request reaches a runner later than 4 s after it said that it leaves, and each request ends by its deadline. The check of one reply moves out of soak::check, to be used by both.

--- a/node/benches/soak.rs
+++ b/node/benches/soak.rs
@@ -1,6 +1,7 @@
 //! A randomized soak test: `cargo bench --bench soak -- --seed 1 --seconds 30 --nodes 6 --callers 12
 //! --count 10`. With `--ending` it sends requests that crash runners, with `--copies` its store is
-//! restored from backups, with `--leaving` runners leave while nodes start in waves and are paused.
+//! restored from backups, with `--leaving` runners leave while nodes start in waves and are paused,
+//! with `--cuts` nodes in this process are cut from runners.
 //!
 //! Runs one seed after the other and fails if any of them violates an invariant.
 
@@ -10,7 +11,7 @@
 
 use getopts::Options;
 use sardinepick_testutils::fleet::soak::SoakOptions;
-use sardinepick_testutils::fleet::{crash_soak, drain_soak, soak};
+use sardinepick_testutils::fleet::{crash_soak, drain_soak, partition_soak, soak};
 
 fn options() -> Options {
     let mut options = Options::new();
@@ -22,6 +23,7 @@
     options.optflag("", "copies", "restore the store from backups");
     options.optflag("", "ending", "send requests that crash runners");
     options.optflag("", "leaving", "runners leave beside waves of starts and pauses of nodes");
+    options.optflag("", "cuts", "nodes are cut from runners");
     options.optflag("", "bench", "passed by cargo, ignored");
     options
 }
@@ -51,6 +53,8 @@
             crash_soak::run(exe, plan).await
         } else if matches.opt_present("leaving") {
             drain_soak::run(exe, plan).await
+        } else if matches.opt_present("cuts") {
+            Ok(partition_soak::run(plan).await)
         } else {
             soak::run(exe, plan).await
         };
--- a/testutils/src/fleet/mod.rs
+++ b/testutils/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 pub mod killable_node;
 pub mod link;
 pub mod network;
+pub mod partition_soak;
 pub mod platform;
 pub mod proxy;
 pub mod rate_limit;
--- a/testutils/src/fleet/soak.rs
+++ b/testutils/src/fleet/soak.rs
@@ -77,7 +77,8 @@
 }
 
 const STREAM_EVENTS: u64 = 12;
-const PATHS: [&str; 4] = ["/board/a", "/eggs/a", "/count/a", "/tally/a"];
+/// The paths of requests of every kind.
+pub(super) const PATHS: &[&str] = &["/board/a", "/eggs/a", "/count/a", "/tally/a"];
 const GENERATION_HEADERS: [(&str, &str); 3] =
     [("model", "m"), ("token-count", "1460,80"), ("prompt-prefix", "5c1e:800,91bd:410,e440:250")];
 /// The headers of a request to a path, in addition to its id and deadline.
@@ -492,38 +493,35 @@
             report.violations.push(format!("orders: {} saw the tokens {tokens:?}", runner.id));
         }
     }
-    let expected_stream: String = (1..=STREAM_EVENTS).map(event).collect();
     let replies = callers.replies.lock().unwrap_or_else(PoisonError::into_inner);
     for (id, path, reply) in replies.iter() {
-        let ran = runs.get(id).copied().unwrap_or(0);
-        let once = matches!(*path, "/eggs/a" | "/tally/a");
-        if once && ran > 1 {
-            report.violations.push(format!("duplicate: {id} {path} ran {ran} times"));
-        }
-        let status = reply.status.map_or(0, |status| status.as_u16());
-        if once && ran > 0 && matches!(status, 408 | 421 | 429 | 503) {
-            report.violations.push(format!("refused: {id} {path} got {status} and ran"));
-        }
-        let end = match status {
-            200 => check_success(id, path, reply, &expected_stream, report),
-            0 => "without an answer",
-            408 | 421 | 429 | 503 => "refused, not run",
-            _ => "failed",
-        };
-        *report.outcomes.entry(end).or_default() += 1;
+        check_reply(id, path, reply, runs.get(id).copied().unwrap_or(0), report);
+    }
+}
+
+/// Checks a reply to a request that has run `ran` times.
+pub(super) fn check_reply(id: &str, path: &str, reply: &Reply, ran: u64, report: &mut Report) {
+    let once = matches!(path, "/eggs/a" | "/tally/a");
+    if once && ran > 1 {
+        report.violations.push(format!("duplicate: {id} {path} ran {ran} times"));
     }
+    let status = reply.status.map_or(0, |status| status.as_u16());
+    if once && ran > 0 && matches!(status, 408 | 421 | 429 | 503) {
+        report.violations.push(format!("refused: {id} {path} got {status} and ran"));
+    }
+    let end = match status {
+        200 => check_success(id, path, reply, report),
+        0 => "without an answer",
+        408 | 421 | 429 | 503 => "refused, not run",
+        _ => "failed",
+    };
+    *report.outcomes.entry(end).or_default() += 1;
 }
 
-fn check_success(
-    id: &str,
-    path: &str,
-    reply: &Reply,
-    expected_stream: &str,
-    report: &mut Report,
-) -> &'static str {
+fn check_success(id: &str, path: &str, reply: &Reply, report: &mut Report) -> &'static str {
     let expected = match path {
         "/board/a" | "/eggs/a" => format!("answer to {id}"),
-        _ => expected_stream.to_owned(),
+        _ => (1..=STREAM_EVENTS).map(event).collect(),
     };
     let text = reply.text();
     let valid = if reply.complete { text == expected } else { expected.starts_with(&text) };
