plain: a call without an established connection has not run

A plain call is given up after half of the objective, which can be the connect timeout. If the connect was still pending, the request counted as one that may have run: callers got 502, or 504 at their deadlines, for what was never sent.

--- a/node/src/serve/delivery.rs
+++ b/node/src/serve/delivery.rs
@@ -19,6 +19,11 @@
         Self { undelivered: undelivered.clone(), is_sent: AtomicBool::new(false) }
     }
 
+    /// Whether the request may have been sent.
+    pub fn is_sent(&self) -> bool {
+        self.is_sent.load(Ordering::Relaxed)
+    }
+
     /// Records that the request is sent.
     pub fn note_sent(&self) {
         if !self.is_sent.swap(true, Ordering::Relaxed) {
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -317,12 +317,17 @@
                 CallResult::MaybeRun
             }
             Err(_) => {
-                self.arrivals += 1;
                 reservation.conclude(Outcome::Broken);
+                let is_sent = reservation.is_sent();
                 log::info!(
-                    request:% = request.id, runner:% = id, address:% = address,
+                    request:% = request.id, runner:% = id, address:% = address, unsent = !is_sent,
                     waited_ms = reservation.held().as_millis() as u64; "call without an answer"
                 );
+                if !is_sent {
+                    self.runs -= 1;
+                    return CallResult::NotRun { arrived: false };
+                }
+                self.arrivals += 1;
                 CallResult::TimedOut
             }
         }
--- a/node/src/serve/reservation.rs
+++ b/node/src/serve/reservation.rs
@@ -117,6 +117,11 @@
         Target { runner: &self.runner, registration, address, delivery: &self.delivery }
     }
 
+    /// Whether the request may have been sent.
+    pub fn is_sent(&self) -> bool {
+        self.delivery.is_sent()
+    }
+
     /// Updates the state of the runner if it is still in the reserved incarnation.
     pub fn with_runner<T>(&self, change: impl FnOnce(&mut Runner) -> T) -> Option<T> {
         let registration = self.registration.as_ref()?;
--- a/node/tests/connector.rs
+++ b/node/tests/connector.rs
@@ -116,3 +116,21 @@
     let register = set.nodes[CUT].shared.register();
     assert!(register.runners().all(|runner| runner.takes_work(now)));
 }
+
+/// Guards against requests that are answered as if they might have run, although no connection was
+/// established.
+#[tokio::test]
+async fn request_without_connection_not_run() {
+    let set = Deployment::new().await.with_plain(2).await.with_nodes(1).await;
+    set.set_network_fault(&[0], &set.runners, Fault::Hang);
+    let ids: Vec<String> = (0..20).map(|n| format!("r{n}")).collect();
+    let sent = ids.iter().map(|id| async {
+        let spec = RequestSpec::new("/board/a", id);
+        set.send(0, &spec).await.status
+    });
+    let statuses = futures_util::future::join_all(sent).await;
+    assert!(
+        statuses.iter().all(|status| *status == Some(StatusCode::SERVICE_UNAVAILABLE)),
+        "{statuses:?}"
+    );
+}
