reachability: say what an attempt without peers shows when it is given up

A node that was given no peers to ask must still remember that its direct connect failed, so that it refuses at once to connect for others. The comment of gave_up() says so, and the model does it.

--- a/lib/src/fleet/reachability/dial.rs
+++ b/lib/src/fleet/reachability/dial.rs
@@ -159,7 +159,8 @@
         }
     }
 
-    /// What it says that the attempt was given up; `None` if no peer was asked.
+    /// What it says that the attempt was given up; `None` if no peer was asked, so that all that is
+    /// known is that the direct connect has failed.
     pub fn gave_up(&self) -> Option<Outcome> {
         let was_tried = self.was_relay_asked && self.direct != Connect::NotStarted;
         was_tried.then_some(Outcome::Unreachable { since: self.started })
--- a/lib/tests/reachability_model/dispatch.rs
+++ b/lib/tests/reachability_model/dispatch.rs
@@ -141,8 +141,12 @@
                 }
                 Action::GiveUp => {
                     request.not_before = now + RETRY_PAUSE;
-                    if let Some(outcome) = dialing.dial.gave_up() {
-                        self.note_outcome(node, dialing.runner, outcome, now);
+                    match dialing.dial.gave_up() {
+                        Some(outcome) => self.note_outcome(node, dialing.runner, outcome, now),
+                        None => {
+                            let (at, address) = (self.at(now), address(dialing.runner));
+                            self.nodes[node].reachability.note_direct_failed(address, at);
+                        }
                     }
                     if self.policy == Policy::CloseWithoutPeer {
                         let since = self.at(now);
