--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -5,18 +5,18 @@
 //! client closes the connection before the stray bytes can be taken for the answer to another
 //! request.
 
-use std::collections::{HashMap, VecDeque};
-use std::io::ErrorKind;
+use std::future::Future;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use http::response::Parts;
 use http::{Request, Response};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::handshake;
 use hyper_util::rt::TokioIo;
 use sardinepick_lib::clock::Clock;
 use sardinepick_lib::id::RunnerId;
@@ -27,8 +27,13 @@
 use tokio::time::timeout;
 
 use crate::limit::Denied;
+use crate::serve::delivery::Delivery;
+use crate::serve::dial::{Dial, Failure, Stream};
+use crate::serve::idle::Pool;
 use crate::serve::metrics::Metrics;
 
+pub use crate::serve::idle::{Link, Way};
+
 /// Why a request got no answer.
 #[derive(Debug, Error)]
 pub enum SendError {
@@ -111,13 +116,6 @@
 /// few milliseconds, and a runner accepts within one.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-type Sender = SendRequest<Full<Bytes>>;
-
-struct Idle {
-    sender: Sender,
-    until: std::time::Instant,
-}
-
 /// How long a connection is kept idle if the peer announces no timeout. Shorter than any known
 /// peer's idle timeout, so that a request does not race with the peer's close.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -128,13 +126,11 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 /// The timeout of a probe: many times the round trip between data centres.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
-/// The maximum number of idle connections per address.
-const MAX_IDLE: usize = 32;
 
 /// The connections of this node.
 pub struct Connections {
-    idle: Mutex<HashMap<SocketAddr, VecDeque<Idle>>>,
-    clock: Arc<dyn Clock>,
+    idle: Pool,
+    dial: Arc<dyn Dial>,
     metrics: Metrics,
 }
 
@@ -154,6 +150,11 @@
 pub struct Incomplete(String);
 
 impl Answer {
+    /// The way of the connection that it came over.
+    pub fn way(&self) -> Way {
+        self.lease.link.way
+    }
+
     /// Reads the whole body, up to `max_bytes`, and returns the connection to the pool.
     ///
     /// # Errors
@@ -203,7 +204,7 @@
 pub struct Lease {
     connections: Arc<Connections>,
     address: SocketAddr,
-    sender: Sender,
+    link: Link,
     idle_timeout: Option<Duration>,
 }
 
@@ -211,23 +212,18 @@
     /// Returns the connection to the pool, once the whole answer has been read.
     pub fn return_to_pool(self) {
         let Some(keep) = self.idle_timeout.and_then(|t| t.checked_sub(IDLE_MARGIN)) else { return };
-        let until = self.connections.clock.now() + keep;
-        let mut idle = self.connections.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let queue = idle.entry(self.address).or_default();
-        if queue.len() < MAX_IDLE {
-            queue.push_back(Idle { sender: self.sender, until });
-        }
+        self.connections.idle.put(self.address, self.link, keep);
     }
 }
 
 impl Connections {
-    /// Creates an empty pool.
-    pub fn new(clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
-        Self { idle: Mutex::new(HashMap::new()), clock, metrics }
+    /// Creates an empty pool, whose connections `dial` opens.
+    pub fn new(dial: Arc<dyn Dial>, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
+        Self { idle: Pool::new(clock), dial, metrics }
     }
 
-    /// Sends a request and waits for the head of its answer. `connect_timeout` applies to a new
-    /// connection.
+    /// Sends a request over a direct connection and waits for the head of its answer.
+    /// `connect_timeout` applies to a new connection.
     ///
     /// # Errors
     /// There is no answer.
@@ -236,21 +232,44 @@
         address: SocketAddr,
         request: Request<Bytes>,
         connect_timeout: Duration,
+    ) -> Result<Answer, SendError> {
+        let take_idle = || self.take_idle(address, Way::Direct, |_| true);
+        let connect = self.connect(address, connect_timeout);
+        self.send_over(address, request, None, take_idle, connect).await
+    }
+
+    /// Sends a request over an idle connection, or over a new one if there is none, and waits for
+    /// the head of its answer. Records in `delivery` that it is sent.
+    ///
+    /// # Errors
+    /// There is no answer.
+    pub async fn send_over(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        delivery: Option<&Delivery>,
+        take_idle: impl Fn() -> Option<Link>,
+        connect: impl Future<Output = Result<Link, SendError>>,
     ) -> Result<Answer, SendError> {
         let mut request = request.map(Full::new);
-        while let Some(mut sender) = self.take_idle(address) {
-            match sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.answer(address, sender, response)),
+        while let Some(mut link) = take_idle() {
+            delivery.inspect(|delivery| delivery.note_sent());
+            match link.sender.try_send_request(request).await {
+                Ok(response) => return Ok(self.answer(address, link, response)),
                 Err(mut error) => match error.take_message() {
                     // Nothing of it was sent: it is retried on the next connection.
-                    Some(unsent) => request = unsent,
+                    Some(unsent) => {
+                        delivery.inspect(|delivery| delivery.note_unsent());
+                        request = unsent;
+                    }
                     None => return Err(broken(address, error.error())),
                 },
             }
         }
-        let mut sender = self.connect(address, connect_timeout).await?;
-        match sender.try_send_request(request).await {
-            Ok(response) => Ok(self.answer(address, sender, response)),
+        let mut link = connect.await?;
+        delivery.inspect(|delivery| delivery.note_sent());
+        match link.sender.try_send_request(request).await {
+            Ok(response) => Ok(self.answer(address, link, response)),
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(SendError::Unsent { peer: address }),
                 None => Err(broken(address, error.error())),
@@ -261,70 +280,99 @@
     fn answer(
         self: &Arc<Self>,
         address: SocketAddr,
-        sender: Sender,
+        link: Link,
         response: Response<Incoming>,
     ) -> Answer {
         let (head, body) = response.into_parts();
         let idle_timeout = keep_alive(&head.headers, DEFAULT_IDLE_TIMEOUT);
-        let lease = Lease { connections: self.clone(), address, sender, idle_timeout };
+        let lease = Lease { connections: self.clone(), address, link, idle_timeout };
         Answer { head, body, lease }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
-        let now = self.clock.now();
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let queue = idle.get_mut(&address)?;
-        while let Some(next) = queue.pop_front() {
-            if next.until > now && next.sender.is_ready() {
-                return Some(next.sender);
-            }
-        }
-        None
+    /// Takes the connection that has been idle longest, if `may_reuse` permits that for the time
+    /// since when it is idle. Connections for which it does not are closed.
+    pub fn take_idle(
+        &self,
+        address: SocketAddr,
+        way: Way,
+        may_reuse: impl Fn(Instant) -> bool,
+    ) -> Option<Link> {
+        self.idle.take(address, way, may_reuse)
     }
 
     /// Closes expired idle connections, and those to addresses that are not `wanted`.
     pub fn close_expired(&self, wanted: impl Fn(&SocketAddr) -> bool) {
-        let now = self.clock.now();
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|address, queue| {
-            queue.retain(|i| i.until > now && !i.sender.is_closed());
-            !queue.is_empty() && wanted(address)
-        });
+        self.idle.close_expired(wanted);
     }
 
     /// Closes the idle connections to an address.
     pub fn close_idle(&self, address: SocketAddr) {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
+        self.idle.retain(|other, _| *other != address);
+    }
+
+    /// Closes the idle connections through peers to addresses that are not `wanted`.
+    pub fn close_idle_relayed(&self, wanted: impl Fn(&SocketAddr) -> bool) {
+        self.idle.retain(|address, way| way == Way::Direct || wanted(address));
     }
 
     /// Checks whether a process listens at an address.
     pub async fn probe(&self, address: SocketAddr) -> Probe {
         self.metrics.connections.inc();
-        match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
+        match timeout(PROBE_TIMEOUT, self.dial.dial(address)).await {
             Ok(Ok(_)) => Probe::Accepted,
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Probe::Refused,
             Ok(Err(_)) | Err(_) => Probe::Unknown,
         }
     }
 
-    async fn connect(&self, address: SocketAddr, limit: Duration) -> Result<Sender, SendError> {
-        let failed = |detail: String| SendError::Connect { peer: address, detail };
+    async fn connect(&self, address: SocketAddr, limit: Duration) -> Result<Link, SendError> {
+        match self.dial(address, limit).await {
+            Ok(stream) => self.establish(address, Way::Direct, stream).await,
+            Err(error) => Err(SendError::Connect { peer: address, detail: error.to_string() }),
+        }
+    }
+
+    /// Connects to an address directly, within `limit`.
+    ///
+    /// # Errors
+    /// The address cannot be reached.
+    pub async fn dial(&self, address: SocketAddr, limit: Duration) -> io::Result<Box<dyn Stream>> {
         self.metrics.connections.inc();
-        let stream = match timeout(limit, TcpStream::connect(address)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return Err(failed(error.to_string())),
-            Err(_) => return Err(failed(format!("no answer within {limit:?}"))),
+        let late = || io::Error::new(ErrorKind::TimedOut, format!("no answer within {limit:?}"));
+        let connected = timeout(limit, self.dial.dial(address)).await;
+        connected.unwrap_or_else(|_| Err(late())).inspect_err(|error| {
+            self.note_connect_failed(address, error.into());
+        })
+    }
+
+    /// Counts a direct connection that was not established.
+    pub fn note_connect_failed(&self, address: SocketAddr, failure: Failure) {
+        let labels = [&*address.to_string(), failure.into()];
+        self.metrics.connect_failures.with_label_values(&labels).inc();
+    }
+
+    /// Prepares a connection to an address for requests.
+    ///
+    /// # Errors
+    /// The connection cannot be used.
+    pub async fn establish(
+        &self,
+        address: SocketAddr,
+        way: Way,
+        stream: Box<dyn Stream>,
+    ) -> Result<Link, SendError> {
+        let failed = |error: hyper::Error| {
+            self.note_connect_failed(address, Failure::Other);
+            let detail = error.to_string();
+            SendError::Connect { peer: address, detail }
         };
-        prepare(&stream);
-        discard_unsent_on_close(&stream);
-        let (sender, connection) =
-            handshake(TokioIo::new(stream)).await.map_err(|e| failed(e.to_string()))?;
+        let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(failed)?;
         tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!(peer:% = address, error:% = error; "connection closed");
             }
         });
-        Ok(sender)
+        Ok(Link { sender, way })
     }
 }
 
@@ -332,18 +380,6 @@
     SendError::Broken { peer, detail: error.to_string() }
 }
 
-/// Makes closing the connection discard undelivered data.
-///
-/// If a call is abandoned while the path to its peer is down, its bytes stay in the kernel's send
-/// buffer and are delivered once the path recovers. Without this, a runner got a request six
-/// seconds after its caller had disconnected, and more than two after the runner had said that it
-/// leaves. Closing with a reset discards the buffer.
-fn discard_unsent_on_close(stream: &TcpStream) {
-    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
-        log::debug!(error:% = error; "cannot set SO_LINGER");
-    }
-}
-
 /// Configures a connection to send small writes at once and to detect a silent path.
 pub fn prepare(stream: &TcpStream) {
     let socket = SockRef::from(stream);
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -45,6 +45,20 @@
     /// Connections of callers that ended, by listener, cause, and whether a response was not
     /// complete.
     pub caller_connection_ends: IntCounterVec,
+    /// Connections to runners that this node forwards for other nodes.
+    pub relays: IntGauge,
+    /// Connections of this node to runners through other nodes.
+    pub relayed_connections: IntGauge,
+    /// Runners that this node reaches only through other nodes.
+    pub closed_paths: IntGauge,
+    /// Connections to runners through another node, by this node's role and outcome.
+    pub relays_opened: IntCounterVec,
+    /// Bytes forwarded for other nodes, by direction.
+    pub relay_bytes: IntCounterVec,
+    /// Connections that could not be opened, by address and cause.
+    pub connect_failures: IntCounterVec,
+    /// Reservations of runners whose request has not been sent.
+    pub undelivered_reservations: IntGauge,
     /// Calls to the store by purpose and outcome.
     pub store_calls: IntCounterVec,
     /// Requests with an unknown key, by how it was ruled out that the key is new.
@@ -213,6 +227,37 @@
             ),
             connections: m
                 .counter("sardinepick_connections_total", "Connections made to runners and store"),
+            relays: m.gauge(
+                "sardinepick_relays",
+                "Connections to runners that are forwarded for other nodes",
+            ),
+            relayed_connections: m.gauge(
+                "sardinepick_relayed_connections",
+                "Connections of this node to runners through other nodes",
+            ),
+            closed_paths: m.gauge(
+                "sardinepick_closed_paths",
+                "Runners that this node reaches only through other nodes",
+            ),
+            relays_opened: m.counters(
+                "sardinepick_relays_opened_total",
+                "Connections to runners through another node, by the role of this one and outcome",
+                &["role", "outcome"],
+            ),
+            relay_bytes: m.counters(
+                "sardinepick_relay_bytes_total",
+                "Bytes forwarded between other nodes and runners",
+                &["direction"],
+            ),
+            connect_failures: m.counters(
+                "sardinepick_connect_failures_total",
+                "Connections that could not be opened",
+                &["address", "cause"],
+            ),
+            undelivered_reservations: m.gauge(
+                "sardinepick_undelivered_reservations",
+                "Reservations of runners whose request has not been sent",
+            ),
             lease_changes: m.counters(
                 "sardinepick_lease_changes_total",
                 "Changes of the lease on the duties, by what became of it",
--- a/node/src/serve/reservation.rs
+++ b/node/src/serve/reservation.rs
@@ -16,6 +16,8 @@
 use sardinepick_lib::id::RunnerId;
 
 use crate::dispatch::Target;
+use crate::serve::connection::SendError;
+use crate::serve::delivery::Delivery;
 use crate::serve::shared::Shared;
 
 /// How long a caller must have waited at a runner without a result for its disconnecting to count
@@ -52,6 +54,7 @@
     expected: Option<(Placement, f64)>,
     /// Whether another attempt has made the work unnecessary.
     superseded: Superseded,
+    delivery: Delivery,
 }
 
 /// Whether an attempt is cancelled because another one has made it unnecessary, which says nothing
@@ -89,6 +92,7 @@
             concluded: false,
             expected: None,
             superseded: Superseded::default(),
+            delivery: Delivery::new(&shared.metrics.undelivered_reservations),
         }
     }
 
@@ -109,7 +113,13 @@
 
     /// Returns the runner at its address as the target of a request.
     pub fn target(&self, address: SocketAddr) -> Target<'_> {
-        Target { runner: &self.runner, registration: self.registration.as_ref(), address }
+        let registration = self.registration.as_ref();
+        Target { runner: &self.runner, registration, address, delivery: &self.delivery }
+    }
+
+    /// Whether the request may have been sent.
+    pub fn is_sent(&self) -> bool {
+        self.delivery.is_sent()
     }
 
     /// Updates the state of the runner if it is still in the reserved incarnation.
@@ -173,16 +183,51 @@
         self.with_runner(|runner| runner.health.note_alive(now));
     }
 
-    /// Records the outcome of the work.
+    /// Records the outcome of the work. A call that breaks off because this node does not reach the
+    /// runner says nothing of the runner.
     pub fn conclude(&mut self, outcome: Outcome) {
+        match outcome {
+            Outcome::Broken if self.note_broken() => {
+                self.concluded = true;
+                self.count("cut");
+            }
+            Outcome::Broken | Outcome::Answered | Outcome::Failed | Outcome::Gone => {
+                self.record(outcome);
+            }
+        }
+    }
+
+    /// Records that the request got no answer.
+    pub fn conclude_unanswered(&mut self, error: &SendError) {
+        match error {
+            // No peer reaches the runner either.
+            SendError::Connect { .. } => self.record(Outcome::Broken),
+            _ if error.is_local() => {}
+            _ => self.conclude(Outcome::Broken),
+        }
+    }
+
+    /// Records that other connections to the runner may be dead. Returns whether this node probably
+    /// does not reach it.
+    fn note_broken(&self) -> bool {
+        let Some(address) = self.with_runner(|runner| runner.entry.address) else { return false };
+        let is_cut = self.shared.connector.is_path_failure(address);
+        self.shared.connector.note_silent(address);
+        is_cut
+    }
+
+    fn record(&mut self, outcome: Outcome) {
         self.concluded = true;
         self.learn(Observation::Outcome(outcome));
-        let label = match outcome {
+        self.count(match outcome {
             Outcome::Answered => "answered",
             Outcome::Failed => "failed",
             Outcome::Broken => "broken",
             Outcome::Gone => "gone",
-        };
+        });
+    }
+
+    fn count(&self, label: &'static str) {
         let labels = [self.runner.as_str(), self.step.into(), label];
         self.shared.metrics.runner_calls.with_label_values(&labels).inc();
     }
--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -13,6 +13,8 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::caller_connection::Closing;
+use crate::connector::probe;
+use crate::serve::dial::{Dial, Tcp};
 use crate::serve::listener::{self, Port};
 use crate::serve::metrics::Metrics;
 use crate::serve::settings::Settings;
@@ -112,6 +114,17 @@
     clock: Arc<dyn Clock>,
     metrics: Metrics,
     sockets: Sockets,
+) -> Running {
+    start_with_dial(settings, clock, metrics, sockets, Arc::new(Tcp))
+}
+
+/// Starts a node like [`start_at`]. `dial` opens its connections to runners and the store.
+pub fn start_with_dial(
+    settings: Settings,
+    clock: Arc<dyn Clock>,
+    metrics: Metrics,
+    sockets: Sockets,
+    dial: Arc<dyn Dial>,
 ) -> Running {
     let ports = [
         (Port::Front, sockets.front),
@@ -120,7 +133,7 @@
         (Port::Metrics, sockets.metrics),
     ];
     let socket = Arc::new(sockets.heartbeats);
-    let shared = Arc::new(Shared::new(settings, clock, metrics));
+    let shared = Arc::new(Shared::new(settings, clock, metrics, dial));
     shared.scheduling.set_socket(socket.clone());
     shared.limiter.set_socket(socket.clone());
     let (closing, always_open) = (watch::Sender::new(false), watch::Sender::new(false));
@@ -131,6 +144,7 @@
     }
     tokio::spawn(peer::serve(shared.clone(), sockets.peers));
     tokio::spawn(peer::fetch_updates(shared.clone()));
+    tokio::spawn(probe::run(shared.connector.clone()));
     tokio::spawn(copy::fetch_updates(shared.clone()));
     tokio::spawn(heartbeat::receive(shared.clone(), socket.clone()));
     tokio::spawn(heartbeat::send(shared.clone(), socket.clone()));
@@ -167,8 +181,9 @@
     }
 
     /// Stops gracefully: removes the node from look-ups, keeps serving requests that still arrive,
-    /// closes connections as they become idle, and returns when no request is in progress and all
-    /// connections are closed, or the grace period is over. Returns the number of aborted requests.
+    /// closes connections as they become idle, and returns when no request is in progress, all
+    /// connections are closed and none is forwarded, or the grace period is over. Returns the number
+    /// of aborted requests.
     pub async fn stop(self) -> u64 {
         let shared = self.shared;
         let grace = shared.settings.grace;
@@ -184,7 +199,8 @@
         let end = began + grace.mul_f64(ABORT_AFTER);
         while Instant::now() < end {
             sleep(STOP_CHECK_PERIOD).await;
-            if in_progress() == 0 && open.get() == 0 {
+            let is_served = in_progress() == 0 && open.get() == 0;
+            if is_served && shared.relay_server.open_count() == 0 {
                 break;
             }
         }
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -16,6 +16,7 @@
 use sardinepick_lib::fleet::deadline::Deadlines;
 use sardinepick_lib::fleet::digest::Differences;
 use sardinepick_lib::fleet::outage::Outage;
+use sardinepick_lib::fleet::reachability::Reachability;
 use sardinepick_lib::fleet::register::Register;
 use sardinepick_lib::fleet::roster::{Contact, Record, Roster, Standing, Status};
 use sardinepick_lib::fleet::route::{Configuration, Limits};
@@ -31,6 +32,7 @@
 
 use crate::account::Checks;
 use crate::back_off::BackOffs;
+use crate::connector::{self, Connector};
 use crate::dispatch::Dispatcher;
 use crate::drain::Drains;
 use crate::duty::lease::DutyLease;
@@ -38,9 +40,11 @@
 use crate::era_tracker::EraTracker;
 use crate::limit::Limiter;
 use crate::lock::lock;
+use crate::relay;
 use crate::serve::connection::Connections;
 use crate::serve::copy::Copies;
 use crate::serve::crash::Detector;
+use crate::serve::dial::Dial;
 use crate::serve::metrics::Metrics;
 use crate::serve::quarantine::QuarantineState;
 use crate::serve::register_replica::RegisterReplica;
@@ -71,7 +75,7 @@
     pub configuration: ArcSwapOption<Configuration>,
     /// The limits for callers of the configuration in force.
     pub limits: watch::Sender<Limits>,
-    /// Connections to runners and the store.
+    /// Direct connections to runners and the store.
     pub connections: Arc<Connections>,
     /// The tracker of the store's era.
     pub era_tracker: Arc<EraTracker>,
@@ -109,8 +113,12 @@
     pub limiter: Arc<Limiter>,
     /// Runners that have announced that they leave.
     pub drains: Arc<Drains>,
+    /// Connects to runners, directly or through peers.
+    pub connector: Arc<Connector>,
     /// Sends requests to runners.
     pub dispatcher: Dispatcher,
+    /// Forwards connections of other nodes to runners.
+    pub relay_server: relay::Server,
     register: Arc<Mutex<Register>>,
     roster: Arc<Mutex<Roster>>,
     register_replica: Mutex<RegisterReplica>,
@@ -136,8 +144,14 @@
 const MAX_ROUTES: usize = 1_000;
 
 impl Shared {
-    /// Creates the state of a node that has not started yet.
-    pub fn new(settings: Settings, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
+    /// Creates the state of a node that has not started yet. `dial` opens its connections to runners
+    /// and the store.
+    pub fn new(
+        settings: Settings,
+        clock: Arc<dyn Clock>,
+        metrics: Metrics,
+        dial: Arc<dyn Dial>,
+    ) -> Self {
         let since = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
         let incarnation = Incarnation(u64::try_from(since.as_micros()).unwrap_or(u64::MAX));
         let me = Contact {
@@ -148,7 +162,7 @@
             peer: settings.peer,
         };
         let seed = stable_hash(incarnation.0, settings.name.as_str().as_bytes());
-        let connections = Arc::new(Connections::new(clock.clone(), metrics.clone()));
+        let connections = Arc::new(Connections::new(dial.clone(), clock.clone(), metrics.clone()));
         let era_tracker = Arc::new(EraTracker::new(clock.clone(), metrics.clone()));
         let store =
             Client::new(settings.store, connections.clone(), era_tracker.clone(), metrics.clone());
@@ -180,18 +194,41 @@
         let drains =
             Drains::new(register.clone(), heartbeat_now.clone(), clock.clone(), metrics.clone());
         let (limiter, drains) = (Arc::new(limiter), Arc::new(drains));
+        let reachability: Arc<Mutex<Reachability>> = Arc::default();
+        let handles = connector::Handles {
+            connections: connections.clone(),
+            relays: relay::Client::new(me.id.clone(), dial.clone(), clock.clone(), metrics.clone()),
+            reachability: reachability.clone(),
+            roster: roster.clone(),
+            clock: clock.clone(),
+            metrics: metrics.clone(),
+        };
+        let mut rng = StdRng::seed_from_u64(seed);
+        let connector = Arc::new(Connector::new(handles, StdRng::from_rng(&mut rng)));
         let dispatcher = Dispatcher {
             register: register.clone(),
-            connections: connections.clone(),
+            connector: connector.clone(),
             limiter: limiter.clone(),
             drains: drains.clone(),
             back_offs: BackOffs::new(register.clone(), clock.clone(), metrics.clone()),
             clock: clock.clone(),
         };
+        let standing = watch::channel(Standing::Starting).0;
+        let relay_server = relay::Server::new(
+            register.clone(),
+            reachability,
+            dial,
+            standing.subscribe(),
+            clock.clone(),
+            metrics.clone(),
+        );
         Self {
             limiter,
             drains,
             dispatcher,
+            connector,
+            relay_server,
+            standing,
             era_tracker,
             store,
             duty_lease,
@@ -203,7 +240,6 @@
             metrics,
             configuration: ArcSwapOption::empty(),
             limits: watch::Sender::default(),
-            standing: watch::channel(Standing::Starting).0,
             membership_settled: watch::channel(false).0,
             register_outdated: Notify::new(),
             register_conflict: Notify::new(),
@@ -224,7 +260,7 @@
             demand: Mutex::default(),
             route_stats: Mutex::default(),
             switching: Mutex::default(),
-            rng: Mutex::new(StdRng::seed_from_u64(seed)),
+            rng: Mutex::new(rng),
             settings,
             clock,
         }
