--- a/lib/src/fleet/reachability/peers.rs
+++ b/lib/src/fleet/reachability/peers.rs
@@ -26,8 +26,10 @@
     Unknown,
     /// It has failed for another runner.
     Poor,
-    /// It has failed for this runner.
-    Bad,
+    /// It has failed for this runner. The one that has failed least recently may reach it by now.
+    Bad {
+        failed_at: Instant,
+    },
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -95,18 +97,23 @@
     ) -> bool {
         let failed = self.failed(address, now);
         failed.clone().count() < ENOUGH_FAILED
-            && candidates.any(|peer| failed.clone().all(|failed| failed != peer))
+            && candidates.any(|peer| failed.clone().all(|(failed, _)| failed != peer))
     }
 
     /// The peers that have recently failed for a runner.
-    fn failed(&self, address: SocketAddr, now: Instant) -> impl Iterator<Item = &NodeId> + Clone {
+    fn failed(
+        &self,
+        address: SocketAddr,
+        now: Instant,
+    ) -> impl Iterator<Item = &(NodeId, Instant)> + Clone {
         let failed = self.failed.get(&address).into_iter().flatten();
-        failed.filter(move |(_, at)| now < *at + RETENTION).map(|(peer, _)| peer)
+        failed.filter(move |(_, at)| now < *at + RETENTION)
     }
 
     fn prospect(&self, peer: &NodeId, address: SocketAddr, now: Instant) -> Prospect {
-        if self.failed(address, now).any(|failed| failed == peer) {
-            return Prospect::Bad;
+        let failed = self.failed(address, now).find(|(failed, _)| failed == peer);
+        if let Some((_, failed_at)) = failed {
+            return Prospect::Bad { failed_at: *failed_at };
         }
         match self.last.get(peer).filter(|last| now < last.at + RETENTION) {
             Some(last) if last.is_failure => Prospect::Poor,
--- a/lib/tests/reachability.rs
+++ b/lib/tests/reachability.rs
@@ -388,6 +388,18 @@
     }
 }
 
+/// Guards against a node that asks the same cut peers again, and never the one that has healed.
+#[test]
+fn relays_all_failed_least_recent_first() {
+    let (mut reachability, now) = (Reachability::default(), Instant::now());
+    let (nodes, mut rng) = ([node(1), node(2), node(3), node(4)], StdRng::seed_from_u64(1));
+    for (index, failed_at) in [(2, 0), (0, 1), (3, 2), (1, 3)] {
+        reachability.note_relay_failed(&nodes[index], runner(1), now + ms(failed_at));
+    }
+    let chosen = reachability.relays(runner(1), nodes.iter(), now + ms(10), &mut rng);
+    assert_eq!(chosen[..], [nodes[2].clone(), nodes[0].clone()]);
+}
+
 /// Guards against two unknown peers in a row when one is known to reach runners.
 #[test]
 fn relays_second_has_reached_a_runner() {
