reachability model: a dead runner is no heal

The trial of 60,000 schedules also found two requests sent through a peer 1.5 s after a heal, to a runner that had ended without a sign shortly after it, so that no probe could succeed. The check now asks for a runner that accepts connections.

--- a/lib/tests/reachability_model/dispatch.rs
+++ b/lib/tests/reachability_model/dispatch.rs
@@ -272,6 +272,7 @@
         if self.site.links[node][runner].stays(Link::Up, from, now)
             && self.site.loss[node][runner] == 0.0
             && self.site.runners[runner].is_stable(from, now)
+            && self.site.runners[runner].at(now).answers == Answers::Accepts
             && self.site.nodes[node].is_stable(from, now)
         {
             self.violations.push(format!("node {node} still through a peer after a heal"));
