--- a/node/tests/partition.rs
+++ b/node/tests/partition.rs
@@ -1,6 +1,7 @@
 //! Nodes that are cut from runners while callers, the store and the other nodes still reach them.
 
 use std::collections::{BTreeMap, HashMap};
+use std::ops::Deref;
 use std::time::Duration;
 
 use http::StatusCode;
@@ -15,6 +16,7 @@
 use sardinepick_testutils::fleet::runner::{Faults, Runner, run_counts};
 use sardinepick_testutils::fleet::signal::Signals;
 use sardinepick_testutils::fleet::traffic::{Sample, Traffic};
+use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::time::{Instant, sleep};
 
 const NODES: usize = 6;
@@ -35,15 +37,34 @@
 /// How much longer than its timeout an operation may take on a busy machine.
 const TIMER_SLACK: Duration = Duration::from_millis(150);
 
+/// The number of deployments that run at once: the timeouts of all nodes in this process hold only
+/// if it has processor time left.
+static DEPLOYMENTS: Semaphore = Semaphore::const_new(2);
+
+/// A deployment, while it may run.
+struct Running {
+    set: Deployment,
+    _permit: SemaphorePermit<'static>,
+}
+
+impl Deref for Running {
+    type Target = Deployment;
+
+    fn deref(&self) -> &Deployment {
+        &self.set
+    }
+}
+
 /// Six nodes, three plain runners, two prefill and three decode runners.
-async fn deployment() -> Deployment {
+async fn deployment() -> Running {
+    let permit = DEPLOYMENTS.acquire().await.expect("the semaphore is never closed");
     let set = Deployment::new().await.with_budget(BUDGET);
     let set = set.with_plain(3).await.with_engines(2, 3).await.with_nodes(NODES).await;
     let event_interval = Duration::from_millis(10);
     for runner in &set.runners {
         runner.set_faults(Faults { event_interval, ..Faults::default() });
     }
-    set
+    Running { set, _permit: permit }
 }
 
 /// The index of the node that schedules a service's only pool, and grants permits for its runners.
