--- a/lib/src/fleet/reachability/peers.rs
+++ b/lib/src/fleet/reachability/peers.rs
@@ -21,6 +21,8 @@
 /// What the results of asking a peer say of the next time, the best first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Prospect {
+    /// It was the last to reach this runner.
+    Best,
     /// It has reached a runner.
     Good,
     Unknown,
@@ -42,12 +44,15 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Peers {
     last: HashMap<NodeId, Last>,
+    /// The peer that last reached each runner.
+    reached: HashMap<SocketAddr, (NodeId, Instant)>,
     failed: HashMap<SocketAddr, SmallVec<[(NodeId, Instant); 2]>>,
 }
 
 impl Peers {
     pub(super) fn note_relayed(&mut self, peer: &NodeId, address: SocketAddr, now: Instant) {
         self.last.insert(peer.clone(), Last { is_failure: false, at: now });
+        self.reached.insert(address, (peer.clone(), now));
         if let Some(failed) = self.failed.get_mut(&address) {
             failed.retain(|(id, _)| id != peer);
         }
@@ -55,6 +60,9 @@
 
     pub(super) fn note_failed(&mut self, peer: &NodeId, address: SocketAddr, now: Instant) {
         self.last.insert(peer.clone(), Last { is_failure: true, at: now });
+        if self.reached.get(&address).is_some_and(|(id, _)| id == peer) {
+            self.reached.remove(&address);
+        }
         let failed = self.failed.entry(address).or_default();
         failed.retain(|(id, _)| id != peer);
         if failed.len() >= MAX_FAILED {
@@ -115,6 +123,10 @@
         if let Some((_, failed_at)) = failed {
             return Prospect::Bad { failed_at: *failed_at };
         }
+        let reached = self.reached.get(&address).filter(|(_, at)| now < *at + RETENTION);
+        if reached.is_some_and(|(reached, _)| reached == peer) {
+            return Prospect::Best;
+        }
         match self.last.get(peer).filter(|last| now < last.at + RETENTION) {
             Some(last) if last.is_failure => Prospect::Poor,
             Some(_) => Prospect::Good,
@@ -125,6 +137,7 @@
     pub(super) fn retain(&mut self, wanted: impl Fn(&SocketAddr) -> bool, now: Instant) {
         let is_recent = |at: Instant| now < at + RETENTION;
         self.last.retain(|_, last| is_recent(last.at));
+        self.reached.retain(|address, (_, at)| wanted(address) && is_recent(*at));
         self.failed.retain(|address, failed| {
             failed.retain(|(_, at)| is_recent(*at));
             wanted(address) && !failed.is_empty()
--- a/lib/tests/reachability.rs
+++ b/lib/tests/reachability.rs
@@ -400,6 +400,22 @@
     assert_eq!(chosen[..], [nodes[2].clone(), nodes[0].clone()]);
 }
 
+/// Guards against passing over the peer that reaches a runner because it does not reach another.
+#[test]
+fn relays_reached_this_runner_kept() {
+    let (mut reachability, now) = (Reachability::default(), Instant::now());
+    let nodes: Vec<NodeId> = (0..10).map(node).collect();
+    let mut rng = StdRng::seed_from_u64(1);
+    reachability.note_relayed(&nodes[7], runner(1), now);
+    reachability.note_relay_failed(&nodes[7], runner(2), now + ms(10));
+    for _ in 0..50 {
+        let chosen = reachability.relays(runner(1), nodes.iter(), now + ms(20), &mut rng);
+        assert!(chosen.contains(&nodes[7]), "{chosen:?}");
+        let chosen = reachability.relays(runner(2), nodes.iter(), now + ms(20), &mut rng);
+        assert!(!chosen.contains(&nodes[7]), "{chosen:?}");
+    }
+}
+
 /// Guards against two unknown peers in a row when one is known to reach runners.
 #[test]
 fn relays_second_has_reached_a_runner() {
