--- a/node/src/connector/mod.rs
+++ b/node/src/connector/mod.rs
@@ -80,9 +80,17 @@
         address: SocketAddr,
         request: Request<Bytes>,
         delivery: Option<&Delivery>,
+        may_send: impl Fn() -> bool,
     ) -> Result<Answer, SendError> {
         let take_idle = || self.take_idle(address);
-        let connect = self.connect(Destination { runner, address });
+        let connect = async {
+            let link = self.connect(Destination { runner, address }).await?;
+            // The runner may have left while the connection was established.
+            if !may_send() {
+                return Err(SendError::Leaving { peer: address, runner: runner.clone() });
+            }
+            Ok(link)
+        };
         let connections = &self.handles.connections;
         let answer = connections.send_over(address, request, delivery, take_idle, connect).await?;
         if answer.way() == Way::Direct {
--- a/node/src/dispatch/mod.rs
+++ b/node/src/dispatch/mod.rs
@@ -97,7 +97,9 @@
             return Err(SendError::Leaving { peer: address, runner: runner.clone() });
         }
         let sent = self.clock.now();
-        let answer = self.connector.send(runner, address, request, Some(delivery)).await?;
+        let may_send = || self.is_in_use(target);
+        let sending = self.connector.send(runner, address, request, Some(delivery), may_send);
+        let answer = sending.await?;
         let headers = &answer.head.headers;
         if let Some(registration) = registration.filter(|_| is_from(headers, runner, id)) {
             self.limiter.note_answer(registration, id, sent, rate_limit(headers));
--- a/node/src/serve/cache_query.rs
+++ b/node/src/serve/cache_query.rs
@@ -50,7 +50,7 @@
 async fn query_runner(shared: Arc<Shared>, entry: Entry, registration: Registration) {
     let query = async {
         let request = list_cached(&entry.id, entry.address);
-        let sent = shared.connector.send(&entry.id, entry.address, request, None);
+        let sent = shared.connector.send(&entry.id, entry.address, request, None, || true);
         let answer = sent.await.map_err(|e| e.to_string())?;
         let (head, body) = answer.read(MAX_ANSWER_BYTES).await.map_err(|e| e.to_string())?;
         if !head.status.is_success() {
--- a/node/src/serve/generation/prefill.rs
+++ b/node/src/serve/generation/prefill.rs
@@ -208,7 +208,7 @@
         let (shared, runner) = (self.shared.clone(), self.runner.clone());
         tokio::spawn(async move {
             let request = runner::release_handle(&handle, &runner);
-            match shared.connector.send(&runner, handle.holder, request, None).await {
+            match shared.connector.send(&runner, handle.holder, request, None, || true).await {
                 Ok(answer) => answer.discard(MAX_ANSWER_BYTES).await,
                 Err(error) => {
                     log::info!(runner:% = runner, error:% = error; "failed to free KV cache");
--- a/node/src/serve/generation/probe.rs
+++ b/node/src/serve/generation/probe.rs
@@ -36,7 +36,7 @@
     shared.connector.note_silent(address);
     let check = async {
         let report = request_report(&id, address);
-        let answer = shared.connector.send(&id, address, report, None).await.ok()?;
+        let answer = shared.connector.send(&id, address, report, None, || true).await.ok()?;
         let (status, way) = (answer.head.status, answer.way());
         answer.discard(MAX_ANSWER_BYTES).await;
         Some((status, way))
--- a/node/tests/connector.rs
+++ b/node/tests/connector.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use sardinepick_lib::fleet::runner::Runner;
 use sardinepick_node::serve::metrics::Metrics;
 use sardinepick_testutils::cluster::wait_until;
 use sardinepick_testutils::fleet::caller::RequestSpec;
@@ -134,3 +135,24 @@
         "{statuses:?}"
     );
 }
+
+/// Guards against a request to a runner that has left while the connection was established.
+#[tokio::test]
+async fn request_not_sent_to_runner_that_left_during_connect() {
+    let set = Deployment::new().await.with_plain(1).await.with_nodes(1).await;
+    set.set_network_fault(&[0], &set.runners, Fault::Hang);
+    let spec = RequestSpec::new("/board/a", "r1");
+    let leave = async {
+        let undelivered = &metrics(&set, 0).undelivered_reservations;
+        wait_until("a connect is in progress", async || undelivered.get() > 0).await;
+        set.runners[0].drain();
+        wait_until("the runner leaves", async || {
+            set.nodes[0].shared.register().runners().all(Runner::is_leaving)
+        })
+        .await;
+        set.network.heal();
+    };
+    let (reply, ()) = tokio::join!(set.send(0, &spec), leave);
+    assert_eq!(reply.status, Some(StatusCode::SERVICE_UNAVAILABLE));
+    assert_eq!(set.run_count("r1"), 0);
+}
