--- a/testutils/src/fleet/kept_soak.rs
+++ b/testutils/src/fleet/kept_soak.rs
@@ -308,11 +308,14 @@
             let mut state = callers.state();
             let kept = idle_since.elapsed() < state.idle_timeout(idle_since).mul_f64(0.8);
             let stopped = state.since_terminated(node).is_some_and(|since| since < GRACE_END * 2);
-            state.count(match last_status {
-                _ if !kept || stopped => "closed while idle",
-                404 => "closed after a refusal that did not say so",
-                _ => "closed while idle, too early",
-            });
+            if kept && !stopped {
+                let idle = idle_since.elapsed();
+                state.violations.push(format!(
+                    "edge-{node} closed a connection that was idle for {idle:?}, after a response \
+                     with status {last_status} that did not say so"
+                ));
+            }
+            state.count("closed while idle");
             continue;
         }
         if let Some(status) = send(&callers, &mut rng, node, &mut caller).await {
