testutils: free addresses that no other socket is given

The port had been found free and released; another socket bound to port 0 on the same address took it, as the last byte of own addresses repeats after 256 calls in a process. Ports now come from below the system's range, in turn.

--- a/testutils/src/cluster.rs
+++ b/testutils/src/cluster.rs
@@ -2,6 +2,7 @@
 //! files as in production.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -34,15 +35,17 @@
     IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, host.max(1)))
 }
 
-/// An address with a port that is currently free for TCP and UDP.
-///
-/// # Panics
-/// The address cannot be bound.
+/// The ports of [`free_address`]: below those that the system gives to sockets bound to port 0.
+const FREE_PORTS: Range<u16> = 20_000..32_000;
+
+/// An address with a port that is currently free for TCP and UDP. This process does not return it
+/// again soon, and no socket that is bound to port 0 gets it.
 pub fn free_address(ip: IpAddr) -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
     loop {
-        let listener = TcpListener::bind((ip, 0)).expect("a loopback address can be bound");
-        let address = listener.local_addr().expect("a listener has an address");
-        if UdpSocket::bind(address).is_ok() {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed) % FREE_PORTS.len() as u32;
+        let address = SocketAddr::new(ip, FREE_PORTS.start + number as u16);
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
