logs: the version of runners, and the attempt that an attempt resumes

A runner's entry has the version of its software, which the parser read and dropped. Logs could not show whether a stream that went on, within one response or over attempts of its caller, stayed at the version that began it. `placed`, `first event`, `stream broke off` and a request's last line now name it, and the attempt named in the header of a resumed stream; a gauge counts the runners of each version. Stand-in runners have a version of their own. Placement does not use it yet.

--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -32,3 +32,4 @@
 pub mod scheduler;
 pub mod suspect;
 pub mod timeout;
+pub mod version;
--- a/lib/src/fleet/runner.rs
+++ b/lib/src/fleet/runner.rs
@@ -12,6 +12,7 @@
 use super::limit::Limit;
 use super::load::{Class, Load, RemoteLoads};
 use super::pool::Pool;
+use super::version::Version;
 use crate::hash::stable_hash;
 use crate::history::Point;
 use crate::id::{DataCentre, RunnerId, ServiceId, StartTime};
@@ -40,6 +41,8 @@
     pub address: SocketAddr,
     /// The data centre it runs in.
     pub data_centre: DataCentre,
+    /// The version of its software.
+    pub version: Version,
     /// Whether it accepts new work.
     pub state: State,
     /// Its stage, for model engines.
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -49,6 +49,7 @@
         data_centre: home(),
         state: State::Ready,
         stage,
+        version: Default::default(),
         reclaimable: false,
         slots: 8,
         writes: 0,
--- a/lib/tests/history.rs
+++ b/lib/tests/history.rs
@@ -26,6 +26,7 @@
         state,
         stage: None,
         slots: 8,
+        version: Default::default(),
         reclaimable: false,
         writes,
         at: Point::new(Era(era), revision),
--- a/lib/tests/life_model.rs
+++ b/lib/tests/life_model.rs
@@ -130,6 +130,7 @@
             state: State::Ready,
             stage: None,
             slots: 1,
+            version: Default::default(),
             reclaimable: false,
             writes: 0,
             at: Point::without_era(self.written.len() as u64 + 1),
--- a/lib/tests/scheduler.rs
+++ b/lib/tests/scheduler.rs
@@ -59,6 +59,7 @@
             state: State::Ready,
             stage: Some(stage(at)),
             slots: 128,
+            version: Default::default(),
             reclaimable: false,
             writes: 0,
             at: Point::without_era(1),
--- a/node/src/serve/generation/admit.rs
+++ b/node/src/serve/generation/admit.rs
@@ -13,7 +13,7 @@
 use smallvec::SmallVec;
 
 use super::attempt::{Failure, Placed};
-use super::{Generation, MIN_TIME_LEFT, StopCause, millis};
+use super::{Generation, MIN_TIME_LEFT, StopCause, millis, version_text};
 use crate::serve::payment::Payment;
 use crate::serve::quarantine::{self, Admission};
 use crate::serve::reservation::Superseded;
@@ -97,9 +97,15 @@
             Plan::Whole { runner } => ("", runner.as_str()),
             Plan::Split { prefill, decode } => (prefill.as_str(), decode.as_str()),
         };
+        let prefill_version = RunnerId::try_from(prefill).ok().and_then(|id| self.version_of(&id));
+        let decode_version = RunnerId::try_from(decode).ok().and_then(|id| self.version_of(&id));
         log::info!(
             request:% = self.request.id, plan = plan, class = placed.class.index(),
             prefill = prefill, decode = decode,
+            prefill_version = version_text(prefill_version.as_ref()),
+            decode_version = version_text(decode_version.as_ref()),
+            resumes = self.request.caller_headers.resumes.as_deref().unwrap_or_default(),
+            last_event = self.attempts().last_event.as_deref().unwrap_or_default(),
             first_ms = millis(placement.first_event), fresh = placement.prefill_tokens,
             fetch = placement.fetch.as_ref().map_or("", RunnerId::as_str),
             prompt = self.work.prompt, register:% = self.attempts().register,
--- a/node/src/serve/generation/mod.rs
+++ b/node/src/serve/generation/mod.rs
@@ -15,6 +15,7 @@
 use sardinepick_lib::fleet::engine::Work;
 use sardinepick_lib::fleet::load::Class;
 use sardinepick_lib::fleet::suspect::RunProgress;
+use sardinepick_lib::fleet::version::Version;
 use sardinepick_lib::id::RunnerId;
 use sardinepick_platform::runner::{self, Call, CallKind};
 use strum::IntoStaticStr;
@@ -127,6 +128,11 @@
         self.request.refusal(&self.shared, reason)
     }
 
+    /// The version of a runner's software; `None` if the runner is not known.
+    fn version_of(&self, id: &RunnerId) -> Option<Version> {
+        self.shared.register().get(id).map(|r| r.entry.version.clone())
+    }
+
     fn address(&self, id: &RunnerId) -> Option<SocketAddr> {
         self.shared.register().get(id).map(|r| r.entry.address)
     }
@@ -164,6 +170,11 @@
     }
 }
 
+/// A version as a log value; empty if it is not known.
+fn version_text(version: Option<&Version>) -> &str {
+    version.map_or("", Version::as_str)
+}
+
 fn millis(seconds: f64) -> u64 {
     (seconds * 1e3) as u64
 }
--- a/node/src/serve/generation/run.rs
+++ b/node/src/serve/generation/run.rs
@@ -13,6 +13,7 @@
 use sardinepick_lib::fleet::placement::Plan;
 use sardinepick_lib::fleet::register::WorkCost;
 use sardinepick_lib::fleet::scheduler::Observation;
+use sardinepick_lib::fleet::version::Version;
 use sardinepick_lib::id::{RunnerId, ServiceId};
 use sardinepick_platform::answer::{Verdict, classify, is_stream};
 use sardinepick_platform::runner::CallKind;
@@ -20,7 +21,7 @@
 use super::attempt::{Failure, Placed, Prepared};
 use super::attempts::Arrival;
 use super::prefill::KvHandleGuard;
-use super::{Generation, MAX_ANSWER_BYTES};
+use super::{Generation, MAX_ANSWER_BYTES, version_text};
 use crate::serve::connection::{Answer, Lease};
 use crate::serve::reservation::{Reservation, Step};
 use crate::serve::shared::Shared;
@@ -94,6 +95,7 @@
             Reservation::new(&self.shared, id, Step::Run, cost).part_of(&placed.superseded);
         self.attempts().calls += 1;
         let Some(address) = self.address(id) else { return Err(Failure::NotRun) };
+        let version = self.version_of(id);
         let fetch = placed.placement.fetch.as_ref().filter(|_| is_whole);
         let fetch = fetch.and_then(|source| self.address(source));
         if is_whole {
@@ -135,7 +137,7 @@
         drop(arrival);
         match classify(answer.head.status, &answer.head.headers, id, &self.request.id) {
             Verdict::Ran if answer.head.status.is_success() && is_stream(&answer.head.headers) => {
-                let mut run = Run::new(self.clone(), reservation, answer, is_whole);
+                let mut run = Run::new(self.clone(), reservation, answer, is_whole, version);
                 let first = run.next().await;
                 if let RunStep::Broken { begun } = first {
                     run.note_broken(begun).await;
@@ -204,6 +206,8 @@
     splitter: Splitter,
     is_whole: bool,
     started_at: Option<Instant>,
+    /// The version of the runner's software, from its entry when the request was sent.
+    pub version: Option<Version>,
     active_stream: Option<ActiveStream>,
 }
 
@@ -213,6 +217,7 @@
         reservation: Reservation,
         answer: Answer,
         is_whole: bool,
+        version: Option<Version>,
     ) -> Self {
         let Answer { mut head, body, lease } = answer;
         head.headers.remove(CONTENT_LENGTH);
@@ -225,6 +230,7 @@
             splitter: Splitter::default(),
             is_whole,
             started_at: None,
+            version,
             active_stream: None,
         }
     }
@@ -305,6 +311,7 @@
         let seen = self.reservation.with_runner(|runner| runner.health.last_seen()).flatten();
         log::info!(
             request:% = generation.request.id, runner:% = self.reservation.runner(),
+            runner_version = version_text(self.version.as_ref()),
             error = detail, events = generation.attempts().events,
             runner_seen_ms = seen.map(since),
             left_ms = generation.request.time_left(now).as_millis() as u64; "stream broke off"
--- a/node/src/serve/generation/task.rs
+++ b/node/src/serve/generation/task.rs
@@ -18,7 +18,7 @@
 use super::attempt::{Attempt, Failure, Prepared, Step};
 use super::caller::{Caller, Sent};
 use super::run::RunStep;
-use super::{Generation, MAX_CALLS, MIN_TIME_LEFT, StopCause, millis, probe};
+use super::{Generation, MAX_CALLS, MIN_TIME_LEFT, StopCause, millis, probe, version_text};
 use crate::serve::plain::promises_not_run;
 use crate::serve::quarantine;
 use crate::serve::request::{End, InProgress};
@@ -433,8 +433,11 @@
                 let took = now.saturating_duration_since(request.arrived).as_secs_f64();
                 let labels = [request.route.kind.into(), "answered"];
                 metrics.first_byte.with_label_values(&labels).observe(took);
+                let version = self.current.run().and_then(|run| run.version.clone());
                 log::info!(
                     request:% = request.id, first_ms = millis(took),
+                    runner = runner_of(&self.current),
+                    runner_version = version_text(version.as_ref()),
                     plan = generation.attempts().plan; "first event"
                 );
             }
@@ -480,6 +483,8 @@
         let attempts = generation.attempts();
         (line.register, line.tries, line.events) =
             (attempts.register, attempts.calls, attempts.events);
+        let version = attempts.tried.last().and_then(|id| generation.version_of(id));
+        line.runner_version = version_text(version.as_ref());
         line.runner = attempts.tried.last().map(RunnerId::as_str).unwrap_or_default();
         if attempts.is_unused_trial() {
             quarantine::return_trial(shared, &request.fingerprint);
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -100,6 +100,8 @@
     pub register_conflicts: IntCounterVec,
     /// Known runners by state.
     pub runners: IntGaugeVec,
+    /// Known runners by service and version.
+    pub runner_versions: IntGaugeVec,
     /// Other nodes that are currently up.
     pub nodes: IntGauge,
     /// Unix time of the last answer of the store, by watched kind.
@@ -338,6 +340,11 @@
                 &["found"],
             ),
             runners: m.gauges("sardinepick_runners", "Runners known", &["state"]),
+            runner_versions: m.gauges(
+                "sardinepick_runner_versions",
+                "Runners known by the version of their software",
+                &["service", "version"],
+            ),
             nodes: m.gauge("sardinepick_nodes", "Other nodes heard lately"),
             store_answered: m.gauges(
                 "sardinepick_store_answered_timestamp_seconds",
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -107,7 +107,9 @@
         shared.metrics.requests.with_label_values(&labels).inc();
         log::info!(
             request:% = self.id, route:% = self.route.name, service:% = self.service,
-            version:% = self.configuration.version, runner = end.runner, tries = end.tries,
+            version:% = self.configuration.version, runner = end.runner,
+            runner_version = end.runner_version, tries = end.tries,
+            resumes = self.caller_headers.resumes.as_deref().unwrap_or_default(),
             register:% = end.register, status = end.status, reason = end.reason,
             stop_cause = end.stop_cause,
             took_ms = took.as_millis() as u64, left_ms = self.time_left(now).as_millis() as u64,
@@ -129,6 +131,8 @@
     pub status: u16,
     /// The runner that was tried last.
     pub runner: &'a str,
+    /// The version of that runner's software; empty if it is not known.
+    pub runner_version: &'a str,
     /// The version of the register by which that runner was chosen.
     pub register: RegisterVersion,
     /// The number of calls made.
--- a/node/src/serve/store_watch.rs
+++ b/node/src/serve/store_watch.rs
@@ -4,6 +4,7 @@
 //! the store; the others learn from them (`peer.rs`), also while the store refuses to serve them.
 //! Older state never replaces newer state.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,8 +13,9 @@
 use sardinepick_lib::fleet::register::Change as Changed;
 use sardinepick_lib::fleet::register_version::RegisterVersion;
 use sardinepick_lib::fleet::runner::State;
+use sardinepick_lib::fleet::version::Version;
 use sardinepick_lib::history::Point;
-use sardinepick_lib::id::RunnerId;
+use sardinepick_lib::id::{RunnerId, ServiceId};
 use sardinepick_platform::config::{self, decode, without_keys};
 use sardinepick_platform::discovery::{RUNNER_KIND, decode_runner};
 use sardinepick_platform::store::{Change, Object};
@@ -370,6 +372,23 @@
     changed
 }
 
+/// The maximum number of versions with a gauge of their own.
+const MAX_COUNTED_VERSIONS: usize = 64;
+
+/// Sets the gauges of the runners by version.
+fn count_versions(shared: &Shared) {
+    let mut counts: BTreeMap<(ServiceId, Version), i64> = BTreeMap::new();
+    for runner in shared.register().runners() {
+        let key = (runner.entry.service.clone(), runner.entry.version.clone());
+        *counts.entry(key).or_default() += 1;
+    }
+    shared.metrics.runner_versions.reset();
+    for ((service, version), count) in counts.into_iter().take(MAX_COUNTED_VERSIONS) {
+        let labels = [service.as_str(), version.as_str()];
+        shared.metrics.runner_versions.with_label_values(&labels).set(count);
+    }
+}
+
 /// Removes expired runners and idle connections until the process ends.
 pub async fn clean_up(shared: Arc<Shared>) {
     loop {
@@ -400,6 +419,7 @@
             shared.metrics.register_revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
             shared.metrics.register_digest.set(i64::from(replica.digest().0 as u32));
         }
+        count_versions(&shared);
         shared.metrics.runners.with_label_values(&["ready"]).set(ready);
         shared.metrics.runners.with_label_values(&["draining"]).set(draining);
         let store = shared.settings.store;
--- a/node/tests/serve.rs
+++ b/node/tests/serve.rs
@@ -7,7 +7,9 @@
 use sardinepick_lib::history::{Era, Point};
 use sardinepick_testutils::cluster::{own_ip, wait_until};
 use sardinepick_testutils::fleet::caller::RequestSpec;
-use sardinepick_testutils::fleet::deployment::{Deployment, MODEL_SERVICE, configuration};
+use sardinepick_testutils::fleet::deployment::{
+    DEFAULT_VERSION, Deployment, MODEL_SERVICE, configuration,
+};
 use sardinepick_testutils::fleet::runner::{Faults, Kind, Runner, event};
 use sardinepick_testutils::fleet::store::Fault;
 
@@ -309,6 +311,7 @@
         data_centre: "zaal-dom".to_owned(),
         stage: Some("decode"),
         events: 1,
+        version: DEFAULT_VERSION,
     };
     let new =
         Runner::start("i-new", address, kind, &set.store).await.expect("the address is free again");
--- a/node/tests/slow_callers.rs
+++ b/node/tests/slow_callers.rs
@@ -4,7 +4,7 @@
 
 use sardinepick_testutils::cluster::{any_address, wait_until};
 use sardinepick_testutils::fleet::deployment::{
-    DEFAULT_DATA_CENTRE, Deployment, MODEL_SERVICE, configuration,
+    DEFAULT_DATA_CENTRE, DEFAULT_VERSION, Deployment, MODEL_SERVICE, configuration,
 };
 use sardinepick_testutils::fleet::raw_caller::{RawCaller, RawRequest};
 use sardinepick_testutils::fleet::runner::{Faults, Kind, Runner};
@@ -69,6 +69,7 @@
         data_centre: DEFAULT_DATA_CENTRE.to_owned(),
         stage: Some("decode"),
         events: EVENTS,
+        version: DEFAULT_VERSION,
     };
     let runner = Runner::start("i-0", any_address(), kind, &set.store).await;
     set.runners.push(runner.expect("a free address"));
--- a/testutils/src/fleet/crash_soak.rs
+++ b/testutils/src/fleet/crash_soak.rs
@@ -19,7 +19,9 @@
 use crate::cluster::{any_address, free_address, own_ip};
 use crate::fleet::caller::{Caller, RequestSpec};
 use crate::fleet::crashing_runner::CrashingRunner;
-use crate::fleet::deployment::{DEFAULT_DATA_CENTRE, MODEL_SERVICE, PLAIN_SERVICE, configuration};
+use crate::fleet::deployment::{
+    DEFAULT_DATA_CENTRE, DEFAULT_VERSION, MODEL_SERVICE, PLAIN_SERVICE, configuration,
+};
 use crate::fleet::runner::{Kind, Runner};
 use crate::fleet::soak::{Report, SoakOptions, node_settings, request_headers, wait_for_recovery};
 use crate::fleet::store::Store;
@@ -50,6 +52,7 @@
             data_centre: DEFAULT_DATA_CENTRE.to_owned(),
             stage,
             events: 12,
+            version: DEFAULT_VERSION,
         };
         let mut prefill_runners = Vec::new();
         for n in 0..2 {
--- a/testutils/src/fleet/deployment.rs
+++ b/testutils/src/fleet/deployment.rs
@@ -29,6 +29,8 @@
 pub const DEFAULT_DATA_CENTRE: &str = "zaal-dom";
 /// The service that model engines run.
 pub const MODEL_SERVICE: &str = "telraad";
+/// The version of the software of runners unless a test sets another.
+pub const DEFAULT_VERSION: &str = "v1";
 /// The service that plain runners run.
 pub const PLAIN_SERVICE: &str = "ontbijtbord";
 
@@ -225,12 +227,26 @@
     /// # Panics
     /// No free address.
     pub async fn add_runner(&mut self, service: &str, stage: Option<&'static str>) -> Runner {
+        self.add_runner_of_version(service, stage, DEFAULT_VERSION).await
+    }
+
+    /// Starts a runner whose software has the given version.
+    ///
+    /// # Panics
+    /// No free address.
+    pub async fn add_runner_of_version(
+        &mut self,
+        service: &str,
+        stage: Option<&'static str>,
+        version: &'static str,
+    ) -> Runner {
         let id = format!("i-{}", self.runners.len());
         let kind = Kind {
             service: service.to_owned(),
             data_centre: DEFAULT_DATA_CENTRE.to_owned(),
             stage,
             events: 12,
+            version,
         };
         let runner =
             Runner::start(&id, any_address(), kind, &self.store).await.expect("a free address");
@@ -254,7 +270,7 @@
         for _ in 0..count {
             let id = format!("s-{}", self.crashing_runners.len());
             let (service, data_centre) = (service.clone(), DEFAULT_DATA_CENTRE.to_owned());
-            let kind = Kind { service, data_centre, stage, events: 12 };
+            let kind = Kind { service, data_centre, stage, events: 12, version: DEFAULT_VERSION };
             let runner =
                 CrashingRunner::start(&id, any_address(), kind, &self.store, body.clone(), pause)
                     .await;
--- a/testutils/src/fleet/drain_soak.rs
+++ b/testutils/src/fleet/drain_soak.rs
@@ -18,7 +18,9 @@
 
 use crate::cluster::{any_address, free_address, own_ip};
 use crate::fleet::caller::{Caller, RequestSpec};
-use crate::fleet::deployment::{DEFAULT_DATA_CENTRE, MODEL_SERVICE, PLAIN_SERVICE, configuration};
+use crate::fleet::deployment::{
+    DEFAULT_DATA_CENTRE, DEFAULT_VERSION, MODEL_SERVICE, PLAIN_SERVICE, configuration,
+};
 use crate::fleet::runner::{Kind, Runner};
 use crate::fleet::soak::{Report, SoakOptions, node_settings, wait_for_recovery};
 use crate::fleet::store::Store;
@@ -111,7 +113,7 @@
         let id = format!("i-{}", self.next_runner);
         self.next_runner += 1;
         let (service, data_centre) = (service.to_owned(), DEFAULT_DATA_CENTRE.to_owned());
-        let kind = Kind { service, data_centre, stage, events: 12 };
+        let kind = Kind { service, data_centre, stage, events: 12, version: DEFAULT_VERSION };
         let runner = Runner::start(&id, any_address(), kind, &self.store).await?;
         if stage.is_none() {
             self.runners.push(runner.clone());
--- a/testutils/src/fleet/kept_soak.rs
+++ b/testutils/src/fleet/kept_soak.rs
@@ -21,7 +21,9 @@
 use tokio::time::{Instant, sleep};
 
 use crate::cluster::{any_address, free_address, own_ip};
-use crate::fleet::deployment::{DEFAULT_DATA_CENTRE, MODEL_SERVICE, PLAIN_SERVICE, configuration};
+use crate::fleet::deployment::{
+    DEFAULT_DATA_CENTRE, DEFAULT_VERSION, MODEL_SERVICE, PLAIN_SERVICE, configuration,
+};
 use crate::fleet::raw_caller::{End, RawCaller, RawReply, RawRequest};
 use crate::fleet::runner::{Faults, Kind, Runner};
 use crate::fleet::soak::{Report, SoakOptions, node_settings, request_headers, wait_for_recovery};
@@ -102,7 +104,7 @@
 
 fn kind(service: &str, stage: Option<&'static str>) -> Kind {
     let (service, data_centre) = (service.to_owned(), DEFAULT_DATA_CENTRE.to_owned());
-    Kind { service, data_centre, stage, events: 12 }
+    Kind { service, data_centre, stage, events: 12, version: DEFAULT_VERSION }
 }
 
 async fn start_runners(store: &Store) -> std::io::Result<Vec<Runner>> {
--- a/testutils/src/fleet/runner/mod.rs
+++ b/testutils/src/fleet/runner/mod.rs
@@ -116,6 +116,8 @@
     pub stage: Option<&'static str>,
     /// The number of events in each stream.
     pub events: u64,
+    /// The version of its software.
+    pub version: &'static str,
 }
 
 /// A fake runner.
@@ -210,6 +212,11 @@
         &self.kind.service
     }
 
+    /// The version of its software.
+    pub fn version(&self) -> &'static str {
+        self.kind.version
+    }
+
     /// Whether it is a model engine.
     pub fn is_engine(&self) -> bool {
         self.kind.stage.is_some()
@@ -232,7 +239,7 @@
         let address = self.published_address.get().unwrap_or(&self.server.address).to_string();
         json!({
             "service": self.kind.service, "address": address,
-            "zone": self.kind.data_centre, "version": "v1", "slots": 8,
+            "zone": self.kind.data_centre, "version": self.kind.version, "slots": 8,
             "state": inner.entry_state, "coldRemainingMs": 0, "stage": inner.stage,
             "models": [], "seq": inner.entry_writes, "born": inner.started_at,
         })
--- a/testutils/src/fleet/soak.rs
+++ b/testutils/src/fleet/soak.rs
@@ -22,7 +22,8 @@
 use crate::cluster::{any_address, free_address, own_ip};
 use crate::fleet::caller::{Caller, Reply, RequestSpec};
 use crate::fleet::deployment::{
-    DEFAULT_DATA_CENTRE, MODEL_SERVICE, PLAIN_SERVICE, configuration, large_configuration,
+    DEFAULT_DATA_CENTRE, DEFAULT_VERSION, MODEL_SERVICE, PLAIN_SERVICE, configuration,
+    large_configuration,
 };
 use crate::fleet::proxy::{NetworkFault, Proxy};
 use crate::fleet::rate_limit::{LIMIT_GRACE, LIMIT_WINDOW, limit_violation};
@@ -201,6 +202,7 @@
             data_centre: DEFAULT_DATA_CENTRE.to_owned(),
             stage,
             events: STREAM_EVENTS,
+            version: DEFAULT_VERSION,
         };
         let runner = Runner::start(&id, any_address(), kind, &self.store).await?;
         let proxy = Proxy::start(any_address(), runner.address()).await?;
