placement: a stream is continued within a response by its version only

Callers received events of two software versions of a service in one stream: after a runner broke off or fell silent, the next attempt was placed at any runner.

A stream is now bound to the version of the runner whose event is the first to be sent to the caller; all later attempts, successors and prefills are placed among runners of that version, here and by schedulers (a new field of their queries; the asking node checks the answer, since an earlier release ignores the field). An event of a run of another version, or of a runner that has been replaced under its id since the request was sent, is not forwarded. Runs that have sent no event bind nothing.

The runners of one plan have one version too: what two versions compute does not fit together and runners do not check a KV cache's version.

--- a/lib/src/fleet/placement.rs
+++ b/lib/src/fleet/placement.rs
@@ -18,6 +18,7 @@
 use super::pool::Pool;
 use super::register::Register;
 use super::runner::Runner;
+use super::version::Version;
 use crate::hash::{rendezvous_weight, stable_hash};
 use crate::id::{DataCentre, RunnerId, ServiceId};
 
@@ -70,6 +71,8 @@
     pub data_centre: &'a DataCentre,
     /// Runners to exclude.
     pub skip: &'a [RunnerId],
+    /// The version that the work is bound to. `None` allows any, but only one for the whole plan.
+    pub version: Option<&'a Version>,
     /// Whether the work continues from a prompt that another runner prefilled. Rate limit tokens
     /// for such work were reserved when its prefill was placed.
     pub continues: bool,
@@ -108,13 +111,16 @@
 }
 
 fn candidates<'a>(register: &'a Register, criteria: &Criteria<'a>) -> Vec<Candidate<'a>> {
-    let not_skipped = |r: &&Runner| !criteria.skip.contains(&r.entry.id);
+    let may_run = |r: &&Runner| {
+        !criteria.skip.contains(&r.entry.id)
+            && criteria.version.is_none_or(|version| r.entry.version == *version)
+    };
     let now = criteria.now;
     let usable = |r: &&Runner| {
         let has_reserved = criteria.continues && r.limit.has_reserved(now);
         r.accepts(now) || has_reserved && r.takes_work(now) && r.back_off.is_over(now)
     };
-    let all = || register.of(criteria.service).filter(not_skipped);
+    let all = || register.of(criteria.service).filter(may_run);
     let with_load = |runner: &'a Runner| Candidate { runner, load: runner.load(criteria.now) };
     let in_pool = |r: &&Runner| criteria.pool.is_none_or(|pool| r.pool == pool);
     let mut eligible: Vec<Candidate<'a>> =
@@ -198,14 +204,17 @@
 }
 
 /// Finds the runner of the service with the longest cached prefix, including runners that are
-/// closed to new requests for now.
+/// closed to new requests for now. A KV cache is of use to runners of the same version only.
 fn find_cache_holder<'b>(
     register: &'b Register,
     criteria: &Criteria<'b>,
+    version: &Version,
     work: &Work,
     now: Instant,
 ) -> Option<CacheHolder<'b>> {
-    let in_pool = |r: &&Runner| criteria.pool.is_none_or(|pool| r.pool == pool);
+    let in_pool = |r: &&Runner| {
+        criteria.pool.is_none_or(|pool| r.pool == pool) && r.entry.version == *version
+    };
     let eligible = register.of(criteria.service).filter(in_pool).filter(|r| r.takes_work(now));
     let holders =
         eligible.map(|runner| CacheHolder { runner, tokens: runner.cache.fetchable(&work.chain) });
@@ -381,7 +390,9 @@
     place_among(register, criteria, engine, work, Plans::Any, rng)
 }
 
-/// Chooses the runners for a generation like [`place_generation`], among some of the plans.
+/// Chooses the runners for a generation like [`place_generation`], among some of the plans. All
+/// runners of a plan have the same version: a KV cache that one version computed does not fit
+/// another.
 pub fn place_among<R: Rng>(
     register: &Register,
     criteria: &Criteria<'_>,
@@ -390,8 +401,52 @@
     plans: Plans,
     rng: &mut R,
 ) -> Option<Placement> {
-    let all = candidates(register, criteria);
-    let mut roles = assign_roles(&all, criteria, engine, work);
+    let groups = by_version(candidates(register, criteria));
+    let decodes = |c: &Candidate<'_>| c.runner.entry.stage == Some(Stage::Decode);
+    if criteria.pool.is_some() && !groups.iter().flatten().any(decodes) {
+        let anywhere = Criteria { pool: None, ..*criteria };
+        return place_among(register, &anywhere, engine, work, plans, rng);
+    }
+    let mut best: Option<(f64, Placement)> = None;
+    for all in &groups {
+        let placed = place_in_version(register, all, criteria, engine, work, plans, rng);
+        if let Some((rank, placement)) = placed
+            && best.as_ref().is_none_or(|(lowest, _)| rank < *lowest)
+        {
+            best = Some((rank, placement));
+        }
+    }
+    best.map(|(_, placement)| placement)
+}
+
+/// Groups candidates by the version of their software.
+fn by_version(all: Vec<Candidate<'_>>) -> SmallVec<[Vec<Candidate<'_>>; 1]> {
+    let mut groups: SmallVec<[Vec<Candidate<'_>>; 1]> = SmallVec::new();
+    for candidate in all {
+        let same = |group: &&mut Vec<Candidate<'_>>| {
+            group.first().is_some_and(|c| c.runner.entry.version == candidate.runner.entry.version)
+        };
+        match groups.iter_mut().find(same) {
+            Some(group) => group.push(candidate),
+            None => groups.push(vec![candidate]),
+        }
+    }
+    groups
+}
+
+/// Chooses the runners for a generation among candidates of one version. Returns them with their
+/// cost, by which versions are compared.
+fn place_in_version<R: Rng>(
+    register: &Register,
+    all: &[Candidate<'_>],
+    criteria: &Criteria<'_>,
+    engine: &Engine,
+    work: &Work,
+    plans: Plans,
+    rng: &mut R,
+) -> Option<(f64, Placement)> {
+    let version = &all.first()?.runner.entry.version;
+    let mut roles = assign_roles(all, criteria, engine, work);
     if criteria.class == Class::LATE {
         roles.drop_full_queues(Class::LATE, engine);
     }
@@ -401,7 +456,7 @@
     let inputs = PrefillInputs {
         work,
         engine,
-        cache_holder: find_cache_holder(register, criteria, work, criteria.now),
+        cache_holder: find_cache_holder(register, criteria, version, work, criteria.now),
     };
     let best_prefill = prefill_candidates
         .iter()
@@ -430,8 +485,8 @@
         (rank, estimate.placement(plan, first))
     });
     match (split, whole) {
-        (Some(split), Some(whole)) => Some(if split.0 <= whole.0 { split.1 } else { whole.1 }),
-        (one, other) => one.or(other).map(|(_, placement)| placement),
+        (Some(split), Some(whole)) => Some(if split.0 <= whole.0 { split } else { whole }),
+        (one, other) => one.or(other),
     }
 }
 
@@ -471,7 +526,8 @@
 }
 
 /// Chooses the runner that continues from a prompt prefilled by `prefill_runner`. Prefill takes up
-/// to several seconds, in which the runner planned for decoding may have started to drain.
+/// to several seconds, in which the runner planned for decoding may have started to drain. It has
+/// the version of the prefill runner.
 pub fn place_decode<R: Rng>(
     register: &Register,
     criteria: &Criteria<'_>,
@@ -480,9 +536,11 @@
     prefill_runner: &RunnerId,
     rng: &mut R,
 ) -> Option<RunnerId> {
+    let prefill_entry = &register.get(prefill_runner)?.entry;
+    let criteria = &Criteria { version: Some(&prefill_entry.version), ..*criteria };
     let all = candidates(register, criteria);
     let roles = assign_roles(&all, criteria, engine, work);
-    let from = &register.get(prefill_runner)?.entry.data_centre;
+    let from = &prefill_entry.data_centre;
     let decode_runners = if roles.decode.is_empty() { &roles.whole } else { &roles.decode };
     soonest_decode_runner(from, decode_runners, criteria, engine, work, rng)
         .map(|(.., id)| id.clone())
--- a/lib/src/fleet/scheduler.rs
+++ b/lib/src/fleet/scheduler.rs
@@ -23,6 +23,7 @@
 use super::pool::Pool;
 use super::register::{Register, WorkCost};
 use super::runner::{Closed, Runner};
+use super::version::Version;
 use crate::hash::rendezvous_weight;
 use crate::id::{DataCentre, NodeId, RunnerId, ServiceId};
 
@@ -52,6 +53,8 @@
     pub work: Work,
     /// Runners to exclude.
     pub skip: SmallVec<[RunnerId; 4]>,
+    /// The version that the request is bound to.
+    pub version: Option<Version>,
     /// The step to be decided.
     pub step: Step,
 }
@@ -118,6 +121,17 @@
         }
     }
 
+    /// All runners that the decision names.
+    pub fn runners(&self) -> SmallVec<[&RunnerId; 3]> {
+        let mut runners: SmallVec<[&RunnerId; 3]> = self.placed().into_iter().collect();
+        match self {
+            Decision::Placed { placement, .. } => runners.extend(&placement.fetch),
+            Decision::Continue(runner) => runners.push(runner),
+            Decision::Late(_) | Decision::NoRunner | Decision::RateLimited(_) => {}
+        }
+        runners
+    }
+
     /// The resources that the decided work takes of the runner on which it starts.
     pub fn cost(&self, work: &Work, step: &Step) -> Option<(&RunnerId, WorkCost)> {
         match (self, step) {
@@ -169,6 +183,7 @@
         class,
         data_centre: &query.data_centre,
         skip: &query.skip,
+        version: query.version.as_ref(),
         now,
     };
     let no_placement = || {
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -91,6 +91,7 @@
         class,
         data_centre: &home,
         skip: &[],
+        version: None,
         continues: false,
         now,
     };
@@ -556,6 +557,7 @@
         class,
         data_centre: &home,
         skip: &[],
+        version: None,
         continues: false,
         now,
     };
@@ -651,6 +653,7 @@
         class,
         data_centre: &home,
         skip: &[],
+        version: None,
         continues: false,
         now,
     };
@@ -681,6 +684,7 @@
             class,
             data_centre: &home,
             skip: &[],
+            version: None,
             continues: false,
             now,
         };
@@ -708,6 +712,7 @@
         class,
         data_centre: &home,
         skip: &[],
+        version: None,
         continues: false,
         now,
     };
@@ -792,6 +797,7 @@
         class,
         data_centre: &home,
         skip: &[],
+        version: None,
         continues: false,
         now,
     };
--- a/lib/tests/scheduler.rs
+++ b/lib/tests/scheduler.rs
@@ -89,6 +89,7 @@
         },
         work: Work { chain: Chain::new("m", parts.into_iter()), prompt: shared + own, output: 60 },
         skip: Default::default(),
+        version: None,
         step: Step::Start(Firmness::New),
     }
 }
--- a/node/src/serve/generation/admit.rs
+++ b/node/src/serve/generation/admit.rs
@@ -41,6 +41,7 @@
             terms: self.request.terms(now),
             work: self.work.clone(),
             skip: self.excluded_runners(now),
+            version: self.attempts().version.clone(),
             step,
         }
     }
--- a/node/src/serve/generation/attempts.rs
+++ b/node/src/serve/generation/attempts.rs
@@ -2,6 +2,7 @@
 
 use sardinepick_lib::fleet::placement::Plan;
 use sardinepick_lib::fleet::register_version::RegisterVersion;
+use sardinepick_lib::fleet::version::Version;
 use sardinepick_lib::id::RunnerId;
 use smallvec::SmallVec;
 use smol_str::SmolStr;
@@ -32,6 +33,9 @@
     pub events: u64,
     /// The ID of the last event sent to the caller.
     pub last_event: Option<SmolStr>,
+    /// The version that the stream is bound to: that of the runner whose event was the first to be
+    /// sent to the caller.
+    pub version: Option<Version>,
     /// The plan of the last placement.
     pub plan: &'static str,
     /// The version of the register by which the last placement was made.
@@ -51,6 +55,7 @@
             is_trial: false,
             events: 0,
             last_event,
+            version: None,
             plan: "none",
             register: RegisterVersion::default(),
         }
--- a/node/src/serve/generation/mod.rs
+++ b/node/src/serve/generation/mod.rs
@@ -133,6 +133,17 @@
         self.shared.register().get(id).map(|r| r.entry.version.clone())
     }
 
+    /// Binds the stream to the version of the runner whose event is sent to the caller, if it is
+    /// not bound yet. Returns whether it is bound to that version.
+    fn bind(&self, version: &Version) -> bool {
+        self.attempts().version.get_or_insert_with(|| version.clone()) == version
+    }
+
+    fn address_and_version(&self, id: &RunnerId) -> Option<(SocketAddr, Version)> {
+        let register = self.shared.register();
+        register.get(id).map(|r| (r.entry.address, r.entry.version.clone()))
+    }
+
     fn address(&self, id: &RunnerId) -> Option<SocketAddr> {
         self.shared.register().get(id).map(|r| r.entry.address)
     }
--- a/node/src/serve/generation/run.rs
+++ b/node/src/serve/generation/run.rs
@@ -21,7 +21,7 @@
 use super::attempt::{Failure, Placed, Prepared};
 use super::attempts::Arrival;
 use super::prefill::KvHandleGuard;
-use super::{Generation, MAX_ANSWER_BYTES, version_text};
+use super::{Generation, MAX_ANSWER_BYTES};
 use crate::serve::connection::{Answer, Lease};
 use crate::serve::reservation::{Reservation, Step};
 use crate::serve::shared::Shared;
@@ -94,8 +94,9 @@
         let mut reservation =
             Reservation::new(&self.shared, id, Step::Run, cost).part_of(&placed.superseded);
         self.attempts().calls += 1;
-        let Some(address) = self.address(id) else { return Err(Failure::NotRun) };
-        let version = self.version_of(id);
+        let Some((address, version)) = self.address_and_version(id) else {
+            return Err(Failure::NotRun);
+        };
         let fetch = placed.placement.fetch.as_ref().filter(|_| is_whole);
         let fetch = fetch.and_then(|source| self.address(source));
         if is_whole {
@@ -207,7 +208,7 @@
     is_whole: bool,
     started_at: Option<Instant>,
     /// The version of the runner's software, from its entry when the request was sent.
-    pub version: Option<Version>,
+    pub version: Version,
     active_stream: Option<ActiveStream>,
 }
 
@@ -217,7 +218,7 @@
         reservation: Reservation,
         answer: Answer,
         is_whole: bool,
-        version: Option<Version>,
+        version: Version,
     ) -> Self {
         let Answer { mut head, body, lease } = answer;
         head.headers.remove(CONTENT_LENGTH);
@@ -291,6 +292,20 @@
         RunStep::Complete
     }
 
+    /// Whether another incarnation of the runner has been registered since the request was sent.
+    /// That one may have received the request, and may have another version.
+    pub fn is_replaced(&self) -> bool {
+        let Some(registration) = self.reservation.registration() else { return false };
+        let register = self.generation.shared.register();
+        register.get(&registration.id).is_some_and(|r| r.entry.born != registration.born)
+    }
+
+    /// Gives the run up because its version is not that of the stream.
+    pub fn reject(&mut self) {
+        self.reservation.conclude(Outcome::Broken);
+        self.log_broken("the stream is bound to another version");
+    }
+
     /// Records that the runner is lost as far as this node can tell.
     pub fn note_lost(&mut self) {
         self.reservation.conclude(Outcome::Broken);
@@ -311,7 +326,7 @@
         let seen = self.reservation.with_runner(|runner| runner.health.last_seen()).flatten();
         log::info!(
             request:% = generation.request.id, runner:% = self.reservation.runner(),
-            runner_version = version_text(self.version.as_ref()),
+            runner_version:% = self.version,
             error = detail, events = generation.attempts().events,
             runner_seen_ms = seen.map(since),
             left_ms = generation.request.time_left(now).as_millis() as u64; "stream broke off"
--- a/node/src/serve/generation/task.rs
+++ b/node/src/serve/generation/task.rs
@@ -261,6 +261,9 @@
     async fn on_run(&mut self, step: RunStep) -> Option<Ended> {
         match step {
             RunStep::Event(event) => {
+                if !self.bind_to_current() {
+                    return self.on_failure(Failure::Broken);
+                }
                 self.note_advanced();
                 match self.forward_event(event).await {
                     Sent::Delivered => None,
@@ -290,6 +293,18 @@
         }
     }
 
+    /// Binds the stream to the version of the current run. Returns false if the run must not
+    /// continue the stream; it has been given up then.
+    fn bind_to_current(&mut self) -> bool {
+        let generation = &self.generation;
+        let Some(run) = self.current.run() else { return true };
+        if !run.is_replaced() && generation.bind(&run.version) {
+            return true;
+        }
+        run.reject();
+        false
+    }
+
     /// Goes on after the current attempt has failed.
     fn on_failure(&mut self, failure: Failure) -> Option<Ended> {
         match failure {
@@ -433,7 +448,7 @@
                 let took = now.saturating_duration_since(request.arrived).as_secs_f64();
                 let labels = [request.route.kind.into(), "answered"];
                 metrics.first_byte.with_label_values(&labels).observe(took);
-                let version = self.current.run().and_then(|run| run.version.clone());
+                let version = generation.attempts().version.clone();
                 log::info!(
                     request:% = request.id, first_ms = millis(took),
                     runner = runner_of(&self.current),
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -216,6 +216,7 @@
             class: Class::of_rank(self.request.route.rank),
             data_centre: &self.shared.me.data_centre,
             skip: &skip,
+            version: None,
             continues: false,
             now: self.shared.clock.now(),
         };
--- a/node/src/serve/scheduler.rs
+++ b/node/src/serve/scheduler.rs
@@ -241,9 +241,10 @@
 
 /// Returns whether a decision agrees with this node's own state. The scheduler may not know yet
 /// that a runner is leaving; such a runner must not be used. A scheduler that has just started may
-/// know no runners at all, so its answer that there are none is not used either.
+/// know no runners at all, so its answer that there are none is not used either. The versions of
+/// the runners are checked here too: a scheduler that runs an earlier release ignores them.
 fn is_usable(shared: &Shared, decision: &Decision, query: &mut Query) -> bool {
-    if *decision == Decision::NoRunner {
+    if *decision == Decision::NoRunner || !has_one_version(shared, decision, query) {
         return false;
     }
     let Some((id, _)) = decision.cost(&query.work, &query.step) else { return true };
@@ -259,6 +260,20 @@
     usable
 }
 
+/// Whether all runners of a decision have the same version, and that of the query if it has one.
+fn has_one_version(shared: &Shared, decision: &Decision, query: &Query) -> bool {
+    let register = shared.register();
+    let prefill_runner = match &query.step {
+        Step::Continue { prefill_runner, .. } => Some(prefill_runner),
+        Step::Start(_) => None,
+    };
+    let runners = decision.runners().into_iter().chain(prefill_runner);
+    let mut versions =
+        runners.filter_map(|id| register.get(id)).map(|runner| &runner.entry.version);
+    let Some(first) = query.version.as_ref().or_else(|| versions.next()) else { return true };
+    versions.all(|version| version == first)
+}
+
 /// Places a request on a single runner, by this node's own prediction.
 pub fn decide_single_call(shared: &Shared, query: &Query, engine: &Engine) -> Decision {
     decide_among(shared, query, engine, Plans::Whole)
--- a/wire/src/schedule.rs
+++ b/wire/src/schedule.rs
@@ -19,6 +19,7 @@
 use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_lib::fleet::scheduler::{Decision, Firmness, Observation, Query, Step};
 use sardinepick_lib::fleet::suspect::{RunProgress, RunnerEnd};
+use sardinepick_lib::fleet::version::Version;
 use sardinepick_lib::id::{NodeId, RunnerId};
 
 use crate::error::WireError;
@@ -194,6 +195,10 @@
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
 
+fn decode_version(version: &str) -> Result<Version, WireError> {
+    version.parse().map_err(|_| WireError::Value("version"))
+}
+
 fn encode_query(number: u64, node: &NodeId, query: &Query) -> pb::Question {
     let terms = &query.terms;
     let (firmness, class, reader) = match &query.step {
@@ -229,6 +234,7 @@
         }
         .into(),
         reader,
+        version: query.version.as_ref().map(ToString::to_string),
     }
 }
 
@@ -279,6 +285,7 @@
             output: question.output.min(MAX_TOKENS),
         },
         skip: question.skip.iter().map(|id| decode_runner(id)).collect::<Result<_, _>>()?,
+        version: question.version.as_deref().map(decode_version).transpose()?,
         step,
     };
     let node = question.node.as_str().try_into().map_err(|_| WireError::Value("node"))?;
--- a/wire/tests/schedule.rs
+++ b/wire/tests/schedule.rs
@@ -39,6 +39,7 @@
         },
         work: Work { chain: Chain::new("m", parts.into_iter()), prompt: 13_960, output: 60 },
         skip: [runner("i-7f3a91c2"), runner("i-84cbbbb986")].into_iter().collect(),
+        version: Some("v1.1".parse().expect("valid version")),
         step,
     }
 }
