placement: a runner that is being probed is used if only prefill runners are left

A request was refused although its service had decode runners: those with recent failures are used as a last resort only if no runner at all was eligible, and a prefill runner was, which alone can finish nothing. With streams bound to a version it is likely: one version has few decode runners, and twelve broken streams closed both of them. The same holds for a pool whose decode runners are all closed, which now yields to other pools.

--- a/lib/src/fleet/placement.rs
+++ b/lib/src/fleet/placement.rs
@@ -123,15 +123,19 @@
     let all = || register.of(criteria.service).filter(may_run);
     let with_load = |runner: &'a Runner| Candidate { runner, load: runner.load(criteria.now) };
     let in_pool = |r: &&Runner| criteria.pool.is_none_or(|pool| r.pool == pool);
+    // Prefill runners alone can finish nothing.
+    let can_finish = |eligible: &[Candidate<'_>]| {
+        eligible.iter().any(|c| c.runner.entry.stage != Some(Stage::Prefill))
+    };
     let mut eligible: Vec<Candidate<'a>> =
         all().filter(in_pool).filter(usable).map(with_load).collect();
-    if eligible.is_empty() {
+    if !can_finish(&eligible) {
         eligible = all().filter(usable).map(with_load).collect();
     }
-    if eligible.is_empty() {
+    if !can_finish(&eligible) {
         // A runner that is being probed after failures is better than a refusal.
         let open = |r: &&Runner| r.is_last_resort() && r.closed(criteria.now).is_none();
-        return all().filter(open).map(with_load).collect();
+        eligible.extend(all().filter(open).filter(|r| !usable(r)).map(with_load));
     }
     eligible
 }
@@ -402,11 +406,6 @@
     rng: &mut R,
 ) -> Option<Placement> {
     let groups = by_version(candidates(register, criteria));
-    let decodes = |c: &Candidate<'_>| c.runner.entry.stage == Some(Stage::Decode);
-    if criteria.pool.is_some() && !groups.iter().flatten().any(decodes) {
-        let anywhere = Criteria { pool: None, ..*criteria };
-        return place_among(register, &anywhere, engine, work, plans, rng);
-    }
     let mut best: Option<(f64, Placement)> = None;
     for all in &groups {
         let placed = place_in_version(register, all, criteria, engine, work, plans, rng);
