stream binding: a stream is taken up by the version that began it, at any node

The header that names the attempt which brought the first event was forwarded and not read.

The node that forwards a first event now tells two other nodes, chosen by rendezvous hashing over the client account and the attempt's id, which service and version the stream is bound to; in one datagram each, for which nobody waits. They and the node itself remember it until the caller's deadline, in bounded memory, in which an account can displace its own streams only. A node at which a stream is taken up asks four nodes unless it knows the binding itself, and places the attempt among runners of that version. While one version alone has served for longer than streams last, nothing is sent: nodes answer from the history of versions that they have seen; what was not sent is sent when a second version appears. A stream whose version is not known for sure is refused at once (version_unknown), as is one whose version has no runner (no_runner_of_version) or whose service the route does not lead to any more (service_moved).

The stand-in for killable nodes relayed datagrams so that replies went to the node's own relay; it now relays them back.

--- a/lib/src/fleet/admission.rs
+++ b/lib/src/fleet/admission.rs
@@ -59,6 +59,12 @@
     Late,
     /// The service has no usable runner.
     NoRunner,
+    /// The service has no usable runner of the version that the stream is bound to.
+    NoRunnerOfVersion,
+    /// The version that the stream is bound to is not known for sure.
+    VersionUnknown,
+    /// The route does not lead to the service that the stream is bound to.
+    ServiceMoved,
     /// The node has no configuration yet.
     NoConfiguration,
     /// The API key may be newer than the node's configuration.
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -30,6 +30,7 @@
 pub mod route;
 pub mod runner;
 pub mod scheduler;
+pub mod stream_binding;
 pub mod suspect;
 pub mod timeout;
 pub mod version;
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod serve;
 pub mod settings;
 pub mod store;
+pub mod stream_binding;
 pub mod sweep;
 pub mod tables;
 pub mod upstream;
--- a/node/src/serve/generation/admit.rs
+++ b/node/src/serve/generation/admit.rs
@@ -66,7 +66,7 @@
             Some(Decision::RateLimited(wait)) => {
                 Err(Failure::Stopped(self.rate_limit_refusal(wait), StopCause::RateLimit))
             }
-            _ => Err(Failure::Stopped(self.final_refusal(Reason::NoRunner), StopCause::NoRunner)),
+            _ => Err(Failure::Stopped(self.final_refusal(self.no_runner()), StopCause::NoRunner)),
         }
     }
 
@@ -167,7 +167,7 @@
             Some(Decision::RateLimited(wait)) => {
                 Err(Failure::Stopped(self.rate_limit_refusal(wait), StopCause::RateLimit))
             }
-            _ => Err(Failure::Stopped(self.final_refusal(Reason::NoRunner), StopCause::NoRunner)),
+            _ => Err(Failure::Stopped(self.final_refusal(self.no_runner()), StopCause::NoRunner)),
         }
     }
 
--- a/node/src/serve/generation/attempts.rs
+++ b/node/src/serve/generation/attempts.rs
@@ -9,6 +9,7 @@
 
 use super::Generation;
 use crate::serve::payment::Payment;
+use crate::serve::request::Request;
 
 /// The attempts of one generation so far, and what has reached its caller.
 pub(super) struct Attempts {
@@ -43,7 +44,7 @@
 }
 
 impl Attempts {
-    pub fn new(last_event: Option<SmolStr>) -> Self {
+    pub fn new(request: &Request) -> Self {
         Self {
             tried: SmallVec::new(),
             calls: 0,
@@ -54,8 +55,8 @@
             crashes: 0,
             is_trial: false,
             events: 0,
-            last_event,
-            version: None,
+            last_event: request.caller_headers.last_event.clone(),
+            version: request.version.clone(),
             plan: "none",
             register: RegisterVersion::default(),
         }
--- a/node/src/serve/generation/mod.rs
+++ b/node/src/serve/generation/mod.rs
@@ -14,6 +14,7 @@
 use sardinepick_lib::fleet::admission::{Reason, urgency};
 use sardinepick_lib::fleet::engine::Work;
 use sardinepick_lib::fleet::load::Class;
+use sardinepick_lib::fleet::stream_binding::Binding;
 use sardinepick_lib::fleet::suspect::RunProgress;
 use sardinepick_lib::fleet::version::Version;
 use sardinepick_lib::id::RunnerId;
@@ -57,7 +58,7 @@
     let generation = Arc::new(Generation {
         shared: shared.clone(),
         work: request.caller_headers.work.clone().unwrap_or_default(),
-        attempts: Mutex::new(Attempts::new(request.caller_headers.last_event.clone())),
+        attempts: Mutex::new(Attempts::new(&request)),
         request,
     });
     let task = GenerationTask::new(generation, Caller::new(head));
@@ -136,7 +137,29 @@
     /// Binds the stream to the version of the runner whose event is sent to the caller, if it is
     /// not bound yet. Returns whether it is bound to that version.
     fn bind(&self, version: &Version) -> bool {
-        self.attempts().version.get_or_insert_with(|| version.clone()) == version
+        let is_first = {
+            let mut attempts = self.attempts();
+            if attempts.version.get_or_insert_with(|| version.clone()) != version {
+                return false;
+            }
+            attempts.events == 0
+        };
+        if is_first {
+            let request = &self.request;
+            let binding = Binding { service: request.service.clone(), version: version.clone() };
+            let lifetime = request.caller_headers.deadline.unwrap_or(request.route.timeout);
+            let bindings = &self.shared.stream_bindings;
+            bindings.bind(request.stream, &binding, request.arrived + lifetime);
+        }
+        true
+    }
+
+    /// Why there is no runner for the request.
+    fn no_runner(&self) -> Reason {
+        match self.attempts().version {
+            Some(_) => Reason::NoRunnerOfVersion,
+            None => Reason::NoRunner,
+        }
     }
 
     fn address_and_version(&self, id: &RunnerId) -> Option<(SocketAddr, Version)> {
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -34,6 +34,14 @@
     pub extra_arrivals: IntCounterVec,
     /// Moves of generations to another runner, by cause and outcome.
     pub moves: IntCounterVec,
+    /// Streams that callers took up, by outcome and by where the version was known from.
+    pub stream_resumptions: IntCounterVec,
+    /// Bindings of streams that this node remembers.
+    pub stream_bindings: IntGauge,
+    /// Bindings that were evicted before their streams' deadlines.
+    pub stream_bindings_evicted: IntCounter,
+    /// Bindings sent to other nodes, by outcome.
+    pub stream_bindings_shared: IntCounterVec,
     /// Calls during which a runner crashed.
     pub runner_crashes: IntCounter,
     /// Quarantined requests by event.
@@ -340,6 +348,22 @@
                 &["found"],
             ),
             runners: m.gauges("sardinepick_runners", "Runners known", &["state"]),
+            stream_resumptions: m.counters(
+                "sardinepick_stream_resumptions_total",
+                "Streams taken up by what came of them and where their version was known from",
+                &["outcome", "source"],
+            ),
+            stream_bindings: m
+                .gauge("sardinepick_stream_bindings", "Streams whose version is remembered"),
+            stream_bindings_evicted: m.counter(
+                "sardinepick_stream_bindings_evicted_total",
+                "Streams whose version was forgotten because there were too many",
+            ),
+            stream_bindings_shared: m.counters(
+                "sardinepick_stream_bindings_shared_total",
+                "Versions of streams sent to other nodes",
+                &["outcome"],
+            ),
             runner_versions: m.gauges(
                 "sardinepick_runner_versions",
                 "Runners known by the version of their software",
--- a/node/src/serve/mod.rs
+++ b/node/src/serve/mod.rs
@@ -29,6 +29,7 @@
 pub mod request;
 pub mod reservation;
 pub mod response;
+pub mod resumption;
 pub mod rpc;
 pub mod run;
 pub mod scheduler;
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -16,6 +16,8 @@
 use sardinepick_lib::fleet::register_version::RegisterVersion;
 use sardinepick_lib::fleet::route::{Configuration, Route};
 use sardinepick_lib::fleet::runner::Closed;
+use sardinepick_lib::fleet::stream_binding::StreamKey;
+use sardinepick_lib::fleet::version::Version;
 use sardinepick_lib::id::{AccountId, ServiceId};
 use sardinepick_platform::caller::{self, CallerHeaders};
 use sardinepick_platform::runner::forwarded_headers;
@@ -25,6 +27,7 @@
 use crate::account::CheckResult;
 use crate::caller_connection::RequestBody;
 use crate::serve::response::{Body, Refusal};
+use crate::serve::resumption::Resumption;
 use crate::serve::shared::Shared;
 use crate::serve::{generation, plain, store_watch};
 
@@ -41,6 +44,10 @@
     pub service: ServiceId,
     /// The engine parameters of the service, if its runners are model engines.
     pub engine: Option<Engine>,
+    /// The stream that it begins or takes up.
+    pub stream: StreamKey,
+    /// The version that the stream is bound to, if the request takes one up.
+    pub version: Option<Version>,
     /// The client account that it belongs to, if the configuration has accounts.
     pub account: Option<AccountId>,
     /// The metadata of the request, parsed from the caller's headers.
@@ -171,8 +178,25 @@
         Ok(body) => body,
         Err(refusal) => return refuse(refusal),
     };
+    let runs_stream = route.kind.is_stream();
+    let resumption = Resumption {
+        id: &id,
+        route: &route,
+        account: account.as_ref(),
+        headers: &caller_headers,
+        left: caller_headers.deadline.unwrap_or(route.timeout),
+    };
+    let stream = resumption.stream();
+    let binding = if runs_stream { resumption.resolve(shared).await } else { Ok(None) };
+    let binding = match binding {
+        Ok(binding) => binding,
+        Err(refusal) => return refuse(refusal),
+    };
     let draw: f64 = shared.rng().random();
-    let service = route.service(draw).clone();
+    let service = match &binding {
+        Some(binding) => binding.service.clone(),
+        None => route.service(draw).clone(),
+    };
     let known = configuration.service(&service);
     let size =
         caller_headers.work.as_ref().map_or(1.0, |work| shared.note_size(&route.name, work.prompt));
@@ -184,6 +208,8 @@
         waited,
         engine: known.and_then(|s| s.engine),
         service,
+        stream,
+        version: binding.map(|binding| binding.version),
         caller_headers,
         fingerprint: fingerprint(&head, account.as_ref(), &body),
         account,
--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -136,6 +136,7 @@
     let shared = Arc::new(Shared::new(settings, clock, metrics, dial));
     shared.scheduling.set_socket(socket.clone());
     shared.limiter.set_socket(socket.clone());
+    shared.stream_bindings.set_socket(socket.clone());
     let (closing, always_open) = (watch::Sender::new(false), watch::Sender::new(false));
     for (port, listener) in ports {
         // The platform checks readiness until the process ends.
--- a/node/src/serve/scheduler.rs
+++ b/node/src/serve/scheduler.rs
@@ -332,6 +332,14 @@
         Ok(Schedule::Acquire { number, limit }) => {
             shared.limiter.handle_request(from, number, limit).await;
         }
+        Ok(Schedule::Bind(report)) => shared.stream_bindings.handle_report(&report),
+        Ok(Schedule::FindBinding { number, stream, service, horizon }) => {
+            let bindings = &shared.stream_bindings;
+            bindings.handle_question(from, number, stream, service, horizon).await;
+        }
+        Ok(Schedule::FoundBinding { number, found }) => {
+            shared.stream_bindings.handle_answer(number, found);
+        }
         Ok(Schedule::Acquired { number, wait }) => shared.limiter.handle_reply(number, wait),
         Err(error) => log::warn!(peer:% = from, error:% = error; "invalid schedule datagram"),
     }
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -52,6 +52,7 @@
 use crate::serve::settings::Settings;
 use crate::serve::store::Client;
 use crate::serve::transfer::Queue;
+use crate::stream_binding::StreamBindings;
 use crate::usage::Usage;
 
 /// Statistics of a route's requests.
@@ -111,6 +112,8 @@
     pub heartbeat_now: Arc<Notify>,
     /// Rate limits of runners.
     pub limiter: Arc<Limiter>,
+    /// The versions that streams are bound to.
+    pub stream_bindings: Arc<StreamBindings>,
     /// Runners that have announced that they leave.
     pub drains: Arc<Drains>,
     /// Connects to runners, directly or through peers.
@@ -193,6 +196,8 @@
         );
         let drains =
             Drains::new(register.clone(), heartbeat_now.clone(), clock.clone(), metrics.clone());
+        let stream_bindings =
+            StreamBindings::new(register.clone(), roster.clone(), clock.clone(), metrics.clone());
         let (limiter, drains) = (Arc::new(limiter), Arc::new(drains));
         let reachability: Arc<Mutex<Reachability>> = Arc::default();
         let handles = connector::Handles {
@@ -224,6 +229,7 @@
         );
         Self {
             limiter,
+            stream_bindings: Arc::new(stream_bindings),
             drains,
             dispatcher,
             connector,
--- a/node/src/serve/store_watch.rs
+++ b/node/src/serve/store_watch.rs
@@ -419,6 +419,7 @@
             shared.metrics.register_revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
             shared.metrics.register_digest.set(i64::from(replica.digest().0 as u32));
         }
+        shared.stream_bindings.tick();
         count_versions(&shared);
         shared.metrics.runners.with_label_values(&["ready"]).set(ready);
         shared.metrics.runners.with_label_values(&["draining"]).set(draining);
--- a/testutils/src/fleet/killable_node.rs
+++ b/testutils/src/fleet/killable_node.rs
@@ -1,6 +1,8 @@
 //! A node in the test's process that can be killed, and whose incoming datagrams can be dropped.
 
 use std::cmp::Reverse;
+use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -109,13 +111,35 @@
     nodes.iter().map(|node| node.shared.me.peer).collect()
 }
 
+/// Relays datagrams to a node, from one socket for each sender, and the node's replies back.
 async fn relay(public: UdpSocket, server: SocketAddr, drops: Arc<AtomicBool>) {
+    let public = Arc::new(public);
+    let mut senders: HashMap<SocketAddr, Arc<UdpSocket>> = HashMap::new();
     let mut buffer = vec![0; BUFFER_BYTES];
-    while let Ok((length, _)) = public.recv_from(&mut buffer).await {
-        if !drops.load(Ordering::Relaxed)
-            && let Err(error) = public.send_to(&buffer[..length], server).await
-        {
+    while let Ok((length, from)) = public.recv_from(&mut buffer).await {
+        if drops.load(Ordering::Relaxed) {
+            continue;
+        }
+        let socket = match senders.entry(from) {
+            Entry::Occupied(entry) => entry.into_mut(),
+            Entry::Vacant(entry) => {
+                let socket = UdpSocket::bind(any_address()).await.expect("a free address");
+                let socket = Arc::new(socket);
+                tokio::spawn(relay_replies(socket.clone(), public.clone(), from));
+                entry.insert(socket)
+            }
+        };
+        if let Err(error) = socket.send_to(&buffer[..length], server).await {
             log::debug!(error:% = error; "cannot relay a datagram");
         }
     }
 }
+
+async fn relay_replies(socket: Arc<UdpSocket>, public: Arc<UdpSocket>, to: SocketAddr) {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    while let Ok((length, _)) = socket.recv_from(&mut buffer).await {
+        if let Err(error) = public.send_to(&buffer[..length], to).await {
+            log::debug!(error:% = error; "cannot relay a reply");
+        }
+    }
+}
--- a/wire/src/schedule.rs
+++ b/wire/src/schedule.rs
@@ -18,9 +18,10 @@
 use sardinepick_lib::fleet::register::PrefillReport;
 use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_lib::fleet::scheduler::{Decision, Firmness, Observation, Query, Step};
+use sardinepick_lib::fleet::stream_binding::{Binding, Seen, StreamKey, Versions};
 use sardinepick_lib::fleet::suspect::{RunProgress, RunnerEnd};
 use sardinepick_lib::fleet::version::Version;
-use sardinepick_lib::id::{NodeId, RunnerId};
+use sardinepick_lib::id::{NodeId, RunnerId, ServiceId};
 
 use crate::error::WireError;
 use crate::fleet as pb;
@@ -79,6 +80,26 @@
         /// The limit as the requesting node knows it.
         limit: LimitReport,
     },
+    /// Tells a node what a stream is bound to.
+    Bind(BindReport),
+    /// Asks a node what a stream is bound to.
+    FindBinding {
+        /// The number of the datagram, unique at the asking node.
+        number: u64,
+        /// The stream.
+        stream: StreamKey,
+        /// The service that it belongs to if it has no binding; `None` if there are several.
+        service: Option<ServiceId>,
+        /// How old the stream may be.
+        horizon: Duration,
+    },
+    /// Answers a [`Schedule::FindBinding`].
+    FoundBinding {
+        /// The number of the datagram that it answers.
+        number: u64,
+        /// What the node knows.
+        found: FoundBinding,
+    },
     /// Answers a [`Schedule::Acquire`].
     Acquired {
         /// The number of the datagram that it answers.
@@ -88,6 +109,28 @@
     },
 }
 
+/// What a stream is bound to, as nodes tell each other.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BindReport {
+    /// The stream.
+    pub stream: StreamKey,
+    /// What it is bound to.
+    pub binding: Binding,
+    /// How long ago it was bound.
+    pub age: Duration,
+    /// For how long the binding is remembered.
+    pub left: Duration,
+}
+
+/// What a node knows of a stream's binding.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum FoundBinding {
+    /// What it is bound to, and how long ago it was bound.
+    Bound(Binding, Duration),
+    /// It has no binding for the stream; the versions of the service that it has seen.
+    Unbound(Seen),
+}
+
 /// A node's running work at runners and its observations of them.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Report {
@@ -132,6 +175,18 @@
                 number: *number,
                 limit: Some(limit::encode_limit(limit)),
             }),
+            Schedule::Bind(report) => pb::schedule::Body::Bind(encode_bind(report)),
+            Schedule::FindBinding { number, stream, service, horizon } => {
+                pb::schedule::Body::FindBinding(pb::FindBinding {
+                    number: *number,
+                    stream: Some(encode_stream(*stream)),
+                    service: service.as_ref().map(ToString::to_string).unwrap_or_default(),
+                    horizon_ms: millis(*horizon),
+                })
+            }
+            Schedule::FoundBinding { number, found } => {
+                pb::schedule::Body::FoundBinding(encode_found(*number, found))
+            }
             Schedule::Acquired { number, wait } => {
                 let wait_us = wait.map(micros);
                 pb::schedule::Body::Acquired(pb::Acquired { number: *number, wait_us })
@@ -180,6 +235,20 @@
                 let limit = limit::decode_limit(&limit)?;
                 Ok(Schedule::Acquire { number: acquire.number, limit })
             }
+            pb::schedule::Body::Bind(bind) => decode_bind(&bind).map(Schedule::Bind),
+            pb::schedule::Body::FindBinding(find) => {
+                let service = Some(find.service.as_str()).filter(|service| !service.is_empty());
+                let service = service.map(ServiceId::try_from).transpose();
+                Ok(Schedule::FindBinding {
+                    number: find.number,
+                    stream: decode_stream(find.stream.as_ref())?,
+                    service: service.map_err(|_| WireError::Value("service"))?,
+                    horizon: Duration::from_millis(find.horizon_ms),
+                })
+            }
+            pb::schedule::Body::FoundBinding(found) => {
+                Ok(Schedule::FoundBinding { number: found.number, found: decode_found(&found)? })
+            }
             pb::schedule::Body::Acquired(acquired) => {
                 let wait = acquired.wait_us.map(Duration::from_micros);
                 Ok(Schedule::Acquired { number: acquired.number, wait })
@@ -195,10 +264,85 @@
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
 
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn encode_stream(stream: StreamKey) -> pb::Stream {
+    pb::Stream { account: stream.account, id: stream.id }
+}
+
+fn decode_stream(stream: Option<&pb::Stream>) -> Result<StreamKey, WireError> {
+    let stream = stream.ok_or(WireError::Missing("stream"))?;
+    Ok(StreamKey { account: stream.account, id: stream.id })
+}
+
 fn decode_version(version: &str) -> Result<Version, WireError> {
     version.parse().map_err(|_| WireError::Value("version"))
 }
 
+fn decode_binding(service: &str, version: &str) -> Result<Binding, WireError> {
+    let service = service.try_into().map_err(|_| WireError::Value("service"))?;
+    Ok(Binding { service, version: decode_version(version)? })
+}
+
+fn encode_bind(report: &BindReport) -> pb::Bind {
+    pb::Bind {
+        stream: Some(encode_stream(report.stream)),
+        service: report.binding.service.to_string(),
+        version: report.binding.version.to_string(),
+        age_ms: millis(report.age),
+        left_ms: millis(report.left),
+    }
+}
+
+fn decode_bind(bind: &pb::Bind) -> Result<BindReport, WireError> {
+    Ok(BindReport {
+        stream: decode_stream(bind.stream.as_ref())?,
+        binding: decode_binding(&bind.service, &bind.version)?,
+        age: Duration::from_millis(bind.age_ms),
+        left: Duration::from_millis(bind.left_ms),
+    })
+}
+
+fn encode_found(number: u64, found: &FoundBinding) -> pb::FoundBinding {
+    let empty = pb::FoundBinding { number, ..pb::FoundBinding::default() };
+    match found {
+        FoundBinding::Bound(binding, age) => pb::FoundBinding {
+            service: Some(binding.service.to_string()),
+            version: binding.version.to_string(),
+            age_ms: millis(*age),
+            ..empty
+        },
+        FoundBinding::Unbound(Seen { versions, covers }) => {
+            let version = match versions {
+                Versions::One(version) => Some(version),
+                Versions::None | Versions::Several => None,
+            };
+            pb::FoundBinding {
+                version: version.map(ToString::to_string).unwrap_or_default(),
+                has_seen: version.is_some(),
+                several: *versions == Versions::Several,
+                covers: *covers,
+                ..empty
+            }
+        }
+    }
+}
+
+fn decode_found(found: &pb::FoundBinding) -> Result<FoundBinding, WireError> {
+    if let Some(service) = &found.service {
+        let binding = decode_binding(service, &found.version)?;
+        return Ok(FoundBinding::Bound(binding, Duration::from_millis(found.age_ms)));
+    }
+    let versions = match (found.several, found.has_seen) {
+        (true, _) => Versions::Several,
+        (false, true) => Versions::One(decode_version(&found.version)?),
+        (false, false) => Versions::None,
+    };
+    Ok(FoundBinding::Unbound(Seen { versions, covers: found.covers }))
+}
+
 fn encode_query(number: u64, node: &NodeId, query: &Query) -> pb::Question {
     let terms = &query.terms;
     let (firmness, class, reader) = match &query.step {
