stream binding: one core without I/O for what a node knows of bindings

The node's module decided beside its sockets which bindings are sent, kept and answered. That moves into lib as Bindings, so that a model can explore it; the node keeps datagrams, waits and metrics.

--- a/lib/src/fleet/stream_binding/mod.rs
+++ b/lib/src/fleet/stream_binding/mod.rs
@@ -18,9 +18,11 @@
 use crate::hash::{rendezvous_weight, stable_hash};
 use crate::id::{AccountId, NodeId, ServiceId};
 
+pub mod bindings;
 pub mod history;
 pub mod memory;
 
+pub use self::bindings::{Bindings, Bound, Known};
 pub use self::history::{Seen, Versions};
 
 /// The number of nodes that are told of a stream's binding.
--- a/node/src/serve/generation/mod.rs
+++ b/node/src/serve/generation/mod.rs
@@ -149,7 +149,7 @@
             let binding = Binding { service: request.service.clone(), version: version.clone() };
             let lifetime = request.caller_headers.deadline.unwrap_or(request.route.timeout);
             let bindings = &self.shared.stream_bindings;
-            bindings.bind(request.stream, &binding, request.arrived + lifetime);
+            bindings.bind(request.stream, binding, request.arrived + lifetime);
         }
         true
     }
--- a/node/src/stream_binding/mod.rs
+++ b/node/src/stream_binding/mod.rs
@@ -7,7 +7,6 @@
 //!
 //! A node at which a stream is taken up asks the holders, unless it knows the binding itself.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
@@ -17,14 +16,13 @@
 use sardinepick_lib::clock::Clock;
 use sardinepick_lib::fleet::register::Register;
 use sardinepick_lib::fleet::roster::Roster;
-use sardinepick_lib::fleet::stream_binding::history::History;
-use sardinepick_lib::fleet::stream_binding::memory::{Added, Memory};
+use sardinepick_lib::fleet::stream_binding::memory::Added;
 use sardinepick_lib::fleet::stream_binding::{
-    ASKED, Binding, Evidence, HOLDERS, Seen, StreamKey, holders,
+    ASKED, Binding, Bindings, Bound, Evidence, HOLDERS, Known, StreamKey, holders,
 };
 use sardinepick_lib::fleet::version::Version;
 use sardinepick_lib::id::{NodeId, ServiceId};
-use sardinepick_wire::schedule::{BindReport, FoundBinding, Schedule};
+use sardinepick_wire::schedule::{BindReport, Schedule};
 use smallvec::SmallVec;
 use tokio::net::UdpSocket;
 use tokio::time::timeout;
@@ -37,12 +35,6 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(25);
 /// How often a question is sent. A datagram can be lost.
 const SEND_ATTEMPTS: u32 = 2;
-/// The maximum number of bindings that wait for a second version to appear; the oldest are dropped
-/// first.
-const MAX_UNSHARED: usize = 4_096;
-/// The longest time for which a binding is remembered.
-const MAX_LIFETIME: Duration = Duration::from_secs(600);
-
 /// What a node has found out about a stream that is taken up.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Found {
@@ -64,24 +56,13 @@
     Peer,
 }
 
-/// A binding that has not been sent to other nodes.
-#[derive(Clone, Debug)]
-struct Unshared {
-    stream: StreamKey,
-    binding: Binding,
-    since: Instant,
-    until: Instant,
-}
-
 /// The bindings of streams.
 pub struct StreamBindings {
     register: Arc<Mutex<Register>>,
     roster: Arc<Mutex<Roster>>,
     socket: OnceLock<Arc<UdpSocket>>,
-    history: Mutex<History>,
-    memory: Mutex<Memory>,
-    unshared: Mutex<VecDeque<Unshared>>,
-    questions: Mutex<Pending<FoundBinding>>,
+    bindings: Mutex<Bindings>,
+    questions: Mutex<Pending<Known>>,
     clock: Arc<dyn Clock>,
     metrics: Metrics,
 }
@@ -98,9 +79,7 @@
             register,
             roster,
             socket: OnceLock::new(),
-            history: Mutex::default(),
-            memory: Mutex::default(),
-            unshared: Mutex::default(),
+            bindings: Mutex::default(),
             questions: Mutex::default(),
             clock,
             metrics,
@@ -117,8 +96,16 @@
     /// while one version served alone. To be called several times a second.
     pub fn tick(&self) {
         self.observe();
-        self.share_unshared();
-        self.metrics.stream_bindings.set(i64::try_from(lock(&self.memory).len()).unwrap_or(0));
+        let now = self.clock.now();
+        let due = lock(&self.bindings).take_due(now);
+        if !due.is_empty() {
+            log::info!(streams = due.len(); "bindings of streams shared: another version serves");
+        }
+        for bound in &due {
+            self.share(bound, now);
+        }
+        let count = lock(&self.bindings).len();
+        self.metrics.stream_bindings.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
     fn observe(&self) {
@@ -126,56 +113,22 @@
         let register = lock(&self.register);
         let runners = register.runners().filter(|runner| runner.entry.stage.is_some());
         let versions = runners.map(|runner| (&runner.entry.service, &runner.entry.version));
-        lock(&self.history).observe(versions, now);
+        lock(&self.bindings).observe(versions, now);
     }
 
-    /// Records that a stream is bound, until `until`.
-    pub fn bind(&self, stream: StreamKey, binding: &Binding, until: Instant) {
+    /// Records that a stream is bound from now on, until `until`.
+    pub fn bind(&self, stream: StreamKey, binding: Binding, until: Instant) {
         let now = self.clock.now();
-        let until = until.min(now + MAX_LIFETIME);
-        let is_conclusive = {
-            let mut history = lock(&self.history);
-            history.note(&binding.service, &binding.version, now);
-            history.note_deadline(&binding.service, until.saturating_duration_since(now));
-            history.seen(&binding.service, Duration::ZERO, now).is_conclusive()
-        };
-        self.remember(stream, binding, now, until);
-        let unshared = Unshared { stream, binding: binding.clone(), since: now, until };
-        if is_conclusive {
-            let mut waiting = lock(&self.unshared);
-            while waiting.front().is_some_and(|first| first.until <= now)
-                || waiting.len() >= MAX_UNSHARED
-            {
-                waiting.pop_front();
-            }
-            waiting.push_back(unshared);
-        } else {
-            self.share(&unshared, now);
-        }
-    }
-
-    fn share_unshared(&self) {
-        let now = self.clock.now();
-        let due: VecDeque<Unshared> = {
-            let history = lock(&self.history);
-            let mut waiting = lock(&self.unshared);
-            let is_due = |unshared: &Unshared| {
-                !history.seen(&unshared.binding.service, Duration::ZERO, now).is_conclusive()
-            };
-            let (due, rest) = waiting.drain(..).filter(|u| now < u.until).partition(is_due);
-            *waiting = rest;
-            due
-        };
-        if !due.is_empty() {
-            log::info!(streams = due.len(); "bindings of streams shared: another version serves");
-        }
-        for unshared in &due {
-            self.share(unshared, now);
+        let bound = Bound { stream, binding, since: now, until };
+        let (added, is_shared) = lock(&self.bindings).bind(bound.clone(), now);
+        self.note_added(added, &bound);
+        if is_shared {
+            self.share(&bound, now);
         }
     }
 
     /// Sends a binding to the nodes that hold it. Nobody waits for it: an event is due.
-    fn share(&self, bound: &Unshared, now: Instant) {
+    fn share(&self, bound: &Bound, now: Instant) {
         let Some(socket) = self.socket.get() else { return };
         let message = Schedule::Bind(BindReport {
             stream: bound.stream,
@@ -197,9 +150,8 @@
         }
     }
 
-    fn remember(&self, stream: StreamKey, binding: &Binding, since: Instant, until: Instant) {
-        let now = self.clock.now();
-        match lock(&self.memory).add(stream, binding.clone(), since, until, now) {
+    fn note_added(&self, added: Added, bound: &Bound) {
+        match added {
             Added::New | Added::Known => {}
             Added::Evicting => {
                 self.metrics.stream_bindings_evicted.inc();
@@ -207,8 +159,9 @@
             }
             Added::Conflicting => {
                 log::warn!(
-                    account = stream.account, stream = stream.id, service:% = binding.service,
-                    version:% = binding.version; "stream is bound to another version"
+                    account = bound.stream.account, stream = bound.stream.id,
+                    service:% = bound.binding.service, version:% = bound.binding.version;
+                    "stream is bound to another version"
                 );
             }
         }
@@ -232,16 +185,16 @@
         service: Option<&ServiceId>,
         left: Duration,
     ) -> Found {
-        let now = self.clock.now();
-        if let Some((binding, age)) = lock(&self.memory).get(stream, now) {
-            return Found::Bound(binding.clone(), Source::Local, age);
-        }
         self.observe();
-        let (horizon, own) = {
-            let history = lock(&self.history);
-            let horizon = service.map(|service| history.horizon(service)).unwrap_or_default();
+        let (known, horizon) = {
+            let bindings = lock(&self.bindings);
+            let horizon = service.map(|service| bindings.horizon(service)).unwrap_or_default();
             let horizon = horizon.max(left);
-            (horizon, seen(&history, service, horizon, now))
+            (bindings.find(stream, service, horizon, self.clock.now()), horizon)
+        };
+        let own = match known {
+            Known::Bound(binding, age) => return Found::Bound(binding, Source::Local, age),
+            Known::Unbound(seen) => seen,
         };
         let peers = self.holders::<ASKED>(stream);
         let mut evidence = Evidence::new(own, peers.len());
@@ -249,10 +202,10 @@
             peers.iter().map(|peer| self.ask(*peer, stream, service, horizon)).collect();
         while let Some(reply) = replies.next().await {
             match reply {
-                Some(FoundBinding::Bound(binding, age)) => {
+                Some(Known::Bound(binding, age)) => {
                     return Found::Bound(binding, Source::Peer, age);
                 }
-                Some(FoundBinding::Unbound(seen)) => evidence.add(seen),
+                Some(Known::Unbound(seen)) => evidence.add(seen),
                 None => {}
             }
         }
@@ -265,7 +218,7 @@
         stream: StreamKey,
         service: Option<&ServiceId>,
         horizon: Duration,
-    ) -> Option<FoundBinding> {
+    ) -> Option<Known> {
         let socket = self.socket.get()?;
         for _ in 0..SEND_ATTEMPTS {
             let (number, answer) = lock(&self.questions).register();
@@ -292,9 +245,14 @@
     /// Remembers a binding that another node has sent.
     pub fn handle_report(&self, report: &BindReport) {
         let now = self.clock.now();
-        let since = now.checked_sub(report.age).unwrap_or(now);
-        let until = now + report.left.min(MAX_LIFETIME);
-        self.remember(report.stream, &report.binding, since, until);
+        let bound = Bound {
+            stream: report.stream,
+            binding: report.binding.clone(),
+            since: now.checked_sub(report.age).unwrap_or(now),
+            until: now.checked_add(report.left).unwrap_or(now),
+        };
+        let added = lock(&self.bindings).remember(bound.clone(), now);
+        self.note_added(added, &bound);
     }
 
     /// Answers another node's question.
@@ -307,34 +265,22 @@
         horizon: Duration,
     ) {
         let Some(socket) = self.socket.get() else { return };
+        self.observe();
         let now = self.clock.now();
-        let known = lock(&self.memory).get(stream, now).map(|(b, age)| (b.clone(), age));
-        let found = match known {
-            Some((binding, age)) => FoundBinding::Bound(binding, age),
-            None => {
-                self.observe();
-                let history = lock(&self.history);
-                FoundBinding::Unbound(seen(&history, service.as_ref(), horizon, now))
-            }
-        };
+        let found = lock(&self.bindings).find(stream, service.as_ref(), horizon, now);
         self.send(socket, from, &Schedule::FoundBinding { number, found }).await;
     }
 
     /// Handles the answer to a question of this node.
-    pub fn handle_answer(&self, number: u64, found: FoundBinding) {
+    pub fn handle_answer(&self, number: u64, found: Known) {
         lock(&self.questions).resolve(number, found);
     }
 }
 
-/// What this node has seen of a service; nothing if the service is not known.
-fn seen(history: &History, service: Option<&ServiceId>, horizon: Duration, now: Instant) -> Seen {
-    service.map(|service| history.seen(service, horizon, now)).unwrap_or_default()
-}
-
 /// A question that waits for its answer. Dropping it cancels the wait.
 struct Question<'a> {
     number: u64,
-    questions: &'a Mutex<Pending<FoundBinding>>,
+    questions: &'a Mutex<Pending<Known>>,
 }
 
 impl Drop for Question<'_> {
--- a/wire/src/schedule.rs
+++ b/wire/src/schedule.rs
@@ -18,7 +18,7 @@
 use sardinepick_lib::fleet::register::PrefillReport;
 use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_lib::fleet::scheduler::{Decision, Firmness, Observation, Query, Step};
-use sardinepick_lib::fleet::stream_binding::{Binding, Seen, StreamKey, Versions};
+use sardinepick_lib::fleet::stream_binding::{Binding, Known, Seen, StreamKey, Versions};
 use sardinepick_lib::fleet::suspect::{RunProgress, RunnerEnd};
 use sardinepick_lib::fleet::version::Version;
 use sardinepick_lib::id::{NodeId, RunnerId, ServiceId};
@@ -98,7 +98,7 @@
         /// The number of the datagram that it answers.
         number: u64,
         /// What the node knows.
-        found: FoundBinding,
+        found: Known,
     },
     /// Answers a [`Schedule::Acquire`].
     Acquired {
@@ -122,15 +122,6 @@
     pub left: Duration,
 }
 
-/// What a node knows of a stream's binding.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum FoundBinding {
-    /// What it is bound to, and how long ago it was bound.
-    Bound(Binding, Duration),
-    /// It has no binding for the stream; the versions of the service that it has seen.
-    Unbound(Seen),
-}
-
 /// A node's running work at runners and its observations of them.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Report {
@@ -305,16 +296,16 @@
     })
 }
 
-fn encode_found(number: u64, found: &FoundBinding) -> pb::FoundBinding {
+fn encode_found(number: u64, found: &Known) -> pb::FoundBinding {
     let empty = pb::FoundBinding { number, ..pb::FoundBinding::default() };
     match found {
-        FoundBinding::Bound(binding, age) => pb::FoundBinding {
+        Known::Bound(binding, age) => pb::FoundBinding {
             service: Some(binding.service.to_string()),
             version: binding.version.to_string(),
             age_ms: millis(*age),
             ..empty
         },
-        FoundBinding::Unbound(Seen { versions, covers }) => {
+        Known::Unbound(Seen { versions, covers }) => {
             let version = match versions {
                 Versions::One(version) => Some(version),
                 Versions::None | Versions::Several => None,
@@ -330,17 +321,17 @@
     }
 }
 
-fn decode_found(found: &pb::FoundBinding) -> Result<FoundBinding, WireError> {
+fn decode_found(found: &pb::FoundBinding) -> Result<Known, WireError> {
     if let Some(service) = &found.service {
         let binding = decode_binding(service, &found.version)?;
-        return Ok(FoundBinding::Bound(binding, Duration::from_millis(found.age_ms)));
+        return Ok(Known::Bound(binding, Duration::from_millis(found.age_ms)));
     }
     let versions = match (found.several, found.has_seen) {
         (true, _) => Versions::Several,
         (false, true) => Versions::One(decode_version(&found.version)?),
         (false, false) => Versions::None,
     };
-    Ok(FoundBinding::Unbound(Seen { versions, covers: found.covers }))
+    Ok(Known::Unbound(Seen { versions, covers: found.covers }))
 }
 
 fn encode_query(number: u64, node: &NodeId, query: &Query) -> pb::Question {
