--- a/lib/src/fleet/register.rs
+++ b/lib/src/fleet/register.rs
@@ -22,6 +22,8 @@
 use super::load::{Class, Load};
 use super::pool::{self, Pool};
 use super::runner::{Closed, Entry, Registration, Runner, State, Tag};
+use super::stream_binding::history::NEW_VERSION_DELAY;
+use super::version::Version;
 use crate::history::Point;
 use crate::id::{NodeId, RunnerId, ServiceId};
 
@@ -62,6 +64,8 @@
     doubtful: HashMap<RunnerId, Instant>,
     /// The last entries of departed runners, oldest first.
     departed: VecDeque<Entry>,
+    /// Versions that have appeared beside others of their service, and since when.
+    new_versions: Vec<(ServiceId, Version, Option<Instant>)>,
     /// The number of registrations so far.
     registrations: u64,
     /// The number of pools of each service.
@@ -137,6 +141,10 @@
     }
 
     fn insert(&mut self, entry: Entry) {
+        let mut others = self.runners.values().filter(|r| r.entry.service == entry.service);
+        if others.clone().next().is_some() && others.all(|r| r.entry.version != entry.version) {
+            self.new_versions.push((entry.service.clone(), entry.version.clone(), None));
+        }
         self.registrations += 1;
         self.pools_outdated = true;
         self.tags.insert(entry.tag(), entry.id.clone());
@@ -196,6 +204,20 @@
         changes
     }
 
+    /// Ends the delay of new versions that have been registered for [`NEW_VERSION_DELAY`]. To be
+    /// called several times a second.
+    pub fn settle_versions(&mut self, now: Instant) {
+        self.new_versions.retain_mut(|(.., since)| {
+            now.saturating_duration_since(*since.get_or_insert(now)) < NEW_VERSION_DELAY
+        });
+    }
+
+    /// Whether no new stream is begun at a runner yet because of its version.
+    pub fn is_new_version(&self, runner: &Runner) -> bool {
+        let Entry { service, version, .. } = &runner.entry;
+        self.new_versions.iter().any(|(s, v, _)| s == service && v == version)
+    }
+
     /// Removes doubtful runners whose time is over, and returns their ids.
     pub fn expire(&mut self, now: Instant) -> Vec<RunnerId> {
         let over: Vec<RunnerId> = self
--- a/lib/src/fleet/stream_binding/bindings.rs
+++ b/lib/src/fleet/stream_binding/bindings.rs
@@ -73,7 +73,7 @@
         let Binding { service, version } = &bound.binding;
         self.history.note(service, version, now);
         self.history.note_deadline(service, bound.until.saturating_duration_since(now));
-        let is_shared = !self.history.seen(service, Duration::ZERO, now).is_conclusive();
+        let is_shared = !self.history.is_conclusive(service, now);
         let added = self.remember(bound.clone(), now);
         if !is_shared {
             while self.unshared.front().is_some_and(|first| first.until <= now)
@@ -90,9 +90,7 @@
     /// their service has appeared.
     pub fn take_due(&mut self, now: Instant) -> VecDeque<Bound> {
         let history = &self.history;
-        let is_due = |bound: &Bound| {
-            !history.seen(&bound.binding.service, Duration::ZERO, now).is_conclusive()
-        };
+        let is_due = |bound: &Bound| !history.is_conclusive(&bound.binding.service, now);
         let unended = self.unshared.drain(..).filter(|bound| now < bound.until);
         let (due, rest) = unended.partition(is_due);
         self.unshared = rest;
--- a/lib/src/fleet/stream_binding/mod.rs
+++ b/lib/src/fleet/stream_binding/mod.rs
@@ -16,7 +16,7 @@
 
 use super::version::Version;
 use crate::hash::{rendezvous_weight, stable_hash};
-use crate::id::{AccountId, NodeId, ServiceId};
+use crate::id::{AccountId, Incarnation, NodeId, ServiceId};
 
 pub mod bindings;
 pub mod history;
@@ -31,6 +31,9 @@
 /// joined since.
 pub const ASKED: usize = 4;
 
+/// The number of long-running nodes that are asked besides.
+pub const WITNESSES: usize = 2;
+
 /// Identifies a stream: a hash of its client account, and a hash of the id of the attempt that
 /// brought its first event. The account is part of it, so that no account can name the streams of
 /// another.
@@ -81,11 +84,27 @@
     ranked.into_iter().take(N).map(|(_, id)| id).collect()
 }
 
+/// The nodes that are asked for the binding of a stream: its holders, and the nodes that have run
+/// longest, which are the most likely to have seen all versions.
+pub fn nodes_to_ask<'a>(
+    stream: StreamKey,
+    nodes: impl Iterator<Item = (&'a NodeId, Incarnation)> + Clone,
+) -> SmallVec<[&'a NodeId; ASKED + WITNESSES]> {
+    let mut chosen: SmallVec<[&NodeId; ASKED + WITNESSES]> =
+        holders::<ASKED>(stream, nodes.clone().map(|(id, _)| id)).into_iter().collect();
+    let mut oldest: Vec<(Incarnation, &NodeId)> = nodes.map(|(id, since)| (since, id)).collect();
+    oldest.sort_unstable();
+    chosen.extend(oldest.into_iter().take(WITNESSES).map(|(_, id)| id));
+    chosen.sort_unstable();
+    chosen.dedup();
+    chosen
+}
+
 /// What has been found out about a stream that has no binding: the versions that this node and the
 /// nodes that replied have seen.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
-    seen: SmallVec<[Seen; ASKED]>,
+    seen: SmallVec<[Seen; ASKED + WITNESSES]>,
     asked: usize,
     replied: usize,
 }
--- a/node/src/stream_binding/mod.rs
+++ b/node/src/stream_binding/mod.rs
@@ -15,10 +15,10 @@
 use futures_util::stream::FuturesUnordered;
 use sardinepick_lib::clock::Clock;
 use sardinepick_lib::fleet::register::Register;
-use sardinepick_lib::fleet::roster::Roster;
+use sardinepick_lib::fleet::roster::{Contact, Roster};
 use sardinepick_lib::fleet::stream_binding::memory::Added;
 use sardinepick_lib::fleet::stream_binding::{
-    ASKED, Binding, Bindings, Bound, Evidence, HOLDERS, Known, StreamKey, holders,
+    Binding, Bindings, Bound, Evidence, HOLDERS, Known, StreamKey, holders, nodes_to_ask,
 };
 use sardinepick_lib::fleet::version::Version;
 use sardinepick_lib::id::{NodeId, ServiceId};
@@ -110,7 +110,8 @@
 
     fn observe(&self) {
         let now = self.clock.now();
-        let register = lock(&self.register);
+        let mut register = lock(&self.register);
+        register.settle_versions(now);
         let runners = register.runners().filter(|runner| runner.entry.stage.is_some());
         let versions = runners.map(|runner| (&runner.entry.service, &runner.entry.version));
         lock(&self.bindings).observe(versions, now);
@@ -137,7 +138,7 @@
             left: bound.until.saturating_duration_since(now),
         });
         let bytes = message.encode();
-        for peer in self.holders::<HOLDERS>(bound.stream) {
+        for peer in self.holders(bound.stream) {
             let outcome = match socket.try_send_to(&bytes, peer) {
                 Ok(_) => "sent",
                 Err(error) => {
@@ -167,14 +168,22 @@
         }
     }
 
-    /// The addresses of the first `N` holders of a stream, except this node.
-    fn holders<const N: usize>(&self, stream: StreamKey) -> SmallVec<[SocketAddr; N]> {
+    /// The addresses of the holders of a stream, except this node.
+    fn holders(&self, stream: StreamKey) -> SmallVec<[SocketAddr; HOLDERS]> {
         let roster = lock(&self.roster);
         let contacts = roster.ready_contacts();
-        let me = &roster.me().contact.id;
-        let nodes = contacts.iter().map(|contact| &contact.id).chain([me]);
-        let address = |id: &NodeId| contacts.iter().find(|c| c.id == *id).map(|c| c.peer);
-        holders::<N>(stream, nodes).into_iter().filter_map(address).collect()
+        let nodes = contacts.iter().copied().chain([&roster.me().contact]).map(|c| &c.id);
+        let chosen = holders::<HOLDERS>(stream, nodes);
+        chosen.into_iter().filter_map(|id| peer_of(&contacts, id)).collect()
+    }
+
+    /// The addresses of the nodes to ask for the binding of a stream.
+    fn nodes_to_ask(&self, stream: StreamKey) -> Vec<SocketAddr> {
+        let roster = lock(&self.roster);
+        let contacts = roster.ready_contacts();
+        let nodes = contacts.iter().copied().chain([&roster.me().contact]);
+        let chosen = nodes_to_ask(stream, nodes.map(|c| (&c.id, c.incarnation)));
+        chosen.into_iter().filter_map(|id| peer_of(&contacts, id)).collect()
     }
 
     /// Finds out what a stream is bound to. `service` is the service that it belongs to if it has
@@ -196,7 +205,7 @@
             Known::Bound(binding, age) => return Found::Bound(binding, Source::Local, age),
             Known::Unbound(seen) => seen,
         };
-        let peers = self.holders::<ASKED>(stream);
+        let peers = self.nodes_to_ask(stream);
         let mut evidence = Evidence::new(own, peers.len());
         let mut replies: FuturesUnordered<_> =
             peers.iter().map(|peer| self.ask(*peer, stream, service, horizon)).collect();
@@ -277,6 +286,11 @@
     }
 }
 
+/// The address of a node for other nodes; `None` if it is not among `contacts`, as this node is not.
+fn peer_of(contacts: &[&Contact], id: &NodeId) -> Option<SocketAddr> {
+    contacts.iter().find(|contact| contact.id == *id).map(|contact| contact.peer)
+}
+
 /// A question that waits for its answer. Dropping it cancels the wait.
 struct Question<'a> {
     number: u64,
