soak: runners of two versions, and callers that take broken streams up

All stand-in runners of the soak wrote the same version, so it could not show a stream of two versions. Runners now have one of two by turns, over releases and restarts too; events name the version; callers take a broken stream up at a random node. Each stream, within one response and over both attempts, must be of one version.

--- a/testutils/src/fleet/runner/event.rs
+++ b/testutils/src/fleet/runner/event.rs
@@ -9,22 +9,36 @@
 
 use super::Faults;
 use super::work::Running;
+use crate::fleet::deployment::DEFAULT_VERSION;
 use crate::server::{Aborted, Body};
 
 /// Takes the place of the next event's id when the stream is to be aborted.
 const ABORT: u64 = u64::MAX - 1;
 
-/// The encoding of one event.
+/// The encoding of one event of a runner of the default version.
 pub fn event(id: u64) -> String {
-    padded_event(id, 0)
+    event_of(id, DEFAULT_VERSION)
 }
 
-fn padded_event(id: u64, padding: usize) -> String {
-    format!("id: {id}\ndata: token {id}{}\n\n", "x".repeat(padding))
+/// The encoding of one event of a runner of a version.
+pub fn event_of(id: u64, version: &str) -> String {
+    padded_event(id, version, 0)
 }
 
-/// A stream of the events from `first` to `last`. `running` counts it as in flight until it ends.
-pub(super) fn events(first: u64, last: u64, faults: Faults, running: Running) -> Body {
+fn padded_event(id: u64, version: &str, padding: usize) -> String {
+    let by = if version == DEFAULT_VERSION { String::new() } else { format!(" by {version}") };
+    format!("id: {id}\ndata: token {id}{by}{}\n\n", "x".repeat(padding))
+}
+
+/// The stream of a runner of a version, of the events from `first` to `last`. `running` counts it as
+/// in flight until it ends.
+pub(super) fn events(
+    first: u64,
+    last: u64,
+    version: &'static str,
+    faults: Faults,
+    running: Running,
+) -> Body {
     let step = move |(next, running): (u64, Running)| async move {
         if next == ABORT {
             return Some((Err(Aborted), (u64::MAX, running)));
@@ -41,10 +55,10 @@
         running.wait_while_silent().await;
         if faults.abort_after.is_some_and(|after| next > after) {
             // A part of the event is sent before the connection is aborted.
-            let part = Bytes::from(padded_event(next, faults.padding)).slice(..6);
+            let part = Bytes::from(padded_event(next, version, faults.padding)).slice(..6);
             return Some((Ok(Frame::data(part)), (ABORT, running)));
         }
-        let frame = Frame::data(Bytes::from(padded_event(next, faults.padding)));
+        let frame = Frame::data(Bytes::from(padded_event(next, version, faults.padding)));
         Some((Ok(frame), (next + 1, running)))
     };
     let stream = stream::unfold((first, running), step);
--- a/testutils/src/fleet/runner/mod.rs
+++ b/testutils/src/fleet/runner/mod.rs
@@ -16,7 +16,7 @@
 use crate::fleet::store::Store;
 use crate::server::Server;
 
-pub use self::event::event;
+pub use self::event::{event, event_of};
 
 mod event;
 mod work;
--- a/testutils/src/fleet/runner/work.rs
+++ b/testutils/src/fleet/runner/work.rs
@@ -212,7 +212,7 @@
         }
         let mut response = if self.kind.stage.is_some() {
             let first = from.and_then(|f| f.parse::<u64>().ok()).map_or(1, |last| last + 1);
-            let body = events(first, self.kind.events, faults, running);
+            let body = events(first, self.kind.events, self.kind.version, faults, running);
             let mut response = Response::new(body);
             let kind = HeaderValue::from_static("text/event-stream");
             response.headers_mut().insert(header::CONTENT_TYPE, kind);
--- a/testutils/src/fleet/soak.rs
+++ b/testutils/src/fleet/soak.rs
@@ -27,7 +27,7 @@
 };
 use crate::fleet::proxy::{NetworkFault, Proxy};
 use crate::fleet::rate_limit::{LIMIT_GRACE, LIMIT_WINDOW, limit_violation};
-use crate::fleet::runner::{Faults, Kind, Runner, event};
+use crate::fleet::runner::{Faults, Kind, Runner, event_of};
 use crate::fleet::signal::Signals;
 use crate::fleet::store::{Backup, Fault, Store};
 use crate::process::Daemon;
@@ -78,6 +78,8 @@
 }
 
 const STREAM_EVENTS: u64 = 12;
+/// The versions of the runners' software, by turns.
+const VERSIONS: [&str; 2] = [DEFAULT_VERSION, "v2"];
 /// The paths of requests of every kind.
 pub(super) const PATHS: &[&str] = &["/board/a", "/eggs/a", "/count/a", "/tally/a"];
 const GENERATION_HEADERS: [(&str, &str); 3] =
@@ -130,6 +132,9 @@
     stop: AtomicBool,
     next: AtomicU64,
     replies: Mutex<Vec<(String, &'static str, Reply)>>,
+    /// Streams that were taken up: the id of the attempt that began each, the events that it
+    /// brought, and the reply to the attempt that took it up.
+    taken_up: Mutex<Vec<(String, String, Reply)>>,
 }
 
 /// The settings file of a node at these addresses: for callers, readiness checks, look-ups, other nodes
@@ -202,7 +207,7 @@
             data_centre: DEFAULT_DATA_CENTRE.to_owned(),
             stage,
             events: STREAM_EVENTS,
-            version: DEFAULT_VERSION,
+            version: VERSIONS[(self.next_runner % VERSIONS.len() as u64) as usize],
         };
         let runner = Runner::start(&id, any_address(), kind, &self.store).await?;
         let proxy = Proxy::start(any_address(), runner.address()).await?;
@@ -373,11 +378,42 @@
         let wait_ms = if rng.random_bool(0.05) { 20 } else { 4_000 };
         let result = timeout(Duration::from_millis(wait_ms), caller.send(front, &request)).await;
         let reply = result.unwrap_or_default();
+        if path == RESUMABLE_PATH && !reply.complete && whole_events(&reply) > 0 {
+            let front = callers.fronts[rng.random_range(0..callers.fronts.len())];
+            take_up(&callers, &caller, front, &id, &reply).await;
+        }
         callers.replies.lock().unwrap_or_else(PoisonError::into_inner).push((id, path, reply));
         sleep(Duration::from_millis(rng.random_range(0..30))).await;
     }
 }
 
+/// The path whose streams can be taken up.
+const RESUMABLE_PATH: &str = "/count/a";
+
+/// The number of whole events of a response.
+fn whole_events(reply: &Reply) -> u64 {
+    reply.text().matches("\n\n").count() as u64
+}
+
+/// Takes up a stream that broke off, at a node.
+async fn take_up(
+    callers: &Callers,
+    caller: &Caller,
+    front: SocketAddr,
+    first: &str,
+    broken: &Reply,
+) {
+    let (id, events) = (format!("{first}-again"), whole_events(broken).to_string());
+    let own = [("resumes", first), ("last-event-id", events.as_str())];
+    let headers: Vec<_> = request_headers(RESUMABLE_PATH).iter().copied().chain(own).collect();
+    let request = RequestSpec { headers: &headers, ..RequestSpec::new(RESUMABLE_PATH, &id) };
+    let result = timeout(Duration::from_secs(4), caller.send(front, &request)).await;
+    let text = broken.text();
+    let received = text.rfind("\n\n").map_or("", |end| &text[..end + 2]).to_owned();
+    let mut taken_up = callers.taken_up.lock().unwrap_or_else(PoisonError::into_inner);
+    taken_up.push((first.to_owned(), received, result.unwrap_or_default()));
+}
+
 /// Runs a soak test.
 ///
 /// # Errors
@@ -390,6 +426,7 @@
         stop: AtomicBool::new(false),
         next: AtomicU64::new(0),
         replies: Mutex::default(),
+        taken_up: Mutex::default(),
     });
     let mut report = Report::default();
     wait_for_recovery(&callers.fronts, &mut report, "before any fault").await;
@@ -501,6 +538,35 @@
     for (id, path, reply) in replies.iter() {
         check_reply(id, path, reply, runs.get(id).copied().unwrap_or(0), report);
     }
+    let taken_up = callers.taken_up.lock().unwrap_or_else(PoisonError::into_inner);
+    for (id, received, reply) in taken_up.iter() {
+        check_taken_up(id, received, reply, report);
+    }
+}
+
+/// Checks a stream that was taken up after it had brought some events.
+fn check_taken_up(id: &str, received: &str, reply: &Reply, report: &mut Report) {
+    let end = match reply.status {
+        Some(StatusCode::OK) => {
+            let whole = format!("{received}{}", reply.text());
+            if !is_stream_of_one_version(&whole, reply.complete) {
+                let told = format!("order: {id} taken up after {received:?}, got {whole:?}");
+                report.violations.push(told);
+            }
+            "taken up, went on"
+        }
+        Some(StatusCode::SERVICE_UNAVAILABLE) => "taken up, refused",
+        Some(_) | None => "taken up, failed",
+    };
+    *report.outcomes.entry(end).or_default() += 1;
+}
+
+/// Whether a response is a stream, or the beginning of one, by runners of one version.
+fn is_stream_of_one_version(text: &str, complete: bool) -> bool {
+    VERSIONS.iter().any(|version| {
+        let expected: String = (1..=STREAM_EVENTS).map(|id| event_of(id, version)).collect();
+        if complete { text == expected } else { expected.starts_with(text) }
+    })
 }
 
 /// Checks a reply to a request that has run `ran` times.
@@ -523,12 +589,14 @@
 }
 
 fn check_success(id: &str, path: &str, reply: &Reply, report: &mut Report) -> &'static str {
-    let expected = match path {
-        "/board/a" | "/eggs/a" => format!("answer to {id}"),
-        _ => (1..=STREAM_EVENTS).map(event).collect(),
-    };
     let text = reply.text();
-    let valid = if reply.complete { text == expected } else { expected.starts_with(&text) };
+    let valid = match path {
+        "/board/a" | "/eggs/a" => {
+            let expected = format!("answer to {id}");
+            if reply.complete { text == expected } else { expected.starts_with(&text) }
+        }
+        _ => is_stream_of_one_version(&text, reply.complete),
+    };
     if !valid || reply.header("response-signature").is_none() {
         report
             .violations
