resumption: narrow handles, and one ranking of nodes for a key

The new module imported the shared state for three of its parts; it takes them as arguments. Holders of bindings and the nodes that count crashes ranked nodes each with the same code; both now use rank::highest_for_key. No change of behaviour.

--- a/lib/src/fleet/stream_binding/memory.rs
+++ b/lib/src/fleet/stream_binding/memory.rs
@@ -8,8 +8,7 @@
 
 use super::{Binding, StreamKey};
 
-/// The maximum number of bindings: ten seconds of the streams for which a node is a holder, at the
-/// size that the system is designed for, and as many again of its own, thirty times over.
+/// The maximum number of bindings.
 pub const CAPACITY: usize = 32_768;
 
 #[derive(Clone, Debug)]
--- a/lib/src/fleet/stream_binding/mod.rs
+++ b/lib/src/fleet/stream_binding/mod.rs
@@ -15,8 +15,9 @@
 use smallvec::SmallVec;
 
 use super::version::Version;
-use crate::hash::{rendezvous_weight, stable_hash};
+use crate::hash::stable_hash;
 use crate::id::{AccountId, Incarnation, NodeId, ServiceId};
+use crate::rank::highest_for_key;
 
 pub mod bindings;
 pub mod history;
@@ -73,15 +74,20 @@
 
 /// The nodes that hold the binding of a stream, the most preferred first. All nodes that know the
 /// same nodes choose the same ones.
-pub fn holders<'a, const N: usize>(
+pub fn holders<'a>(
     stream: StreamKey,
     nodes: impl Iterator<Item = &'a NodeId>,
-) -> SmallVec<[&'a NodeId; N]> {
+) -> SmallVec<[&'a NodeId; HOLDERS]> {
+    preferred(stream, nodes, HOLDERS)
+}
+
+fn preferred<'a>(
+    stream: StreamKey,
+    nodes: impl Iterator<Item = &'a NodeId>,
+    count: usize,
+) -> SmallVec<[&'a NodeId; HOLDERS]> {
     let key = stable_hash(stream.account, &stream.id.to_le_bytes());
-    let mut ranked: Vec<(u64, &NodeId)> =
-        nodes.map(|id| (rendezvous_weight(key, id.as_str().as_bytes()), id)).collect();
-    ranked.sort_unstable_by(|a, b| b.cmp(a));
-    ranked.into_iter().take(N).map(|(_, id)| id).collect()
+    highest_for_key(key, nodes, |id| id, count)
 }
 
 /// The nodes that are asked for the binding of a stream: its holders, and the nodes that have run
@@ -91,7 +97,7 @@
     nodes: impl Iterator<Item = (&'a NodeId, Incarnation)> + Clone,
 ) -> SmallVec<[&'a NodeId; ASKED + WITNESSES]> {
     let mut chosen: SmallVec<[&NodeId; ASKED + WITNESSES]> =
-        holders::<ASKED>(stream, nodes.clone().map(|(id, _)| id)).into_iter().collect();
+        preferred(stream, nodes.clone().map(|(id, _)| id), ASKED).into_iter().collect();
     let mut oldest: Vec<(Incarnation, &NodeId)> = nodes.map(|(id, since)| (since, id)).collect();
     oldest.sort_unstable();
     chosen.extend(oldest.into_iter().take(WITNESSES).map(|(_, id)| id));
--- a/lib/src/fleet/suspect.rs
+++ b/lib/src/fleet/suspect.rs
@@ -19,8 +19,9 @@
 
 use super::fingerprint::Fingerprint;
 use super::runner::Tag;
-use crate::hash::{rendezvous_weight, stable_hash};
+use crate::hash::stable_hash;
 use crate::id::NodeId;
+use crate::rank::highest_for_key;
 
 /// The number of runners that must end under a request before its quarantine is proposed. One or
 /// two can be a coincidence when a third of the runners is lost at once.
@@ -178,8 +179,5 @@
     nodes: impl Iterator<Item = &'a NodeId>,
 ) -> SmallVec<[&'a NodeId; COUNTING_NODES]> {
     let key = stable_hash(0, request.as_bytes());
-    let mut ranked: Vec<(u64, &NodeId)> =
-        nodes.map(|id| (rendezvous_weight(key, id.as_str().as_bytes()), id)).collect();
-    ranked.sort_unstable_by(|a, b| b.cmp(a));
-    ranked.into_iter().take(COUNTING_NODES).map(|(_, id)| id).collect()
+    highest_for_key(key, nodes, |id| id, COUNTING_NODES).into_iter().collect()
 }
--- a/lib/src/rank.rs
+++ b/lib/src/rank.rs
@@ -16,10 +16,20 @@
     nodes: impl IntoIterator<Item = T>,
     id: impl Fn(&T) -> &NodeId,
     count: usize,
+) -> SmallVec<[T; 2]> {
+    highest_for_key(stable_hash(0, duty.as_bytes()), nodes, id, count)
+}
+
+/// The `count` highest ranked of `nodes` for a key, in order.
+pub fn highest_for_key<T>(
+    key: u64,
+    nodes: impl IntoIterator<Item = T>,
+    id: impl Fn(&T) -> &NodeId,
+    count: usize,
 ) -> SmallVec<[T; 2]> {
     let mut ranked: SmallVec<[(u64, T); 4]> = SmallVec::new();
     for node in nodes {
-        let weight = weight(duty, id(&node));
+        let weight = rendezvous_weight(key, id(&node).as_str().as_bytes());
         let index = ranked.iter().position(|(other, _)| *other < weight).unwrap_or(ranked.len());
         if index < count {
             ranked.insert(index, (weight, node));
--- a/lib/tests/stream_binding.rs
+++ b/lib/tests/stream_binding.rs
@@ -48,8 +48,8 @@
     let nodes: Vec<NodeId> = (0..9).map(|n| format!("edge-{n}").parse().expect("a name")).collect();
     for id in 0..50 {
         let key = StreamKey::new(None, &format!("r{id}"));
-        let forth = holders::<HOLDERS>(key, nodes.iter());
-        assert_eq!(forth, holders::<HOLDERS>(key, nodes.iter().rev()));
+        let forth = holders(key, nodes.iter());
+        assert_eq!(forth, holders(key, nodes.iter().rev()));
         assert_eq!(forth.len(), HOLDERS);
     }
 }
--- a/lib/tests/stream_binding_model/world.rs
+++ b/lib/tests/stream_binding_model/world.rs
@@ -8,7 +8,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use sardinepick_lib::fleet::stream_binding::history::NEW_VERSION_DELAY;
 use sardinepick_lib::fleet::stream_binding::{
-    Binding, Bindings, Bound, Evidence, HOLDERS, Known, StreamKey, holders, nodes_to_ask,
+    Binding, Bindings, Bound, Evidence, Known, StreamKey, holders, nodes_to_ask,
 };
 use sardinepick_lib::fleet::version::Version;
 use sardinepick_lib::id::{Incarnation, NodeId, ServiceId};
@@ -309,7 +309,7 @@
     fn holders(&self, me: usize, stream: StreamKey) -> Vec<usize> {
         let known = self.known(me);
         let ids = known.iter().map(|at| &self.nodes[*at].id);
-        self.indices(&holders::<HOLDERS>(stream, ids), me)
+        self.indices(&holders(stream, ids), me)
     }
 
     fn nodes_to_ask(&self, me: usize, stream: StreamKey) -> Vec<usize> {
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -187,10 +187,14 @@
         left: caller_headers.deadline.unwrap_or(route.timeout),
     };
     let stream = resumption.stream();
-    let binding = if runs_stream { resumption.resolve(shared).await } else { Ok(None) };
+    let binding = if runs_stream {
+        resumption.resolve(&shared.stream_bindings, &shared.metrics).await
+    } else {
+        Ok(None)
+    };
     let binding = match binding {
         Ok(binding) => binding,
-        Err(refusal) => return refuse(refusal),
+        Err(reason) => return refuse(resumption.refusal(reason, &mut *shared.rng())),
     };
     let draw: f64 = shared.rng().random();
     let service = match &binding {
--- a/node/src/serve/resumption.rs
+++ b/node/src/serve/resumption.rs
@@ -2,15 +2,16 @@
 
 use std::time::Duration;
 
+use rand::Rng;
 use sardinepick_lib::fleet::admission::{Reason, Terms, Wait};
 use sardinepick_lib::fleet::route::Route;
 use sardinepick_lib::fleet::stream_binding::{Binding, StreamKey};
 use sardinepick_lib::id::{AccountId, ServiceId};
 use sardinepick_platform::caller::CallerHeaders;
 
+use crate::serve::metrics::Metrics;
 use crate::serve::response::Refusal;
-use crate::serve::shared::Shared;
-use crate::stream_binding::Found;
+use crate::stream_binding::{Found, StreamBindings};
 
 /// A request that may take a stream up.
 pub struct Resumption<'a> {
@@ -37,7 +38,11 @@
     /// # Errors
     /// The request takes a stream up whose version is not known for sure, or whose service the
     /// route does not lead to any more.
-    pub async fn resolve(&self, shared: &Shared) -> Result<Option<Binding>, Refusal> {
+    pub async fn resolve(
+        &self,
+        bindings: &StreamBindings,
+        metrics: &Metrics,
+    ) -> Result<Option<Binding>, Reason> {
         if self.headers.resumes.is_none() && self.headers.last_event.is_none() {
             return Ok(None);
         }
@@ -45,7 +50,7 @@
             [target] => Some(&target.service),
             _ => None,
         };
-        let found = shared.stream_bindings.find(self.stream(), only_service, self.left).await;
+        let found = bindings.find(self.stream(), only_service, self.left).await;
         let (source, age) = match &found {
             Found::Bound(_, source, age) => ((*source).into(), *age),
             Found::Only(_) => ("history", Duration::ZERO),
@@ -56,7 +61,7 @@
             Ok(_) => "bound",
             Err(reason) => reason.into(),
         };
-        shared.metrics.stream_resumptions.with_label_values(&[outcome, source]).inc();
+        metrics.stream_resumptions.with_label_values(&[outcome, source]).inc();
         let binding = result.as_ref().ok();
         log::info!(
             request = self.id, route:% = self.route.name,
@@ -67,7 +72,7 @@
             source = source, age_ms = age.as_millis() as u64, outcome = outcome;
             "stream taken up"
         );
-        result.map(Some).map_err(|reason| self.refusal(shared, reason))
+        result.map(Some)
     }
 
     fn judge(&self, found: Found, only_service: Option<&ServiceId>) -> Result<Binding, Reason> {
@@ -83,8 +88,9 @@
         }
     }
 
-    fn refusal(&self, shared: &Shared, reason: Reason) -> Refusal {
+    /// The refusal of the request, which has not run.
+    pub fn refusal<R: Rng>(&self, reason: Reason, rng: &mut R) -> Refusal {
         let terms = Terms::new(self.route, self.left, Wait::default(), 1.0);
-        Refusal::NotRun(reason, terms.retry_delay(0.0, &mut *shared.rng()))
+        Refusal::NotRun(reason, terms.retry_delay(0.0, rng))
     }
 }
--- a/node/src/stream_binding/mod.rs
+++ b/node/src/stream_binding/mod.rs
@@ -173,7 +173,7 @@
         let roster = lock(&self.roster);
         let contacts = roster.ready_contacts();
         let nodes = contacts.iter().copied().chain([&roster.me().contact]).map(|c| &c.id);
-        let chosen = holders::<HOLDERS>(stream, nodes);
+        let chosen = holders(stream, nodes);
         chosen.into_iter().filter_map(|id| peer_of(&contacts, id)).collect()
     }
 
