stream binding: versions of runners without a stage are observed too

The history noted only runners with a stage, so for a streaming service without stages a node knew the versions of its own first events alone, and could take one of them for the only version. The delay of a new version stays with model engines: plain requests are bound to nothing.

The end of a request no longer locks the register while it holds the attempts; elsewhere the order is the reverse. Tests of the delay of new versions.

--- a/lib/src/fleet/placement.rs
+++ b/lib/src/fleet/placement.rs
@@ -128,7 +128,9 @@
         eligible.iter().any(|c| c.runner.entry.stage != Some(Stage::Prefill))
     };
     // A stream that is bound to a version goes on at once.
-    let is_settled = |r: &&Runner| criteria.version.is_some() || !register.is_new_version(r);
+    let is_settled = |r: &&Runner| {
+        criteria.version.is_some() || r.entry.stage.is_none() || !register.is_new_version(r)
+    };
     let settled = all().filter(in_pool).filter(usable).filter(is_settled);
     let mut eligible: Vec<Candidate<'a>> = settled.map(with_load).collect();
     if !can_finish(&eligible) {
--- a/lib/tests/placement_versions.rs
+++ b/lib/tests/placement_versions.rs
@@ -12,6 +12,7 @@
 };
 use sardinepick_lib::fleet::register::Register;
 use sardinepick_lib::fleet::runner::{Entry, State};
+use sardinepick_lib::fleet::stream_binding::history::NEW_VERSION_DELAY;
 use sardinepick_lib::fleet::version::Version;
 use sardinepick_lib::history::Point;
 use sardinepick_lib::id::{DataCentre, RunnerId, ServiceId};
@@ -107,6 +108,8 @@
         ("d2", Stage::Decode, "v2"),
     ]);
     let (holder, now) = ("p1".parse().expect("an id"), Instant::now());
+    register.settle_versions(now);
+    register.settle_versions(now + NEW_VERSION_DELAY);
     let holder = register.get_mut(&holder).expect("it is known");
     holder.cache.set_memory(ENGINE.memory);
     holder.cache.note(&work().chain, Progress::Prefilled, now);
@@ -157,3 +160,29 @@
         assert_eq!(placed, Some("d1".parse().expect("an id")));
     }
 }
+
+/// Guards against streams that begin at a version before all nodes can know that it serves.
+#[test]
+fn place_generation_new_version_used_after_delay() {
+    let mut register = register(&[("d1", Stage::Decode, "v1"), ("d2", Stage::Decode, "v2")]);
+    let (now, new) = (Instant::now(), version("v2"));
+    let is_new = |register: &Register| {
+        let places = (0..50).filter_map(|seed| place(register, None, seed));
+        places.filter(|placement| versions(register, placement) == [&new]).count()
+    };
+    register.settle_versions(now);
+    assert_eq!(is_new(&register), 0);
+    let bound = place(&register, Some(&new), 1).expect("a bound stream goes on at once");
+    assert_eq!(versions(&register, &bound), [&new]);
+    register.settle_versions(now + NEW_VERSION_DELAY);
+    assert!(is_new(&register) > 0);
+}
+
+/// Guards against requests that are refused because the only runners have a new version.
+#[test]
+fn place_generation_only_new_version_used() {
+    let mut register = register(&[("d1", Stage::Decode, "v1"), ("d2", Stage::Decode, "v2")]);
+    register.remove(&"d1".parse().expect("an id"), None);
+    let placement = place(&register, None, 1).expect("a runner is there");
+    assert_eq!(versions(&register, &placement), [&version("v2")]);
+}
--- a/node/src/serve/generation/task.rs
+++ b/node/src/serve/generation/task.rs
@@ -495,11 +495,12 @@
                 }
             }
         }
+        let last = generation.attempts().tried.last().cloned();
+        let version = last.and_then(|id| generation.version_of(&id));
+        line.runner_version = version_text(version.as_ref());
         let attempts = generation.attempts();
         (line.register, line.tries, line.events) =
             (attempts.register, attempts.calls, attempts.events);
-        let version = attempts.tried.last().and_then(|id| generation.version_of(id));
-        line.runner_version = version_text(version.as_ref());
         line.runner = attempts.tried.last().map(RunnerId::as_str).unwrap_or_default();
         if attempts.is_unused_trial() {
             quarantine::return_trial(shared, &request.fingerprint);
--- a/node/src/stream_binding/mod.rs
+++ b/node/src/stream_binding/mod.rs
@@ -112,8 +112,8 @@
         let now = self.clock.now();
         let mut register = lock(&self.register);
         register.settle_versions(now);
-        let runners = register.runners().filter(|runner| runner.entry.stage.is_some());
-        let versions = runners.map(|runner| (&runner.entry.service, &runner.entry.version));
+        let versions =
+            register.runners().map(|runner| (&runner.entry.service, &runner.entry.version));
         lock(&self.bindings).observe(versions, now);
     }
 
