admission: order work by account rank, then by route rank

The rank of an account replaced that of the route, so all work of an account was in one class and its urgent requests waited behind its long ones. On a deployment with accounts 5,081 of 5,866 placements were of one class. A class is now a pair of both ranks, of three levels each; without accounts the order is unchanged. Loads in reports have ten entries, so a datagram has at most ten.

--- a/cli/src/account.rs
+++ b/cli/src/account.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+use sardinepick_lib::fleet::load::CLASSES;
 use serde_json::Value;
 
 use crate::trace::Line;
@@ -153,7 +154,7 @@
 }
 
 /// The number of the class of late requests in the log lines.
-const LATE_CLASS: u64 = 3;
+const LATE_CLASS: u64 = CLASSES as u64 - 1;
 
 /// Returns the value below which a `fraction` of the values lie, or `None` without values.
 fn quantile(values: impl Iterator<Item = f64>, fraction: f64) -> Option<f64> {
--- a/cli/tests/account.rs
+++ b/cli/tests/account.rs
@@ -9,7 +9,7 @@
 0.1 edge-1 {"time":"2026-01-01T00:00:02.000Z","message":"placed","request":"r1","class":1,"first_ms":100,"prompt":9000,"fresh":3000}
 0.1 edge-1 {"time":"2026-01-01T00:00:02.150Z","message":"prompt read","request":"r1","predicted_ms":80,"held_ms":120}
 0.1 edge-1 {"time":"2026-01-01T00:00:02.200Z","message":"first event","request":"r1","first_ms":200}
-0.1 edge-2 {"time":"2026-01-01T00:00:03.999Z","message":"placed","request":"r2","class":3,"first_ms":400,"prompt":100,"fresh":100}
+0.1 edge-2 {"time":"2026-01-01T00:00:03.999Z","message":"placed","request":"r2","class":9,"first_ms":400,"prompt":100,"fresh":100}
 0.1 edge-2 {"time":"2026-01-01T00:00:04.000Z","message":"runner did not run it","request":"r2","status":503}
 0.1 edge-2 {"time":"2026-01-01T00:00:04.010Z","message":"request refused","request":"r2","route":"tally","status":503,"reason":"budget"}
 0.1 edge-2 {"time":"2026-01-01T00:00:04.500Z","message":"request left","request":"r3","route":"tally","status":0,"reason":""}
@@ -26,7 +26,7 @@
 
         class    placed  first ms p50     seen/predicted     read/predicted
         1             1           200      2.00 p95 2.00      1.50 p95 1.50
-        3             1             -            - p95 -            - p95 -
+        9             1             -            - p95 -            - p95 -
 
         from                  ended  refused  placed  late  turned away  read again
         2026-01-01T00:00:02       1        0       2  0.50            0        0.33
--- a/lib/src/fleet/admission.rs
+++ b/lib/src/fleet/admission.rs
@@ -119,7 +119,7 @@
             left
         };
         Self {
-            class: Class::of_rank(route.rank),
+            class: Class::of(route.rank),
             objective: route.objective.checked_sub(wait.total()).filter(|o| !o.is_zero()),
             left,
             patience,
@@ -174,10 +174,9 @@
 /// situation can have changed.
 const MIN_RETRY_DELAY: f64 = 0.1;
 
-/// The urgency of a class as sent to a runner, from 0 (first) to 9. The gaps leave room for work
-/// that continues after a failure.
+/// The urgency of a class as sent to a runner, from 0 (first) to 9.
 pub fn urgency(class: Class) -> u8 {
-    if class == Class::LATE { 8 } else { 1 + 2 * class.index() as u8 }
+    class.index() as u8
 }
 
 /// The mean size of work on one route.
--- a/lib/src/fleet/load.rs
+++ b/lib/src/fleet/load.rs
@@ -5,12 +5,14 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
+use super::rank::{LEVELS, Rank};
 use crate::id::NodeId;
 
 /// The number of classes in which work is queued at a runner. Lower classes are served first.
-pub const CLASSES: usize = 4;
+pub const CLASSES: usize = (LEVELS * LEVELS) as usize + 1;
 
-/// The class of a piece of work: the rank of its route, or below all ranks if it will be late.
+/// The class of a piece of work: the rank of its account and route, or below all ranks if it will
+/// be late.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Class(u8);
 
@@ -19,10 +21,19 @@
     /// delays work that could be on time.
     pub const LATE: Class = Class((CLASSES - 1) as u8);
 
-    /// The class of work that can be on time, by the rank of its route. Ranks beyond the number of
-    /// classes share the last one.
+    /// The class of work that can be on time, by the rank of its account and route.
+    pub fn of(rank: Rank) -> Self {
+        Class(rank.level())
+    }
+
+    /// The class of work that can be on time, by the rank of its route alone.
     pub fn of_rank(rank: u8) -> Self {
-        Class(rank.min(CLASSES as u8 - 2))
+        Self::of(Rank::of_route(rank))
+    }
+
+    /// The class with an index, or `None` if there is none.
+    pub fn at(index: u8) -> Option<Self> {
+        (usize::from(index) < CLASSES).then_some(Class(index))
     }
 
     /// The index of the class, from 0.
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -24,6 +24,7 @@
 pub mod placement;
 pub mod pool;
 pub mod quarantine;
+pub mod rank;
 pub mod reachability;
 mod recent;
 pub mod register;
--- a/lib/src/fleet/route.rs
+++ b/lib/src/fleet/route.rs
@@ -8,6 +8,7 @@
 use strum::{Display, IntoStaticStr};
 
 use super::engine::Engine;
+use super::rank::Rank;
 use crate::account::directory::Directory;
 use crate::history::Point;
 use crate::id::{ConfigVersion, ServiceId};
@@ -65,8 +66,8 @@
     pub objective: Duration,
     /// The longest pause between events for which a stream counts as on time.
     pub pause: Duration,
-    /// The priority rank; 0 is the highest.
-    pub rank: u8,
+    /// The rank of requests; in a request's own copy of the route with that of its account.
+    pub rank: Rank,
     /// The target services; never empty.
     pub targets: SmallVec<[Target; 2]>,
     /// The maximum number of runners that one request may run at.
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -17,6 +17,7 @@
 use sardinepick_lib::fleet::load::{CLASSES, Class, Load, RemoteLoads};
 use sardinepick_lib::fleet::outage::{DOUBT, Outage, pause};
 use sardinepick_lib::fleet::placement::{self, Criteria, Placement, Plan};
+use sardinepick_lib::fleet::rank::Rank;
 use sardinepick_lib::fleet::register::{Change as Changed, PrefillReport, Register, WorkCost};
 use sardinepick_lib::fleet::route::{Configuration, Kind, Limits, Route, Target};
 use sardinepick_lib::fleet::runner::{Entry, State, Tag};
@@ -108,7 +109,7 @@
         timeout: S * 5,
         objective: MS * 500,
         pause: MS * 400,
-        rank: 2,
+        rank: Rank::of_route(2),
         targets: smallvec![Target { service: service(), weight: 1 }],
         max_attempts: 2,
         anonymous: false,
@@ -348,13 +349,22 @@
     assert_eq!(register.get(&id("p0")).expect("known").own, Load::default());
 }
 
+fn in_first_class<T: Copy + Default>(count: T) -> [T; CLASSES] {
+    let mut classes = [T::default(); CLASSES];
+    classes[0] = count;
+    classes
+}
+
 #[test]
 fn remote_loads_prompt_in_prefill_half_counts() {
     let start = Instant::now();
     let mut others = RemoteLoads::default();
-    let mut backlog = [0; CLASSES];
-    backlog[0] = 10_000;
-    let load = Load { requests: [2, 0, 0, 0], backlog, prompts: [1, 0, 0, 0], tokens: 1 };
+    let load = Load {
+        requests: in_first_class(2),
+        backlog: in_first_class(10_000),
+        prompts: in_first_class(1),
+        tokens: 1,
+    };
     let node = "edge-1".parse().expect("an id");
     others.replace(&node, load, start);
     assert_eq!(others.sum(start, 50_000.0).backlog[0], 10_000);
@@ -365,7 +375,7 @@
         "the prompt is not known to be prefilled"
     );
     // Prompts that wait behind it count in full, however old the report is.
-    let waits = Load { backlog: [6_000, 0, 0, 0], ..load };
+    let waits = Load { backlog: in_first_class(6_000), ..load };
     others.replace(&"edge-2".parse().expect("an id"), waits, start);
     assert_eq!(others.sum(start + S, 50_000.0).backlog[0], 16_000 - 4_000);
     assert_eq!(
@@ -523,6 +533,29 @@
     assert!(urgency(Class::LATE) <= 9);
 }
 
+/// Guards against losing the order of routes where accounts have ranks: urgent work of an account
+/// was then queued behind its other work.
+#[test]
+fn class_orders_by_account_then_route() {
+    let class = |account, route| Class::of(Rank { account, route });
+    let ordered = [
+        class(Some(0), 0),
+        class(Some(0), 2),
+        class(Some(1), 0),
+        class(Some(1), 1),
+        class(None, 1),
+        class(Some(1), 2),
+        class(Some(2), 0),
+        class(Some(9), 9),
+        Class::LATE,
+    ];
+    assert!(ordered.is_sorted(), "{ordered:?}");
+    assert!(class(Some(1), 0) < class(Some(1), 1) && class(Some(1), 1) < class(Some(1), 2));
+    assert_eq!(class(None, 2), Class::of_rank(2));
+    let routes = [Class::of_rank(0), Class::of_rank(1), Class::of_rank(2), Class::LATE];
+    assert!(routes.windows(2).all(|pair| pair[0] < pair[1]), "{routes:?}");
+}
+
 #[test]
 fn sizes_against_mean() {
     let mut sizes = MeanSize::default();
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -213,7 +213,7 @@
         let criteria = Criteria {
             service: &self.request.service,
             pool: None,
-            class: Class::of_rank(self.request.route.rank),
+            class: Class::of(self.request.route.rank),
             data_centre: &self.shared.me.data_centre,
             skip: &skip,
             version: None,
@@ -225,7 +225,7 @@
 
     async fn call(&mut self, id: &RunnerId, left: Duration, last: bool) -> CallResult {
         self.register = self.shared.register_replica().version();
-        let class = Class::of_rank(self.request.route.rank);
+        let class = Class::of(self.request.route.rank);
         let cost = WorkCost { class, prefill_tokens: 0, footprint: 0 };
         let mut reservation = Reservation::new(self.shared, id, Step::Plain, cost);
         let Some((address, mean)) =
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -15,6 +15,7 @@
 use sardinepick_lib::fleet::fingerprint::Fingerprint;
 use sardinepick_lib::fleet::part;
 use sardinepick_lib::fleet::part_quarantine::{Mark, Prompt, Subject};
+use sardinepick_lib::fleet::rank::Rank;
 use sardinepick_lib::fleet::register_version::RegisterVersion;
 use sardinepick_lib::fleet::route::{Configuration, Route};
 use sardinepick_lib::fleet::runner::Closed;
@@ -270,7 +271,7 @@
         match identify(configuration.accounts.as_ref(), route.anonymous, key) {
             Identity::Anonymous => return Ok(Admitted { configuration, route, account: None }),
             Identity::Account(Account { name, rank }) => {
-                let route = Route { rank: rank.unwrap_or(route.rank), ..route };
+                let route = Route { rank: Rank { account: rank, ..route.rank }, ..route };
                 return Ok(Admitted { configuration, route, account: Some(name) });
             }
             Identity::NoKey => return Err(Refusal::NoKey),
--- a/node/tests/accounts.rs
+++ b/node/tests/accounts.rs
@@ -102,16 +102,26 @@
 }
 
 #[tokio::test]
-async fn account_rank_overrides_route_rank() {
-    let set = Deployment::new().await;
-    let accounts = [("first", &["key-1"][..], Some(0)), ("last", &["key-2"][..], Some(3))];
-    set.store.put("config", "main", &with_accounts(1, &accounts));
-    let set = set.with_engines(0, 2).await.with_nodes(1).await;
-    for (id, key) in [("g1", "key-1"), ("g2", "key-2")] {
-        send(&set, "/count/a", id, key).await;
+async fn account_rank_precedes_route_rank() {
+    let accounts = [
+        ("first", &["key-1"][..], Some(0)),
+        ("last", &["key-2"][..], Some(3)),
+        ("other", &["key-3"][..], None),
+    ];
+    for (priority, expected) in [(0, ["0", "6", "0"]), (1, ["1", "7", "4"])] {
+        let set = Deployment::new().await;
+        let mut configuration = with_accounts(1, &accounts);
+        for route in configuration["routes"].as_array_mut().expect("routes") {
+            route["priority"] = json!(priority);
+        }
+        set.store.put("config", "main", &configuration);
+        let set = set.with_engines(0, 2).await.with_nodes(1).await;
+        for (id, key) in [("g1", "key-1"), ("g2", "key-2"), ("g3", "key-3")] {
+            send(&set, "/count/a", id, key).await;
+        }
+        let urgency = |id| seen(&set, id)[0].headers["request-priority"].clone();
+        assert_eq!(["g1", "g2", "g3"].map(urgency), expected, "route rank {priority}");
     }
-    let urgency = |id| seen(&set, id)[0].headers["request-priority"].clone();
-    assert_eq!([urgency("g1"), urgency("g2")], ["1", "5"]);
 }
 
 /// Guards against refusing a key that is newer than the node's configuration.
--- a/wire/src/schedule.rs
+++ b/wire/src/schedule.rs
@@ -29,8 +29,8 @@
 
 /// The first byte of a datagram, which is not a valid protobuf field key.
 pub const DATAGRAM_TYPE: u8 = 0;
-/// The maximum number of loads in a report, at up to 41 bytes each.
-pub const MAX_LOADS: usize = 16;
+/// The maximum number of loads in a report, at up to 59 bytes each.
+pub const MAX_LOADS: usize = 10;
 /// The maximum number of prompt readings in a report, at up to 25 bytes each.
 pub const MAX_READINGS: usize = 16;
 /// The maximum number of observations in a report, at up to 21 bytes each.
@@ -382,12 +382,7 @@
 }
 
 fn decode_class(class: u32) -> Result<Class, WireError> {
-    let rank = u8::try_from(class).map_err(|_| WireError::Value("class"))?;
-    match usize::from(rank) {
-        rank if rank == Class::LATE.index() => Ok(Class::LATE),
-        rank if rank < CLASSES => Ok(Class::of_rank(rank as u8)),
-        _ => Err(WireError::Value("class")),
-    }
+    u8::try_from(class).ok().and_then(Class::at).ok_or(WireError::Value("class"))
 }
 
 fn decode_runner(id: &str) -> Result<RunnerId, WireError> {
@@ -565,7 +560,7 @@
 /// The maximum accepted number of tokens of a node at a runner, which keeps sums in range.
 const MAX_TOKENS: u64 = 1 << 40;
 /// The maximum accepted number of requests of a node at a runner.
-const MAX_REQUESTS: u32 = 1 << 20;
+const MAX_REQUESTS: u32 = 1 << 18;
 
 fn decode_load(load: &pb::Load) -> Result<(Tag, Load), WireError> {
     let whole = [load.backlog.len(), load.unread.len(), load.requests.len()];
--- a/wire/tests/schedule.rs
+++ b/wire/tests/schedule.rs
@@ -9,7 +9,7 @@
 use sardinepick_lib::fleet::fingerprint::Fingerprint;
 use sardinepick_lib::fleet::health::Outcome;
 use sardinepick_lib::fleet::limit::{LimitReport, Rate};
-use sardinepick_lib::fleet::load::{Class, Load};
+use sardinepick_lib::fleet::load::{CLASSES, Class, Load};
 use sardinepick_lib::fleet::part_quarantine::{Answer, Mark};
 use sardinepick_lib::fleet::placement::{Placement, Plan};
 use sardinepick_lib::fleet::register::PrefillReport;
@@ -59,7 +59,12 @@
 }
 
 fn full_report() -> Report {
-    let load = Load { requests: [90; 4], backlog: [9_000; 4], prompts: [9; 4], tokens: 700_000 };
+    let load = Load {
+        requests: [90; CLASSES],
+        backlog: [9_000; CLASSES],
+        prompts: [9; CLASSES],
+        tokens: 700_000,
+    };
     let part = Part { key: ChainKey(u64::MAX), standalone_key: ChainKey(u64::MAX), tokens: 40_000 };
     let reading = |n| PrefillReport { runner: Tag(n), part, progress: Progress::Prefilled };
     let lesson = Observation::Prefill { predicted: 0.5, prefill: 0.125, seen: 0.25 };
@@ -177,8 +182,8 @@
 #[test]
 fn decode_excessive_load_bounded() {
     let mut excessive = full_report();
-    excessive.loads[0].1.requests = [u32::MAX; 4];
-    excessive.loads[0].1.backlog = [u64::MAX; 4];
+    excessive.loads[0].1.requests = [u32::MAX; CLASSES];
+    excessive.loads[0].1.backlog = [u64::MAX; CLASSES];
     let decoded = Schedule::decode(&Schedule::Report(excessive).encode()).expect("should decode");
     let Schedule::Report(decoded) = decoded else { panic!("expected a report") };
     let sum: u64 = decoded.loads.iter().map(|(_, load)| load.backlog.iter().sum::<u64>()).sum();
