usage: settle windows sooner, and count stopped nodes as complete

Three causes delayed windows of usage past their time. A window waited 3 s for nodes that were gone, so one removed node kept it from being settled before the store went down. A node that was stopped counted as missing until its next incarnation had started, so rolling restarts passed the limit of 3 %. And a holder whose lease had lapsed while the store was away waited 3.2 s for its own calls before it took the lease again.

Now a window whose missing share is tolerable is settled as soon as all nodes that are neither silent nor replaced have sent their counts; a stopping node sends a final mark until it is acknowledged; and the gap after an own lapsed term is measured from the end of that term.

--- a/lib/src/lease.rs
+++ b/lib/src/lease.rs
@@ -128,6 +128,8 @@
     from: Instant,
     /// The era in which the write was sent.
     era: Era,
+    /// The latest time at which this node can have acted as holder before the write.
+    active_until: Instant,
 }
 
 /// One node's view of a lease.
@@ -239,12 +241,14 @@
         } else {
             return None;
         };
+        let active_until = self.held_until.map_or(now, |until| until.min(now));
         if !self.is_own(&record) {
             // Give up authority before the release becomes visible.
             self.held_until = None;
         }
         record.era = self.era();
-        self.pending = Some(Pending { record: record.clone(), sent: now, from, era: record.era });
+        let era = record.era;
+        self.pending = Some(Pending { record: record.clone(), sent: now, from, era, active_until });
         Some(Action::Write { expected: seen.revision, record })
     }
 
@@ -414,6 +418,10 @@
                     self.held_from = Some(pending.from);
                 }
                 let revision = Some(revision);
+                // After a release, this node's last call was made within its last term, which may
+                // have ended while the store was away.
+                let predecessor_active_until =
+                    if self.is_own(&pending.record) { now } else { pending.active_until };
                 let record = pending.record;
                 let (era, is_void) = (pending.era, false);
                 self.seen = Some(Observed {
@@ -422,7 +430,7 @@
                     record,
                     is_void,
                     first_seen: now,
-                    predecessor_active_until: now,
+                    predecessor_active_until,
                 });
             }
             Written::Conflict => {
--- a/lib/src/usage/collection.rs
+++ b/lib/src/usage/collection.rs
@@ -10,7 +10,7 @@
 /// The share of nodes whose counts may be missing from a window that is still reported. A reported
 /// count may be off by 5 %, and the load is not spread evenly over the nodes.
 pub const MAX_MISSING_SHARE: f64 = 0.03;
-/// How long after its end a window waits for the counts of all nodes.
+/// How long after its end a window waits for the counts of all nodes that are not silent.
 const ALL_NODES_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long after its end a window waits for the missing share to fall to [`MAX_MISSING_SHARE`]. A
 /// later report is of less use to the platform.
@@ -60,6 +60,8 @@
     /// The number of nodes whose counts may be missing; fractional where only the last part of a
     /// node's counts may be.
     pub missing: f64,
+    /// Whether counts may still arrive from nodes that are neither silent nor replaced.
+    pub is_awaited: bool,
 }
 
 impl Total {
@@ -70,7 +72,7 @@
         }
         let is_tolerable = self.missing <= self.nodes as f64 * MAX_MISSING_SHARE;
         match is_tolerable {
-            true if after >= ALL_NODES_TIMEOUT => Verdict::Settle,
+            true if after >= ALL_NODES_TIMEOUT || !self.is_awaited => Verdict::Settle,
             false if after >= MOST_NODES_TIMEOUT => Verdict::Skip,
             _ => Verdict::Wait,
         }
@@ -94,6 +96,13 @@
     complete: Window,
 }
 
+impl InstanceState {
+    /// Whether it is neither silent nor replaced by a later incarnation.
+    fn is_present(&self) -> bool {
+        self.silent_since.is_none() && self.replaced_at.is_none()
+    }
+}
+
 /// The counts of all nodes. Times are durations since the Unix epoch.
 #[derive(Debug)]
 pub struct Collection {
@@ -167,11 +176,16 @@
             *node == self.me.node && incarnation == self.me.incarnation
         };
         let others = all.filter(|(node, (incarnation, _))| !is_me(node, **incarnation));
-        let of_known = others.map(|(_, (_, state))| missing_share(state, windows, window, now));
+        let mut is_awaited = false;
+        let of_known = others.map(|(_, (_, state))| {
+            let share = missing_share(state, windows, window, now);
+            is_awaited |= share > 0.0 && state.is_present();
+            share
+        });
         let unknown =
             lifetimes.iter().filter(|lifetime| self.may_follow_unknown(windows, window, lifetime));
         let missing = of_known.sum::<f64>() + unknown.count() as f64;
-        Total { counts, nodes: lifetimes.len(), missing }
+        Total { counts, nodes: lifetimes.len(), missing, is_awaited }
     }
 
     /// Whether `lifetime` may have replaced an incarnation with counts in `window` that this node never
--- a/lib/src/usage/tally.rs
+++ b/lib/src/usage/tally.rs
@@ -79,8 +79,13 @@
     round: u64,
     /// The current window as of the last round.
     newest: Window,
+    /// Whether this node counts no more requests.
+    is_closed: bool,
 }
 
+/// The completion mark of a node that counts no more requests.
+const ALL_WINDOWS: Window = Window(u64::MAX);
+
 impl Tally {
     /// Counts a request of `account` that started in `window`.
     pub fn record_request(&mut self, window: Window, account: &AccountId) {
@@ -90,6 +95,17 @@
         }
     }
 
+    /// Records that this node counts no more requests: its counts are complete once they are
+    /// delivered, and no window has to wait for its next incarnation.
+    pub fn close(&mut self) {
+        self.is_closed = true;
+    }
+
+    /// Whether all collectors have acknowledged that the counts of a closed tally are complete.
+    pub fn is_delivered(&self) -> bool {
+        self.is_closed && self.deliveries.values().all(|d| d.complete == ALL_WINDOWS)
+    }
+
     /// The counts of a window.
     pub fn counts(&self, window: Window) -> Option<&Counts> {
         self.windows.get(&window)
@@ -123,7 +139,7 @@
     /// The messages to send to `collector` in this round: the changed counts and, once all earlier
     /// windows have been delivered, the mark that they are complete.
     pub fn messages(&mut self, collector: &NodeInstance) -> Vec<Message> {
-        let newest = self.newest;
+        let newest = if self.is_closed { ALL_WINDOWS } else { self.newest };
         let Some(delivery) = self.deliveries.get_mut(collector) else { return Vec::new() };
         let keys: Vec<Key> = std::mem::take(&mut delivery.changed).into_iter().collect();
         let mut batches: Vec<&[Key]> = keys.chunks(MAX_COUNTS_PER_MESSAGE).collect();
--- a/lib/tests/lease.rs
+++ b/lib/tests/lease.rs
@@ -97,3 +97,47 @@
     assert_eq!(lease.authority(later), None);
     assert_eq!(lease.holding(later), None);
 }
+
+/// Releases a held lease at `now + after` and takes it again at once. Returns the lease and the
+/// time at which it was taken.
+fn released_and_taken(now: Instant, after: Duration) -> (Lease, Instant) {
+    let (mut lease, _) = held_lease(now);
+    let later = now + after;
+    let release = lease.poll(later, TERM, false, |_| false);
+    assert!(matches!(&release, Some(Action::Write { record, .. }) if record.holder.is_none()));
+    lease.on_written(later, TERM, Written::Done(Point::new(Era(1), 40)));
+    let take = lease.poll(later, TERM, true, |_| false);
+    assert!(matches!(&take, Some(Action::Write { record, .. }) if record.holder.is_some()));
+    lease.on_written(later, TERM, Written::Done(Point::new(Era(1), 41)));
+    (lease, later)
+}
+
+/// Guards against a holder that waits for its own calls after an outage of the store: its last term
+/// had ended seconds before, and duties were late by the gap between two holders.
+#[test]
+fn poll_own_lapsed_lease_taken_without_gap() {
+    let (lease, taken) = released_and_taken(Instant::now(), TERM.ttl + TERM.margin);
+    assert!(lease.authority(taken).is_some());
+}
+
+/// Renews a lease every second until `until`.
+fn renew_until(lease: &mut Lease, taken: Instant, until: Instant) {
+    let times = (1..).map(|seconds| taken + MS * 1_000 * seconds).take_while(|at| *at < until);
+    for (beat, at) in times.enumerate() {
+        let renewal = lease.poll(at, TERM, true, |_| false);
+        assert!(matches!(renewal, Some(Action::Write { .. })), "{renewal:?}");
+        lease.on_written(at, TERM, Written::Done(Point::new(Era(1), 50 + beat as u64)));
+    }
+}
+
+/// A call of a term that has not ended, or ended a moment ago, may still be in flight.
+#[test]
+fn poll_own_lease_released_recently_taken_with_gap() {
+    // Released within its term, and 100 ms after it.
+    for (after, gap) in [(MS * 100, TERM.margin), (TERM.ttl + MS * 100, TERM.margin - MS * 100)] {
+        let (mut lease, taken) = released_and_taken(Instant::now(), after);
+        renew_until(&mut lease, taken, taken + gap);
+        assert_eq!(lease.authority(taken + gap - MS), None);
+        assert!(lease.authority(taken + gap).is_some());
+    }
+}
--- a/lib/tests/usage.rs
+++ b/lib/tests/usage.rs
@@ -220,6 +220,60 @@
     assert_eq!(total(&one_silent, Window(14), None, &lifetimes).missing, 0.0);
 }
 
+/// Guards against windows that wait, or are skipped, for nodes that were stopped in turn: each was
+/// counted as missing until its next incarnation had started.
+#[test]
+fn total_stopped_node_with_delivered_counts_not_missing() {
+    let (mut collection, window) = (collection(S), Window(10));
+    let lifetimes = [lifetime("a", 1, 1, None), lifetime("me", 3, 1, None)];
+    collection.update_lifetimes(window, &lifetimes);
+    let mut tally = Tally::default();
+    let to = collector("me", 3);
+    tally.record_request(window, &account("x"));
+    tally.close();
+    tally.begin_round(window, std::slice::from_ref(&to));
+    let messages = tally.messages(&to);
+    assert!(!tally.is_delivered());
+    for message in messages {
+        tally.acknowledge(&to, message.number);
+        collection.apply(&collector("a", 1), message, S * 53);
+    }
+    assert!(tally.is_delivered());
+    let missing = |collection: &mut Collection, stopped: NodeLifetime| {
+        let lifetimes = [stopped, lifetime("me", 3, 1, None)];
+        collection.update_lifetimes(window, &lifetimes);
+        let total = total(collection, window, None, &lifetimes);
+        assert_eq!(total.counts, counts(&[("x", 1)]));
+        total.missing
+    };
+    assert_eq!(missing(&mut collection, lifetime("a", 1, 1, Some(54))), 0.0);
+    assert_eq!(missing(&mut collection, lifetime("a", 2, 54, None)), 1.0, "the next one counts");
+    apply_complete(&mut collection, "a", 2, 11);
+    assert_eq!(missing(&mut collection, lifetime("a", 2, 54, None)), 0.0);
+}
+
+/// Guards against windows that wait for nodes that are gone. One removed node delayed each window
+/// by seconds, and those that ended before the store went down were not settled in time.
+#[test]
+fn verdict_only_silent_nodes_missing_settles_at_once() {
+    let mut collection = collection(S);
+    let names: Vec<String> = (0..40).map(|n| format!("n{n}")).collect();
+    let lifetimes = |gone: usize| -> Vec<NodeLifetime> {
+        let of = |(at, name): (usize, &String)| lifetime(name, 1, 1, (at < gone).then_some(51));
+        names.iter().enumerate().map(of).chain([lifetime("me", 3, 1, None)]).collect()
+    };
+    let verdict = |collection: &mut Collection, gone: usize, complete: usize| {
+        collection.update_lifetimes(Window(10), &lifetimes(gone));
+        for name in names.iter().rev().take(complete) {
+            apply_complete(collection, name, 1, 11);
+        }
+        total(collection, Window(10), None, &lifetimes(gone)).verdict(S)
+    };
+    assert_eq!(verdict(&mut collection, 1, 38), Verdict::Wait, "one may still send");
+    assert_eq!(verdict(&mut collection, 3, 38), Verdict::Wait, "too many are gone");
+    assert_eq!(verdict(&mut collection, 1, 39), Verdict::Settle);
+}
+
 #[test]
 fn total_new_node_nothing_missing() {
     let mut collection = collection(S);
--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -48,6 +48,9 @@
 const CLOSE_AFTER: f64 = 0.42;
 /// The fraction of the grace period after which the node aborts requests in progress.
 const ABORT_AFTER: f64 = 0.96;
+/// The fraction of the grace period after which the node exits although its usage counts are not
+/// acknowledged.
+const EXIT_AFTER: f64 = 0.98;
 /// How often a stopping node checks for requests in progress.
 const STOP_CHECK_PERIOD: Duration = Duration::from_millis(20);
 
@@ -212,7 +215,7 @@
                 break;
             }
         }
-        self.count_sender.send_counts().await;
+        self.count_sender.close(began + grace.mul_f64(EXIT_AFTER)).await;
         // A connection that is still open waits for its response, or for the rest of it.
         let cut = in_progress().max(u64::try_from(open.get()).unwrap_or(0));
         log::info!(node:% = shared.me.id, cut = cut; "stopped");
--- a/node/src/usage/mod.rs
+++ b/node/src/usage/mod.rs
@@ -80,6 +80,16 @@
         state.tally.record_request(window, account);
     }
 
+    /// Records that this node counts no more requests.
+    fn close(&self) {
+        self.state().tally.close();
+    }
+
+    /// Whether all counts of this node, which has closed, have been delivered.
+    fn is_delivered(&self) -> bool {
+        self.windows.is_none() || self.state().tally.is_delivered()
+    }
+
     /// Advances to the current window, and returns the messages to send to each collector.
     fn pending_messages(
         &self,
--- a/node/src/usage/sender.rs
+++ b/node/src/usage/sender.rs
@@ -6,7 +6,7 @@
 
 use sardinepick_wire::usage::{Body, Usage as Datagram};
 use tokio::net::UdpSocket;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::Usage;
 use crate::duty::view::Views;
@@ -16,6 +16,10 @@
 /// average half of this period, out of a window of several seconds.
 const SEND_PERIOD: Duration = Duration::from_millis(250);
 
+/// How often the last counts of a stopping node are sent: several times within the rest of its
+/// grace period, and longer than a round trip between nodes.
+const CLOSE_PERIOD: Duration = Duration::from_millis(30);
+
 /// Sends the counts of one node.
 #[derive(Clone)]
 pub struct CountSender {
@@ -38,6 +42,20 @@
         }
     }
 
+    /// Sends the last counts of a node that stops, until the collectors have acknowledged them or
+    /// `deadline` has passed. Without the acknowledged end, each window would count the node as
+    /// missing until its next incarnation starts.
+    pub async fn close(&self, deadline: Instant) {
+        self.usage.close();
+        loop {
+            self.send_counts().await;
+            sleep(CLOSE_PERIOD).await;
+            if self.usage.is_delivered() || Instant::now() >= deadline {
+                return;
+            }
+        }
+    }
+
     /// Sends the counts that the collectors have not acknowledged.
     pub async fn send_counts(&self) {
         let Some(windows) = self.usage.windows else { return };
