--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 pub mod health;
 pub mod limit;
 pub mod load;
+pub mod model;
 pub mod outage;
 pub mod outbox;
 pub mod part;
--- /dev/null
+++ b/lib/src/fleet/model/deviation.rs
@@ -0,0 +1,89 @@
+//! The deviation of one runner from its group.
+
+use super::Group;
+
+/// How much longer work takes on a runner than the terms say, as a logarithm.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Deviation {
+    log: f64,
+    /// The weight of the observations so far.
+    evidence: f64,
+    /// The sum of the latest errors in one direction.
+    run: f64,
+}
+
+/// One observation: its predicted time by the terms alone, and the observed time, in seconds.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sample {
+    /// What does not depend on the runner's speed.
+    pub(super) fixed: f64,
+    /// What does.
+    pub(super) scaled: f64,
+    /// The observed time.
+    pub(super) seen: f64,
+}
+
+/// The evidence that the value of the group counts for.
+const INHERITED: f64 = 3.0;
+/// The smallest gain of an observation.
+const GAIN: f64 = 0.12;
+/// The bound of the error of one observation, as a logarithm. A stall takes ten times as long as
+/// predicted.
+const ERROR_LIMIT: f64 = 0.5;
+/// The error from which an observation counts towards a change; smaller ones are noise.
+const NOISE: f64 = 0.25;
+/// The sum of errors in one direction from which the runner has changed: three observations with
+/// the largest error that counts. A runner gets two or more prompts a second, and a change must be
+/// followed within three seconds.
+const CHANGED: f64 = 1.2;
+/// The gain and the bound of the error while the runner is changing.
+const CHANGING: (f64, f64) = (0.6, 1.7);
+/// The range of the factor.
+const RANGE: (f64, f64) = (0.2, 12.0);
+
+impl Deviation {
+    /// The factor by which work takes longer than the terms say.
+    pub fn factor(&self, group: Group) -> f64 {
+        self.log(group).exp()
+    }
+
+    fn log(&self, group: Group) -> f64 {
+        let inherited = INHERITED / (INHERITED + self.evidence);
+        group.mean() * inherited + self.log * (1.0 - inherited)
+    }
+
+    /// Learns from an observation. Its weight is the part of the time that depends on the runner's
+    /// speed.
+    pub(super) fn learn(&mut self, group: Group, sample: &Sample) {
+        let before = self.log(group);
+        let scaled = sample.scaled * before.exp();
+        if scaled <= 0.0 {
+            return;
+        }
+        let weight = scaled / (sample.fixed + scaled);
+        let error = (sample.seen / (sample.fixed + scaled)).ln();
+        self.note_run(error * weight);
+        let (gain, limit) = if self.run.abs() > CHANGED {
+            CHANGING
+        } else {
+            (GAIN.max(1.0 / (self.evidence + INHERITED + 1.0)), ERROR_LIMIT)
+        };
+        let target =
+            (before + error.clamp(-limit, limit) * gain * weight).clamp(RANGE.0.ln(), RANGE.1.ln());
+        self.evidence = (self.evidence + weight).min(INHERITED / GAIN);
+        // The value that yields the target together with what is inherited.
+        let inherited = INHERITED / (INHERITED + self.evidence);
+        self.log = (target - group.mean() * inherited) / (1.0 - inherited);
+    }
+
+    fn note_run(&mut self, error: f64) {
+        let error = error.clamp(-ERROR_LIMIT, ERROR_LIMIT);
+        if error.abs() < NOISE {
+            self.run /= 2.0;
+        } else if error * self.run < 0.0 {
+            self.run = error;
+        } else {
+            self.run += error;
+        }
+    }
+}
