model: carry the basis of predictions to nodes and back, and learn from it

A placement carries what its prediction is based on, and the observation returns it with the observed time. With the setting [runner_model] enabled the register learns from it, and its runners answer by the model. A node without the setting predicts as before.

A report holds six observations instead of twelve, so that it stays within one datagram; more go into further reports.

--- a/lib/src/fleet/model/basis.rs
+++ b/lib/src/fleet/model/basis.rs
@@ -31,6 +31,11 @@
 pub(super) type Features = [f64; TERMS];
 
 impl Basis {
+    /// That of no work on an idle runner.
+    pub fn none(stage: Stage) -> Self {
+        Self { stage, fresh: 0, cached: 0, ahead: 0, prompts: 0, running: 0, extra: 0.0 }
+    }
+
     /// Tokens that are prefilled until the work's own prompt has been prefilled.
     fn tokens(&self) -> f64 {
         (self.fresh + self.ahead) as f64
--- a/lib/src/fleet/model/mod.rs
+++ b/lib/src/fleet/model/mod.rs
@@ -8,6 +8,7 @@
 mod basis;
 mod deviation;
 mod group;
+mod models;
 mod quantile;
 mod regression;
 mod terms;
@@ -18,6 +19,7 @@
 pub use basis::Basis;
 pub use deviation::Deviation;
 pub use group::Group;
+pub use models::{Models, Sample};
 pub use quantile::Spread;
 pub use terms::{Forecast, Rates, Terms};
 
--- a/lib/src/fleet/model/terms.rs
+++ b/lib/src/fleet/model/terms.rs
@@ -43,6 +43,18 @@
         (self.0[0] + f64::from(basis.extra), scaled)
     }
 
+    /// The time to prefill the prompts of `basis` on a runner of the usual speed, in seconds, without
+    /// the step that yields the result.
+    pub fn prefill(&self, basis: &Basis) -> f64 {
+        let features = basis.features();
+        [1, 2, 3, 5].iter().map(|&i| self.0[i] * features[i]).sum()
+    }
+
+    /// The time of one step with `running` requests on a runner of the usual speed, in seconds.
+    pub fn step(&self, running: u32) -> f64 {
+        self.0[3] + f64::from(running) * self.0[4]
+    }
+
     /// The fixed time from the arrival of a prompt to its first result, in seconds.
     pub fn start(&self) -> f64 {
         self.0[0]
@@ -61,7 +73,7 @@
 }
 
 /// The predicted times of a piece of work on a runner, in seconds from now.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Forecast {
     /// When its prefill starts.
     pub prefill_start: f64,
@@ -74,11 +86,16 @@
 }
 
 impl Rates {
+    /// The factor by which work takes longer on a runner with `deviation` than the terms say.
+    pub fn factor(&self, deviation: &Deviation) -> f64 {
+        deviation.factor(self.group)
+    }
+
     /// The predicted times of the work of `basis` on a runner with `deviation`.
     pub fn forecast(&self, deviation: &Deviation, basis: &Basis) -> Forecast {
-        let factor = deviation.factor(self.group);
+        let factor = self.factor(deviation);
         let queued = Basis { fresh: 0, cached: 0, ..*basis };
-        let prefill_start = self.terms.split(&queued).1 * factor;
+        let prefill_start = self.terms.prefill(&queued) * factor;
         let (fixed, scaled) = self.terms.split(basis);
         let prefill_end = scaled * factor;
         let first_event = fixed + prefill_end;
--- a/lib/src/fleet/placement.rs
+++ b/lib/src/fleet/placement.rs
@@ -15,6 +15,7 @@
 
 use super::engine::{Engine, Stage, Work, prefill_time, startup_latency};
 use super::load::{Class, Load};
+use super::model::Basis;
 use super::pool::Pool;
 use super::register::Register;
 use super::runner::Runner;
@@ -55,6 +56,9 @@
     pub prefill_tokens: u64,
     /// The runner from which to fetch the KV cache of the prompt, if that saves prefill.
     pub fetch: Option<RunnerId>,
+    /// What the model based the prediction on; `None` if it was not made by the model. It returns
+    /// with the observed time.
+    pub basis: Option<Basis>,
 }
 
 /// The parameters of a placement.
@@ -170,6 +174,8 @@
     fn first_event(&self) -> f64 {
         let interleaved = if self.is_idle() {
             0.0
+        } else if self.runner.rates.is_some() {
+            self.runner.prefill_time(&Load::default(), INTERLEAVED_TOKENS, 0)
         } else {
             prefill_time(Stage::Decode, INTERLEAVED_TOKENS, 0, 0)
         };
@@ -186,6 +192,7 @@
     prefill_start: f64,
     prefill_tokens: u64,
     fetch: Option<&'b RunnerId>,
+    basis: Option<Basis>,
     /// The cost by which candidates are compared, in seconds.
     rank: f64,
 }
@@ -200,6 +207,7 @@
             prefill_start,
             prefill_tokens,
             fetch: self.fetch.cloned(),
+            basis: self.basis,
         }
     }
 }
@@ -255,11 +263,40 @@
         fetch = Some(&holder.runner.entry.id);
     }
     let prefill_tokens = work.prompt - cached;
+    if let Some(basis) = at.runner.basis(&at.load, criteria.class, prefill_tokens, cached) {
+        let basis = Basis { extra: fetching as f32, ..basis };
+        return forecast_prefill(at, criteria, basis, fetch, draw);
+    }
     let time = at.runner.prefill_time(&at.load, prefill_tokens, cached) + fetching;
     let prefill_start = at.runner.wait(&at.load, criteria.class);
     let prefill_end = prefill_start + time + startup_latency();
     let rank = prefill_end + time * QUEUEING_WEIGHT + at.cost(criteria, draw);
-    PrefillEstimate { at, prefill_end, prefill_start, prefill_tokens, fetch, rank }
+    let basis = None;
+    PrefillEstimate { at, prefill_end, prefill_start, prefill_tokens, fetch, basis, rank }
+}
+
+/// Estimates a prefill by the model.
+fn forecast_prefill<'a, 'b>(
+    at: &'b Candidate<'a>,
+    criteria: &Criteria<'_>,
+    basis: Basis,
+    fetch: Option<&'b RunnerId>,
+    draw: f64,
+) -> PrefillEstimate<'a, 'b> {
+    let time = at.runner.prefill_time(&at.load, basis.fresh, basis.cached) + f64::from(basis.extra);
+    let forecast = at.runner.forecast(&basis).unwrap_or_default();
+    let (prefill_start, prefill_end) = (forecast.prefill_start, forecast.first_event);
+    let rank = prefill_end + time * QUEUEING_WEIGHT + at.cost(criteria, draw);
+    let prefill_tokens = basis.fresh;
+    PrefillEstimate {
+        at,
+        prefill_end,
+        prefill_start,
+        prefill_tokens,
+        fetch,
+        basis: Some(basis),
+        rank,
+    }
 }
 
 /// The candidates of a service by role.
@@ -477,9 +514,16 @@
     let whole = wholes
         .iter()
         .map(|c| {
-            let estimate = estimate_prefill(c, criteria, &inputs, rng.random());
-            let first =
-                c.first_event() + c.runner.wait_for_slot(&c.load, criteria.class, engine.slots);
+            let mut estimate = estimate_prefill(c, criteria, &inputs, rng.random());
+            let slot = c.runner.wait_for_slot(&c.load, criteria.class, engine.slots);
+            let first = match &mut estimate.basis {
+                // The model predicts the first event as a whole.
+                Some(basis) => {
+                    basis.extra += slot as f32;
+                    slot
+                }
+                None => c.first_event() + slot,
+            };
             (estimate.rank + first, estimate.prefill_end + first, estimate)
         })
         .min_by(|a, b| a.0.total_cmp(&b.0));
@@ -579,7 +623,11 @@
     let Some(at) = affinity_runners.iter().position(|r| *r == id) else { return 0.0 };
     let cached = inputs.cache_holder.as_ref().map_or(0, |holder| holder.tokens);
     let missing = inputs.work.chain.shared().saturating_sub(cached);
-    let time = prefill_time(Stage::Prefill, missing, cached, 0);
+    let time = if estimate.basis.is_some() {
+        estimate.at.runner.prefill_time(&Load::default(), missing, cached)
+    } else {
+        prefill_time(Stage::Prefill, missing, cached, 0)
+    };
     let full_bonus = AFFINITY_BONUS.0 + AFFINITY_BONUS.1 * time;
     full_bonus * (1.0 - at as f64 / AFFINITY_RUNNERS as f64)
 }
--- a/lib/src/fleet/register.rs
+++ b/lib/src/fleet/register.rs
@@ -20,8 +20,10 @@
 use super::engine::{Pace, Work};
 use super::health::Record;
 use super::load::{Class, Load};
+use super::model::{Deviation, Models, Sample};
 use super::pool::{self, Pool};
 use super::runner::{Closed, Entry, Registration, Runner, State, Tag};
+use super::scheduler::Observation;
 use super::stream_binding::history::NEW_VERSION_DELAY;
 use super::version::Version;
 use crate::history::Point;
@@ -72,9 +74,50 @@
     pools: HashMap<ServiceId, u16>,
     /// Whether runners have joined, left or changed their stage since the pools were last assigned.
     pools_outdated: bool,
+    /// The models of runners; `None` if they are not enabled.
+    models: Option<Models>,
 }
 
 impl Register {
+    /// Predicts by the models of runners from now on.
+    pub fn enable_models(&mut self) {
+        let models = self.models.get_or_insert_default();
+        for runner in self.runners.values_mut() {
+            adopt_rates(runner, models);
+        }
+    }
+
+    /// The models of runners, if they are enabled.
+    pub fn models(&self) -> Option<&Models> {
+        self.models.as_ref()
+    }
+
+    /// Learns from work at the runner with a tag.
+    pub fn learn(&mut self, tag: Tag, observation: Observation, now: Instant) {
+        let Some(runner) = self.tags.get(&tag).and_then(|id| self.runners.get_mut(id)) else {
+            return;
+        };
+        runner.learn(observation, now);
+        let Observation::Prefill { seen, basis: Some(basis), .. } = observation else { return };
+        let Some(models) = &mut self.models else { return };
+        // The work may have been placed before the runner changed its stage.
+        if runner.entry.stage != Some(basis.stage) {
+            return;
+        }
+        let Entry { service, version, .. } = &runner.entry;
+        let failure_rate = runner.health.failure_rate();
+        let sample = Sample { service, version, failure_rate, basis: &basis, seen };
+        let Some(rates) = models.learn(&sample, &mut runner.deviation, now) else { return };
+        let (service, version) = (service.clone(), version.clone());
+        for other in self.runners.values_mut() {
+            let entry = &other.entry;
+            let same = entry.stage == Some(basis.stage) && entry.service == service;
+            if same && entry.version == version {
+                other.rates = Some(rates);
+            }
+        }
+    }
+
     /// Applies an entry. An entry that is older than the known one, or of a former incarnation, has
     /// no effect.
     pub fn apply(&mut self, entry: Entry) -> Change {
@@ -119,6 +162,10 @@
         if stage_changed {
             // What was learned about it in its former stage does not apply to the new one.
             runner.pace = Pace::default();
+            runner.deviation = Deviation::default();
+            if let Some(models) = &mut self.models {
+                adopt_rates(runner, models);
+            }
             runner.health = Record::default();
             runner.cache.clear();
             runner.reserved = None;
@@ -148,7 +195,11 @@
         self.registrations += 1;
         self.pools_outdated = true;
         self.tags.insert(entry.tag(), entry.id.clone());
-        self.runners.insert(entry.id.clone(), Runner::new(entry, self.registrations));
+        let mut runner = Runner::new(entry, self.registrations);
+        if let Some(models) = &mut self.models {
+            adopt_rates(&mut runner, models);
+        }
+        self.runners.insert(runner.entry.id.clone(), runner);
     }
 
     /// Handles the removal of an entry. If `doubt` is set, because the store was unavailable, the
@@ -371,6 +422,12 @@
     }
 }
 
+/// Sets what the model says of runners of its kind.
+fn adopt_rates(runner: &mut Runner, models: &mut Models) {
+    let Entry { service, stage, version, .. } = &runner.entry;
+    runner.rates = stage.map(|stage| models.rates(service, stage, version));
+}
+
 /// The resources that one piece of work takes of a runner.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct WorkCost {
--- a/lib/src/fleet/runner.rs
+++ b/lib/src/fleet/runner.rs
@@ -11,6 +11,7 @@
 use super::health::Record;
 use super::limit::Limit;
 use super::load::{Class, Load, RemoteLoads};
+use super::model::{Basis, Deviation, Forecast, Rates};
 use super::pool::Pool;
 use super::version::Version;
 use crate::hash::stable_hash;
@@ -122,6 +123,11 @@
     pub cache: Cache,
     /// How its speed differs from the engine model.
     pub pace: Pace,
+    /// What the model says of runners of its kind; `None` if the model is not enabled or the runner
+    /// has no stage.
+    pub rates: Option<Rates>,
+    /// How its speed differs from them.
+    pub deviation: Deviation,
     /// The mean time of a plain answer, in seconds.
     pub answer_time: f64,
     /// The mean time for which a stream holds its batch slot, in seconds.
@@ -178,6 +184,8 @@
             others: RemoteLoads::default(),
             cache: Cache::default(),
             pace: Pace::default(),
+            rates: None,
+            deviation: Deviation::default(),
             answer_time: INITIAL_ANSWER_TIME,
             stream_time: INITIAL_STREAM_TIME,
             reserved: None,
@@ -241,6 +249,10 @@
     /// Prefill rate, in tokens per second.
     pub fn prefill_rate(&self) -> f64 {
         let Some(stage) = self.entry.stage else { return 1.0 };
+        let basis = Basis { fresh: RATE_SAMPLE, running: self.own.total(), ..Basis::none(stage) };
+        if let Some(time) = self.scaled_time(&basis) {
+            return RATE_SAMPLE as f64 / time;
+        }
         let time = prefill_time(stage, RATE_SAMPLE, 0, self.own.total());
         RATE_SAMPLE as f64 / (time * self.pace.factor())
     }
@@ -256,6 +268,9 @@
     /// at least one step, however short it is: twenty lookups of 300 tokens take as long as one
     /// prompt with twice their tokens.
     pub fn wait(&self, load: &Load, class: Class) -> f64 {
+        if let Some(forecast) = self.basis(load, class, 0, 0).and_then(|b| self.forecast(&b)) {
+            return forecast.prefill_start;
+        }
         let tokens = load.tokens_ahead(class) + load.residual_prefill(class);
         let steps = f64::from(load.prompts_ahead(class)) * step_time(0) * self.pace.factor();
         tokens as f64 / self.prefill_rate() + steps
@@ -264,11 +279,19 @@
     /// The prefill time of `uncached` tokens after `cached` ones, in seconds.
     pub fn prefill_time(&self, load: &Load, uncached: u64, cached: u64) -> f64 {
         let Some(stage) = self.entry.stage else { return 0.0 };
+        let basis = Basis { fresh: uncached, cached, ..Basis::none(stage) };
+        let basis = Basis { running: load.total(), ..basis };
+        if let Some(time) = self.scaled_time(&basis) {
+            return time;
+        }
         prefill_time(stage, uncached, cached, load.total()) * self.pace.factor()
     }
 
     /// The duration of one step, in seconds.
     pub fn step(&self, load: &Load) -> f64 {
+        if let Some(rates) = &self.rates {
+            return rates.terms.step(load.total()) * rates.factor(&self.deviation);
+        }
         step_time(load.total()) * self.pace.factor()
     }
 
@@ -285,9 +308,36 @@
         f64::from(ahead) * self.stream_time / f64::from(slots.max(1))
     }
 
+    /// What a prediction for a prompt of `class` is based on, if it is made by the model.
+    pub fn basis(&self, load: &Load, class: Class, uncached: u64, cached: u64) -> Option<Basis> {
+        let stage = self.entry.stage.filter(|_| self.rates.is_some())?;
+        Some(Basis {
+            stage,
+            fresh: uncached,
+            cached,
+            ahead: load.tokens_ahead(class) + load.residual_prefill(class),
+            prompts: load.prompts_ahead(class),
+            running: load.total(),
+            extra: 0.0,
+        })
+    }
+
+    /// The times that the model predicts, if it is enabled.
+    pub fn forecast(&self, basis: &Basis) -> Option<Forecast> {
+        self.rates.as_ref().map(|rates| rates.forecast(&self.deviation, basis))
+    }
+
+    /// The part of the time of `basis` that depends on the speed of the runner, without that of a
+    /// single step.
+    fn scaled_time(&self, basis: &Basis) -> Option<f64> {
+        let rates = self.rates.as_ref()?;
+        Some(rates.terms.prefill(basis) * rates.factor(&self.deviation))
+    }
+
     /// Learns from a stream that took `seconds` from its first event to its last.
     pub fn learn_stream(&mut self, seconds: f64) {
-        self.stream_time += (seconds + startup_latency() - self.stream_time) * TIME_GAIN;
+        let start = self.rates.map_or_else(startup_latency, |rates| rates.terms.start());
+        self.stream_time += (seconds + start - self.stream_time) * TIME_GAIN;
     }
 
     /// Learns from a plain answer that took `seconds`.
--- a/lib/src/fleet/scheduler.rs
+++ b/lib/src/fleet/scheduler.rs
@@ -19,6 +19,7 @@
 use super::engine::{Engine, Work, startup_latency};
 use super::health::Outcome;
 use super::load::Class;
+use super::model::Basis;
 use super::placement::{self, Criteria, Placement, Plan, Plans};
 use super::pool::Pool;
 use super::register::{Register, WorkCost};
@@ -256,6 +257,9 @@
         prefill: f64,
         /// The observed duration.
         seen: f64,
+        /// What the model based its prediction on. Nodes that do not know it omit it; the model
+        /// learns nothing from such an observation.
+        basis: Option<Basis>,
     },
     /// The duration of a stream from its first event to its last, in seconds.
     Stream(f64),
@@ -268,15 +272,15 @@
     /// `predicted` seconds and took `seen` seconds.
     pub fn observation(&self, predicted: f64, seen: f64) -> Observation {
         let prefill = (self.prefill_end - self.prefill_start - startup_latency()).max(0.0);
-        Observation::Prefill { predicted, prefill, seen }
+        Observation::Prefill { predicted, prefill, seen, basis: self.basis }
     }
 }
 
 impl Runner {
-    /// Updates the estimates of the runner.
+    /// Updates the estimates of the runner, without the model.
     pub fn learn(&mut self, observation: Observation, now: Instant) {
         match observation {
-            Observation::Prefill { predicted, prefill, seen } => {
+            Observation::Prefill { predicted, prefill, seen, .. } => {
                 self.pace.learn(predicted, prefill, seen);
             }
             Observation::Stream(seconds) => self.learn_stream(seconds),
--- /dev/null
+++ b/lib/tests/model_register.rs
@@ -0,0 +1,155 @@
+//! Tests of the runner models of a register.
+
+use std::time::{Duration, Instant};
+
+use sardinepick_lib::fleet::engine::Stage;
+use sardinepick_lib::fleet::health::Outcome;
+use sardinepick_lib::fleet::load::{Class, Load};
+use sardinepick_lib::fleet::model::Basis;
+use sardinepick_lib::fleet::register::{Change, Register};
+use sardinepick_lib::fleet::runner::{Entry, Runner, State, Tag};
+use sardinepick_lib::fleet::scheduler::Observation;
+use sardinepick_lib::history::Point;
+use sardinepick_lib::id::{RunnerId, StartTime};
+
+const RUNNERS: usize = 6;
+const MS: Duration = Duration::from_millis(1);
+
+fn id(at: usize) -> RunnerId {
+    format!("i-{at:x}").parse().expect("an id")
+}
+
+fn entry(at: usize, written: u64) -> Entry {
+    Entry {
+        id: id(at),
+        born: Some(StartTime(1)),
+        service: "telraad".parse().expect("an id"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        data_centre: "zaal-dom".parse().expect("an id"),
+        state: State::Ready,
+        stage: Some(Stage::Prefill),
+        slots: 64,
+        version: Default::default(),
+        reclaimable: false,
+        writes: written,
+        at: Point::without_era(written),
+    }
+}
+
+fn register() -> Register {
+    let mut register = Register::default();
+    (0..RUNNERS).for_each(|at| {
+        register.apply(entry(at, 1));
+    });
+    register
+}
+
+fn runner(register: &Register, at: usize) -> &Runner {
+    register.get(&id(at)).expect("known")
+}
+
+fn observation(fresh: u64, seen: f64, basis: bool) -> Observation {
+    let made = Basis { fresh, ..Basis::none(Stage::Prefill) };
+    let basis = basis.then_some(made);
+    Observation::Prefill { predicted: 0.1, prefill: 0.05, seen, basis }
+}
+
+/// Lets each runner prefill prompts of several sizes at 40,000 tokens per second, `factors` times
+/// as slowly.
+fn teach(register: &mut Register, factors: [f64; RUNNERS], now: &mut Instant) {
+    for round in 0..40_u64 {
+        for (at, factor) in factors.iter().enumerate() {
+            let fresh = 1_000 + round % 8 * 2_000;
+            let seen = 0.02 + fresh as f64 / 40_000.0 * factor;
+            register.learn(runner(register, at).entry.tag(), observation(fresh, seen, true), *now);
+            *now += MS * 30;
+        }
+    }
+}
+
+fn prefill_time(runner: &Runner) -> f64 {
+    runner.prefill_time(&Load::default(), 8_000, 0)
+}
+
+#[test]
+fn learn_enabled_runners_answer_by_model() {
+    let (mut register, mut now) = (register(), Instant::now());
+    register.enable_models();
+    teach(&mut register, [1.0, 1.0, 1.0, 1.0, 1.0, 3.0], &mut now);
+    for (at, expected) in [(0, 0.2), (5, 0.6)] {
+        let runner = runner(&register, at);
+        let time = prefill_time(runner);
+        assert!((time / expected - 1.0).abs() < 0.2, "{at}: {time} for {expected}");
+        let rate = runner.prefill_rate();
+        assert!((rate / (8_000.0 / expected) - 1.0).abs() < 0.25, "{at}: {rate}");
+        let mut load = Load::default();
+        load.backlog[1] = 8_000;
+        load.prompts[1] = 1;
+        let wait = runner.wait(&load, Class::of_rank(1));
+        assert!((wait / expected - 1.0).abs() < 0.35, "{at}: {wait}");
+    }
+}
+
+/// Guards against a node without the setting that predicts otherwise than before.
+#[test]
+fn learn_disabled_constants_answer() {
+    let (mut register, mut now) = (register(), Instant::now());
+    let before = prefill_time(runner(&register, 0));
+    teach(&mut register, [1.0; RUNNERS], &mut now);
+    let after = runner(&register, 0);
+    assert!(after.rates.is_none() && register.models().is_none());
+    assert_eq!(prefill_time(after), before * after.pace.factor());
+    assert!(after.basis(&Load::default(), Class::LATE, 1_000, 0).is_none());
+}
+
+/// Guards against a runner that fails at once and so seems fast, which gets all work.
+#[test]
+fn learn_fast_with_errors_not_fast() {
+    let (mut register, mut now) = (register(), Instant::now());
+    register.enable_models();
+    teach(&mut register, [1.0; RUNNERS], &mut now);
+    let before = prefill_time(runner(&register, 2));
+    let tag = runner(&register, 2).entry.tag();
+    for n in 0..200 {
+        let outcome = if n % 3 == 0 { Outcome::Answered } else { Outcome::Failed };
+        register.learn(tag, Observation::Outcome(outcome), now);
+        if outcome == Outcome::Answered {
+            register.learn(tag, observation(8_000, 0.002, true), now);
+        }
+        now += MS * 20;
+    }
+    let after = prefill_time(runner(&register, 2));
+    assert!(after > before * 0.8, "{after} after {before}");
+}
+
+/// Guards against a mixed fleet in which observations of nodes that do not know the basis are taken
+/// for something else.
+#[test]
+fn learn_without_basis_ignored() {
+    let (mut register, mut now) = (register(), Instant::now());
+    register.enable_models();
+    teach(&mut register, [1.0; RUNNERS], &mut now);
+    let before = prefill_time(runner(&register, 0));
+    let tag = runner(&register, 0).entry.tag();
+    (0..100).for_each(|_| register.learn(tag, observation(8_000, 5.0, false), now));
+    let elsewhere = Basis { fresh: 8_000, ..Basis::none(Stage::Decode) };
+    let (predicted, prefill, basis) = (0.1, 0.1, Some(elsewhere));
+    let other_stage = Observation::Prefill { predicted, prefill, seen: 5.0, basis };
+    (0..100).for_each(|_| register.learn(tag, other_stage, now));
+    assert_eq!(prefill_time(runner(&register, 0)), before);
+}
+
+/// Guards against a restarted runner that counts as slow, and against late observations of its
+/// predecessor.
+#[test]
+fn apply_restart_deviation_dropped() {
+    let (mut register, mut now) = (register(), Instant::now());
+    register.enable_models();
+    teach(&mut register, [1.0, 1.0, 1.0, 1.0, 1.0, 8.0], &mut now);
+    let former = Tag::of(&id(5), Some(StartTime(1)));
+    let restarted = Entry { born: Some(StartTime(2)), ..entry(5, 2) };
+    assert_eq!(register.apply(restarted), Change::Restarted);
+    (0..50).for_each(|_| register.learn(former, observation(8_000, 2.0, true), now));
+    let time = prefill_time(runner(&register, 5));
+    assert!(time < 0.4, "{time}");
+}
--- a/lib/tests/scheduler.rs
+++ b/lib/tests/scheduler.rs
@@ -271,7 +271,10 @@
     let mut register = fleet(0..3);
     let runner = register.get_mut(&id(0)).expect("known");
     for _ in 0..30 {
-        runner.learn(Observation::Prefill { predicted: 0.1, prefill: 0.01, seen: 0.5 }, now);
+        runner.learn(
+            Observation::Prefill { predicted: 0.1, prefill: 0.01, seen: 0.5, basis: None },
+            now,
+        );
     }
     assert!(runner.pace.factor() < 1.25, "{}", runner.pace.factor());
 }
@@ -287,10 +290,16 @@
     for _ in 0..10 {
         let pace = runner.pace.factor();
         for _ in 0..20 {
-            runner.learn(Observation::Prefill { predicted: 0.06, prefill: 0.006, seen: 0.06 }, now);
+            runner.learn(
+                Observation::Prefill { predicted: 0.06, prefill: 0.006, seen: 0.06, basis: None },
+                now,
+            );
         }
         let predicted = 0.5 * pace;
-        runner.learn(Observation::Prefill { predicted, prefill: predicted, seen: 1.0 }, now);
+        runner.learn(
+            Observation::Prefill { predicted, prefill: predicted, seen: 1.0, basis: None },
+            now,
+        );
     }
     assert!(runner.pace.factor() > 1.5, "{}", runner.pace.factor());
 }
--- a/node/src/serve/reservation.rs
+++ b/node/src/serve/reservation.rs
@@ -140,10 +140,8 @@
     /// Records a measurement from the work, here and at the runner's scheduler.
     pub fn learn(&self, observation: Observation) {
         let now = self.shared.clock.now();
-        if let Some(tag) = self.with_runner(|runner| {
-            runner.learn(observation, now);
-            runner.entry.tag()
-        }) {
+        if let Some(tag) = self.with_runner(|runner| runner.entry.tag()) {
+            self.shared.register().learn(tag, observation, now);
             self.shared.scheduling.note_observation(tag, observation);
         }
     }
--- a/node/src/serve/scheduler.rs
+++ b/node/src/serve/scheduler.rs
@@ -400,9 +400,7 @@
         register.apply_prefill_report(*prefill_report, now);
     }
     for (tag, observation) in &report.lessons {
-        if let Some(runner) = register.by_tag_mut(*tag) {
-            runner.learn(*observation, now);
-        }
+        register.learn(*tag, *observation, now);
     }
 }
 
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -189,7 +189,11 @@
         let window = settings.usage_window.filter(|_| settings.platform.is_some());
         let usage = Arc::new(Usage::new(collector, window, clock.clone()));
         let roster = Arc::new(Mutex::new(Roster::new(me.clone())));
-        let (register, heartbeat_now): (Arc<Mutex<Register>>, Arc<Notify>) = Default::default();
+        let mut register = Register::default();
+        if settings.runner_model {
+            register.enable_models();
+        }
+        let (register, heartbeat_now) = (Arc::new(Mutex::new(register)), Arc::<Notify>::default());
         let limiter = Limiter::new(
             register.clone(),
             roster.clone(),
--- a/node/tests/scheduler.rs
+++ b/node/tests/scheduler.rs
@@ -62,8 +62,9 @@
     let plan = Plan::Whole { runner: runner.clone() };
     let (first_event, prefill_end, prefill_start, prefill_tokens, fetch) =
         (0.05, 0.04, 0.0, 1_460, None);
+    let basis = None;
     let placement =
-        Placement { plan, first_event, prefill_end, prefill_start, prefill_tokens, fetch };
+        Placement { plan, first_event, prefill_end, prefill_start, prefill_tokens, fetch, basis };
     Decision::Placed { placement, class: Class::of_rank(1) }
 }
 
--- a/testutils/src/fleet/deployment.rs
+++ b/testutils/src/fleet/deployment.rs
@@ -142,6 +142,7 @@
         call_gap: Duration::from_millis(300),
         platform: None,
         usage_window: None,
+        runner_model: false,
         log_level: LevelFilter::Info,
         log_format: LogFormat::Json,
     }
--- a/wire/src/schedule.rs
+++ b/wire/src/schedule.rs
@@ -9,11 +9,12 @@
 use prost::Message as _;
 use sardinepick_lib::fleet::admission::Terms;
 use sardinepick_lib::fleet::cache::{Chain, ChainKey, Part, Progress};
-use sardinepick_lib::fleet::engine::Work;
+use sardinepick_lib::fleet::engine::{Stage, Work};
 use sardinepick_lib::fleet::fingerprint::Fingerprint;
 use sardinepick_lib::fleet::health::Outcome;
 use sardinepick_lib::fleet::limit::LimitReport;
 use sardinepick_lib::fleet::load::{CLASSES, Class, Load};
+use sardinepick_lib::fleet::model::Basis;
 use sardinepick_lib::fleet::placement::{Placement, Plan};
 use sardinepick_lib::fleet::register::PrefillReport;
 use sardinepick_lib::fleet::runner::Tag;
@@ -33,8 +34,8 @@
 pub const MAX_LOADS: usize = 10;
 /// The maximum number of prompt readings in a report, at up to 25 bytes each.
 pub const MAX_READINGS: usize = 16;
-/// The maximum number of observations in a report, at up to 21 bytes each.
-pub const MAX_LESSONS: usize = 12;
+/// The maximum number of observations in a report, at up to 55 bytes each.
+pub const MAX_LESSONS: usize = 6;
 
 /// A datagram.
 #[derive(Clone, Debug, PartialEq)]
@@ -458,6 +459,7 @@
         wait: placement.prefill_start,
         fresh: placement.prefill_tokens,
         fetch: placement.fetch.as_ref().map(ToString::to_string).unwrap_or_default(),
+        basis: placement.basis.as_ref().map(encode_basis),
     }
 }
 
@@ -477,11 +479,47 @@
     };
     let [first_event, prefill_end, prefill_start] = seconds;
     let prefill_tokens = placed.fresh.min(MAX_TOKENS);
+    let basis = placed.basis.as_ref().map(decode_basis).transpose()?;
     let placement =
-        Placement { plan, first_event, prefill_end, prefill_start, prefill_tokens, fetch };
+        Placement { plan, first_event, prefill_end, prefill_start, prefill_tokens, fetch, basis };
     Ok((placement, decode_class(placed.class)?))
 }
 
+fn encode_basis(basis: &Basis) -> pb::Basis {
+    pb::Basis {
+        stage: match basis.stage {
+            Stage::Prefill => 0,
+            Stage::Decode => 1,
+        },
+        fresh: basis.fresh,
+        cached: basis.cached,
+        ahead: basis.ahead,
+        prompts: basis.prompts,
+        running: basis.running,
+        extra: basis.extra,
+    }
+}
+
+fn decode_basis(basis: &pb::Basis) -> Result<Basis, WireError> {
+    let stage = match basis.stage {
+        0 => Stage::Prefill,
+        1 => Stage::Decode,
+        _ => return Err(WireError::Value("stage")),
+    };
+    if !(0.0..SECONDS_LIMIT).contains(&f64::from(basis.extra)) {
+        return Err(WireError::Value("seconds"));
+    }
+    Ok(Basis {
+        stage,
+        fresh: basis.fresh.min(MAX_TOKENS),
+        cached: basis.cached.min(MAX_TOKENS),
+        ahead: basis.ahead.min(MAX_TOKENS),
+        prompts: basis.prompts.min(MAX_REQUESTS),
+        running: basis.running.min(MAX_REQUESTS),
+        extra: basis.extra,
+    })
+}
+
 fn decode_answer(answer: &pb::Answer) -> Result<Schedule, WireError> {
     use pb::answer::Decision as Wire;
     let decision = match answer.decision.as_ref().ok_or(WireError::Missing("decision"))? {
@@ -501,11 +539,14 @@
 fn encode_lesson((tag, lesson): &(Tag, Observation)) -> pb::Lesson {
     use pb::lesson::Kind;
     let kind = match lesson {
-        Observation::Prefill { predicted, prefill, seen } => Kind::Reading(pb::LearnedReading {
-            predicted: *predicted as f32,
-            reading: *prefill as f32,
-            seen: *seen as f32,
-        }),
+        Observation::Prefill { predicted, prefill, seen, basis } => {
+            Kind::Reading(pb::LearnedReading {
+                predicted: *predicted as f32,
+                reading: *prefill as f32,
+                seen: *seen as f32,
+                basis: basis.as_ref().map(encode_basis),
+            })
+        }
         Observation::Stream(seconds) => Kind::Stream(*seconds as f32),
         Observation::Outcome(outcome) => Kind::Outcome(
             match outcome {
@@ -531,6 +572,7 @@
             predicted: seconds(reading.predicted)?,
             prefill: seconds(reading.reading)?,
             seen: seconds(reading.seen)?,
+            basis: reading.basis.as_ref().map(decode_basis).transpose()?,
         },
         Kind::Stream(stream) => Observation::Stream(seconds(*stream)?),
         Kind::Outcome(outcome) => Observation::Outcome(match pb::Outcome::try_from(*outcome) {
--- a/wire/tests/schedule.rs
+++ b/wire/tests/schedule.rs
@@ -5,11 +5,12 @@
 use proptest::prelude::*;
 use sardinepick_lib::fleet::admission::Terms;
 use sardinepick_lib::fleet::cache::{Chain, ChainKey, Part, Progress};
-use sardinepick_lib::fleet::engine::Work;
+use sardinepick_lib::fleet::engine::{Stage, Work};
 use sardinepick_lib::fleet::fingerprint::Fingerprint;
 use sardinepick_lib::fleet::health::Outcome;
 use sardinepick_lib::fleet::limit::{LimitReport, Rate};
 use sardinepick_lib::fleet::load::{CLASSES, Class, Load};
+use sardinepick_lib::fleet::model::Basis;
 use sardinepick_lib::fleet::part_quarantine::{Answer, Mark};
 use sardinepick_lib::fleet::placement::{Placement, Plan};
 use sardinepick_lib::fleet::register::PrefillReport;
@@ -55,6 +56,19 @@
         prefill_start: 0.0,
         prefill_tokens: 4_096,
         fetch,
+        basis: Some(basis()),
+    }
+}
+
+fn basis() -> Basis {
+    Basis {
+        stage: Stage::Decode,
+        fresh: 400_000,
+        cached: 400_000,
+        ahead: 4_000_000,
+        prompts: 190,
+        running: 190,
+        extra: 0.25,
     }
 }
 
@@ -67,7 +81,8 @@
     };
     let part = Part { key: ChainKey(u64::MAX), standalone_key: ChainKey(u64::MAX), tokens: 40_000 };
     let reading = |n| PrefillReport { runner: Tag(n), part, progress: Progress::Prefilled };
-    let lesson = Observation::Prefill { predicted: 0.5, prefill: 0.125, seen: 0.25 };
+    let lesson =
+        Observation::Prefill { predicted: 0.5, prefill: 0.125, seen: 0.25, basis: Some(basis()) };
     Report {
         node: "edge-zaal-hofvijver-17".parse().expect("valid id"),
         loads: (0..MAX_LOADS as u64).map(|n| (Tag(n), load)).collect(),
@@ -121,6 +136,13 @@
     for decision in decisions {
         round_trip(&Schedule::Answer { number: 7, decision });
     }
+    let plan = Plan::Whole { runner: runner("i-2") };
+    let placement = Placement { basis: None, ..placement(plan) };
+    let class = Class::of_rank(0);
+    round_trip(&Schedule::Answer {
+        number: 7,
+        decision: Some(Decision::Placed { placement, class }),
+    });
 }
 
 #[test]
@@ -195,12 +217,35 @@
 #[test]
 fn decode_lesson_invalid_time_rejected() {
     for seen in [f64::NAN, f64::INFINITY, -1.0, 1e9] {
-        let lessons = vec![(Tag(1), Observation::Prefill { predicted: 0.5, prefill: 0.125, seen })];
+        let basis = None;
+        let observation = Observation::Prefill { predicted: 0.5, prefill: 0.125, seen, basis };
+        let lessons = vec![(Tag(1), observation)];
         let report = Report { lessons, ..full_report() };
         assert!(Schedule::decode(&Schedule::Report(report).encode()).is_err(), "{seen}");
     }
 }
 
+/// Guards against a model that learns from quantities that are not in range, of which no later
+/// observation would correct it.
+#[test]
+fn decode_basis_out_of_range_rejected_or_bounded() {
+    let report = |basis: Basis| {
+        let observation =
+            Observation::Prefill { predicted: 0.5, prefill: 0.1, seen: 0.2, basis: Some(basis) };
+        let report = Report { lessons: vec![(Tag(1), observation)], ..full_report() };
+        Schedule::decode(&Schedule::Report(report).encode())
+    };
+    for extra in [f32::NAN, f32::INFINITY, -1.0, 1e9] {
+        assert!(report(Basis { extra, ..basis() }).is_err(), "{extra}");
+    }
+    let huge = Basis { fresh: u64::MAX, cached: u64::MAX, ahead: u64::MAX, ..basis() };
+    let Ok(Schedule::Report(decoded)) = report(huge) else { panic!("expected a report") };
+    let Observation::Prefill { basis: Some(decoded), .. } = decoded.lessons[0].1 else {
+        panic!("expected a basis");
+    };
+    assert!(decoded.fresh < u64::MAX / 1_000 && decoded.ahead < u64::MAX / 1_000);
+}
+
 proptest! {
     #[test]
     fn decode_any_bytes_no_panic(mut bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
