balance: plan stages by learned rates

With the model on, the balance of stages uses the mean learned prefill rate, a utilisation that keeps waits short against the shortest objective, and the number of streams that the learned step allows. Demand::busy uses the learned rate. Without the model the constants are used as before.

The tests of balance pass the constants as Capacity::default().

--- a/lib/src/fleet/model/mod.rs
+++ b/lib/src/fleet/model/mod.rs
@@ -6,6 +6,7 @@
 //! [`engine`](super::engine).
 
 mod basis;
+mod capacity;
 mod deviation;
 mod group;
 mod models;
@@ -47,6 +48,11 @@
         }
     }
 
+    /// The terms of the service and stage.
+    pub fn terms(&self) -> Terms {
+        self.regression.terms()
+    }
+
     /// The rates of the runners of a version that nothing else is known of.
     pub fn rates(&self, version: &Version) -> Rates {
         let group = self.groups.iter().find(|(v, _)| v == version);
--- a/lib/src/fleet/model/terms.rs
+++ b/lib/src/fleet/model/terms.rs
@@ -50,6 +50,12 @@
         [1, 2, 3, 5].iter().map(|&i| self.0[i] * features[i]).sum()
     }
 
+    /// The prefill rate of a runner of the usual speed, in tokens per second.
+    pub fn prefill_rate(&self, stage: Stage) -> f64 {
+        let basis = Basis { fresh: SAMPLE, ..Basis::none(stage) };
+        SAMPLE as f64 / self.prefill(&basis)
+    }
+
     /// The time of one step with `running` requests on a runner of the usual speed, in seconds.
     pub fn step(&self, running: u32) -> f64 {
         self.0[3] + f64::from(running) * self.0[4]
--- a/lib/src/fleet/route.rs
+++ b/lib/src/fleet/route.rs
@@ -91,6 +91,15 @@
     }
 }
 
+/// What the callers of a service need most urgently.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Objectives {
+    /// The shortest time within which a first event is on time.
+    pub first_event: Duration,
+    /// The shortest allowed pause between events; zero if there is no limit.
+    pub pause: Duration,
+}
+
 /// One service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
@@ -190,6 +199,16 @@
         self.services.values()
     }
 
+    /// The shortest objectives of the routes with streams to a service; `None` if there are none.
+    pub fn objectives(&self, service: &ServiceId) -> Option<Objectives> {
+        let leads_to = |route: &&Route| route.targets.iter().any(|t| t.service == *service);
+        let routes = self.routes.values().flatten();
+        let streams = || routes.clone().filter(|r| r.kind.is_stream()).filter(leads_to);
+        let first_event = streams().map(|route| route.objective).min()?;
+        let pauses = streams().map(|route| route.pause).filter(|pause| !pause.is_zero());
+        Some(Objectives { first_event, pause: pauses.min().unwrap_or_default() })
+    }
+
     /// The number of routes.
     pub fn routes(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -7,7 +7,7 @@
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
 use sardinepick_lib::fleet::admission::{MeanSize, Terms, Wait, urgency};
-use sardinepick_lib::fleet::balance::{self, Change, Demand, StageCounts};
+use sardinepick_lib::fleet::balance::{self, Capacity, Change, Demand, StageCounts};
 use sardinepick_lib::fleet::budget::{Bounds, Budget};
 use sardinepick_lib::fleet::cache::{Cache, Chain, Part, Progress};
 use sardinepick_lib::fleet::deadline::Deadlines;
@@ -859,15 +859,30 @@
 #[test]
 fn decide_prefill_demand_to_prefill() {
     let demand = demand(60_000, 5, 10_000);
-    let change = balance::decide(division(4, 5), &demand, 6, ENGINE.memory);
+    let change = balance::decide(division(4, 5), &demand, 6, ENGINE.memory, &Capacity::default());
     assert_eq!(change, Some(Change { to: Stage::Prefill, count: 2, urgent: false }));
-    assert_eq!(balance::decide(division(6, 3), &demand, 6, ENGINE.memory), None);
+    assert_eq!(
+        balance::decide(division(6, 3), &demand, 6, ENGINE.memory, &Capacity::default()),
+        None
+    );
 }
 
 #[test]
 fn decide_no_demand_no_change() {
-    assert_eq!(balance::decide(division(4, 5), &demand(0, 0, 0), 6, ENGINE.memory), None);
-    assert_eq!(balance::decide(division(1, 1), &demand(90_000, 1, 1), 6, ENGINE.memory), None);
+    assert_eq!(
+        balance::decide(division(4, 5), &demand(0, 0, 0), 6, ENGINE.memory, &Capacity::default()),
+        None
+    );
+    assert_eq!(
+        balance::decide(
+            division(1, 1),
+            &demand(90_000, 1, 1),
+            6,
+            ENGINE.memory,
+            &Capacity::default()
+        ),
+        None
+    );
 }
 
 /// A fleet that had lost two runners changed five more from prefill to decode within six seconds,
@@ -876,17 +891,17 @@
 #[test]
 fn decide_waiting_requests_no_streams() {
     let waiting = demand(80_000, 8, 10_000);
-    let change = balance::decide(division(5, 2), &waiting, 6, ENGINE.memory);
+    let change = balance::decide(division(5, 2), &waiting, 6, ENGINE.memory, &Capacity::default());
     assert_eq!(change, None);
 }
 
 #[test]
 fn decide_many_streams_one_at_a_time() {
     let busy = demand(1_000, 60, 8_000);
-    let change = balance::decide(division(6, 3), &busy, 6, ENGINE.memory);
+    let change = balance::decide(division(6, 3), &busy, 6, ENGINE.memory, &Capacity::default());
     assert_eq!(change, Some(Change { to: Stage::Decode, count: 1, urgent: false }));
     let under_way = StageCounts { to_decode: 5, ..division(4, 3) };
-    assert_eq!(balance::decide(under_way, &busy, 6, ENGINE.memory), None);
+    assert_eq!(balance::decide(under_way, &busy, 6, ENGINE.memory, &Capacity::default()), None);
 }
 
 /// All requests were refused for four seconds although runners were idle. Two decode runners had
@@ -894,9 +909,21 @@
 /// rejected as too early.
 #[test]
 fn decide_no_decode_runner_urgent() {
-    let change = balance::decide(division(6, 0), &demand(50_000, 5, 10_000), 6, ENGINE.memory);
+    let change = balance::decide(
+        division(6, 0),
+        &demand(50_000, 5, 10_000),
+        6,
+        ENGINE.memory,
+        &Capacity::default(),
+    );
     assert_eq!(change, Some(Change { to: Stage::Decode, count: 2, urgent: true }));
-    let alone = balance::decide(division(2, 0), &demand(50_000, 5, 10_000), 6, ENGINE.memory);
+    let alone = balance::decide(
+        division(2, 0),
+        &demand(50_000, 5, 10_000),
+        6,
+        ENGINE.memory,
+        &Capacity::default(),
+    );
     assert_eq!(alone, None, "two runners are too few to change the stage of one");
 }
 
--- a/lib/tests/model_register.rs
+++ b/lib/tests/model_register.rs
@@ -2,11 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use sardinepick_lib::fleet::engine::Stage;
+use sardinepick_lib::fleet::balance::{self, Capacity, Demand, StageCounts};
+use sardinepick_lib::fleet::engine::{Engine, Stage};
 use sardinepick_lib::fleet::health::Outcome;
 use sardinepick_lib::fleet::load::{Class, Load};
 use sardinepick_lib::fleet::model::Basis;
 use sardinepick_lib::fleet::register::{Change, Register};
+use sardinepick_lib::fleet::route::Objectives;
 use sardinepick_lib::fleet::runner::{Entry, Runner, State, Tag};
 use sardinepick_lib::fleet::scheduler::Observation;
 use sardinepick_lib::history::Point;
@@ -153,3 +155,51 @@
     let time = prefill_time(runner(&register, 5));
     assert!(time < 0.4, "{time}");
 }
+
+fn engine() -> Engine {
+    Engine {
+        slots: 64,
+        memory: 400_000,
+        token_bytes: 18_432,
+        link_rate: 350e9,
+        handle_ttl: Duration::from_secs(5),
+        switch: Duration::from_secs(3),
+    }
+}
+
+/// A demand of `prompts` prompts of `tokens` per second.
+fn demand(prompts: u64, tokens: u64) -> Demand {
+    let (start, mut demand) = (Instant::now(), Demand::default());
+    for n in 0..60 {
+        demand.tick(start + MS * 250 * n);
+        (0..prompts / 4).for_each(|_| demand.note(tokens));
+    }
+    demand
+}
+
+/// Long prompts were late: stages were planned with a prefill rate that the engines do not have, and
+/// without the time that prompts wait for each other.
+#[test]
+fn capacity_learned_rate_planned_with() {
+    let (mut register, mut now) = (register(), Instant::now());
+    let service = "telraad".parse().expect("an id");
+    let objectives = Objectives { first_event: MS * 600, pause: MS * 100 };
+    let capacity = |register: &Register, demand: &Demand| {
+        Capacity::learned(register, &service, &engine(), demand, objectives)
+    };
+    let (long, short) = (demand(4, 16_000), demand(40, 1_600));
+    assert_eq!(capacity(&register, &long), None, "the models are not enabled");
+    register.enable_models();
+    teach(&mut register, [1.0; RUNNERS], &mut now);
+    let by_long = capacity(&register, &long).expect("learned");
+    let by_short = capacity(&register, &short).expect("learned");
+    assert!((by_long.prefill_rate / 40_000.0 - 1.0).abs() < 0.25, "{by_long:?}");
+    assert!(by_long.utilisation < by_short.utilisation, "{by_long:?} {by_short:?}");
+    assert!(by_long.streams <= 48.0, "{by_long:?}");
+    let counts = StageCounts { prefill: 2, decode: 12, ..StageCounts::default() };
+    let constant = balance::decide(counts, &long, 1, 400_000, &Capacity::default());
+    assert_eq!(constant, None, "64,000 tokens per second are planned for two runners");
+    let change = balance::decide(counts, &long, 1, 400_000, &by_long).expect("a change");
+    assert_eq!((change.to, change.count), (Stage::Prefill, 2));
+    assert!(long.busy(1, &by_long) > 1.2 && long.busy(1, &by_long) < 2.2);
+}
--- a/node/src/serve/duty.rs
+++ b/node/src/serve/duty.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sardinepick_lib::fleet::balance::Capacity;
 use sardinepick_lib::scale::plan::Supply;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -103,7 +104,14 @@
             supply[index].ready[kind] += 1;
             supply[index].serving[kind] += u32::from(runner.takes_work(now));
         }
-        let busy = shared.demand().get(&service.name).map_or(0.0, |demand| demand.busy(nodes));
+        let objectives = configuration.objectives(&service.name);
+        let busy = shared.demand().get(&service.name).map_or(0.0, |demand| {
+            let learned = service.engine.zip(objectives).and_then(|(engine, objectives)| {
+                let register = shared.register();
+                Capacity::learned(&register, &service.name, &engine, demand, objectives)
+            });
+            demand.busy(nodes, &learned.unwrap_or_default())
+        });
         Some(Service { name: service.name.clone(), scaling, supply, busy })
     });
     Some(scaled.collect())
--- a/node/src/serve/order.rs
+++ b/node/src/serve/order.rs
@@ -10,7 +10,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use sardinepick_lib::fleet::balance::{Change, DWELL, REVERSAL_DELAY, StageCounts, decide};
+use sardinepick_lib::fleet::balance::{
+    Capacity, Change, DWELL, REVERSAL_DELAY, StageCounts, decide,
+};
 use sardinepick_lib::fleet::engine::Stage;
 use sardinepick_lib::fleet::route::Configuration;
 use sardinepick_lib::fleet::runner::{Entry, Runner, Tag};
@@ -126,7 +128,13 @@
             let mut demands = self.shared.demand();
             let demand = demands.entry(service.name.clone()).or_default();
             demand.tick(now);
-            if let Some(change) = decide(stage_counts, demand, nodes, engine.memory)
+            let objectives = configuration.objectives(&service.name);
+            let learned = objectives.and_then(|objectives| {
+                let register = self.shared.register();
+                Capacity::learned(&register, &service.name, &engine, demand, objectives)
+            });
+            let capacity = learned.unwrap_or_default();
+            if let Some(change) = decide(stage_counts, demand, nodes, engine.memory, &capacity)
                 && (change.urgent || !self.reverts_too_soon(&service.name, change.to, now))
             {
                 wanted_changes.push((service.name.clone(), change));
