placement: use the runner model's uncertainty, and leave headroom on fast runners

With the model on, a placement counts the time by which a prompt may be late, and work with slack pays for runners that are faster than usual. Late work is admitted if it can be answered before the caller gives up, instead of by fixed fractions of that time.

The tests that make Criteria pass no objective, as before.

--- a/lib/src/fleet/admission.rs
+++ b/lib/src/fleet/admission.rs
@@ -91,6 +91,9 @@
 /// The fraction of that time that late work may wait before its prefill starts: on the first
 /// attempt, and on a retry.
 const LATE_WAIT_FRACTIONS: (f64, f64) = (0.2, 0.45);
+/// The time by which work that arrives later and is served first prolongs the wait of late work,
+/// relative to that wait: as long again, which is the case if it takes half of the capacity.
+const OVERTAKING: f64 = 1.0;
 /// How the bound on the wait depends on the size of the work relative to the mean of its route: a
 /// constant and a slope. The largest tenth, from about twice the mean, is refused half as often as
 /// with a bound that ignores the size.
@@ -149,6 +152,19 @@
         first <= remaining * USEFUL_FRACTION && wait <= remaining * wait_fraction * size_factor
     }
 
+    /// Whether late work is still useful by a forecast: its first answer is predicted in `first`
+    /// seconds, of which it waits `wait` seconds, and `spread` is the factor of the prediction that
+    /// nine of ten answers do not exceed.
+    ///
+    /// A first attempt starts if it is useful in nine of ten cases: prefill of work that is given up
+    /// delays all other work. A retry starts if it is probably useful, since a second refusal leaves
+    /// the caller without an answer.
+    pub fn is_useful_by_forecast(&self, first: f64, wait: f64, spread: f64) -> bool {
+        let overtaken = first + wait * OVERTAKING;
+        let latest = if self.is_retry { overtaken } else { overtaken * spread };
+        latest <= self.left.min(self.patience).as_secs_f64()
+    }
+
     /// When a refused caller should retry: when the current backlog will be done, with jitter so
     /// that callers refused together do not return together, and early enough for the caller to
     /// still follow the advice.
--- a/lib/src/fleet/model/terms.rs
+++ b/lib/src/fleet/model/terms.rs
@@ -97,6 +97,17 @@
         deviation.factor(self.group)
     }
 
+    /// The prefill time of the prompts of `basis` on the usual runner of the group, in seconds.
+    pub fn usual_prefill_time(&self, basis: &Basis) -> f64 {
+        self.terms.prefill(basis) * self.factor(&Deviation::default())
+    }
+
+    /// How much longer work takes on a runner with `deviation` than on the usual runner of the
+    /// group.
+    pub fn slowness(&self, deviation: &Deviation) -> f64 {
+        self.factor(deviation) / self.factor(&Deviation::default())
+    }
+
     /// The predicted times of the work of `basis` on a runner with `deviation`.
     pub fn forecast(&self, deviation: &Deviation, basis: &Basis) -> Forecast {
         let factor = self.factor(deviation);
--- a/lib/src/fleet/placement.rs
+++ b/lib/src/fleet/placement.rs
@@ -7,7 +7,7 @@
 //! requests. Without that, a busy fleet would prefill shared prompts again on every idle runner and
 //! slow itself down.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rand::{Rng, RngExt as _};
 use smallvec::SmallVec;
@@ -15,7 +15,7 @@
 
 use super::engine::{Engine, Stage, Work, prefill_time, startup_latency};
 use super::load::{Class, Load};
-use super::model::Basis;
+use super::model::{Basis, Forecast};
 use super::pool::Pool;
 use super::register::Register;
 use super::runner::Runner;
@@ -80,6 +80,9 @@
     /// Whether the work continues from a prompt that another runner prefilled. Rate limit tokens
     /// for such work were reserved when its prefill was placed.
     pub continues: bool,
+    /// The remaining time within which the first event is on time, if known. Considered by the model
+    /// only.
+    pub objective: Option<Duration>,
     /// The current time.
     pub now: Instant,
 }
@@ -88,6 +91,13 @@
 /// for other requests. With a lower weight, more prompts are prefilled again at a less loaded runner
 /// instead of waiting for one that has them cached.
 const QUEUEING_WEIGHT: f64 = 2.0;
+/// The weight of the time by which the first event is late with a probability of a tenth. It
+/// outweighs the delay of others, since work that is late is lost.
+const TARDINESS_WEIGHT: f64 = 3.0;
+/// The cost of a faster runner for work that has slack, as a fraction of the slack, at an advantage
+/// of 1: short prompts wait this much longer elsewhere, so that the fast runners have room for the
+/// long prompts that are in time nowhere else.
+const HEADROOM_FRACTION: f64 = 0.1;
 /// The cost of a runner at a failure rate of 1, in seconds: a failure counts as one lost second.
 const FAILURE_COST: f64 = 1.0;
 /// The number of runners that a shared prompt has affinity to, in order of preference. The second
@@ -265,7 +275,7 @@
     let prefill_tokens = work.prompt - cached;
     if let Some(basis) = at.runner.basis(&at.load, criteria.class, prefill_tokens, cached) {
         let basis = Basis { extra: fetching as f32, ..basis };
-        return forecast_prefill(at, criteria, basis, fetch, draw);
+        return forecast_prefill(at, criteria, inputs, basis, fetch, draw);
     }
     let time = at.runner.prefill_time(&at.load, prefill_tokens, cached) + fetching;
     let prefill_start = at.runner.wait(&at.load, criteria.class);
@@ -279,14 +289,18 @@
 fn forecast_prefill<'a, 'b>(
     at: &'b Candidate<'a>,
     criteria: &Criteria<'_>,
+    inputs: &PrefillInputs<'_>,
     basis: Basis,
     fetch: Option<&'b RunnerId>,
     draw: f64,
 ) -> PrefillEstimate<'a, 'b> {
-    let time = at.runner.prefill_time(&at.load, basis.fresh, basis.cached) + f64::from(basis.extra);
     let forecast = at.runner.forecast(&basis).unwrap_or_default();
     let (prefill_start, prefill_end) = (forecast.prefill_start, forecast.first_event);
-    let rank = prefill_end + time * QUEUEING_WEIGHT + at.cost(criteria, draw);
+    // The work delays others by its time on a runner of the usual speed. With its time on this
+    // runner, all work would prefer the fast runners.
+    let time = at.runner.usual_prefill_time(&basis);
+    let objective = deadline_cost(at, criteria, inputs, &forecast);
+    let rank = prefill_end + time * QUEUEING_WEIGHT + objective + at.cost(criteria, draw);
     let prefill_tokens = basis.fresh;
     PrefillEstimate {
         at,
@@ -299,6 +313,29 @@
     }
 }
 
+/// The cost of a forecast with respect to the objective of the work, in seconds.
+fn deadline_cost(
+    at: &Candidate<'_>,
+    criteria: &Criteria<'_>,
+    inputs: &PrefillInputs<'_>,
+    forecast: &Forecast,
+) -> f64 {
+    let Some(objective) = criteria.objective.filter(|_| criteria.class != Class::LATE) else {
+        return 0.0;
+    };
+    let objective = objective.as_secs_f64();
+    let transfer = match at.runner.entry.stage {
+        Some(Stage::Prefill) => inputs.engine.transfer_time(inputs.work.prompt, true),
+        Some(Stage::Decode) | None => 0.0,
+    };
+    let slack = objective - forecast.latest - transfer;
+    if slack < 0.0 {
+        return -slack * TARDINESS_WEIGHT;
+    }
+    let advantage = (1.0 - at.runner.slowness()).max(0.0);
+    slack * advantage * HEADROOM_FRACTION
+}
+
 /// The candidates of a service by role.
 ///
 /// A runner that has started a prompt prefills it to the end, and everything that arrives
--- a/lib/src/fleet/runner.rs
+++ b/lib/src/fleet/runner.rs
@@ -327,6 +327,24 @@
         self.rates.as_ref().map(|rates| rates.forecast(&self.deviation, basis))
     }
 
+    /// The prefill time of the own prompt of `basis` on a runner of the usual speed, in seconds.
+    pub fn usual_prefill_time(&self, basis: &Basis) -> f64 {
+        let own = Basis { ahead: 0, prompts: 0, ..*basis };
+        let time = self.rates.map_or(0.0, |rates| rates.usual_prefill_time(&own));
+        time + f64::from(basis.extra)
+    }
+
+    /// How much longer its work takes than on the usual runner of its group; 1 without the model.
+    pub fn slowness(&self) -> f64 {
+        self.rates.map_or(1.0, |rates| rates.slowness(&self.deviation))
+    }
+
+    /// The factor of a predicted time within which nine of ten observations are, if the model is
+    /// enabled.
+    pub fn spread(&self) -> Option<f64> {
+        self.rates.map(|rates| rates.spread.factor())
+    }
+
     /// The part of the time of `basis` that depends on the speed of the runner, without that of a
     /// single step.
     fn scaled_time(&self, basis: &Basis) -> Option<f64> {
--- a/lib/src/fleet/scheduler.rs
+++ b/lib/src/fleet/scheduler.rs
@@ -185,6 +185,7 @@
         data_centre: &query.data_centre,
         skip: &query.skip,
         version: query.version.as_ref(),
+        objective: query.terms.objective,
         now,
     };
     let no_placement = || {
@@ -215,15 +216,23 @@
     if firmness == Firmness::Streaming || terms.on_time(placement.first_event) {
         return Decision::Placed { placement, class: terms.class };
     }
-    let is_acceptable = |p: &Placement| {
-        firmness != Firmness::New || terms.is_useful(p.first_event, p.prefill_start)
-    };
+    let is_acceptable = |p: &Placement| firmness != Firmness::New || is_useful(register, terms, p);
     match place(Class::LATE).filter(is_acceptable) {
         Some(placement) => Decision::Placed { placement, class: Class::LATE },
         None => Decision::Late(placement),
     }
 }
 
+/// Whether late work that is placed so is still useful.
+fn is_useful(register: &Register, terms: &Terms, placement: &Placement) -> bool {
+    let (first, wait) = (placement.first_event, placement.prefill_start);
+    let (Plan::Whole { runner } | Plan::Split { prefill: runner, .. }) = &placement.plan;
+    match register.get(runner).and_then(Runner::spread) {
+        Some(spread) => terms.is_useful_by_forecast(first, wait, spread),
+        None => terms.is_useful(first, wait),
+    }
+}
+
 /// Records a decision made for another node: the work, until that node reports it, and the prompt
 /// that the runner now starts to prefill, so that the next request with the same prompt is placed
 /// there too.
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -87,6 +87,7 @@
 fn choose(register: &Register, class: Class, work: &Work, now: Instant) -> Option<Placement> {
     let (service, home) = (service(), home());
     let criteria = Criteria {
+        objective: None,
         service: &service,
         pool: None,
         class,
@@ -585,6 +586,7 @@
     let now = Instant::now();
     let class = Class::of_rank(0);
     let criteria = Criteria {
+        objective: None,
         service: &service,
         pool: None,
         class,
@@ -681,6 +683,7 @@
     let (service, home) = (service(), home());
     let class = Class::of_rank(0);
     let criteria = Criteria {
+        objective: None,
         service: &service,
         pool: None,
         class,
@@ -712,6 +715,7 @@
     let mut rng = StdRng::seed_from_u64(2);
     for _ in 0..90 {
         let criteria = Criteria {
+            objective: None,
             service: &service,
             pool: None,
             class,
@@ -740,6 +744,7 @@
     let small = Engine { slots: 4, ..ENGINE };
     let (service, home) = (service(), home());
     let criteria = |class| Criteria {
+        objective: None,
         service: &service,
         pool: None,
         class,
@@ -825,6 +830,7 @@
     let (service, home) = (service(), home());
     let class = Class::of_rank(0);
     let criteria = Criteria {
+        objective: None,
         service: &service,
         pool: None,
         class,
--- a/lib/tests/placement_versions.rs
+++ b/lib/tests/placement_versions.rs
@@ -69,6 +69,7 @@
 fn place(register: &Register, bound: Option<&Version>, seed: u64) -> Option<Placement> {
     let (service, home, work) = (service(), home(), work());
     let criteria = Criteria {
+        objective: None,
         service: &service,
         pool: Some(register.pool_of(&service, &work)),
         class: Class::of_rank(1),
@@ -144,6 +145,7 @@
     ]);
     let (service, home, work) = (service(), home(), work());
     let criteria = Criteria {
+        objective: None,
         service: &service,
         pool: None,
         class: Class::of_rank(1),
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -211,6 +211,7 @@
     fn choose(&self, current: Option<&RunnerId>) -> Option<placement::Plain> {
         let skip: SmallVec<[RunnerId; 4]> = self.tried.iter().chain(current).cloned().collect();
         let criteria = Criteria {
+            objective: None,
             service: &self.request.service,
             pool: None,
             class: Class::of(self.request.route.rank),
