reachability: no second connect timeout while a node reaches no runner

Cause: a request whose connect to a runner had timed out was sent to the next runner, and waited for that connect too. When all paths hang, it waited 250 ms for each of three or four runners, as nothing told a node that reaches no runner from one with a runner that is down. A plain call that was given up before it was connected also counted as nothing waited.

Change: a node is isolated when connects to three runners have timed out within 5 s and none was reached since, directly, through a peer, or by an answer. A request that has waited for one connect is then refused. Each request still makes its first call. Three runners, because one or two may be down together; no period without traffic isolates a node.

--- a/lib/src/fleet/reachability/dial.rs
+++ b/lib/src/fleet/reachability/dial.rs
@@ -159,6 +159,11 @@
         }
     }
 
+    /// When the attempt began, if it has used up its time.
+    pub fn timed_out(&self, now: Instant) -> Option<Instant> {
+        (now >= self.deadline).then_some(self.started)
+    }
+
     /// What it says that the attempt was given up; `None` if no peer was asked, so that all that is
     /// known is that the direct connect has failed.
     pub fn gave_up(&self) -> Option<Outcome> {
--- a/lib/src/fleet/reachability/mod.rs
+++ b/lib/src/fleet/reachability/mod.rs
@@ -21,12 +21,14 @@
 pub use self::dial::{
     Action, Dial, MAX_RELAYS, Outcome, RELAY_CONNECT_TIMEOUT, RELAY_DELAY, RELAY_TIMEOUT,
 };
+use self::isolation::Isolation;
 use self::path::DirectPath;
 use self::peers::Peers;
 use self::suspicion::Suspicion;
 use crate::id::NodeId;
 
 mod dial;
+mod isolation;
 mod path;
 mod peers;
 mod suspicion;
@@ -58,6 +60,7 @@
     paths: HashMap<SocketAddr, DirectPath>,
     peers: Peers,
     suspicion: Suspicion,
+    isolation: Isolation,
     probed_at: Option<Instant>,
 }
 
@@ -84,6 +87,12 @@
         self.paths.get(&address).is_none_or(|path| path.may_relay(now))
     }
 
+    /// Whether this node has lately reached no runner, while connects to several have timed out.
+    /// The next connect will probably time out too.
+    pub fn is_isolated(&self, now: Instant) -> bool {
+        self.isolation.is_isolated(now)
+    }
+
     /// Chooses the peers to ask for a connection to a runner, the first one first. While nobody
     /// reaches the runner, they are chosen for one attempt at a time.
     pub fn relays<'a, R: Rng>(
@@ -115,6 +124,7 @@
 
     /// Records that a direct connection was established.
     pub fn note_connected(&mut self, address: SocketAddr, now: Instant) {
+        self.isolation.note_reached(now);
         if self.paths.entry(address).or_default().note_connected(now) {
             // The partition has probably healed for the other runners too.
             self.paths.values_mut().for_each(|path| path.release(now));
@@ -124,6 +134,7 @@
     /// Records that data was received over a direct connection. It says nothing of new connections,
     /// which can fail while old ones live on.
     pub fn note_received(&mut self, address: SocketAddr, now: Instant) {
+        self.isolation.note_reached(now);
         self.paths.entry(address).or_default().note_received(now);
     }
 
@@ -164,8 +175,14 @@
         self.paths.entry(address).or_default().note_unreachable(since, now);
     }
 
+    /// Records that an attempt to connect that began at `since` has timed out.
+    pub fn note_timed_out(&mut self, address: SocketAddr, since: Instant, now: Instant) {
+        self.isolation.note_timed_out(address, since, now);
+    }
+
     /// Records that a peer has connected this node to a runner.
     pub fn note_relayed(&mut self, peer: &NodeId, address: SocketAddr, now: Instant) {
+        self.isolation.note_reached(now);
         self.paths.entry(address).or_default().note_relayed(now);
         self.peers.note_relayed(peer, address, now);
     }
--- a/lib/tests/reachability.rs
+++ b/lib/tests/reachability.rs
@@ -456,3 +456,51 @@
     assert_eq!(reachability.next_probe(now), Some(runner(2)));
     assert_ne!(reachability.path(runner(1), now), Path::Closed);
 }
+
+/// Guards against requests that wait for one runner after the other while none is reached, and
+/// against giving up on the others because one or two runners are down.
+#[test]
+fn isolated_after_timeouts_of_three_runners_only() {
+    let (mut reachability, start) = (Reachability::default(), Instant::now());
+    let timed_out = |reachability: &mut Reachability, number, began: Instant| {
+        reachability.note_timed_out(runner(number), began, began + CONNECT_TIMEOUT);
+    };
+    for number in [1, 2, 1, 2] {
+        timed_out(&mut reachability, number, start);
+    }
+    let now = start + CONNECT_TIMEOUT;
+    assert!(!reachability.is_isolated(now), "two runners may be down");
+    timed_out(&mut reachability, 3, start);
+    assert!(reachability.is_isolated(now));
+    assert!(!reachability.is_isolated(now + Duration::from_secs(5)), "the timeouts are old");
+
+    let reached: [&dyn Fn(&mut Reachability, Instant); 3] = [
+        &|reachability, now| reachability.note_connected(runner(4), now),
+        &|reachability, now| reachability.note_received(runner(4), now),
+        &|reachability, now| reachability.note_relayed(&node(1), runner(4), now),
+    ];
+    for reach in reached {
+        let mut reachability = reachability.clone();
+        reach(&mut reachability, now);
+        assert!(!reachability.is_isolated(now), "a runner was reached");
+        for number in [1, 2, 3] {
+            timed_out(&mut reachability, number, start);
+        }
+        assert!(!reachability.is_isolated(now), "the connects began before a runner was reached");
+        for number in [1, 2, 3] {
+            timed_out(&mut reachability, number, now + ms(1));
+        }
+        assert!(reachability.is_isolated(now + CONNECT_TIMEOUT + ms(1)));
+    }
+}
+
+/// Guards against taking a connect that fails at once for one that times out.
+#[test]
+fn dial_timed_out_at_its_deadline_only() {
+    let now = Instant::now();
+    let mut dial = dial(Path::Open, 0, Action::Direct, now);
+    dial.note_direct_failed();
+    assert_eq!(dial.poll(now + ms(1)), Action::GiveUp);
+    assert_eq!(dial.timed_out(now + ms(1)), None);
+    assert_eq!(dial.timed_out(now + CONNECT_TIMEOUT), Some(now));
+}
--- a/node/src/connector/attempt.rs
+++ b/node/src/connector/attempt.rs
@@ -170,11 +170,18 @@
         }
         let (address, now) = (self.address(), self.connector.now());
         let outcome = dial.gave_up().filter(|_| self.was_peer_asked);
-        self.connector.update(|reachability| match outcome {
-            Some(outcome) => reachability.note_outcome(address, outcome, now),
-            None => reachability.note_direct_failed(address, now),
+        let timed_out = dial.timed_out(now);
+        self.connector.update(|reachability| {
+            if let Some(since) = timed_out {
+                reachability.note_timed_out(address, since, now);
+            }
+            match outcome {
+                Some(outcome) => reachability.note_outcome(address, outcome, now),
+                None => reachability.note_direct_failed(address, now),
+            }
         });
-        SendError::Connect { peer: address, detail: self.errors.join("; ") }
+        let (detail, has_timed_out) = (self.errors.join("; "), timed_out.is_some());
+        SendError::Connect { peer: address, detail, has_timed_out }
     }
 }
 
--- a/node/src/connector/mod.rs
+++ b/node/src/connector/mod.rs
@@ -109,6 +109,11 @@
         self.reachability().closed()
     }
 
+    /// Whether this node reaches no runner, so that the next connect will probably time out too.
+    pub fn is_isolated(&self) -> bool {
+        self.reachability().is_isolated(self.now())
+    }
+
     /// Whether the failure of a call to a runner is probably one of the path between this node and
     /// the runner.
     pub fn is_path_failure(&self, address: SocketAddr) -> bool {
--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -44,6 +44,8 @@
         peer: SocketAddr,
         /// The system's error.
         detail: String,
+        /// Whether the time for the connect was used up.
+        has_timed_out: bool,
     },
     /// A pooled connection had been closed before anything was sent.
     #[error("sending to {peer}: the connection had been closed")]
@@ -99,6 +101,11 @@
     pub fn is_local(&self) -> bool {
         matches!(self, SendError::RateLimited { .. } | SendError::Leaving { .. })
     }
+
+    /// Returns whether the time for a connect was used up.
+    pub fn is_connect_timeout(&self) -> bool {
+        matches!(self, SendError::Connect { has_timed_out: true, .. })
+    }
 }
 
 /// The result of probing an address.
@@ -328,7 +335,10 @@
     async fn connect(&self, address: SocketAddr, limit: Duration) -> Result<Link, SendError> {
         match self.dial(address, limit).await {
             Ok(stream) => self.establish(address, Way::Direct, stream).await,
-            Err(error) => Err(SendError::Connect { peer: address, detail: error.to_string() }),
+            Err(error) => {
+                let has_timed_out = error.kind() == ErrorKind::TimedOut;
+                Err(SendError::Connect { peer: address, detail: error.to_string(), has_timed_out })
+            }
         }
     }
 
@@ -364,7 +374,7 @@
         let failed = |error: hyper::Error| {
             self.note_connect_failed(address, Failure::Other);
             let detail = error.to_string();
-            SendError::Connect { peer: address, detail }
+            SendError::Connect { peer: address, detail, has_timed_out: false }
         };
         let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(failed)?;
         tokio::spawn(async move {
--- a/node/src/serve/generation/attempts.rs
+++ b/node/src/serve/generation/attempts.rs
@@ -30,6 +30,8 @@
     pub crashes: usize,
     /// Whether a runner has crashed during one of its calls.
     pub has_crashed: bool,
+    /// Whether it has waited for the whole timeout of a connect.
+    pub has_waited: bool,
     /// Whether this is a trial run of a quarantined request, to see if it still crashes runners.
     pub is_trial: bool,
     /// The number of events sent to the caller.
@@ -58,6 +60,7 @@
             has_broken: false,
             crashes: 0,
             has_crashed: false,
+            has_waited: false,
             is_trial: false,
             events: 0,
             received_before: request.caller_headers.received_events(),
--- a/node/src/serve/generation/prefill.rs
+++ b/node/src/serve/generation/prefill.rs
@@ -115,7 +115,10 @@
                     arrival.waive();
                 }
                 match &error {
-                    PrefillError::Send(error) => reservation.conclude_unanswered(error),
+                    PrefillError::Send(error) => {
+                        reservation.conclude_unanswered(error);
+                        self.attempts().has_waited |= error.is_connect_timeout();
+                    }
                     PrefillError::Incomplete(_)
                     | PrefillError::Format(_)
                     | PrefillError::Status(_)
--- a/node/src/serve/generation/run.rs
+++ b/node/src/serve/generation/run.rs
@@ -121,6 +121,7 @@
             Ok(answer) => answer,
             Err(error) => {
                 reservation.conclude_unanswered(&error);
+                self.attempts().has_waited |= error.is_connect_timeout();
                 log::info!(
                     request:% = self.request.id, runner:% = id, error:% = error,
                     unsent = error.proves_unsent(); "call failed"
--- a/node/src/serve/generation/task.rs
+++ b/node/src/serve/generation/task.rs
@@ -340,6 +340,12 @@
             let refusal = self.generation.final_refusal(Reason::Shed);
             return Some(Err(Some((refusal, StopCause::Calls))));
         }
+        // Another runner would cost the caller another timeout.
+        let has_waited = self.generation.attempts().has_waited;
+        if has_waited && self.generation.shared.connector.is_isolated() {
+            let refusal = self.generation.final_refusal(self.generation.no_runner());
+            return Some(Err(Some((refusal, StopCause::NoRunner))));
+        }
         self.current = Attempt::place(&self.generation);
         self.note_advanced();
         None
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -67,6 +67,7 @@
         runs: 0,
         crashes: 0,
         is_trial: false,
+        has_waited: false,
         register: RegisterVersion::default(),
         next: None,
     };
@@ -114,6 +115,9 @@
     crashes: usize,
     /// Whether this is a trial run of a quarantined request, to see if it still crashes runners.
     is_trial: bool,
+    /// Whether it has waited for the whole timeout of a connect, or a call was given up before it
+    /// was connected.
+    has_waited: bool,
     /// The version of the register by which the runner of the last call was chosen.
     register: RegisterVersion,
     /// The next call, if it was planned before the last one was given up.
@@ -180,6 +184,10 @@
             if self.calls >= MAX_CALLS {
                 return failed.ok_or_else(|| self.final_refusal(Reason::Shed));
             }
+            // Another runner would cost the caller another timeout.
+            if self.has_waited && self.shared.connector.is_isolated() {
+                return failed.ok_or_else(|| self.final_refusal(Reason::NoRunner));
+            }
         }
     }
 
@@ -305,6 +313,7 @@
             }
             Ok(Err(error)) => {
                 reservation.conclude_unanswered(&error);
+                self.has_waited |= error.is_connect_timeout();
                 log::info!(
                     request:% = request.id, runner:% = id, address:% = address, error:% = error,
                     unsent = error.proves_unsent(); "call failed"
@@ -325,6 +334,7 @@
                     waited_ms = reservation.held().as_millis() as u64; "call without an answer"
                 );
                 if !is_sent {
+                    self.has_waited = true;
                     self.runs -= 1;
                     return CallResult::NotRun { arrived: false };
                 }
