part_quarantine: a part that is probably sound explains no crashes

Cause: a proposal was left undecided when another part with as many crashes was at all of them, also if runs on that part had made progress before and none of its trials had failed. Nodes that remember the progress leave such a part out of the contexts that they report, others do not, so it is not always judged together with the crashing part either.

Change: such a part is no rival of a part that was never sound, as is the rule for failed trials.

--- a/lib/src/fleet/part_quarantine/decision.rs
+++ b/lib/src/fleet/part_quarantine/decision.rs
@@ -65,12 +65,13 @@
         let is_trial = |crash: &Crash| crash.sent > tracked.restricted;
         let rivals = self.rivals(entry, &series.context(is_trial));
         let was_there = |tag: Tag, rival: &&Entry| rival.crashes.contains(&tag);
-        let is_stronger = |rival: &&&Entry| rival.crashes.len() >= entry.crashes.len();
+        let is_suspect = |rival: &&&Entry| entry.was_sound || !rival.is_probably_sound();
+        let is_stronger =
+            |rival: &&&Entry| is_suspect(rival) && rival.crashes.len() >= entry.crashes.len();
         let is_explained =
             |tag: Tag| rivals.iter().filter(is_stronger).any(|rival| was_there(tag, rival));
         let unexplained = entry.crashes.iter().filter(|tag| !is_explained(**tag)).count();
         // The runner of a trial may have crashed because of another part's trial.
-        let is_suspect = |rival: &&&Entry| entry.was_sound || !rival.is_probably_sound();
         let is_shared =
             |tag: Tag| rivals.iter().filter(is_suspect).any(|rival| was_there(tag, rival));
         let is_failed_trial = |crash: &Crash| is_trial(crash) && !is_shared(crash.incarnation);
