part_quarantine: one queued run is no failed trial

Cause: a part was quarantined after any crash under a trial, also if the run had not begun. Such a run may have been queued at a runner that crashed for another reason, of which this node has not heard.

Change: the failed trials of a part must weigh as much as one run that had begun; two queued ones do. Otherwise the proposal is left undecided, and the next trial decides.

--- a/lib/src/fleet/part_quarantine/decision.rs
+++ b/lib/src/fleet/part_quarantine/decision.rs
@@ -7,8 +7,8 @@
 
 use super::evidence::Series;
 use super::{
-    Cause, Change, Crash, Entry, MAX_CONTEXT, Mark, PartQuarantine, RESTRICTION_WEIGHT, Stage,
-    Subject, Tracked, is_strong,
+    Cause, Change, Crash, Entry, FAILED_TRIAL_WEIGHT, MAX_CONTEXT, Mark, PartQuarantine,
+    RESTRICTION_WEIGHT, Stage, Subject, Tracked, is_strong,
 };
 use crate::fleet::runner::Tag;
 
@@ -76,7 +76,7 @@
             |tag: Tag| rivals.iter().filter(is_suspect).any(|rival| was_there(tag, rival));
         let is_failed_trial = |crash: &Crash| is_trial(crash) && !is_shared(crash.incarnation);
         let is_one_of_many = self.concurrent(now) > MAX_CONCURRENT;
-        series.has(is_failed_trial)
+        series.weight(is_failed_trial) >= FAILED_TRIAL_WEIGHT
             && self.is_distinct(subject, series, is_trial)
             && unexplained >= MIN_CRASHES
             && (!is_one_of_many || entry.crashes.len() >= CERTAIN_CRASHES)
--- a/lib/src/fleet/part_quarantine/mod.rs
+++ b/lib/src/fleet/part_quarantine/mod.rs
@@ -43,6 +43,9 @@
 const RESTRICTION_WEIGHT: u32 = 4;
 /// The weight of the crashes from which a part is proposed: three under runs that had begun.
 const QUARANTINE_WEIGHT: u32 = 6;
+/// The weight of the failed trials that count against a part: one run that had begun. A run that had
+/// not may have been queued at a runner that crashed for another reason.
+const FAILED_TRIAL_WEIGHT: u32 = 2;
 /// The number of events after which a run has made progress. What crashes its runner when it begins
 /// to write may have sent an event or two.
 pub const PROGRESS_EVENTS: u64 = 3;
--- a/lib/tests/part_quarantine.rs
+++ b/lib/tests/part_quarantine.rs
@@ -732,3 +732,22 @@
     let crashes = [Tag(1), Tag(2), Tag(3)];
     assert_eq!(node.core.unexplained_by_parts(&crashes, crashing.request), 3);
 }
+
+/// Guards against refusing a sound part because its trial was queued at a runner that crashed for
+/// another reason.
+#[test]
+fn decide_one_queued_trial_undecided() {
+    let mut node = Node::new();
+    for _ in 0..3 {
+        let prompt = node.request(&["f"]);
+        node.crash_sent(&[prompt], true, 100 * MS);
+    }
+    for expected in [Stage::Undecided, Stage::Quarantined] {
+        node.wait(SECOND);
+        let prompt = node.request(&["f"]);
+        node.crash_sent(&[prompt], false, 100 * MS);
+        assert_eq!(node.stage("f"), Some(Stage::Proposed));
+        node.decide();
+        assert_eq!(node.stage("f"), Some(expected));
+    }
+}
