--- a/lib/src/fleet/part_quarantine/decision.rs
+++ b/lib/src/fleet/part_quarantine/decision.rs
@@ -36,7 +36,8 @@
             let entry = &tracked.entry;
             let has_counted = self.evidence.get(&entry.subject).is_some_and(|series| {
                 let is_trial = |crash: &Crash| crash.sent > tracked.restricted;
-                is_strong(entry.trials, entry.crashes.len(), series) && series.has(is_trial)
+                let crashes = self.known_crashes(Some(entry), series);
+                is_strong(entry.trials, &crashes, series) && series.has(is_trial)
             });
             entry.is_undecided(now) && now >= entry.since + DECISION_DELAY && has_counted
         };
--- a/lib/src/fleet/part_quarantine/evidence.rs
+++ b/lib/src/fleet/part_quarantine/evidence.rs
@@ -13,7 +13,7 @@
 use crate::fleet::runner::Tag;
 
 /// The weight of a crash under a run that had begun to write its answer.
-const BEGUN_WEIGHT: u32 = 2;
+pub(super) const BEGUN_WEIGHT: u32 = 2;
 /// The weight of a crash under any other run, which may have been queued.
 const QUEUED_WEIGHT: u32 = 1;
 /// How long crashes are remembered after the last one.
--- a/lib/src/fleet/part_quarantine/mod.rs
+++ b/lib/src/fleet/part_quarantine/mod.rs
@@ -21,8 +21,8 @@
 
 use self::decision::MIN_CRASHES;
 pub use self::entry::{Crashes, Entry, Stage};
+use self::evidence::{BEGUN_WEIGHT, Evidence, Series};
 pub use self::evidence::{Crash, MAX_CONTEXT, MAX_CRASHES, Report};
-use self::evidence::{Evidence, Series};
 pub use self::prompt::{Context, Mark, Prompt, Subject};
 use self::trial::Permits;
 pub use self::trial::{Answer, Question};
@@ -116,11 +116,13 @@
     pub cause: Cause,
 }
 
-/// Whether enough crashes count against a part to propose it. After a failed trial, those that
+/// Whether enough of the `crashes` under a part count against it to propose it. Those that only
 /// other nodes have counted count too: this node may have started since.
-fn is_strong(trials: u32, crashes: usize, series: &Series) -> bool {
-    let counted_before = if trials > 0 { crashes } else { 0 };
-    series.weight(|_| true) >= QUARANTINE_WEIGHT || counted_before >= MIN_CRASHES
+fn is_strong(trials: u32, crashes: &Crashes, series: &Series) -> bool {
+    let is_own = |tag: &&Tag| series.incarnations().any(|own| own == **tag);
+    let others = crashes.iter().filter(|tag| !is_own(tag)).count() as u32;
+    let weight = series.weight(|_| true) + others * BEGUN_WEIGHT;
+    weight >= QUARANTINE_WEIGHT || trials > 0 && crashes.len() >= MIN_CRASHES
 }
 
 /// What a node reports after a crash.
@@ -317,7 +319,7 @@
         let trials = known.filter(|known| known.is_active()).map_or(0, |known| known.trials);
         let crashes = self.known_crashes(known, series);
         let mut context = series.context(|_| true);
-        if let Some(known) = known.filter(|_| trials > 0) {
+        if let Some(known) = known.filter(|_| trials > 0 || crashes.len() > series.len()) {
             context.retain(|mark| known.context.contains(mark));
         }
         let entry = |serial, stage| Entry {
@@ -341,7 +343,7 @@
                 let is_trial = |crash: &Crash| crash.sent > since;
                 let is_new_trial = |crash: &Crash| crash.sent > known.since;
                 let serial = if stage == Stage::Undecided { next } else { serial };
-                if !is_strong(trials, crashes.len(), series) || !series.has(is_new_trial) {
+                if !is_strong(trials, &crashes, series) || !series.has(is_new_trial) {
                     entry(known.serial, stage)
                 } else if self.is_distinct(subject, series, is_trial) {
                     entry(serial, Stage::Proposed)
@@ -359,12 +361,12 @@
     }
 
     /// The crashes under a part, in which those count that other nodes have counted before a failed
-    /// trial, unless a quarantined part accounts for them.
+    /// trial, or if this node has counted too few, unless a quarantined part accounts for them.
     fn known_crashes(&self, known: Option<&Entry>, series: &Series) -> Crashes {
         let mut crashes: Crashes = series.incarnations().collect();
-        let Some(known) = known.filter(|known| known.is_active() && known.trials > 0) else {
-            return crashes;
-        };
+        let is_weak = series.weight(|_| true) < QUARANTINE_WEIGHT;
+        let counts = |known: &&Entry| known.is_active() && (known.trials > 0 || is_weak);
+        let Some(known) = known.filter(counts) else { return crashes };
         let is_explained = |tag: Tag| {
             let mut others = self.entries().filter(|other| {
                 other.stage == Stage::Quarantined && !known.has_in_context(&other.subject)
--- a/lib/tests/part_quarantine.rs
+++ b/lib/tests/part_quarantine.rs
@@ -751,3 +751,18 @@
         assert_eq!(node.stage("f"), Some(expected));
     }
 }
+
+/// Guards against a node that has started since, and waits for two more trials to fail.
+#[test]
+fn note_report_crashes_counted_elsewhere_proposed() {
+    let (mut other, mut node) = (Node::new(), Node::new());
+    other.crash_times(&["bad"], 2);
+    node.now = other.now;
+    node.runners = other.runners;
+    let entry = other.core.get(&part("bad")).expect("an entry").clone();
+    node.core.apply(entry, Cause::Heard, node.now);
+    node.crash_times(&["bad"], 1);
+    assert_eq!(node.stage("bad"), Some(Stage::Proposed));
+    node.decide();
+    assert_eq!(node.stage("bad"), Some(Stage::Quarantined));
+}
