--- a/lib/src/fleet/part_quarantine/decision.rs
+++ b/lib/src/fleet/part_quarantine/decision.rs
@@ -7,8 +7,8 @@
 
 use super::evidence::Series;
 use super::{
-    Cause, Change, Crash, Entry, MAX_CONTEXT, Mark, PartQuarantine, RESTRICTION_WEIGHT, Stage,
-    Subject, Tracked, is_strong,
+    Cause, Change, Crash, Entry, FAILED_TRIAL_WEIGHT, MAX_CONTEXT, Mark, PartQuarantine,
+    RESTRICTION_WEIGHT, Stage, Subject, Tracked, is_strong,
 };
 use crate::fleet::runner::Tag;
 
@@ -36,7 +36,8 @@
             let entry = &tracked.entry;
             let has_counted = self.evidence.get(&entry.subject).is_some_and(|series| {
                 let is_trial = |crash: &Crash| crash.sent > tracked.restricted;
-                is_strong(entry.trials, entry.crashes.len(), series) && series.has(is_trial)
+                let crashes = self.known_crashes(Some(entry), series);
+                is_strong(entry.trials, &crashes, series) && series.has(is_trial)
             });
             entry.is_undecided(now) && now >= entry.since + DECISION_DELAY && has_counted
         };
@@ -65,17 +66,18 @@
         let is_trial = |crash: &Crash| crash.sent > tracked.restricted;
         let rivals = self.rivals(entry, &series.context(is_trial));
         let was_there = |tag: Tag, rival: &&Entry| rival.crashes.contains(&tag);
-        let is_stronger = |rival: &&&Entry| rival.crashes.len() >= entry.crashes.len();
+        let is_suspect = |rival: &&&Entry| entry.was_sound || !rival.is_probably_sound();
+        let is_stronger =
+            |rival: &&&Entry| is_suspect(rival) && rival.crashes.len() >= entry.crashes.len();
         let is_explained =
             |tag: Tag| rivals.iter().filter(is_stronger).any(|rival| was_there(tag, rival));
         let unexplained = entry.crashes.iter().filter(|tag| !is_explained(**tag)).count();
         // The runner of a trial may have crashed because of another part's trial.
-        let is_suspect = |rival: &&&Entry| entry.was_sound || !rival.is_probably_sound();
         let is_shared =
             |tag: Tag| rivals.iter().filter(is_suspect).any(|rival| was_there(tag, rival));
         let is_failed_trial = |crash: &Crash| is_trial(crash) && !is_shared(crash.incarnation);
         let is_one_of_many = self.concurrent(now) > MAX_CONCURRENT;
-        series.has(is_failed_trial)
+        series.weight(is_failed_trial) >= FAILED_TRIAL_WEIGHT
             && self.is_distinct(subject, series, is_trial)
             && unexplained >= MIN_CRASHES
             && (!is_one_of_many || entry.crashes.len() >= CERTAIN_CRASHES)
