scale: keep the required number of runners in the store

The required number of runners rose with each change of the holder of the duties: a new holder took the number of serving runners, with the reclaimable ones that cover the loss of a data centre, as the requirement.

- The requirement, its evidence and the last accepted orders are objects of kind sardinepick-capacity, one per service.
A holder reads the record before its first order, writes a changed requirement before it orders by it, and accepted orders afterwards.
While the store fails, the last known requirement stays in force and nothing is released.
An undecodable object is replaced.
A higher serial number in memory takes precedence over an older copy.
- Where no record exists, runners count without the largest group of reclaimable ones.
- [capacity] policy = measured: the requirement follows the 0.95 quantile of the load over 60 s.
It is lowered after 12 s of evidence, by at most a tenth in 2 s.
- Regular runners are ordered only for load that neither the serving runners nor the ordered reclaimable ones carry.
The spread over data centres is the cheapest that covers the loss of one.

--- a/lib/src/scale/plan.rs
+++ b/lib/src/scale/plan.rs
@@ -4,14 +4,17 @@
 //! Runners are billed by the second. Reclaimable runners cost a fraction of the price of regular
 //! ones, but the platform can reclaim all of those in a data centre at once. So reclaimable runners
 //! carry the load, spread such that the loss of those of one data centre leaves the required
-//! capacity, and a few regular runners stay in each data centre. The number of regular runners is
-//! lowered only once their replacements take work.
+//! capacity ([`super::spread`]), and a few regular runners stay in each data centre. The number of
+//! regular runners is lowered only once their replacements take work. Regular runners are ordered only
+//! for load that the serving runners cannot carry.
 
 use std::time::{Duration, Instant};
 
 use smallvec::SmallVec;
 
 use super::need::RequiredCapacity;
+use super::record::Record;
+use super::spread::Spread;
 use crate::id::DataCentre;
 
 /// The bounds and prices of a service that is scaled.
@@ -56,16 +59,15 @@
     pub count: u32,
 }
 
-/// The share of regular runners, with at least one in each data centre. They keep serving when all
-/// others are reclaimed at once.
-const REGULAR_SHARE: f64 = 0.06;
 /// How long after an order failed for lack of runners it is repeated in that data centre.
 const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(2_000);
 /// How long to wait beyond the boot time before an order is repeated.
 const ORDER_GRACE: Duration = Duration::from_millis(2_500);
-/// The share of the required capacity below which regular runners are ordered in place of reclaimable
-/// ones that are unavailable.
-const SHORTAGE_SHARE: f64 = 0.8;
+/// The share of the serving runners that is released at most per [`RELEASE_PERIOD`], except regular
+/// runners that reclaimable ones have replaced.
+const MAX_RELEASED: f64 = 0.1;
+/// The minimum time between two releases.
+const RELEASE_PERIOD: Duration = Duration::from_secs(2);
 
 /// The last order for one kind in one data centre.
 #[derive(Clone, Copy, Debug, Default)]
@@ -87,6 +89,7 @@
 #[derive(Debug, Default)]
 pub struct Planner {
     last_orders: Vec<[LastOrder; 2]>,
+    released_at: Option<Instant>,
 }
 
 impl Kind {
@@ -99,6 +102,20 @@
 }
 
 impl Planner {
+    /// Takes over the orders on record. They count as placed at `now`, so that runners that are
+    /// booting are not ordered again, and nothing is released at once.
+    pub fn adopt(&mut self, now: Instant, scaling: &Scaling, record: &Record) {
+        let last = |data_centre: &DataCentre, kind| {
+            let count = record.order(data_centre, kind);
+            LastOrder { count, at: count.map(|_| now), unavailable_at: None }
+        };
+        let kinds = |(data_centre, _): &(DataCentre, f64)| {
+            [Kind::Regular, Kind::Reclaimable].map(|kind| last(data_centre, kind))
+        };
+        self.last_orders = scaling.prices.iter().map(kinds).collect();
+        self.released_at = Some(now);
+    }
+
     /// Returns the orders to place at `now`. `supply` has the runners by data centre, in the order of
     /// [`Scaling::prices`]. `required` has to be served even while the reclaimable runners of one data
     /// centre are unavailable.
@@ -116,32 +133,88 @@
             return orders;
         }
         let inputs = Inputs { now, scaling, supply };
-        let target = Target::new(scaling, need);
-        let serving: u32 = supply.iter().flat_map(|s| s.serving).sum();
+        let target = Spread::new(scaling, supply, need);
         if scaling.reclaimable_price.is_some() {
-            for (data_centre, runners) in supply.iter().enumerate() {
-                let count = target.reclaimable(scaling, runners);
+            for (data_centre, count) in target.reclaimable.iter().copied().enumerate() {
                 let wanted = Order { data_centre, kind: Kind::Reclaimable, count };
                 self.increase(&inputs, wanted, &mut orders);
             }
+            if required.is_stable {
+                self.exchange(&inputs, &target, need, &mut orders);
+                self.release(&inputs, &target, need, &mut orders);
+            }
         }
-        // A regular runner may be released only for a reclaimable one that already serves.
+        let expected = inputs.serving() + self.booting(&inputs);
+        if expected < required.load {
+            self.cover_shortage(&inputs, required.load - expected, &mut orders);
+        }
+        orders
+    }
+
+    /// Releases regular runners, in the most expensive data centres first, as far as reclaimable ones
+    /// that already serve have replaced them.
+    fn exchange(
+        &mut self,
+        inputs: &Inputs<'_>,
+        target: &Spread,
+        need: u32,
+        orders: &mut SmallVec<[Order; 8]>,
+    ) {
+        let Inputs { now, scaling, supply } = *inputs;
         let replacements: u32 = supply.iter().map(|s| s.serving[1]).sum();
-        let spare = serving.saturating_sub(need).min(replacements);
-        let mut spare = if required.is_stable { spare } else { 0 };
+        let mut spare = inputs.serving().saturating_sub(need).min(replacements);
         for data_centre in scaling.by_price().into_iter().rev() {
             let have = supply[data_centre].ready[0];
             let fewer = have.saturating_sub(target.regular).min(spare);
-            if fewer > 0 && scaling.reclaimable_price.is_some() {
+            if fewer > 0 {
                 spare -= fewer;
                 let wanted = Order { data_centre, kind: Kind::Regular, count: have - fewer };
-                self.order(now, wanted, &mut orders);
+                self.order(now, wanted, orders);
             }
         }
-        if f64::from(serving) < f64::from(need) * SHORTAGE_SHARE {
-            self.cover_shortage(&inputs, need - serving, &mut orders);
+    }
+
+    /// Releases reclaimable runners beyond the target gradually, in the most expensive data centres
+    /// first, once as many serve as the target has.
+    fn release(
+        &mut self,
+        inputs: &Inputs<'_>,
+        target: &Spread,
+        need: u32,
+        orders: &mut SmallVec<[Order; 8]>,
+    ) {
+        let Inputs { now, scaling, supply } = *inputs;
+        let serving: u32 = supply.iter().map(|s| s.serving[1]).sum();
+        let excess = serving.saturating_sub(target.reclaimable.iter().sum());
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < RELEASE_PERIOD;
+        if self.released_at.is_some_and(is_recent) || inputs.serving() <= need {
+            return;
+        }
+        let most = (f64::from(inputs.serving()) * MAX_RELEASED) as u32;
+        let mut left = excess.min(most.max(1));
+        for data_centre in scaling.by_price().into_iter().rev() {
+            let have = supply[data_centre].ready[1];
+            let fewer = have.saturating_sub(target.reclaimable[data_centre]).min(left);
+            if fewer > 0 {
+                left -= fewer;
+                self.released_at = Some(now);
+                let wanted = Order { data_centre, kind: Kind::Reclaimable, count: have - fewer };
+                self.order(now, wanted, orders);
+            }
         }
-        orders
+    }
+
+    /// The number of reclaimable runners that have been ordered and do not exist yet. Regular ones
+    /// would not take work any earlier.
+    fn booting(&self, inputs: &Inputs<'_>) -> u32 {
+        let limit = inputs.scaling.boot_time + ORDER_GRACE;
+        let booting = |(last, supply): (&[LastOrder; 2], &Supply)| {
+            let last = last[Kind::Reclaimable.index()];
+            let is_recent = |at: Instant| inputs.now.saturating_duration_since(at) < limit;
+            let count = last.count.filter(|_| last.at.is_some_and(is_recent)).unwrap_or_default();
+            count.saturating_sub(supply.ready[1])
+        };
+        self.last_orders.iter().zip(inputs.supply).map(booting).sum()
     }
 
     /// Orders `missing` regular runners, in the cheapest data centres first.
@@ -210,35 +283,23 @@
     }
 }
 
-/// The target number of runners per data centre.
-#[derive(Clone, Copy, Debug)]
-struct Target {
-    regular: u32,
-    reclaimable: u32,
-}
-
-impl Target {
-    fn new(scaling: &Scaling, need: u32) -> Self {
-        let data_centres = scaling.prices.len() as f64;
-        let need = f64::from(need);
-        let regular = (need * REGULAR_SHARE / data_centres).ceil().max(f64::from(scaling.bounds.0));
-        // The load has to fit even while the reclaimable runners of one data centre are unavailable.
-        let others = (data_centres - 1.0).max(1.0);
-        let reclaimable = ((need - regular * data_centres) / others).ceil().max(0.0);
-        Self { regular: regular as u32, reclaimable: reclaimable as u32 }
-    }
-
-    /// The target number of reclaimable runners in a data centre, within its bounds.
-    fn reclaimable(&self, scaling: &Scaling, supply: &Supply) -> u32 {
-        self.reclaimable.min(scaling.bounds.1.saturating_sub(supply.ready[0].max(self.regular)))
+impl Inputs<'_> {
+    /// The number of runners that take work.
+    fn serving(&self) -> u32 {
+        self.supply.iter().flat_map(|s| s.serving).sum()
     }
 }
 
 impl Scaling {
     /// The indexes of the data centres, cheapest first.
-    fn by_price(&self) -> Vec<usize> {
+    pub(super) fn by_price(&self) -> Vec<usize> {
         let mut data_centres: Vec<usize> = (0..self.prices.len()).collect();
         data_centres.sort_by(|a, b| self.prices[*a].1.total_cmp(&self.prices[*b].1));
         data_centres
     }
+
+    /// The price of `counts` runners by data centre, relative to the kind's price.
+    pub(super) fn price(&self, counts: &[u32]) -> f64 {
+        self.prices.iter().zip(counts).map(|((_, price), count)| price * f64::from(*count)).sum()
+    }
 }
--- a/node/src/serve/duty.rs
+++ b/node/src/serve/duty.rs
@@ -9,7 +9,7 @@
 
 use crate::duty::caller::Caller;
 use crate::duty::view::Views;
-use crate::scale::{Scaler, Service, Services};
+use crate::scale::{Records, Scaler, Service, Services};
 use crate::serve::shared::Shared;
 use crate::usage::report::Reporter;
 use crate::usage::sender::CountSender;
@@ -50,6 +50,13 @@
         services,
         duty_lease: duty_lease.clone(),
         caller: caller.clone(),
+        policy: shared.settings.capacity_policy,
+        records: Records {
+            store: shared.store.clone(),
+            era_tracker: shared.era_tracker.clone(),
+            metrics: metrics.clone(),
+        },
+        usage: usage.clone(),
         clock: shared.clock.clone(),
         metrics: metrics.clone(),
     };
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -79,8 +79,11 @@
     pub lease_changes: IntCounterVec,
     /// Platform calls by the holder of the duties lease, by call and outcome.
     pub duty_calls: IntCounterVec,
-    /// Runners of services with scaling: needed, and present by kind.
+    /// Runners of services with scaling: needed and needed by the load (at the holder of the duties),
+    /// and present by kind.
     pub scaled_runners: IntGaugeVec,
+    /// Reads and writes of capacity records, by outcome.
+    pub capacity_records: IntCounterVec,
     /// Usage windows by outcome.
     pub usage_windows: IntCounterVec,
     /// Bytes of usage messages by direction.
@@ -294,9 +297,14 @@
             ),
             scaled_runners: m.gauges(
                 "sardinepick_scaled_runners",
-                "Runners of services that are ordered: needed, and there by kind",
+                "Runners of services that are ordered: needed and load at the holder, and there by kind",
                 &["service", "what"],
             ),
+            capacity_records: m.counters(
+                "sardinepick_capacity_records_total",
+                "Reads and writes of the records of required runners, by what came of them",
+                &["outcome"],
+            ),
             usage_windows: m.counters(
                 "sardinepick_usage_windows_total",
                 "Windows of usage by what became of them",
--- a/node/src/serve/settings.rs
+++ b/node/src/serve/settings.rs
@@ -8,6 +8,7 @@
 use log::LevelFilter;
 use sardinepick_lib::fleet::budget::Bounds;
 use sardinepick_lib::id::{DataCentre, NodeId};
+use sardinepick_lib::scale::need::Policy;
 
 use crate::settings::{
     ADDRESS_FORM, FORMAT_FORM, LEVEL_FORM, LogFormat, Reader, Sections, SettingsError, addresses,
@@ -47,13 +48,15 @@
     pub platform: Option<SocketAddr>,
     /// The length of usage windows; `None` if usage is not reported.
     pub usage_window: Option<Duration>,
+    /// How the required number of runners is determined.
+    pub capacity_policy: Policy,
     /// The least severe level that is logged.
     pub log_level: LevelFilter,
     /// The log format.
     pub log_format: LogFormat,
 }
 
-const SECTIONS: [(&str, &[&str]); 8] = [
+const SECTIONS: [(&str, &[&str]); 9] = [
     ("node", &["name", "data_centre", "front", "ready", "lookup", "peer", "metrics", "seeds"]),
     ("store", &["address"]),
     ("retry", &["ratio", "allowance", "window_s"]),
@@ -61,6 +64,7 @@
     ("orders", &["turns_ms"]),
     ("platform", &["address"]),
     ("usage", &["window_s"]),
+    ("capacity", &["policy"]),
     ("log", &["level", "format"]),
 ];
 
@@ -68,6 +72,7 @@
 const RATIO_FORM: &str = "a number from 0 to 10";
 const ALLOWANCE_FORM: &str = "a number from 0 to 1000000";
 const MILLIS_FORM: &str = "a whole number of milliseconds from 1 to 3600000";
+const POLICY_FORM: &str = "initial or measured";
 const SECONDS_FORM: &str = "a number of seconds from 0.1 to 3600";
 
 /// The default retry budget: a fifth of the requests plus ten, per ten seconds.
@@ -129,6 +134,7 @@
     let call_gap = r.optional("orders", "turns_ms", MILLIS_FORM, |t| within(t, 1, 3_600_000));
     let platform = r.optional("platform", "address", ADDRESS_FORM, usable_address);
     let usage_window = r.optional("usage", "window_s", SECONDS_FORM, seconds);
+    let capacity_policy = r.optional("capacity", "policy", POLICY_FORM, parse_value);
     let log_level = r.optional("log", "level", LEVEL_FORM, parsed);
     let log_format = r.optional("log", "format", FORMAT_FORM, parsed);
     Some(Settings {
@@ -151,6 +157,7 @@
         call_gap: call_gap.map_or(DEFAULT_CALL_GAP, Duration::from_millis),
         platform,
         usage_window,
+        capacity_policy: capacity_policy.unwrap_or_default(),
         log_level: log_level.unwrap_or(LevelFilter::Info),
         log_format: log_format.unwrap_or(LogFormat::Json),
     })
--- a/node/src/serve/store.rs
+++ b/node/src/serve/store.rs
@@ -110,6 +110,8 @@
     Quarantine,
     /// Reading or writing settled usage.
     Usage,
+    /// Reading or writing capacity records.
+    Capacity,
 }
 
 /// The timeout for the start of an answer, except to a watch, and between its pieces. The store
--- a/testutils/src/fleet/deployment.rs
+++ b/testutils/src/fleet/deployment.rs
@@ -8,6 +8,7 @@
 use sardinepick_lib::clock::{Clock, System};
 use sardinepick_lib::fleet::budget::Bounds;
 use sardinepick_lib::hash::stable_hash;
+use sardinepick_lib::scale::need::Policy;
 use sardinepick_node::serve::metrics::Metrics;
 use sardinepick_node::serve::run::{self, Running, Sockets};
 use sardinepick_node::serve::settings::Settings;
@@ -142,6 +143,7 @@
         call_gap: Duration::from_millis(300),
         platform: None,
         usage_window: None,
+        capacity_policy: Policy::default(),
         log_level: LevelFilter::Info,
         log_format: LogFormat::Json,
     }
