--- a/node/tests/settings.rs
+++ b/node/tests/settings.rs
@@ -6,6 +6,8 @@
 use sardinepick_lib::config::change::prepare;
 use sardinepick_lib::config::snapshot::Snapshot;
 use sardinepick_lib::language::{Statement, parse};
+use sardinepick_lib::scale::need::Policy;
+use sardinepick_node::serve::settings::Settings as ServeSettings;
 use sardinepick_node::settings::Settings;
 
 fn deployment(name: &str) -> PathBuf {
@@ -57,3 +59,24 @@
         wrong.ini: [limits] queue: "0" is not accepted; accepted: a whole number from 1 to 1000000"#]]
     .assert_eq(&error.to_string());
 }
+
+fn parse_with_capacity(section: &str) -> Result<ServeSettings, String> {
+    let text = format!(
+        "[node]\nname = n1\ndata_centre = zaal-dom\nfront = 10.0.0.7:1\nready = 10.0.0.7:2\n\
+         lookup = 10.0.0.7:3\npeer = 10.0.0.7:4\nmetrics = 10.0.0.7:5\n\
+         [store]\naddress = 10.0.0.8:1\n{section}"
+    );
+    ServeSettings::parse("node.ini", &text).map_err(|error| error.to_string())
+}
+
+/// Guards against a policy that is enabled without its section, or by a misspelt value.
+#[test]
+fn parse_capacity_policy() {
+    let policy = |section| parse_with_capacity(section).map(|settings| settings.capacity_policy);
+    assert_eq!(policy(""), Ok(Policy::Initial));
+    assert_eq!(policy("[capacity]\npolicy = initial\n"), Ok(Policy::Initial));
+    assert_eq!(policy("[capacity]\npolicy = measured\n"), Ok(Policy::Measured));
+    let rejected =
+        "node.ini: [capacity] policy: \"peak\" is not accepted; accepted: initial or measured";
+    assert_eq!(policy("[capacity]\npolicy = peak\n"), Err(rejected.to_owned()));
+}
