--- a/node/src/serve/settings.rs
+++ b/node/src/serve/settings.rs
@@ -8,6 +8,7 @@
 use log::LevelFilter;
 use sardinepick_lib::fleet::budget::Bounds;
 use sardinepick_lib::id::{DataCentre, NodeId};
+use sardinepick_lib::scale::need::Policy;
 
 use crate::settings::{
     ADDRESS_FORM, FORMAT_FORM, LEVEL_FORM, LogFormat, Reader, Sections, SettingsError, addresses,
@@ -49,13 +50,15 @@
     pub usage_window: Option<Duration>,
     /// Whether the time of work on runners is predicted by what is learned of them.
     pub runner_model: bool,
+    /// How the required number of runners is determined.
+    pub capacity_policy: Policy,
     /// The least severe level that is logged.
     pub log_level: LevelFilter,
     /// The log format.
     pub log_format: LogFormat,
 }
 
-const SECTIONS: [(&str, &[&str]); 9] = [
+const SECTIONS: [(&str, &[&str]); 10] = [
     ("node", &["name", "data_centre", "front", "ready", "lookup", "peer", "metrics", "seeds"]),
     ("store", &["address"]),
     ("retry", &["ratio", "allowance", "window_s"]),
@@ -64,6 +67,7 @@
     ("platform", &["address"]),
     ("usage", &["window_s"]),
     ("runner_model", &["enabled"]),
+    ("capacity", &["policy"]),
     ("log", &["level", "format"]),
 ];
 
@@ -72,6 +76,7 @@
 const ALLOWANCE_FORM: &str = "a number from 0 to 1000000";
 const MILLIS_FORM: &str = "a whole number of milliseconds from 1 to 3600000";
 const SWITCH_FORM: &str = "true or false";
+const POLICY_FORM: &str = "initial or measured";
 const SECONDS_FORM: &str = "a number of seconds from 0.1 to 3600";
 
 /// The default retry budget: a fifth of the requests plus ten, per ten seconds.
@@ -134,6 +139,7 @@
     let platform = r.optional("platform", "address", ADDRESS_FORM, usable_address);
     let usage_window = r.optional("usage", "window_s", SECONDS_FORM, seconds);
     let runner_model = r.optional("runner_model", "enabled", SWITCH_FORM, parse_value);
+    let capacity_policy = r.optional("capacity", "policy", POLICY_FORM, parse_value);
     let log_level = r.optional("log", "level", LEVEL_FORM, parsed);
     let log_format = r.optional("log", "format", FORMAT_FORM, parsed);
     Some(Settings {
@@ -157,6 +163,7 @@
         platform,
         usage_window,
         runner_model: runner_model.unwrap_or(false),
+        capacity_policy: capacity_policy.unwrap_or_default(),
         log_level: log_level.unwrap_or(LevelFilter::Info),
         log_format: log_format.unwrap_or(LogFormat::Json),
     })
