model: hand what a scheduler has learned to its successor

Twice a second the scheduler of a pool sends the terms of each stage and the deviations of its runners to the node that would schedule the pool after it, which adopts them as far as it has less evidence.

--- a/lib/src/fleet/model/deviation.rs
+++ b/lib/src/fleet/model/deviation.rs
@@ -1,6 +1,7 @@
 //! The deviation of one runner from its group.
 
-use super::Group;
+use super::super::runner::Tag;
+use super::{Group, RunnerState};
 
 /// How much longer work takes on a runner than the terms say, as a logarithm.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -25,6 +26,8 @@
 
 /// The evidence that the value of the group counts for.
 const INHERITED: f64 = 3.0;
+/// The smallest evidence that is adopted from another node: one observation.
+const MIN_EVIDENCE: f64 = 1.0;
 /// The smallest gain of an observation.
 const GAIN: f64 = 0.12;
 /// The bound of the error of one observation, as a logarithm. A stall takes ten times as long as
@@ -47,6 +50,28 @@
         self.log(group).exp()
     }
 
+    /// What a successor starts with.
+    pub(super) fn state(&self, group: Group, runner: Tag) -> RunnerState {
+        let (factor, evidence) = (self.log(group) as f32, self.evidence as f32);
+        RunnerState { runner, factor, evidence }
+    }
+
+    /// Adopts what another node has learned of the runner, unless this one has more evidence.
+    pub(super) fn adopt(&mut self, group: Group, state: &RunnerState) {
+        let evidence = f64::from(state.evidence).min(INHERITED / GAIN);
+        if evidence < self.evidence.max(MIN_EVIDENCE) {
+            return;
+        }
+        self.evidence = evidence;
+        self.set_log(group, f64::from(state.factor).clamp(RANGE.0.ln(), RANGE.1.ln()));
+    }
+
+    /// Sets the value that yields `target` together with what is inherited.
+    fn set_log(&mut self, group: Group, target: f64) {
+        let inherited = INHERITED / (INHERITED + self.evidence);
+        self.log = (target - group.mean() * inherited) / (1.0 - inherited);
+    }
+
     fn log(&self, group: Group) -> f64 {
         let inherited = INHERITED / (INHERITED + self.evidence);
         group.mean() * inherited + self.log * (1.0 - inherited)
@@ -71,9 +96,7 @@
         let target =
             (before + error.clamp(-limit, limit) * gain * weight).clamp(RANGE.0.ln(), RANGE.1.ln());
         self.evidence = (self.evidence + weight).min(INHERITED / GAIN);
-        // The value that yields the target together with what is inherited.
-        let inherited = INHERITED / (INHERITED + self.evidence);
-        self.log = (target - group.mean() * inherited) / (1.0 - inherited);
+        self.set_log(group, target);
     }
 
     fn note_run(&mut self, error: f64) {
--- a/lib/src/fleet/model/models.rs
+++ b/lib/src/fleet/model/models.rs
@@ -5,7 +5,7 @@
 
 use super::super::engine::Stage;
 use super::super::version::Version;
-use super::{Basis, Deviation, Model, Rates};
+use super::{Basis, Deviation, Model, Rates, State};
 use crate::id::ServiceId;
 
 /// How often the rates of a model are copied to its runners: often enough that a prediction is a
@@ -58,6 +58,12 @@
         self.kept(service, stage).model.rates(version)
     }
 
+    /// Adopts the terms that another node has learned, unless those of this node have more evidence.
+    /// Returns whether it did.
+    pub fn adopt(&mut self, state: &State) -> bool {
+        self.kept(&state.service, state.stage).model.adopt(state)
+    }
+
     /// Learns from a sample. Returns the rates of the version if they are due to be copied to its
     /// runners.
     pub fn learn(
--- a/lib/src/fleet/model/quantile.rs
+++ b/lib/src/fleet/model/quantile.rs
@@ -21,6 +21,16 @@
 }
 
 impl Spread {
+    /// The estimate with this value.
+    pub(super) fn of(log: f64) -> Self {
+        Self(log.clamp(RANGE.0, RANGE.1))
+    }
+
+    /// The estimate.
+    pub(super) fn log(self) -> f64 {
+        self.0
+    }
+
     /// The factor of the predicted time that nine of ten observations do not exceed.
     pub fn factor(self) -> f64 {
         self.0.exp()
--- a/lib/src/fleet/model/regression.rs
+++ b/lib/src/fleet/model/regression.rs
@@ -5,7 +5,7 @@
 
 /// The weight that an observation keeps per later one: observations count for about 200 later ones.
 /// The scheduler of a pool of 24 runners sees 40 or more a second, so five seconds.
-const MEMORY: f64 = 0.995;
+pub(super) const MEMORY: f64 = 0.995;
 /// The standard deviation of a term's prior, relative to its value. Terms of engines differ by a
 /// factor of four, and some by more.
 const PRIOR_DEVIATION: f64 = 3.0;
@@ -17,6 +17,13 @@
 /// The bounds of a term relative to its prior.
 const TERM_RANGE: (f64, f64) = (0.02, 25.0);
 
+/// The standard deviation of an adopted term, relative to its value: as far as it can have changed
+/// since it was sent.
+const ADOPTED_DEVIATION: f64 = 0.25;
+/// The smallest value of a term from which that deviation is derived, relative to its prior, so that
+/// a term that was learned to be nothing can grow again.
+const LEAST_KNOWN: f64 = 0.1;
+
 type Matrix = [Features; TERMS];
 
 /// The estimate of the terms, and its covariance.
@@ -45,6 +52,17 @@
         Terms(self.terms)
     }
 
+    /// Adopts terms that another node has learned.
+    pub(super) fn adopt(&mut self, terms: &Terms) {
+        self.covariance = Matrix::default();
+        for (i, term) in terms.0.iter().enumerate() {
+            let (low, high) = (self.prior[i] * TERM_RANGE.0, self.prior[i] * TERM_RANGE.1);
+            self.terms[i] = term.clamp(low, high);
+            let known = self.terms[i].max(self.prior[i] * LEAST_KNOWN);
+            self.covariance[i][i] = (known * ADOPTED_DEVIATION).powi(2);
+        }
+    }
+
     /// Learns from work of `basis` that took `seen` seconds on a runner that takes `factor` times
     /// as long as its kind.
     pub(super) fn learn(&mut self, basis: &Basis, factor: f64, seen: f64) {
--- a/lib/src/fleet/model/terms.rs
+++ b/lib/src/fleet/model/terms.rs
@@ -1,8 +1,9 @@
 //! The terms of an engine's time, and predictions from them.
 
 use super::super::engine::{self, Stage};
+use super::super::runner::Tag;
 use super::basis::{Basis, Features, TERMS};
-use super::{Deviation, Group, Spread};
+use super::{Deviation, Group, RunnerState, Spread};
 
 /// The terms of an engine's time, in seconds per unit of their quantity.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -108,6 +109,16 @@
         self.factor(deviation) / self.factor(&Deviation::default())
     }
 
+    /// What a successor starts with of a runner.
+    pub fn runner_state(&self, deviation: &Deviation, runner: Tag) -> RunnerState {
+        deviation.state(self.group, runner)
+    }
+
+    /// Adopts what another node has learned of a runner, unless this one has more evidence.
+    pub fn adopt_runner(&self, deviation: &mut Deviation, state: &RunnerState) {
+        deviation.adopt(self.group, state);
+    }
+
     /// The predicted times of the work of `basis` on a runner with `deviation`.
     pub fn forecast(&self, deviation: &Deviation, basis: &Basis) -> Forecast {
         let factor = self.factor(deviation);
--- a/lib/src/fleet/register.rs
+++ b/lib/src/fleet/register.rs
@@ -17,10 +17,10 @@
 use std::time::Instant;
 
 use super::cache::{Part, Progress};
-use super::engine::{Pace, Work};
+use super::engine::{Pace, Stage, Work};
 use super::health::Record;
 use super::load::{Class, Load};
-use super::model::{Deviation, Models, Sample};
+use super::model::{self, Deviation, Models, Sample};
 use super::pool::{self, Pool};
 use super::runner::{Closed, Entry, Registration, Runner, State, Tag};
 use super::scheduler::Observation;
@@ -92,6 +92,37 @@
         self.models.as_ref()
     }
 
+    /// What is learned of the runners of a pool, by stage, for the successor of its scheduler.
+    pub fn model_states(&self, service: &ServiceId, pool: Pool) -> Vec<model::State> {
+        let Some(models) = &self.models else { return Vec::new() };
+        let state = |stage| {
+            let model = models.get(service, stage)?;
+            let of_stage = self.of(service).filter(|r| r.entry.stage == Some(stage));
+            let states = of_stage.filter(|r| r.pool == pool).filter_map(Runner::model_state);
+            Some(model.state(service, stage, states.take(model::MAX_RUNNERS).collect()))
+        };
+        [Stage::Prefill, Stage::Decode].into_iter().filter_map(state).collect()
+    }
+
+    /// Adopts what the scheduler of a pool has learned, as far as this node has less evidence.
+    pub fn adopt_model_state(&mut self, state: &model::State) {
+        let Some(models) = &mut self.models else { return };
+        if models.adopt(state) {
+            let entries = self.runners.values_mut();
+            let same = |r: &&mut Runner| {
+                r.entry.service == state.service && r.entry.stage == Some(state.stage)
+            };
+            entries.filter(same).for_each(|runner| adopt_rates(runner, models));
+        }
+        for runner_state in &state.runners {
+            if let Some(runner) = self.by_tag_mut(runner_state.runner)
+                && runner.entry.stage == Some(state.stage)
+            {
+                runner.adopt_model_state(runner_state);
+            }
+        }
+    }
+
     /// Learns from work at the runner with a tag.
     pub fn learn(&mut self, tag: Tag, observation: Observation, now: Instant) {
         let Some(runner) = self.tags.get(&tag).and_then(|id| self.runners.get_mut(id)) else {
--- a/lib/src/fleet/runner.rs
+++ b/lib/src/fleet/runner.rs
@@ -11,7 +11,7 @@
 use super::health::Record;
 use super::limit::Limit;
 use super::load::{Class, Load, RemoteLoads};
-use super::model::{Basis, Deviation, Forecast, Rates};
+use super::model::{Basis, Deviation, Forecast, Rates, RunnerState};
 use super::pool::Pool;
 use super::version::Version;
 use crate::hash::stable_hash;
@@ -345,6 +345,18 @@
         self.rates.map(|rates| rates.spread.factor())
     }
 
+    /// What the successor of its scheduler starts with; `None` without the model.
+    pub fn model_state(&self) -> Option<RunnerState> {
+        self.rates.map(|rates| rates.runner_state(&self.deviation, self.entry.tag()))
+    }
+
+    /// Adopts what another node has learned of it, unless this one has more evidence.
+    pub fn adopt_model_state(&mut self, state: &RunnerState) {
+        if let Some(rates) = &self.rates {
+            rates.adopt_runner(&mut self.deviation, state);
+        }
+    }
+
     /// The part of the time of `basis` that depends on the speed of the runner, without that of a
     /// single step.
     fn scaled_time(&self, basis: &Basis) -> Option<f64> {
--- a/lib/tests/model_register.rs
+++ b/lib/tests/model_register.rs
@@ -203,3 +203,34 @@
     assert_eq!((change.to, change.count), (Stage::Prefill, 2));
     assert!(long.busy(1, &by_long) > 1.2 && long.busy(1, &by_long) < 2.2);
 }
+
+/// After the scheduler of a pool had ended, its successor predicted by the constants for seconds.
+#[test]
+fn adopt_state_successor_predicts_as_predecessor() {
+    let (mut old, mut new, mut now) = (register(), register(), Instant::now());
+    for register in [&mut old, &mut new] {
+        register.enable_models();
+        register.assign_pools();
+    }
+    teach(&mut old, [1.0, 1.0, 1.0, 1.0, 1.0, 3.0], &mut now);
+    // The successor has seen little of its own.
+    new.learn(runner(&new, 0).entry.tag(), observation(8_000, 0.21, true), now);
+    let service = "telraad".parse().expect("an id");
+    let states = old.model_states(&service, runner(&old, 0).pool);
+    assert_eq!(states.len(), 1, "one stage has been observed");
+    states.iter().for_each(|state| new.adopt_model_state(state));
+    for at in 0..RUNNERS {
+        let (was, is) = (prefill_time(runner(&old, at)), prefill_time(runner(&new, at)));
+        assert!((is / was - 1.0).abs() < 0.05, "{at}: {is} after {was}");
+    }
+    // A state with less evidence changes nothing.
+    let mut third = register();
+    third.enable_models();
+    third.assign_pools();
+    third.learn(runner(&third, 0).entry.tag(), observation(8_000, 3.0, true), now);
+    let before = prefill_time(runner(&new, 0));
+    for state in third.model_states(&service, runner(&third, 0).pool) {
+        new.adopt_model_state(&state);
+    }
+    assert_eq!(prefill_time(runner(&new, 0)), before);
+}
--- a/node/src/serve/mod.rs
+++ b/node/src/serve/mod.rs
@@ -19,6 +19,7 @@
 mod kind_watch;
 pub mod listener;
 pub mod metrics;
+mod model_state;
 pub mod order;
 pub mod payment;
 pub mod peer;
--- a/node/src/serve/scheduler.rs
+++ b/node/src/serve/scheduler.rs
@@ -28,7 +28,7 @@
 
 use crate::serve::pending::Pending;
 use crate::serve::shared::Shared;
-use crate::serve::{cache_query, quarantine};
+use crate::serve::{cache_query, model_state, quarantine};
 
 /// How long the scheduler found for a pool is cached. Finding it ranks all nodes.
 const SCHEDULER_CACHE_TTL: Duration = Duration::from_millis(50);
@@ -340,6 +340,7 @@
         Ok(Schedule::FoundBinding { number, found }) => {
             shared.stream_bindings.handle_answer(number, found);
         }
+        Ok(Schedule::ModelState(state)) => model_state::receive(shared, &state),
         Ok(Schedule::Part(message)) => shared.part_quarantine.handle(from, message).await,
         Ok(Schedule::Acquired { number, wait }) => shared.limiter.handle_reply(number, wait),
         Err(error) => log::warn!(peer:% = from, error:% = error; "invalid schedule datagram"),
@@ -392,6 +393,16 @@
     }
 }
 
+/// The pools that this node schedules, of those that it has been asked about.
+pub(super) fn scheduled_pools(shared: &Shared) -> Vec<(ServiceId, Pool)> {
+    let pools: Vec<(ServiceId, Pool)> =
+        shared.scheduling.state().scheduled.keys().cloned().collect();
+    let is_mine = |(service, pool): &(ServiceId, Pool)| {
+        pool_scheduler(shared, service, *pool) == PoolScheduler::Me
+    };
+    pools.into_iter().filter(is_mine).collect()
+}
+
 fn apply_report(shared: &Shared, report: &Report) {
     let now = shared.clock.now();
     let mut register = shared.register();
@@ -417,6 +428,7 @@
                 }
                 let busy: Vec<Tag> = shared.register().busy_tags().collect();
                 shared.scheduling.state().updates.changed.extend(busy);
+                model_state::send(&shared).await;
             }
             () = shared.scheduling.wake.notified() => {}
         }
@@ -474,7 +486,7 @@
 
 /// The address of the scheduler of a runner's pool; `None` if that is this node or the runner has
 /// no scheduler.
-fn scheduler_of(shared: &Shared, tag: Tag) -> Option<SocketAddr> {
+pub(super) fn scheduler_of(shared: &Shared, tag: Tag) -> Option<SocketAddr> {
     let (service, pool) = {
         let mut register = shared.register();
         register.assign_pools();
--- a/wire/src/schedule.rs
+++ b/wire/src/schedule.rs
@@ -14,7 +14,7 @@
 use sardinepick_lib::fleet::health::Outcome;
 use sardinepick_lib::fleet::limit::LimitReport;
 use sardinepick_lib::fleet::load::{CLASSES, Class, Load};
-use sardinepick_lib::fleet::model::Basis;
+use sardinepick_lib::fleet::model::{Basis, RunnerState, State};
 use sardinepick_lib::fleet::placement::{Placement, Plan};
 use sardinepick_lib::fleet::register::PrefillReport;
 use sardinepick_lib::fleet::runner::Tag;
@@ -103,6 +103,8 @@
     },
     /// Concerns a prompt part that crashes runners.
     Part(part_quarantine::Message),
+    /// Hands what a scheduler has learned of runners to the node that would succeed it.
+    ModelState(State),
     /// Answers a [`Schedule::Acquire`].
     Acquired {
         /// The number of the datagram that it answers.
@@ -184,6 +186,7 @@
             Schedule::Part(message) => {
                 pb::schedule::Body::PartQuarantine(part_quarantine::encode(message))
             }
+            Schedule::ModelState(state) => pb::schedule::Body::ModelState(encode_state(state)),
             Schedule::Acquired { number, wait } => {
                 let wait_us = wait.map(micros);
                 pb::schedule::Body::Acquired(pb::Acquired { number: *number, wait_us })
@@ -249,6 +252,7 @@
             pb::schedule::Body::PartQuarantine(message) => {
                 part_quarantine::decode(&message).map(Schedule::Part)
             }
+            pb::schedule::Body::ModelState(state) => decode_state(&state).map(Schedule::ModelState),
             pb::schedule::Body::Acquired(acquired) => {
                 let wait = acquired.wait_us.map(Duration::from_micros);
                 Ok(Schedule::Acquired { number: acquired.number, wait })
@@ -485,12 +489,57 @@
     Ok((placement, decode_class(placed.class)?))
 }
 
+fn encode_stage(stage: Stage) -> u32 {
+    match stage {
+        Stage::Prefill => 0,
+        Stage::Decode => 1,
+    }
+}
+
+fn decode_stage(stage: u32) -> Result<Stage, WireError> {
+    match stage {
+        0 => Ok(Stage::Prefill),
+        1 => Ok(Stage::Decode),
+        _ => Err(WireError::Value("stage")),
+    }
+}
+
+fn encode_state(state: &State) -> pb::ModelState {
+    let encode = |runner: &RunnerState| pb::RunnerDeviation {
+        runner: runner.runner.0,
+        factor: runner.factor,
+        evidence: runner.evidence,
+    };
+    pb::ModelState {
+        service: state.service.to_string(),
+        stage: encode_stage(state.stage),
+        terms: state.terms.to_vec(),
+        spread: state.spread,
+        evidence: state.evidence,
+        runners: state.runners.iter().map(encode).collect(),
+    }
+}
+
+fn decode_state(state: &pb::ModelState) -> Result<State, WireError> {
+    let decode = |runner: &pb::RunnerDeviation| RunnerState {
+        runner: Tag(runner.runner),
+        factor: runner.factor,
+        evidence: runner.evidence,
+    };
+    let decoded = State {
+        service: state.service.as_str().try_into().map_err(|_| WireError::Value("service"))?,
+        stage: decode_stage(state.stage)?,
+        terms: state.terms.as_slice().try_into().map_err(|_| WireError::Value("terms"))?,
+        spread: state.spread,
+        evidence: state.evidence,
+        runners: state.runners.iter().map(decode).collect(),
+    };
+    if decoded.is_valid() { Ok(decoded) } else { Err(WireError::Value("model state")) }
+}
+
 fn encode_basis(basis: &Basis) -> pb::Basis {
     pb::Basis {
-        stage: match basis.stage {
-            Stage::Prefill => 0,
-            Stage::Decode => 1,
-        },
+        stage: encode_stage(basis.stage),
         fresh: basis.fresh,
         cached: basis.cached,
         ahead: basis.ahead,
@@ -501,11 +550,7 @@
 }
 
 fn decode_basis(basis: &pb::Basis) -> Result<Basis, WireError> {
-    let stage = match basis.stage {
-        0 => Stage::Prefill,
-        1 => Stage::Decode,
-        _ => return Err(WireError::Value("stage")),
-    };
+    let stage = decode_stage(basis.stage)?;
     if !(0.0..SECONDS_LIMIT).contains(&f64::from(basis.extra)) {
         return Err(WireError::Value("seconds"));
     }
--- a/wire/tests/schedule.rs
+++ b/wire/tests/schedule.rs
@@ -10,7 +10,7 @@
 use sardinepick_lib::fleet::health::Outcome;
 use sardinepick_lib::fleet::limit::{LimitReport, Rate};
 use sardinepick_lib::fleet::load::{CLASSES, Class, Load};
-use sardinepick_lib::fleet::model::Basis;
+use sardinepick_lib::fleet::model::{Basis, MAX_RUNNERS, RunnerState, State};
 use sardinepick_lib::fleet::part_quarantine::{Answer, Mark};
 use sardinepick_lib::fleet::placement::{Placement, Plan};
 use sardinepick_lib::fleet::register::PrefillReport;
@@ -225,6 +225,50 @@
     }
 }
 
+fn model_state() -> State {
+    let runner = |n| RunnerState { runner: Tag(u64::MAX - n), factor: -0.47, evidence: 24.5 };
+    State {
+        service: "tryckassistent".parse().expect("valid id"),
+        stage: Stage::Decode,
+        terms: [0.036, 0.03, 0.000_4, 0.003, 0.000_1, 0.000_4],
+        spread: 0.3,
+        evidence: 199.5,
+        runners: (0..MAX_RUNNERS as u64).map(runner).collect(),
+    }
+}
+
+#[test]
+fn decode_model_state_round_trip() {
+    let state = Schedule::ModelState(model_state());
+    assert!(state.encode().len() < 1_200, "{} bytes", state.encode().len());
+    round_trip(&state);
+}
+
+/// Guards against a successor that predicts nothing of use for seconds, because of a state that no
+/// model can have learned.
+#[test]
+fn decode_model_state_out_of_range_rejected() {
+    let mut terms = model_state().terms;
+    terms[1] = f32::NAN;
+    let mut runners = model_state().runners;
+    runners[0].factor = 1e9;
+    let invalid = [
+        State { terms, ..model_state() },
+        State { terms: [1e9; 6], ..model_state() },
+        State { terms: [0.0; 6], ..model_state() },
+        State { spread: -1.0, ..model_state() },
+        State { evidence: f32::INFINITY, ..model_state() },
+        State { runners, ..model_state() },
+        State { runners: vec![model_state().runners[1]; MAX_RUNNERS + 1], ..model_state() },
+    ];
+    for state in invalid {
+        assert!(
+            Schedule::decode(&Schedule::ModelState(state.clone()).encode()).is_err(),
+            "{state:?}"
+        );
+    }
+}
+
 /// Guards against a model that learns from quantities that are not in range, of which no later
 /// observation would correct it.
 #[test]
