--- a/lib/src/fleet/model/capacity.rs
+++ b/lib/src/fleet/model/capacity.rs
@@ -20,8 +20,10 @@
 /// The fraction of the batch slots that streams may take on average: demand swings to 1.9 times its
 /// mean, and beyond the last slot streams wait for others to end.
 const SLOT_FRACTION: f64 = 0.75;
-/// The smallest number of streams that a decode runner is planned with.
-const MIN_STREAMS: f64 = 8.0;
+/// The smallest number of streams that a decode runner is planned with: half of the number without
+/// learned rates. The terms of decode runners are learned from the prompts that they prefill, and
+/// are uncertain where these are few.
+const MIN_STREAMS: f64 = 24.0;
 
 impl Capacity {
     /// The capacity of the runners of a service by what is learned of them; `None` if the models are
--- a/testutils/src/fleet/deployment.rs
+++ b/testutils/src/fleet/deployment.rs
@@ -56,6 +56,8 @@
     pub platform: Option<(Platform, Duration)>,
     /// The retry budget in the settings of nodes.
     pub budget: Bounds,
+    /// Whether nodes predict by the runner model.
+    pub runner_model: bool,
     /// The network between nodes and runners.
     pub network: Network,
 }
@@ -160,7 +162,18 @@
         let platform = None;
         let (caller, budget) = (Caller::default(), DEFAULT_BUDGET);
         let network = Network::default();
-        Self { store, runners, crashing_runners, nodes, caller, platform, budget, network }
+        let runner_model = false;
+        Self {
+            store,
+            runners,
+            crashing_runners,
+            nodes,
+            caller,
+            platform,
+            budget,
+            runner_model,
+            network,
+        }
     }
 
     /// Starts a fake platform, to which nodes report usage in windows of `window`.
@@ -178,6 +191,11 @@
         Self { budget, ..self }
     }
 
+    /// Enables the runner model at nodes that are started later.
+    pub fn with_runner_model(self) -> Self {
+        Self { runner_model: true, ..self }
+    }
+
     /// Settings for a node of this deployment.
     pub fn settings(&self, name: &str, seeds: Vec<SocketAddr>) -> Settings {
         let settings = settings(name, self.store.address(), seeds);
@@ -186,6 +204,7 @@
             platform: platform.map(|(platform, _)| platform.address()),
             usage_window: platform.map(|(_, window)| *window),
             budget: self.budget,
+            runner_model: self.runner_model,
             ..settings
         }
     }
--- a/testutils/src/measure/mod.rs
+++ b/testutils/src/measure/mod.rs
@@ -1,5 +1,5 @@
 //! Simulations that measure the quality of decisions. They use simulated time and fixed seeds, so every
-//! run gives the same figures.
+//! run gives the same figures; those of [`scheduling_time`] are of the machine's clock.
 
 pub mod figure;
 pub mod fleet;
@@ -8,6 +8,7 @@
 pub mod roles;
 pub mod runner_choice;
 pub mod scale;
+pub mod scheduling_time;
 pub mod waking;
 pub mod workloads;
 pub mod write_conflicts;
