part_quarantine: the next trial decides on an undecided proposal

Cause: a proposal whose crashes another quarantine accounted for was not decided any more, and ran out after 2 s. The next failed trial restricted the part anew, and the trial was lost with it; the store dropped the entry as well.

Change: a proposal that has run out is handled like an undecided part: it stays in the store, and a failed trial proposes it again.

--- a/lib/src/fleet/part_quarantine/mod.rs
+++ b/lib/src/fleet/part_quarantine/mod.rs
@@ -338,11 +338,15 @@
         let entry = match known.map(|known| (known.stage, known)) {
             None | Some((Stage::Cleared, _)) if weight < RESTRICTION_WEIGHT => return None,
             None | Some((Stage::Cleared, _)) => entry(next, Stage::Restricted),
-            Some((stage @ (Stage::Restricted | Stage::Undecided), known)) => {
+            Some((Stage::Proposed, known)) if known.is_undecided(now) => {
+                entry(serial, Stage::Proposed)
+            }
+            // The next trial decides on a proposal that nobody has decided in time.
+            Some((stage @ (Stage::Restricted | Stage::Proposed | Stage::Undecided), known)) => {
                 let since = self.entries.get(subject).map_or(now, |tracked| tracked.restricted);
                 let is_trial = |crash: &Crash| crash.sent > since;
                 let is_new_trial = |crash: &Crash| crash.sent > known.since;
-                let serial = if stage == Stage::Undecided { next } else { serial };
+                let serial = if stage == Stage::Restricted { serial } else { next };
                 if !is_strong(trials, &crashes, series) || !series.has(is_new_trial) {
                     entry(known.serial, stage)
                 } else if self.is_distinct(subject, series, is_trial) {
@@ -351,10 +355,6 @@
                     return self.leave_undecided(subject, serial, now);
                 }
             }
-            Some((Stage::Proposed, known)) if known.is_undecided(now) => {
-                entry(serial, Stage::Proposed)
-            }
-            Some((Stage::Proposed, _)) => entry(next, Stage::Restricted),
             Some((Stage::Quarantined, _)) => return None,
         };
         self.apply_own(entry, Cause::Counted)
--- a/lib/tests/part_quarantine.rs
+++ b/lib/tests/part_quarantine.rs
@@ -766,3 +766,15 @@
     node.decide();
     assert_eq!(node.stage("bad"), Some(Stage::Quarantined));
 }
+
+/// Guards against a proposal that nobody decides, after which the trials begin anew.
+#[test]
+fn note_report_after_undecided_proposal_proposed_again() {
+    let mut node = Node::new();
+    node.crash_times(&["bad"], 3);
+    node.wait(3 * SECOND);
+    node.crash_times(&["bad"], 1);
+    assert_eq!(node.stage("bad"), Some(Stage::Proposed));
+    node.decide();
+    assert_eq!(node.stage("bad"), Some(Stage::Quarantined));
+}
