--- a/lib/tests/reachability.rs
+++ b/lib/tests/reachability.rs
@@ -457,6 +457,8 @@
     assert_ne!(reachability.path(runner(1), now), Path::Closed);
 }
 
+type Reach = fn(&mut Reachability, Instant);
+
 /// Guards against requests that wait for one runner after the other while none is reached, and
 /// against giving up on the others because one or two runners are down.
 #[test]
@@ -474,10 +476,10 @@
     assert!(reachability.is_isolated(now));
     assert!(!reachability.is_isolated(now + Duration::from_secs(5)), "the timeouts are old");
 
-    let reached: [&dyn Fn(&mut Reachability, Instant); 3] = [
-        &|reachability, now| reachability.note_connected(runner(4), now),
-        &|reachability, now| reachability.note_received(runner(4), now),
-        &|reachability, now| reachability.note_relayed(&node(1), runner(4), now),
+    let reached: [Reach; 3] = [
+        |reachability, now| reachability.note_connected(runner(4), now),
+        |reachability, now| reachability.note_received(runner(4), now),
+        |reachability, now| reachability.note_relayed(&node(1), runner(4), now),
     ];
     for reach in reached {
         let mut reachability = reachability.clone();
