plain_wait: wait for a slot of a runner that has just rejected a request

Callers saw 253 requests refused as no_runner within 6 s alongside a release, with 800 to 960 ms left: one runner of three was lost, one was leaving, and the third was full for some milliseconds. Each node excluded it after one attempt and refused the request.

A plain request that no runner has run, and that all usable runners have rejected by their own word, now waits about as long as it takes a slot to become free and is tried again. The wait is jittered, doubles with each rejection, and is not begun if the answer would be late afterwards.

--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -22,6 +22,7 @@
 pub mod part;
 pub mod part_quarantine;
 pub mod placement;
+pub mod plain_wait;
 pub mod pool;
 pub mod quarantine;
 pub mod rank;
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod node;
 pub mod part_quarantine;
 pub mod peer;
+pub mod plain_wait;
 pub mod pool;
 pub mod relay;
 pub mod rows;
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -82,6 +82,8 @@
     /// Runners of services with scaling: needed and needed by the load (at the holder of the duties),
     /// and present by kind.
     pub scaled_runners: IntGaugeVec,
+    /// Plain requests that all usable runners had rejected, by whether they waited for a slot.
+    pub plain_waits: IntCounterVec,
     /// Reads and writes of capacity records, by outcome.
     pub capacity_records: IntCounterVec,
     /// Usage windows by outcome.
@@ -300,6 +302,11 @@
                 "Runners of services that are ordered: needed and load at the holder, and there by kind",
                 &["service", "what"],
             ),
+            plain_waits: m.counters(
+                "sardinepick_plain_waits_total",
+                "Plain requests that all usable runners had rejected, by whether they waited",
+                &["outcome"],
+            ),
             capacity_records: m.counters(
                 "sardinepick_capacity_records_total",
                 "Reads and writes of the records of required runners, by what came of them",
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -6,10 +6,12 @@
 use bytes::Bytes;
 use http::Response;
 use http::response::Parts;
+use rand::RngExt as _;
 use sardinepick_lib::fleet::admission::Reason;
 use sardinepick_lib::fleet::health::Outcome;
 use sardinepick_lib::fleet::load::Class;
 use sardinepick_lib::fleet::placement::{self, Criteria};
+use sardinepick_lib::fleet::plain_wait::{Slots, Wait};
 use sardinepick_lib::fleet::register::WorkCost;
 use sardinepick_lib::fleet::register_version::RegisterVersion;
 use sardinepick_lib::fleet::suspect::{QUARANTINE_ENDS, RunProgress};
@@ -62,6 +64,9 @@
         shared,
         request,
         tried: SmallVec::new(),
+        rejecting: SmallVec::new(),
+        wait: Wait::default(),
+        last: None,
         calls: 0,
         arrivals: 0,
         runs: 0,
@@ -74,7 +79,7 @@
     if task.is_trial && task.runs == 0 && task.crashes == 0 {
         quarantine::return_trial(shared, &request.fingerprint);
     }
-    let runner = task.tried.last().map(RunnerId::as_str).unwrap_or_default();
+    let runner = task.last.as_ref().map(RunnerId::as_str).unwrap_or_default();
     let mut line = End { runner, register: task.register, tries: task.calls, ..End::default() };
     match end {
         Ok((head, body)) => {
@@ -102,7 +107,13 @@
 struct PlainTask<'a> {
     shared: &'a Arc<Shared>,
     request: &'a Request,
+    /// The runners that are not called again.
     tried: SmallVec<[RunnerId; 4]>,
+    /// Those of them that have not run the request by their own word.
+    rejecting: SmallVec<[RunnerId; 4]>,
+    wait: Wait,
+    /// The runner that was called last.
+    last: Option<RunnerId>,
     /// Calls made.
     calls: u32,
     /// Calls that a runner has read, or may have read.
@@ -149,6 +160,7 @@
             let next = self.next.take().map_or_else(|| self.plan(self.arrivals > 0, None), Ok);
             let NextCall { choice, mut payment } = match next {
                 Ok(next) => next,
+                Err(Reason::NoRunner) if self.wait_for_slot(left).await => continue,
                 Err(reason) => return failed.ok_or_else(|| self.final_refusal(reason)),
             };
             let terms = self.request.terms(now);
@@ -170,12 +182,18 @@
                     }
                     failed = Some((head, body));
                 }
-                CallResult::NotRun { arrived } => self.arrivals += u32::from(arrived),
+                CallResult::NotRun { arrived } => {
+                    self.arrivals += u32::from(arrived);
+                    if arrived {
+                        self.rejecting.push(choice.runner.clone());
+                    }
+                }
                 CallResult::MaybeRun | CallResult::Cut if self.may_retry() => {}
                 CallResult::TimedOut if self.may_retry() => {}
                 CallResult::MaybeRun | CallResult::Cut => return failed.ok_or(Refusal::Broken),
                 CallResult::TimedOut => return failed.ok_or(Refusal::Late),
             }
+            self.last = Some(choice.runner.clone());
             self.tried.push(choice.runner);
             if self.calls >= MAX_CALLS {
                 return failed.ok_or_else(|| self.final_refusal(Reason::Shed));
@@ -200,6 +218,28 @@
         self.request.refusal(self.shared, reason)
     }
 
+    /// Waits until a runner that has rejected the request may have a free slot, so that it can be
+    /// called again. Returns false if the request is refused instead: it may have run, no such runner
+    /// is usable, or the answer would be late.
+    async fn wait_for_slot(&mut self, left: Duration) -> bool {
+        if self.runs > 0 || self.rejecting.is_empty() {
+            return false;
+        }
+        let rejecting = std::mem::take(&mut self.rejecting);
+        self.tried.retain(|id| !rejecting.contains(id));
+        let Some(slots) = self.choose(None).and_then(|choice| self.slots(&choice.runner)) else {
+            return false;
+        };
+        let draw = self.shared.rng().random();
+        self.shared.plain_waits.wait(&mut self.wait, left, slots, draw).await
+    }
+
+    fn slots(&self, id: &RunnerId) -> Option<Slots> {
+        let register = self.shared.register();
+        let runner = register.get(id)?;
+        Some(Slots { count: runner.entry.slots, answer_time: runner.answer_time })
+    }
+
     /// Chooses a runner other than `current` for the next call, and reserves the call in the retry
     /// budget if it is `extra`.
     fn plan(&self, extra: bool, current: Option<&RunnerId>) -> Result<NextCall, Reason> {
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -41,6 +41,7 @@
 use crate::limit::Limiter;
 use crate::lock::lock;
 use crate::part_quarantine::{self, PartQuarantine};
+use crate::plain_wait::PlainWaits;
 use crate::relay;
 use crate::serve::connection::Connections;
 use crate::serve::copy::Copies;
@@ -109,6 +110,8 @@
     pub crashes: Detector,
     /// Requests on which runners crash.
     pub quarantine: QuarantineState,
+    /// Plain requests that wait for a slot at a runner.
+    pub plain_waits: PlainWaits,
     /// Prompt parts on which runners crash.
     pub part_quarantine: Arc<PartQuarantine>,
     /// Signals that a heartbeat must be sent now.
@@ -254,7 +257,7 @@
             began: clock.now(),
             roster,
             me,
-            metrics,
+            metrics: metrics.clone(),
             configuration: ArcSwapOption::empty(),
             limits: watch::Sender::default(),
             membership_settled: watch::channel(false).0,
@@ -267,6 +270,7 @@
             scheduling: Scheduling::default(),
             crashes: Detector::default(),
             quarantine: QuarantineState::default(),
+            plain_waits: PlainWaits::new(metrics),
             part_quarantine: Arc::new(part_quarantine),
             heartbeat_now,
             register,
