scale: tests of a record that the store neither reads nor writes

The stand-in of the store can answer 503 for the objects of one kind, so that the holder keeps its lease while the record is unavailable: a new holder orders nothing until it has read the record, and a holder that has read it goes on with the last requirement, releases nothing, and records its order afterwards.

--- a/lib/src/scale/need.rs
+++ b/lib/src/scale/need.rs
@@ -32,8 +32,8 @@
 /// The share of the runners' time that the peak load may take. Large fleets could run at a higher
 /// utilisation with short waits; the rest covers uneven placement.
 const MAX_UTILISATION: f64 = 0.75;
-/// The runners above the load, in square roots of the load. With two, one request in twenty waits
-/// when arrivals are random, whatever the size of the fleet.
+/// The runners above the load, in square roots of the load. With two, about one request in forty waits
+/// for random arrivals (Erlang's formula for many servers), whatever the size of the fleet.
 const SAFETY: f64 = 2.0;
 /// The share of the runners by which the requirement is lowered at most per [`LOWERING_PERIOD`].
 const MAX_LOWERING: f64 = 0.1;
--- a/node/tests/capacity.rs
+++ b/node/tests/capacity.rs
@@ -126,6 +126,41 @@
     assert_eq!((required(&set), ordered(&set).1), (Some(INITIAL as u64), Vec::new()));
 }
 
+/// Guards against a new holder that orders without having read the record.
+#[tokio::test]
+async fn record_unreadable_new_holder_orders_nothing() {
+    let mut set = deployment().await.with_nodes(3).await;
+    wait_recorded_orders(&set).await;
+    set.store.set_unavailable_kind(Some(KIND));
+    set.add_runner(PLAIN_SERVICE, None).await;
+    stop_holder(&mut set).await;
+    let before = ordered(&set);
+    tokio::time::sleep(SETTLED).await;
+    assert_eq!(ordered(&set), before);
+    set.store.set_unavailable_kind(None);
+    wait_until("orders go on", async || ordered(&set).0.len() > before.0.len()).await;
+    assert_eq!((required(&set), ordered(&set).1), (Some(INITIAL as u64), Vec::new()));
+}
+
+/// Guards against a holder that orders nothing, or releases runners, while it cannot write the record,
+/// and against an order that is not recorded afterwards.
+#[tokio::test]
+async fn record_unwritable_last_requirement_in_force() {
+    let set = deployment().await.with_nodes(2).await;
+    wait_recorded_orders(&set).await;
+    set.store.set_unavailable_kind(Some(KIND));
+    set.store.put("config", "main", &scaled(2, 6));
+    wait_until("the order is placed", async || ordered(&set).0.contains(&2)).await;
+    tokio::time::sleep(SETTLED).await;
+    assert_eq!((required(&set), ordered(&set).1), (Some(INITIAL as u64), Vec::new()));
+    set.store.set_unavailable_kind(None);
+    wait_until("the order is recorded", async || {
+        record(&set).is_some_and(|record| record["orders"][0]["count"] == json!(2))
+    })
+    .await;
+    assert_eq!(required(&set), Some(INITIAL as u64));
+}
+
 /// Guards against a record that is lost, or written twice with different content, after replies to
 /// writes were lost.
 #[tokio::test]
--- a/testutils/src/fleet/store/mod.rs
+++ b/testutils/src/fleet/store/mod.rs
@@ -71,6 +71,8 @@
     watches: BTreeMap<String, usize>,
     /// A kind whose lists are empty.
     hidden: Option<String>,
+    /// The kind whose objects can be neither read nor written.
+    unavailable_kind: Option<String>,
     /// Calls per second; `None` for no limit.
     rate: Option<u32>,
     window: Option<(Instant, u32)>,
@@ -92,6 +94,7 @@
             refused: 0,
             watches: BTreeMap::new(),
             hidden: None,
+            unavailable_kind: None,
             rate: None,
             window: None,
         }
@@ -146,6 +149,11 @@
         lock(&self.inner).hidden = Some(kind.to_owned());
     }
 
+    /// Answers 503 to calls for single objects of a kind, or to none.
+    pub fn set_unavailable_kind(&self, kind: Option<&str>) {
+        lock(&self.inner).unavailable_kind = kind.map(str::to_owned);
+    }
+
     /// Limits the calls per second.
     pub fn set_rate(&self, rate: u32) {
         lock(&self.inner).rate = Some(rate);
@@ -316,6 +324,10 @@
         Some((kind, name)) => (kind.to_owned(), Some(name.to_owned())),
         None => (path, None),
     };
+    let is_list = head.method == Method::GET && name.is_none();
+    if !is_list && lock(&inner).unavailable_kind.as_ref() == Some(&kind) {
+        return Ok(text_response(StatusCode::SERVICE_UNAVAILABLE, ""));
+    }
     let response = match (&head.method, &name) {
         (&Method::GET, None) if parameter(&query, "watch").is_some() => {
             return watch_changes(&inner, &changed, &kind, &query).await;
