scale: cover a shortage of services whose load has not been observed

Regular runners are ordered only for load, and the load of plain services is not known as busy runners. After a reclaim such a service would have been left with one runner ordered. 0.8 of the requirement counts as its load, the share below which regular runners were ordered before.

--- a/lib/src/scale/need.rs
+++ b/lib/src/scale/need.rs
@@ -43,12 +43,16 @@
 /// node's view does not cause writes and orders.
 const DEAD_BAND: f64 = 0.05;
 
+/// The share of the requirement that the load is assumed to need while none has been observed, as for
+/// plain services, whose load is not known as busy runners.
+const UNKNOWN_LOAD: f64 = 0.8;
+
 /// The capacity that a service requires.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RequiredCapacity {
     /// The number of runners.
     pub count: u32,
-    /// The number of runners that the observed load needs; at most `count`.
+    /// The number of runners that the load needs; at most `count`.
     pub load: u32,
     /// Whether the number is known well enough to release runners.
     pub is_stable: bool,
@@ -119,11 +123,14 @@
 
     /// Returns the requirement at `now`.
     pub fn required(&mut self, now: Instant) -> RequiredCapacity {
-        let load = runners_for(self.peak());
         let (initial, required, is_stable) = match self.recorded {
             Some((initial, required)) => (initial, required, true),
             None => (self.initial.count(), self.initial.count(), self.initial.is_stable(now)),
         };
+        let load = match self.load_since {
+            Some(_) => runners_for(self.peak()),
+            None => (f64::from(required) * UNKNOWN_LOAD).ceil() as u32,
+        };
         let count = match self.policy {
             Policy::Initial => initial,
             Policy::Measured => self.follow(now, required, load),
