--- a/lib/src/scale/need.rs
+++ b/lib/src/scale/need.rs
@@ -32,8 +32,8 @@
 /// The share of the runners' time that the peak load may take. Large fleets could run at a higher
 /// utilisation with short waits; the rest covers uneven placement.
 const MAX_UTILISATION: f64 = 0.75;
-/// The runners above the load, in square roots of the load. With two, one request in twenty waits
-/// when arrivals are random, whatever the size of the fleet.
+/// The runners above the load, in square roots of the load. With two, about one request in forty waits
+/// for random arrivals (Erlang's formula for many servers), whatever the size of the fleet.
 const SAFETY: f64 = 2.0;
 /// The share of the runners by which the requirement is lowered at most per [`LOWERING_PERIOD`].
 const MAX_LOWERING: f64 = 0.1;
@@ -43,12 +43,16 @@
 /// node's view does not cause writes and orders.
 const DEAD_BAND: f64 = 0.05;
 
+/// The share of the requirement that the load is assumed to need while none has been observed, as for
+/// plain services, whose load is not known as busy runners.
+const UNKNOWN_LOAD: f64 = 0.8;
+
 /// The capacity that a service requires.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RequiredCapacity {
     /// The number of runners.
     pub count: u32,
-    /// The number of runners that the observed load needs; at most `count`.
+    /// The number of runners that the load needs; at most `count`.
     pub load: u32,
     /// Whether the number is known well enough to release runners.
     pub is_stable: bool,
@@ -119,11 +123,14 @@
 
     /// Returns the requirement at `now`.
     pub fn required(&mut self, now: Instant) -> RequiredCapacity {
-        let load = runners_for(self.peak());
         let (initial, required, is_stable) = match self.recorded {
             Some((initial, required)) => (initial, required, true),
             None => (self.initial.count(), self.initial.count(), self.initial.is_stable(now)),
         };
+        let load = match self.load_since {
+            Some(_) => runners_for(self.peak()),
+            None => (f64::from(required) * UNKNOWN_LOAD).ceil() as u32,
+        };
         let count = match self.policy {
             Policy::Initial => initial,
             Policy::Measured => self.follow(now, required, load),
