admission: late work is admitted by its expected finish; usage waits for nodes that are present

A window of usage waits until 9.2 s after its end for nodes that are present: after an outage of the store the holder looked at a window 7.3 s after its end for the first time and gave it up, as the counts of ten nodes were still on their way.

--- a/lib/src/fleet/admission.rs
+++ b/lib/src/fleet/admission.rs
@@ -153,16 +153,13 @@
     }
 
     /// Whether late work is still useful by a forecast: its first answer is predicted in `first`
-    /// seconds, of which it waits `wait` seconds, and `spread` is the factor of the prediction that
-    /// nine of ten answers do not exceed.
+    /// seconds, of which it waits `wait` seconds.
     ///
-    /// A first attempt starts if it is useful in nine of ten cases: prefill of work that is given up
-    /// delays all other work. A retry starts if it is probably useful, since a second refusal leaves
-    /// the caller without an answer.
-    pub fn is_useful_by_forecast(&self, first: f64, wait: f64, spread: f64) -> bool {
-        let overtaken = first + wait * OVERTAKING;
-        let latest = if self.is_retry { overtaken } else { overtaken * spread };
-        latest <= self.left.min(self.patience).as_secs_f64()
+    /// The bound is the expected time, not one that nine of ten answers meet: an answer that is
+    /// late is worth more to a caller than a refusal, and the largest prompts, whose predictions
+    /// are the longest, would be refused most.
+    pub fn is_useful_by_forecast(&self, first: f64, wait: f64) -> bool {
+        first + wait * OVERTAKING <= self.left.min(self.patience).as_secs_f64()
     }
 
     /// When a refused caller should retry: when the current backlog will be done, with jitter so
--- a/lib/src/fleet/scheduler.rs
+++ b/lib/src/fleet/scheduler.rs
@@ -228,7 +228,7 @@
     let (first, wait) = (placement.first_event, placement.prefill_start);
     let (Plan::Whole { runner } | Plan::Split { prefill: runner, .. }) = &placement.plan;
     match register.get(runner).and_then(Runner::spread) {
-        Some(spread) => terms.is_useful_by_forecast(first, wait, spread),
+        Some(_) => terms.is_useful_by_forecast(first, wait),
         None => terms.is_useful(first, wait),
     }
 }
--- a/lib/src/usage/collection.rs
+++ b/lib/src/usage/collection.rs
@@ -15,6 +15,9 @@
 /// How long after its end a window waits for the missing share to fall to [`MAX_MISSING_SHARE`]. A
 /// later report is of less use to the platform.
 const MOST_NODES_TIMEOUT: Duration = Duration::from_millis(6_500);
+/// How long after its end a window waits for counts of nodes that are present but were late to send
+/// them, for instance because the collectors changed while the store was away.
+const LATE_NODES_TIMEOUT: Duration = Duration::from_millis(9_200);
 /// The time span of counts that a terminated node may not have sent: slightly more than the interval
 /// between two messages.
 const MAX_UNSENT: Duration = Duration::from_millis(300);
@@ -73,7 +76,8 @@
         let is_tolerable = self.missing <= self.nodes as f64 * MAX_MISSING_SHARE;
         match is_tolerable {
             true if after >= ALL_NODES_TIMEOUT || !self.is_awaited => Verdict::Settle,
-            false if after >= MOST_NODES_TIMEOUT => Verdict::Skip,
+            false if after >= LATE_NODES_TIMEOUT => Verdict::Skip,
+            false if after >= MOST_NODES_TIMEOUT && !self.is_awaited => Verdict::Skip,
             _ => Verdict::Wait,
         }
     }
--- a/lib/tests/usage.rs
+++ b/lib/tests/usage.rs
@@ -170,6 +170,12 @@
     apply_complete(&mut collection, "a", 1, 11);
     apply(&mut collection, "b", 2, 9, 5);
     let total = total(&collection, Window(10), None, &lifetimes);
+    assert_eq!(total.verdict(S * 9), Verdict::Wait, "b may still send its counts");
+    assert_eq!(total.verdict(S * 10), Verdict::Skip);
+    let lost =
+        [lifetime("a", 1, 1, None), lifetime("b", 2, 1, Some(53)), lifetime("me", 3, 1, None)];
+    collection.update_lifetimes(Window(10), &lost);
+    let total = self::total(&collection, Window(10), None, &lost);
     assert_eq!(total.verdict(S * 6), Verdict::Wait);
     assert_eq!(total.verdict(S * 7), Verdict::Skip);
 }
