holding: ledger of held bytes, bounds and decisions

Pure core for section 5 of docs/LOAD.md: bytes are counted by connection, owner and purpose before they are read.

--- /dev/null
+++ b/lib/src/fleet/holding/ledger.rs
@@ -0,0 +1,481 @@
+//! The held bytes of a node, and the decisions that depend on them.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::IpAddr;
+use std::time::{Duration, Instant};
+
+use strum::{Display, EnumCount, EnumIter, IntoStaticStr};
+
+use super::bounds::Bounds;
+use super::meter::Meter;
+use super::unit::{Rate, Size};
+use crate::id::{AccountId, NodeId};
+
+/// What bytes are held for.
+#[derive(Clone, Copy, Debug, Display, EnumCount, EnumIter, Eq, Hash, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Purpose {
+    /// The body of a request, until the request has ended.
+    Body,
+    /// A whole answer, until it has been sent.
+    Answer,
+    /// Events of a stream that its caller has not read.
+    Stream,
+    /// A connection relayed between nodes.
+    Transfer,
+}
+
+/// Whom bytes are held for.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub enum Owner {
+    /// A client account.
+    Account(AccountId),
+    /// A caller without an account, by its address.
+    Caller(IpAddr),
+    /// Another node.
+    Node(NodeId),
+}
+
+/// A connection, by a number that is unique within the process.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+pub struct Connection(pub u64);
+
+/// What a holding belongs to.
+#[derive(Clone, Debug)]
+pub struct Holder {
+    /// Whom it is for.
+    pub owner: Owner,
+    /// The connection that it arrived on or is sent on.
+    pub connection: Connection,
+    /// Its purpose.
+    pub purpose: Purpose,
+    /// The index of its class: less urgent requests have a higher one.
+    pub class: usize,
+}
+
+/// The number of a holding.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Number(u64);
+
+/// Why bytes cannot be held now.
+#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Cause {
+    /// The node holds as much as it may.
+    Memory,
+    /// The owner holds as much as it may while others need space.
+    Owner,
+    /// More waits for the link than it carries in time.
+    Link,
+    /// Too many bodies wait already.
+    Waiting,
+}
+
+/// New work is refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Full {
+    /// Why.
+    pub cause: Cause,
+    /// When there will be space, as far as the recent rate of release tells.
+    pub after: Duration,
+}
+
+/// Whether a holding may grow.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Growth {
+    /// It has grown.
+    Held,
+    /// Reading pauses for at most this long. The holdings to be shed, if any, make space.
+    Pause {
+        /// The time until the decision is final.
+        wait: Duration,
+        /// What is shed.
+        shed: Vec<Number>,
+    },
+    /// There is no space for it, and it has paused for as long as it may.
+    Shed(Cause),
+}
+
+/// The fill level, as a fraction of all held bytes, up to which each purpose may fill the node.
+/// What is nearer to its end may fill it further, so that work that has begun can end: new bodies
+/// wait first, then bodies that are half read, relays, whole answers, and last the events of a
+/// stream that runs.
+mod level {
+    /// New bodies.
+    pub const NEW_BODY: f64 = 0.5;
+    /// Bodies of unknown length that are being read.
+    pub const BODY: f64 = 0.6;
+    /// Relayed connections.
+    pub const TRANSFER: f64 = 0.7;
+    /// Streams beyond their part ([`Bounds::stream`](super::Bounds)).
+    pub const LARGE_STREAM: f64 = 0.7;
+    /// Whole answers.
+    pub const ANSWER: f64 = 0.85;
+    /// Streams within their part.
+    pub const STREAM: f64 = 0.9;
+    /// The first events of a stream, which readers that keep up need.
+    pub const SMALL_STREAM: f64 = 1.0;
+}
+
+/// The held bytes of a stream that counts as small: more than a reader that keeps up leaves unread
+/// between two events.
+const SMALL_STREAM: Size = Size(32 << 10);
+/// How much of the free space an owner may hold (dynamic thresholds). A single owner may hold two
+/// thirds of all, two hold two fifths each, and many leave little free. No owner needs to be known
+/// beforehand, and space that nobody else asks for is used.
+const OWNER_FACTOR: f64 = 2.0;
+/// How long reading of a runner's response pauses at most. Runners cut off a response that has
+/// remained unread for some seconds, two at the least.
+pub const MAX_PAUSE: Duration = Duration::from_millis(1_500);
+/// How long a holding pauses before others are shed for it: what slow readers take in that time may
+/// suffice.
+const SHED_AFTER: Duration = Duration::from_millis(800);
+/// How long a reader must have taken nothing to be shed. Readers that are merely slower than their
+/// runner take something more often.
+const MIN_STALL: Duration = Duration::from_secs(1);
+/// The interval at which the causes of stalls are compared: readers that stalled within the same
+/// second are equally slow, and the largest holding decides.
+const STALL_STEP: Duration = Duration::from_secs(1);
+/// The maximum number of bodies that wait for space. More are refused at once.
+const MAX_WAITING: usize = 256;
+/// The longest time for which a body waits for space: callers of the shortest streams wait two
+/// seconds without receiving anything.
+const MAX_BODY_WAIT: Duration = Duration::from_secs(2);
+/// The fraction of its remaining time for which a request may wait for space.
+const BODY_WAIT_FRACTION: f64 = 1.0 / 3.0;
+/// The minimum time between two choices of what is shed, each of which compares all holdings.
+const SHED_INTERVAL: Duration = Duration::from_millis(20);
+/// The shortest and longest predicted time until there is space.
+const AFTER_RANGE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(10));
+/// The fraction of the link rate from which the link counts as saturated. Below it, what waits to
+/// be sent waits for slow readers.
+const SATURATED: f64 = 0.7;
+
+#[derive(Clone, Debug)]
+struct Holding {
+    holder: Holder,
+    size: Size,
+    /// When its reader last took something; when it was begun if it has not yet.
+    progressed: Instant,
+    is_shed: bool,
+}
+
+/// How long a body waits for space at most, if the request has `left` until its deadline.
+pub fn body_wait(left: Duration) -> Duration {
+    left.mul_f64(BODY_WAIT_FRACTION).min(MAX_BODY_WAIT)
+}
+
+/// The held bytes of a node.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    bounds: Bounds,
+    holdings: BTreeMap<Number, Holding>,
+    owners: HashMap<Owner, Size>,
+    connections: HashMap<Connection, Size>,
+    purposes: [Size; Purpose::COUNT],
+    total: Size,
+    /// Bodies that wait for space, in the order of their arrival.
+    waiting: BTreeMap<Number, Size>,
+    last: u64,
+    released: Meter,
+    sent: Meter,
+    /// Whether new work is refused because of the link.
+    link_is_full: bool,
+    /// When it was last chosen what is shed.
+    shed_at: Option<Instant>,
+}
+
+impl Ledger {
+    /// An empty ledger.
+    pub fn new(bounds: Bounds) -> Self {
+        Self {
+            bounds,
+            holdings: BTreeMap::new(),
+            owners: HashMap::new(),
+            connections: HashMap::new(),
+            purposes: [Size::ZERO; Purpose::COUNT],
+            total: Size::ZERO,
+            waiting: BTreeMap::new(),
+            last: 0,
+            released: Meter::default(),
+            sent: Meter::default(),
+            link_is_full: false,
+            shed_at: None,
+        }
+    }
+
+    /// The bounds.
+    pub fn bounds(&self) -> &Bounds {
+        &self.bounds
+    }
+
+    /// All held bytes.
+    pub fn total(&self) -> Size {
+        self.total
+    }
+
+    /// The held bytes of a purpose.
+    pub fn of_purpose(&self, purpose: Purpose) -> Size {
+        self.purposes[purpose as usize]
+    }
+
+    /// The held bytes of an owner.
+    pub fn of_owner(&self, owner: &Owner) -> Size {
+        self.owners.get(owner).copied().unwrap_or_default()
+    }
+
+    /// The held bytes of a connection.
+    pub fn of_connection(&self, connection: Connection) -> Size {
+        self.connections.get(&connection).copied().unwrap_or_default()
+    }
+
+    /// The held bytes of a holding.
+    pub fn of_holding(&self, number: Number) -> Size {
+        self.holdings.get(&number).map(|holding| holding.size).unwrap_or_default()
+    }
+
+    /// The number of bodies that wait for space.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Begins a holding without any bytes.
+    pub fn begin(&mut self, holder: Holder, now: Instant) -> Number {
+        self.last += 1;
+        let number = Number(self.last);
+        let holding = Holding { holder, size: Size::ZERO, progressed: now, is_shed: false };
+        self.holdings.insert(number, holding);
+        number
+    }
+
+    /// Whether new work is accepted; if not, the caller is told when to come back. Called when a
+    /// request arrives, before its body is read.
+    ///
+    /// # Errors
+    /// What waits for the link, or for space, takes too long.
+    pub fn admit(&mut self, now: Instant) -> Result<(), Full> {
+        let waits_for_link =
+            self.of_purpose(Purpose::Answer).plus(self.of_purpose(Purpose::Stream));
+        let limit = if self.link_is_full { self.bounds.link_resume } else { self.bounds.link_full };
+        let is_saturated =
+            self.sent.rate(now).bytes() >= self.bounds.link.fraction(SATURATED).bytes();
+        self.link_is_full = is_saturated && waits_for_link > limit;
+        if self.link_is_full {
+            let after = self.bounds.link.time(waits_for_link.less(self.bounds.link_resume));
+            return Err(Full { cause: Cause::Link, after: clamp(after) });
+        }
+        if self.waiting.len() >= MAX_WAITING {
+            let after = self.time_to_release(self.waiting.values().copied().sum(), now);
+            return Err(Full { cause: Cause::Waiting, after });
+        }
+        Ok(())
+    }
+
+    /// Lets a new body of `size` be read, or wait in its socket: it then asks again, in the order of
+    /// arrival. Bodies that wait only because of their owner let others pass.
+    ///
+    /// # Errors
+    /// It waits.
+    pub fn begin_body(&mut self, number: Number, size: Size, now: Instant) -> Result<(), Full> {
+        let is_behind = self.waiting.range(..number).any(|(other, size)| {
+            self.refusal(*other, *size, level::NEW_BODY) != Some(Cause::Owner)
+        });
+        let refusal = self.refusal(number, size, level::NEW_BODY);
+        if let Some(cause) = refusal.or(is_behind.then_some(Cause::Memory)) {
+            self.waiting.insert(number, size);
+            let ahead: Size = self.waiting.range(..=number).map(|(_, size)| *size).sum();
+            let free = self.bounds.total.fraction(level::NEW_BODY).less(self.total);
+            return Err(Full { cause, after: self.time_to_release(ahead.less(free), now) });
+        }
+        self.waiting.remove(&number);
+        self.add(number, size);
+        Ok(())
+    }
+
+    /// Whether a body of `size` could be held if the node held nothing else.
+    pub fn fits(&self, size: Size) -> bool {
+        size <= self.bounds.total.fraction(level::NEW_BODY)
+    }
+
+    /// Lets a holding grow by `size`, which has not been read yet. `paused` is how long it has been
+    /// paused for these bytes.
+    pub fn grow(&mut self, number: Number, size: Size, paused: Duration, now: Instant) -> Growth {
+        let Some(holding) = self.holdings.get(&number) else { return Growth::Shed(Cause::Memory) };
+        if holding.is_shed {
+            return Growth::Shed(Cause::Memory);
+        }
+        let (purpose, after) = (holding.holder.purpose, holding.size.plus(size));
+        let is_small = purpose == Purpose::Stream && after <= SMALL_STREAM;
+        let is_large = purpose == Purpose::Stream && after > self.bounds.stream;
+        let level = match purpose {
+            Purpose::Body => level::BODY,
+            Purpose::Transfer => level::TRANSFER,
+            Purpose::Answer => level::ANSWER,
+            Purpose::Stream if is_small => level::SMALL_STREAM,
+            Purpose::Stream if is_large => level::LARGE_STREAM,
+            Purpose::Stream => level::STREAM,
+        };
+        let refusal = if is_small {
+            self.is_full(size, level).then_some(Cause::Memory)
+        } else {
+            self.refusal(number, size, level)
+        };
+        let left = MAX_PAUSE.saturating_sub(paused);
+        match refusal {
+            // Its runner is read once more only when it would soon give up.
+            None if is_large && !left.is_zero() => Growth::Pause { wait: left, shed: Vec::new() },
+            None => {
+                self.add(number, size);
+                Growth::Held
+            }
+            Some(cause) if left.is_zero() => Growth::Shed(cause),
+            // A large stream takes no space of others; it is the one to be shed.
+            Some(_) if is_large || !is_small && paused < SHED_AFTER => {
+                Growth::Pause { wait: left, shed: Vec::new() }
+            }
+            Some(cause) => {
+                let missing = match cause {
+                    Cause::Owner => size,
+                    _ => self.total.plus(size).less(self.bounds.total.fraction(level)),
+                };
+                Growth::Pause { wait: left, shed: self.shed(number, missing, cause, now) }
+            }
+        }
+    }
+
+    /// Releases `size` of a holding because its reader has taken it.
+    pub fn take(&mut self, number: Number, size: Size, now: Instant) {
+        let Some(holding) = self.holdings.get_mut(&number) else { return };
+        holding.progressed = now;
+        if matches!(holding.holder.purpose, Purpose::Answer | Purpose::Stream) {
+            self.sent.note(size, now);
+        }
+        self.remove(number, size, now);
+    }
+
+    /// Records that the reader of a holding has taken `size` of it, which remains held until all is
+    /// taken, or that it can begin to read.
+    pub fn note_progress(&mut self, number: Number, size: Size, now: Instant) {
+        if let Some(holding) = self.holdings.get_mut(&number) {
+            holding.progressed = now;
+            self.sent.note(size, now);
+        }
+    }
+
+    /// Ends a holding and releases all of it.
+    pub fn end(&mut self, number: Number, now: Instant) {
+        self.waiting.remove(&number);
+        let size = self.of_holding(number);
+        self.remove(number, size, now);
+        self.holdings.remove(&number);
+    }
+
+    /// Whether a holding is to be shed.
+    pub fn is_shed(&self, number: Number) -> bool {
+        self.holdings.get(&number).is_some_and(|holding| holding.is_shed)
+    }
+
+    /// Chooses what is shed so that `missing` bytes become free for a holding: the slowest readers,
+    /// then the largest holdings, then the least urgent. If only its owner has no space, only what
+    /// is the owner's is shed.
+    fn shed(&mut self, number: Number, missing: Size, cause: Cause, now: Instant) -> Vec<Number> {
+        let is_early =
+            self.shed_at.is_some_and(|at| now.saturating_duration_since(at) < SHED_INTERVAL);
+        let owner = self.holdings.get(&number).map(|h| h.holder.owner.clone());
+        let Some(owner) = owner.filter(|_| !is_early) else { return Vec::new() };
+        self.shed_at = Some(now);
+        let eligible = |holding: &&Holding| {
+            matches!(holding.holder.purpose, Purpose::Answer | Purpose::Stream)
+                && holding.size > Size::ZERO
+                && (cause != Cause::Owner || holding.holder.owner == owner)
+        };
+        let candidates = self.holdings.iter().filter(|(other, _)| **other != number);
+        let candidates = candidates.filter(|(_, holding)| eligible(holding));
+        let (mut freed, mut found) = (Size::ZERO, Vec::new());
+        for (other, holding) in candidates {
+            let stall = now.saturating_duration_since(holding.progressed);
+            if holding.is_shed {
+                freed = freed.plus(holding.size);
+            } else if stall >= MIN_STALL {
+                let steps = stall.as_millis() / STALL_STEP.as_millis();
+                found.push((steps, holding.size, holding.holder.class, *other));
+            }
+        }
+        found.sort_unstable_by(|a, b| b.cmp(a));
+        let mut shed = Vec::new();
+        for (_, held, _, other) in found {
+            if freed >= missing {
+                break;
+            }
+            freed = freed.plus(held);
+            shed.push(other);
+            if let Some(holding) = self.holdings.get_mut(&other) {
+                holding.is_shed = true;
+            }
+        }
+        shed
+    }
+
+    fn is_full(&self, size: Size, level: f64) -> bool {
+        self.total.plus(size) > self.bounds.total.fraction(level)
+    }
+
+    /// Why a holding may not grow by `size` up to a fill level.
+    fn refusal(&self, number: Number, size: Size, level: f64) -> Option<Cause> {
+        if self.is_full(size, level) {
+            return Some(Cause::Memory);
+        }
+        let owner = &self.holdings.get(&number)?.holder.owner;
+        let held = self.of_owner(owner);
+        let free = self.bounds.total.fraction(level).less(self.total.plus(size));
+        // What an owner that holds nothing asks for is bounded by the fill level alone.
+        let is_over = held > Size::ZERO && held.plus(size) > free.fraction(OWNER_FACTOR);
+        is_over.then_some(Cause::Owner)
+    }
+
+    fn add(&mut self, number: Number, size: Size) {
+        let Some(holding) = self.holdings.get_mut(&number) else { return };
+        holding.size = holding.size.plus(size);
+        let Holder { owner, connection, purpose, .. } = &holding.holder;
+        let of_owner = self.owners.entry(owner.clone()).or_default();
+        *of_owner = of_owner.plus(size);
+        let of_connection = self.connections.entry(*connection).or_default();
+        *of_connection = of_connection.plus(size);
+        let of_purpose = &mut self.purposes[*purpose as usize];
+        *of_purpose = of_purpose.plus(size);
+        self.total = self.total.plus(size);
+    }
+
+    fn remove(&mut self, number: Number, size: Size, now: Instant) {
+        let Some(holding) = self.holdings.get_mut(&number) else { return };
+        let size = size.min(holding.size);
+        holding.size = holding.size.less(size);
+        let Holder { owner, connection, purpose, .. } = &holding.holder;
+        subtract(&mut self.owners, owner, size);
+        subtract(&mut self.connections, connection, size);
+        let of_purpose = &mut self.purposes[*purpose as usize];
+        *of_purpose = of_purpose.less(size);
+        self.total = self.total.less(size);
+        self.released.note(size, now);
+    }
+
+    /// The predicted time until `size` has been released: at the recent rate, or at that of the
+    /// link if nothing has been released recently.
+    fn time_to_release(&mut self, size: Size, now: Instant) -> Duration {
+        let recent = self.released.rate(now);
+        let rate = if recent > Rate::default() { recent } else { self.bounds.link };
+        clamp(rate.time(size))
+    }
+}
+
+fn subtract<K: std::hash::Hash + Eq>(sizes: &mut HashMap<K, Size>, key: &K, size: Size) {
+    let Some(held) = sizes.get_mut(key) else { return };
+    *held = held.less(size);
+    if *held == Size::ZERO {
+        sizes.remove(key);
+    }
+}
+
+fn clamp(after: Duration) -> Duration {
+    after.clamp(AFTER_RANGE.0, AFTER_RANGE.1)
+}
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 pub mod fingerprint;
 pub mod handover;
 pub mod health;
+pub mod holding;
 pub mod limit;
 pub mod load;
 pub mod outage;
