--- a/lib/src/fleet/admission.rs
+++ b/lib/src/fleet/admission.rs
@@ -81,6 +81,8 @@
     PartQuarantined,
     /// A part of the prompt is suspected of crashing runners, and another request with it runs.
     PartRestricted,
+    /// The node, or its link, holds as much as it may.
+    NodeFull,
 }
 
 /// The fraction of the objective that the predicted time to the first answer may take. The rest
--- a/lib/src/fleet/holding/ledger.rs
+++ b/lib/src/fleet/holding/ledger.rs
@@ -315,6 +315,10 @@
             Purpose::Stream if is_large => level::LARGE_STREAM,
             Purpose::Stream => level::STREAM,
         };
+        if after > self.bounds.total.fraction(level) {
+            // It would not fit into an empty node.
+            return Growth::Shed(Cause::Memory);
+        }
         let refusal = if is_small {
             self.is_full(size, level).then_some(Cause::Memory)
         } else {
@@ -326,6 +330,10 @@
             None if is_large && !left.is_zero() => Growth::Pause { wait: left, shed: Vec::new() },
             None => {
                 self.add(number, size);
+                if purpose == Purpose::Answer {
+                    // Its reader cannot take it yet.
+                    self.note_progress(number, Size::ZERO, now);
+                }
                 Growth::Held
             }
             Some(cause) if left.is_zero() => Growth::Shed(cause),
@@ -362,11 +370,21 @@
         }
     }
 
+    /// Adds bytes that are held in any case.
+    pub fn count(&mut self, number: Number, size: Size) {
+        self.add(number, size);
+    }
+
+    /// Releases all of a holding that is shed. The holding itself ends with its request.
+    pub fn clear(&mut self, number: Number, now: Instant) {
+        let size = self.of_holding(number);
+        self.remove(number, size, now);
+    }
+
     /// Ends a holding and releases all of it.
     pub fn end(&mut self, number: Number, now: Instant) {
         self.waiting.remove(&number);
-        let size = self.of_holding(number);
-        self.remove(number, size, now);
+        self.clear(number, now);
         self.holdings.remove(&number);
     }
 
--- a/node/src/caller_connection/body.rs
+++ b/node/src/caller_connection/body.rs
@@ -1,5 +1,6 @@
 //! The bodies of a request and its response.
 
+use std::net::IpAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
@@ -8,6 +9,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use sardinepick_lib::fleet::holding::ledger::Connection;
 use tokio::time::timeout;
 
 use super::activity::Exchange;
@@ -27,14 +29,29 @@
 pub struct RequestBody {
     body: Option<Incoming>,
     exchange: Arc<Exchange>,
+    source: Source,
+}
+
+/// Where a request came from.
+#[derive(Clone, Copy, Debug)]
+pub struct Source {
+    /// Its connection.
+    pub connection: Connection,
+    /// The address of its caller.
+    pub address: IpAddr,
 }
 
 impl RequestBody {
-    pub(super) fn new(body: Incoming, exchange: Arc<Exchange>) -> Self {
+    pub(super) fn new(body: Incoming, exchange: Arc<Exchange>, source: Source) -> Self {
         if body.is_end_stream() {
             exchange.note_body_read();
         }
-        Self { body: Some(body), exchange }
+        Self { body: Some(body), exchange, source }
+    }
+
+    /// Where the request came from.
+    pub fn source(&self) -> Source {
+        self.source
     }
 }
 
--- a/node/src/caller_connection/mod.rs
+++ b/node/src/caller_connection/mod.rs
@@ -11,8 +11,10 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::Ipv4Addr;
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use futures_util::FutureExt as _;
 use http::{Request, Response};
@@ -23,13 +25,14 @@
 use prometheus::IntGauge;
 use sardinepick_lib::clock::Clock;
 use sardinepick_lib::fleet::caller_connection::{Action, Cause, Close};
+use sardinepick_lib::fleet::holding::ledger::Connection;
 use sardinepick_lib::fleet::route::Limits;
 use sardinepick_platform::caller::request_id;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-pub use self::body::RequestBody;
+pub use self::body::{RequestBody, Source};
 
 use self::activity::Activity;
 use self::body::ResponseBody;
@@ -80,10 +83,11 @@
     R: Future<Output = Response<Body>>,
 {
     let _open = OpenConnection::new(&context);
+    let source = source(&stream);
     let activity = Arc::new(Activity::new(context.clock.clone()));
     let service = service_fn(|request: Request<Incoming>| {
         let exchange = activity.begin(request_id(request.headers()).unwrap_or_default());
-        let request = request.map(|body| RequestBody::new(body, exchange.clone()));
+        let request = request.map(|body| RequestBody::new(body, exchange.clone(), source));
         let response = handler(request);
         async move {
             let response = or_broken(response).await;
@@ -118,6 +122,17 @@
     record_end(&context, &activity, close.cause(), &result);
 }
 
+/// The number of the last connection.
+static LAST_CONNECTION: AtomicU64 = AtomicU64::new(0);
+
+/// Returns the next connection number, and the address of the caller; an unspecified address if the
+/// caller has disconnected already.
+fn source(stream: &TcpStream) -> Source {
+    let connection = Connection(LAST_CONNECTION.fetch_add(1, Ordering::Relaxed) + 1);
+    let address = stream.peer_addr().map_or(Ipv4Addr::UNSPECIFIED.into(), |peer| peer.ip());
+    Source { connection, address }
+}
+
 /// Counts a connection as open until dropped.
 struct OpenConnection(IntGauge);
 
--- /dev/null
+++ b/node/src/holding/mod.rs
@@ -0,0 +1,144 @@
+//! Held bytes of a node: what it may hold for callers and other nodes, and what waits.
+//!
+//! Bytes are counted in a [`Ledger`] before they are read. A [`Hold`] releases what it holds when it
+//! is dropped. Without limits in the settings nothing is counted, and nothing waits.
+
+mod hold;
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use prometheus::IntGauge;
+use sardinepick_lib::clock::Clock;
+use sardinepick_lib::fleet::holding::ledger::{Cause, Number};
+use sardinepick_lib::fleet::holding::{Bounds, Full, Holder, Ledger, Purpose, Resources};
+use strum::IntoEnumIterator as _;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use self::hold::Content;
+use crate::lock::lock;
+use crate::serve::metrics::Metrics;
+
+pub use self::hold::{Hold, Taken};
+
+/// How often what waits for space asks again. Each asking takes the lock for less than a
+/// microsecond.
+const POLL_PERIOD: Duration = Duration::from_millis(20);
+
+/// The ledger, and the contents of holdings that can be shed.
+struct State {
+    ledger: Ledger,
+    contents: HashMap<Number, (Purpose, Arc<Content>)>,
+}
+
+/// What a bounded node shares among its holdings.
+struct Shared {
+    state: Mutex<State>,
+    connections: Arc<Semaphore>,
+    clock: Arc<dyn Clock>,
+    metrics: Metrics,
+    /// The gauges of held bytes.
+    held: Vec<(Purpose, IntGauge)>,
+}
+
+/// What a node holds.
+#[derive(Clone, Default)]
+pub struct Holding(Option<Arc<Shared>>);
+
+/// One of the callers' connections that may be open, until it is dropped.
+pub struct ConnectionPermit {
+    _permit: Option<OwnedSemaphorePermit>,
+}
+
+impl Holding {
+    /// The holdings of a node with these resources; without them there are no bounds.
+    pub fn new(resources: Option<Resources>, clock: &Arc<dyn Clock>, metrics: &Metrics) -> Self {
+        let Some(resources) = resources else { return Self(None) };
+        let bounds = Bounds::of(resources);
+        let gauge = |purpose: Purpose| {
+            (purpose, metrics.held_bytes.with_label_values(&[<&str>::from(purpose)]))
+        };
+        log::info!(
+            memory:% = resources.memory, descriptors = resources.descriptors,
+            link_mbps:% = resources.link, held:% = bounds.total, stream:% = bounds.stream,
+            connections = bounds.connections, link_waiting:% = bounds.link_full;
+            "held bytes are bounded"
+        );
+        Self(Some(Arc::new(Shared {
+            connections: Arc::new(Semaphore::new(bounds.connections as usize)),
+            state: Mutex::new(State { ledger: Ledger::new(bounds), contents: HashMap::new() }),
+            clock: clock.clone(),
+            metrics: metrics.clone(),
+            held: Purpose::iter().map(gauge).collect(),
+        })))
+    }
+
+    /// Whether there are bounds.
+    pub fn is_bounded(&self) -> bool {
+        self.0.is_some()
+    }
+
+    /// Waits until another connection of a caller may be accepted.
+    pub async fn connection(&self) -> ConnectionPermit {
+        let Some(shared) = &self.0 else { return ConnectionPermit { _permit: None } };
+        // The semaphore is never closed.
+        ConnectionPermit { _permit: shared.connections.clone().acquire_owned().await.ok() }
+    }
+
+    /// Whether new work is accepted.
+    ///
+    /// # Errors
+    /// The node is full.
+    pub fn admit(&self) -> Result<(), Full> {
+        let Some(shared) = &self.0 else { return Ok(()) };
+        let admitted = lock(&shared.state).ledger.admit(shared.clock.now());
+        admitted.inspect_err(|full| shared.note_refused(full.cause))
+    }
+
+    /// Begins a holding without any bytes.
+    pub fn begin(&self, holder: Holder) -> Hold {
+        let Some(shared) = &self.0 else { return Hold::unbounded() };
+        let content = Arc::new(Content::default());
+        let purpose = holder.purpose;
+        let mut state = lock(&shared.state);
+        let number = state.ledger.begin(holder, shared.clock.now());
+        if matches!(purpose, Purpose::Answer | Purpose::Stream) {
+            state.contents.insert(number, (purpose, content.clone()));
+        }
+        Hold::new(shared.clone(), number, purpose, content)
+    }
+}
+
+impl Shared {
+    /// Changes the ledger and updates the metrics.
+    fn change<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
+        let mut state = lock(&self.state);
+        let result = change(&mut state);
+        for (purpose, gauge) in &self.held {
+            let held = state.ledger.of_purpose(*purpose).0;
+            gauge.set(i64::try_from(held).unwrap_or(i64::MAX));
+        }
+        self.metrics.waiting_bodies.set(state.ledger.waiting() as i64);
+        result
+    }
+
+    fn note_refused(&self, cause: Cause) {
+        self.metrics.holding_refusals.with_label_values(&[<&str>::from(cause)]).inc();
+    }
+
+    /// Discards the contents of holdings that are shed, and signals their tasks.
+    fn shed(&self, state: &mut State, numbers: &[Number]) {
+        for number in numbers {
+            let size = state.ledger.of_holding(*number);
+            let Some((purpose, content)) = state.contents.get(number) else { continue };
+            content.shed();
+            self.metrics.holding_sheds.with_label_values(&[<&str>::from(*purpose)]).inc();
+            log::info!(
+                purpose:% = purpose, size:% = size, total:% = state.ledger.total();
+                "slow reader shed"
+            );
+            state.ledger.clear(*number, self.clock.now());
+        }
+    }
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod explain;
 pub mod front;
 pub mod gather;
+pub mod holding;
 pub mod limit;
 pub mod lock;
 pub mod logging;
--- a/node/src/relay/client.rs
+++ b/node/src/relay/client.rs
@@ -20,7 +20,8 @@
 use tonic::codegen::Service;
 use tonic::transport::{Channel, Endpoint};
 
-use super::{Error, SHARED_WINDOW_BYTES, Stream, WINDOW_BYTES};
+use super::{Error, RELAY_SIZE, SHARED_WINDOW_BYTES, Stream, WINDOW_BYTES, holder};
+use crate::holding::Holding;
 use crate::lock::lock;
 use crate::serve::dial::{self, Dial};
 use crate::serve::metrics::Metrics;
@@ -68,6 +69,7 @@
     me: NodeId,
     dial: Arc<dyn Dial>,
     peers: Mutex<HashMap<SocketAddr, Connected>>,
+    holding: Holding,
     clock: Arc<dyn Clock>,
     metrics: Metrics,
 }
@@ -75,7 +77,14 @@
 impl Client {
     /// Creates a client for the node `me`, whose connections to peers `dial` opens.
     pub fn new(me: NodeId, dial: Arc<dyn Dial>, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
-        Self { me, dial, peers: Mutex::default(), clock, metrics }
+        let holding = Holding::default();
+        Self { me, dial, peers: Mutex::default(), holding, clock, metrics }
+    }
+
+    /// Counts the connections through peers in what the node holds.
+    #[must_use]
+    pub fn with_holding(self, holding: Holding) -> Self {
+        Self { holding, ..self }
     }
 
     /// Connects to a runner through `peer`, within `limit`.
@@ -130,7 +139,10 @@
         );
         let answer = client.relay(parts).await;
         let answer = answer.map_err(|status| Error::from_status(peer, address, &status))?;
-        Ok(Stream::new(answer.into_inner(), sender, self.metrics.clone()))
+        // The request that needs the connection has been accepted, so this is not refused.
+        let hold = self.holding.begin(holder(self.me.clone()));
+        hold.count(RELAY_SIZE);
+        Ok(Stream::new(answer.into_inner(), sender, hold, self.metrics.clone()))
     }
 
     /// Returns the connection to a peer, which connects when it is first used.
--- a/node/src/relay/mod.rs
+++ b/node/src/relay/mod.rs
@@ -11,6 +11,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use sardinepick_lib::fleet::holding::ledger::Connection;
+use sardinepick_lib::fleet::holding::{Holder, Owner, Purpose, Size};
+use sardinepick_lib::id::NodeId;
 use thiserror::Error;
 use tonic::{Code, Status};
 
@@ -29,6 +32,20 @@
 /// must not block the others.
 pub const SHARED_WINDOW_BYTES: u32 = WINDOW_BYTES * MAX_RELAYS as u32;
 
+/// What a forwarded connection takes of a node's memory at most: its window, and two messages that
+/// wait to be sent.
+pub const RELAY_SIZE: Size = Size(WINDOW_BYTES as u64 + 2 * CHUNK_BYTES as u64);
+
+/// What a connection that is forwarded for, or by, another node belongs to.
+fn holder(node: NodeId) -> Holder {
+    Holder {
+        owner: Owner::Node(node),
+        connection: Connection::default(),
+        purpose: Purpose::Transfer,
+        class: 0,
+    }
+}
+
 /// Why a connection through a peer was not established.
 #[derive(Debug, Error)]
 pub enum Error {
--- a/node/src/relay/server.rs
+++ b/node/src/relay/server.rs
@@ -10,7 +10,7 @@
 use sardinepick_lib::fleet::reachability::{RELAY_CONNECT_TIMEOUT, Reachability};
 use sardinepick_lib::fleet::register::Register;
 use sardinepick_lib::fleet::roster::Standing;
-use sardinepick_lib::id::RunnerId;
+use sardinepick_lib::id::{NodeId, RunnerId};
 use sardinepick_wire::fleet::{RelayOpen, RelayPart};
 use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _, split};
@@ -19,7 +19,8 @@
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Status, Streaming};
 
-use super::{CHUNK_BYTES, MAX_RELAYS};
+use super::{CHUNK_BYTES, MAX_RELAYS, RELAY_SIZE, holder};
+use crate::holding::{Hold, Holding};
 use crate::lock::lock;
 use crate::serve::dial::{Dial, Stream};
 use crate::serve::metrics::Metrics;
@@ -41,6 +42,9 @@
     /// Too many connections are forwarded already.
     #[error("{MAX_RELAYS} connections are open")]
     Busy,
+    /// The node holds as much as it may.
+    #[error("the node holds as much as it may")]
+    Full,
     /// The register has no such runner at this address.
     #[error("no runner {runner} at {address}")]
     Unknown { runner: RunnerId, address: SocketAddr },
@@ -64,7 +68,7 @@
         match self {
             Refusal::Malformed(_) => Status::invalid_argument(message),
             Refusal::NodeLeaving => Status::aborted(message),
-            Refusal::Busy => Status::resource_exhausted(message),
+            Refusal::Busy | Refusal::Full => Status::resource_exhausted(message),
             Refusal::Unknown { .. } => Status::not_found(message),
             Refusal::RunnerLeaving { .. } => Status::failed_precondition(message),
             Refusal::PathClosed { .. } | Refusal::Unreachable { .. } | Refusal::TimedOut { .. } => {
@@ -79,6 +83,7 @@
             Refusal::Malformed(_) => "malformed",
             Refusal::NodeLeaving => "node_leaving",
             Refusal::Busy => "busy",
+            Refusal::Full => "full",
             Refusal::Unknown { .. } => "unknown_runner",
             Refusal::RunnerLeaving { .. } => "runner_leaving",
             Refusal::PathClosed { .. } => "path_closed",
@@ -99,6 +104,7 @@
     dial: Arc<dyn Dial>,
     standing: watch::Receiver<Standing>,
     slots: Arc<Semaphore>,
+    holding: Holding,
     clock: Arc<dyn Clock>,
     metrics: Metrics,
 }
@@ -106,6 +112,7 @@
 /// One of the connections that may be open, until it is dropped.
 struct Slot {
     _permit: OwnedSemaphorePermit,
+    _hold: Option<Hold>,
     metrics: Metrics,
 }
 
@@ -126,7 +133,14 @@
         metrics: Metrics,
     ) -> Self {
         let slots = Arc::new(Semaphore::new(MAX_RELAYS));
-        Self { register, reachability, dial, standing, slots, clock, metrics }
+        let holding = Holding::default();
+        Self { register, reachability, dial, standing, slots, holding, clock, metrics }
+    }
+
+    /// Counts the forwarded connections in what the node holds.
+    #[must_use]
+    pub fn with_holding(self, holding: Holding) -> Self {
+        Self { holding, ..self }
     }
 
     /// The number of connections that are open.
@@ -157,7 +171,7 @@
 
     async fn open(&self, parts: &mut Streaming<RelayPart>) -> Result<(Connection, Slot), Refusal> {
         let open = receive_open(parts).await?;
-        let slot = self.acquire_slot()?;
+        let slot = self.acquire_slot(&open)?;
         let (runner, address) = decode(&open)?;
         self.check(runner, address)?;
         let limit = RELAY_CONNECT_TIMEOUT.min(Duration::from_millis(open.limit_ms.into()));
@@ -182,10 +196,23 @@
         connected.map_err(|source| Refusal::Unreachable { address, source })
     }
 
-    fn acquire_slot(&self) -> Result<Slot, Refusal> {
+    /// Counts a connection in what the node holds; `None` if that is not bounded.
+    fn hold(&self, open: &RelayOpen) -> Result<Option<Hold>, Refusal> {
+        if !self.holding.is_bounded() {
+            return Ok(None);
+        }
+        let node = open.node.parse::<NodeId>();
+        let node = node.map_err(|error| Refusal::Malformed(error.to_string()))?;
+        let hold = self.holding.begin(holder(node));
+        hold.try_grow(RELAY_SIZE).map_err(|_| Refusal::Full)?;
+        Ok(Some(hold))
+    }
+
+    fn acquire_slot(&self, open: &RelayOpen) -> Result<Slot, Refusal> {
         let permit = self.slots.clone().try_acquire_owned().map_err(|_| Refusal::Busy)?;
+        let hold = self.hold(open)?;
         self.metrics.relays.inc();
-        Ok(Slot { _permit: permit, metrics: self.metrics.clone() })
+        Ok(Slot { _permit: permit, _hold: hold, metrics: self.metrics.clone() })
     }
 
     /// Checks that connections to the runner may be forwarded: no other address is reachable
--- a/node/src/relay/stream.rs
+++ b/node/src/relay/stream.rs
@@ -15,6 +15,7 @@
 use tonic::Streaming;
 
 use super::CHUNK_BYTES;
+use crate::holding::Hold;
 use crate::serve::metrics::Metrics;
 
 type Reserve = Pin<Box<dyn Future<Output = Result<OwnedPermit<RelayPart>, SendError<()>>> + Send>>;
@@ -29,6 +30,8 @@
     sender: Sender<RelayPart>,
     /// The wait for room to send, if there was none.
     reserve: Option<Reserve>,
+    /// What it takes of the node's memory.
+    _hold: Hold,
     metrics: Metrics,
 }
 
@@ -36,10 +39,19 @@
     pub(super) fn new(
         received: Streaming<RelayPart>,
         sender: Sender<RelayPart>,
+        hold: Hold,
         metrics: Metrics,
     ) -> Self {
         metrics.relayed_connections.inc();
-        Self { received, unread: Bytes::new(), ended: false, sender, reserve: None, metrics }
+        Self {
+            received,
+            unread: Bytes::new(),
+            ended: false,
+            sender,
+            reserve: None,
+            _hold: hold,
+            metrics,
+        }
     }
 
     fn poll_send(&mut self, context: &mut Context<'_>, part: RelayPart) -> Poll<io::Result<()>> {
--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -15,10 +15,12 @@
 use http::response::Parts;
 use http::{Request, Response};
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::handshake;
 use hyper_util::rt::TokioIo;
 use sardinepick_lib::clock::Clock;
+use sardinepick_lib::fleet::holding::Size;
+use sardinepick_lib::fleet::holding::ledger::Cause;
 use sardinepick_lib::id::RunnerId;
 use sardinepick_platform::answer::keep_alive;
 use socket2::SockRef;
@@ -26,6 +28,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::holding::Hold;
 use crate::limit::Denied;
 use crate::serve::delivery::Delivery;
 use crate::serve::dial::{Dial, Failure, Stream};
@@ -149,6 +152,17 @@
 #[error("answer truncated: {0}")]
 pub struct Incomplete(String);
 
+/// Why an answer was not read to its end.
+#[derive(Debug, Error)]
+pub enum ReadError {
+    /// It is truncated or too large.
+    #[error(transparent)]
+    Incomplete(#[from] Incomplete),
+    /// The node has no space for it.
+    #[error("no space for the answer: {0}")]
+    Full(Cause),
+}
+
 impl Answer {
     /// The way of the connection that it came over.
     pub fn way(&self) -> Way {
@@ -191,6 +205,37 @@
         Ok((self.head, whole.freeze()))
     }
 
+    /// Reads the whole body like [`Answer::read`] into a holding. What the node has no space for
+    /// stays in the socket; if its length is not known, except for the piece being read.
+    ///
+    /// # Errors
+    /// The body is truncated or larger, or there is no space for it.
+    pub async fn read_into(
+        self,
+        hold: &Hold,
+        max_bytes: usize,
+    ) -> Result<(Parts, Size), ReadError> {
+        let known = self.body.size_hint().exact().filter(|length| *length <= max_bytes as u64);
+        if let Some(length) = known {
+            hold.grow(Size(length)).await.map_err(ReadError::Full)?;
+        }
+        let (mut body, mut size) = (Limited::new(self.body, max_bytes), Size::ZERO);
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| Incomplete(error.to_string()))?;
+            // Trailers are ignored.
+            let Ok(data) = frame.into_data() else { continue };
+            if known.is_none() {
+                hold.grow(Size::from(data.len())).await.map_err(ReadError::Full)?;
+            }
+            size = size.plus(Size::from(data.len()));
+            // A part of a larger buffer would keep all of it.
+            hold.push(Bytes::copy_from_slice(&data));
+            hold.take(Size::ZERO);
+        }
+        self.lease.return_to_pool();
+        Ok((self.head, size))
+    }
+
     /// Reads and drops the body, so that the connection can be reused. If the body is truncated,
     /// the connection is closed.
     pub async fn discard(self, max_bytes: usize) {
--- a/node/src/serve/generation/mod.rs
+++ b/node/src/serve/generation/mod.rs
@@ -90,6 +90,8 @@
     Attempts,
     /// It has made [`MAX_CALLS`] calls.
     Calls,
+    /// The node has no space for its answer.
+    NodeFull,
 }
 
 /// A generation request and its attempts, shared by the calls made for it.
--- a/node/src/serve/generation/task.rs
+++ b/node/src/serve/generation/task.rs
@@ -11,6 +11,7 @@
 use sardinepick_lib::fleet::event::Event;
 use sardinepick_lib::fleet::handover::{Action, Handover, Stage};
 use sardinepick_lib::fleet::health::Outcome;
+use sardinepick_lib::fleet::holding::Purpose;
 use sardinepick_lib::id::RunnerId;
 use strum::IntoStaticStr;
 use tokio::time::sleep;
@@ -43,6 +44,7 @@
 /// What a task waits for.
 enum Wake {
     CallerLeft,
+    Shed,
     Current(Step),
     Successor(Step),
     Probed(bool),
@@ -101,7 +103,7 @@
         let due = self.handover.due();
         let timer = due.map_or(left, |due| left.min(due.saturating_duration_since(now)));
         let wake = tokio::select! {
-            () = self.caller.disconnected() => Wake::CallerLeft,
+            woken = ended_by(&mut self.caller) => woken,
             step = self.current.next() => Wake::Current(step),
             step = next_of(self.successor.as_mut()) => Wake::Successor(step),
             alive = result_of(self.probe.as_mut()) => Wake::Probed(alive),
@@ -109,6 +111,7 @@
         };
         match wake {
             Wake::CallerLeft => Some(Err(None)),
+            Wake::Shed => Some(Err(Some(SHED))),
             Wake::Current(step) => self.on_current(step).await,
             Wake::Successor(step) => self.on_successor(step).await,
             Wake::Probed(alive) => {
@@ -269,6 +272,7 @@
                     Sent::Delivered => None,
                     Sent::Disconnected => Some(Err(None)),
                     Sent::TimedOut => Some(Err(Some(self.out_of_time()))),
+                    Sent::Shed => Some(Err(Some(SHED))),
                 }
             }
             RunStep::Complete => {
@@ -282,6 +286,7 @@
                     Sent::Delivered => Some(Ok(Outcome::Answered)),
                     Sent::Disconnected => Some(Err(None)),
                     Sent::TimedOut => Some(Err(Some(self.out_of_time()))),
+                    Sent::Shed => Some(Err(Some(SHED))),
                 }
             }
             RunStep::Broken { begun } => {
@@ -462,7 +467,10 @@
         }
         self.note_move("moved");
         if let Some(run) = self.current.run() {
-            self.caller.begin_stream(&run.head);
+            let generation = &self.generation;
+            let holding = &generation.shared.holding;
+            let hold = || holding.begin(generation.request.holder(Purpose::Stream));
+            self.caller.begin_stream(&run.head, hold);
         }
         self.caller.send_event(event.bytes, self.generation.time_left()).await
     }
@@ -509,6 +517,21 @@
     }
 }
 
+/// The end of a stream that the node has no space for. It has run, and its caller sees a cut body.
+const SHED: (Refusal, StopCause) = (Refusal::Broken, StopCause::NodeFull);
+
+/// Waits until the caller has disconnected or what it has not read is shed.
+async fn ended_by(caller: &mut Caller) -> Wake {
+    if let Caller::Streaming(events, hold) = caller {
+        return tokio::select! {
+            () = events.closed() => Wake::CallerLeft,
+            () = hold.shed() => Wake::Shed,
+        };
+    }
+    caller.disconnected().await;
+    Wake::CallerLeft
+}
+
 fn runner_of(attempt: &Attempt) -> &str {
     attempt.runner.as_ref().map_or("", RunnerId::as_str)
 }
--- a/node/src/serve/listener.rs
+++ b/node/src/serve/listener.rs
@@ -1,6 +1,7 @@
 //! The HTTP listeners: for callers, for the platform's readiness checks, for look-ups, and for
 //! metrics and state.
 
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,10 +11,12 @@
 use sardinepick_lib::fleet::roster::Standing;
 use sardinepick_lib::id::Window;
 use sardinepick_platform::caller::{LOOKUP_PATH, READINESS_PATH, lookup_response, read_lookup};
+use socket2::SockRef;
 use strum::IntoStaticStr;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::caller_connection::{self, Closing, Context, RequestBody};
+use crate::holding::{ConnectionPermit, Holding};
 use crate::serve::response::{Body, Refusal, empty, full_body, json};
 use crate::serve::shared::Shared;
 use crate::serve::{quarantine, request};
@@ -26,6 +29,10 @@
 /// The pause after a failed `accept`: without free file descriptors, each attempt fails at once.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// The send buffer of a caller's connection on a node with bounds; the kernel doubles it. By itself
+/// it grows to several megabytes. This is enough for 200 Mbit/s at a round trip of 5 ms.
+const SEND_BUFFER_BYTES: usize = 64 << 10;
+
 /// The path prefix for releasing quarantined requests, followed by the fingerprint.
 const QUARANTINE_PREFIX: &str = "/quarantine/";
 
@@ -59,18 +66,24 @@
         limits: shared.limits.subscribe(),
         closing: closing.clone(),
     };
+    // Only callers can exhaust the descriptors; the other listeners carry control traffic.
+    let holding = if port == Port::Front { shared.holding.clone() } else { Holding::default() };
     loop {
         let accepted = tokio::select! {
             () = closing.wait() => return,
-            accepted = listener.accept() => accepted,
+            accepted = accept(&holding, &listener) => accepted,
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok((stream, permit)) => {
                 send_at_once(&stream);
+                if holding.is_bounded() {
+                    limit_send_buffer(&stream);
+                }
                 let (shared, context) = (shared.clone(), context.clone());
                 tokio::spawn(async move {
                     let handler = |request| handle(&shared, port, request);
                     caller_connection::serve(context, stream, handler).await;
+                    drop(permit);
                 });
             }
             Err(error) => {
@@ -81,6 +94,24 @@
     }
 }
 
+/// Accepts a connection as soon as another one may be open. Until then callers wait in the queue of
+/// the listener.
+async fn accept(
+    holding: &Holding,
+    listener: &TcpListener,
+) -> io::Result<(TcpStream, ConnectionPermit)> {
+    let permit = holding.connection().await;
+    let (stream, _) = listener.accept().await?;
+    Ok((stream, permit))
+}
+
+/// Limits what the kernel holds for a caller that does not read: the ledger does not count it.
+fn limit_send_buffer(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_send_buffer_size(SEND_BUFFER_BYTES) {
+        log::debug!(error:% = error; "cannot set the send buffer size");
+    }
+}
+
 /// Configures a connection to send small writes at once.
 ///
 /// The kernel's timeout for unacknowledged data is not set: it also ends the connection of a caller
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -50,6 +50,16 @@
     pub part_changes: IntCounterVec,
     /// Requests with a suspect prompt part, by what became of them.
     pub part_admissions: IntCounterVec,
+    /// Held bytes, by purpose.
+    pub held_bytes: IntGaugeVec,
+    /// Request bodies that wait for space.
+    pub waiting_bodies: IntGauge,
+    /// Requests refused because the node is full, by cause.
+    pub holding_refusals: IntCounterVec,
+    /// Answers and streams that were cut to release memory, by purpose.
+    pub holding_sheds: IntCounterVec,
+    /// Pauses of reading from a runner, by purpose.
+    pub holding_pauses: IntCounterVec,
     /// Connections opened.
     pub connections: IntCounter,
     /// Open connections of callers, by listener.
@@ -249,6 +259,28 @@
                 "Connections of callers that ended, by cause and by whether a response was incomplete",
                 &["port", "cause", "state"],
             ),
+            held_bytes: m.gauges(
+                "sardinepick_held_bytes",
+                "Bytes held for callers and other nodes, by purpose",
+                &["purpose"],
+            ),
+            waiting_bodies: m
+                .gauge("sardinepick_waiting_bodies", "Request bodies that wait for memory"),
+            holding_refusals: m.counters(
+                "sardinepick_holding_refusals_total",
+                "Requests and relays refused because the node is full, by cause",
+                &["cause"],
+            ),
+            holding_sheds: m.counters(
+                "sardinepick_holding_sheds_total",
+                "Answers and streams cut to release memory, by purpose",
+                &["purpose"],
+            ),
+            holding_pauses: m.counters(
+                "sardinepick_holding_pauses_total",
+                "Pauses of reading from a runner because of memory, by purpose",
+                &["purpose"],
+            ),
             connections: m
                 .counter("sardinepick_connections_total", "Connections made to runners and store"),
             relays: m.gauge(
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Response;
 use http::response::Parts;
 use sardinepick_lib::fleet::admission::Reason;
 use sardinepick_lib::fleet::health::Outcome;
+use sardinepick_lib::fleet::holding::Purpose;
 use sardinepick_lib::fleet::load::Class;
 use sardinepick_lib::fleet::placement::{self, Criteria};
 use sardinepick_lib::fleet::register::WorkCost;
@@ -19,12 +19,13 @@
 use smallvec::SmallVec;
 use tokio::time::timeout;
 
-use crate::serve::connection::{Answer, SendError};
+use crate::holding::Hold;
+use crate::serve::connection::{Answer, ReadError, SendError};
 use crate::serve::payment::Payment;
 use crate::serve::quarantine::{self, Admission};
 use crate::serve::request::{End, InProgress, Request};
 use crate::serve::reservation::{Reservation, Step};
-use crate::serve::response::{Body, Refusal, forward_response, full_body};
+use crate::serve::response::{Body, Refusal, Whole, forward_response};
 use crate::serve::shared::Shared;
 
 /// The maximum number of calls for one request, including calls that never reached a runner.
@@ -38,7 +39,7 @@
 /// The result of one call.
 enum CallResult {
     /// A complete response of the runner.
-    Complete(Parts, Bytes),
+    Complete(Parts, Whole),
     /// The runner has not run the request.
     NotRun {
         /// Whether a runner has read the request, which counts as an arrival.
@@ -48,6 +49,8 @@
     MaybeRun,
     /// The request may have run; the runner's response was cut off.
     Cut,
+    /// The request has run; the node has no space for the runner's response.
+    NoSpace,
     /// No response within the time limit of the call.
     TimedOut,
 }
@@ -86,7 +89,7 @@
             let labels = [request.route.kind.into(), line.outcome];
             shared.metrics.first_byte.with_label_values(&labels).observe(took.as_secs_f64());
             request.log_end(shared, &line);
-            forward_response(&head, full_body(body))
+            forward_response(&head, body.into_body())
         }
         Err(refusal) => {
             line.status = refusal.status().as_u16();
@@ -127,8 +130,8 @@
 }
 
 impl PlainTask<'_> {
-    async fn run(&mut self) -> Result<(Parts, Bytes), Refusal> {
-        let mut failed: Option<(Parts, Bytes)> = None;
+    async fn run(&mut self) -> Result<(Parts, Whole), Refusal> {
+        let mut failed: Option<(Parts, Whole)> = None;
         loop {
             if !self.is_trial || self.runs > 0 || self.crashes > 0 {
                 match quarantine::admit(self.shared, self.request).await {
@@ -175,6 +178,8 @@
                 CallResult::TimedOut if self.may_retry() => {}
                 CallResult::MaybeRun | CallResult::Cut => return failed.ok_or(Refusal::Broken),
                 CallResult::TimedOut => return failed.ok_or(Refusal::Late),
+                // Another runner's response would need the same space.
+                CallResult::NoSpace => return failed.ok_or(Refusal::Broken),
             }
             self.tried.push(choice.runner);
             if self.calls >= MAX_CALLS {
@@ -255,10 +260,11 @@
         let mut limit = if last { left } else { left.min(runner_timeout) };
         // From here on the request may run.
         self.runs += 1;
+        let hold = Arc::new(self.shared.holding.begin(request.holder(Purpose::Answer)));
         let (result, next) = {
             let target = reservation.target(address);
             let sent = self.shared.dispatcher.send(target, &request.id, outgoing);
-            let response = async { self.read_response(id, &reservation, sent.await?).await };
+            let response = async { self.read_response(id, &reservation, sent.await?, &hold).await };
             let mut response = std::pin::pin!(response);
             // A runner that does not answer in time is given up only for another one that can be
             // called: its response may still come.
@@ -268,7 +274,9 @@
                 if result.is_ok() || last || left.is_zero() {
                     break (result, None);
                 }
+                // A response that waits for space here needs the same space from another runner.
                 if self.calls < MAX_CALLS
+                    && !hold.is_paused()
                     && let Ok(next) = self.plan(true, Some(id))
                 {
                     break (result, Some(next));
@@ -283,7 +291,7 @@
                     CallResult::Complete(head, _) if head.status.is_server_error() => {
                         Outcome::Failed
                     }
-                    CallResult::Complete(..) => Outcome::Answered,
+                    CallResult::Complete(..) | CallResult::NoSpace => Outcome::Answered,
                     CallResult::NotRun { .. } => Outcome::Failed,
                     CallResult::MaybeRun | CallResult::Cut | CallResult::TimedOut => {
                         Outcome::Broken
@@ -348,6 +356,7 @@
         id: &RunnerId,
         reservation: &Reservation,
         answer: Answer,
+        hold: &Arc<Hold>,
     ) -> Result<CallResult, SendError> {
         let request = self.request;
         let verdict = classify(answer.head.status, &answer.head.headers, id, &request.id);
@@ -370,7 +379,7 @@
                 return Ok(CallResult::MaybeRun);
             }
         }
-        match answer.read(MAX_RESPONSE_BYTES).await {
+        match read_whole(answer, hold).await {
             Ok((head, body)) => {
                 if promises_not_run(head.status) {
                     // Only the runner's own header proves that it has not run, and that is missing.
@@ -378,6 +387,7 @@
                 }
                 Ok(CallResult::Complete(head, body))
             }
+            Err(ReadError::Full(_)) => Ok(CallResult::NoSpace),
             Err(error) => {
                 log::info!(
                     request:% = request.id, runner:% = id, error:% = error;
@@ -389,6 +399,16 @@
     }
 }
 
+/// Reads a whole response, as far as the node has space for it.
+async fn read_whole(answer: Answer, hold: &Arc<Hold>) -> Result<(Parts, Whole), ReadError> {
+    if !hold.is_bounded() {
+        let (head, body) = answer.read(MAX_RESPONSE_BYTES).await?;
+        return Ok((head, Whole::Free(body)));
+    }
+    let (head, size) = answer.read_into(hold, MAX_RESPONSE_BYTES).await?;
+    Ok((head, Whole::Held(hold.clone(), size)))
+}
+
 /// Returns whether a status tells callers that a request has not run.
 pub fn promises_not_run(status: http::StatusCode) -> bool {
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Response, Uri, header};
 use http_body_util::{BodyExt as _, Limited};
@@ -13,6 +13,8 @@
 use sardinepick_lib::fleet::admission::{Reason, Terms, Wait};
 use sardinepick_lib::fleet::engine::Engine;
 use sardinepick_lib::fleet::fingerprint::Fingerprint;
+use sardinepick_lib::fleet::holding::{Full, Holder, Owner, Purpose, Size};
+use sardinepick_lib::fleet::load::Class;
 use sardinepick_lib::fleet::part;
 use sardinepick_lib::fleet::part_quarantine::{Mark, Prompt, Subject};
 use sardinepick_lib::fleet::rank::Rank;
@@ -28,7 +30,8 @@
 use tokio::time::timeout;
 
 use crate::account::CheckResult;
-use crate::caller_connection::RequestBody;
+use crate::caller_connection::{RequestBody, Source};
+use crate::holding::Hold;
 use crate::serve::response::{Body, Refusal};
 use crate::serve::resumption::Resumption;
 use crate::serve::shared::Shared;
@@ -63,6 +66,10 @@
     pub headers: HeaderMap,
     /// Its complete body.
     pub body: Bytes,
+    /// What its body takes of the node's memory, until the request has ended.
+    pub hold: Hold,
+    /// Where it came from.
+    pub source: Source,
     /// Identifies repeated attempts of the same request.
     pub fingerprint: Fingerprint,
     /// The parts of its prompt that other requests may share.
@@ -85,6 +92,11 @@
         self.deadline.saturating_duration_since(now)
     }
 
+    /// Returns what its holdings for a purpose belong to.
+    pub fn holder(&self, purpose: Purpose) -> Holder {
+        holder(self.account.as_ref(), self.source, &self.route, purpose)
+    }
+
     /// Returns the parts of its prompt that other requests may share, for logs.
     pub fn part_list(&self) -> part::List<'_> {
         part::List(&self.caller_headers.shared_parts)
@@ -184,9 +196,25 @@
     let allowed = caller_headers.deadline.map_or(route.timeout, |d| d.min(route.timeout));
     let waited = shared.clock.now().saturating_duration_since(arrived);
     let left = allowed.saturating_sub(waited);
-    let body = match read_body(body, configuration.limits.body, left).await {
+    let source = body.source();
+    let max_bytes = configuration.limits.body;
+    let hold = shared.holding.begin(holder(account.as_ref(), source, &route, Purpose::Body));
+    let body = if shared.holding.is_bounded() {
+        match shared.holding.admit() {
+            Ok(()) => read_held_body(body, max_bytes, left, &hold).await,
+            Err(full) => Err(full.into()),
+        }
+    } else {
+        read_body(body, max_bytes, left).await.map_err(Unread::Refused)
+    };
+    let body = match body {
         Ok(body) => body,
-        Err(refusal) => return refuse(refusal),
+        Err(Unread::Refused(refusal)) => return refuse(refusal),
+        Err(Unread::Full(after)) => {
+            let terms = Terms::new(&route, left, Wait::default(), 1.0);
+            let after = terms.retry_delay_after(after, &mut *shared.rng());
+            return refuse(Refusal::NotRun(Reason::NodeFull, after));
+        }
     };
     let runs_stream = route.kind.is_stream();
     let resumption = Resumption {
@@ -233,6 +261,8 @@
         method: head.method,
         uri: head.uri,
         body,
+        hold,
+        source,
         arrived,
         deadline: arrived + allowed,
         route,
@@ -350,6 +380,90 @@
     }
 }
 
+/// Why a body was not read. The request has not run.
+enum Unread {
+    /// The request is refused.
+    Refused(Refusal),
+    /// The node has no space for it; the caller may retry after this time.
+    Full(Duration),
+}
+
+impl From<Full> for Unread {
+    fn from(full: Full) -> Self {
+        Unread::Full(full.after)
+    }
+}
+
+impl From<Refusal> for Unread {
+    fn from(refusal: Refusal) -> Self {
+        Unread::Refused(refusal)
+    }
+}
+
+/// What a request takes of a node's memory apart from its body.
+const REQUEST_SIZE: Size = Size(4 << 10);
+/// The steps in which space is reserved for a body of unknown length.
+const BODY_STEP: usize = 64 << 10;
+/// The retry delay of a request whose body of unknown length found no space while it was read: by
+/// then it has waited for the longest pause.
+const UNREAD_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Reads a body like [`read_body`]. It waits in the socket until there is space for it.
+async fn read_held_body(
+    body: RequestBody,
+    max_bytes: usize,
+    limit: Duration,
+    hold: &Hold,
+) -> Result<Bytes, Unread> {
+    use hyper::body::Body as _;
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(Refusal::TooLarge.into());
+    }
+    let length = body.size_hint().exact().map(|length| length as usize);
+    let size = Size::from(length.unwrap_or(BODY_STEP)).plus(REQUEST_SIZE);
+    if !hold.fits(size) {
+        return Err(Refusal::TooLarge.into());
+    }
+    let began = tokio::time::Instant::now();
+    hold.begin_body(size, limit).await?;
+    let left = limit.saturating_sub(began.elapsed());
+    let read = read_in_steps(body, max_bytes, length, hold);
+    timeout(left, read).await.unwrap_or(Err(Refusal::Expired.into()))
+}
+
+/// Reads a body of this length, or of an unknown one, for which space grows as it is read.
+async fn read_in_steps(
+    mut body: RequestBody,
+    max_bytes: usize,
+    length: Option<usize>,
+    hold: &Hold,
+) -> Result<Bytes, Unread> {
+    let mut reserved = length.unwrap_or(BODY_STEP);
+    let mut whole = BytesMut::with_capacity(reserved);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Refusal::Malformed)?;
+        // Trailers are ignored.
+        let Ok(data) = frame.into_data() else { continue };
+        if whole.len() + data.len() > max_bytes {
+            return Err(Refusal::TooLarge.into());
+        }
+        while whole.len() + data.len() > reserved {
+            let grown = hold.grow(Size::from(BODY_STEP)).await;
+            grown.map_err(|_| Unread::Full(UNREAD_RETRY_AFTER))?;
+            reserved += BODY_STEP;
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole.freeze())
+}
+
+/// Returns what a holding of a request belongs to.
+fn holder(account: Option<&AccountId>, source: Source, route: &Route, purpose: Purpose) -> Holder {
+    let owner = account.map_or(Owner::Caller(source.address), |id| Owner::Account(id.clone()));
+    let class = Class::of(route.rank).index();
+    Holder { owner, connection: source.connection, purpose, class }
+}
+
 /// Counts a request as in progress until dropped.
 pub struct InProgress(Arc<Shared>);
 
--- a/node/src/serve/response.rs
+++ b/node/src/serve/response.rs
@@ -1,5 +1,8 @@
 //! Responses to callers: those forwarded from a runner, and the node's own.
 
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -7,11 +10,15 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt as _, Full};
+use hyper::body::{Frame, SizeHint};
 use sardinepick_lib::fleet::admission::Reason;
+use sardinepick_lib::fleet::holding::Size;
 use sardinepick_platform::answer::{forwarded_headers, retry_after};
 use strum::{Display, IntoStaticStr};
 use thiserror::Error;
 
+use crate::holding::{Hold, Taken};
+
 /// A response broke off after its head had been sent to the caller. The caller's connection is
 /// aborted, so that the partial response cannot be taken for the complete one.
 #[derive(Clone, Copy, Debug, Error)]
@@ -26,6 +33,72 @@
     Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
+/// A whole answer of a runner.
+pub enum Whole {
+    /// Without bounds on what the node holds.
+    Free(Bytes),
+    /// Of this size, counted in what the node holds until it has been sent.
+    Held(Arc<Hold>, Size),
+}
+
+impl Whole {
+    /// Returns it as the body of a response.
+    pub fn into_body(self) -> Body {
+        match self {
+            Whole::Free(bytes) => full_body(bytes),
+            Whole::Held(hold, size) => HeldBody::new(hold, size).boxed_unsync(),
+        }
+    }
+}
+
+/// The body of a whole answer that releases each piece when the next one is sent. A body that is
+/// shed is cut.
+struct HeldBody {
+    hold: Arc<Hold>,
+    /// What has not been sent.
+    rest: u64,
+    /// The piece that is being sent.
+    sending: Size,
+}
+
+impl HeldBody {
+    fn new(hold: Arc<Hold>, size: Size) -> Self {
+        // From now on its reader can take it.
+        hold.take(Size::ZERO);
+        Self { hold, rest: size.0, sending: Size::ZERO }
+    }
+}
+
+impl hyper::body::Body for HeldBody {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        let sent = std::mem::take(&mut self.sending);
+        self.hold.take(sent);
+        Poll::Ready(match self.hold.pop() {
+            Taken::Piece(piece) => {
+                self.sending = Size::from(piece.len());
+                self.rest = self.rest.saturating_sub(self.sending.0);
+                Some(Ok(Frame::data(piece)))
+            }
+            Taken::Shed => Some(Err(Cut)),
+            Taken::Nothing => None,
+        })
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.rest == 0
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.rest)
+    }
+}
+
 /// Why a node answers a request itself.
 #[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
--- a/node/src/serve/settings.rs
+++ b/node/src/serve/settings.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use log::LevelFilter;
+use sardinepick_lib::decimal;
 use sardinepick_lib::fleet::budget::Bounds;
+use sardinepick_lib::fleet::holding::{Rate, Resources, Size};
 use sardinepick_lib::id::{DataCentre, NodeId};
 
 use crate::settings::{
@@ -47,13 +49,15 @@
     pub platform: Option<SocketAddr>,
     /// The length of usage windows; `None` if usage is not reported.
     pub usage_window: Option<Duration>,
+    /// What the node has, from which the bounds of what it holds are derived; `None` for no bounds.
+    pub limits: Option<Resources>,
     /// The least severe level that is logged.
     pub log_level: LevelFilter,
     /// The log format.
     pub log_format: LogFormat,
 }
 
-const SECTIONS: [(&str, &[&str]); 8] = [
+const SECTIONS: [(&str, &[&str]); 9] = [
     ("node", &["name", "data_centre", "front", "ready", "lookup", "peer", "metrics", "seeds"]),
     ("store", &["address"]),
     ("retry", &["ratio", "allowance", "window_s"]),
@@ -61,13 +65,16 @@
     ("orders", &["turns_ms"]),
     ("platform", &["address"]),
     ("usage", &["window_s"]),
+    ("limits", &LIMIT_KEYS),
     ("log", &["level", "format"]),
 ];
+const LIMIT_KEYS: [&str; 3] = ["memory_mb", "descriptors", "link_mbps"];
 
 const ID_FORM: &str = "text of 1 to 256 bytes";
 const RATIO_FORM: &str = "a number from 0 to 10";
 const ALLOWANCE_FORM: &str = "a number from 0 to 1000000";
 const MILLIS_FORM: &str = "a whole number of milliseconds from 1 to 3600000";
+const AMOUNT_FORM: &str = "a number from 1 to 10000000";
 const SECONDS_FORM: &str = "a number of seconds from 0.1 to 3600";
 
 /// The default retry budget: a fifth of the requests plus ten, per ten seconds.
@@ -84,6 +91,11 @@
     within(text, 0.1, 3600.0).map(Duration::from_secs_f64)
 }
 
+/// An amount of a resource. The platform may write a whole number with a decimal point.
+fn amount(text: &str) -> Option<f64> {
+    decimal::read(text).ok().filter(|number| (1.0..=1e7).contains(number))
+}
+
 fn parse_value<T: FromStr>(text: &str) -> Option<T> {
     parsed(text)
 }
@@ -113,6 +125,20 @@
     }
 }
 
+/// Reads the section `[limits]`, whose keys belong together.
+fn limits(r: &mut Reader<'_>) -> Option<Resources> {
+    if LIMIT_KEYS.iter().all(|key| !r.has("limits", key)) {
+        return None;
+    }
+    let [memory, descriptors, link] =
+        LIMIT_KEYS.map(|key| r.required("limits", key, AMOUNT_FORM, amount));
+    Some(Resources {
+        memory: Size::of_megabytes(memory?),
+        descriptors: descriptors? as u32,
+        link: Rate::of_megabits(link?),
+    })
+}
+
 fn collect(r: &mut Reader<'_>) -> Option<Settings> {
     let name = r.required("node", "name", ID_FORM, parse_value);
     let data_centre = r.required("node", "data_centre", ID_FORM, parse_value);
@@ -129,6 +155,7 @@
     let call_gap = r.optional("orders", "turns_ms", MILLIS_FORM, |t| within(t, 1, 3_600_000));
     let platform = r.optional("platform", "address", ADDRESS_FORM, usable_address);
     let usage_window = r.optional("usage", "window_s", SECONDS_FORM, seconds);
+    let limits = limits(r);
     let log_level = r.optional("log", "level", LEVEL_FORM, parsed);
     let log_format = r.optional("log", "format", FORMAT_FORM, parsed);
     Some(Settings {
@@ -151,6 +178,7 @@
         call_gap: call_gap.map_or(DEFAULT_CALL_GAP, Duration::from_millis),
         platform,
         usage_window,
+        limits,
         log_level: log_level.unwrap_or(LevelFilter::Info),
         log_format: log_format.unwrap_or(LogFormat::Json),
     })
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -38,6 +38,7 @@
 use crate::duty::lease::DutyLease;
 use crate::duty::view::{COLLECTORS, SUBJECT, View};
 use crate::era_tracker::EraTracker;
+use crate::holding::Holding;
 use crate::limit::Limiter;
 use crate::lock::lock;
 use crate::part_quarantine::{self, PartQuarantine};
@@ -123,6 +124,8 @@
     pub connector: Arc<Connector>,
     /// Sends requests to runners.
     pub dispatcher: Dispatcher,
+    /// What this node holds for callers and other nodes.
+    pub holding: Holding,
     /// Forwards connections of other nodes to runners.
     pub relay_server: relay::Server,
     register: Arc<Mutex<Register>>,
@@ -168,6 +171,7 @@
             peer: settings.peer,
         };
         let seed = stable_hash(incarnation.0, settings.name.as_str().as_bytes());
+        let holding = Holding::new(settings.limits, &clock, &metrics);
         let connections = Arc::new(Connections::new(dial.clone(), clock.clone(), metrics.clone()));
         let era_tracker = Arc::new(EraTracker::new(clock.clone(), metrics.clone()));
         let store =
@@ -205,7 +209,8 @@
         let reachability: Arc<Mutex<Reachability>> = Arc::default();
         let handles = connector::Handles {
             connections: connections.clone(),
-            relays: relay::Client::new(me.id.clone(), dial.clone(), clock.clone(), metrics.clone()),
+            relays: relay::Client::new(me.id.clone(), dial.clone(), clock.clone(), metrics.clone())
+                .with_holding(holding.clone()),
             reachability: reachability.clone(),
             roster: roster.clone(),
             clock: clock.clone(),
@@ -237,7 +242,8 @@
             standing.subscribe(),
             clock.clone(),
             metrics.clone(),
-        );
+        )
+        .with_holding(holding.clone());
         Self {
             limiter,
             stream_bindings: Arc::new(stream_bindings),
@@ -245,6 +251,7 @@
             dispatcher,
             connector,
             relay_server,
+            holding,
             standing,
             era_tracker,
             store,
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -199,6 +199,11 @@
         parsed
     }
 
+    /// Whether a key is set.
+    pub(crate) fn has(&self, section: &str, key: &str) -> bool {
+        self.ini.get_from(Some(section), key).is_some()
+    }
+
     pub(crate) fn required<T>(
         &mut self,
         section: &str,
--- a/testutils/src/fleet/deployment.rs
+++ b/testutils/src/fleet/deployment.rs
@@ -7,6 +7,7 @@
 use log::LevelFilter;
 use sardinepick_lib::clock::{Clock, System};
 use sardinepick_lib::fleet::budget::Bounds;
+use sardinepick_lib::fleet::holding::Resources;
 use sardinepick_lib::hash::stable_hash;
 use sardinepick_node::serve::metrics::Metrics;
 use sardinepick_node::serve::run::{self, Running, Sockets};
@@ -56,6 +57,8 @@
     pub platform: Option<(Platform, Duration)>,
     /// The retry budget in the settings of nodes.
     pub budget: Bounds,
+    /// The limits in the settings of nodes.
+    pub limits: Option<Resources>,
     /// The network between nodes and runners.
     pub network: Network,
 }
@@ -142,6 +145,7 @@
         call_gap: Duration::from_millis(300),
         platform: None,
         usage_window: None,
+        limits: None,
         log_level: LevelFilter::Info,
         log_format: LogFormat::Json,
     }
@@ -158,8 +162,8 @@
         let (runners, crashing_runners, nodes) = (Vec::new(), Vec::new(), Vec::new());
         let platform = None;
         let (caller, budget) = (Caller::default(), DEFAULT_BUDGET);
-        let network = Network::default();
-        Self { store, runners, crashing_runners, nodes, caller, platform, budget, network }
+        let (limits, network) = (None, Network::default());
+        Self { store, runners, crashing_runners, nodes, caller, platform, budget, limits, network }
     }
 
     /// Starts a fake platform, to which nodes report usage in windows of `window`.
@@ -177,6 +181,11 @@
         Self { budget, ..self }
     }
 
+    /// Sets the limits of nodes that are started later.
+    pub fn with_limits(self, limits: Resources) -> Self {
+        Self { limits: Some(limits), ..self }
+    }
+
     /// Settings for a node of this deployment.
     pub fn settings(&self, name: &str, seeds: Vec<SocketAddr>) -> Settings {
         let settings = settings(name, self.store.address(), seeds);
@@ -185,6 +194,7 @@
             platform: platform.map(|(platform, _)| platform.address()),
             usage_window: platform.map(|(_, window)| *window),
             budget: self.budget,
+            limits: self.limits,
             ..settings
         }
     }
