holding: bound the memory of runners over all nodes

On nodes with limits a decision passes over runners without room. If none has room, new work is refused as late, and work that has begun waits for up to 1 s. A node that decides without the scheduler of the pool keeps to its share of each runner. Placement itself is unchanged.

--- a/lib/src/fleet/scheduler.rs
+++ b/lib/src/fleet/scheduler.rs
@@ -18,6 +18,7 @@
 use super::cache::Progress;
 use super::engine::{Engine, Work, startup_latency};
 use super::health::Outcome;
+use super::holding::runner::Room;
 use super::load::Class;
 use super::placement::{self, Criteria, Placement, Plan, Plans};
 use super::pool::Pool;
@@ -121,6 +122,29 @@
         }
     }
 
+    /// The runners that get work by the decision.
+    fn chosen(&self) -> SmallVec<[&RunnerId; 2]> {
+        match self {
+            Decision::Continue(runner) => SmallVec::from_slice(&[runner]),
+            other => other.placed(),
+        }
+    }
+
+    /// The decision for work whose runners have no room for `wait`.
+    fn delayed(self, wait: Duration) -> Self {
+        match self {
+            Decision::Placed { mut placement, .. } => {
+                let wait = wait.as_secs_f64();
+                placement.first_event += wait;
+                placement.prefill_end += wait;
+                placement.prefill_start += wait;
+                Decision::Late(placement)
+            }
+            Decision::Continue(_) => Decision::RateLimited(wait),
+            other => other,
+        }
+    }
+
     /// All runners that the decision names.
     pub fn runners(&self) -> SmallVec<[&RunnerId; 3]> {
         let mut runners: SmallVec<[&RunnerId; 3]> = self.placed().into_iter().collect();
@@ -223,6 +247,77 @@
     }
 }
 
+/// The maximum number of runners without room that a decision passes over. Runners with room are
+/// preferred anyway, so a second one is rarely found.
+const MAX_FULL: usize = 8;
+
+/// Makes the decision like [`decide_among`], but sends no runner more than it can hold: if none of
+/// those that would be chosen has room, the work is late.
+pub fn decide_within<R: Rng>(
+    register: &Register,
+    query: &Query,
+    engine: &Engine,
+    plans: Plans,
+    room: Room<'_>,
+    now: Instant,
+    rng: &mut R,
+) -> Decision {
+    let first = decide_among(register, query, engine, plans, now, rng);
+    let Some(mut wait) = wait_for_room(register, &first, query, engine, room, now) else {
+        return first;
+    };
+    let mut others = query.clone();
+    if let Room::Share(_) = room {
+        // Most runners are full for a node that decides alone.
+        others.skip.extend(full_runners(register, query, engine, room, now));
+    }
+    let mut decision = first.clone();
+    for _ in 0..MAX_FULL {
+        let full = decision.chosen().into_iter().filter(|id| {
+            let runner = register.get(id);
+            runner.is_some_and(|r| room.wait(r, &query.work, engine, now).is_some())
+        });
+        others.skip.extend(full.cloned());
+        decision = decide_among(register, &others, engine, plans, now, rng);
+        if decision.chosen().is_empty() {
+            break;
+        }
+        match wait_for_room(register, &decision, query, engine, room, now) {
+            None => return decision,
+            Some(other) => wait = wait.min(other),
+        }
+    }
+    first.delayed(wait)
+}
+
+/// The runners of the service that have no room for the work.
+fn full_runners(
+    register: &Register,
+    query: &Query,
+    engine: &Engine,
+    room: Room<'_>,
+    now: Instant,
+) -> Vec<RunnerId> {
+    let full = register
+        .of(&query.service)
+        .filter(move |runner| room.wait(runner, &query.work, engine, now).is_some());
+    full.map(|runner| runner.entry.id.clone()).collect()
+}
+
+/// How long the chosen runners take until all of them have room; `None` if they have.
+fn wait_for_room(
+    register: &Register,
+    decision: &Decision,
+    query: &Query,
+    engine: &Engine,
+    room: Room<'_>,
+    now: Instant,
+) -> Option<Duration> {
+    let chosen = decision.chosen();
+    let runners = chosen.iter().filter_map(|id| register.get(id));
+    runners.filter_map(|runner| room.wait(runner, &query.work, engine, now)).max()
+}
+
 /// Records a decision made for another node: the work, until that node reports it, and the prompt
 /// that the runner now starts to prefill, so that the next request with the same prompt is placed
 /// there too.
--- a/lib/tests/scheduler.rs
+++ b/lib/tests/scheduler.rs
@@ -9,11 +9,12 @@
 use sardinepick_lib::fleet::cache::{Chain, ChainKey};
 use sardinepick_lib::fleet::engine::{Engine, Stage, Work};
 use sardinepick_lib::fleet::health::Outcome;
+use sardinepick_lib::fleet::holding::runner::{Room, share};
 use sardinepick_lib::fleet::load::{Class, Load};
-use sardinepick_lib::fleet::placement::Plan;
+use sardinepick_lib::fleet::placement::{Plan, Plans};
 use sardinepick_lib::fleet::pool::{self, MAX_RUNNERS, Pool};
-use sardinepick_lib::fleet::register::Register;
-use sardinepick_lib::fleet::runner::{Entry, State, Tag};
+use sardinepick_lib::fleet::register::{Register, WorkCost};
+use sardinepick_lib::fleet::runner::{Entry, Registration, State, Tag};
 use sardinepick_lib::fleet::scheduler::{self, Decision, Firmness, Observation, Query, Step};
 use sardinepick_lib::hash::stable_hash;
 use sardinepick_lib::history::Point;
@@ -319,3 +320,106 @@
         assert_eq!(of(&others, pool), of(&nodes, pool), "only a node that is gone is replaced");
     }
 }
+
+/// The tokens that the nodes together have sent to each runner, by the registers of the nodes.
+fn sent_tokens(nodes: &[Register]) -> BTreeMap<RunnerId, u64> {
+    let mut sent: BTreeMap<RunnerId, u64> = BTreeMap::new();
+    for runner in nodes.iter().flat_map(Register::runners) {
+        *sent.entry(runner.entry.id.clone()).or_default() += runner.own.tokens;
+    }
+    sent
+}
+
+/// Sends the work of a query as a node does, and then continues it on a decode runner. Returns the
+/// number of decisions that placed something.
+fn send(register: &mut Register, query: &Query, room: Room<'_>, now: Instant, seed: u64) -> usize {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut decide = |register: &Register, query: &Query| {
+        scheduler::decide_within(register, query, &ENGINE, Plans::Any, room, now, &mut rng)
+    };
+    let start = decide(register, query);
+    let Some((runner, cost)) = start.cost(&query.work, &query.step) else { return 0 };
+    register.begin(runner, cost, now);
+    let Decision::Placed { placement, class } = &start else { return 1 };
+    let Plan::Split { prefill, .. } = &placement.plan else { return 1 };
+    let step = Step::Continue { prefill_runner: prefill.clone(), class: *class };
+    let query = Query { step, ..query.clone() };
+    let next = decide(register, &query);
+    let Some((runner, cost)) = next.cost(&query.work, &query.step) else { return 1 };
+    register.begin(runner, cost, now);
+    2
+}
+
+/// Guards against runners that end because 65 nodes, none of which knows what the others have sent
+/// in the last 200 ms, together send them more than they can hold.
+#[test]
+fn decide_within_65_nodes_alone_runners_hold_all() {
+    let now = Instant::now();
+    let ids: Vec<NodeId> = (0..65).map(node).collect();
+    let mut nodes: Vec<Register> = ids.iter().map(|_| fleet(0..60)).collect();
+    let mut placed = vec![0; nodes.len()];
+    for turn in 0..20 {
+        for (at, register) in nodes.iter_mut().enumerate() {
+            let others = ids.iter().filter(|other| **other != ids[at]);
+            let share = |runner: &RunnerId| share(runner, &ids[at], others.clone());
+            let mut query = query(&format!("p{at}-{turn}"), 10_000, 7_000);
+            query.step = Step::Start(Firmness::Streaming);
+            placed[at] += send(register, &query, Room::Share(&share), now, turn);
+        }
+    }
+    let sent = sent_tokens(&nodes);
+    assert!(sent.values().all(|tokens| *tokens <= ENGINE.memory), "{sent:?}");
+    let nothing = placed.iter().filter(|placed| **placed == 0).count();
+    assert!(nothing <= 3, "{nothing} nodes placed nothing: {placed:?}");
+    // Without the bound the same work exceeds what the runners hold.
+    let mut nodes: Vec<Register> = ids.iter().map(|_| fleet(0..60)).collect();
+    for (at, register) in nodes.iter_mut().enumerate() {
+        for turn in 0..20 {
+            let mut query = query(&format!("p{at}-{turn}"), 10_000, 7_000);
+            query.step = Step::Start(Firmness::Streaming);
+            send(register, &query, Room::Preferred, now, turn);
+        }
+    }
+    assert!(sent_tokens(&nodes).values().any(|tokens| *tokens > ENGINE.memory));
+}
+
+/// Guards against work that is sent to a full runner because no other has room. It is late instead,
+/// and its caller is told when there will be room.
+#[test]
+fn decide_within_no_room_late_until_released() {
+    let now = Instant::now();
+    let mut register = fleet(0..6);
+    let mut decide = |register: &Register, query: &Query| {
+        let mut rng = StdRng::seed_from_u64(1);
+        scheduler::decide_within(register, query, &ENGINE, Plans::Any, Room::Known, now, &mut rng)
+    };
+    let query = query("a", 3_000, 1_000);
+    assert!(matches!(decide(&register, &query), Decision::Placed { .. }));
+    let cost = WorkCost { class: Class::of_rank(1), prefill_tokens: 0, footprint: 719_000 };
+    let all: Vec<RunnerId> = register.runners().map(|r| r.entry.id.clone()).collect();
+    let begun: Vec<Registration> =
+        all.iter().filter_map(|id| register.begin(id, cost, now)).collect();
+    let Decision::Late(placement) = decide(&register, &query) else { panic!("placed") };
+    assert!(placement.first_event > 0.0 && placement.first_event < 1.0, "{placement:?}");
+    register.end(&begun[0], cost);
+    register.end(&begun[1], cost);
+    register.end(&begun[2], cost);
+    let Decision::Placed { placement, .. } = decide(&register, &query) else { panic!("late") };
+    let (Plan::Whole { runner } | Plan::Split { decode: runner, .. }) = placement.plan;
+    assert!(begun[..3].iter().any(|ended| ended.id == runner));
+}
+
+/// Guards against a bound that changes decisions while the runners have room.
+#[test]
+fn decide_within_room_same_as_without_bound() {
+    let now = Instant::now();
+    let register = fleet(0..24);
+    for seed in 0..50 {
+        let query = query(&format!("p{seed}"), 3_000, 1_000);
+        let room = Room::Known;
+        let mut rng = StdRng::seed_from_u64(seed);
+        let within =
+            scheduler::decide_within(&register, &query, &ENGINE, Plans::Any, room, now, &mut rng);
+        assert_eq!(within, decide(&register, &query, now, seed));
+    }
+}
--- a/node/src/serve/generation/admit.rs
+++ b/node/src/serve/generation/admit.rs
@@ -13,6 +13,7 @@
 use sardinepick_lib::id::RunnerId;
 
 use smallvec::SmallVec;
+use tokio::time::sleep;
 
 use super::attempt::{Failure, Placed};
 use super::{Generation, MIN_TIME_LEFT, StopCause, millis, version_text};
@@ -27,6 +28,12 @@
 /// 24 bytes each.
 const MAX_EXCLUDED: usize = 12;
 
+/// How long work that has begun waits for a runner with room: less than runners keep a prompt that
+/// was prefilled for another one.
+const MAX_ROOM_WAIT: Duration = Duration::from_secs(1);
+/// How often it asks again: one twentieth of the wait, which is a few streams that end.
+const ROOM_POLL_PERIOD: Duration = Duration::from_millis(50);
+
 impl Generation {
     /// Requests a placement decision from the scheduler; `None` if the service has no engines.
     async fn decide(&self, step: Step) -> Option<Decision> {
@@ -64,7 +71,8 @@
         class: Class,
         prefill_runner: &RunnerId,
     ) -> Result<RunnerId, Failure> {
-        match self.decide(Step::Continue { prefill_runner: prefill_runner.clone(), class }).await {
+        let step = Step::Continue { prefill_runner: prefill_runner.clone(), class };
+        match self.decide_in_time(step).await {
             Some(Decision::Continue(runner)) => Ok(runner),
             Some(Decision::RateLimited(wait)) => {
                 Err(Failure::Stopped(self.rate_limit_refusal(wait), StopCause::RateLimit))
@@ -73,6 +81,26 @@
         }
     }
 
+    /// Requests a decision like [`Generation::decide`]. On nodes with limits, work that has begun
+    /// waits for a runner with room: it would otherwise be lost.
+    async fn decide_in_time(&self, step: Step) -> Option<Decision> {
+        let has_begun = step != Step::Start(Firmness::New);
+        let began = self.now();
+        loop {
+            let decision = self.decide(step.clone()).await;
+            let waits = matches!(&decision, Some(Decision::Late(_) | Decision::RateLimited(_)));
+            let waited = self.now().saturating_duration_since(began);
+            let may_wait = self.shared.holding.is_bounded()
+                && has_begun
+                && waited < MAX_ROOM_WAIT
+                && self.time_left() > MIN_TIME_LEFT;
+            if !waits || !may_wait {
+                return decision;
+            }
+            sleep(ROOM_POLL_PERIOD).await;
+        }
+    }
+
     fn firmness(&self) -> Firmness {
         let attempts = self.attempts();
         match (attempts.events, attempts.runs) {
@@ -160,7 +188,7 @@
         if terms.left < MIN_TIME_LEFT && self.attempts().calls > 0 {
             return Err(Failure::Stopped(self.deadline_refusal(), StopCause::Deadline));
         }
-        match self.decide(Step::Start(self.firmness())).await {
+        match self.decide_in_time(Step::Start(self.firmness())).await {
             Some(Decision::Placed { placement, class }) => {
                 self.record_demand(&placement);
                 Ok((placement, class))
--- a/node/src/serve/scheduler.rs
+++ b/node/src/serve/scheduler.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use sardinepick_lib::fleet::engine::Engine;
+use sardinepick_lib::fleet::holding::runner::{Room, share};
 use sardinepick_lib::fleet::load::Load;
 use sardinepick_lib::fleet::placement::Plans;
 use sardinepick_lib::fleet::pool::Pool;
@@ -20,7 +21,7 @@
     self, Decision, MAX_QUERIES, MAX_UNANSWERED, Observation, Query, REPLY_TIMEOUT, Step,
     TAKEOVER_PERIOD,
 };
-use sardinepick_lib::id::{NodeId, ServiceId};
+use sardinepick_lib::id::{NodeId, RunnerId, ServiceId};
 use sardinepick_wire::schedule::{MAX_LESSONS, MAX_LOADS, MAX_READINGS, Report, Schedule};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -206,7 +207,7 @@
     for _ in 0..MAX_QUERIES {
         let PoolScheduler::Other(node, peer) = pool_scheduler(shared, &query.service, pool) else {
             take_over(shared, &query.service, pool);
-            let decision = decide_locally(shared, &query, engine);
+            let decision = decide_locally(shared, &query, engine, Knowledge::Whole);
             shared.limiter.reserve(&decision.placed());
             return (decision, "here");
         };
@@ -236,7 +237,7 @@
             }
         }
     }
-    (decide_locally(shared, &query, engine), "alone")
+    (decide_locally(shared, &query, engine, Knowledge::Own), "alone")
 }
 
 /// Returns whether a decision agrees with this node's own state. The scheduler may not know yet
@@ -274,20 +275,62 @@
     versions.all(|version| version == first)
 }
 
+/// What a decision is based on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Knowledge {
+    /// All work of the pool, as only its scheduler knows it.
+    Whole,
+    /// This node's own work.
+    Own,
+}
+
 /// Places a request on a single runner, by this node's own prediction.
 pub fn decide_single_call(shared: &Shared, query: &Query, engine: &Engine) -> Decision {
-    decide_among(shared, query, engine, Plans::Whole)
+    let pool = {
+        let mut register = shared.register();
+        register.assign_pools();
+        register.pool_of(&query.service, &query.work)
+    };
+    let is_scheduler = pool_scheduler(shared, &query.service, pool) == PoolScheduler::Me;
+    let knowledge = if is_scheduler { Knowledge::Whole } else { Knowledge::Own };
+    decide_among(shared, query, engine, Plans::Whole, knowledge)
 }
 
-fn decide_locally(shared: &Shared, query: &Query, engine: &Engine) -> Decision {
-    decide_among(shared, query, engine, Plans::Any)
+fn decide_locally(
+    shared: &Shared,
+    query: &Query,
+    engine: &Engine,
+    knowledge: Knowledge,
+) -> Decision {
+    decide_among(shared, query, engine, Plans::Any, knowledge)
 }
 
-fn decide_among(shared: &Shared, query: &Query, engine: &Engine, plans: Plans) -> Decision {
+/// Places a request. Only nodes with limits are bound by the memory of runners.
+fn decide_among(
+    shared: &Shared,
+    query: &Query,
+    engine: &Engine,
+    plans: Plans,
+    knowledge: Knowledge,
+) -> Decision {
     let now = shared.clock.now();
+    if !shared.holding.is_bounded() {
+        let mut register = shared.register();
+        register.assign_pools();
+        return scheduler::decide_among(&register, query, engine, plans, now, &mut *shared.rng());
+    }
+    let nodes = match knowledge {
+        Knowledge::Whole => Vec::new(),
+        Knowledge::Own => shared.roster().ids().cloned().collect(),
+    };
+    let share = |runner: &RunnerId| share(runner, &shared.me.id, nodes.iter());
+    let room = match knowledge {
+        Knowledge::Whole => Room::Known,
+        Knowledge::Own => Room::Share(&share),
+    };
     let mut register = shared.register();
     register.assign_pools();
-    scheduler::decide_among(&register, query, engine, plans, now, &mut *shared.rng())
+    scheduler::decide_within(&register, query, engine, plans, room, now, &mut *shared.rng())
 }
 
 /// Asks a node for a decision; `None` if it does not answer in time.
@@ -350,7 +393,7 @@
 fn decide_for_node(shared: &Arc<Shared>, node: &NodeId, query: &Query) -> Option<Decision> {
     let configuration = shared.configuration.load_full()?;
     let engine = configuration.service(&query.service)?.engine?;
-    let decision = decide_locally(shared, query, &engine);
+    let decision = decide_locally(shared, query, &engine, Knowledge::Whole);
     shared.limiter.reserve(&decision.placed());
     let now = shared.clock.now();
     let mut register = shared.register();
--- a/node/tests/holding.rs
+++ b/node/tests/holding.rs
@@ -309,3 +309,45 @@
     assert!(began.elapsed() < grace + Duration::from_millis(500), "{:?}", began.elapsed());
     assert!(metrics.held_bytes.with_label_values(&["stream"]).get() <= total as i64);
 }
+
+/// Guards against a runner that ends because the nodes together send it more than it can hold, and
+/// against a refusal for lack of room that says "not run" of a request that has run.
+#[tokio::test]
+async fn runner_full_not_sent_more() {
+    const MEMORY: u64 = 10_000;
+    const TOKENS: u64 = 1_540;
+    let mut set = deployment().await;
+    let mut config = configuration(3);
+    config["services"][0]["engine"]["kvTokens"] = json!(MEMORY);
+    set.store.put("config", "main", &config);
+    add_engine(&mut set, 20, 10).await;
+    let event_interval = Duration::from_millis(20);
+    set.runners[0].set_faults(Faults { event_interval, ..Faults::default() });
+    let set = set.with_nodes(2).await;
+    let all = join_all((0..40).map(async |at| {
+        let id = format!("r{at}");
+        let request = RawRequest { headers: &ENGINE_HEADERS, ..RawRequest::new("/tally/a", &id) };
+        let mut caller = RawCaller::connect(set.front(at % 2)).await;
+        (id.clone(), caller.send(&request, READ_LIMIT).await)
+    }));
+    let mut all = std::pin::pin!(all);
+    let mut running = 0;
+    let replies = loop {
+        tokio::select! {
+            replies = all.as_mut() => break replies,
+            () = sleep(Duration::from_millis(2)) => running = running.max(set.runners[0].running()),
+        }
+    };
+    assert!(running * TOKENS <= MEMORY, "{running} at once");
+    assert!(running >= 3, "{running} at once, which tests nothing");
+    for (id, reply) in &replies {
+        let runs = set.run_count(id);
+        match reply.status {
+            200 => assert!(reply.is_complete() && runs == 1, "{id}: {runs} runs"),
+            503 => assert!(reply.header("retry-after").is_some() && runs == 0, "{id}: {runs} runs"),
+            status => panic!("{id}: status {status}"),
+        }
+    }
+    let answered = replies.iter().filter(|(_, reply)| reply.status == 200).count();
+    assert!(answered >= 5, "{answered} answered");
+}
