--- a/lib/tests/scheduler.rs
+++ b/lib/tests/scheduler.rs
@@ -389,7 +389,7 @@
 fn decide_within_no_room_late_until_released() {
     let now = Instant::now();
     let mut register = fleet(0..6);
-    let mut decide = |register: &Register, query: &Query| {
+    let decide = |register: &Register, query: &Query| {
         let mut rng = StdRng::seed_from_u64(1);
         scheduler::decide_within(register, query, &ENGINE, Plans::Any, Room::Known, now, &mut rng)
     };
