holding: count the buffers of streams, measure memory with slow readers

Read buffers of connections to runners grew to 400 KB each, which the ledger did not count: a node of 160 MB took more than 128 MB with 400 slow readers. They are limited on nodes with limits, and the buffers of a stream are counted with its request.

--- a/lib/src/fleet/holding/bounds.rs
+++ b/lib/src/fleet/holding/bounds.rs
@@ -45,6 +45,12 @@
 /// The number of streams that fill a node before reading from their runners pauses.
 const FULL_STREAMS: u64 = 256;
 
+/// The buffers of the two connections of a stream. 1,000 streams took 80 MB more than what was
+/// counted without it.
+const STREAM_BUFFERS: Size = Size(64 << 10);
+/// The number of streams whose buffers fill a node at least: one with little memory still serves.
+const MIN_STREAMS: u64 = 1_024;
+
 /// The bounds of a node.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -52,6 +58,8 @@
     pub total: Size,
     /// The held bytes of a stream from which reading from its runner pauses.
     pub stream: Size,
+    /// What a stream takes apart from its unread events: the buffers of its two connections.
+    pub stream_buffers: Size,
     /// The number of callers' connections.
     pub connections: u32,
     /// The rate of the link without the share of control traffic.
@@ -74,6 +82,7 @@
         let link = resources.link.fraction(1.0 - CONTROL_LINK);
         Self {
             total,
+            stream_buffers: STREAM_BUFFERS.min(Size(total.0 / MIN_STREAMS)),
             stream: MIN_STREAM.max(Size(total.0 / FULL_STREAMS)),
             connections: (by_descriptors as u32)
                 .min(u32::try_from(by_memory).unwrap_or(u32::MAX))
--- a/node/src/holding/hold.rs
+++ b/node/src/holding/hold.rs
@@ -125,6 +125,12 @@
         self.bounded.as_ref().is_none_or(fits)
     }
 
+    /// What a stream takes apart from its unread events.
+    pub fn stream_buffers(&self) -> Size {
+        let buffers = |b: &Bounded| lock(&b.shared.state).ledger.bounds().stream_buffers;
+        self.bounded.as_ref().map(buffers).unwrap_or_default()
+    }
+
     /// Waits until a body of `size` may be read, at most for the part of the time `left` that a
     /// request may spend on that.
     ///
--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -16,7 +16,7 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::{Body as _, Incoming};
-use hyper::client::conn::http1::handshake;
+use hyper::client::conn::http1::Builder;
 use hyper_util::rt::TokioIo;
 use sardinepick_lib::clock::Clock;
 use sardinepick_lib::fleet::holding::Size;
@@ -127,6 +127,8 @@
 /// How long the kernel waits for sent bytes to be acknowledged before it aborts a connection: this
 /// detects a silent path even when no answer is expected.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
+/// The read buffer of a connection on a node with limits. The head of an answer must fit into it.
+const SMALL_READ_BUFFER: usize = 16 << 10;
 /// The timeout of a probe: many times the round trip between data centres.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -135,6 +137,8 @@
     idle: Pool,
     dial: Arc<dyn Dial>,
     metrics: Metrics,
+    /// The size of the read buffer of a connection; `None` for that of the client.
+    read_buffer: Option<usize>,
 }
 
 /// An answer whose body has not been read yet.
@@ -264,7 +268,14 @@
 impl Connections {
     /// Creates an empty pool, whose connections `dial` opens.
     pub fn new(dial: Arc<dyn Dial>, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
-        Self { idle: Pool::new(clock), dial, metrics }
+        Self { idle: Pool::new(clock), dial, metrics, read_buffer: None }
+    }
+
+    /// Limits the read buffers of connections, which the ledger of held bytes does not count: by
+    /// themselves they grow to 400 KB each.
+    #[must_use]
+    pub fn with_small_buffers(self) -> Self {
+        Self { read_buffer: Some(SMALL_READ_BUFFER), ..self }
     }
 
     /// Sends a request over a direct connection and waits for the head of its answer.
@@ -411,7 +422,12 @@
             let detail = error.to_string();
             SendError::Connect { peer: address, detail }
         };
-        let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(failed)?;
+        let mut builder = Builder::new();
+        if let Some(bytes) = self.read_buffer {
+            builder.max_buf_size(bytes);
+        }
+        let handshake = builder.handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake.await.map_err(failed)?;
         tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!(peer:% = address, error:% = error; "connection closed");
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -201,7 +201,12 @@
     let hold = shared.holding.begin(holder(account.as_ref(), source, &route, Purpose::Body));
     let body = if shared.holding.is_bounded() {
         match shared.holding.admit() {
-            Ok(()) => read_held_body(body, max_bytes, left, &hold).await,
+            Ok(()) => {
+                let is_stream = route.kind.is_stream();
+                let buffers = if is_stream { hold.stream_buffers() } else { Size::ZERO };
+                let more = REQUEST_SIZE.plus(buffers);
+                read_held_body(body, max_bytes, left, &hold, more).await
+            }
             Err(full) => Err(full.into()),
         }
     } else {
@@ -408,19 +413,21 @@
 /// then it has waited for the longest pause.
 const UNREAD_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Reads a body like [`read_body`]. It waits in the socket until there is space for it.
+/// Reads a body like [`read_body`]. It waits in the socket until there is space for it and for what
+/// its request takes apart from it.
 async fn read_held_body(
     body: RequestBody,
     max_bytes: usize,
     limit: Duration,
     hold: &Hold,
+    more: Size,
 ) -> Result<Bytes, Unread> {
     use hyper::body::Body as _;
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(Refusal::TooLarge.into());
     }
     let length = body.size_hint().exact().map(|length| length as usize);
-    let size = Size::from(length.unwrap_or(BODY_STEP)).plus(REQUEST_SIZE);
+    let size = Size::from(length.unwrap_or(BODY_STEP)).plus(more);
     if !hold.fits(size) {
         return Err(Refusal::TooLarge.into());
     }
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -172,7 +172,11 @@
         };
         let seed = stable_hash(incarnation.0, settings.name.as_str().as_bytes());
         let holding = Holding::new(settings.limits, &clock, &metrics);
-        let connections = Arc::new(Connections::new(dial.clone(), clock.clone(), metrics.clone()));
+        let mut connections = Connections::new(dial.clone(), clock.clone(), metrics.clone());
+        if holding.is_bounded() {
+            connections = connections.with_small_buffers();
+        }
+        let connections = Arc::new(connections);
         let era_tracker = Arc::new(EraTracker::new(clock.clone(), metrics.clone()));
         let store =
             Client::new(settings.store, connections.clone(), era_tracker.clone(), metrics.clone());
--- a/node/tests/holding.rs
+++ b/node/tests/holding.rs
@@ -1,17 +1,20 @@
 //! Held bytes of nodes with limits, with real connections.
 
+use std::path::Path;
 use std::time::Duration;
 
 use futures_util::future::join_all;
 use sardinepick_lib::fleet::holding::{Bounds, Rate, Resources, Size};
 use sardinepick_node::serve::run::Running;
 use sardinepick_node::serve::settings::Settings;
-use sardinepick_testutils::cluster::{any_address, wait_until};
+use sardinepick_testutils::cluster::{any_address, free_address, own_ip, wait_until};
 use sardinepick_testutils::fleet::deployment::{
     DEFAULT_DATA_CENTRE, DEFAULT_VERSION, Deployment, MODEL_SERVICE, configuration,
 };
 use sardinepick_testutils::fleet::raw_caller::{RawCaller, RawRequest};
 use sardinepick_testutils::fleet::runner::{Faults, Kind, Runner};
+use sardinepick_testutils::fleet::soak::node_settings;
+use sardinepick_testutils::process::Daemon;
 use serde_json::json;
 use tokio::time::{Instant, sleep};
 
@@ -351,3 +354,62 @@
     let answered = replies.iter().filter(|(_, reply)| reply.status == 200).count();
     assert!(answered >= 5, "{answered} answered");
 }
+
+/// The settings of a node of the smaller kind.
+const SMALL_NODE: &str = "[limits]\nmemory_mb = 160\ndescriptors = 4100\nlink_mbps = 1000\n";
+
+/// The peak resident memory of a node's process in megabytes, with this number of callers that read
+/// nothing of streams of 16 MB.
+async fn peak_memory(readers: usize, limits: &str) -> u64 {
+    let mut set = deployment().await;
+    // A runner takes three requests for each of its 64 slots.
+    for _ in 0..6 {
+        add_engine(&mut set, 2_000, 8 << 10).await;
+    }
+    let addresses = [(); 5].map(|()| free_address(own_ip()));
+    let ini = node_settings("n-0", &addresses, set.store.address(), &[]);
+    let exe = Path::new(env!("CARGO_BIN_EXE_sardinepickd"));
+    let daemon = Daemon::serve(exe, &format!("{ini}{limits}"));
+    let front = addresses[0];
+    let is_ready = async || {
+        let Ok(mut probe) = RawCaller::try_connect(addresses[1]).await else { return false };
+        probe.write(b"GET /api/readiness HTTP/1.1\r\nhost: n\r\n\r\n").await;
+        probe.read_reply(READ_LIMIT).await.status == 200
+    };
+    wait_until("the node is ready", is_ready).await;
+    let mut callers = Vec::new();
+    for at in 0..readers {
+        let mut caller = RawCaller::connect_with_buffer(front, RECEIVE_BUFFER_BYTES).await;
+        let id = format!("slow-{at}");
+        let request = RawRequest { headers: &ENGINE_HEADERS, ..RawRequest::new("/tally/a", &id) };
+        assert!(caller.write(&request.bytes()).await);
+        callers.push(caller);
+    }
+    let (mut peak_kb, until) = (0, Instant::now() + Duration::from_secs(4));
+    while Instant::now() < until {
+        peak_kb = peak_kb.max(daemon.usage().rss_kb);
+        sleep(Duration::from_millis(20)).await;
+    }
+    peak_kb / 1_024
+}
+
+/// Guards against a node that exceeds its memory with slow readers. Prints the peaks.
+#[tokio::test]
+async fn memory_of_process_with_400_slow_readers_below_limit() {
+    for readers in [0, 100, 400] {
+        let peak = peak_memory(readers, SMALL_NODE).await;
+        println!("{readers} slow readers: {peak} MB with limits");
+        assert!(peak < 160 * 8 / 10, "{peak} MB with {readers} slow readers");
+    }
+}
+
+/// Guards against a node that exceeds its memory with nearly as many slow readers as it accepts
+/// connections.
+#[tokio::test]
+async fn memory_of_process_with_1000_slow_readers_below_limit() {
+    let without = peak_memory(1_000, "").await;
+    println!("1000 slow readers: {without} MB without limits");
+    let peak = peak_memory(1_000, SMALL_NODE).await;
+    println!("1000 slow readers: {peak} MB with limits");
+    assert!(peak < 160 * 8 / 10, "{peak} MB with 1000 slow readers");
+}
