--- a/node/src/serve/settings.rs
+++ b/node/src/serve/settings.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use log::LevelFilter;
+use sardinepick_lib::decimal;
 use sardinepick_lib::fleet::budget::Bounds;
+use sardinepick_lib::fleet::holding::{Rate, Resources, Size};
 use sardinepick_lib::id::{DataCentre, NodeId};
 use sardinepick_lib::scale::need::Policy;
 
@@ -52,13 +54,15 @@
     pub runner_model: bool,
     /// How the required number of runners is determined.
     pub capacity_policy: Policy,
+    /// What the node has, from which the bounds of what it holds are derived; `None` for no bounds.
+    pub limits: Option<Resources>,
     /// The least severe level that is logged.
     pub log_level: LevelFilter,
     /// The log format.
     pub log_format: LogFormat,
 }
 
-const SECTIONS: [(&str, &[&str]); 10] = [
+const SECTIONS: [(&str, &[&str]); 11] = [
     ("node", &["name", "data_centre", "front", "ready", "lookup", "peer", "metrics", "seeds"]),
     ("store", &["address"]),
     ("retry", &["ratio", "allowance", "window_s"]),
@@ -68,8 +72,11 @@
     ("usage", &["window_s"]),
     ("runner_model", &["enabled"]),
     ("capacity", &["policy"]),
+    ("limits", &LIMIT_KEYS),
     ("log", &["level", "format"]),
 ];
+/// The keys of the section `[limits]`.
+const LIMIT_KEYS: [&str; 3] = ["memory_mb", "descriptors", "link_mbps"];
 
 const ID_FORM: &str = "text of 1 to 256 bytes";
 const RATIO_FORM: &str = "a number from 0 to 10";
@@ -77,6 +84,7 @@
 const MILLIS_FORM: &str = "a whole number of milliseconds from 1 to 3600000";
 const SWITCH_FORM: &str = "true or false";
 const POLICY_FORM: &str = "initial or measured";
+const AMOUNT_FORM: &str = "a number from 1 to 10000000";
 const SECONDS_FORM: &str = "a number of seconds from 0.1 to 3600";
 
 /// The default retry budget: a fifth of the requests plus ten, per ten seconds.
@@ -93,6 +101,11 @@
     within(text, 0.1, 3600.0).map(Duration::from_secs_f64)
 }
 
+/// An amount of a resource. The platform may write a whole number with a decimal point.
+fn amount(text: &str) -> Option<f64> {
+    decimal::read(text).ok().filter(|number| (1.0..=1e7).contains(number))
+}
+
 fn parse_value<T: FromStr>(text: &str) -> Option<T> {
     parsed(text)
 }
@@ -122,6 +135,20 @@
     }
 }
 
+/// Reads the section `[limits]`, whose keys belong together.
+fn limits(r: &mut Reader<'_>) -> Option<Resources> {
+    if LIMIT_KEYS.iter().all(|key| !r.has("limits", key)) {
+        return None;
+    }
+    let [memory, descriptors, link] =
+        LIMIT_KEYS.map(|key| r.required("limits", key, AMOUNT_FORM, amount));
+    Some(Resources {
+        memory: Size::of_megabytes(memory?),
+        descriptors: descriptors? as u32,
+        link: Rate::of_megabits(link?),
+    })
+}
+
 fn collect(r: &mut Reader<'_>) -> Option<Settings> {
     let name = r.required("node", "name", ID_FORM, parse_value);
     let data_centre = r.required("node", "data_centre", ID_FORM, parse_value);
@@ -140,6 +167,7 @@
     let usage_window = r.optional("usage", "window_s", SECONDS_FORM, seconds);
     let runner_model = r.optional("runner_model", "enabled", SWITCH_FORM, parse_value);
     let capacity_policy = r.optional("capacity", "policy", POLICY_FORM, parse_value);
+    let limits = limits(r);
     let log_level = r.optional("log", "level", LEVEL_FORM, parsed);
     let log_format = r.optional("log", "format", FORMAT_FORM, parsed);
     Some(Settings {
@@ -164,6 +192,7 @@
         usage_window,
         runner_model: runner_model.unwrap_or(false),
         capacity_policy: capacity_policy.unwrap_or_default(),
+        limits,
         log_level: log_level.unwrap_or(LevelFilter::Info),
         log_format: log_format.unwrap_or(LogFormat::Json),
     })
--- a/testutils/src/fleet/deployment.rs
+++ b/testutils/src/fleet/deployment.rs
@@ -7,6 +7,7 @@
 use log::LevelFilter;
 use sardinepick_lib::clock::{Clock, System};
 use sardinepick_lib::fleet::budget::Bounds;
+use sardinepick_lib::fleet::holding::Resources;
 use sardinepick_lib::hash::stable_hash;
 use sardinepick_lib::scale::need::Policy;
 use sardinepick_node::serve::metrics::Metrics;
@@ -59,6 +60,8 @@
     pub budget: Bounds,
     /// Whether nodes predict by the runner model.
     pub runner_model: bool,
+    /// The limits in the settings of nodes.
+    pub limits: Option<Resources>,
     /// The network between nodes and runners.
     pub network: Network,
 }
@@ -147,6 +150,7 @@
         usage_window: None,
         runner_model: false,
         capacity_policy: Policy::default(),
+        limits: None,
         log_level: LevelFilter::Info,
         log_format: LogFormat::Json,
     }
@@ -174,6 +178,7 @@
             platform,
             budget,
             runner_model,
+            limits: None,
             network,
         }
     }
@@ -196,6 +201,9 @@
     /// Enables the runner model at nodes that are started later.
     pub fn with_runner_model(self) -> Self {
         Self { runner_model: true, ..self }
+    /// Sets the limits of nodes that are started later.
+    pub fn with_limits(self, limits: Resources) -> Self {
+        Self { limits: Some(limits), ..self }
     }
 
     /// Settings for a node of this deployment.
@@ -207,6 +215,7 @@
             usage_window: platform.map(|(_, window)| *window),
             budget: self.budget,
             runner_model: self.runner_model,
+            limits: self.limits,
             ..settings
         }
     }
