--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -34,6 +34,7 @@
 pub mod route;
 pub mod runner;
 pub mod scheduler;
+pub mod share;
 pub mod stream_binding;
 pub mod suspect;
 pub mod timeout;
