--- a/testutils/src/measure/mod.rs
+++ b/testutils/src/measure/mod.rs
@@ -1,5 +1,5 @@
 //! Simulations that measure the quality of decisions. They use simulated time and fixed seeds, so every
-//! run gives the same figures.
+//! run gives the same figures. The exception are the durations of decisions.
 
 pub mod figure;
 pub mod fleet;
@@ -8,6 +8,7 @@
 pub mod roles;
 pub mod runner_choice;
 pub mod scale;
+pub mod share;
 pub mod waking;
 pub mod workloads;
 pub mod write_conflicts;
@@ -23,5 +24,6 @@
     figures.extend(write_conflicts::measure());
     figures.extend(nodes::measure(thorough));
     figures.extend(roles::measure(thorough));
+    figures.extend(share::measure());
     figures
 }
