node: fair shares of a pool among client accounts

Requests that have not run wait at the scheduler of their pool while its runners are busy, and start in the order of their accounts' recent use. Enabled by the section [fair_shares] of the settings.

--- a/lib/src/fleet/admission.rs
+++ b/lib/src/fleet/admission.rs
@@ -81,6 +81,8 @@
     PartQuarantined,
     /// A part of the prompt is suspected of crashing runners, and another request with it runs.
     PartRestricted,
+    /// Its account has more work waiting than its share gets done in time.
+    Share,
 }
 
 /// The fraction of the objective that the predicted time to the first answer may take. The rest
@@ -133,6 +135,26 @@
         self.objective.is_some_and(|o| first <= o.as_secs_f64() * ON_TIME_FRACTION)
     }
 
+    /// How long work may take until its first answer to be useful.
+    pub fn useful_within(&self) -> Duration {
+        self.left.min(self.patience).mul_f64(USEFUL_FRACTION)
+    }
+
+    /// Within what time the first answer of work must be predicted for it to be on time.
+    pub fn on_time_within(&self) -> Duration {
+        self.objective.unwrap_or_default().mul_f64(ON_TIME_FRACTION)
+    }
+
+    /// The terms after `wait` more.
+    pub fn after(&self, wait: Duration) -> Self {
+        Self {
+            objective: self.objective.and_then(|o| o.checked_sub(wait)).filter(|o| !o.is_zero()),
+            left: self.left.saturating_sub(wait),
+            patience: self.patience.saturating_sub(wait),
+            ..*self
+        }
+    }
+
     /// Whether late work is still useful if its first answer is predicted in `first` seconds, of
     /// which it waits `wait` seconds.
     ///
--- a/lib/src/fleet/load.rs
+++ b/lib/src/fleet/load.rs
@@ -31,6 +31,12 @@
         Self::of(Rank::of_route(rank))
     }
 
+    /// The rank of the work; `None` for late work.
+    pub fn rank(self) -> Option<Rank> {
+        let rank = Rank { account: Some(self.0 / LEVELS), route: self.0 % LEVELS };
+        (self != Self::LATE).then_some(rank)
+    }
+
     /// The class with an index, or `None` if there is none.
     pub fn at(index: u8) -> Option<Self> {
         (usize::from(index) < CLASSES).then_some(Class(index))
--- a/lib/src/fleet/route.rs
+++ b/lib/src/fleet/route.rs
@@ -147,9 +147,16 @@
     pub accounts: Option<Directory>,
     /// The store's change that produced this configuration; the default until it is known.
     pub at: Point,
+    /// The shortest objective of a route with generations.
+    shortest_objective: Option<Duration>,
 }
 
 impl Configuration {
+    /// The shortest objective of a route with generations.
+    pub fn shortest_objective(&self) -> Option<Duration> {
+        self.shortest_objective
+    }
+
     /// Creates a configuration.
     pub fn new(
         version: ConfigVersion,
@@ -157,6 +164,8 @@
         services: Vec<Service>,
         limits: Limits,
     ) -> Self {
+        let streams = routes.iter().filter(|route| route.kind.is_stream());
+        let shortest_objective = streams.map(|route| route.objective).min();
         let mut by_host: HashMap<SmolStr, Vec<Route>> = HashMap::new();
         for route in routes {
             by_host.entry(route.host.clone()).or_default().push(route);
@@ -165,7 +174,15 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
-        Self { version, routes: by_host, services, limits, accounts: None, at: Point::default() }
+        Self {
+            version,
+            routes: by_host,
+            services,
+            limits,
+            accounts: None,
+            at: Point::default(),
+            shortest_objective,
+        }
     }
 
     /// The route of a request: the one with the longest matching path prefix among those of the
--- a/lib/src/fleet/scheduler.rs
+++ b/lib/src/fleet/scheduler.rs
@@ -23,6 +23,7 @@
 use super::pool::Pool;
 use super::register::{Register, WorkCost};
 use super::runner::{Closed, Runner};
+use super::share::{self, Account};
 use super::version::Version;
 use crate::hash::rendezvous_weight;
 use crate::id::{DataCentre, NodeId, RunnerId, ServiceId};
@@ -55,10 +56,22 @@
     pub skip: SmallVec<[RunnerId; 4]>,
     /// The version that the request is bound to.
     pub version: Option<Version>,
+    /// The client account; [`Account::NONE`] if work of accounts is not shared.
+    pub account: Account,
+    /// How long the request has already waited at schedulers.
+    pub waited: Duration,
     /// The step to be decided.
     pub step: Step,
 }
 
+impl Query {
+    /// The query after the request has waited `wait` more.
+    pub fn after(&self, wait: Duration) -> Self {
+        let terms = self.terms.after(wait);
+        Self { terms, waited: self.waited + wait, ..self.clone() }
+    }
+}
+
 /// The step of a request that is to be decided.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Step {
@@ -103,6 +116,16 @@
     NoRunner,
     /// The rate limits of the eligible runners allow no request for this long.
     RateLimited(Duration),
+    /// The request waits for a runner. The asking node asks again after this time, unless the final
+    /// decision arrives before.
+    Waiting(Duration),
+    /// The share of the account does not allow the request in time.
+    Refused {
+        /// Why.
+        reason: share::Reason,
+        /// When the account can succeed.
+        retry: Duration,
+    },
 }
 
 impl Decision {
@@ -117,7 +140,9 @@
             Decision::Continue(_)
             | Decision::Late(_)
             | Decision::NoRunner
-            | Decision::RateLimited(_) => SmallVec::new(),
+            | Decision::RateLimited(_)
+            | Decision::Waiting(_)
+            | Decision::Refused { .. } => SmallVec::new(),
         }
     }
 
@@ -127,7 +152,11 @@
         match self {
             Decision::Placed { placement, .. } => runners.extend(&placement.fetch),
             Decision::Continue(runner) => runners.push(runner),
-            Decision::Late(_) | Decision::NoRunner | Decision::RateLimited(_) => {}
+            Decision::Late(_)
+            | Decision::NoRunner
+            | Decision::RateLimited(_)
+            | Decision::Waiting(_)
+            | Decision::Refused { .. } => {}
         }
         runners
     }
--- a/lib/src/fleet/share/ledger.rs
+++ b/lib/src/fleet/share/ledger.rs
@@ -186,6 +186,14 @@
         entry.add(charge.route, missing - refund, at);
     }
 
+    /// Takes a charge back. Nothing is learned from it.
+    pub(super) fn refund(&mut self, charge: &Charge, now: Instant) {
+        let at = self.advance(now);
+        if let Some(entry) = self.entries.get_mut(&charge.account) {
+            entry.add(charge.route, -charge.cost.secs(), at);
+        }
+    }
+
     /// The use of an account for work of a route rank and of more urgent ones, in relation to its
     /// weight. Less urgent work does not count, so that an account's urgent work need not wait until
     /// earlier work of a lower rank is forgotten.
--- a/lib/src/fleet/share/queue.rs
+++ b/lib/src/fleet/share/queue.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use smallvec::SmallVec;
-use strum::{Display, IntoStaticStr};
+use strum::{Display, EnumString, IntoStaticStr};
 
 use super::ledger::{Charge, Level, Route};
 use super::line::{Line, Place, Timing};
@@ -65,7 +65,7 @@
 const CERTAINTY: f64 = 2.0;
 
 /// Why work is refused.
-#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, EnumString, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
 pub enum Reason {
     /// Its answer would come too late to be useful.
@@ -216,6 +216,11 @@
         self.reorder(ticket.0.account, |ledger| ledger.correct(&ticket.0, used, now));
     }
 
+    /// Takes back the charge for work that was not started after all.
+    pub fn cancel(&mut self, ticket: Ticket, now: Instant) {
+        self.reorder(ticket.0.account, |ledger| ledger.refund(&ticket.0, now));
+    }
+
     /// Forgets accounts that have used nothing of late. To be called about once a second.
     pub fn forget(&mut self, now: Instant) {
         self.ledger.forget(now);
--- a/lib/tests/scheduler.rs
+++ b/lib/tests/scheduler.rs
@@ -15,6 +15,7 @@
 use sardinepick_lib::fleet::register::Register;
 use sardinepick_lib::fleet::runner::{Entry, State, Tag};
 use sardinepick_lib::fleet::scheduler::{self, Decision, Firmness, Observation, Query, Step};
+use sardinepick_lib::fleet::share::Account;
 use sardinepick_lib::hash::stable_hash;
 use sardinepick_lib::history::Point;
 use sardinepick_lib::id::{NodeId, RunnerId, ServiceId};
@@ -90,6 +91,8 @@
         work: Work { chain: Chain::new("m", parts.into_iter()), prompt: shared + own, output: 60 },
         skip: Default::default(),
         version: None,
+        account: Account::NONE,
+        waited: Duration::ZERO,
         step: Step::Start(Firmness::New),
     }
 }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod duty;
 pub mod era_tracker;
 pub mod explain;
+pub mod fair_share;
 pub mod front;
 pub mod gather;
 pub mod limit;
--- a/node/src/serve/generation/admit.rs
+++ b/node/src/serve/generation/admit.rs
@@ -9,8 +9,9 @@
 use sardinepick_lib::fleet::part_quarantine::Subject;
 use sardinepick_lib::fleet::placement::{Placement, Plan};
 use sardinepick_lib::fleet::scheduler::{self, Decision, Firmness, Step};
+use sardinepick_lib::fleet::share;
 use sardinepick_lib::fleet::suspect::QUARANTINE_ENDS;
-use sardinepick_lib::id::RunnerId;
+use sardinepick_lib::id::{AccountId, RunnerId};
 
 use smallvec::SmallVec;
 
@@ -31,9 +32,12 @@
     /// Requests a placement decision from the scheduler; `None` if the service has no engines.
     async fn decide(&self, step: Step) -> Option<Decision> {
         let engine = self.request.engine?;
-        let (decision, by) = scheduling::decide(&self.shared, self.query(step), &engine).await;
-        self.shared.metrics.placements.with_label_values(&[by]).inc();
-        Some(decision)
+        let decided = scheduling::decide(&self.shared, self.query(step), &engine).await;
+        self.shared.metrics.placements.with_label_values(&[decided.by]).inc();
+        if let Some(charge) = decided.charge {
+            self.meter.set(charge);
+        }
+        Some(decided.decision)
     }
 
     fn query(&self, step: Step) -> scheduler::Query {
@@ -45,6 +49,11 @@
             work: self.work.clone(),
             skip: self.excluded_runners(now),
             version: self.attempts().version.clone(),
+            account: self
+                .shared
+                .fair_share
+                .account(self.request.account.as_ref().map(AccountId::as_str)),
+            waited: Duration::ZERO,
             step,
         }
     }
@@ -150,7 +159,9 @@
             Decision::Continue(_)
             | Decision::Late(_)
             | Decision::NoRunner
-            | Decision::RateLimited(_) => Err(out_of_budget()),
+            | Decision::RateLimited(_)
+            | Decision::Waiting(_)
+            | Decision::Refused { .. } => Err(out_of_budget()),
         }
     }
 
@@ -172,10 +183,28 @@
             Some(Decision::RateLimited(wait)) => {
                 Err(Failure::Stopped(self.rate_limit_refusal(wait), StopCause::RateLimit))
             }
+            Some(Decision::Refused { reason, retry }) => {
+                Err(Failure::Stopped(self.share_refusal(reason, retry), StopCause::Gate))
+            }
             _ => Err(Failure::Stopped(self.final_refusal(self.no_runner()), StopCause::NoRunner)),
         }
     }
 
+    /// The refusal of a request that waited in vain for its account's turn.
+    fn share_refusal(&self, reason: share::Reason, retry: Duration) -> Refusal {
+        let reason = match reason {
+            share::Reason::Late => Reason::Late,
+            share::Reason::Share | share::Reason::Full => Reason::Share,
+        };
+        match self.final_refusal(reason) {
+            Refusal::NotRun(reason, _) => {
+                let terms = self.request.terms(self.now());
+                Refusal::NotRun(reason, terms.retry_delay_after(retry, &mut *self.shared.rng()))
+            }
+            other => other,
+        }
+    }
+
     /// The refusal of a request that rate limits block for at least `wait`.
     fn rate_limit_refusal(&self, wait: Duration) -> Refusal {
         match self.final_refusal(Reason::RateLimited) {
--- a/node/src/serve/generation/mod.rs
+++ b/node/src/serve/generation/mod.rs
@@ -27,6 +27,7 @@
 use self::attempts::Attempts;
 use self::caller::Caller;
 use self::task::GenerationTask;
+use crate::fair_share::Meter;
 use crate::lock::lock;
 use crate::serve::crash;
 use crate::serve::quarantine;
@@ -62,6 +63,7 @@
         shared: shared.clone(),
         work: request.caller_headers.work.clone().unwrap_or_default(),
         attempts: Mutex::new(Attempts::new(&request)),
+        meter: Arc::new(Meter::new(shared.fair_share.clone())),
         request,
     });
     let task = GenerationTask::new(generation, Caller::new(head));
@@ -98,6 +100,8 @@
     request: Request,
     work: Work,
     attempts: Mutex<Attempts>,
+    /// Measures what its account is charged for.
+    meter: Arc<Meter>,
 }
 
 impl Generation {
--- a/node/src/serve/generation/prefill.rs
+++ b/node/src/serve/generation/prefill.rs
@@ -105,6 +105,7 @@
                     predicted_ms = millis(placement.prefill_end),
                     held_ms = reservation.held().as_millis() as u64; "prompt read"
                 );
+                self.meter.add_prefill(reservation.prefill_time());
                 reservation.learn_expected();
                 self.note_cached(&reservation, Progress::Prefilled);
                 Ok(Some(handle))
--- a/node/src/serve/generation/run.rs
+++ b/node/src/serve/generation/run.rs
@@ -23,6 +23,7 @@
 use super::attempts::Arrival;
 use super::prefill::KvHandleGuard;
 use super::{Generation, MAX_ANSWER_BYTES};
+use crate::fair_share::StreamMeter;
 use crate::part_quarantine;
 use crate::serve::connection::{Answer, Lease};
 use crate::serve::reservation::{Reservation, Step};
@@ -219,6 +220,8 @@
     /// The version of the runner's software, from its entry when the request was sent.
     pub version: Version,
     active_stream: Option<ActiveStream>,
+    /// Measures the use of the stream from its first event.
+    stream_meter: Option<StreamMeter>,
     /// The permit for the run until it has made progress, if a part of the prompt is restricted.
     permit: Option<part_quarantine::Permit>,
     /// The number of events so far.
@@ -246,6 +249,7 @@
             started_at: None,
             version,
             active_stream: None,
+            stream_meter: None,
             permit: None,
             events: 0,
         }
@@ -286,8 +290,10 @@
         let generation = &self.generation;
         self.started_at = Some(generation.now());
         self.active_stream = Some(ActiveStream::new(generation));
+        self.stream_meter = Some(generation.meter.stream(generation.work.footprint()));
         self.reservation.note_prefilled();
         if self.is_whole {
+            generation.meter.add_prefill(self.reservation.prefill_time());
             self.reservation.learn_expected();
         }
         generation.note_cached(&self.reservation, Progress::Prefilled);
--- a/node/src/serve/mod.rs
+++ b/node/src/serve/mod.rs
@@ -12,6 +12,7 @@
 pub mod delivery;
 pub mod dial;
 pub mod duty;
+pub mod fair_queue;
 pub mod generation;
 pub mod heartbeat;
 pub mod idle;
--- a/node/src/serve/reservation.rs
+++ b/node/src/serve/reservation.rs
@@ -159,6 +159,13 @@
         self.expected = Some((placement.clone(), predicted));
     }
 
+    /// The time that the runner has spent on the prompt, if it started as predicted; zero if nothing
+    /// was predicted.
+    pub fn prefill_time(&self) -> Duration {
+        let Some((placement, _)) = &self.expected else { return Duration::ZERO };
+        self.held().saturating_sub(Duration::from_secs_f64(placement.prefill_start.max(0.0)))
+    }
+
     /// Records that the predicted result has arrived.
     pub fn learn_expected(&mut self) {
         if let Some((placement, predicted)) = self.expected.take() {
--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -19,7 +19,9 @@
 use crate::serve::metrics::Metrics;
 use crate::serve::settings::Settings;
 use crate::serve::shared::Shared;
-use crate::serve::{copy, duty, heartbeat, join, order, peer, quarantine, scheduler, store_watch};
+use crate::serve::{
+    copy, duty, fair_queue, heartbeat, join, order, peer, quarantine, scheduler, store_watch,
+};
 use crate::usage::sender::CountSender;
 
 /// Why a node could not start.
@@ -153,6 +155,9 @@
     tokio::spawn(store_watch::configuration(shared.clone()));
     tokio::spawn(store_watch::register(shared.clone()));
     tokio::spawn(scheduler::report(shared.clone()));
+    if shared.settings.fair_shares {
+        tokio::spawn(fair_queue::run(shared.clone()));
+    }
     tokio::spawn(quarantine::run(shared.clone()));
     tokio::spawn(quarantine::store::run(shared.clone()));
     tokio::spawn(quarantine::store::write_again(shared.clone()));
--- a/node/src/serve/scheduler.rs
+++ b/node/src/serve/scheduler.rs
@@ -20,15 +20,18 @@
     self, Decision, MAX_QUERIES, MAX_UNANSWERED, Observation, Query, REPLY_TIMEOUT, Step,
     TAKEOVER_PERIOD,
 };
+use sardinepick_lib::fleet::share::Account;
 use sardinepick_lib::id::{NodeId, ServiceId};
 use sardinepick_wire::schedule::{MAX_LESSONS, MAX_LOADS, MAX_READINGS, Report, Schedule};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
-use crate::serve::pending::Pending;
+use crate::fair_share::{Asker, Charge};
+use crate::serve::pending::Conversations;
 use crate::serve::shared::Shared;
-use crate::serve::{cache_query, quarantine};
+use crate::serve::{cache_query, fair_queue, quarantine};
 
 /// How long the scheduler found for a pool is cached. Finding it ranks all nodes.
 const SCHEDULER_CACHE_TTL: Duration = Duration::from_millis(50);
@@ -71,7 +74,7 @@
 
 #[derive(Debug, Default)]
 struct State {
-    queries: Pending<Option<Decision>>,
+    queries: Conversations<Option<Decision>>,
     unanswered: HashMap<NodeId, Unanswered>,
     scheduler_cache: HashMap<(ServiceId, Pool), (PoolScheduler, Instant)>,
     /// The pools that this node schedules, and when it was last asked about each.
@@ -190,41 +193,48 @@
     holder
 }
 
+/// A decision for a request of this node.
+#[derive(Clone, Debug)]
+pub struct Decided {
+    /// The decision.
+    pub decision: Decision,
+    /// Who made it, as a metric label.
+    pub by: &'static str,
+    /// The charge to the account of the request, if there is one.
+    pub charge: Option<Charge>,
+}
+
 /// Places a request: asks the scheduler of its pool and, if that does not answer, places it by this
 /// node's own prediction.
-pub async fn decide(
-    shared: &Arc<Shared>,
-    mut query: Query,
-    engine: &Engine,
-) -> (Decision, &'static str) {
+pub async fn decide(shared: &Arc<Shared>, mut query: Query, engine: &Engine) -> Decided {
     let pool = {
         let mut register = shared.register();
         register.assign_pools();
         register.pool_of(&query.service, &query.work)
     };
     let began = shared.clock.now();
+    let limit = began + query.terms.useful_within();
+    let mut asked_at = began;
     for _ in 0..MAX_QUERIES {
+        let now = shared.clock.now();
+        if query.account != Account::NONE {
+            query = query.after(now.saturating_duration_since(asked_at));
+        }
+        asked_at = now;
         let PoolScheduler::Other(node, peer) = pool_scheduler(shared, &query.service, pool) else {
-            take_over(shared, &query.service, pool);
-            let decision = decide_locally(shared, &query, engine);
-            shared.limiter.reserve(&decision.placed());
-            return (decision, "here");
+            return decide_here(shared, &query, pool, engine, (now, limit)).await;
         };
-        match query_node(shared, peer, &query).await {
-            Some(answer) => {
+        match query_node(shared, peer, &query, limit).await {
+            Some((answer, number)) => {
                 shared.scheduling.note_answered(&node);
-                let took = shared.clock.now().saturating_duration_since(began);
-                let step = if matches!(query.step, Step::Start(_)) { "start" } else { "go_on" };
-                shared
-                    .metrics
-                    .scheduler_latency
-                    .with_label_values(&[step])
-                    .observe(took.as_secs_f64());
+                note_latency(shared, &query.step, began);
                 match answer {
+                    Some(Decision::Waiting(_)) | None => break,
                     Some(decision) if is_usable(shared, &decision, &mut query) => {
-                        return (decision, "scheduler");
+                        let charge = charge(shared, &query, &decision, Some(peer), number);
+                        return Decided { decision, by: "scheduler", charge };
                     }
-                    _ => break,
+                    Some(_) => break,
                 }
             }
             None => {
@@ -236,7 +246,50 @@
             }
         }
     }
-    (decide_locally(shared, &query, engine), "alone")
+    let waited = shared.clock.now().saturating_duration_since(asked_at);
+    let query = if query.account == Account::NONE { query } else { query.after(waited) };
+    Decided { decision: decide_locally(shared, &query, engine), by: "alone", charge: None }
+}
+
+/// Places a request in a pool that this node schedules.
+async fn decide_here(
+    shared: &Arc<Shared>,
+    query: &Query,
+    pool: Pool,
+    engine: &Engine,
+    (asked_at, limit): (Instant, Instant),
+) -> Decided {
+    if shared.fair_share.applies(query)
+        && let Some((decision, number)) = fair_queue::wait_here(shared, query, limit).await
+    {
+        let charge = charge(shared, query, &decision, None, number);
+        return Decided { decision, by: "here", charge };
+    }
+    take_over(shared, &query.service, pool);
+    let waited = shared.clock.now().saturating_duration_since(asked_at);
+    let aged = (query.account != Account::NONE).then(|| query.after(waited));
+    let decision = decide_locally(shared, aged.as_ref().unwrap_or(query), engine);
+    shared.limiter.reserve(&decision.placed());
+    Decided { decision, by: "here", charge: None }
+}
+
+/// The charge that a scheduler has made with a decision.
+fn charge(
+    shared: &Shared,
+    query: &Query,
+    decision: &Decision,
+    scheduler: Option<SocketAddr>,
+    number: u64,
+) -> Option<Charge> {
+    let is_charged =
+        shared.fair_share.applies(query) && matches!(decision, Decision::Placed { .. });
+    is_charged.then_some(Charge { scheduler, number })
+}
+
+fn note_latency(shared: &Shared, step: &Step, began: Instant) {
+    let took = shared.clock.now().saturating_duration_since(began);
+    let step = if matches!(step, Step::Start(_)) { "start" } else { "go_on" };
+    shared.metrics.scheduler_latency.with_label_values(&[step]).observe(took.as_secs_f64());
 }
 
 /// Returns whether a decision agrees with this node's own state. The scheduler may not know yet
@@ -279,7 +332,8 @@
     decide_among(shared, query, engine, Plans::Whole)
 }
 
-fn decide_locally(shared: &Shared, query: &Query, engine: &Engine) -> Decision {
+/// Decides by what this node knows of the runners.
+pub fn decide_locally(shared: &Shared, query: &Query, engine: &Engine) -> Decision {
     decide_among(shared, query, engine, Plans::Any)
 }
 
@@ -290,15 +344,49 @@
     scheduler::decide_among(&register, query, engine, plans, now, &mut *shared.rng())
 }
 
-/// Asks a node for a decision; `None` if it does not answer in time.
-async fn query_node(shared: &Shared, peer: SocketAddr, query: &Query) -> Option<Option<Decision>> {
-    let (number, answer) = shared.scheduling.state().queries.register();
+/// Asks a node for a decision, until `limit` if the request has to wait. Returns the answer and the
+/// number of the query, or `None` if the node does not answer in time.
+async fn query_node(
+    shared: &Shared,
+    peer: SocketAddr,
+    query: &Query,
+    limit: Instant,
+) -> Option<(Option<Decision>, u64)> {
+    let (number, mut answers) = shared.scheduling.state().queries.register();
     let message =
         Schedule::Query { number, node: shared.me.id.clone(), query: Box::new(query.clone()) };
-    transmit(shared, peer, &message).await;
-    let answer = timeout(REPLY_TIMEOUT, answer).await;
-    shared.scheduling.state().queries.cancel(number);
-    answer.ok()?.ok()
+    let answer = ask_until_decided(shared, peer, &message, &mut answers, limit).await;
+    shared.scheduling.state().queries.end(number);
+    Some((answer?, number))
+}
+
+/// Sends a query, and again whenever it has waited as long as the scheduler said. The caller of a
+/// request that waits longer than `limit` has no use for it any more; its last answer is that it
+/// waits.
+async fn ask_until_decided(
+    shared: &Shared,
+    peer: SocketAddr,
+    message: &Schedule,
+    answers: &mut UnboundedReceiver<Option<Decision>>,
+    limit: Instant,
+) -> Option<Option<Decision>> {
+    loop {
+        transmit(shared, peer, message).await;
+        let mut answer = timeout(REPLY_TIMEOUT, answers.recv()).await.ok()??;
+        while let Some(Decision::Waiting(pause)) = answer {
+            let left = limit.saturating_duration_since(shared.clock.now());
+            if left.is_zero() {
+                return Some(answer);
+            }
+            match timeout(pause.min(left), answers.recv()).await {
+                Ok(next) => answer = next?,
+                Err(_) => break,
+            }
+        }
+        if !matches!(answer, Some(Decision::Waiting(_))) {
+            return Some(answer);
+        }
+    }
 }
 
 /// Sends a schedule datagram.
@@ -315,14 +403,22 @@
 pub async fn receive(shared: &Arc<Shared>, from: SocketAddr, bytes: &[u8]) {
     shared.metrics.schedule_bytes.with_label_values(&["received"]).inc_by(bytes.len() as u64);
     match Schedule::decode(bytes) {
+        Ok(Schedule::Query { number, node, query }) if shared.fair_share.applies(&query) => {
+            fair_queue::handle_query(shared, from, Asker { node, number }, query).await;
+        }
         Ok(Schedule::Query { number, node, query }) => {
             let decision = decide_for_node(shared, &node, &query);
             transmit(shared, from, &Schedule::Answer { number, decision }).await;
         }
         Ok(Schedule::Answer { number, decision }) => {
-            shared.scheduling.state().queries.resolve(number, decision);
+            shared.scheduling.state().queries.answer(number, decision);
         }
         Ok(Schedule::Report(report)) => apply_report(shared, &report),
+        Ok(Schedule::Settled { node, usage }) => {
+            for (number, usage) in usage {
+                shared.fair_share.settle(&Asker { node: node.clone(), number }, usage);
+            }
+        }
         Ok(Schedule::Ended { number, request, end }) => {
             quarantine::count::handle_crash_report(shared, from, number, request, end).await;
         }
@@ -363,7 +459,7 @@
 
 /// Records that this node is asked about a pool. A node that has just become scheduler of a pool
 /// does not know what its runners have cached, and queries them.
-fn take_over(shared: &Arc<Shared>, service: &ServiceId, pool: Pool) {
+pub fn take_over(shared: &Arc<Shared>, service: &ServiceId, pool: Pool) {
     let now = shared.clock.now();
     let previous = shared.scheduling.state().scheduled.insert((service.clone(), pool), now);
     if previous.is_some_and(|at| now.saturating_duration_since(at) < TAKEOVER_EXPIRY) {
@@ -404,6 +500,8 @@
             runner.learn(*observation, now);
         }
     }
+    drop(register);
+    shared.fair_share.wake.notify_one();
 }
 
 /// Reports updates to schedulers until the process ends.
--- a/node/src/serve/settings.rs
+++ b/node/src/serve/settings.rs
@@ -47,13 +47,15 @@
     pub platform: Option<SocketAddr>,
     /// The length of usage windows; `None` if usage is not reported.
     pub usage_window: Option<Duration>,
+    /// Whether the capacity of pools is shared fairly among client accounts.
+    pub fair_shares: bool,
     /// The least severe level that is logged.
     pub log_level: LevelFilter,
     /// The log format.
     pub log_format: LogFormat,
 }
 
-const SECTIONS: [(&str, &[&str]); 8] = [
+const SECTIONS: [(&str, &[&str]); 9] = [
     ("node", &["name", "data_centre", "front", "ready", "lookup", "peer", "metrics", "seeds"]),
     ("store", &["address"]),
     ("retry", &["ratio", "allowance", "window_s"]),
@@ -61,10 +63,12 @@
     ("orders", &["turns_ms"]),
     ("platform", &["address"]),
     ("usage", &["window_s"]),
+    ("fair_shares", &["enabled"]),
     ("log", &["level", "format"]),
 ];
 
 const ID_FORM: &str = "text of 1 to 256 bytes";
+const SWITCH_FORM: &str = "true or false";
 const RATIO_FORM: &str = "a number from 0 to 10";
 const ALLOWANCE_FORM: &str = "a number from 0 to 1000000";
 const MILLIS_FORM: &str = "a whole number of milliseconds from 1 to 3600000";
@@ -129,6 +133,7 @@
     let call_gap = r.optional("orders", "turns_ms", MILLIS_FORM, |t| within(t, 1, 3_600_000));
     let platform = r.optional("platform", "address", ADDRESS_FORM, usable_address);
     let usage_window = r.optional("usage", "window_s", SECONDS_FORM, seconds);
+    let fair_shares = r.optional("fair_shares", "enabled", SWITCH_FORM, parse_value);
     let log_level = r.optional("log", "level", LEVEL_FORM, parsed);
     let log_format = r.optional("log", "format", FORMAT_FORM, parsed);
     Some(Settings {
@@ -151,6 +156,7 @@
         call_gap: call_gap.map_or(DEFAULT_CALL_GAP, Duration::from_millis),
         platform,
         usage_window,
+        fair_shares: fair_shares.unwrap_or(false),
         log_level: log_level.unwrap_or(LevelFilter::Info),
         log_format: log_format.unwrap_or(LogFormat::Json),
     })
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -38,6 +38,7 @@
 use crate::duty::lease::DutyLease;
 use crate::duty::view::{COLLECTORS, SUBJECT, View};
 use crate::era_tracker::EraTracker;
+use crate::fair_share::FairShares;
 use crate::limit::Limiter;
 use crate::lock::lock;
 use crate::part_quarantine::{self, PartQuarantine};
@@ -111,6 +112,8 @@
     pub quarantine: QuarantineState,
     /// Prompt parts on which runners crash.
     pub part_quarantine: Arc<PartQuarantine>,
+    /// The fair shares of the pools that this node schedules.
+    pub fair_share: Arc<FairShares>,
     /// Signals that a heartbeat must be sent now.
     pub heartbeat_now: Arc<Notify>,
     /// Rate limits of runners.
@@ -229,6 +232,7 @@
             metrics: metrics.clone(),
             rng: Mutex::new(StdRng::from_rng(&mut rng)),
         });
+        let fair_share = FairShares::new(settings.fair_shares, me.id.clone(), clock.clone());
         let standing = watch::channel(Standing::Starting).0;
         let relay_server = relay::Server::new(
             register.clone(),
@@ -268,6 +272,7 @@
             crashes: Detector::default(),
             quarantine: QuarantineState::default(),
             part_quarantine: Arc::new(part_quarantine),
+            fair_share: Arc::new(fair_share),
             heartbeat_now,
             register,
             register_replica: Mutex::default(),
--- /dev/null
+++ b/node/tests/fair_share.rs
@@ -0,0 +1,99 @@
+//! End-to-end tests of fair shares among client accounts.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use http::StatusCode;
+use sardinepick_node::serve::settings::Settings;
+use sardinepick_testutils::fleet::caller::RequestSpec;
+use sardinepick_testutils::fleet::deployment::{Deployment, with_accounts};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+const KITCHEN: (&str, &[&str], Option<u8>) = ("kitchen", &["key-1"], Some(1));
+const CELLAR: (&str, &[&str], Option<u8>) = ("cellar", &["key-2"], Some(1));
+
+async fn deployment(nodes: usize, is_enabled: bool) -> Deployment {
+    let set = Deployment::new().await.with_fair_shares(is_enabled);
+    set.store.put("config", "main", &with_accounts(1, &[KITCHEN, CELLAR]));
+    set.with_engines(1, 2).await.with_nodes(nodes).await
+}
+
+/// Sends a generation and returns its status and how long it took.
+async fn send(
+    set: &Deployment,
+    node: usize,
+    id: &str,
+    key: &str,
+) -> (Option<StatusCode>, Duration) {
+    let headers = [("credential", key), ("model", "m"), ("token-count", "9200,60")];
+    let began = Instant::now();
+    let spec = RequestSpec { headers: &headers, ..RequestSpec::new("/count/a", id) };
+    let answer = set.send(node, &spec).await;
+    (answer.status, began.elapsed())
+}
+
+#[tokio::test]
+async fn generation_with_fair_shares_answered_at_every_node() {
+    let set = deployment(3, true).await;
+    for node in 0..3 {
+        for request in 0..4 {
+            let id = format!("g{node}-{request}");
+            let (status, _) = send(&set, node, &id, "key-1").await;
+            assert_eq!(status, Some(StatusCode::OK), "{id}");
+            assert_eq!(set.run_count(&id), 1, "{id}");
+        }
+    }
+}
+
+/// Guards against an account whose burst takes the capacity of another.
+#[tokio::test]
+async fn burst_of_one_account_leaves_other_its_share() {
+    let set = std::sync::Arc::new(deployment(2, true).await);
+    let mut tasks = JoinSet::new();
+    for request in 0..160 {
+        let set = set.clone();
+        tasks.spawn(async move {
+            let id = format!("k{request}");
+            ("key-1", send(&set, request % 2, &id, "key-1").await)
+        });
+    }
+    sleep(Duration::from_millis(50)).await;
+    for request in 0..8 {
+        let set = set.clone();
+        tasks.spawn(async move {
+            sleep(Duration::from_millis(60) * request).await;
+            let id = format!("c{request}");
+            ("key-2", send(&set, request as usize % 2, &id, "key-2").await)
+        });
+    }
+    let mut statuses: HashMap<(&str, Option<StatusCode>), usize> = HashMap::new();
+    while let Some(done) = tasks.join_next().await {
+        let (key, (status, _)) = done.expect("a request task");
+        *statuses.entry((key, status)).or_default() += 1;
+    }
+    println!("{statuses:?}");
+    assert_eq!(statuses.get(&("key-2", Some(StatusCode::OK))), Some(&8), "{statuses:?}");
+    let answered: usize = statuses.values().sum();
+    assert_eq!(answered, 168, "every request has an answer");
+    assert!(statuses.keys().all(|(_, status)| status.is_some()), "{statuses:?}");
+}
+
+/// Guards against work that is placed by account where shares are disabled.
+#[tokio::test]
+async fn disabled_shares_use_no_account() {
+    let set = deployment(1, false).await;
+    assert_eq!(send(&set, 0, "g1", "key-1").await.0, Some(StatusCode::OK));
+    assert!(set.nodes[0].shared.fair_share.waiting_pools().is_empty());
+    assert_eq!(set.nodes[0].shared.fair_share.account(Some("kitchen")).0, 0);
+}
+
+#[test]
+fn settings_section_read_and_rejected_with_field() {
+    let text = include_str!("../../platform/node.ini");
+    assert!(text.contains("[fair_shares]\nenabled = true"), "on for the platform");
+    let error = Settings::parse("node.ini", "[fair_shares]\nenabled = maybe\n")
+        .expect_err("the value is invalid");
+    let expected = "[fair_shares] enabled: \"maybe\" is not accepted; accepted: true or false";
+    assert!(error.to_string().contains(expected), "{error}");
+}
--- a/testutils/src/fleet/deployment.rs
+++ b/testutils/src/fleet/deployment.rs
@@ -56,6 +56,8 @@
     pub platform: Option<(Platform, Duration)>,
     /// The retry budget in the settings of nodes.
     pub budget: Bounds,
+    /// Whether nodes share capacity fairly among client accounts.
+    pub fair_shares: bool,
     /// The network between nodes and runners.
     pub network: Network,
 }
@@ -142,6 +144,7 @@
         call_gap: Duration::from_millis(300),
         platform: None,
         usage_window: None,
+        fair_shares: false,
         log_level: LevelFilter::Info,
         log_format: LogFormat::Json,
     }
@@ -159,7 +162,17 @@
         let platform = None;
         let (caller, budget) = (Caller::default(), DEFAULT_BUDGET);
         let network = Network::default();
-        Self { store, runners, crashing_runners, nodes, caller, platform, budget, network }
+        Self {
+            store,
+            runners,
+            crashing_runners,
+            nodes,
+            caller,
+            platform,
+            budget,
+            fair_shares: false,
+            network,
+        }
     }
 
     /// Starts a fake platform, to which nodes report usage in windows of `window`.
@@ -177,6 +190,11 @@
         Self { budget, ..self }
     }
 
+    /// Sets whether nodes that are started later share capacity fairly among client accounts.
+    pub fn with_fair_shares(self, fair_shares: bool) -> Self {
+        Self { fair_shares, ..self }
+    }
+
     /// Settings for a node of this deployment.
     pub fn settings(&self, name: &str, seeds: Vec<SocketAddr>) -> Settings {
         let settings = settings(name, self.store.address(), seeds);
@@ -185,6 +203,7 @@
             platform: platform.map(|(platform, _)| platform.address()),
             usage_window: platform.map(|(_, window)| *window),
             budget: self.budget,
+            fair_shares: self.fair_shares,
             ..settings
         }
     }
--- a/wire/src/schedule.rs
+++ b/wire/src/schedule.rs
@@ -18,6 +18,7 @@
 use sardinepick_lib::fleet::register::PrefillReport;
 use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_lib::fleet::scheduler::{Decision, Firmness, Observation, Query, Step};
+use sardinepick_lib::fleet::share::{Account, Usage};
 use sardinepick_lib::fleet::stream_binding::{Binding, Known, Seen, StreamKey, Versions};
 use sardinepick_lib::fleet::suspect::{RunProgress, RunnerEnd};
 use sardinepick_lib::fleet::version::Version;
@@ -36,6 +37,9 @@
 /// The maximum number of observations in a report, at up to 21 bytes each.
 pub const MAX_LESSONS: usize = 12;
 
+/// The maximum number of settlements in a datagram, at up to 28 bytes each.
+pub const MAX_SETTLEMENTS: usize = 32;
+
 /// A datagram.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Schedule {
@@ -102,6 +106,13 @@
     },
     /// Concerns a prompt part that crashes runners.
     Part(part_quarantine::Message),
+    /// Reports what requests used that the receiving scheduler has let start.
+    Settled {
+        /// The reporting node.
+        node: NodeId,
+        /// The use by the number of the query, at most [`MAX_SETTLEMENTS`].
+        usage: Vec<(u64, Usage)>,
+    },
     /// Answers a [`Schedule::Acquire`].
     Acquired {
         /// The number of the datagram that it answers.
@@ -183,6 +194,10 @@
             Schedule::Part(message) => {
                 pb::schedule::Body::PartQuarantine(part_quarantine::encode(message))
             }
+            Schedule::Settled { node, usage } => pb::schedule::Body::Settled(pb::Settled {
+                node: node.to_string(),
+                settlements: usage.iter().map(encode_settlement).collect(),
+            }),
             Schedule::Acquired { number, wait } => {
                 let wait_us = wait.map(micros);
                 pb::schedule::Body::Acquired(pb::Acquired { number: *number, wait_us })
@@ -223,6 +238,14 @@
                     end: RunnerEnd { incarnation: Tag(ended.life), progress },
                 })
             }
+            pb::schedule::Body::Settled(settled) => Ok(Schedule::Settled {
+                node: settled.node.as_str().try_into().map_err(|_| WireError::Value("node"))?,
+                usage: settled
+                    .settlements
+                    .iter()
+                    .map(decode_settlement)
+                    .collect::<Result<_, _>>()?,
+            }),
             pb::schedule::Body::Counted(counted) => {
                 Ok(Schedule::Counted { number: counted.number, ends: counted.ends })
             }
@@ -378,6 +401,8 @@
         .into(),
         reader,
         version: query.version.as_ref().map(ToString::to_string),
+        account: query.account.0,
+        waited_us: micros(query.waited),
     }
 }
 
@@ -424,6 +449,8 @@
         },
         skip: question.skip.iter().map(|id| decode_runner(id)).collect::<Result<_, _>>()?,
         version: question.version.as_deref().map(decode_version).transpose()?,
+        account: Account(question.account),
+        waited: Duration::from_micros(question.waited_us),
         step,
     };
     let node = question.node.as_str().try_into().map_err(|_| WireError::Value("node"))?;
@@ -436,6 +463,10 @@
         None => Wire::Unknown(true),
         Some(Decision::NoRunner) => Wire::NoRunner(true),
         Some(Decision::RateLimited(wait)) => Wire::RateLimitedUs(micros(*wait)),
+        Some(Decision::Waiting(pause)) => Wire::WaitingUs(micros(*pause)),
+        Some(Decision::Refused { reason, retry }) => {
+            Wire::Refused(pb::Refused { reason: reason.to_string(), retry_us: micros(*retry) })
+        }
         Some(Decision::Continue(runner)) => Wire::GoesOn(runner.to_string()),
         Some(Decision::Placed { placement, class }) => {
             Wire::Placed(encode_placed(placement, *class))
@@ -488,6 +519,11 @@
         Wire::Unknown(_) => None,
         Wire::NoRunner(_) => Some(Decision::NoRunner),
         Wire::RateLimitedUs(wait) => Some(Decision::RateLimited(Duration::from_micros(*wait))),
+        Wire::WaitingUs(pause) => Some(Decision::Waiting(Duration::from_micros(*pause))),
+        Wire::Refused(refused) => Some(Decision::Refused {
+            reason: refused.reason.parse().map_err(|_| WireError::Value("reason"))?,
+            retry: Duration::from_micros(refused.retry_us),
+        }),
         Wire::GoesOn(runner) => Some(Decision::Continue(decode_runner(runner)?)),
         Wire::Placed(placed) => {
             let (placement, class) = decode_placed(placed)?;
@@ -498,6 +534,28 @@
     Ok(Schedule::Answer { number: answer.number, decision })
 }
 
+fn encode_settlement((number, usage): &(u64, Usage)) -> pb::Settlement {
+    pb::Settlement {
+        number: *number,
+        prefill: usage.prefill as f32,
+        decode: usage.decode as f32,
+        memory: usage.memory as f32,
+    }
+}
+
+fn decode_settlement(settlement: &pb::Settlement) -> Result<(u64, Usage), WireError> {
+    let limited = |value: f32, limit: f64| match f64::from(value) {
+        value if (0.0..limit).contains(&value) => Ok(value),
+        _ => Err(WireError::Value("settlement")),
+    };
+    let usage = Usage {
+        prefill: limited(settlement.prefill, SECONDS_LIMIT)?,
+        decode: limited(settlement.decode, SECONDS_LIMIT)?,
+        memory: limited(settlement.memory, MAX_TOKENS as f64 * SECONDS_LIMIT)?,
+    };
+    Ok((settlement.number, usage))
+}
+
 fn encode_lesson((tag, lesson): &(Tag, Observation)) -> pb::Lesson {
     use pb::lesson::Kind;
     let kind = match lesson {
--- a/wire/tests/schedule.rs
+++ b/wire/tests/schedule.rs
@@ -15,12 +15,15 @@
 use sardinepick_lib::fleet::register::PrefillReport;
 use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_lib::fleet::scheduler::{Decision, Firmness, Observation, Query, Step};
+use sardinepick_lib::fleet::share::{Account, Reason, Usage};
 use sardinepick_lib::fleet::suspect::{RunProgress, RunnerEnd};
 use sardinepick_lib::history::Era;
 use sardinepick_lib::id::RunnerId;
 use sardinepick_wire::beat::{Heartbeat, MAX_DATAGRAM_BYTES};
 use sardinepick_wire::part_quarantine::{CrashReport, Message};
-use sardinepick_wire::schedule::{MAX_LESSONS, MAX_LOADS, MAX_READINGS, Report, Schedule};
+use sardinepick_wire::schedule::{
+    MAX_LESSONS, MAX_LOADS, MAX_READINGS, MAX_SETTLEMENTS, Report, Schedule,
+};
 
 fn runner(name: &str) -> RunnerId {
     name.parse().expect("valid id")
@@ -42,6 +45,8 @@
         work: Work { chain: Chain::new("m", parts.into_iter()), prompt: 13_960, output: 60 },
         skip: [runner("i-7f3a91c2"), runner("i-84cbbbb986")].into_iter().collect(),
         version: Some("v1.1".parse().expect("valid version")),
+        account: Account(u64::MAX),
+        waited: Duration::from_micros(98_765),
         step,
     }
 }
@@ -83,6 +88,18 @@
     assert!(Heartbeat::decode(&bytes, Era(1)).is_err(), "must not decode as a heartbeat");
 }
 
+#[test]
+fn decode_settled_round_trip_and_bounds() {
+    let node = "edge-zaal-hofvijver-17".parse().expect("valid id");
+    let usage = Usage { prefill: 0.5, decode: 2.25, memory: 1e6 };
+    let settlements = (0..MAX_SETTLEMENTS as u64).map(|n| (u64::MAX - n, usage)).collect();
+    round_trip(&Schedule::Settled { node, usage: settlements });
+    let node = "edge-1".parse().expect("valid id");
+    let negative = vec![(1, Usage { prefill: -1.0, ..usage })];
+    let bytes = Schedule::Settled { node, usage: negative }.encode();
+    assert!(Schedule::decode(&bytes).is_err(), "a negative use would be a refund");
+}
+
 #[test]
 fn decode_query_round_trip() {
     let go_on = Step::Continue { prefill_runner: runner("i-2"), class: Class::LATE };
@@ -113,6 +130,8 @@
         None,
         Some(Decision::NoRunner),
         Some(Decision::RateLimited(Duration::from_millis(250))),
+        Some(Decision::Waiting(Duration::from_millis(100))),
+        Some(Decision::Refused { reason: Reason::Share, retry: Duration::from_millis(700) }),
         Some(Decision::Continue(runner("i-9"))),
         Some(Decision::Late(whole.clone())),
         Some(Decision::Placed { placement: whole, class: Class::LATE }),
