--- a/node/src/serve/scheduler.rs
+++ b/node/src/serve/scheduler.rs
@@ -213,7 +213,9 @@
         register.pool_of(&query.service, &query.work)
     };
     let began = shared.clock.now();
-    let limit = began + query.terms.useful_within();
+    // Work that has run does not wait, whatever a scheduler says.
+    let may_wait = shared.fair_share.applies(&query);
+    let limit = if may_wait { began + query.terms.useful_within() } else { began };
     let mut asked_at = began;
     for _ in 0..MAX_QUERIES {
         let now = shared.clock.now();
--- a/node/tests/fair_share.rs
+++ b/node/tests/fair_share.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests of fair shares among client accounts.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::StatusCode;
@@ -49,7 +50,21 @@
 /// Guards against an account whose burst takes the capacity of another.
 #[tokio::test]
 async fn burst_of_one_account_leaves_other_its_share() {
-    let set = std::sync::Arc::new(deployment(2, true).await);
+    let (statuses, slowest) = serve_burst().await;
+    assert_eq!(statuses.get(&("key-2", Some(StatusCode::OK))), Some(&8), "{statuses:?}");
+    assert_eq!(statuses.values().sum::<usize>(), 168, "every request has an answer");
+    assert!(statuses.keys().all(|(_, status)| status.is_some()), "{statuses:?}");
+    // The objective of the route is 500 ms.
+    assert!(slowest < Duration::from_millis(500), "{slowest:?}");
+}
+
+/// Statuses by key.
+type Statuses = HashMap<(&'static str, Option<StatusCode>), usize>;
+
+/// Serves a burst of one account and a few requests of another. Returns all statuses and the longest
+/// time of the other account.
+async fn serve_burst() -> (Statuses, Duration) {
+    let set = Arc::new(deployment(2, true).await);
     let mut tasks = JoinSet::new();
     for request in 0..160 {
         let set = set.clone();
@@ -67,16 +82,15 @@
             ("key-2", send(&set, request as usize % 2, &id, "key-2").await)
         });
     }
-    let mut statuses: HashMap<(&str, Option<StatusCode>), usize> = HashMap::new();
+    let (mut statuses, mut slowest) = (Statuses::new(), Duration::ZERO);
     while let Some(done) = tasks.join_next().await {
-        let (key, (status, _)) = done.expect("a request task");
+        let (key, (status, took)) = done.expect("a request task");
         *statuses.entry((key, status)).or_default() += 1;
+        if key == "key-2" {
+            slowest = slowest.max(took);
+        }
     }
-    println!("{statuses:?}");
-    assert_eq!(statuses.get(&("key-2", Some(StatusCode::OK))), Some(&8), "{statuses:?}");
-    let answered: usize = statuses.values().sum();
-    assert_eq!(answered, 168, "every request has an answer");
-    assert!(statuses.keys().all(|(_, status)| status.is_some()), "{statuses:?}");
+    (statuses, slowest)
 }
 
 /// Guards against work that is placed by account where shares are disabled.
--- a/node/tests/scheduler.rs
+++ b/node/tests/scheduler.rs
@@ -1,6 +1,7 @@
 //! Faulty pool schedulers: the node with the caller still answers, and has each request run at most
 //! once.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,17 +14,23 @@
 use sardinepick_lib::id::{ConfigVersion, NodeId, RunnerId, ServiceId};
 use sardinepick_testutils::cluster::{free_address, own_ip, wait_until};
 use sardinepick_testutils::fleet::caller::RequestSpec;
-use sardinepick_testutils::fleet::deployment::{Deployment, MODEL_SERVICE, PLAIN_SERVICE};
+use sardinepick_testutils::fleet::deployment::{
+    Deployment, MODEL_SERVICE, PLAIN_SERVICE, with_accounts,
+};
 use sardinepick_testutils::fleet::heartbeat;
 use sardinepick_testutils::fleet::runner::Runner;
 use sardinepick_testutils::fleet::signal::Signals;
 use sardinepick_wire::schedule::Schedule;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
-const GENERATION: [(&str, &str); 3] =
-    [("model", "m"), ("token-count", "1460,80"), ("prompt-prefix", "5c1e:800,91bd:410,e440:250")];
+const GENERATION: [(&str, &str); 4] = [
+    ("model", "m"),
+    ("token-count", "1460,80"),
+    ("prompt-prefix", "5c1e:800,91bd:410,e440:250"),
+    ("credential", "key-1"),
+];
 
 /// The behaviour of the scheduler when it is asked.
 #[derive(Clone, Debug)]
@@ -42,6 +49,12 @@
     Garbage,
     /// It refuses all requests.
     Refusing,
+    /// It tells the node to wait and then answers.
+    Waiting(RunnerId),
+    /// It tells the node to wait once, and is then silent: it has died with its queue.
+    WaitingThenSilent,
+    /// It tells the node to wait whenever it is asked.
+    WaitingForever,
 }
 
 /// A node id that makes the faulty scheduler, and not the node, the scheduler of all services'
@@ -67,6 +80,10 @@
     Decision::Placed { placement, class: Class::of_rank(1) }
 }
 
+fn waiting() -> Option<Decision> {
+    Some(Decision::Waiting(Duration::from_millis(100)))
+}
+
 fn answers(behaviour: &Behaviour, number: u64, step: &Step) -> Vec<Vec<u8>> {
     let one = |decision| Schedule::Answer { number, decision }.encode();
     let decided = |runner: &RunnerId| match step {
@@ -80,6 +97,8 @@
         Behaviour::UnknownService => vec![one(None)],
         Behaviour::Garbage => vec![vec![0; 40], vec![0, 255, 255], Vec::new()],
         Behaviour::Refusing => vec![one(Some(Decision::NoRunner))],
+        Behaviour::Waiting(runner) => vec![one(waiting()), decided(runner)],
+        Behaviour::WaitingThenSilent | Behaviour::WaitingForever => vec![one(waiting())],
     }
 }
 
@@ -94,6 +113,7 @@
     let socket = UdpSocket::bind(address).await.expect("a free address");
     let heartbeat = heartbeat::ready(id_of_scheduler(node), address, ConfigVersion(0));
     let (asked, queries) = mpsc::unbounded_channel();
+    let mut numbers = HashSet::new();
     tokio::spawn(async move {
         let mut buffer = [0; 2_048];
         loop {
@@ -105,6 +125,10 @@
                     let Ok(Schedule::Query { number, query, .. }) =
                         Schedule::decode(&buffer[..length]) else { continue };
                     let _ = asked.send(());
+                    let is_repeated = !numbers.insert(number);
+                    if is_repeated && matches!(behaviour, Behaviour::WaitingThenSilent) {
+                        continue;
+                    }
                     if let Behaviour::Late(_) = behaviour {
                         sleep(Duration::from_millis(120)).await;
                     }
@@ -121,6 +145,17 @@
 /// Sends generations to a node whose scheduler has this behaviour; returns how often it was asked.
 async fn serve_with_scheduler(behaviour: impl Fn(&[Runner]) -> Behaviour) -> usize {
     let set = Deployment::new().await.with_engines(1, 2).await.with_nodes(1).await;
+    serve(&set, behaviour).await
+}
+
+/// A deployment with client accounts and fair shares.
+async fn with_shares() -> Deployment {
+    let set = Deployment::new().await.with_fair_shares(true);
+    set.store.put("config", "main", &with_accounts(1, &[("kitchen", &["key-1"], None)]));
+    set.with_engines(1, 2).await.with_nodes(1).await
+}
+
+async fn serve(set: &Deployment, behaviour: impl Fn(&[Runner]) -> Behaviour) -> usize {
     let shared = set.nodes[0].shared.clone();
     let behaviour = behaviour(&set.runners);
     let mut queries = add_faulty_scheduler(&shared.me.id, shared.me.peer, behaviour.clone()).await;
@@ -162,6 +197,44 @@
     assert!(asked <= 6, "asked {asked} times without an answer");
 }
 
+/// Guards against a final decision that is lost because the node has been told to wait.
+#[tokio::test]
+async fn decide_scheduler_answers_after_waiting_run_once() {
+    let set = with_shares().await;
+    let asked = serve(&set, |runners| Behaviour::Waiting(decoder(runners))).await;
+    // Twelve requests, of which half have a second step; none is asked again.
+    assert!(asked <= 24, "asked {asked} times");
+}
+
+/// Guards against requests that wait for a scheduler that has died with its queue.
+#[tokio::test]
+async fn decide_scheduler_dies_while_request_waits_node_places() {
+    serve(&with_shares().await, |_| Behaviour::WaitingThenSilent).await;
+}
+
+/// Guards against a request that waits beyond the time in which its answer is useful.
+#[tokio::test]
+async fn decide_scheduler_never_decides_node_places_in_time() {
+    let set = with_shares().await;
+    let shared = set.nodes[0].shared.clone();
+    let behaviour = Behaviour::WaitingForever;
+    let mut queries = add_faulty_scheduler(&shared.me.id, shared.me.peer, behaviour).await;
+    wait_until("the faulty scheduler is known", async || {
+        shared.roster().ready_contacts().len() == 1
+    })
+    .await;
+    sleep(Duration::from_millis(80)).await;
+    let began = Instant::now();
+    let ask = RequestSpec { headers: &GENERATION, ..RequestSpec::new("/count/a", "s1") };
+    let answer = set.send(0, &ask).await;
+    let took = began.elapsed();
+    assert_eq!(answer.status, Some(StatusCode::OK));
+    // The caller waits for 2 s without receiving anything.
+    assert!(took < Duration::from_millis(2_000), "{took:?}");
+    let asked = std::iter::from_fn(|| queries.try_recv().ok()).count();
+    assert!((10..40).contains(&asked), "asked {asked} times in {took:?}");
+}
+
 #[tokio::test]
 async fn decide_scheduler_late_run_once() {
     serve_with_scheduler(|runners| Behaviour::Late(decoder(runners))).await;
