--- a/node/src/fair_share/meter.rs
+++ b/node/src/fair_share/meter.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use sardinepick_lib::fleet::share::Usage;
 
@@ -37,9 +37,9 @@
         self.report(previous);
     }
 
-    /// Records prefill.
-    pub fn add_prefill(&self, duration: Duration) {
-        self.add(Usage { prefill: duration.as_secs_f64(), ..Usage::default() });
+    /// Starts to measure a prefill that is predicted to begin in `wait` seconds.
+    pub fn prefill(self: &Arc<Self>, wait: f64) -> PrefillMeter {
+        PrefillMeter { meter: self.clone(), wait, began: self.shares.clock.now() }
     }
 
     /// Starts to record a stream that holds `tokens` of memory, until the result is dropped.
@@ -69,6 +69,23 @@
     }
 }
 
+/// Measures a prefill. Work that is given up before its first event is charged for the time until
+/// then, so that an account cannot use runners for free by leaving early.
+pub struct PrefillMeter {
+    meter: Arc<Meter>,
+    wait: f64,
+    began: Instant,
+}
+
+impl PrefillMeter {
+    /// Records that the prefill has ended.
+    pub fn record(self) {
+        let now = self.meter.shares.clock.now();
+        let held = now.saturating_duration_since(self.began).as_secs_f64();
+        self.meter.add(Usage { prefill: (held - self.wait).max(0.0), ..Usage::default() });
+    }
+}
+
 /// Records a stream while it runs.
 pub struct StreamMeter {
     meter: Arc<Meter>,
--- a/node/src/fair_share/mod.rs
+++ b/node/src/fair_share/mod.rs
@@ -25,7 +25,7 @@
 mod memory;
 mod meter;
 
-pub use meter::{Charge, Meter, StreamMeter};
+pub use meter::{Charge, Meter, PrefillMeter, StreamMeter};
 
 /// After how long a node that was told to wait asks again (wire protocol).
 pub const ASK_AGAIN: Duration = Duration::from_millis(100);
@@ -264,7 +264,11 @@
         let now = self.clock.now();
         let mut state = self.state();
         let Some(open) = state.open.remove(asker) else { return };
-        if let Some(queue) = state.queues.get_mut(&open.pool) {
+        let Some(queue) = state.queues.get_mut(&open.pool) else { return };
+        if usage == Usage::default() {
+            // It reached no runner, which says nothing of the costs that the account announces.
+            queue.cancel(open.ticket, now);
+        } else {
             queue.settle(open.ticket, usage.cost(open.runner), now);
         }
     }
@@ -283,6 +287,18 @@
         }
     }
 
+    /// The number of charges that await their correction.
+    pub fn open_charges(&self) -> usize {
+        self.state().open.len()
+    }
+
+    /// What an account used of late in the pools that this node schedules, in time of one runner.
+    pub fn recent(&self, account: Account) -> Duration {
+        let state = self.state();
+        let used = state.queues.values().map(|queue| queue.ledger().recent(account).secs());
+        Duration::from_secs_f64(used.sum())
+    }
+
     /// Takes what has to be sent to schedulers.
     pub fn take_unsent(&self) -> HashMap<SocketAddr, Vec<(u64, Usage)>> {
         std::mem::take(&mut self.state().unsent)
--- a/node/src/serve/generation/prefill.rs
+++ b/node/src/serve/generation/prefill.rs
@@ -79,6 +79,7 @@
         let request = self.runner_request(id, CallKind::Prefill, cost.class, fetch);
         self.note_cached(&reservation, Progress::Started);
         reservation.expect(placement, placement.prefill_end);
+        reservation.meter_prefill(self.meter.prefill(placement.prefill_start));
         let is_first = {
             let mut attempts = self.attempts();
             attempts.prefills += 1;
@@ -105,7 +106,6 @@
                     predicted_ms = millis(placement.prefill_end),
                     held_ms = reservation.held().as_millis() as u64; "prompt read"
                 );
-                self.meter.add_prefill(reservation.prefill_time());
                 reservation.learn_expected();
                 self.note_cached(&reservation, Progress::Prefilled);
                 Ok(Some(handle))
--- a/node/src/serve/generation/run.rs
+++ b/node/src/serve/generation/run.rs
@@ -105,6 +105,7 @@
         if is_whole {
             self.note_cached(&reservation, Progress::Started);
             reservation.expect(&placed.placement, placed.placement.first_event);
+            reservation.meter_prefill(self.meter.prefill(placed.placement.prefill_start));
         }
         // Once a run may have started, its runner owns the KV cache.
         let handle = cache.as_mut().and_then(KvHandleGuard::disarm);
@@ -293,7 +294,6 @@
         self.stream_meter = Some(generation.meter.stream(generation.work.footprint()));
         self.reservation.note_prefilled();
         if self.is_whole {
-            generation.meter.add_prefill(self.reservation.prefill_time());
             self.reservation.learn_expected();
         }
         generation.note_cached(&self.reservation, Progress::Prefilled);
--- a/node/src/serve/reservation.rs
+++ b/node/src/serve/reservation.rs
@@ -16,6 +16,7 @@
 use sardinepick_lib::id::RunnerId;
 
 use crate::dispatch::Target;
+use crate::fair_share::PrefillMeter;
 use crate::serve::connection::SendError;
 use crate::serve::delivery::Delivery;
 use crate::serve::shared::Shared;
@@ -55,6 +56,7 @@
     /// Whether another attempt has made the work unnecessary.
     superseded: Superseded,
     delivery: Delivery,
+    prefill_meter: Option<PrefillMeter>,
 }
 
 /// Whether an attempt is cancelled because another one has made it unnecessary, which says nothing
@@ -93,6 +95,7 @@
             expected: None,
             superseded: Superseded::default(),
             delivery: Delivery::new(&shared.metrics.undelivered_reservations),
+            prefill_meter: None,
         }
     }
 
@@ -130,6 +133,9 @@
 
     /// Records that the prompt has been processed.
     pub fn note_prefilled(&mut self) {
+        if let Some(meter) = self.prefill_meter.take().filter(|_| self.is_sent()) {
+            meter.record();
+        }
         if let Some(registration) = self.registration.as_ref().filter(|_| !self.prefilled) {
             self.shared.register().note_prefilled(registration, self.cost);
             self.shared.scheduling.note_change(Tag::of(&registration.id, registration.born));
@@ -159,11 +165,9 @@
         self.expected = Some((placement.clone(), predicted));
     }
 
-    /// The time that the runner has spent on the prompt, if it started as predicted; zero if nothing
-    /// was predicted.
-    pub fn prefill_time(&self) -> Duration {
-        let Some((placement, _)) = &self.expected else { return Duration::ZERO };
-        self.held().saturating_sub(Duration::from_secs_f64(placement.prefill_start.max(0.0)))
+    /// Measures the prefill until the prompt has been processed or the work ends.
+    pub fn meter_prefill(&mut self, meter: PrefillMeter) {
+        self.prefill_meter = Some(meter);
     }
 
     /// Records that the predicted result has arrived.
--- a/node/tests/fair_share.rs
+++ b/node/tests/fair_share.rs
@@ -6,10 +6,12 @@
 
 use http::StatusCode;
 use sardinepick_node::serve::settings::Settings;
+use sardinepick_testutils::cluster::wait_until;
 use sardinepick_testutils::fleet::caller::RequestSpec;
 use sardinepick_testutils::fleet::deployment::{Deployment, with_accounts};
+use sardinepick_testutils::fleet::runner::Faults;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 const KITCHEN: (&str, &[&str], Option<u8>) = ("kitchen", &["key-1"], Some(1));
 const CELLAR: (&str, &[&str], Option<u8>) = ("cellar", &["key-2"], Some(1));
@@ -111,3 +113,24 @@
     let expected = "[fair_shares] enabled: \"maybe\" is not accepted; accepted: true or false";
     assert!(error.to_string().contains(expected), "{error}");
 }
+
+/// Guards against charges that stay as estimated, and against work that is free for a caller that
+/// leaves before its first event.
+#[tokio::test]
+async fn request_charged_what_it_used_also_if_its_caller_leaves() {
+    let set = deployment(1, true).await;
+    assert_eq!(send(&set, 0, "g1", "key-1").await.0, Some(StatusCode::OK));
+    let shares = &set.nodes[0].shared.fair_share;
+    wait_until("the charge is settled", async || shares.open_charges() == 0).await;
+    assert!(shares.recent(shares.account(Some("kitchen"))) > Duration::ZERO);
+    for runner in &set.runners {
+        runner.set_faults(Faults { hang: true, ..Faults::default() });
+    }
+    let before = shares.recent(shares.account(Some("cellar")));
+    assert_eq!(before, Duration::ZERO);
+    let left = timeout(Duration::from_millis(300), send(&set, 0, "g2", "key-2")).await;
+    assert!(left.is_err(), "the runners hang");
+    wait_until("the charge is settled", async || shares.open_charges() == 0).await;
+    let used = shares.recent(shares.account(Some("cellar")));
+    assert!(used > Duration::from_millis(100), "{used:?}");
+}
