--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -37,6 +37,7 @@
 pub mod route;
 pub mod runner;
 pub mod scheduler;
+pub mod share;
 pub mod stream_binding;
 pub mod suspect;
 pub mod timeout;
--- a/lib/tests/model_placement.rs
+++ b/lib/tests/model_placement.rs
@@ -13,6 +13,7 @@
 use sardinepick_lib::fleet::register::Register;
 use sardinepick_lib::fleet::runner::{Entry, State};
 use sardinepick_lib::fleet::scheduler::{self, Decision, Firmness, Observation, Query, Step};
+use sardinepick_lib::fleet::share::Account;
 use sardinepick_lib::history::Point;
 use sardinepick_lib::id::{NodeId, RunnerId};
 
@@ -78,6 +79,8 @@
 
 fn query(name: &str, tokens: u64, objective: Duration) -> Query {
     Query {
+        account: Account::NONE,
+        waited: Duration::ZERO,
         service: "telraad".parse().expect("an id"),
         data_centre: "zaal-dom".parse().expect("an id"),
         terms: Terms {
--- a/node/src/serve/generation/run.rs
+++ b/node/src/serve/generation/run.rs
@@ -23,6 +23,7 @@
 use super::attempts::Arrival;
 use super::prefill::KvHandleGuard;
 use super::{Generation, MAX_ANSWER_BYTES};
+use crate::fair_share::StreamMeter;
 use crate::part_quarantine;
 use crate::serve::connection::{Answer, Lease};
 use crate::serve::reservation::{Reservation, Step};
@@ -104,6 +105,7 @@
         if is_whole {
             self.note_cached(&reservation, Progress::Started);
             reservation.expect(&placed.placement, placed.placement.first_event);
+            reservation.meter_prefill(self.meter.prefill(placed.placement.prefill_start));
         }
         // Once a run may have started, its runner owns the KV cache.
         let handle = cache.as_mut().and_then(KvHandleGuard::disarm);
@@ -220,6 +222,8 @@
     /// The version of the runner's software, from its entry when the request was sent.
     pub version: Version,
     active_stream: Option<ActiveStream>,
+    /// Measures the use of the stream from its first event.
+    stream_meter: Option<StreamMeter>,
     /// The permit for the run until it has made progress, if a part of the prompt is restricted.
     permit: Option<part_quarantine::Permit>,
     /// The number of events so far.
@@ -247,6 +251,7 @@
             started_at: None,
             version,
             active_stream: None,
+            stream_meter: None,
             permit: None,
             events: 0,
         }
@@ -287,6 +292,7 @@
         let generation = &self.generation;
         self.started_at = Some(generation.now());
         self.active_stream = Some(ActiveStream::new(generation));
+        self.stream_meter = Some(generation.meter.stream(generation.work.footprint()));
         self.reservation.note_prefilled();
         if self.is_whole {
             self.reservation.learn_expected();
--- a/node/src/serve/settings.rs
+++ b/node/src/serve/settings.rs
@@ -56,13 +56,15 @@
     pub capacity_policy: Policy,
     /// What the node has, from which the bounds of what it holds are derived; `None` for no bounds.
     pub limits: Option<Resources>,
+    /// Whether the capacity of pools is shared fairly among client accounts.
+    pub fair_shares: bool,
     /// The least severe level that is logged.
     pub log_level: LevelFilter,
     /// The log format.
     pub log_format: LogFormat,
 }
 
-const SECTIONS: [(&str, &[&str]); 11] = [
+const SECTIONS: [(&str, &[&str]); 12] = [
     ("node", &["name", "data_centre", "front", "ready", "lookup", "peer", "metrics", "seeds"]),
     ("store", &["address"]),
     ("retry", &["ratio", "allowance", "window_s"]),
@@ -73,16 +75,17 @@
     ("runner_model", &["enabled"]),
     ("capacity", &["policy"]),
     ("limits", &LIMIT_KEYS),
+    ("fair_shares", &["enabled"]),
     ("log", &["level", "format"]),
 ];
 /// The keys of the section `[limits]`.
 const LIMIT_KEYS: [&str; 3] = ["memory_mb", "descriptors", "link_mbps"];
 
 const ID_FORM: &str = "text of 1 to 256 bytes";
+const SWITCH_FORM: &str = "true or false";
 const RATIO_FORM: &str = "a number from 0 to 10";
 const ALLOWANCE_FORM: &str = "a number from 0 to 1000000";
 const MILLIS_FORM: &str = "a whole number of milliseconds from 1 to 3600000";
-const SWITCH_FORM: &str = "true or false";
 const POLICY_FORM: &str = "initial or measured";
 const AMOUNT_FORM: &str = "a number from 1 to 10000000";
 const SECONDS_FORM: &str = "a number of seconds from 0.1 to 3600";
@@ -168,6 +171,7 @@
     let runner_model = r.optional("runner_model", "enabled", SWITCH_FORM, parse_value);
     let capacity_policy = r.optional("capacity", "policy", POLICY_FORM, parse_value);
     let limits = limits(r);
+    let fair_shares = r.optional("fair_shares", "enabled", SWITCH_FORM, parse_value);
     let log_level = r.optional("log", "level", LEVEL_FORM, parsed);
     let log_format = r.optional("log", "format", FORMAT_FORM, parsed);
     Some(Settings {
@@ -193,6 +197,7 @@
         runner_model: runner_model.unwrap_or(false),
         capacity_policy: capacity_policy.unwrap_or_default(),
         limits,
+        fair_shares: fair_shares.unwrap_or(false),
         log_level: log_level.unwrap_or(LevelFilter::Info),
         log_format: log_format.unwrap_or(LogFormat::Json),
     })
--- a/testutils/src/fleet/deployment.rs
+++ b/testutils/src/fleet/deployment.rs
@@ -62,6 +62,8 @@
     pub runner_model: bool,
     /// The limits in the settings of nodes.
     pub limits: Option<Resources>,
+    /// Whether nodes share capacity fairly among client accounts.
+    pub fair_shares: bool,
     /// The network between nodes and runners.
     pub network: Network,
 }
@@ -151,6 +153,7 @@
         runner_model: false,
         capacity_policy: Policy::default(),
         limits: None,
+        fair_shares: false,
         log_level: LevelFilter::Info,
         log_format: LogFormat::Json,
     }
@@ -168,7 +171,6 @@
         let platform = None;
         let (caller, budget) = (Caller::default(), DEFAULT_BUDGET);
         let network = Network::default();
-        let runner_model = false;
         Self {
             store,
             runners,
@@ -177,8 +179,9 @@
             caller,
             platform,
             budget,
-            runner_model,
+            runner_model: false,
             limits: None,
+            fair_shares: false,
             network,
         }
     }
@@ -201,11 +204,18 @@
     /// Enables the runner model at nodes that are started later.
     pub fn with_runner_model(self) -> Self {
         Self { runner_model: true, ..self }
+    }
+
     /// Sets the limits of nodes that are started later.
     pub fn with_limits(self, limits: Resources) -> Self {
         Self { limits: Some(limits), ..self }
     }
 
+    /// Sets whether nodes that are started later share capacity fairly among client accounts.
+    pub fn with_fair_shares(self, fair_shares: bool) -> Self {
+        Self { fair_shares, ..self }
+    }
+
     /// Settings for a node of this deployment.
     pub fn settings(&self, name: &str, seeds: Vec<SocketAddr>) -> Settings {
         let settings = settings(name, self.store.address(), seeds);
@@ -216,6 +226,7 @@
             budget: self.budget,
             runner_model: self.runner_model,
             limits: self.limits,
+            fair_shares: self.fair_shares,
             ..settings
         }
     }
--- a/testutils/src/measure/mod.rs
+++ b/testutils/src/measure/mod.rs
@@ -9,6 +9,7 @@
 pub mod runner_choice;
 pub mod scale;
 pub mod scheduling_time;
+pub mod share;
 pub mod waking;
 pub mod workloads;
 pub mod write_conflicts;
@@ -24,5 +25,6 @@
     figures.extend(write_conflicts::measure());
     figures.extend(nodes::measure(thorough));
     figures.extend(roles::measure(thorough));
+    figures.extend(share::measure());
     figures
 }
--- a/testutils/src/measure/scheduling_time.rs
+++ b/testutils/src/measure/scheduling_time.rs
@@ -12,6 +12,7 @@
 use sardinepick_lib::fleet::register::Register;
 use sardinepick_lib::fleet::runner::{Entry, State, Tag};
 use sardinepick_lib::fleet::scheduler::{self, Firmness, Observation, Query, Step};
+use sardinepick_lib::fleet::share::Account;
 use sardinepick_lib::history::Point;
 use sardinepick_lib::id::RunnerId;
 
@@ -67,6 +68,8 @@
 fn query() -> Query {
     let parts = [("manual", 9_000), ("chapter", 400), ("question", 300)];
     Query {
+        account: Account::NONE,
+        waited: Duration::ZERO,
         service: "telraad".parse().expect("a valid id"),
         data_centre: "zaal-dom".parse().expect("a valid id"),
         terms: Terms {
