scale: one loop that releases runners

Regular runners that are replaced and reclaimable ones in excess were released by two copies of the same loop over the data centres.

--- a/lib/src/scale/plan.rs
+++ b/lib/src/scale/plan.rs
@@ -160,18 +160,31 @@
         need: u32,
         orders: &mut SmallVec<[Order; 8]>,
     ) {
-        let Inputs { now, scaling, supply } = *inputs;
-        let replacements: u32 = supply.iter().map(|s| s.serving[1]).sum();
-        let mut spare = inputs.serving().saturating_sub(need).min(replacements);
-        for data_centre in scaling.by_price().into_iter().rev() {
-            let have = supply[data_centre].ready[0];
-            let fewer = have.saturating_sub(target.regular).min(spare);
+        let replacements: u32 = inputs.supply.iter().map(|s| s.serving[1]).sum();
+        let spare = inputs.serving().saturating_sub(need).min(replacements);
+        self.decrease(inputs, Kind::Regular, |_| target.regular, spare, orders);
+    }
+
+    /// Releases at most `spare` runners of a kind beyond the target of each data centre, in the most
+    /// expensive data centres first. Returns whether any are released.
+    fn decrease(
+        &mut self,
+        inputs: &Inputs<'_>,
+        kind: Kind,
+        target: impl Fn(usize) -> u32,
+        spare: u32,
+        orders: &mut SmallVec<[Order; 8]>,
+    ) -> bool {
+        let mut left = spare;
+        for data_centre in inputs.scaling.by_price().into_iter().rev() {
+            let have = inputs.supply[data_centre].ready[kind.index()];
+            let fewer = have.saturating_sub(target(data_centre)).min(left);
             if fewer > 0 {
-                spare -= fewer;
-                let wanted = Order { data_centre, kind: Kind::Regular, count: have - fewer };
-                self.order(now, wanted, orders);
+                left -= fewer;
+                self.order(inputs.now, Order { data_centre, kind, count: have - fewer }, orders);
             }
         }
+        left < spare
     }
 
     /// Releases reclaimable runners beyond the target gradually, in the most expensive data centres
@@ -183,7 +196,7 @@
         need: u32,
         orders: &mut SmallVec<[Order; 8]>,
     ) {
-        let Inputs { now, scaling, supply } = *inputs;
+        let Inputs { now, supply, .. } = *inputs;
         let serving: u32 = supply.iter().map(|s| s.serving[1]).sum();
         let excess = serving.saturating_sub(target.reclaimable.iter().sum());
         let is_recent = |at: Instant| now.saturating_duration_since(at) < RELEASE_PERIOD;
@@ -191,16 +204,10 @@
             return;
         }
         let most = (f64::from(inputs.serving()) * MAX_RELEASED) as u32;
-        let mut left = excess.min(most.max(1));
-        for data_centre in scaling.by_price().into_iter().rev() {
-            let have = supply[data_centre].ready[1];
-            let fewer = have.saturating_sub(target.reclaimable[data_centre]).min(left);
-            if fewer > 0 {
-                left -= fewer;
-                self.released_at = Some(now);
-                let wanted = Order { data_centre, kind: Kind::Reclaimable, count: have - fewer };
-                self.order(now, wanted, orders);
-            }
+        let spare = excess.min(most.max(1));
+        let target = |data_centre: usize| target.reclaimable[data_centre];
+        if self.decrease(inputs, Kind::Reclaimable, target, spare, orders) {
+            self.released_at = Some(inputs.now);
         }
     }
 
