rank: one place that limits ranks to their levels

The queue and the ledger of fair shares limited the ranks of accounts and routes again. They now ask Rank. Behaviour is unchanged; share and fleet pass.

--- a/lib/src/fleet/rank.rs
+++ b/lib/src/fleet/rank.rs
@@ -26,8 +26,16 @@
     /// `LEVELS * LEVELS - 1`. An account without a rank is treated as one with the rank of the
     /// route.
     pub fn level(self) -> u8 {
-        let route = self.route.min(LEVELS - 1);
-        let account = self.account.map_or(route, |rank| rank.min(LEVELS - 1));
-        account * LEVELS + route
+        self.account_level() * LEVELS + self.route_level()
+    }
+
+    /// The level of the account, from 0.
+    pub fn account_level(self) -> u8 {
+        self.account.unwrap_or(self.route).min(LEVELS - 1)
+    }
+
+    /// The level of the route, from 0.
+    pub fn route_level(self) -> u8 {
+        self.route.min(LEVELS - 1)
     }
 }
--- a/lib/src/fleet/share/ledger.rs
+++ b/lib/src/fleet/share/ledger.rs
@@ -116,7 +116,7 @@
 
 impl Route {
     pub(super) fn of(rank: Rank) -> Self {
-        Self(rank.route.min(LEVELS - 1))
+        Self(rank.route_level())
     }
 
     pub(super) fn all() -> impl Iterator<Item = Route> + Clone {
--- a/lib/src/fleet/share/queue.rs
+++ b/lib/src/fleet/share/queue.rs
@@ -162,7 +162,7 @@
     /// it starts at once is decided by the following calls of [`Queue::release`].
     pub fn submit(&mut self, work: Work<T>, now: Instant) -> Vec<Refused<T>> {
         let mut refused = self.expire(now);
-        let key = (account_level(work.rank), work.account, Route::of(work.rank));
+        let key = (work.rank.account_level(), work.account, Route::of(work.rank));
         let mut work = work;
         work.latest_start = work.latest_start.min(now + self.bounds.wait);
         let timing = if work.due < now { Timing::Overdue } else { Timing::OnTime };
@@ -320,8 +320,3 @@
 fn keys_of(account: Account) -> impl Iterator<Item = Key> {
     (0..LEVELS).flat_map(move |level| Route::all().map(move |route| (level, account, route)))
 }
-
-/// The level of the account's rank. An account without a rank has the rank of the route.
-fn account_level(rank: Rank) -> u8 {
-    rank.account.unwrap_or(rank.route).min(LEVELS - 1)
-}
