configuration: objectives of services found once

The shortest objectives of a service were found by a walk over all routes (thousands, where each account has a host of its own) several times a second, also while the runner model was off, and the shortest objective of all was kept beside them. Both now come from one map that is built with the configuration. The two callers that derived the capacity of runners from it share Capacity::of. Behaviour is unchanged; fleet, model_register, roles and duties pass.

--- a/lib/src/fleet/balance.rs
+++ b/lib/src/fleet/balance.rs
@@ -10,13 +10,14 @@
 
 use super::engine::Stage;
 
-/// The prefill capacity of a runner under load without a learned rate, in prompt tokens per second (the rate in the
-/// reference specification including step times, at the speed of the slower runners, with the idle
-/// gaps that keep waits short).
+/// The prefill capacity of a runner under load, in prompt tokens per second, where none is learned
+/// (the rate in the reference specification including step times, at the speed of the slower
+/// runners, with the idle gaps that keep waits short).
 const PREFILL_RATE: f64 = 50_000.0;
 /// The number of concurrent streams that one decode runner serves with pauses between events well
 /// below the limits of the routes: with 48 streams a step takes about 8 ms.
 const STREAMS_PER_RUNNER: f64 = 48.0;
+
 /// What a runner can do.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Capacity {
--- a/lib/src/fleet/model/capacity.rs
+++ b/lib/src/fleet/model/capacity.rs
@@ -3,7 +3,7 @@
 use super::super::balance::{Capacity, Demand};
 use super::super::engine::{Engine, Stage};
 use super::super::register::Register;
-use super::super::route::Objectives;
+use super::super::route::{Configuration, Objectives, Service};
 use super::{Model, Terms};
 use crate::id::ServiceId;
 
@@ -26,6 +26,20 @@
 const MIN_STREAMS: f64 = 24.0;
 
 impl Capacity {
+    /// The capacity of the runners of a service by what is learned of them, or else the default.
+    pub fn of(
+        register: &Register,
+        configuration: &Configuration,
+        service: &Service,
+        demand: &Demand,
+    ) -> Self {
+        let objectives = configuration.objectives(&service.name);
+        let learned = service.engine.zip(objectives).and_then(|(engine, objectives)| {
+            Self::learned(register, &service.name, &engine, demand, objectives)
+        });
+        learned.unwrap_or_default()
+    }
+
     /// The capacity of the runners of a service by what is learned of them; `None` if the models are
     /// not enabled or the service has no runners.
     pub fn learned(
--- a/lib/src/fleet/route.rs
+++ b/lib/src/fleet/route.rs
@@ -100,6 +100,17 @@
     pub pause: Duration,
 }
 
+impl Objectives {
+    /// The shorter of each.
+    fn shortest(self, other: Self) -> Self {
+        let pauses = [self.pause, other.pause].into_iter().filter(|pause| !pause.is_zero());
+        Self {
+            first_event: self.first_event.min(other.first_event),
+            pause: pauses.min().unwrap_or_default(),
+        }
+    }
+}
+
 /// One service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
@@ -156,16 +167,11 @@
     pub accounts: Option<Directory>,
     /// The store's change that produced this configuration; the default until it is known.
     pub at: Point,
-    /// The shortest objective of a route with generations.
-    shortest_objective: Option<Duration>,
+    /// The objectives of the services with streams.
+    objectives: HashMap<ServiceId, Objectives>,
 }
 
 impl Configuration {
-    /// The shortest objective of a route with generations.
-    pub fn shortest_objective(&self) -> Option<Duration> {
-        self.shortest_objective
-    }
-
     /// Creates a configuration.
     pub fn new(
         version: ConfigVersion,
@@ -173,8 +179,7 @@
         services: Vec<Service>,
         limits: Limits,
     ) -> Self {
-        let streams = routes.iter().filter(|route| route.kind.is_stream());
-        let shortest_objective = streams.map(|route| route.objective).min();
+        let objectives = objectives_of(&routes);
         let mut by_host: HashMap<SmolStr, Vec<Route>> = HashMap::new();
         for route in routes {
             by_host.entry(route.host.clone()).or_default().push(route);
@@ -190,7 +195,7 @@
             limits,
             accounts: None,
             at: Point::default(),
-            shortest_objective,
+            objectives,
         }
     }
 
@@ -218,12 +223,12 @@
 
     /// The shortest objectives of the routes with streams to a service; `None` if there are none.
     pub fn objectives(&self, service: &ServiceId) -> Option<Objectives> {
-        let leads_to = |route: &&Route| route.targets.iter().any(|t| t.service == *service);
-        let routes = self.routes.values().flatten();
-        let streams = || routes.clone().filter(|r| r.kind.is_stream()).filter(leads_to);
-        let first_event = streams().map(|route| route.objective).min()?;
-        let pauses = streams().map(|route| route.pause).filter(|pause| !pause.is_zero());
-        Some(Objectives { first_event, pause: pauses.min().unwrap_or_default() })
+        self.objectives.get(service).copied()
+    }
+
+    /// The shortest objective of a route with streams.
+    pub fn shortest_objective(&self) -> Option<Duration> {
+        self.objectives.values().map(|objectives| objectives.first_event).min()
     }
 
     /// The number of routes.
@@ -232,6 +237,20 @@
     }
 }
 
+/// The objectives of each service that is the target of a route with streams.
+fn objectives_of(routes: &[Route]) -> HashMap<ServiceId, Objectives> {
+    let mut all: HashMap<ServiceId, Objectives> = HashMap::new();
+    for route in routes.iter().filter(|route| route.kind.is_stream()) {
+        let own = Objectives { first_event: route.objective, pause: route.pause };
+        for target in &route.targets {
+            all.entry(target.service.clone())
+                .and_modify(|objectives| *objectives = objectives.shortest(own))
+                .or_insert(own);
+        }
+    }
+    all
+}
+
 fn without_port(host: &str) -> &str {
     match host.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
--- a/node/src/serve/duty.rs
+++ b/node/src/serve/duty.rs
@@ -111,13 +111,9 @@
             supply[index].ready[kind] += 1;
             supply[index].serving[kind] += u32::from(runner.takes_work(now));
         }
-        let objectives = configuration.objectives(&service.name);
         let busy = shared.demand().get(&service.name).map_or(0.0, |demand| {
-            let learned = service.engine.zip(objectives).and_then(|(engine, objectives)| {
-                let register = shared.register();
-                Capacity::learned(&register, &service.name, &engine, demand, objectives)
-            });
-            demand.busy(nodes, &learned.unwrap_or_default())
+            let capacity = Capacity::of(&shared.register(), &configuration, service, demand);
+            demand.busy(nodes, &capacity)
         });
         Some(Service { name: service.name.clone(), scaling, supply, busy })
     });
--- a/node/src/serve/order.rs
+++ b/node/src/serve/order.rs
@@ -128,12 +128,7 @@
             let mut demands = self.shared.demand();
             let demand = demands.entry(service.name.clone()).or_default();
             demand.tick(now);
-            let objectives = configuration.objectives(&service.name);
-            let learned = objectives.and_then(|objectives| {
-                let register = self.shared.register();
-                Capacity::learned(&register, &service.name, &engine, demand, objectives)
-            });
-            let capacity = learned.unwrap_or_default();
+            let capacity = Capacity::of(&self.shared.register(), configuration, service, demand);
             if let Some(change) = decide(stage_counts, demand, nodes, engine.memory, &capacity)
                 && (change.urgent || !self.reverts_too_soon(&service.name, change.to, now))
             {
