scheduler: one path for nodes with and without limits; narrow handles for handing over models

The spread of predictions was asked for only to see whether the model is on. model_state imported the shared state of the node; it now takes contacts, and its sender and receiver stand beside the other datagrams. The pool of a query is found in one place. Behaviour is unchanged; scheduler, serve, fair_share, runner_model and holding of the node, and scheduler, placement and model tests of the library pass.

--- a/lib/src/fleet/runner.rs
+++ b/lib/src/fleet/runner.rs
@@ -339,12 +339,6 @@
         self.rates.map_or(1.0, |rates| rates.slowness(&self.deviation))
     }
 
-    /// The factor of a predicted time within which nine of ten observations are, if the model is
-    /// enabled.
-    pub fn spread(&self) -> Option<f64> {
-        self.rates.map(|rates| rates.spread.factor())
-    }
-
     /// What the successor of its scheduler starts with; `None` without the model.
     pub fn model_state(&self) -> Option<RunnerState> {
         self.rates.map(|rates| rates.runner_state(&self.deviation, self.entry.tag()))
--- a/lib/src/fleet/scheduler.rs
+++ b/lib/src/fleet/scheduler.rs
@@ -269,23 +269,21 @@
     if firmness == Firmness::Streaming || terms.on_time(placement.first_event) {
         return Decision::Placed { placement, class: terms.class };
     }
-    let is_acceptable = |p: &Placement| firmness != Firmness::New || is_useful(register, terms, p);
+    let is_useful = |first: f64, wait: f64| {
+        if register.models().is_some() {
+            terms.is_useful_by_forecast(first, wait)
+        } else {
+            terms.is_useful(first, wait)
+        }
+    };
+    let is_acceptable =
+        |p: &Placement| firmness != Firmness::New || is_useful(p.first_event, p.prefill_start);
     match place(Class::LATE).filter(is_acceptable) {
         Some(placement) => Decision::Placed { placement, class: Class::LATE },
         None => Decision::Late(placement),
     }
 }
 
-/// Whether late work that is placed so is still useful.
-fn is_useful(register: &Register, terms: &Terms, placement: &Placement) -> bool {
-    let (first, wait) = (placement.first_event, placement.prefill_start);
-    let (Plan::Whole { runner } | Plan::Split { prefill: runner, .. }) = &placement.plan;
-    match register.get(runner).and_then(Runner::spread) {
-        Some(_) => terms.is_useful_by_forecast(first, wait),
-        None => terms.is_useful(first, wait),
-    }
-}
-
 /// The maximum number of runners without room that a decision passes over. Runners with room are
 /// preferred anyway, so a second one is rarely found.
 const MAX_FULL: usize = 8;
@@ -301,27 +299,25 @@
     now: Instant,
     rng: &mut R,
 ) -> Decision {
+    let wait_at = |id: &RunnerId| room.wait(register.get(id)?, &query.work, engine, now);
+    let wait_for = |decision: &Decision| decision.chosen().into_iter().filter_map(wait_at).max();
     let first = decide_among(register, query, engine, plans, now, rng);
-    let Some(mut wait) = wait_for_room(register, &first, query, engine, room, now) else {
-        return first;
-    };
+    let Some(mut wait) = wait_for(&first) else { return first };
+    let is_full = |id: &&RunnerId| wait_at(id).is_some();
     let mut others = query.clone();
     if let Room::Share(_) = room {
         // Most runners are full for a node that decides alone.
-        others.skip.extend(full_runners(register, query, engine, room, now));
+        let all = register.of(&query.service).map(|runner| &runner.entry.id);
+        others.skip.extend(all.filter(is_full).cloned());
     }
     let mut decision = first.clone();
     for _ in 0..MAX_FULL {
-        let full = decision.chosen().into_iter().filter(|id| {
-            let runner = register.get(id);
-            runner.is_some_and(|r| room.wait(r, &query.work, engine, now).is_some())
-        });
-        others.skip.extend(full.cloned());
+        others.skip.extend(decision.chosen().into_iter().filter(is_full).cloned());
         decision = decide_among(register, &others, engine, plans, now, rng);
         if decision.chosen().is_empty() {
             break;
         }
-        match wait_for_room(register, &decision, query, engine, room, now) {
+        match wait_for(&decision) {
             None => return decision,
             Some(other) => wait = wait.min(other),
         }
@@ -329,34 +325,6 @@
     first.delayed(wait)
 }
 
-/// The runners of the service that have no room for the work.
-fn full_runners(
-    register: &Register,
-    query: &Query,
-    engine: &Engine,
-    room: Room<'_>,
-    now: Instant,
-) -> Vec<RunnerId> {
-    let full = register
-        .of(&query.service)
-        .filter(move |runner| room.wait(runner, &query.work, engine, now).is_some());
-    full.map(|runner| runner.entry.id.clone()).collect()
-}
-
-/// How long the chosen runners take until all of them have room; `None` if they have.
-fn wait_for_room(
-    register: &Register,
-    decision: &Decision,
-    query: &Query,
-    engine: &Engine,
-    room: Room<'_>,
-    now: Instant,
-) -> Option<Duration> {
-    let chosen = decision.chosen();
-    let runners = chosen.iter().filter_map(|id| register.get(id));
-    runners.filter_map(|runner| room.wait(runner, &query.work, engine, now)).max()
-}
-
 /// Records a decision made for another node: the work, until that node reports it, and the prompt
 /// that the runner now starts to prefill, so that the next request with the same prompt is placed
 /// there too.
--- a/node/src/serve/fair_queue.rs
+++ b/node/src/serve/fair_queue.rs
@@ -14,7 +14,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::fair_share::{ASK_AGAIN, Asker, Estimate, PoolKey, Reply, Verdict, Waiting};
-use crate::serve::scheduler::{Knowledge, decide_locally, take_over, transmit};
+use crate::serve::scheduler::{Knowledge, decide_locally, pool_of, take_over, transmit};
 use crate::serve::shared::Shared;
 
 /// The fraction of the shortest objective of a generation for which work may wait at a runner. It
@@ -31,8 +31,8 @@
 /// The maximum number of queries that are released at once.
 const MAX_RELEASED: usize = 32;
 
-/// Answers the query of another node. While it waits the node is told so; the decision is sent when
-/// it is made.
+/// Answers a query of another node: with the decision, or with [`Decision::Waiting`] if the query is
+/// queued. The decision is then sent later.
 pub async fn handle_query(shared: &Arc<Shared>, from: SocketAddr, asker: Asker, query: Box<Query>) {
     let number = asker.number;
     let known = shared.fair_share.recall(&asker, &query);
@@ -98,10 +98,6 @@
     shared.configuration.load_full()?.service(&query.service)?.engine
 }
 
-fn pool_of(shared: &Shared, query: &Query) -> PoolKey {
-    (query.service.clone(), shared.register().pool_of(&query.service, &query.work))
-}
-
 /// Estimates what a request takes from its predicted placement and the usual time of a stream at the
 /// runner.
 fn estimate(shared: &Shared, query: &Query, engine: &Engine, placement: &Placement) -> Estimate {
@@ -126,7 +122,7 @@
     query: Box<Query>,
     estimate: Estimate,
 ) {
-    let pool = pool_of(shared, &query);
+    let pool = (query.service.clone(), pool_of(shared, &query));
     take_over(shared, &query.service, pool.1);
     let waiting = Waiting { asker, reply, query, since: shared.clock.now(), estimate };
     for verdict in shared.fair_share.submit(&pool, waiting) {
--- a/node/src/serve/scheduler.rs
+++ b/node/src/serve/scheduler.rs
@@ -13,6 +13,7 @@
 use sardinepick_lib::fleet::engine::Engine;
 use sardinepick_lib::fleet::holding::runner::{Room, share};
 use sardinepick_lib::fleet::load::Load;
+use sardinepick_lib::fleet::model;
 use sardinepick_lib::fleet::placement::Plans;
 use sardinepick_lib::fleet::pool::Pool;
 use sardinepick_lib::fleet::register::PrefillReport;
@@ -205,14 +206,17 @@
     pub charge: Option<Charge>,
 }
 
+/// The pool to which the work of a query belongs.
+pub fn pool_of(shared: &Shared, query: &Query) -> Pool {
+    let mut register = shared.register();
+    register.assign_pools();
+    register.pool_of(&query.service, &query.work)
+}
+
 /// Places a request: asks the scheduler of its pool and, if that does not answer, places it by this
 /// node's own prediction.
 pub async fn decide(shared: &Arc<Shared>, mut query: Query, engine: &Engine) -> Decided {
-    let pool = {
-        let mut register = shared.register();
-        register.assign_pools();
-        register.pool_of(&query.service, &query.work)
-    };
+    let pool = pool_of(shared, &query);
     let began = shared.clock.now();
     // Work that has run does not wait, whatever a scheduler says.
     let may_wait = shared.fair_share.applies(&query);
@@ -345,11 +349,7 @@
 
 /// Places a request on a single runner, by this node's own prediction.
 pub fn decide_single_call(shared: &Shared, query: &Query, engine: &Engine) -> Decision {
-    let pool = {
-        let mut register = shared.register();
-        register.assign_pools();
-        register.pool_of(&query.service, &query.work)
-    };
+    let pool = pool_of(shared, query);
     let is_scheduler = pool_scheduler(shared, &query.service, pool) == PoolScheduler::Me;
     let knowledge = if is_scheduler { Knowledge::Whole } else { Knowledge::Own };
     decide_among(shared, query, engine, Plans::Whole, knowledge)
@@ -374,17 +374,15 @@
     knowledge: Knowledge,
 ) -> Decision {
     let now = shared.clock.now();
-    if !shared.holding.is_bounded() {
-        let mut register = shared.register();
-        register.assign_pools();
-        return scheduler::decide_among(&register, query, engine, plans, now, &mut *shared.rng());
-    }
-    let nodes = match knowledge {
-        Knowledge::Whole => Vec::new(),
-        Knowledge::Own => shared.roster().ids().cloned().collect(),
+    let is_bounded = shared.holding.is_bounded();
+    let nodes: Vec<NodeId> = if is_bounded && knowledge == Knowledge::Own {
+        shared.roster().ids().cloned().collect()
+    } else {
+        Vec::new()
     };
     let share = |runner: &RunnerId| share(runner, &shared.me.id, nodes.iter());
     let room = match knowledge {
+        _ if !is_bounded => Room::Preferred,
         Knowledge::Whole => Room::Known,
         Knowledge::Own => Room::Share(&share),
     };
@@ -485,7 +483,7 @@
         Ok(Schedule::FoundBinding { number, found }) => {
             shared.stream_bindings.handle_answer(number, found);
         }
-        Ok(Schedule::ModelState(state)) => model_state::receive(shared, &state),
+        Ok(Schedule::ModelState(state)) => adopt_model_state(shared, &state),
         Ok(Schedule::Part(message)) => shared.part_quarantine.handle(from, message).await,
         Ok(Schedule::Acquired { number, wait }) => shared.limiter.handle_reply(number, wait),
         Err(error) => log::warn!(peer:% = from, error:% = error; "invalid schedule datagram"),
@@ -538,14 +536,37 @@
     }
 }
 
-/// The pools that this node schedules, of those that it has been asked about.
-pub(super) fn scheduled_pools(shared: &Shared) -> Vec<(ServiceId, Pool)> {
-    let pools: Vec<(ServiceId, Pool)> =
+/// Hands what this node has learned of the runners of its pools to the nodes that would schedule
+/// the pools after it.
+async fn send_model_states(shared: &Shared) {
+    if shared.register().models().is_none() {
+        return;
+    }
+    let scheduled: Vec<(ServiceId, Pool)> =
         shared.scheduling.state().scheduled.keys().cloned().collect();
-    let is_mine = |(service, pool): &(ServiceId, Pool)| {
-        pool_scheduler(shared, service, *pool) == PoolScheduler::Me
-    };
-    pools.into_iter().filter(is_mine).collect()
+    for (service, pool) in scheduled {
+        if pool_scheduler(shared, &service, pool) != PoolScheduler::Me {
+            continue;
+        }
+        let successor = {
+            let roster = shared.roster();
+            model_state::successor(&roster.ready_contacts(), &shared.me.id, &service, pool)
+        };
+        let Some(peer) = successor else { continue };
+        let states = shared.register().model_states(&service, pool);
+        for state in states {
+            transmit(shared, peer, &Schedule::ModelState(state)).await;
+        }
+    }
+}
+
+/// Adopts what the scheduler of a pool has learned. A node that schedules the pool itself has learned
+/// more than one that does so by mistake.
+fn adopt_model_state(shared: &Shared, state: &model::State) {
+    let Some(runner) = state.runners.first() else { return };
+    if scheduler_of(shared, runner.runner).is_some() {
+        shared.register().adopt_model_state(state);
+    }
 }
 
 fn apply_report(shared: &Shared, report: &Report) {
@@ -575,7 +596,7 @@
                 }
                 let busy: Vec<Tag> = shared.register().busy_tags().collect();
                 shared.scheduling.state().updates.changed.extend(busy);
-                model_state::send(&shared).await;
+                send_model_states(&shared).await;
             }
             () = shared.scheduling.wake.notified() => {}
         }
@@ -633,7 +654,7 @@
 
 /// The address of the scheduler of a runner's pool; `None` if that is this node or the runner has
 /// no scheduler.
-pub(super) fn scheduler_of(shared: &Shared, tag: Tag) -> Option<SocketAddr> {
+fn scheduler_of(shared: &Shared, tag: Tag) -> Option<SocketAddr> {
     let (service, pool) = {
         let mut register = shared.register();
         register.assign_pools();
