--- a/lib/src/fleet/holding/ledger.rs
+++ b/lib/src/fleet/holding/ledger.rs
@@ -248,8 +248,8 @@
         number
     }
 
-    /// Whether new work is accepted; if not, the caller is told when to come back. Called when a
-    /// request arrives, before its body is read.
+    /// Checks whether new work is accepted; the error has the retry delay. Called when a request
+    /// arrives, before its body is read.
     ///
     /// # Errors
     /// What waits for the link, or for space, takes too long.
--- a/lib/tests/capacity_replay.rs
+++ b/lib/tests/capacity_replay.rs
@@ -86,7 +86,7 @@
     assert!(outcome.cost < 4_900.0, "{outcome:?}");
 }
 
-/// Guards against a measured requirement that leaves demand unserved or costs more than the initial one.
+/// Guards against a measured requirement that leaves demand unserved or saves nothing.
 #[test]
 fn replay_measured_serves_at_lower_cost() {
     let outcome = replay_policy(Policy::Measured);
--- a/lib/tests/model_replay/predictor.rs
+++ b/lib/tests/model_replay/predictor.rs
@@ -74,8 +74,8 @@
     }
 }
 
-/// Factors by measured size, in powers of two of the tokens until the end of the prefill and of the
-/// occupancy, and one factor by runner.
+/// Factors by size, in powers of two of the tokens until the end of the prefill and of the occupancy,
+/// and one factor by runner.
 #[derive(Default)]
 pub struct Table {
     factors: HashMap<(u32, u32), (f64, f64)>,
--- a/lib/tests/scheduler.rs
+++ b/lib/tests/scheduler.rs
@@ -396,7 +396,7 @@
 }
 
 /// Guards against work that is sent to a full runner because no other has room. It is late instead,
-/// and its caller is told when there will be room.
+/// with a prediction of when there is room.
 #[test]
 fn decide_within_no_room_late_until_released() {
     let now = Instant::now();
--- a/node/tests/holding.rs
+++ b/node/tests/holding.rs
@@ -1,5 +1,6 @@
 //! Held bytes of nodes with limits, with real connections.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
@@ -141,21 +142,27 @@
     wait_until("all is released", async || held(node) == 0).await;
 }
 
-/// Guards against readers that keep up but are late because slow ones fill the node.
-#[tokio::test]
-async fn quick_readers_beside_slow_ones_in_time() {
-    let mut set = deployment().await;
-    add_engine(&mut set, 100, 4 << 10).await;
-    let set = set.with_nodes(1).await;
-    let (node, front) = (&set.nodes[0], set.front(0));
+/// Callers that have requested a stream and read nothing of it.
+async fn slow_readers(front: SocketAddr, count: usize) -> Vec<RawCaller> {
     let mut slow = Vec::new();
-    for at in 0..30 {
+    for at in 0..count {
         let mut caller = RawCaller::connect_with_buffer(front, RECEIVE_BUFFER_BYTES).await;
         let id = format!("slow-{at}");
         let request = RawRequest { headers: &ENGINE_HEADERS, ..RawRequest::new("/tally/a", &id) };
         assert!(caller.write(&request.bytes()).await);
         slow.push(caller);
     }
+    slow
+}
+
+/// Guards against readers that keep up but are late because slow ones fill the node.
+#[tokio::test]
+async fn quick_readers_beside_slow_ones_in_time() {
+    let mut set = deployment().await;
+    add_engine(&mut set, 100, 4 << 10).await;
+    let set = set.with_nodes(1).await;
+    let (node, front) = (&set.nodes[0], set.front(0));
+    let _slow = slow_readers(front, 30).await;
     let total = Bounds::of(limits()).total.0;
     wait_until("slow readers fill the node", async || held(node) > total / 2).await;
     let quick = join_all((0..8).map(async |at| {
@@ -293,14 +300,7 @@
     add_engine(&mut set, 2_000, 8 << 10).await;
     let mut set = set.with_nodes(2).await;
     let front = set.front(0);
-    let mut slow = Vec::new();
-    for at in 0..38 {
-        let mut caller = RawCaller::connect_with_buffer(front, RECEIVE_BUFFER_BYTES).await;
-        let id = format!("slow-{at}");
-        let request = RawRequest { headers: &ENGINE_HEADERS, ..RawRequest::new("/tally/a", &id) };
-        assert!(caller.write(&request.bytes()).await);
-        slow.push(caller);
-    }
+    let _slow = slow_readers(front, 38).await;
     let total = Bounds::of(limits()).total.0;
     wait_until("the node is nearly full", async || held(&set.nodes[0]) > total / 2).await;
     let other = set.nodes[1].shared.clone();
