freshness: attest answers of the store to the nodes that do not watch it

Three causes were possible: the node counts dead nodes as watchers, it believes a flag that live watchers no longer deserve, or it ranks too far behind the dead ones.

Each answer of the store is now attested by the node that received it, and passed on with heartbeats together with its age; a node whose copy is behind the sender's does not count it. Nothing depends on it yet. New: `sardinepick_store_copy_age_milliseconds`, `sardinepick_nodes_heard`, and the lines `copy may be outdated`, `copy confirmed again` and `no heartbeats from other nodes`, with the nodes relied on.

--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 pub mod event;
 pub mod fanout;
 pub mod fingerprint;
+pub mod freshness;
 pub mod handover;
 pub mod health;
 pub mod holding;
--- a/lib/src/fleet/roster.rs
+++ b/lib/src/fleet/roster.rs
@@ -382,6 +382,12 @@
         self.watchers = nodes.iter().take(WATCHERS).map(|(_, peer)| *peer).collect();
     }
 
+    /// The number of other nodes from which this node has received a heartbeat recently.
+    pub fn heard(&self, now: Instant) -> usize {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) <= PROBE_AFTER;
+        self.members.values().filter(|m| m.last_heard.is_some_and(is_recent)).count()
+    }
+
     /// The number of other nodes ever known.
     pub fn known(&self) -> usize {
         self.members.len()
--- a/node/src/serve/heartbeat.rs
+++ b/node/src/serve/heartbeat.rs
@@ -9,12 +9,13 @@
 use sardinepick_lib::fleet::quarantine::MAX_ENTRIES_PER_MESSAGE;
 use sardinepick_lib::fleet::register_version::RegisterVersion;
 use sardinepick_lib::fleet::roster::{HEARTBEAT_PERIOD, Record, Standing, Status};
-use sardinepick_wire::beat::{Heartbeat, MAX_DATAGRAM_BYTES, Parts};
+use sardinepick_wire::beat::{Attestations, Heartbeat, MAX_DATAGRAM_BYTES, Parts};
 use sardinepick_wire::fleet as pb;
 use sardinepick_wire::{schedule, usage};
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::freshness::Coverage;
 use crate::serve::shared::Shared;
 use crate::serve::{join, peer, quarantine, scheduler};
 
@@ -93,6 +94,7 @@
             let message = Heartbeat { limits, leaving, records: Vec::new(), ..heartbeat.clone() };
             send_to_all(&shared, &socket, &message, &watchers).await;
         }
+        heartbeat.attestations = shared.freshness.to_pass_on();
         if due || !has_changes || !heartbeat.records.is_empty() {
             send_to_all(&shared, &socket, &heartbeat, &watchers).await;
         }
@@ -112,10 +114,16 @@
         log::info!(node:% = id; "node removed from the membership");
     }
     shared.metrics.nodes.set(roster.ready_contacts().len() as i64);
+    let (heard, has_updates) = (roster.heard(now), roster.has_updates());
+    drop(roster);
+    shared.freshness.report(heard, || {
+        let watchers = shared.store_watchers();
+        watchers.iter().map(|contact| contact.id.as_str()).collect::<Vec<_>>().join(",")
+    });
     let has_signals = shared.limiter.has_pending_gossip() || shared.drains.has_pending_gossip();
     let has_quarantined =
         quarantine::gossip::has_pending(shared) || shared.part_quarantine.has_pending();
-    if roster.has_updates() || has_quarantined || has_signals {
+    if has_updates || has_quarantined || has_signals {
         shared.heartbeat_now.notify_one();
     }
 }
@@ -154,6 +162,7 @@
         time: Some(shared.usage.time_at(shared.clock.now())),
         limits: Vec::new(),
         leaving: Vec::new(),
+        attestations: Attestations::default(),
     }
 }
 
@@ -264,6 +273,11 @@
     let digest_differs = digest_differs || requests_differ || parts_differ;
     compare_registers(shared, socket, received).await;
     let mine = shared.status();
+    let coverage = Coverage {
+        configuration: mine.version >= received.status.version,
+        register: mine.register >= received.status.register,
+    };
+    shared.freshness.apply(received.attestations, coverage);
     if received.status.register > mine.register || received.status.version > mine.version {
         shared.note_outdated();
     }
@@ -277,7 +291,8 @@
         // The asking node may not know any other node yet.
         let mut records = shared.roster().sample(&mut *shared.rng());
         records.extend(correction);
-        let answer = Heartbeat { records, ..build_heartbeat(shared, mine) };
+        let attestations = shared.freshness.newest();
+        let answer = Heartbeat { records, attestations, ..build_heartbeat(shared, mine) };
         let peer = received.sender.contact.peer;
         transmit(shared, socket, &answer.encode(), peer).await;
         // Until it has exchanged lists, it must not run requests that crash runners.
@@ -324,7 +339,8 @@
     // A node that watches the store compares its register with the store's; others make those that
     // do notice the difference too.
     shared.register_conflict.notify_one();
-    let watchers = shared.store_watchers();
+    let watchers: Vec<SocketAddr> =
+        shared.store_watchers().iter().map(|contact| contact.peer).collect();
     request_heartbeats(shared, socket, &watchers).await;
 }
 
--- a/node/src/serve/kind_watch.rs
+++ b/node/src/serve/kind_watch.rs
@@ -2,16 +2,16 @@
 //! and how it recovers from a failed call.
 
 use std::sync::Arc;
-use std::time::{Duration, UNIX_EPOCH};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use rand::RngExt as _;
 use sardinepick_lib::fleet::outage::pause;
 use sardinepick_lib::history::{Era, Point};
 use sardinepick_platform::store::{Changes, Object};
-use strum::{Display, IntoStaticStr};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::freshness::Kind;
 use crate::serve::join;
 use crate::serve::shared::Shared;
 use crate::serve::store::{Purpose, StoreError};
@@ -25,16 +25,6 @@
 /// How often a node that does not watch the store checks whether it should.
 const WATCH_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
-/// What is watched.
-#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
-#[strum(serialize_all = "snake_case")]
-pub(super) enum Kind {
-    /// The configuration.
-    Configuration,
-    /// The register of runners.
-    Register,
-}
-
 /// This node's watch of one kind of object.
 pub(super) struct KindWatch {
     shared: Arc<Shared>,
@@ -45,6 +35,8 @@
     pub(super) from: Option<Point>,
     /// The revision of the last answer.
     last: Point,
+    /// A time at which the last answer was current.
+    answered: Instant,
     /// The era in which this node's entry was last written.
     pub(super) entry_era: Era,
     /// Whether this node currently watches the store.
@@ -56,9 +48,10 @@
 impl KindWatch {
     /// Creates the watch of `kind` at this node; nothing has been read yet.
     pub(super) fn new(shared: Arc<Shared>, what: Kind) -> Self {
-        let eras = shared.era_tracker.subscribe();
+        let (eras, answered) = (shared.era_tracker.subscribe(), shared.clock.now());
         Self {
             shared,
+            answered,
             what,
             failures: 0,
             from: None,
@@ -115,7 +108,9 @@
         purpose: Purpose,
         kind: &str,
     ) -> Result<(Vec<Object>, Point), StoreError> {
+        let called = self.shared.clock.now();
         let (objects, as_of) = self.shared.store.list(purpose, kind).await?;
+        self.answered = called;
         if as_of.era == self.last.era && as_of < self.last {
             let was = std::mem::replace(&mut self.last, as_of);
             self.shared.era_tracker.note_revision_fall(was, as_of);
@@ -142,7 +137,10 @@
     ) -> Result<Changes, StoreError> {
         let shared = self.shared.clone();
         tokio::select! {
-            changes = shared.store.watch(purpose, kind, from, WATCH_WAIT) => changes,
+            changes = shared.store.watch(purpose, kind, from, WATCH_WAIT) => {
+                self.answered = shared.clock.now();
+                changes
+            }
             era = next_era(&mut self.eras, from.era) => {
                 Err(StoreError::EraChanged { purpose, was: from, era })
             }
@@ -164,6 +162,11 @@
         }
     }
 
+    /// Attests the last answer to the other nodes. This node's copy must reflect it.
+    pub(super) fn attest(&self) {
+        self.shared.freshness.note_answer(self.what, self.answered);
+    }
+
     /// Logs a failure and backs off. All is listed again afterwards: a list is answered at once,
     /// while a watch over a silent path would hang for its whole wait.
     pub(super) async fn back_off(&mut self, error: &StoreError) {
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -131,6 +131,10 @@
     pub runner_versions: IntGaugeVec,
     /// Other nodes that are currently up.
     pub nodes: IntGauge,
+    /// Other nodes from which heartbeats arrive.
+    pub nodes_heard: IntGauge,
+    /// Age of this node's copies, by kind, in milliseconds.
+    pub store_copy_age: IntGaugeVec,
     /// Unix time of the last answer of the store, by watched kind.
     pub store_answered: IntGaugeVec,
     /// Configurations copied between nodes, by direction and outcome.
@@ -431,6 +435,15 @@
                 &["service", "version"],
             ),
             nodes: m.gauge("sardinepick_nodes", "Other nodes heard lately"),
+            nodes_heard: m.gauge(
+                "sardinepick_nodes_heard",
+                "Other nodes from which heartbeats have arrived in the last 600 ms",
+            ),
+            store_copy_age: m.gauges(
+                "sardinepick_store_copy_age_milliseconds",
+                "Time since the last answer of the store, to any node, that this node's copy reflects",
+                &["what"],
+            ),
             store_answered: m.gauges(
                 "sardinepick_store_answered_timestamp_seconds",
                 "When the store last answered",
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -1,7 +1,6 @@
 //! The state shared by the tasks of a serving node.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, UNIX_EPOCH};
@@ -15,6 +14,7 @@
 use sardinepick_lib::fleet::budget::Budget;
 use sardinepick_lib::fleet::deadline::Deadlines;
 use sardinepick_lib::fleet::digest::Differences;
+use sardinepick_lib::fleet::freshness::Attester;
 use sardinepick_lib::fleet::outage::Outage;
 use sardinepick_lib::fleet::reachability::Reachability;
 use sardinepick_lib::fleet::register::Register;
@@ -39,6 +39,7 @@
 use crate::duty::view::{COLLECTORS, SUBJECT, View};
 use crate::era_tracker::EraTracker;
 use crate::fair_share::FairShares;
+use crate::freshness::Tracker;
 use crate::holding::Holding;
 use crate::limit::Limiter;
 use crate::lock::lock;
@@ -86,6 +87,8 @@
     pub era_tracker: Arc<EraTracker>,
     /// The store client.
     pub store: Arc<Client>,
+    /// How recent this node's copies of the configuration and the register are.
+    pub freshness: Tracker,
     /// Whether this node is starting, ready or leaving.
     pub standing: watch::Sender<Standing>,
     /// Whether this node has completed its membership view, or has found no other node.
@@ -187,6 +190,8 @@
         let store =
             Client::new(settings.store, connections.clone(), era_tracker.clone(), metrics.clone());
         let store = Arc::new(store);
+        let attester = Attester::new(&me.id, incarnation);
+        let freshness = Tracker::new(attester, clock.clone(), metrics.clone());
         let holder = Holder { name: me.id.clone(), incarnation };
         let duty_lease = DutyLease::new(
             store.clone(),
@@ -270,6 +275,7 @@
             standing,
             era_tracker,
             store,
+            freshness,
             duty_lease,
             usage,
             connections,
@@ -391,12 +397,12 @@
         before(&mut roster.served()) < WATCHERS && before(&mut roster.ids()) < MAX_WATCHERS
     }
 
-    /// The addresses of the other nodes that watch the store, as far as known.
-    pub fn store_watchers(&self) -> Vec<SocketAddr> {
+    /// The other nodes that are believed to watch the store.
+    pub fn store_watchers(&self) -> Vec<Contact> {
         let roster = self.roster();
         let served = roster.present_records().filter(|record| record.served);
         let first = rank::highest_ranked(SUBJECT, served, |record| &record.contact.id, WATCHERS);
-        first.iter().map(|record| record.contact.peer).collect()
+        first.iter().map(|record| record.contact.clone()).collect()
     }
 
     /// Returns the membership view for the duties.
--- a/node/src/serve/store_watch.rs
+++ b/node/src/serve/store_watch.rs
@@ -22,7 +22,8 @@
 use smol_str::SmolStr;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::serve::kind_watch::{Kind, KindWatch};
+use crate::freshness::Kind;
+use crate::serve::kind_watch::KindWatch;
 use crate::serve::quarantine;
 use crate::serve::register_replica::{Difference, Mismatch, refutes};
 use crate::serve::shared::Shared;
@@ -63,6 +64,7 @@
                 for object in objects {
                     install(&shared, object, None, "store");
                 }
+                kind_watch.attest();
                 if as_of.era != kind_watch.entry_era {
                     kind_watch.write_entry().await;
                 }
@@ -157,6 +159,7 @@
             Ok((difference, as_of)) => {
                 kind_watch.note_answer(as_of);
                 apply_answer(&shared, &difference, known);
+                kind_watch.attest();
                 if std::mem::take(&mut is_correction) {
                     // All nodes compare with the register just listed; where the digest is the same,
                     // that costs no call.
--- a/testutils/src/fleet/heartbeat.rs
+++ b/testutils/src/fleet/heartbeat.rs
@@ -5,7 +5,7 @@
 use sardinepick_lib::fleet::register_version::RegisterVersion;
 use sardinepick_lib::fleet::roster::{Contact, Record, Standing, Status};
 use sardinepick_lib::id::{ConfigVersion, Incarnation, NodeId};
-use sardinepick_wire::beat::{Heartbeat, Parts};
+use sardinepick_wire::beat::{Attestations, Heartbeat, Parts};
 
 use crate::fleet::deployment::DEFAULT_DATA_CENTRE;
 
@@ -34,6 +34,7 @@
         parts: Parts::default(),
         limits: Vec::new(),
         leaving: Vec::new(),
+        attestations: Attestations::default(),
         time: None,
     }
 }
--- a/wire/src/beat.rs
+++ b/wire/src/beat.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use prost::Message as _;
+use sardinepick_lib::fleet::freshness::{Attestation, Attester};
 use sardinepick_lib::fleet::limit::LimitReport;
 use sardinepick_lib::fleet::register_digest::RegisterDigest;
 use sardinepick_lib::fleet::roster::{Contact, Record, Standing, Status};
@@ -50,6 +51,17 @@
     pub limits: Vec<LimitReport>,
     /// Runners that have announced in a response that they are leaving.
     pub leaving: Vec<Tag>,
+    /// The newest answers of the store that the sender's copies reflect.
+    pub attestations: Attestations,
+}
+
+/// The newest answers of the store that a node's copies reflect, by kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Attestations {
+    /// For the configuration.
+    pub configuration: Option<Attestation>,
+    /// For the register of runners.
+    pub register: Option<Attestation>,
 }
 
 /// What a node knows of prompt parts that crash runners.
@@ -94,6 +106,8 @@
             time_ms: self.time.map_or(0, |time| u64::try_from(time.as_millis()).unwrap_or(0)),
             leaving: self.leaving.iter().map(|tag| tag.0).collect(),
             rate_limits: self.limits.iter().map(limit::encode_limit).collect(),
+            configuration_attestation: self.attestations.configuration.map(encode_attestation),
+            register_attestation: self.attestations.register.map(encode_attestation),
         };
         beat.encode_to_vec()
     }
@@ -140,10 +154,30 @@
             time: (beat.time_ms > 0).then(|| Duration::from_millis(beat.time_ms)),
             leaving: beat.leaving.into_iter().map(Tag).collect(),
             limits: limit::decode_limits(&beat.rate_limits)?,
+            attestations: Attestations {
+                configuration: beat.configuration_attestation.map(decode_attestation),
+                register: beat.register_attestation.map(decode_attestation),
+            },
         })
     }
 }
 
+fn encode_attestation(attestation: Attestation) -> pb::Attestation {
+    pb::Attestation {
+        attester: attestation.attester.0,
+        serial: attestation.serial,
+        age_ms: u32::try_from(attestation.age.as_millis()).unwrap_or(u32::MAX),
+    }
+}
+
+fn decode_attestation(attestation: pb::Attestation) -> Attestation {
+    Attestation {
+        attester: Attester(attestation.attester),
+        serial: attestation.serial,
+        age: Duration::from_millis(attestation.age_ms.into()),
+    }
+}
+
 /// Encodes a list of nodes, together with quarantined requests and prompt parts.
 pub fn encode_nodes(
     records: &[Record],
--- a/wire/tests/beat.rs
+++ b/wire/tests/beat.rs
@@ -5,6 +5,7 @@
 use proptest::prelude::*;
 use prost::Message as _;
 use sardinepick_lib::fleet::fingerprint::Fingerprint;
+use sardinepick_lib::fleet::freshness::{Attestation, Attester};
 use sardinepick_lib::fleet::limit::{LimitReport, Rate};
 use sardinepick_lib::fleet::part_quarantine as part;
 use sardinepick_lib::fleet::quarantine::{Entry, MAX_ENTRIES_PER_MESSAGE, Stage};
@@ -15,7 +16,9 @@
 use sardinepick_lib::fleet::suspect::MAX_ENDS;
 use sardinepick_lib::history::{Era, MAX_ERA};
 use sardinepick_lib::id::{ConfigVersion, Incarnation};
-use sardinepick_wire::beat::{Heartbeat, MAX_DATAGRAM_BYTES, Parts, decode_nodes, encode_nodes};
+use sardinepick_wire::beat::{
+    Attestations, Heartbeat, MAX_DATAGRAM_BYTES, Parts, decode_nodes, encode_nodes,
+};
 use sardinepick_wire::fleet as pb;
 use sardinepick_wire::part_quarantine;
 use sardinepick_wire::quarantine::{decode_entries, encode_entries};
@@ -36,6 +39,12 @@
     }
 }
 
+/// An attestation of the maximum encoded size.
+fn attestation() -> Attestation {
+    let age = Duration::from_millis(u32::MAX.into());
+    Attestation { attester: Attester(u32::MAX), serial: u32::MAX, age }
+}
+
 fn heartbeat(records: u32) -> Heartbeat {
     Heartbeat {
         sender: record(17),
@@ -56,6 +65,10 @@
         parts: Parts { digest: u64::MAX, is_complete: true, entries: Vec::new() },
         limits: Vec::new(),
         leaving: Vec::new(),
+        attestations: Attestations {
+            configuration: Some(attestation()),
+            register: Some(attestation()),
+        },
         time: Some(std::time::Duration::from_millis(1 << 42)),
     }
 }
