watch_role: nodes whose copy of the store is stale watch the store themselves

Cause: a node computes from its membership view whether others watch the store, and had no evidence that they do.

Change: a node whose copy is covered by no answer to another node of the last 1.5 s watches the store as a substitute, up to 0.25 s later by rank, until others attest answers again. Watches wait 1.2 s instead of 3 s, and after a change 0.4, 0.8 and 1.2 s, so that attestations are on time. Substitutes repeat failed calls the less often the more nodes there are, and neither write an entry nor report that the store does not answer them.

--- a/lib/src/fleet/freshness.rs
+++ b/lib/src/fleet/freshness.rs
@@ -21,8 +21,9 @@
 /// The time over which nodes that lack an attestation begin to read the store, by their rank: the
 /// first one attests its answer to the others.
 const MAX_DELAY: Duration = Duration::from_millis(250);
-/// How long a newly learned attestation is included in heartbeats: two of them, as one may be lost.
-const PASS_ON_FOR: Duration = Duration::from_millis(450);
+/// How long a newly learned attestation is included in heartbeats: at least one of them. If it is
+/// lost, the receiver still learns of it from other nodes.
+const PASS_ON_FOR: Duration = Duration::from_millis(250);
 /// The maximum number of other nodes whose last attestation is remembered.
 const MAX_TRACKED: usize = 8;
 
@@ -79,7 +80,7 @@
         Self { me, own: None, other: None, serials: SmallVec::new(), since: now }
     }
 
-    /// Restarts the time in which the first attestation of another node is expected.
+    /// Restarts the time in which a node without any attestation expects the first one.
     pub fn expect_from(&mut self, now: Instant) {
         self.since = now;
     }
@@ -145,10 +146,15 @@
 
     /// The time since the store's last answer to another node, likewise.
     pub fn age_of_others(&self, now: Instant) -> Duration {
-        let answered = self.other.map_or(self.since, |other| other.answered.max(self.since));
+        let answered = self.other.map_or(self.since, |other| other.answered);
         now.saturating_duration_since(answered)
     }
 
+    /// Returns whether this node has learned of any answer of the store to another node.
+    pub fn is_attested(&self) -> bool {
+        self.other.is_some()
+    }
+
     /// Returns whether this node must read the store itself, as no recent answer to another node
     /// covers its copy. `rank` is the node's place among those that would read it, as a fraction
     /// from 0 to 1.
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -43,3 +43,4 @@
 pub mod suspect;
 pub mod timeout;
 pub mod version;
+pub mod watch_role;
--- a/lib/tests/freshness.rs
+++ b/lib/tests/freshness.rs
@@ -64,7 +64,7 @@
     let mut freshness = Freshness::new(Attester(1), now);
     assert_eq!(freshness.to_pass_on(now), None);
     freshness.apply(attestation(2, 1, MS * 900), true, now);
-    assert_eq!(freshness.to_pass_on(now + MS * 400), Some(attestation(2, 1, MS * 1_300)));
+    assert_eq!(freshness.to_pass_on(now + MS * 200), Some(attestation(2, 1, MS * 1_100)));
     assert_eq!(freshness.to_pass_on(now + MS * 500), None);
     assert_eq!(freshness.newest(now + MS * 500), Some(attestation(2, 1, MS * 1_400)));
 }
--- a/node/src/duty/view.rs
+++ b/node/src/duty/view.rs
@@ -9,9 +9,6 @@
 use sardinepick_lib::usage::tally::NodeInstance;
 use smallvec::SmallVec;
 
-/// The subject by which nodes are ranked for the duties: the nodes that watch the store, since
-/// their view of it is the most recent.
-pub const SUBJECT: &str = "store";
 /// How many nodes collect the data that the holder of the duties needs.
 pub const COLLECTORS: usize = 2;
 
--- a/node/src/freshness.rs
+++ b/node/src/freshness.rs
@@ -6,6 +6,8 @@
 
 use sardinepick_lib::clock::Clock;
 use sardinepick_lib::fleet::freshness::{Attestation, Attester, Freshness, MAX_AGE};
+use sardinepick_lib::fleet::roster::Roster;
+use sardinepick_lib::fleet::watch_role::{self, Role};
 use sardinepick_wire::beat::Attestations;
 use strum::{Display, IntoStaticStr};
 
@@ -108,6 +110,32 @@
         self.state(kind).freshness.age(self.clock.now())
     }
 
+    /// The time since the store's last known answer to another node.
+    pub fn age_of_others(&self, kind: Kind) -> Duration {
+        self.state(kind).freshness.age_of_others(self.clock.now())
+    }
+
+    /// Why this node watches a kind of object, or `None` if it relies on other nodes.
+    pub fn role(&self, kind: Kind, roster: &Roster) -> Option<Role> {
+        watch_role::role(roster, &self.state(kind).freshness, self.clock.now())
+    }
+
+    /// Returns whether this node's copy of a kind was recent once, as far as known from other nodes,
+    /// and no longer is.
+    pub fn has_become_stale(&self, kind: Kind) -> bool {
+        let state = self.state(kind);
+        state.freshness.is_attested() && state.freshness.is_stale(1.0, self.clock.now())
+    }
+
+    /// Restarts the time in which the first attestations are expected: the membership is known only
+    /// from now on.
+    pub fn expect_from_now(&self) {
+        let now = self.clock.now();
+        for kind in [Kind::Configuration, Kind::Register] {
+            self.state(kind).freshness.expect_from(now);
+        }
+    }
+
     /// Updates the metrics, and logs when a copy may be outdated, when it is confirmed again, and
     /// when this node hears no other. `heard` is the number of other nodes heard recently,
     /// `relied_on` names those that are believed to watch the store.
--- a/node/src/serve/join.rs
+++ b/node/src/serve/join.rs
@@ -89,6 +89,7 @@
             // If all nodes start together, the first one that answers knows few others.
             sleep(SETTLE_TIME).await;
         }
+        shared.freshness.expect_from_now();
         shared.membership_settled.send_replace(true);
         if found {
             return;
--- a/node/src/serve/kind_watch.rs
+++ b/node/src/serve/kind_watch.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use rand::RngExt as _;
-use sardinepick_lib::fleet::outage::pause;
+use sardinepick_lib::fleet::watch_role::{Role, WAIT};
 use sardinepick_lib::history::{Era, Point};
 use sardinepick_platform::store::{Changes, Object};
 use tokio::sync::watch;
@@ -16,14 +16,11 @@
 use crate::serve::shared::Shared;
 use crate::serve::store::{Purpose, StoreError};
 
-/// How long a watch waits for a change. A longer wait costs fewer calls, but a silent connection is
-/// noticed only after one, and a leaving runner must get no requests after two seconds.
-const WATCH_WAIT: Duration = Duration::from_secs(3);
 /// The divisor of the back-off after the store no longer has the requested history. The
 /// retry is earlier then, since a runner may have left in the missing history.
 const FORGOTTEN_BACK_OFF_DIVISOR: u32 = 4;
 /// How often a node that does not watch the store checks whether it should.
-const WATCH_CHECK_PERIOD: Duration = Duration::from_millis(100);
+const WATCH_CHECK_PERIOD: Duration = Duration::from_millis(50);
 
 /// This node's watch of one kind of object.
 pub(super) struct KindWatch {
@@ -37,10 +34,13 @@
     last: Point,
     /// A time at which the last answer was current.
     answered: Instant,
-    /// The era in which this node's entry was last written.
-    pub(super) entry_era: Era,
-    /// Whether this node currently watches the store.
-    watching: bool,
+    /// Whether the last answer was a list or a change.
+    follows_change: bool,
+    /// The era in which this node's entry was last written; `None` if it was not since this node
+    /// was elected.
+    entry_era: Option<Era>,
+    /// Why this node currently watches the store; `None` if it does not.
+    role: Option<Role>,
     /// Notifies of changes of the store's era.
     eras: watch::Receiver<Era>,
 }
@@ -56,49 +56,65 @@
             failures: 0,
             from: None,
             last: Point::default(),
-            entry_era: Era::default(),
-            watching: false,
+            follows_change: false,
+            entry_era: None,
+            role: None,
             eras,
         }
     }
 
-    /// Returns whether this node must watch the store. Before a node has met others, it would
-    /// always consider itself one of the watchers, so only the seeds watch until then. If all nodes
-    /// start at the same time, some node must read at once what all of them need.
-    fn must_watch(&self) -> bool {
+    /// Returns why this node must watch the store, if it must. Before a node has met others, it would
+    /// always consider itself elected, so only the seeds are until then. If all nodes start at the
+    /// same time, some node must read at once what all of them need.
+    fn required_role(&self) -> Option<Role> {
         let shared = &self.shared;
-        let is_seed = || shared.settings.seeds.contains(&shared.me.peer);
-        if *shared.membership_settled.borrow() { shared.watches_store() } else { is_seed() }
+        if *shared.membership_settled.borrow() {
+            return shared.watch_role(self.what);
+        }
+        if shared.settings.seeds.contains(&shared.me.peer) {
+            return Some(Role::Elected(0));
+        }
+        // The nodes from which it has a copy may have failed since.
+        shared.freshness.has_become_stale(self.what).then_some(Role::Substitute)
     }
 
     /// Waits while other nodes watch the store for this one. What they report meanwhile carries no
     /// position in the store's history, so all is listed again afterwards.
     pub(super) async fn wait_until_watching(&mut self) {
-        if !self.must_watch() {
-            if self.watching {
+        let mut role = self.required_role();
+        if role.is_none() {
+            if self.role.is_some() {
                 log::info!(what:% = self.what; "other nodes watch the store");
             }
-            (self.watching, self.from) = (false, None);
-            while !self.must_watch() {
+            (self.role, self.from, self.entry_era) = (None, None, None);
+            while role.is_none() {
                 sleep(WATCH_CHECK_PERIOD).await;
+                role = self.required_role();
             }
         }
-        if self.watching {
-            return;
-        }
-        self.watching = true;
-        log::info!(what:% = self.what; "this node watches the store");
-        if self.what == Kind::Configuration {
-            self.write_entry().await;
+        if self.role.is_none() {
+            let age = self.shared.freshness.age_of_others(self.what);
+            log::info!(
+                what:% = self.what, role:? = role, age_ms = age.as_millis() as u64;
+                "this node watches the store"
+            );
         }
+        self.role = role;
+        self.update_entry().await;
     }
 
-    /// Writes this node's entry, by which nodes that find no seed can find it through the store.
-    pub(super) async fn write_entry(&mut self) {
+    /// Writes this node's entry, by which nodes that find no seed can find it through the store, if
+    /// this node is elected and has not written it in the store's era.
+    pub(super) async fn update_entry(&mut self) {
+        let is_elected = matches!(self.role, Some(Role::Elected(_)));
+        let era = || Some(self.shared.era_tracker.era());
+        if self.what != Kind::Configuration || !is_elected || self.entry_era == era() {
+            return;
+        }
         if let Err(error) = join::write_entry(&self.shared).await {
             log::info!(error:% = error; "cannot write this node's entry");
         }
-        self.entry_era = self.shared.era_tracker.era();
+        self.entry_era = era();
     }
 
     /// Lists a kind. If the list shows that the store was restored from a backup without naming its
@@ -110,7 +126,7 @@
     ) -> Result<(Vec<Object>, Point), StoreError> {
         let called = self.shared.clock.now();
         let (objects, as_of) = self.shared.store.list(purpose, kind).await?;
-        self.answered = called;
+        (self.answered, self.follows_change) = (called, true);
         if as_of.era == self.last.era && as_of < self.last {
             let was = std::mem::replace(&mut self.last, as_of);
             self.shared.era_tracker.note_revision_fall(was, as_of);
@@ -136,10 +152,12 @@
         from: Point,
     ) -> Result<Changes, StoreError> {
         let shared = self.shared.clone();
+        let wait = self.role.map_or(WAIT, |role| role.wait(self.follows_change));
         tokio::select! {
-            changes = shared.store.watch(purpose, kind, from, WATCH_WAIT) => {
+            reply = shared.store.watch(purpose, kind, from, wait) => {
                 self.answered = shared.clock.now();
-                changes
+                self.follows_change = reply.as_ref().is_ok_and(|reply| !reply.changes.is_empty());
+                reply
             }
             era = next_era(&mut self.eras, from.era) => {
                 Err(StoreError::EraChanged { purpose, was: from, era })
@@ -171,13 +189,16 @@
     /// while a watch over a silent path would hang for its whole wait.
     pub(super) async fn back_off(&mut self, error: &StoreError) {
         let history_lost = error.is_forgotten();
-        if !history_lost {
+        let role = self.role.unwrap_or(Role::Substitute);
+        // No node relies on a substitute, so the others need not learn that the store fails it.
+        if !history_lost && role != Role::Substitute {
             self.shared.note_unserved();
         }
         self.from = None;
         self.failures += 1;
         let draw: f64 = self.shared.rng().random();
-        let pause = pause(self.failures, draw);
+        let nodes = self.shared.roster().ids().count() + 1;
+        let pause = role.pause(self.failures, nodes, draw);
         // A store that no longer has the history is not down.
         let first = !history_lost && self.shared.outage().note_failure(self.shared.clock.now());
         if first || history_lost {
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -21,8 +21,9 @@
 use sardinepick_lib::fleet::roster::{Contact, Record, Roster, Standing, Status};
 use sardinepick_lib::fleet::route::{Configuration, Limits};
 use sardinepick_lib::fleet::runner::Tag;
+use sardinepick_lib::fleet::watch_role::{ELECTED, MAX_CANDIDATES, Role, SUBJECT};
 use sardinepick_lib::hash::stable_hash;
-use sardinepick_lib::id::{Incarnation, NodeId, ServiceId};
+use sardinepick_lib::id::{Incarnation, ServiceId};
 use sardinepick_lib::lease::Holder;
 use sardinepick_lib::rank;
 use sardinepick_lib::usage::collection::NodeLifetime;
@@ -36,10 +37,10 @@
 use crate::dispatch::Dispatcher;
 use crate::drain::Drains;
 use crate::duty::lease::DutyLease;
-use crate::duty::view::{COLLECTORS, SUBJECT, View};
+use crate::duty::view::{COLLECTORS, View};
 use crate::era_tracker::EraTracker;
 use crate::fair_share::FairShares;
-use crate::freshness::Tracker;
+use crate::freshness::{Kind, Tracker};
 use crate::holding::Holding;
 use crate::limit::Limiter;
 use crate::lock::lock;
@@ -151,13 +152,6 @@
     began: Instant,
 }
 
-/// How many nodes watch the store. Each learns of a change on its own, so a silent path of one of
-/// them delays no other node. More watchers would cost one call more for each change.
-const WATCHERS: usize = 3;
-/// The maximum number of nodes that try to watch the store if it refuses the first ones. If it
-/// refuses a third of the nodes, the chance that the first twenty are all among them is one in
-/// three billion.
-const MAX_WATCHERS: usize = 20;
 /// The maximum number of routes with statistics.
 const MAX_ROUTES: usize = 1_000;
 
@@ -384,24 +378,17 @@
         }
     }
 
-    /// Returns whether this node must watch the store: fewer than `WATCHERS` nodes that rank
-    /// before it are up and served by the store. If one of these fails, the next node takes over.
-    /// Nodes beyond `MAX_WATCHERS` never watch, not even while the store serves no node, since
-    /// the store limits the number of calls.
-    pub fn watches_store(&self) -> bool {
-        let mine = rank::weight(SUBJECT, &self.me.id);
-        let roster = self.roster();
-        let before = |ids: &mut dyn Iterator<Item = &NodeId>| {
-            ids.filter(|id| rank::weight(SUBJECT, id) > mine).count()
-        };
-        before(&mut roster.served()) < WATCHERS && before(&mut roster.ids()) < MAX_WATCHERS
+    /// Returns why this node watches objects of `kind` in the store, or `None` if it relies on other
+    /// nodes.
+    pub fn watch_role(&self, kind: Kind) -> Option<Role> {
+        self.freshness.role(kind, &self.roster())
     }
 
     /// The other nodes that are believed to watch the store.
     pub fn store_watchers(&self) -> Vec<Contact> {
         let roster = self.roster();
         let served = roster.present_records().filter(|record| record.served);
-        let first = rank::highest_ranked(SUBJECT, served, |record| &record.contact.id, WATCHERS);
+        let first = rank::highest_ranked(SUBJECT, served, |record| &record.contact.id, ELECTED);
         first.iter().map(|record| record.contact.clone()).collect()
     }
 
@@ -414,7 +401,7 @@
         let ready = roster.present_records().chain([me]);
         let ready = ready.filter(|record| record.standing == Standing::Ready);
         let mut first =
-            rank::highest_ranked(SUBJECT, ready, |record| &record.contact.id, MAX_WATCHERS);
+            rank::highest_ranked(SUBJECT, ready, |record| &record.contact.id, MAX_CANDIDATES);
         // If the store serves none of these nodes, it is down for all. Changing the lease holder
         // would only add a waiting period once the store is back.
         if first.iter().any(|record| record.served) {
--- a/node/src/serve/store_watch.rs
+++ b/node/src/serve/store_watch.rs
@@ -65,9 +65,7 @@
                     install(&shared, object, None, "store");
                 }
                 kind_watch.attest();
-                if as_of.era != kind_watch.entry_era {
-                    kind_watch.write_entry().await;
-                }
+                kind_watch.update_entry().await;
             }
             Err(error) => kind_watch.back_off(&error).await,
         }
--- a/testutils/src/fleet/killable_node.rs
+++ b/testutils/src/fleet/killable_node.rs
@@ -9,9 +9,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use sardinepick_lib::clock::System;
+use sardinepick_lib::fleet::watch_role::SUBJECT;
 use sardinepick_lib::id::NodeId;
 use sardinepick_lib::rank;
-use sardinepick_node::duty::view::SUBJECT;
 use sardinepick_node::serve::metrics::Metrics;
 use sardinepick_node::serve::run::{self, Running, Sockets};
 use sardinepick_node::serve::settings::Settings;
