connection: a call is not repeated over a connection that has answered it

Cause: a request that all runners had rejected was sent to the first runner again over the pooled connection that had carried the rejection. A runner that sends an answer twice sends the copy where the next answer is expected. The copy names the same request, so "not run" was taken for the answer to the second call, which the runner ran. In the same way, an answer without an id, as rejections of health checks, orders and queries are, was taken for the rejection of any request.

Change: a connection remembers the ids of its last eight answered calls, and is not lent to the same call again; calls to runners without an id share one key. An answer that does not name the request belongs to none, and an answer with an id belongs to no call without one.

--- a/node/src/connector/mod.rs
+++ b/node/src/connector/mod.rs
@@ -22,7 +22,7 @@
 
 use crate::lock::lock;
 use crate::relay;
-use crate::serve::connection::{Answer, Connections, Link, SendError, Way};
+use crate::serve::connection::{Answer, CallKey, Connections, Link, SendError, Way};
 use crate::serve::delivery::Delivery;
 use crate::serve::metrics::Metrics;
 
@@ -82,7 +82,8 @@
         delivery: Option<&Delivery>,
         may_send: impl Fn() -> bool,
     ) -> Result<Answer, SendError> {
-        let take_idle = || self.take_idle(address);
+        let key = CallKey::of(&request);
+        let take_idle = || self.take_idle(address, key);
         let connect = async {
             let link = self.connect(Destination { runner, address }).await?;
             // The runner may have left while the connection was established.
@@ -92,7 +93,9 @@
             Ok(link)
         };
         let connections = &self.handles.connections;
-        let answer = connections.send_over(address, request, delivery, take_idle, connect).await?;
+        let answer = connections
+            .send_over(address, request, Some(key), delivery, take_idle, connect)
+            .await?;
         if answer.way() == Way::Direct {
             self.reachability().note_received(address, self.now());
         }
@@ -173,14 +176,14 @@
 
     /// Takes an idle connection to a runner. Direct ones may be dead unless the path is open;
     /// connections through peers are used only while it is closed.
-    fn take_idle(&self, address: SocketAddr) -> Option<Link> {
+    fn take_idle(&self, address: SocketAddr, key: CallKey) -> Option<Link> {
         let connections = &self.handles.connections;
         match self.path(address) {
-            Path::Open => connections.take_idle(address, Way::Direct, |since| {
+            Path::Open => connections.take_idle(address, Way::Direct, Some(key), |since| {
                 self.reachability().may_reuse(address, since, self.now())
             }),
             Path::Unverified => None,
-            Path::Closed => connections.take_idle(address, Way::Relayed, |_| true),
+            Path::Closed => connections.take_idle(address, Way::Relayed, Some(key), |_| true),
         }
     }
 
--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -2,8 +2,9 @@
 //!
 //! A connection carries one request at a time. The connection that has been idle longest is reused
 //! first: if a runner sends a second answer late, it arrives while the connection is idle, and the
-//! client closes the connection before the stray bytes can be taken for the answer to another
-//! request.
+//! client closes the connection. If it arrives later, where the answer to the next request is
+//! expected, the id tells it apart; so a connection that has answered a call recently is not reused
+//! for the same call.
 
 use std::future::Future;
 use std::io::{self, ErrorKind};
@@ -22,7 +23,7 @@
 use sardinepick_lib::fleet::holding::Size;
 use sardinepick_lib::fleet::holding::ledger::Cause;
 use sardinepick_lib::id::RunnerId;
-use sardinepick_platform::answer::keep_alive;
+use sardinepick_platform::answer::{is_without_id, keep_alive};
 use socket2::SockRef;
 use thiserror::Error;
 use tokio::net::TcpStream;
@@ -35,7 +36,7 @@
 use crate::serve::idle::Pool;
 use crate::serve::metrics::Metrics;
 
-pub use crate::serve::idle::{Link, Way};
+pub use crate::serve::idle::{CallKey, Link, Way};
 
 /// Why a request got no answer.
 #[derive(Debug, Error)]
@@ -285,8 +286,8 @@
         Self { read_buffer: Some(SMALL_READ_BUFFER), ..self }
     }
 
-    /// Sends a request over a direct connection and waits for the head of its answer.
-    /// `connect_timeout` applies to a new connection.
+    /// Sends a request to the platform over a direct connection and waits for the head of its
+    /// answer. `connect_timeout` applies to a new connection.
     ///
     /// # Errors
     /// There is no answer.
@@ -296,13 +297,31 @@
         request: Request<Bytes>,
         connect_timeout: Duration,
     ) -> Result<Answer, SendError> {
-        let take_idle = || self.take_idle(address, Way::Direct, |_| true);
+        let take_idle = || self.take_idle(address, Way::Direct, None, |_| true);
+        let connect = self.connect(address, connect_timeout);
+        self.send_over(address, request, None, None, take_idle, connect).await
+    }
+
+    /// Sends a request to a runner over a direct connection and waits for the head of its answer.
+    /// `connect_timeout` applies to a new connection.
+    ///
+    /// # Errors
+    /// There is no answer.
+    pub async fn send_to_runner(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        connect_timeout: Duration,
+    ) -> Result<Answer, SendError> {
+        let key = Some(CallKey::of(&request));
+        let take_idle = || self.take_idle(address, Way::Direct, key, |_| true);
         let connect = self.connect(address, connect_timeout);
-        self.send_over(address, request, None, take_idle, connect).await
+        self.send_over(address, request, key, None, take_idle, connect).await
     }
 
     /// Sends a request over an idle connection, or over a new one if there is none, and waits for
-    /// the head of its answer. Records in `delivery` that it is sent.
+    /// the head of its answer. `key` distinguishes its answer from others on the connection.
+    /// Records in `delivery` that it is sent.
     ///
     /// # Errors
     /// There is no answer.
@@ -310,6 +329,7 @@
         self: &Arc<Self>,
         address: SocketAddr,
         request: Request<Bytes>,
+        key: Option<CallKey>,
         delivery: Option<&Delivery>,
         take_idle: impl Fn() -> Option<Link>,
         connect: impl Future<Output = Result<Link, SendError>>,
@@ -318,7 +338,7 @@
         while let Some(mut link) = take_idle() {
             delivery.inspect(|delivery| delivery.note_sent());
             match link.sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.answer(address, link, response)),
+                Ok(response) => return self.answer(address, link, key, response),
                 Err(mut error) => match error.take_message() {
                     // Nothing of it was sent: it is retried on the next connection.
                     Some(unsent) => {
@@ -332,7 +352,7 @@
         let mut link = connect.await?;
         delivery.inspect(|delivery| delivery.note_sent());
         match link.sender.try_send_request(request).await {
-            Ok(response) => Ok(self.answer(address, link, response)),
+            Ok(response) => self.answer(address, link, key, response),
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(SendError::Unsent { peer: address }),
                 None => Err(broken(address, error.error())),
@@ -343,24 +363,34 @@
     fn answer(
         self: &Arc<Self>,
         address: SocketAddr,
-        link: Link,
+        mut link: Link,
+        key: Option<CallKey>,
         response: Response<Incoming>,
-    ) -> Answer {
+    ) -> Result<Answer, SendError> {
         let (head, body) = response.into_parts();
+        if key == Some(CallKey::WITHOUT_ID) && !is_without_id(&head.headers) {
+            let detail = "answer to another request".to_owned();
+            return Err(SendError::Broken { peer: address, detail });
+        }
+        if let Some(key) = key {
+            link.note_answered(key);
+        }
         let idle_timeout = keep_alive(&head.headers, DEFAULT_IDLE_TIMEOUT);
         let lease = Lease { connections: self.clone(), address, link, idle_timeout };
-        Answer { head, body, lease }
+        Ok(Answer { head, body, lease })
     }
 
     /// Takes the connection that has been idle longest, if `may_reuse` permits that for the time
-    /// since when it is idle. Connections for which it does not are closed.
+    /// since when it is idle. Connections for which it does not are closed. Those that have
+    /// answered the call `key` recently are left for other calls.
     pub fn take_idle(
         &self,
         address: SocketAddr,
         way: Way,
+        key: Option<CallKey>,
         may_reuse: impl Fn(Instant) -> bool,
     ) -> Option<Link> {
-        self.idle.take(address, way, may_reuse)
+        self.idle.take(address, way, key, may_reuse)
     }
 
     /// Closes expired idle connections, and those to addresses that are not `wanted`.
@@ -443,7 +473,7 @@
                 log::debug!(peer:% = address, error:% = error; "connection closed");
             }
         });
-        Ok(Link { sender, way })
+        Ok(Link::new(sender, way))
     }
 }
 
--- a/node/src/serve/generation/prefill.rs
+++ b/node/src/serve/generation/prefill.rs
@@ -167,7 +167,7 @@
 ) -> Result<KvHandle, PrefillError> {
     let status = answer.head.status;
     let verdict = classify(status, &answer.head.headers, runner, request);
-    if verdict == Verdict::Mismatched && status.is_success() {
+    if verdict == Verdict::Mismatched {
         return Err(PrefillError::Mismatched);
     }
     let (_, body) = answer.read(MAX_ANSWER_BYTES).await?;
--- a/node/src/serve/idle.rs
+++ b/node/src/serve/idle.rs
@@ -6,9 +6,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use http::Request;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 use sardinepick_lib::clock::Clock;
+use sardinepick_lib::hash::stable_hash;
+use sardinepick_platform::runner::request_id;
+use smallvec::SmallVec;
 
 use crate::lock::lock;
 
@@ -24,11 +28,51 @@
     Relayed,
 }
 
+/// The number of answered calls that a connection remembers. A copy of an answer arrives where the
+/// answer to the next request is expected; this leaves a margin for later ones.
+const MAX_ANSWERED: usize = 8;
+
+/// Distinguishes the answers to calls on a connection to a runner. An answer names the id of its
+/// request; all calls without an id share one key.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallKey(u64);
+
+impl CallKey {
+    /// The key of all calls without an id.
+    pub const WITHOUT_ID: Self = Self(0);
+
+    /// The key of a request to a runner.
+    pub fn of<B>(request: &Request<B>) -> Self {
+        request_id(request).map_or(Self::WITHOUT_ID, |id| Self(stable_hash(1, id)))
+    }
+}
+
 /// A connection that carries no request.
 pub struct Link {
     pub(super) sender: SendRequest<Full<Bytes>>,
     /// How it was made.
     pub way: Way,
+    /// The calls that were answered last.
+    answered: SmallVec<[CallKey; MAX_ANSWERED]>,
+}
+
+impl Link {
+    pub(super) fn new(sender: SendRequest<Full<Bytes>>, way: Way) -> Self {
+        Self { sender, way, answered: SmallVec::new() }
+    }
+
+    /// Records that a call was answered.
+    pub(super) fn note_answered(&mut self, key: CallKey) {
+        if self.answered.len() == MAX_ANSWERED {
+            self.answered.remove(0);
+        }
+        self.answered.push(key);
+    }
+
+    /// Whether a copy of an earlier answer could be taken for the answer to a call.
+    fn may_confuse(&self, key: CallKey) -> bool {
+        self.answered.contains(&key)
+    }
 }
 
 struct Idle {
@@ -59,22 +103,23 @@
     }
 
     /// Takes the connection that has been idle longest, if `may_reuse` permits that for the time
-    /// since when it is idle. Connections for which it does not are closed.
+    /// since when it is idle. Connections for which it does not are closed. Those that have
+    /// answered the call `key` recently are left for other calls.
     pub(super) fn take(
         &self,
         address: SocketAddr,
         way: Way,
+        key: Option<CallKey>,
         may_reuse: impl Fn(Instant) -> bool,
     ) -> Option<Link> {
         let now = self.clock.now();
         let mut idle = lock(&self.idle);
         let queue = idle.get_mut(&(address, way))?;
-        while let Some(next) = queue.pop_front() {
-            if next.until > now && next.link.sender.is_ready() && may_reuse(next.since) {
-                return Some(next.link);
-            }
-        }
-        None
+        queue.retain(|idle| {
+            idle.until > now && idle.link.sender.is_ready() && may_reuse(idle.since)
+        });
+        let at = queue.iter().position(|idle| !key.is_some_and(|key| idle.link.may_confuse(key)));
+        queue.remove(at?).map(|idle| idle.link)
     }
 
     /// Closes expired connections, and those to addresses that are not `wanted`.
--- a/node/src/serve/order.rs
+++ b/node/src/serve/order.rs
@@ -261,7 +261,8 @@
     async fn fetch_report(&self, entry: &Entry) -> Result<Report, String> {
         let exchange = async {
             let outgoing = request_report(&entry.id, entry.address);
-            let sent = self.shared.connections.send(entry.address, outgoing, CONNECT_TIMEOUT);
+            let connections = &self.shared.connections;
+            let sent = connections.send_to_runner(entry.address, outgoing, CONNECT_TIMEOUT);
             let answer = sent.await.map_err(|e| e.to_string())?;
             let (head, body) = answer.read(MAX_ANSWER_BYTES).await.map_err(|e| e.to_string())?;
             if !head.status.is_success() {
@@ -282,7 +283,8 @@
             epoch,
             accepted,
         };
-        let sent = self.shared.connections.send(entry.address, request(&order), CONNECT_TIMEOUT);
+        let connections = &self.shared.connections;
+        let sent = connections.send_to_runner(entry.address, request(&order), CONNECT_TIMEOUT);
         match timeout(ORDER_TIMEOUT, sent).await {
             Ok(Ok(answer)) => {
                 let reply = reply_from_status(answer.head.status);
--- a/testutils/src/fleet/mod.rs
+++ b/testutils/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 pub mod proxy;
 pub mod rate_limit;
 pub mod raw_caller;
+pub mod repeater;
 pub mod runner;
 pub mod signal;
 pub mod soak;
