roster: a test of nodes that stay apart after most nodes are lost

Cause: heartbeats go to eight nodes by rank. If all eight of each node that is left have failed, none hears another, so each counts as isolated and reports none of the failed nodes as silent; the eight are never chosen anew. The nodes that are left follow the store by themselves since, but callers are still given addresses of failed nodes, and schedulers and holders of duties are chosen among them.

Test: tick_most_nodes_lost_survivors_hear_each_other, 64 of 67 nodes killed, bound 12 s (recoveryS of the deployments).

--- a/lib/src/fleet/watch_role.rs
+++ b/lib/src/fleet/watch_role.rs
@@ -9,6 +9,7 @@
 use super::freshness::Freshness;
 use super::outage;
 use super::roster::Roster;
+use crate::id::NodeId;
 use crate::rank;
 
 /// The subject by which nodes are ranked for the tasks that need the store.
@@ -42,7 +43,7 @@
 /// is about. `None` if it relies on other nodes.
 pub fn role(roster: &Roster, freshness: &Freshness, now: Instant) -> Option<Role> {
     let mine = rank::weight(SUBJECT, &roster.me().contact.id);
-    let precedes = |id: &&crate::id::NodeId| rank::weight(SUBJECT, id) > mine;
+    let precedes = |id: &&NodeId| rank::weight(SUBJECT, id) > mine;
     let served = roster.served().filter(precedes).count();
     let present = roster.ids().filter(precedes).count();
     if served < ELECTED && present < MAX_CANDIDATES {
--- a/lib/tests/roster.rs
+++ b/lib/tests/roster.rs
@@ -315,6 +315,21 @@
     fleet.until(MS * 6_000, |fleet| (0..30).all(|at| fleet.knowing(at) >= 29));
 }
 
+/// Guards against nodes that stay apart although they reach each other: all nodes to which each sends
+/// heartbeats have failed, so none hears another, and none reports the failed nodes as silent.
+#[test]
+fn tick_most_nodes_lost_survivors_hear_each_other() {
+    const SURVIVORS: usize = 3;
+    let mut fleet = Fleet::new(67);
+    fleet.run(MS * 500);
+    for at in SURVIVORS..67 {
+        fleet.nodes[at] = None;
+    }
+    fleet.until(MS * 12_000, |fleet| {
+        fleet.present().all(|node| node.heard(fleet.now) == SURVIVORS - 1)
+    });
+}
+
 /// After a stall of its own, a node reported all others as silent.
 #[test]
 fn tick_own_stall_nobody_reported() {
