connection: one way to send directly, with the key of the call

`send` and `send_to_runner` differed in the key alone, and the two calls of orders repeated its use. No change of behaviour. The comment of a test is in the usual terms.

--- a/node/src/duty/caller.rs
+++ b/node/src/duty/caller.rs
@@ -69,7 +69,7 @@
             return Outcome::NotHolder;
         };
         let request = request(self.address, Authority { holder: &self.node, epoch });
-        let sent = self.connections.send(self.address, request, CONNECT_TIMEOUT);
+        let sent = self.connections.send(self.address, request, None, CONNECT_TIMEOUT);
         let outcome = match timeout(CALL_TIMEOUT, sent).await {
             Ok(Ok(answer)) => {
                 let reply = reply_from_status(answer.head.status);
--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -286,8 +286,9 @@
         Self { read_buffer: Some(SMALL_READ_BUFFER), ..self }
     }
 
-    /// Sends a request to the platform over a direct connection and waits for the head of its
-    /// answer. `connect_timeout` applies to a new connection.
+    /// Sends a request over a direct connection and waits for the head of its answer. `key`
+    /// distinguishes its answer from others on the connection; `None` for a peer that sends one
+    /// answer to each request. `connect_timeout` applies to a new connection.
     ///
     /// # Errors
     /// There is no answer.
@@ -295,33 +296,17 @@
         self: &Arc<Self>,
         address: SocketAddr,
         request: Request<Bytes>,
+        key: Option<CallKey>,
         connect_timeout: Duration,
     ) -> Result<Answer, SendError> {
-        let take_idle = || self.take_idle(address, Way::Direct, None, |_| true);
-        let connect = self.connect(address, connect_timeout);
-        self.send_over(address, request, None, None, take_idle, connect).await
-    }
-
-    /// Sends a request to a runner over a direct connection and waits for the head of its answer.
-    /// `connect_timeout` applies to a new connection.
-    ///
-    /// # Errors
-    /// There is no answer.
-    pub async fn send_to_runner(
-        self: &Arc<Self>,
-        address: SocketAddr,
-        request: Request<Bytes>,
-        connect_timeout: Duration,
-    ) -> Result<Answer, SendError> {
-        let key = Some(CallKey::of(&request));
         let take_idle = || self.take_idle(address, Way::Direct, key, |_| true);
         let connect = self.connect(address, connect_timeout);
         self.send_over(address, request, key, None, take_idle, connect).await
     }
 
     /// Sends a request over an idle connection, or over a new one if there is none, and waits for
-    /// the head of its answer. `key` distinguishes its answer from others on the connection.
-    /// Records in `delivery` that it is sent.
+    /// the head of its answer. `key` is as for [`Connections::send`]. Records in `delivery` that it
+    /// is sent.
     ///
     /// # Errors
     /// There is no answer.
--- a/node/src/serve/order.rs
+++ b/node/src/serve/order.rs
@@ -10,6 +10,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+use http::Request;
 use sardinepick_lib::fleet::balance::{
     Capacity, Change, DWELL, REVERSAL_DELAY, StageCounts, decide,
 };
@@ -22,7 +24,7 @@
 };
 use tokio::time::{sleep, timeout};
 
-use crate::serve::connection::CONNECT_TIMEOUT;
+use crate::serve::connection::{Answer, CONNECT_TIMEOUT, CallKey, SendError};
 use crate::serve::shared::Shared;
 
 /// How often the demand for stage changes is evaluated.
@@ -261,9 +263,7 @@
     async fn fetch_report(&self, entry: &Entry) -> Result<Report, String> {
         let exchange = async {
             let outgoing = request_report(&entry.id, entry.address);
-            let connections = &self.shared.connections;
-            let sent = connections.send_to_runner(entry.address, outgoing, CONNECT_TIMEOUT);
-            let answer = sent.await.map_err(|e| e.to_string())?;
+            let answer = self.call(entry, outgoing).await.map_err(|e| e.to_string())?;
             let (head, body) = answer.read(MAX_ANSWER_BYTES).await.map_err(|e| e.to_string())?;
             if !head.status.is_success() {
                 return Err(format!("status {}", head.status));
@@ -274,6 +274,12 @@
         timeout(ORDER_TIMEOUT, exchange).await.unwrap_or_else(late)
     }
 
+    async fn call(&self, entry: &Entry, request: Request<Bytes>) -> Result<Answer, SendError> {
+        let key = Some(CallKey::of(&request));
+        let connections = &self.shared.connections;
+        connections.send(entry.address, request, key, CONNECT_TIMEOUT).await
+    }
+
     async fn send(&self, entry: &Entry, to: Stage, epoch: Epoch, accepted: u64) -> Option<Reply> {
         let order = Order {
             runner: &entry.id,
@@ -283,9 +289,7 @@
             epoch,
             accepted,
         };
-        let connections = &self.shared.connections;
-        let sent = connections.send_to_runner(entry.address, request(&order), CONNECT_TIMEOUT);
-        match timeout(ORDER_TIMEOUT, sent).await {
+        match timeout(ORDER_TIMEOUT, self.call(entry, request(&order))).await {
             Ok(Ok(answer)) => {
                 let reply = reply_from_status(answer.head.status);
                 answer.discard(MAX_ANSWER_BYTES).await;
--- a/node/src/serve/store.rs
+++ b/node/src/serve/store.rs
@@ -329,7 +329,7 @@
         request: Request<Bytes>,
         limit: Duration,
     ) -> Result<(Era, StatusCode, Bytes), StoreError> {
-        let sent = self.connections.send(self.address, request, CONNECT_TIMEOUT);
+        let sent = self.connections.send(self.address, request, None, CONNECT_TIMEOUT);
         let answer = timeout(limit, sent).await.map_err(|_| StoreError::Late { purpose, limit })?;
         let answer = answer.map_err(|source| StoreError::Send { purpose, source })?;
         let read = answer.read_with_idle_timeout(MAX_ANSWER_BYTES, CALL_TIMEOUT).await;
--- a/node/tests/repeated_responses.rs
+++ b/node/tests/repeated_responses.rs
@@ -100,7 +100,7 @@
 }
 
 /// Runners that reject many requests, and repeat a part of all responses. A request that must not be
-/// repeated runs at most once, and not at all if its caller is told so.
+/// repeated runs at most once, and not at all if its status says that it has not run.
 #[tokio::test(flavor = "multi_thread")]
 async fn responses_repeated_at_random_requests_run_at_most_once() {
     let set = Deployment::new().await.with_plain(2).await.with_engines(1, 2).await;
