--- a/testutils/src/fleet/runner/work.rs
+++ b/testutils/src/fleet/runner/work.rs
@@ -48,11 +48,7 @@
     if let Some(expected) = text(&head.headers, "expect-instance")
         && expected != handler.id
     {
-        let mut response = text_response(StatusCode::MISDIRECTED_REQUEST, "");
-        if let Some(id) = head.headers.get("request-id") {
-            response.headers_mut().insert("request-id", id.clone());
-        }
-        return Ok(with_instance(response, &handler.id));
+        return Ok(with_instance(text_response(StatusCode::MISDIRECTED_REQUEST, ""), &handler.id));
     }
     match (&head.method, head.uri.path()) {
         (&Method::GET, "/api/report") => return Ok(handler.report()),
