metrics: why a call did not run, and answers to no call

Two calls of one request looked the same in the logs whatever had proved that the first one did not run, so the hypotheses of docs/incidents/repeated-run.md could not be told apart. Each call without an answer now has the name of its proof in its line and in sardinepick_unanswered_calls_total; lines name the connection and how many calls it has carried; sardinepick_foreign_answers_total counts answers that do not name their request, copies of earlier ones apart from others; the last line of a request has the number of calls that may have run.

--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -10,11 +10,12 @@
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use http::response::Parts;
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::Builder;
@@ -23,7 +24,7 @@
 use sardinepick_lib::fleet::holding::Size;
 use sardinepick_lib::fleet::holding::ledger::Cause;
 use sardinepick_lib::id::RunnerId;
-use sardinepick_platform::answer::{is_without_id, keep_alive};
+use sardinepick_platform::answer::{answered_id, keep_alive};
 use socket2::SockRef;
 use thiserror::Error;
 use tokio::net::TcpStream;
@@ -35,8 +36,9 @@
 use crate::serve::dial::{Dial, Failure, Stream};
 use crate::serve::idle::Pool;
 use crate::serve::metrics::Metrics;
+use crate::serve::proof::Proof;
 
-pub use crate::serve::idle::{CallKey, Link, Way};
+pub use crate::serve::idle::{CallKey, Link, Ordinal, Way};
 
 /// Why a request got no answer.
 #[derive(Debug, Error)]
@@ -75,27 +77,34 @@
         runner: RunnerId,
     },
     /// The connection broke after something may have been sent.
-    #[error("connection to {peer} broke: {detail}")]
+    #[error("connection to {peer} broke ({ordinal}): {detail}")]
     Broken {
         /// The remote address.
         peer: SocketAddr,
+        /// The call that broke.
+        ordinal: Ordinal,
         /// The client's error.
         detail: String,
     },
 }
 
 impl SendError {
-    /// Returns whether the peer has certainly not received the request.
-    pub fn proves_unsent(&self) -> bool {
+    /// Returns why the peer has certainly not received the request; `None` if it may have.
+    pub fn proof(&self) -> Option<Proof> {
         match self {
-            SendError::Connect { .. }
-            | SendError::Unsent { .. }
-            | SendError::RateLimited { .. }
-            | SendError::Leaving { .. } => true,
-            SendError::Broken { .. } => false,
+            SendError::Connect { .. } => Some(Proof::NotConnected),
+            SendError::Unsent { .. } => Some(Proof::Returned),
+            SendError::RateLimited { .. } => Some(Proof::RateLimited),
+            SendError::Leaving { .. } => Some(Proof::Leaving),
+            SendError::Broken { .. } => None,
         }
     }
 
+    /// Returns whether the peer has certainly not received the request.
+    pub fn proves_unsent(&self) -> bool {
+        self.proof().is_some()
+    }
+
     /// Returns whether the runner's rate limit denied the request.
     pub fn is_rate_limited(&self) -> bool {
         matches!(self, SendError::RateLimited { .. })
@@ -143,6 +152,8 @@
 /// The connections of this node.
 pub struct Connections {
     idle: Pool,
+    /// The number of connections made.
+    made: AtomicU64,
     dial: Arc<dyn Dial>,
     metrics: Metrics,
     /// The size of the read buffer of a connection; `None` for that of the client.
@@ -181,6 +192,11 @@
         self.lease.link.way
     }
 
+    /// The call that it answers.
+    pub fn ordinal(&self) -> Ordinal {
+        self.lease.link.ordinal
+    }
+
     /// Reads the whole body, up to `max_bytes`, and returns the connection to the pool.
     ///
     /// # Errors
@@ -276,7 +292,8 @@
 impl Connections {
     /// Creates an empty pool, whose connections `dial` opens.
     pub fn new(dial: Arc<dyn Dial>, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
-        Self { idle: Pool::new(clock), dial, metrics, read_buffer: None }
+        let (idle, made) = (Pool::new(clock), AtomicU64::new(0));
+        Self { idle, made, dial, metrics, read_buffer: None }
     }
 
     /// Limits the read buffers of connections, which the ledger of held bytes does not count: by
@@ -322,6 +339,7 @@
         let mut request = request.map(Full::new);
         while let Some(mut link) = take_idle() {
             delivery.inspect(|delivery| delivery.note_sent());
+            link.note_sent();
             match link.sender.try_send_request(request).await {
                 Ok(response) => return self.answer(address, link, key, response),
                 Err(mut error) => match error.take_message() {
@@ -330,17 +348,18 @@
                         delivery.inspect(|delivery| delivery.note_unsent());
                         request = unsent;
                     }
-                    None => return Err(broken(address, error.error())),
+                    None => return Err(broken(address, link.ordinal, error.error())),
                 },
             }
         }
         let mut link = connect.await?;
         delivery.inspect(|delivery| delivery.note_sent());
+        link.note_sent();
         match link.sender.try_send_request(request).await {
             Ok(response) => self.answer(address, link, key, response),
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(SendError::Unsent { peer: address }),
-                None => Err(broken(address, error.error())),
+                None => Err(broken(address, link.ordinal, error.error())),
             },
         }
     }
@@ -353,11 +372,15 @@
         response: Response<Incoming>,
     ) -> Result<Answer, SendError> {
         let (head, body) = response.into_parts();
-        if key == Some(CallKey::WITHOUT_ID) && !is_without_id(&head.headers) {
-            let detail = "answer to another request".to_owned();
-            return Err(SendError::Broken { peer: address, detail });
-        }
         if let Some(key) = key {
+            let foreign = foreign_kind(&head.headers, key, &link);
+            if let Some(kind) = foreign {
+                self.metrics.foreign_answers.with_label_values(&[kind]).inc();
+            }
+            if key == CallKey::WITHOUT_ID && foreign.is_some() {
+                let detail = "answer to another request".to_owned();
+                return Err(SendError::Broken { peer: address, ordinal: link.ordinal, detail });
+            }
             link.note_answered(key);
         }
         let idle_timeout = keep_alive(&head.headers, DEFAULT_IDLE_TIMEOUT);
@@ -458,12 +481,27 @@
                 log::debug!(peer:% = address, error:% = error; "connection closed");
             }
         });
-        Ok(Link::new(sender, way))
+        let connection = self.made.fetch_add(1, Ordering::Relaxed) + 1;
+        Ok(Link::new(sender, way, connection))
     }
 }
 
-fn broken(peer: SocketAddr, error: &hyper::Error) -> SendError {
-    SendError::Broken { peer, detail: error.to_string() }
+fn broken(peer: SocketAddr, ordinal: Ordinal, error: &hyper::Error) -> SendError {
+    SendError::Broken { peer, ordinal, detail: error.to_string() }
+}
+
+/// Returns the kind of an answer that does not name the call `key`: a copy of an answer that the
+/// connection has brought before, one without an id, or one to another request.
+fn foreign_kind(headers: &HeaderMap, key: CallKey, link: &Link) -> Option<&'static str> {
+    let named = answered_id(headers).map_or(CallKey::WITHOUT_ID, CallKey::of_id);
+    if named == key {
+        return None;
+    }
+    Some(match named {
+        CallKey::WITHOUT_ID => "without_id",
+        _ if link.may_confuse(named) => "repeated",
+        _ => "other_request",
+    })
 }
 
 /// Configures a connection to send small writes at once and to detect a silent path.
--- a/node/src/serve/generation/run.rs
+++ b/node/src/serve/generation/run.rs
@@ -26,6 +26,7 @@
 use crate::fair_share::StreamMeter;
 use crate::part_quarantine;
 use crate::serve::connection::{Answer, Lease};
+use crate::serve::proof::Proof;
 use crate::serve::reservation::{Reservation, Step};
 use crate::serve::shared::Shared;
 
@@ -124,11 +125,13 @@
             Err(error) => {
                 reservation.conclude_unanswered(&error);
                 self.attempts().has_waited |= error.is_connect_timeout();
+                let proof = error.proof();
+                reservation.count_unanswered(proof);
                 log::info!(
                     request:% = self.request.id, runner:% = id, error:% = error,
-                    unsent = error.proves_unsent(); "call failed"
+                    proof = proof.map_or(Proof::NONE, Into::into); "call failed"
                 );
-                if !error.proves_unsent() {
+                if proof.is_none() {
                     self.note_broken(&reservation, false, 0).await;
                     return Err(Failure::Broken);
                 }
@@ -158,11 +161,15 @@
             Verdict::Ran => Err(self.read_plain(&mut reservation, answer).await),
             verdict @ (Verdict::NotRun | Verdict::OtherInstance) => {
                 self.attempts().runs -= 1;
+                let proof = Proof::of_verdict(&verdict);
+                reservation.count_unanswered(proof);
                 let replaced = verdict == Verdict::OtherInstance;
                 reservation.conclude(if replaced { Outcome::Gone } else { Outcome::Failed });
                 log::info!(
                     request:% = self.request.id, runner:% = id,
-                    status = answer.head.status.as_u16(); "runner did not run it"
+                    status = answer.head.status.as_u16(),
+                    proof = proof.map_or(Proof::NONE, Into::into), over:% = answer.ordinal();
+                    "runner did not run it"
                 );
                 answer.discard(MAX_ANSWER_BYTES).await;
                 if let Some(cache) = cache {
@@ -172,7 +179,12 @@
             }
             Verdict::Mismatched => {
                 reservation.conclude(Outcome::Broken);
-                log::warn!(request:% = self.request.id, runner:% = id; "answer to another request");
+                reservation.count_unanswered(None);
+                log::warn!(
+                    request:% = self.request.id, runner:% = id,
+                    status = answer.head.status.as_u16(), over:% = answer.ordinal();
+                    "answer to another request"
+                );
                 Err(Failure::Broken)
             }
         }
--- a/node/src/serve/generation/task.rs
+++ b/node/src/serve/generation/task.rs
@@ -20,7 +20,7 @@
 use super::caller::{Caller, Sent};
 use super::run::RunStep;
 use super::{Generation, MAX_CALLS, MIN_TIME_LEFT, StopCause, millis, probe, version_text};
-use crate::serve::plain::promises_not_run;
+use crate::serve::proof::promises_not_run;
 use crate::serve::quarantine;
 use crate::serve::request::{End, InProgress};
 use crate::serve::response::{Refusal, forward_response, full_body};
@@ -515,6 +515,7 @@
         let attempts = generation.attempts();
         (line.register, line.tries, line.events) =
             (attempts.register, attempts.calls, attempts.events);
+        line.runs = attempts.runs;
         line.runner = attempts.tried.last().map(RunnerId::as_str).unwrap_or_default();
         if attempts.is_unused_trial() {
             quarantine::return_trial(shared, &request.fingerprint);
--- a/node/src/serve/idle.rs
+++ b/node/src/serve/idle.rs
@@ -1,6 +1,7 @@
 //! Idle connections.
 
 use std::collections::{HashMap, VecDeque};
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -43,7 +44,26 @@
 
     /// The key of a request to a runner.
     pub fn of<B>(request: &Request<B>) -> Self {
-        request_id(request).map_or(Self::WITHOUT_ID, |id| Self(stable_hash(1, id)))
+        request_id(request).map_or(Self::WITHOUT_ID, Self::of_id)
+    }
+
+    /// The key of a request with this id.
+    pub fn of_id(id: &[u8]) -> Self {
+        Self(stable_hash(1, id))
+    }
+}
+
+/// Identifies a call in logs: the number of its connection in this process, and how many calls
+/// that connection has carried with this one.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Ordinal {
+    connection: u64,
+    call: u32,
+}
+
+impl fmt::Display for Ordinal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "connection {}, call {}", self.connection, self.call)
     }
 }
 
@@ -52,13 +72,21 @@
     pub(super) sender: SendRequest<Full<Bytes>>,
     /// How it was made.
     pub way: Way,
+    /// The call that it carries, or carried last.
+    pub ordinal: Ordinal,
     /// The calls that were answered last.
     answered: SmallVec<[CallKey; MAX_ANSWERED]>,
 }
 
 impl Link {
-    pub(super) fn new(sender: SendRequest<Full<Bytes>>, way: Way) -> Self {
-        Self { sender, way, answered: SmallVec::new() }
+    pub(super) fn new(sender: SendRequest<Full<Bytes>>, way: Way, connection: u64) -> Self {
+        let ordinal = Ordinal { connection, call: 0 };
+        Self { sender, way, ordinal, answered: SmallVec::new() }
+    }
+
+    /// Records that a call is sent.
+    pub(super) fn note_sent(&mut self) {
+        self.ordinal.call += 1;
     }
 
     /// Records that a call was answered.
@@ -70,7 +98,7 @@
     }
 
     /// Whether a copy of an earlier answer could be taken for the answer to a call.
-    fn may_confuse(&self, key: CallKey) -> bool {
+    pub(super) fn may_confuse(&self, key: CallKey) -> bool {
         self.answered.contains(&key)
     }
 }
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -20,6 +20,10 @@
     pub event_pause: HistogramVec,
     /// Calls to runners by runner, step and outcome.
     pub runner_calls: IntCounterVec,
+    /// Calls that brought no answer of a run, by step and by the proof that they did not run.
+    pub unanswered_calls: IntCounterVec,
+    /// Answers that did not name the request of their call, by kind.
+    pub foreign_answers: IntCounterVec,
     /// Generations by plan.
     pub plans: IntCounterVec,
     /// Permits for requests to rate-limited runners, by outcome and by which node decided.
@@ -210,6 +214,16 @@
                 "Calls to runners by how they ended",
                 &["runner", "step", "outcome"],
             ),
+            unanswered_calls: m.counters(
+                "sardinepick_unanswered_calls_total",
+                "Calls that brought no answer of a run, by the proof that they did not run",
+                &["step", "proof"],
+            ),
+            foreign_answers: m.counters(
+                "sardinepick_foreign_answers_total",
+                "Answers that did not name the request of their call",
+                &["kind"],
+            ),
             permits: m.counters(
                 "sardinepick_permits_total",
                 "Permits to send to runners with a rate limit, by what came of them and who decided",
--- a/node/src/serve/mod.rs
+++ b/node/src/serve/mod.rs
@@ -26,6 +26,7 @@
 pub mod peer;
 pub mod pending;
 pub mod plain;
+pub mod proof;
 pub mod quarantine;
 pub mod register_replica;
 pub mod request;
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -24,6 +24,7 @@
 use crate::holding::Hold;
 use crate::serve::connection::{Answer, ReadError, SendError};
 use crate::serve::payment::Payment;
+use crate::serve::proof::{Proof, promises_not_run};
 use crate::serve::quarantine::{self, Admission};
 use crate::serve::request::{End, InProgress, Request};
 use crate::serve::reservation::{Reservation, Step};
@@ -42,11 +43,8 @@
 enum CallResult {
     /// A complete response of the runner.
     Complete(Parts, Whole),
-    /// The runner has not run the request.
-    NotRun {
-        /// Whether a runner has read the request, which counts as an arrival.
-        arrived: bool,
-    },
+    /// The runner has certainly not run the request.
+    NotRun(Proof),
     /// The request may have run.
     MaybeRun,
     /// The request may have run; the runner's response was cut off.
@@ -84,7 +82,13 @@
         quarantine::return_trial(shared, &request.fingerprint);
     }
     let runner = task.last.as_ref().map(RunnerId::as_str).unwrap_or_default();
-    let mut line = End { runner, register: task.register, tries: task.calls, ..End::default() };
+    let mut line = End {
+        runner,
+        register: task.register,
+        tries: task.calls,
+        runs: task.runs,
+        ..End::default()
+    };
     match end {
         Ok((head, body)) => {
             quarantine::note_answered(shared, &request.fingerprint);
@@ -189,9 +193,9 @@
                     }
                     failed = Some((head, body));
                 }
-                CallResult::NotRun { arrived } => {
-                    self.arrivals += u32::from(arrived);
-                    if arrived {
+                CallResult::NotRun(proof) => {
+                    self.arrivals += u32::from(proof.has_arrived());
+                    if proof.has_arrived() {
                         self.rejecting.push(choice.runner.clone());
                     }
                 }
@@ -285,7 +289,7 @@
         let Some((address, mean)) =
             self.shared.register().get(id).map(|r| (r.entry.address, r.answer_time))
         else {
-            return CallResult::NotRun { arrived: false };
+            return CallResult::NotRun(Proof::Leaving);
         };
         let request = self.request;
         let call = Call {
@@ -341,7 +345,7 @@
                         Outcome::Failed
                     }
                     CallResult::Complete(..) | CallResult::NoSpace => Outcome::Answered,
-                    CallResult::NotRun { .. } => Outcome::Failed,
+                    CallResult::NotRun(_) => Outcome::Failed,
                     CallResult::MaybeRun | CallResult::Cut | CallResult::TimedOut => {
                         Outcome::Broken
                     }
@@ -351,8 +355,17 @@
                     reservation.with_runner(|runner| runner.learn_answer(held));
                 }
                 match &result {
-                    CallResult::NotRun { .. } => self.runs -= 1,
-                    _ => self.arrivals += 1,
+                    CallResult::NotRun(proof) => {
+                        reservation.count_unanswered(Some(*proof));
+                        self.runs -= 1;
+                    }
+                    CallResult::MaybeRun | CallResult::Cut => {
+                        reservation.count_unanswered(None);
+                        self.arrivals += 1;
+                    }
+                    CallResult::Complete(..) | CallResult::NoSpace | CallResult::TimedOut => {
+                        self.arrivals += 1;
+                    }
                 }
                 reservation.conclude(outcome);
                 if let CallResult::Cut = result {
@@ -363,13 +376,15 @@
             Ok(Err(error)) => {
                 reservation.conclude_unanswered(&error);
                 self.has_waited |= error.is_connect_timeout();
+                let proof = error.proof();
+                reservation.count_unanswered(proof);
                 log::info!(
                     request:% = request.id, runner:% = id, address:% = address, error:% = error,
-                    unsent = error.proves_unsent(); "call failed"
+                    proof = proof.map_or(Proof::NONE, Into::into); "call failed"
                 );
-                if error.proves_unsent() {
+                if let Some(proof) = proof {
                     self.runs -= 1;
-                    return CallResult::NotRun { arrived: false };
+                    return CallResult::NotRun(proof);
                 }
                 self.arrivals += 1;
                 self.note_broken(&reservation, false).await;
@@ -377,15 +392,17 @@
             }
             Err(_) => {
                 reservation.conclude(Outcome::Broken);
-                let is_sent = reservation.is_sent();
+                let proof = (!reservation.is_sent()).then_some(Proof::Overdue);
+                reservation.count_unanswered(proof);
                 log::info!(
-                    request:% = request.id, runner:% = id, address:% = address, unsent = !is_sent,
+                    request:% = request.id, runner:% = id, address:% = address,
+                    proof = proof.map_or(Proof::NONE, Into::into),
                     waited_ms = reservation.held().as_millis() as u64; "call without an answer"
                 );
-                if !is_sent {
+                if let Some(proof) = proof {
                     self.has_waited = true;
                     self.runs -= 1;
-                    return CallResult::NotRun { arrived: false };
+                    return CallResult::NotRun(proof);
                 }
                 self.arrivals += 1;
                 CallResult::TimedOut
@@ -411,24 +428,24 @@
     ) -> Result<CallResult, SendError> {
         let request = self.request;
         let verdict = classify(answer.head.status, &answer.head.headers, id, &request.id);
-        match verdict {
-            Verdict::Ran => {}
-            Verdict::OtherInstance | Verdict::NotRun => {
-                if verdict == Verdict::OtherInstance {
-                    let now = self.shared.clock.now();
-                    reservation.with_runner(|runner| runner.health.note(Outcome::Gone, now));
-                }
-                log::info!(
-                    request:% = request.id, runner:% = id, status = answer.head.status.as_u16();
-                    "runner did not run it"
-                );
-                answer.discard(MAX_RESPONSE_BYTES).await;
-                return Ok(CallResult::NotRun { arrived: verdict == Verdict::NotRun });
-            }
-            Verdict::Mismatched => {
-                log::warn!(request:% = request.id, runner:% = id; "answer to another request");
-                return Ok(CallResult::MaybeRun);
+        if let Some(proof) = Proof::of_verdict(&verdict) {
+            if proof == Proof::OtherInstance {
+                let now = self.shared.clock.now();
+                reservation.with_runner(|runner| runner.health.note(Outcome::Gone, now));
             }
+            log::info!(
+                request:% = request.id, runner:% = id, status = answer.head.status.as_u16(),
+                proof:% = proof, over:% = answer.ordinal(); "runner did not run it"
+            );
+            answer.discard(MAX_RESPONSE_BYTES).await;
+            return Ok(CallResult::NotRun(proof));
+        }
+        if verdict == Verdict::Mismatched {
+            log::warn!(
+                request:% = request.id, runner:% = id, status = answer.head.status.as_u16(),
+                over:% = answer.ordinal(); "answer to another request"
+            );
+            return Ok(CallResult::MaybeRun);
         }
         match read_whole(answer, hold).await {
             Ok((head, body)) => {
@@ -459,8 +476,3 @@
     let (head, size) = answer.read_into(hold, MAX_RESPONSE_BYTES).await?;
     Ok((head, Whole::Held(hold.clone(), size)))
 }
-
-/// Returns whether a status tells callers that a request has not run.
-pub fn promises_not_run(status: http::StatusCode) -> bool {
-    matches!(status.as_u16(), 408 | 421 | 429 | 503)
-}
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -141,6 +141,7 @@
             resumes = self.caller_headers.resumes.as_deref().unwrap_or_default(),
             register:% = end.register, status = end.status, reason = end.reason,
             stop_cause = end.stop_cause,
+            may_have_run = end.runs,
             took_ms = took.as_millis() as u64, left_ms = self.time_left(now).as_millis() as u64,
             events = end.events; "request {}", end.outcome
         );
@@ -166,6 +167,8 @@
     pub register: RegisterVersion,
     /// The number of calls made.
     pub tries: u32,
+    /// The number of calls in which a runner ran the request, or may have.
+    pub runs: u32,
     /// The number of events forwarded.
     pub events: u64,
 }
--- a/node/src/serve/reservation.rs
+++ b/node/src/serve/reservation.rs
@@ -19,6 +19,7 @@
 use crate::fair_share::PrefillMeter;
 use crate::serve::connection::SendError;
 use crate::serve::delivery::Delivery;
+use crate::serve::proof::Proof;
 use crate::serve::shared::Shared;
 
 /// How long a caller must have waited at a runner without a result for its disconnecting to count
@@ -125,6 +126,12 @@
         self.delivery.is_sent()
     }
 
+    /// Counts the call as one that brought no answer of a run, with the proof that it did not run.
+    pub fn count_unanswered(&self, proof: Option<Proof>) {
+        let labels = [self.step.into(), proof.map_or(Proof::NONE, Into::into)];
+        self.shared.metrics.unanswered_calls.with_label_values(&labels).inc();
+    }
+
     /// Updates the state of the runner if it is still in the reserved incarnation.
     pub fn with_runner<T>(&self, change: impl FnOnce(&mut Runner) -> T) -> Option<T> {
         let registration = self.registration.as_ref()?;
