--- a/node/tests/repeated_responses.rs
+++ b/node/tests/repeated_responses.rs
@@ -1,6 +1,7 @@
 //! Runners that send some of their responses twice, the copy where the response to the next request
 //! on the connection is expected.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures_util::future::join_all;
@@ -29,20 +30,10 @@
     let mut repeaters = Vec::new();
     for runner in &set.runners {
         let repeater = Repeater::start(runner.address(), condition.clone()).await;
-        let repeater = repeater.expect("a free address");
-        runner.publish_address(repeater.address);
-        repeaters.push(repeater);
+        repeaters.push(repeater.expect("a free address"));
     }
-    wait_until("all nodes use the repeaters", async || {
-        set.nodes.iter().all(|node| {
-            let register = node.shared.register();
-            let used = |repeater: &Repeater| {
-                register.runners().any(|runner| runner.entry.address == repeater.address)
-            };
-            repeaters.iter().all(used)
-        })
-    })
-    .await;
+    let addresses: Vec<SocketAddr> = repeaters.iter().map(|repeater| repeater.address).collect();
+    set.publish_proxies(&addresses).await;
     repeaters
 }
 
--- a/testutils/src/fleet/deployment.rs
+++ b/testutils/src/fleet/deployment.rs
@@ -24,6 +24,7 @@
 use crate::fleet::network::{Fault, Network};
 use crate::fleet::platform::Platform;
 use crate::fleet::runner::{Kind, ReceivedRequest, Runner, Trigger};
+use crate::fleet::spoiler::{Spoil, Spoiler};
 use crate::fleet::store::Store;
 
 /// The data centre of nodes and runners unless a test sets another.
@@ -420,6 +421,42 @@
         .await;
     }
 
+    /// Publishes the addresses of proxies in the entries of the runners, and waits until all nodes
+    /// use them.
+    pub async fn publish_proxies(&self, addresses: &[SocketAddr]) {
+        for (runner, address) in self.runners.iter().zip(addresses) {
+            runner.publish_address(*address);
+        }
+        wait_until("all nodes use the proxies", async || {
+            self.nodes.iter().all(|node| {
+                let register = node.shared.register();
+                let used =
+                    |address: &SocketAddr| register.runners().any(|r| r.entry.address == *address);
+                addresses.iter().all(used)
+            })
+        })
+        .await;
+    }
+
+    /// Puts a proxy that spoils responses in front of each runner, with `slots` each, and waits
+    /// until all nodes use it. `choice` decides about each response of the runner at an index.
+    ///
+    /// # Panics
+    /// No free address.
+    pub async fn spoil<C>(&self, slots: usize, choice: impl Fn(usize) -> C) -> Vec<Spoiler>
+    where
+        C: FnMut(&str) -> Spoil + Send + 'static,
+    {
+        let mut spoilers = Vec::new();
+        for (at, runner) in self.runners.iter().enumerate() {
+            let spoiler = Spoiler::start(runner.address(), slots, choice(at)).await;
+            spoilers.push(spoiler.expect("a free address"));
+        }
+        let addresses: Vec<SocketAddr> = spoilers.iter().map(|spoiler| spoiler.address).collect();
+        self.publish_proxies(&addresses).await;
+        spoilers
+    }
+
     /// The address of a node for callers.
     pub fn front(&self, at: usize) -> SocketAddr {
         self.nodes[at].shared.me.front
--- a/testutils/src/fleet/mod.rs
+++ b/testutils/src/fleet/mod.rs
@@ -20,5 +20,6 @@
 pub mod runner;
 pub mod signal;
 pub mod soak;
+pub mod spoiler;
 pub mod store;
 pub mod traffic;
