connection: the head of more than one response answers no call

Callers saw a request that must not be repeated run twice, or answered 503 although it had run.

Cause: a runner repeats the first bytes of a rejection where the response to the next request is expected. If they end within a header, the status line of that response becomes a part of the header's value, and the rest of its head follows: one head with the status and Not-Executed of the rejection, and with the id of the next request if the rejection did not get to its own. It was taken for a rejection of the next request, which had run.

Change: a head that names two requests, or has a status line in the value of a header, is of more than one response: its call may have run, and the connection is closed. The check is where all answers of runners and of the store are received. A cut between two headers was never accepted, as the status line is then no header. A success with Not-Executed contradicts itself and proves nothing.

--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -24,7 +24,7 @@
 use sardinepick_lib::fleet::holding::Size;
 use sardinepick_lib::fleet::holding::ledger::Cause;
 use sardinepick_lib::id::RunnerId;
-use sardinepick_platform::answer::{answered_id, keep_alive};
+use sardinepick_platform::answer::{answered_id, is_merged, keep_alive};
 use socket2::SockRef;
 use thiserror::Error;
 use tokio::net::TcpStream;
@@ -372,14 +372,21 @@
         response: Response<Incoming>,
     ) -> Result<Answer, SendError> {
         let (head, body) = response.into_parts();
+        let broken = |detail: &str| {
+            let detail = detail.to_owned();
+            Err(SendError::Broken { peer: address, ordinal: link.ordinal, detail })
+        };
+        if is_merged(&head.headers) {
+            self.metrics.foreign_answers.with_label_values(&["merged"]).inc();
+            return broken("head of more than one response");
+        }
         if let Some(key) = key {
             let foreign = foreign_kind(&head.headers, key, &link);
             if let Some(kind) = foreign {
                 self.metrics.foreign_answers.with_label_values(&[kind]).inc();
             }
             if key == CallKey::WITHOUT_ID && foreign.is_some() {
-                let detail = "answer to another request".to_owned();
-                return Err(SendError::Broken { peer: address, ordinal: link.ordinal, detail });
+                return broken("answer to another request");
             }
             link.note_answered(key);
         }
