connection: bodies that are not used are not waited for

Callers got 504 at their deadline, or 502, where a sound runner was free or where 503 is true, and a node read up to 16 MB for each rejection.

Cause: the body of a rejection was read before the request went on, up to 16 MB for plain requests and 1 MB for generations, within the time of the call alone. One that has no end, or comes a byte at a time, took the rest of that time, and the call then ended as one that may have run, although its head said that it had not. Replies to orders and to duty calls were read without any timeout, so a slow body blocked all further orders or calls of the node; a rejected prefill was read up to 1 MB.

Change: discard does not wait. A body that has ended returns the connection at once; another is read by a task of its own, up to 16 KB in 250 ms, and the connection is closed if it is longer. What the head proves stays proved.

Evidence: the four tests of rejections in endless_responses.rs failed in 4 of 4 runs before (16 MB for one rejection; 504 instead of 200 and of 503) and pass in 3 of 3. Orders and duty calls: by reading.

--- a/node/src/duty/caller.rs
+++ b/node/src/duty/caller.rs
@@ -19,8 +19,6 @@
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// The timeout of connecting to the platform.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// The size limit of a response, in bytes.
-const MAX_REPLY_BYTES: usize = 64 << 10;
 
 /// The outcome of a call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -73,7 +71,7 @@
         let outcome = match timeout(CALL_TIMEOUT, sent).await {
             Ok(Ok(answer)) => {
                 let reply = reply_from_status(answer.head.status);
-                answer.discard(MAX_REPLY_BYTES).await;
+                answer.discard();
                 Outcome::Replied(reply)
             }
             Ok(Err(error)) => {
--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -146,6 +146,11 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 /// The read buffer of a connection on a node with limits. The head of an answer must fit into it.
 const SMALL_READ_BUFFER: usize = 16 << 10;
+/// The largest body that is read only so that its connection can be reused: that of a rejection or
+/// an acknowledgement is a short text.
+const MAX_DISCARDED_BYTES: usize = 16 << 10;
+/// How long such a body may take.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(250);
 /// The timeout of a probe: many times the round trip between data centres.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -264,12 +269,29 @@
         Ok((self.head, size))
     }
 
-    /// Reads and drops the body, so that the connection can be reused. If the body is truncated,
-    /// the connection is closed.
-    pub async fn discard(self, max_bytes: usize) {
-        if let Err(error) = self.read(max_bytes).await {
-            log::debug!(error:% = error; "cannot discard answer");
+    /// Drops the body without waiting for it. A short one is read, so that the connection can be
+    /// reused; if it is truncated, large or slow, the connection is closed.
+    pub fn discard(self) {
+        if self.body.is_end_stream() {
+            self.lease.return_to_pool();
+            return;
         }
+        let (peer, ordinal) = (self.lease.address, self.ordinal());
+        if self.body.size_hint().lower() > MAX_DISCARDED_BYTES as u64 {
+            log::info!(peer:% = peer, over:% = ordinal; "connection closed: large body not used");
+            return;
+        }
+        tokio::spawn(async move {
+            let cause = match timeout(DISCARD_TIMEOUT, self.read(MAX_DISCARDED_BYTES)).await {
+                Ok(Ok(_)) => return,
+                Ok(Err(error)) => error.to_string(),
+                Err(_) => format!("incomplete after {DISCARD_TIMEOUT:?}"),
+            };
+            log::info!(
+                peer:% = peer, over:% = ordinal, error = cause;
+                "connection closed: body not used"
+            );
+        });
     }
 }
 
--- a/node/src/serve/generation/prefill.rs
+++ b/node/src/serve/generation/prefill.rs
@@ -170,10 +170,11 @@
     if verdict == Verdict::Mismatched {
         return Err(PrefillError::Mismatched);
     }
-    let (_, body) = answer.read(MAX_ANSWER_BYTES).await?;
     if !status.is_success() {
+        answer.discard();
         return Err(PrefillError::Status(status));
     }
+    let (_, body) = answer.read(MAX_ANSWER_BYTES).await?;
     Ok(decode_handle(address, &body)?)
 }
 
@@ -213,7 +214,7 @@
         tokio::spawn(async move {
             let request = runner::release_handle(&handle, &runner);
             match shared.connector.send(&runner, handle.holder, request, None, || true).await {
-                Ok(answer) => answer.discard(MAX_ANSWER_BYTES).await,
+                Ok(answer) => answer.discard(),
                 Err(error) => {
                     log::info!(runner:% = runner, error:% = error; "failed to free KV cache");
                 }
--- a/node/src/serve/generation/probe.rs
+++ b/node/src/serve/generation/probe.rs
@@ -9,7 +9,6 @@
 use sardinepick_platform::order::request_report;
 use tokio::time::timeout;
 
-use super::MAX_ANSWER_BYTES;
 use crate::serve::connection::Way;
 use crate::serve::shared::Shared;
 
@@ -38,7 +37,7 @@
         let report = request_report(&id, address);
         let answer = shared.connector.send(&id, address, report, None, || true).await.ok()?;
         let (status, way) = (answer.head.status, answer.way());
-        answer.discard(MAX_ANSWER_BYTES).await;
+        answer.discard();
         Some((status, way))
     };
     let answer = timeout(PROBE_TIMEOUT, check).await.ok().flatten();
--- a/node/src/serve/generation/run.rs
+++ b/node/src/serve/generation/run.rs
@@ -171,7 +171,7 @@
                     proof = proof.map_or(Proof::NONE, Into::into), over:% = answer.ordinal();
                     "runner did not run it"
                 );
-                answer.discard(MAX_ANSWER_BYTES).await;
+                answer.discard();
                 if let Some(cache) = cache {
                     cache.rearm(handle);
                 }
--- a/node/src/serve/order.rs
+++ b/node/src/serve/order.rs
@@ -292,7 +292,7 @@
         match timeout(ORDER_TIMEOUT, self.call(entry, request(&order))).await {
             Ok(Ok(answer)) => {
                 let reply = reply_from_status(answer.head.status);
-                answer.discard(MAX_ANSWER_BYTES).await;
+                answer.discard();
                 Some(reply)
             }
             Ok(Err(error)) => {
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -437,7 +437,7 @@
                 request:% = request.id, runner:% = id, status = answer.head.status.as_u16(),
                 proof:% = proof, over:% = answer.ordinal(); "runner did not run it"
             );
-            answer.discard(MAX_RESPONSE_BYTES).await;
+            answer.discard();
             return Ok(CallResult::NotRun(proof));
         }
         if verdict == Verdict::Mismatched {
--- a/node/tests/endless_responses.rs
+++ b/node/tests/endless_responses.rs
@@ -7,12 +7,14 @@
 use sardinepick_testutils::fleet::caller::{Reply, RequestSpec};
 use sardinepick_testutils::fleet::deployment::Deployment;
 use sardinepick_testutils::fleet::spoiler::{Spoil, Spoiler};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 /// The latency objective of the routes.
 const OBJECTIVE: Duration = Duration::from_millis(500);
 /// What the kernel takes of a response that a node does not read.
 const UNREAD_BYTES: u64 = 1 << 20;
+/// When the connection of a rejection whose body does not end is closed, at the latest.
+const CLOSED_WITHIN: Duration = Duration::from_secs(1);
 /// The largest event of a stream.
 const MAX_EVENT_BYTES: u64 = 1 << 20;
 
@@ -82,6 +84,10 @@
         let spoil = Spoil::RejectSlow(Duration::from_millis(100));
         let (set, spoilers) = deployment(set, spoil).await;
         assert_served(&set, &spoilers, path).await;
+        sleep(CLOSED_WITHIN).await;
+        let sent = endless(&spoilers);
+        sleep(CLOSED_WITHIN).await;
+        assert_eq!(endless(&spoilers), sent, "{path}: a connection is still open");
     }
 }
 
