event: an event without end breaks its stream

Callers waited until their deadline for an answer to a generation (504, or the route's timeout), while a sound runner was free; the node held 10 MB and more for each such stream and used a whole core.

Cause: the limit on the size of an event was declared and never used, and each piece was searched together with all bytes before it.

Change: an event of more than 1 MiB breaks its stream, like a connection that ends; the request goes on elsewhere if it may. Bytes are searched once. The proxy of the tests sends its endless bodies in chunks of 1 KiB instead of 16 bytes: what is tested is the size of an event, not the decoding of chunks.

--- a/lib/src/fleet/event.rs
+++ b/lib/src/fleet/event.rs
@@ -6,6 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use memchr::memmem;
 use smol_str::SmolStr;
+use thiserror::Error;
 
 /// A complete event, including the empty line that ends it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -20,11 +21,21 @@
 #[derive(Debug, Default)]
 pub struct Splitter {
     rest: BytesMut,
+    /// How many of these bytes have been searched for the end of the event.
+    searched: usize,
 }
 
 /// The maximum size of an event, in bytes; a stream that exceeds it is treated as broken.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// The length of the longest end of an event: an empty line.
+const MAX_END: usize = 4;
+
+/// An event exceeds [`MAX_EVENT_BYTES`].
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("event of more than {MAX_EVENT_BYTES} bytes")]
+pub struct TooLarge;
+
 impl Splitter {
     /// Appends bytes.
     pub fn push(&mut self, bytes: &[u8]) {
@@ -32,11 +43,21 @@
     }
 
     /// The next complete event, if there is one.
-    pub fn next_event(&mut self) -> Option<Event> {
-        let end = end(&self.rest)?;
+    ///
+    /// # Errors
+    /// It is too large, complete or not.
+    pub fn next_event(&mut self) -> Result<Option<Event>, TooLarge> {
+        // The end may have begun in the bytes that have been searched.
+        let from = self.searched.saturating_sub(MAX_END - 1);
+        let end = end(&self.rest[from..]).map(|end| from + end);
+        self.searched = if end.is_some() { 0 } else { self.rest.len() };
+        if end.unwrap_or(self.rest.len()) > MAX_EVENT_BYTES {
+            return Err(TooLarge);
+        }
+        let Some(end) = end else { return Ok(None) };
         let bytes = self.rest.split_to(end).freeze();
         let id = id(&bytes);
-        Some(Event { bytes, id })
+        Ok(Some(Event { bytes, id }))
     }
 
     /// The bytes of the incomplete event at the end.
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -12,7 +12,7 @@
 use sardinepick_lib::fleet::cache::{Cache, Chain, Part, Progress};
 use sardinepick_lib::fleet::deadline::Deadlines;
 use sardinepick_lib::fleet::engine::{Engine, Pace, Stage, Work};
-use sardinepick_lib::fleet::event::Splitter;
+use sardinepick_lib::fleet::event::{MAX_EVENT_BYTES, Splitter, TooLarge};
 use sardinepick_lib::fleet::health::{Outcome, Record};
 use sardinepick_lib::fleet::load::{CLASSES, Class, Load, RemoteLoads};
 use sardinepick_lib::fleet::outage::{DOUBT, Outage, pause};
@@ -149,16 +149,21 @@
 proptest! {
     /// Events are complete and in order wherever the bytes are split, and no bytes are lost.
     #[test]
-    fn splitter_any_cuts_same_events(cuts in proptest::collection::vec(1usize..9, 1..60)) {
-        let text: String = (1..9).map(|n| format!("id: {n}\ndata: t{n}\n\n")).collect();
+    fn splitter_any_cuts_same_events(
+        cuts in proptest::collection::vec(1usize..9, 1..60),
+        line_end in proptest::sample::select(&["\n", "\r\n"][..]),
+    ) {
+        let event = |n| format!("id: {n}{line_end}data: t{n}{line_end}{line_end}");
+        let text: String = (1..9).map(event).collect();
+        let event_end = line_end.repeat(2);
         let (mut splitter, mut ids, mut bytes) = (Splitter::default(), Vec::new(), Vec::new());
         let mut rest = text.as_bytes();
         for cut in cuts {
             let (now, later) = rest.split_at(cut.min(rest.len()));
             rest = later;
             splitter.push(now);
-            while let Some(event) = splitter.next_event() {
-                prop_assert!(event.bytes.ends_with(b"\n\n"));
+            while let Some(event) = splitter.next_event().expect("small events") {
+                prop_assert!(event.bytes.ends_with(event_end.as_bytes()));
                 ids.push(event.id.expect("each event has an id").to_string());
                 bytes.extend_from_slice(&event.bytes);
             }
@@ -174,9 +179,26 @@
 fn splitter_carriage_returns_one_event() {
     let mut splitter = Splitter::default();
     splitter.push(b"id: 4\r\ndata: x\r\n\r\nid: 5");
-    let event = splitter.next_event().expect("one event");
+    let event = splitter.next_event().expect("a small event").expect("one event");
     assert_eq!(event.id.as_deref(), Some("4"));
-    assert_eq!((splitter.next_event(), splitter.rest()), (None, &b"id: 5"[..]));
+    assert_eq!((splitter.next_event(), splitter.rest()), (Ok(None), &b"id: 5"[..]));
+}
+
+/// Guards against an event without end that is held until the deadline.
+#[test]
+fn splitter_large_event_error() {
+    let mut splitter = Splitter::default();
+    splitter.push(&vec![b'x'; MAX_EVENT_BYTES - 2]);
+    assert_eq!(splitter.next_event(), Ok(None));
+    splitter.push(b"\n\n");
+    let event = splitter.next_event().expect("not too large").expect("one event");
+    assert_eq!(event.bytes.len(), MAX_EVENT_BYTES);
+    for end in ["", "\n\n"] {
+        let mut splitter = Splitter::default();
+        splitter.push(&vec![b'x'; MAX_EVENT_BYTES + 1]);
+        splitter.push(end.as_bytes());
+        assert_eq!(splitter.next_event(), Err(TooLarge), "{end:?}");
+    }
 }
 
 #[test]
--- a/node/src/serve/generation/run.rs
+++ b/node/src/serve/generation/run.rs
@@ -272,7 +272,15 @@
     /// Waits until it advances. Nothing is lost if the future is dropped.
     pub async fn next(&mut self) -> RunStep {
         loop {
-            if let Some(event) = self.splitter.next_event() {
+            let event = match self.splitter.next_event() {
+                Ok(event) => event,
+                Err(error) => {
+                    self.reservation.conclude(Outcome::Broken);
+                    self.log_broken(&error.to_string());
+                    return RunStep::Broken { begun: true };
+                }
+            };
+            if let Some(event) = event {
                 if self.started_at.is_none() {
                     self.note_started();
                 }
--- a/testutils/src/fleet/spoiler.rs
+++ b/testutils/src/fleet/spoiler.rs
@@ -184,7 +184,7 @@
                 Spoil::EndlessGarbage => return self.send_endlessly(client, b"", b"\x80").await,
                 Spoil::RejectEndless => {
                     let head = rejection(&request.id, "transfer-encoding: chunked\r\n");
-                    return self.send_endlessly(client, &head, CHUNK).await;
+                    return self.send_endlessly(client, &head, &chunk()).await;
                 }
                 Spoil::RejectSlow(interval) => {
                     let head = rejection(&request.id, "transfer-encoding: chunked\r\n");
@@ -298,7 +298,7 @@
                         Spoil::SlowBody(interval) => {
                             self.send_slowly_to(client, &head, interval).await
                         }
-                        _ => self.send_endlessly_to(client, &head, CHUNK).await,
+                        _ => self.send_endlessly_to(client, &head, &chunk()).await,
                     }
                     .map(|()| None);
                 }
@@ -355,8 +355,10 @@
     }
 }
 
-/// A piece of a chunked body, without a line end that would be an event's.
-const CHUNK: &[u8] = b"10\r\nxxxxxxxxxxxxxxxx\r\n";
+/// A piece of 1 KiB of a chunked body, without a line end that would be an event's.
+fn chunk() -> Vec<u8> {
+    [&b"400\r\n"[..], &[b'x'; 0x400], b"\r\n"].concat()
+}
 
 fn rejection(id: &str, body_header: &str) -> Vec<u8> {
     let head = "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\nkeep-alive: timeout=5\r\n";
