connection: informational responses without end break a call

Callers waited until their deadline (504) for a runner that sends 102 responses without end, and the node read them all the while.

Cause: the HTTP client skips any number of informational responses before a head; its limit on a head applies to each of them.

Change: a call is given up after 32 of them, as one that may have run. Both ways to send, over a pooled and over a new connection, share one function.

--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -10,7 +10,7 @@
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -19,6 +19,7 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::Builder;
+use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
 use sardinepick_lib::clock::Clock;
 use sardinepick_lib::fleet::holding::Size;
@@ -28,6 +29,7 @@
 use socket2::SockRef;
 use thiserror::Error;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use crate::holding::Hold;
@@ -146,6 +148,8 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 /// The read buffer of a connection on a node with limits. The head of an answer must fit into it.
 const SMALL_READ_BUFFER: usize = 16 << 10;
+/// The number of informational responses after which a call is given up.
+const MAX_INFORMATIONAL: usize = 32;
 /// The largest body that is read only so that its connection can be reused: that of a rejection or
 /// an acknowledgement is a short text.
 const MAX_DISCARDED_BYTES: usize = 16 << 10;
@@ -359,30 +363,20 @@
         connect: impl Future<Output = Result<Link, SendError>>,
     ) -> Result<Answer, SendError> {
         let mut request = request.map(Full::new);
+        let informational = Informational::watch(&mut request);
         while let Some(mut link) = take_idle() {
-            delivery.inspect(|delivery| delivery.note_sent());
-            link.note_sent();
-            match link.sender.try_send_request(request).await {
+            match exchange(address, &mut link, request, delivery, &informational).await {
                 Ok(response) => return self.answer(address, link, key, response),
-                Err(mut error) => match error.take_message() {
-                    // Nothing of it was sent: it is retried on the next connection.
-                    Some(unsent) => {
-                        delivery.inspect(|delivery| delivery.note_unsent());
-                        request = unsent;
-                    }
-                    None => return Err(broken(address, link.ordinal, error.error())),
-                },
+                // It is retried on the next connection.
+                Err(Failed::Unsent(unsent)) => request = *unsent,
+                Err(Failed::Sent(error)) => return Err(error),
             }
         }
         let mut link = connect.await?;
-        delivery.inspect(|delivery| delivery.note_sent());
-        link.note_sent();
-        match link.sender.try_send_request(request).await {
+        match exchange(address, &mut link, request, delivery, &informational).await {
             Ok(response) => self.answer(address, link, key, response),
-            Err(mut error) => match error.take_message() {
-                Some(_) => Err(SendError::Unsent { peer: address }),
-                None => Err(broken(address, link.ordinal, error.error())),
-            },
+            Err(Failed::Unsent(_)) => Err(SendError::Unsent { peer: address }),
+            Err(Failed::Sent(error)) => Err(error),
         }
     }
 
@@ -515,8 +509,62 @@
     }
 }
 
-fn broken(peer: SocketAddr, ordinal: Ordinal, error: &hyper::Error) -> SendError {
-    SendError::Broken { peer, ordinal, detail: error.to_string() }
+/// Why a request brought no head of an answer.
+enum Failed {
+    /// Nothing of it was sent.
+    Unsent(Box<Request<Full<Bytes>>>),
+    /// It may have been sent.
+    Sent(SendError),
+}
+
+/// Sends a request over a connection and waits for the head of its answer.
+async fn exchange(
+    peer: SocketAddr,
+    link: &mut Link,
+    request: Request<Full<Bytes>>,
+    delivery: Option<&Delivery>,
+    informational: &Informational,
+) -> Result<Response<Incoming>, Failed> {
+    delivery.inspect(|delivery| delivery.note_sent());
+    link.note_sent();
+    let ordinal = link.ordinal;
+    let broken = |detail| Failed::Sent(SendError::Broken { peer, ordinal, detail });
+    let sent = tokio::select! {
+        sent = link.sender.try_send_request(request) => sent,
+        () = informational.too_many() => {
+            return Err(broken(format!("more than {MAX_INFORMATIONAL} informational responses")));
+        }
+    };
+    sent.map_err(|mut error| match error.take_message() {
+        Some(unsent) => {
+            delivery.inspect(|delivery| delivery.note_unsent());
+            Failed::Unsent(Box::new(unsent))
+        }
+        None => broken(error.error().to_string()),
+    })
+}
+
+/// Counts the informational responses to a request. The HTTP client skips any number of them.
+#[derive(Clone, Default)]
+struct Informational(Arc<(AtomicUsize, Notify)>);
+
+impl Informational {
+    fn watch<B>(request: &mut Request<B>) -> Self {
+        let watched = Self::default();
+        let counting = watched.clone();
+        on_informational(request, move |_| {
+            let (count, too_many) = &*counting.0;
+            if count.fetch_add(1, Ordering::Relaxed) == MAX_INFORMATIONAL {
+                too_many.notify_one();
+            }
+        });
+        watched
+    }
+
+    /// Waits until there are more than [`MAX_INFORMATIONAL`].
+    async fn too_many(&self) {
+        self.0.1.notified().await;
+    }
 }
 
 /// Returns the kind of an answer that does not name the call `key`: a copy of an answer that the
