intake: a few large answers are read at a time; a soak of spoilt responses

Nobody has seen this; it was found by the test. With 128 calls to a runner whose answers have no end, a process took 308 MB, on VMs of 160 or 260 MB: it would have been killed, and with it all of its requests.

Cause: each answer was read up to 16 MB, and each event up to 1 MiB, with no bound on all of them together; the HTTP client's read buffers grew to 400 KB each.

Change: an answer or an event may take 64 KiB; beyond that its largest size is reserved at once, of 32 MiB for the whole node, and it waits in its socket until then. Read buffers are 64 KiB.

The soak (response_soak) runs the real program with spoilt responses of 17 kinds, alone and beside pauses, kills and stops of nodes.

--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -38,6 +38,7 @@
 use crate::serve::dial::{Dial, Failure, Stream};
 use crate::serve::execution::Proof;
 use crate::serve::idle::Pool;
+use crate::serve::intake::{Intake, UNRESERVED_BYTES};
 use crate::serve::metrics::Metrics;
 
 pub use crate::serve::idle::{CallKey, Link, Ordinal, Way};
@@ -146,6 +147,9 @@
 /// How long the kernel waits for sent bytes to be acknowledged before it aborts a connection: this
 /// detects a silent path even when no answer is expected.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
+/// The read buffer of a connection. By itself it would grow to 400 KB. The head of an answer must fit
+/// into it.
+const READ_BUFFER: usize = 64 << 10;
 /// The read buffer of a connection on a node with limits. The head of an answer must fit into it.
 const SMALL_READ_BUFFER: usize = 16 << 10;
 /// The number of informational responses after which a call is given up.
@@ -165,8 +169,10 @@
     made: AtomicU64,
     dial: Arc<dyn Dial>,
     metrics: Metrics,
-    /// The size of the read buffer of a connection; `None` for that of the client.
-    read_buffer: Option<usize>,
+    /// Space for large answers.
+    pub intake: Intake,
+    /// The size of the read buffer of a connection.
+    read_buffer: usize,
 }
 
 /// An answer whose body has not been read yet.
@@ -206,15 +212,27 @@
         self.lease.link.ordinal
     }
 
-    /// Reads the whole body, up to `max_bytes`, and returns the connection to the pool.
+    /// Reads the whole body, up to `max_bytes`, and returns the connection to the pool. A large body
+    /// waits for space.
     ///
     /// # Errors
     /// The body is truncated or larger.
     pub async fn read(self, max_bytes: usize) -> Result<(Parts, Bytes), Incomplete> {
-        let body = Limited::new(self.body, max_bytes).collect().await;
-        let body = body.map_err(|error| Incomplete(error.to_string()))?;
+        let length = self.body.size_hint().exact().and_then(|length| length.try_into().ok());
+        let (mut body, mut whole) = (Limited::new(self.body, max_bytes), BytesMut::new());
+        let mut space = None;
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| Incomplete(error.to_string()))?;
+            // Trailers are ignored.
+            let Ok(data) = frame.into_data() else { continue };
+            if space.is_none() && whole.len() + data.len() > UNRESERVED_BYTES {
+                let intake = &self.lease.connections.intake;
+                space = Some(intake.reserve(length.unwrap_or(max_bytes)).await);
+            }
+            whole.extend_from_slice(&data);
+        }
         self.lease.return_to_pool();
-        Ok((self.head, body.to_bytes()))
+        Ok((self.head, whole.freeze()))
     }
 
     /// Reads the whole body like [`Answer::read`], with a limit on the time between its pieces
@@ -319,14 +337,13 @@
     /// Creates an empty pool, whose connections `dial` opens.
     pub fn new(dial: Arc<dyn Dial>, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
         let (idle, made) = (Pool::new(clock), AtomicU64::new(0));
-        Self { idle, made, dial, metrics, read_buffer: None }
+        Self { idle, made, dial, metrics, intake: Intake::default(), read_buffer: READ_BUFFER }
     }
 
-    /// Limits the read buffers of connections, which the ledger of held bytes does not count: by
-    /// themselves they grow to 400 KB each.
+    /// Limits the read buffers of connections further: the ledger of held bytes does not count them.
     #[must_use]
     pub fn with_small_buffers(self) -> Self {
-        Self { read_buffer: Some(SMALL_READ_BUFFER), ..self }
+        Self { read_buffer: SMALL_READ_BUFFER, ..self }
     }
 
     /// Sends a request over a direct connection and waits for the head of its answer. `key`
@@ -494,9 +511,7 @@
             SendError::Connect { peer: address, detail, has_timed_out: false }
         };
         let mut builder = Builder::new();
-        if let Some(bytes) = self.read_buffer {
-            builder.max_buf_size(bytes);
-        }
+        builder.max_buf_size(self.read_buffer);
         let handshake = builder.handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(failed)?;
         tokio::spawn(async move {
--- a/node/src/serve/generation/run.rs
+++ b/node/src/serve/generation/run.rs
@@ -8,7 +8,7 @@
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use sardinepick_lib::fleet::cache::Progress;
-use sardinepick_lib::fleet::event::{Event, Splitter};
+use sardinepick_lib::fleet::event::{Event, MAX_EVENT_BYTES, Splitter};
 use sardinepick_lib::fleet::health::Outcome;
 use sardinepick_lib::fleet::part_quarantine::PROGRESS_EVENTS;
 use sardinepick_lib::fleet::placement::Plan;
@@ -27,6 +27,7 @@
 use crate::part_quarantine;
 use crate::serve::connection::{Answer, Lease};
 use crate::serve::execution::Proof;
+use crate::serve::intake::{Space, UNRESERVED_BYTES};
 use crate::serve::reservation::{Reservation, Step};
 use crate::serve::shared::Shared;
 
@@ -227,6 +228,8 @@
     body: Incoming,
     lease: Option<Lease>,
     splitter: Splitter,
+    /// Space for a large event.
+    space: Option<Space>,
     is_whole: bool,
     started_at: Option<Instant>,
     /// The version of the runner's software, from its entry when the request was sent.
@@ -257,6 +260,7 @@
             body,
             lease: Some(lease),
             splitter: Splitter::default(),
+            space: None,
             is_whole,
             started_at: None,
             version,
@@ -289,6 +293,7 @@
                 }
                 return RunStep::Event(event);
             }
+            self.reserve_space().await;
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
@@ -305,6 +310,16 @@
         }
     }
 
+    /// Reserves space for an event that turns out to be large, until it is complete.
+    async fn reserve_space(&mut self) {
+        if self.splitter.rest().len() <= UNRESERVED_BYTES {
+            self.space = None;
+        } else if self.space.is_none() {
+            let intake = &self.generation.shared.connections.intake;
+            self.space = Some(intake.reserve(MAX_EVENT_BYTES).await);
+        }
+    }
+
     /// Records the first event.
     fn note_started(&mut self) {
         let generation = &self.generation;
--- a/node/tests/endless_responses.rs
+++ b/node/tests/endless_responses.rs
@@ -1,12 +1,16 @@
 //! Runners that answer with bytes without end, in a head or a body.
 
+use std::path::Path;
 use std::time::Duration;
 
 use futures_util::future::join_all;
 use http::StatusCode;
+use sardinepick_testutils::cluster::{free_address, own_ip, wait_until};
 use sardinepick_testutils::fleet::caller::{Reply, RequestSpec};
 use sardinepick_testutils::fleet::deployment::Deployment;
+use sardinepick_testutils::fleet::soak::node_settings;
 use sardinepick_testutils::fleet::spoiler::{Spoil, Spoiler};
+use sardinepick_testutils::process::Daemon;
 use tokio::time::{Instant, sleep};
 
 /// The latency objective of the routes.
@@ -15,6 +19,10 @@
 const UNREAD_BYTES: u64 = 1 << 20;
 /// When the connection of a rejection whose body does not end is closed, at the latest.
 const CLOSED_WITHIN: Duration = Duration::from_secs(1);
+/// The number of calls that read answers without end at the same time.
+const CALLS: usize = 128;
+/// What a process may take of the memory of the smallest VM, 160 MB.
+const MAX_PROCESS_KB: u64 = 128 << 10;
 /// The largest event of a stream.
 const MAX_EVENT_BYTES: u64 = 1 << 20;
 
@@ -163,3 +171,46 @@
     let sound = spoilers[1].calls().len() - sound_before;
     assert!(spoilt < sound / 2, "{spoilt} calls, {sound} of the sound runner");
 }
+
+/// Guards against answers without end that many calls read at the same time: the process exceeded the
+/// memory of its VM.
+#[tokio::test(flavor = "multi_thread")]
+async fn memory_of_process_with_endless_answers_below_limit() {
+    for (path, engine) in [("/eggs/a", false), ("/tally/a", true)] {
+        let set = Deployment::new().await;
+        let set = if engine { set.with_engines(0, 1).await } else { set.with_plain(1).await };
+        let endless_body =
+            |_| |id: &str| if id.is_empty() { Spoil::None } else { Spoil::EndlessBody };
+        let _spoilers = set.spoil(CALLS, endless_body).await;
+        let addresses = [(); 5].map(|()| free_address(own_ip()));
+        let ini = node_settings("edge-0", &addresses, set.store.address(), &[]);
+        let node = Daemon::serve(Path::new(env!("CARGO_BIN_EXE_sardinepickd")), &ini);
+        wait_until("the node uses the runner", async || {
+            let reply = set.caller.send(addresses[0], &RequestSpec::new(path, "first")).await;
+            reply.status == Some(StatusCode::BAD_GATEWAY)
+        })
+        .await;
+        let before = node.usage().rss_kb;
+        let ids: Vec<String> = (0..CALLS).map(|at| at.to_string()).collect();
+        let specs: Vec<RequestSpec<'_>> = ids.iter().map(|id| RequestSpec::new(path, id)).collect();
+        let calls = join_all(specs.iter().map(|spec| set.caller.send(addresses[0], spec)));
+        let mut peak = before;
+        let sample = async {
+            loop {
+                peak = peak.max(node.usage().rss_kb);
+                sleep(Duration::from_millis(2)).await;
+            }
+        };
+        let replies = tokio::select! {
+            replies = calls => replies,
+            () = sample => unreachable!("it does not end"),
+        };
+        println!("{path}: {before} KB before, {peak} KB at most");
+        assert!(peak < MAX_PROCESS_KB, "{path}: {peak} KB");
+        for (id, reply) in ids.iter().zip(&replies) {
+            let status = reply.status.map_or(0, |status| status.as_u16());
+            assert!([502, 503, 504].contains(&status), "{path} {id}: {status}");
+            assert!(status != 503 || set.run_count(id) == 0, "{path} {id}: {status}");
+        }
+    }
+}
--- a/node/tests/soak.rs
+++ b/node/tests/soak.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use sardinepick_testutils::fleet::response_soak::{self, Disturbance};
 use sardinepick_testutils::fleet::soak::{SoakOptions, run};
 use sardinepick_testutils::fleet::{crash_soak, drain_soak, kept_soak};
 
@@ -85,3 +86,24 @@
     assert!(report.violations.is_empty(), "{report}");
     assert!(report.outcomes.get("answered").copied().unwrap_or(0) > 0, "no request was served");
 }
+
+/// Responses are repeated, cut, replaced by bytes without end, or lost, and nodes are paused, killed and
+/// stopped. `SARDINEPICK_SOAK_SEEDS` sets other seeds, such as `10..60`.
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_with_spoilt_responses_keeps_invariants() {
+    let seeds = std::env::var("SARDINEPICK_SOAK_SEEDS").unwrap_or_else(|_| "1..2".to_owned());
+    let (from, to) = seeds.split_once("..").expect("a range of seeds");
+    for seed in from.parse().expect("a seed")..to.parse().expect("a seed") {
+        for disturbance in [Disturbance::Responses, Disturbance::ResponsesAndNodes] {
+            let duration = Duration::from_secs(6);
+            let plan =
+                SoakOptions { seed, duration, nodes: 3, callers: 24, restore_backups: false };
+            let exe = Path::new(env!("CARGO_BIN_EXE_sardinepickd"));
+            let report = response_soak::run(exe, plan, disturbance).await.expect("free addresses");
+            println!("seed {seed}, {disturbance:?}: {report}");
+            assert!(report.violations.is_empty(), "seed {seed}, {disturbance:?}: {report}");
+            let answered = report.outcomes.get("answered").copied().unwrap_or(0);
+            assert!(answered > 0, "no request was served");
+        }
+    }
+}
--- a/testutils/src/fleet/mod.rs
+++ b/testutils/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 pub mod rate_limit;
 pub mod raw_caller;
 pub mod repeater;
+pub mod response_soak;
 pub mod runner;
 pub mod signal;
 pub mod soak;
--- a/testutils/src/fleet/soak.rs
+++ b/testutils/src/fleet/soak.rs
@@ -63,6 +63,8 @@
     pub faults: u64,
     /// Violations of the guarantees.
     pub violations: Vec<String>,
+    /// The largest memory of a node, in kilobytes; 0 if it was not measured.
+    pub memory_kb: u64,
 }
 
 impl fmt::Display for Report {
@@ -73,6 +75,9 @@
             outcomes.iter().map(|(outcome, count)| format!("{count} {outcome}")).collect();
         let broken = self.violations.len();
         write!(f, "{} faults: {}, {broken} violations", self.faults, outcomes.join(", "))?;
+        if self.memory_kb > 0 {
+            write!(f, ", memory of a node up to {} KB", self.memory_kb)?;
+        }
         self.violations.iter().try_for_each(|broken| write!(f, "\n  {broken}"))
     }
 }
--- a/testutils/src/fleet/spoiler.rs
+++ b/testutils/src/fleet/spoiler.rs
@@ -73,6 +73,8 @@
 pub struct Call {
     /// The request id.
     pub id: String,
+    /// Whether the runner only processes the prompt.
+    pub is_prefill: bool,
     /// When it was passed to the runner.
     pub began: Instant,
     /// When its response had ended or the other side had closed the connection; `None` before.
@@ -151,6 +153,7 @@
     bytes: Vec<u8>,
     head: usize,
     id: String,
+    is_prefill: bool,
 }
 
 /// A copy of a response that is still to be sent.
@@ -239,7 +242,8 @@
         server.write_all(body).await?;
         let call = {
             let mut calls = lock(&self.calls);
-            calls.push(Call { id: request.id.clone(), began: Instant::now(), ended: None });
+            let (id, is_prefill) = (request.id.clone(), request.is_prefill);
+            calls.push(Call { id, is_prefill, began: Instant::now(), ended: None });
             calls.len() - 1
         };
         let response = self.relay(client, &mut server, spoil).await;
@@ -393,8 +397,9 @@
             let body = header("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
             if unread.len() >= head + body {
                 let id = header("request-id").unwrap_or_default();
+                let is_prefill = header("stage").is_some_and(|stage| stage == "prefill");
                 let bytes = unread.drain(..head + body).collect();
-                return Ok(Some(Message { bytes, head, id }));
+                return Ok(Some(Message { bytes, head, id, is_prefill }));
             }
         }
         let length = client.read(&mut chunk).await?;
