connection: a status line within another one is a head of two responses

Callers could get a success with the body of a failure, or 503 for a request that had run.

The HTTP client gives the second status line as the text of the first.

Change: that text is searched for a status line too.

--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -19,7 +19,7 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::Builder;
-use hyper::ext::on_informational;
+use hyper::ext::{ReasonPhrase, on_informational};
 use hyper_util::rt::TokioIo;
 use sardinepick_lib::clock::Clock;
 use sardinepick_lib::fleet::holding::Size;
@@ -409,7 +409,8 @@
             let detail = detail.to_owned();
             Err(SendError::Broken { peer: address, ordinal: link.ordinal, detail })
         };
-        if is_merged(&head.headers) {
+        let reason = head.extensions.get::<ReasonPhrase>();
+        if is_merged(reason.map_or(b"", ReasonPhrase::as_bytes), &head.headers) {
             self.metrics.foreign_answers.with_label_values(&["merged"]).inc();
             return broken("head of more than one response");
         }
--- a/node/tests/spoilt_responses.rs
+++ b/node/tests/spoilt_responses.rs
@@ -43,3 +43,21 @@
     assert_at_most_once(&set, 40).await;
     assert!(spoilers.iter().map(Spoiler::spoilt).sum::<u64>() > 40);
 }
+
+/// Guards against the start of a repeated success that is followed by a failure: the failure was
+/// forwarded with the status of the success.
+#[tokio::test]
+async fn success_repeated_in_part_failure_not_forwarded_as_success() {
+    let set = Deployment::new().await.with_plain(1).await.with_nodes(1).await;
+    let spoilers = set.spoil(1, |_| |_: &str| Spoil::RepeatStart("HTTP/1.1 200 O".len())).await;
+    for round in 0..5 {
+        set.runners[0].set_faults(Faults::default());
+        // Its own call may meet the copy of an earlier response.
+        set.send_default("/eggs/a", &format!("good{round}")).await;
+        set.runners[0].set_faults(Faults { respond_500: true, ..Faults::default() });
+        let reply = set.send_default("/eggs/a", &format!("bad{round}")).await;
+        let status = reply.status.map_or(0, |status| status.as_u16());
+        assert!([500, 502].contains(&status), "{round}: {status} {}", reply.text());
+    }
+    assert!(spoilers[0].spoilt() > 0);
+}
