--- a/testutils/src/fleet/kept_soak.rs
+++ b/testutils/src/fleet/kept_soak.rs
@@ -20,13 +20,13 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 
-use crate::cluster::{any_address, free_address, own_ip};
+use crate::cluster::any_address;
 use crate::fleet::deployment::{
     DEFAULT_DATA_CENTRE, DEFAULT_VERSION, MODEL_SERVICE, PLAIN_SERVICE, configuration,
 };
 use crate::fleet::raw_caller::{End, RawCaller, RawReply, RawRequest};
 use crate::fleet::runner::{Faults, Kind, Runner};
-use crate::fleet::soak::{Report, SoakOptions, node_settings, request_headers, wait_for_recovery};
+use crate::fleet::soak::{Report, SoakOptions, plan_nodes, request_headers, wait_for_recovery};
 use crate::fleet::store::Store;
 use crate::process::Daemon;
 
@@ -166,14 +166,9 @@
     async fn start(exe: &Path, options: SoakOptions) -> std::io::Result<Self> {
         let store = Store::start(any_address()).await?;
         let runners = start_runners(&store).await?;
-        let (mut nodes, mut fronts, mut seeds) = (Vec::new(), Vec::new(), Vec::new());
-        for at in 0..options.nodes {
-            let addresses = [(); 5].map(|()| free_address(own_ip()));
-            let ini = node_settings(&format!("edge-{at}"), &addresses, store.address(), &seeds);
-            if seeds.len() < 3 {
-                seeds.push(addresses[3]);
-            }
-            fronts.push(addresses[0]);
+        let (mut nodes, mut fronts) = (Vec::new(), Vec::new());
+        for (ini, front) in plan_nodes(options.nodes, store.address()) {
+            fronts.push(front);
             let daemon = Some(Daemon::serve(exe, &ini));
             nodes.push(Node { ini, daemon, restart: None });
         }
--- a/testutils/src/fleet/response_soak.rs
+++ b/testutils/src/fleet/response_soak.rs
@@ -17,14 +17,14 @@
 use rand::{RngExt as _, SeedableRng as _};
 use tokio::time::{Instant, sleep};
 
-use crate::cluster::{any_address, free_address, own_ip};
+use crate::cluster::any_address;
 use crate::fleet::caller::{Caller, Reply, RequestSpec};
 use crate::fleet::deployment::{
     DEFAULT_DATA_CENTRE, DEFAULT_VERSION, MODEL_SERVICE, PLAIN_SERVICE, configuration,
 };
 use crate::fleet::runner::{Faults, Kind, Runner, run_counts};
 use crate::fleet::soak::{
-    PATHS, Report, SoakOptions, check_reply, node_settings, request_headers, wait_for_recovery,
+    PATHS, Report, SoakOptions, check_reply, plan_nodes, request_headers, wait_for_recovery,
 };
 use crate::fleet::spoiler::{Call, Spoil, Spoiler};
 use crate::fleet::store::Store;
@@ -123,14 +123,9 @@
                 runners.push((runner, spoiler));
             }
         }
-        let (mut nodes, mut fronts, mut seeds) = (Vec::new(), Vec::new(), Vec::new());
-        for at in 0..options.nodes {
-            let addresses = [(); 5].map(|()| free_address(own_ip()));
-            let ini = node_settings(&format!("edge-{at}"), &addresses, store.address(), &seeds);
-            if seeds.len() < 3 {
-                seeds.push(addresses[3]);
-            }
-            fronts.push(addresses[0]);
+        let (mut nodes, mut fronts) = (Vec::new(), Vec::new());
+        for (ini, front) in plan_nodes(options.nodes, store.address()) {
+            fronts.push(front);
             let daemon = Some(Daemon::serve(exe, &ini));
             nodes.push(Node { ini, daemon });
         }
--- a/testutils/src/fleet/soak.rs
+++ b/testutils/src/fleet/soak.rs
@@ -161,6 +161,21 @@
     )
 }
 
+/// The settings files of nodes at free addresses, and their addresses for callers. The first three are
+/// the seeds of those after them.
+pub(super) fn plan_nodes(count: usize, store: SocketAddr) -> Vec<(String, SocketAddr)> {
+    let mut seeds = Vec::new();
+    let plan = |at| {
+        let addresses = [(); 5].map(|()| free_address(own_ip()));
+        let ini = node_settings(&format!("edge-{at}"), &addresses, store, &seeds);
+        if seeds.len() < 3 {
+            seeds.push(addresses[3]);
+        }
+        (ini, addresses[0])
+    };
+    (0..count).map(plan).collect()
+}
+
 impl Soak {
     async fn start(exe: &Path, options: SoakOptions) -> std::io::Result<Self> {
         let store = Store::start(any_address()).await?;
