known red: overlapping runs, and two partition tests on a busy machine

A third seed of the soak by hand, 48, showed two runs of a request beside each other (1.29 s); it joins the test.

--- a/node/tests/soak.rs
+++ b/node/tests/soak.rs
@@ -114,7 +114,7 @@
 /// Guards against two runs of a request that go on beside each other, seen on a busy machine.
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_with_spoilt_responses_runs_do_not_overlap() {
-    for seed in [5, 23] {
+    for seed in [5, 23, 48] {
         assert_spoilt_responses_keep_invariants(seed, Disturbance::Responses).await;
     }
 }
