--- a/review/stand-in-2/tests/common.rs
+++ b/review/stand-in-2/tests/common.rs
@@ -4,10 +4,10 @@
 use std::collections::BTreeMap;
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -186,9 +186,17 @@
     address
 }
 
-/// A port that is free now.
+/// A port that is free now, below those that the system gives out by itself.
 pub fn free_port() -> u16 {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let at = NEXT.fetch_add(1, Ordering::Relaxed) + std::process::id() * 97;
+        let port = 12_000 + (at % 18_000) as u16;
+        let is_free = TcpListener::bind(("127.0.0.1", port)).is_ok();
+        if is_free && UdpSocket::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 /// The values of the fields of a JSON object, as text.
@@ -287,9 +295,10 @@
         revision
     }
 
-    pub fn remove(&self, kind: &str, name: &str) {
-        self.0.0.lock().unwrap().put(kind, name, None);
-        self.0.1.notify_all();
+    /// The names of the objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let objects = self.0.0.lock().unwrap();
+        objects.kinds.get(kind).into_iter().flatten().map(|(name, _)| name.clone()).collect()
     }
 
     fn call(&self, head: &Head, body: &str) -> (&'static str, String) {
@@ -421,9 +430,9 @@
 impl Node {
     pub fn new(folder: &Path, name: &str, zone: &str) -> Self {
         let [front, ready, lookup, peer, metrics] = [(); 5].map(|()| local(free_port()));
+        let name = format!("edge-{zone}-{name}");
         let file = folder.join(format!("{name}.conf"));
         let output = folder.join(format!("{name}.log"));
-        let name = format!("edge-{zone}-{name}");
         Self { name, front, ready, lookup, peer, metrics, file, output, child: None }
     }
 
@@ -443,15 +452,13 @@
         std::fs::write(&self.file, text).unwrap();
     }
 
-    /// Starts the node, which may open so many descriptors.
-    pub fn start_limited(&mut self, descriptors: u32) {
+    pub fn start(&mut self) {
         let output =
             OpenOptions::new().create(true).append(true).open(&self.output).expect("a log file");
         let errors = output.try_clone().unwrap();
-        let program = "target/release/sardinepickd --serve --settings";
-        let line = format!("ulimit -n {descriptors}; exec {program} {}", self.file.display());
-        let child = Command::new("sh")
-            .args(["-c", &line])
+        let child = Command::new("target/release/sardinepickd")
+            .args(["--serve", "--settings"])
+            .arg(&self.file)
             .stdin(Stdio::null())
             .stdout(output)
             .stderr(errors)
@@ -459,15 +466,6 @@
         self.child = Some(child.expect("the node starts"));
     }
 
-    pub fn pid(&self) -> u32 {
-        self.child.as_ref().map_or(0, Child::id)
-    }
-
-    /// Sends a signal by its name.
-    pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").arg(format!("-{name}")).arg(self.pid().to_string()).status();
-    }
-
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
@@ -475,10 +473,6 @@
         }
     }
 
-    pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_none_or(|child| child.try_wait().ok().flatten().is_some())
-    }
-
     pub fn is_ready(&self) -> bool {
         let ask = || -> io::Result<u16> {
             let mut conn = Conn::connect(self.ready, Duration::from_millis(300))?;
@@ -499,14 +493,6 @@
         }
         false
     }
-
-    /// Resident memory in kilobytes.
-    pub fn memory_kb(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid()));
-        let status = status.unwrap_or_default();
-        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-        line.and_then(|l| l.split_whitespace().nth(1)?.parse().ok()).unwrap_or(0)
-    }
 }
 
 impl Drop for Node {
