--- a/review/stand-in-2/tests/common.rs
+++ b/review/stand-in-2/tests/common.rs
@@ -276,7 +276,7 @@
                     }
                     continue;
                 }
-                let (status, text) = store.call(&head, &String::from_utf8_lossy(&body));
+                let (status, text) = store.call(&head, &String::from_utf8_lossy(&body), &refuses);
                 if conn
                     .answer(status, "Content-Type: application/json\r\n", text.as_bytes())
                     .is_err()
@@ -301,7 +301,7 @@
         objects.kinds.get(kind).into_iter().flatten().map(|(name, _)| name.clone()).collect()
     }
 
-    fn call(&self, head: &Head, body: &str) -> (&'static str, String) {
+    fn call(&self, head: &Head, body: &str, refuses: &AtomicBool) -> (&'static str, String) {
         let (path, query) = head.path().split_once('?').unwrap_or((head.path(), ""));
         let query: BTreeMap<&str, &str> =
             query.split('&').filter_map(|pair| pair.split_once('=')).collect();
@@ -309,7 +309,7 @@
         let (kind, name) = (parts.next().unwrap_or(""), parts.next());
         let number = |name| query.get(name).and_then(|v: &&str| v.parse::<u64>().ok());
         if let (None, Some(from)) = (name, number("watch")) {
-            return self.watch(kind, from, number("waitMs").unwrap_or(0));
+            return self.watch(kind, from, number("waitMs").unwrap_or(0), refuses);
         }
         let mut objects = self.0.0.lock().unwrap();
         let fields = fields(body);
@@ -367,10 +367,20 @@
         answer
     }
 
-    fn watch(&self, kind: &str, from: u64, wait_ms: u64) -> (&'static str, String) {
+    /// A watch that waits is cut off with 503 once its caller is turned away.
+    fn watch(
+        &self,
+        kind: &str,
+        from: u64,
+        wait_ms: u64,
+        refuses: &AtomicBool,
+    ) -> (&'static str, String) {
         let until = Instant::now() + Duration::from_millis(wait_ms);
         let mut objects = self.0.0.lock().unwrap();
         loop {
+            if refuses.load(Ordering::Relaxed) {
+                return ("503 Service Unavailable", String::new());
+            }
             let later = objects.history.iter().filter(|(r, k, ..)| *r > from && k == kind);
             let events: Vec<String> = later
                 .map(|(r, _, name, spec)| {
@@ -383,7 +393,8 @@
                 let (events, as_of) = (events.join(","), objects.revision);
                 return ("200 OK", format!(r#"{{"events":[{events}],"asOf":{as_of}}}"#));
             }
-            objects = self.0.1.wait_timeout(objects, left).unwrap().0;
+            let pause = left.min(Duration::from_millis(50));
+            objects = self.0.1.wait_timeout(objects, pause).unwrap().0;
         }
     }
 }
