logging: write the last lines before the process exits

The thread that writes the log is detached, and env_logger keeps the sending end of its queue in a global. Nothing waited for the thread, so the lines queued last, such as `stopped`, were lost when the process exited first.

`logging::start` returns the output, and main flushes it as its last step on every path once logging has started, after the runtime has been dropped: for 300 ms at most, and on a platform not beyond 0.99 of the grace period, since the reader may have stopped reading. A flush that fails is not reported, as standard error may have the same reader.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use getopts::Options;
 use sardinepick_node::clock::BootClock;
@@ -19,6 +20,11 @@
 /// The exit code after requests were aborted.
 const EXIT_ABORTED_REQUESTS: u8 = 75;
 
+/// How long the exit waits at most until the last log lines are written.
+const MAX_LOG_FLUSH: Duration = Duration::from_millis(300);
+/// The fraction of the grace period after which the exit no longer waits for the log.
+const LOG_FLUSH_END: f64 = 0.99;
+
 fn options() -> Options {
     let mut options = Options::new();
     options.optopt("s", "settings", "the settings file", "FILE");
@@ -64,14 +70,16 @@
         println!("{file}: the settings are right");
         return ExitCode::SUCCESS;
     }
-    logging::start(settings.log_level, settings.log_format);
-    match tokio::runtime::Runtime::new() {
+    let log = logging::start(settings.log_level, settings.log_format);
+    let code = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime.block_on(serve(settings)),
         Err(error) => {
             eprintln!("sardinepickd: failed to start the runtime: {error}");
             ExitCode::FAILURE
         }
-    }
+    };
+    log.flush(MAX_LOG_FLUSH);
+    code
 }
 
 /// Runs a node on a platform that manages configuration and runners. It uses a single-threaded
@@ -89,21 +97,29 @@
         println!("{file}: the settings are right");
         return ExitCode::SUCCESS;
     }
-    let dropped = logging::start(settings.log_level, settings.log_format);
-    let metrics = serve::metrics::Metrics::new(dropped);
-    match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime.block_on(run_on_platform(file, settings, metrics)),
+    let log = logging::start(settings.log_level, settings.log_format);
+    let metrics = serve::metrics::Metrics::new(log.dropped());
+    let flush_time = settings.grace.mul_f64(LOG_FLUSH_END);
+    let mut stopping = None;
+    let code = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime.block_on(run_on_platform(file, settings, metrics, &mut stopping)),
         Err(error) => {
             eprintln!("sardinepickd: failed to start the runtime: {error}");
             ExitCode::FAILURE
         }
-    }
+    };
+    // The platform kills the process at the end of the grace period.
+    let left = stopping.map(|began: Instant| flush_time.saturating_sub(began.elapsed()));
+    log.flush(left.map_or(MAX_LOG_FLUSH, |left| left.min(MAX_LOG_FLUSH)));
+    code
 }
 
+/// Runs a node until it is stopped. `stopping` is set to the time of the signal.
 async fn run_on_platform(
     file: &str,
     settings: serve::settings::Settings,
     metrics: serve::metrics::Metrics,
+    stopping: &mut Option<Instant>,
 ) -> ExitCode {
     let signals = (
         signal(SignalKind::terminate()),
@@ -128,6 +144,7 @@
             () = stop_signal(&mut terminate, &mut interrupt) => break,
         }
     }
+    *stopping = Some(Instant::now());
     let cut = tokio::select! {
         cut = running.stop() => cut,
         _ = interrupt.recv() => 1,
--- a/node/tests/explain.rs
+++ b/node/tests/explain.rs
@@ -3,7 +3,7 @@
 
 use std::io::{self, Write};
 use std::sync::{Arc, Mutex, PoisonError, mpsc};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::StatusCode;
 use log::LevelFilter;
@@ -126,11 +126,44 @@
 /// would hang.
 #[test]
 fn queue_reader_stopped_lines_dropped() {
-    let (mut queue, dropped) = queue(BlockedOutput).expect("a thread can be started");
+    let (mut queue, output) = queue(BlockedOutput).expect("a thread can be started");
     for n in 0..20_000 {
         writeln!(queue, "{{\"n\":{n}}}").expect("lines are queued or dropped");
     }
-    assert!(dropped.count() > 10_000, "{} dropped", dropped.count());
+    let dropped = output.dropped().count();
+    assert!(dropped > 10_000, "{dropped} dropped");
+}
+
+/// Guards against a flush that returns before the queued lines are written, and against one that
+/// waits for ever for an output that blocks.
+#[test]
+fn flush_blocked_output_limited() {
+    const LIMIT: Duration = Duration::from_millis(50);
+    let ((release, released), (sizes, written)) = (mpsc::channel(), mpsc::channel());
+    let gated = GatedOutput { release: released, sizes };
+    let (mut queue, output) = queue(gated).expect("a thread can be started");
+    assert!(output.flush(LIMIT), "nothing was queued");
+    queue.write_all(b"line\n").expect("lines are queued or dropped");
+    let began = Instant::now();
+    assert!(!output.flush(LIMIT), "the output blocks");
+    assert!(began.elapsed() >= LIMIT, "gave up after {:?}", began.elapsed());
+    drop(release);
+    assert!(output.flush(10 * LIMIT), "the output no longer blocks");
+    assert_eq!(written.try_iter().sum::<usize>(), 5);
+}
+
+/// Guards against a flush that waits for lines that a closed output will never take.
+#[test]
+fn flush_closed_output_returns() {
+    let (release, released) = mpsc::channel();
+    let (sizes, _) = mpsc::channel();
+    let gated = GatedOutput { release: released, sizes };
+    let (mut queue, output) = queue(gated).expect("a thread can be started");
+    drop(release);
+    queue.write_all(b"line\n").expect("lines are queued or dropped");
+    let began = Instant::now();
+    assert!(!output.flush(Duration::from_secs(60)), "the line cannot be written");
+    assert!(began.elapsed() < Duration::from_secs(10), "waited for {:?}", began.elapsed());
 }
 
 /// An output whose first write blocks until released, and that reports the size of each write.
--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -59,7 +59,15 @@
     /// # Panics
     /// The program cannot be started.
     pub fn start(exe: &Path, plan: &NodeOptions) -> Self {
-        Self::run(exe, &plan.ini(), &[])
+        Self::run(exe, &plan.ini(), &[], None)
+    }
+
+    /// Starts the program at `exe` with these settings; its log goes to `log`.
+    ///
+    /// # Panics
+    /// The program cannot be started.
+    pub fn start_to(exe: &Path, ini: &str, log: impl Into<Stdio>) -> Self {
+        Self::run(exe, ini, &[], Some(log.into()))
     }
 
     /// Starts the program at `exe` in platform mode with these settings.
@@ -67,10 +75,18 @@
     /// # Panics
     /// The program cannot be started.
     pub fn serve(exe: &Path, ini: &str) -> Self {
-        Self::run(exe, ini, &["--serve"])
+        Self::run(exe, ini, &["--serve"], None)
+    }
+
+    /// Starts the program like [`Daemon::serve`]; its log goes to `log`.
+    ///
+    /// # Panics
+    /// The program cannot be started.
+    pub fn serve_to(exe: &Path, ini: &str, log: impl Into<Stdio>) -> Self {
+        Self::run(exe, ini, &["--serve"], Some(log.into()))
     }
 
-    fn run(exe: &Path, ini: &str, flags: &[&str]) -> Self {
+    fn run(exe: &Path, ini: &str, flags: &[&str], log: Option<Stdio>) -> Self {
         // Each start has its own file, since dropping an earlier process removes that one's file.
         static STARTS: AtomicU32 = AtomicU32::new(0);
         let start = STARTS.fetch_add(1, Ordering::Relaxed);
@@ -82,7 +98,7 @@
             .arg("--settings")
             .arg(&settings)
             .stdin(Stdio::null())
-            .stdout(log_output(start))
+            .stdout(log.unwrap_or_else(|| log_output(start)))
             .spawn()
             .expect("the program can be started");
         Self { child, settings, is_running: Arc::new(AtomicBool::new(true)) }
