serve: log and count what a stopping node still has

The log of a stop did not tell which requests the node had cut, whether they had come before or after the signal, how much time they had left, whether a runner had them or how much of their responses had been sent. Requests whose key was checked or whose body was read were not counted as in progress.

A table has an entry for each request from the time its head has been read to its end. At the close of the listener, at the end of the wait and at the exit, the node logs `stop advanced` with the requests by state, open connections of callers and relays, and `still in progress at stop` for each request, the latest first, 64 at most. `sardinepick_stop_requests_total` counts them by step and state. `stopped` also has connections, relays and its duration. What a node does at a stop is unchanged: it already waited for each connection to close, and a request that is being read has one.

`leaving` and `sardinepick_under_way` now include requests that are being read. Negative numbers are numbers in the log; they were strings.

--- a/node/src/logging.rs
+++ b/node/src/logging.rs
@@ -187,10 +187,11 @@
 
 impl<'kvs> VisitSource<'kvs> for FieldCollector {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        let value = match (value.to_u64(), value.to_bool()) {
-            (Some(number), _) => json!(number),
-            (None, Some(flag)) => json!(flag),
-            (None, None) => json!(value.to_string()),
+        let value = match (value.to_u64(), value.to_i64(), value.to_bool()) {
+            (Some(number), ..) => json!(number),
+            (None, Some(number), _) => json!(number),
+            (None, None, Some(flag)) => json!(flag),
+            (None, None, None) => json!(value.to_string()),
         };
         self.0.insert(key.to_string(), value);
         Ok(())
--- a/node/src/serve/generation/caller.rs
+++ b/node/src/serve/generation/caller.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 
 use crate::holding::{Hold, Taken};
+use crate::serve::in_progress::Progress;
 use crate::serve::response::{Body, Cut, forward_response, full_body};
 
 /// How many events are buffered for a slow caller before backpressure reaches the runner.
@@ -26,7 +27,7 @@
 /// The caller's end of the response.
 pub(super) enum Caller {
     /// The response head has not been sent.
-    Waiting(Option<oneshot::Sender<Response<Body>>>),
+    Waiting(Option<oneshot::Sender<Response<Body>>>, Progress),
     /// The head has been sent; events are being forwarded.
     Streaming(mpsc::Sender<Part>, Arc<Hold>),
 }
@@ -54,15 +55,15 @@
 
 impl Caller {
     /// A caller that waits for the response head.
-    pub fn new(head: oneshot::Sender<Response<Body>>) -> Self {
-        Caller::Waiting(Some(head))
+    pub fn new(head: oneshot::Sender<Response<Body>>, progress: Progress) -> Self {
+        Caller::Waiting(Some(head), progress)
     }
 
     /// Waits until the caller has disconnected.
     pub async fn disconnected(&mut self) {
         match self {
-            Caller::Waiting(Some(head)) => head.closed().await,
-            Caller::Waiting(None) => {}
+            Caller::Waiting(Some(head), _) => head.closed().await,
+            Caller::Waiting(None, _) => {}
             Caller::Streaming(events, _) => events.closed().await,
         }
     }
@@ -75,8 +76,9 @@
     /// Sends a whole response unless the head has been sent; false if it has.
     pub fn respond(&mut self, response: Response<Body>) -> bool {
         match self {
-            Caller::Waiting(head) => {
+            Caller::Waiting(head, progress) => {
                 if let Some(head) = head.take() {
+                    progress.note_head();
                     // If the caller has disconnected, the task notices elsewhere.
                     let _ = head.send(response);
                 }
@@ -89,13 +91,12 @@
     /// Sends the head of a runner's response, with a body to which events are sent. They are held
     /// in `hold`, which is begun if the head has not been sent yet.
     pub fn begin_stream(&mut self, head: &Parts, hold: impl FnOnce() -> Hold) {
-        if self.is_streaming() {
-            return;
-        }
+        let Caller::Waiting(_, progress) = self else { return };
+        let progress = progress.clone();
         let hold = Arc::new(hold());
         let buffer = if hold.is_bounded() { BOUNDED_EVENT_BUFFER } else { EVENT_BUFFER };
         let (events, receiver) = mpsc::channel(buffer);
-        self.respond(forward_response(head, body_of(receiver, hold.clone())));
+        self.respond(forward_response(head, body_of(receiver, hold.clone(), progress)));
         *self = Caller::Streaming(events, hold);
     }
 
@@ -145,11 +146,12 @@
     hold: Arc<Hold>,
     /// The event that is being sent.
     sending: Size,
+    progress: Progress,
 }
 
 /// A body of the events received up to the end of the stream.
-fn body_of(receiver: mpsc::Receiver<Part>, hold: Arc<Hold>) -> Body {
-    let events = Events { receiver, hold, sending: Size::ZERO };
+fn body_of(receiver: mpsc::Receiver<Part>, hold: Arc<Hold>, progress: Progress) -> Body {
+    let events = Events { receiver, hold, sending: Size::ZERO, progress };
     let frames = stream::unfold(Some(events), async |events| {
         let mut events = events?;
         events.hold.take(std::mem::take(&mut events.sending));
@@ -157,6 +159,7 @@
             Some(Part::Event) => match events.hold.pop() {
                 Taken::Piece(event) => {
                     events.sending = size_of(&event);
+                    events.progress.note_event(event.len());
                     Some((Ok(Frame::data(event)), Some(events)))
                 }
                 Taken::Nothing | Taken::Shed => Some((Err(Cut), None)),
--- a/node/src/serve/generation/mod.rs
+++ b/node/src/serve/generation/mod.rs
@@ -30,8 +30,9 @@
 use crate::fair_share::Meter;
 use crate::lock::lock;
 use crate::serve::crash;
+use crate::serve::in_progress::InProgress;
 use crate::serve::quarantine;
-use crate::serve::request::{InProgress, Request};
+use crate::serve::request::Request;
 use crate::serve::reservation::Reservation;
 use crate::serve::response::{Body, Refusal};
 use crate::serve::shared::Shared;
@@ -59,6 +60,7 @@
     in_progress: InProgress,
 ) -> Response<Body> {
     let (head, answer) = oneshot::channel();
+    let caller = Caller::new(head, request.progress.clone());
     let generation = Arc::new(Generation {
         shared: shared.clone(),
         work: request.caller_headers.work.clone().unwrap_or_default(),
@@ -66,7 +68,7 @@
         meter: Arc::new(Meter::new(shared.fair_share.clone())),
         request,
     });
-    let task = GenerationTask::new(generation, Caller::new(head));
+    let task = GenerationTask::new(generation, caller);
     tokio::spawn(task.run(in_progress));
     // The task always sends a response; if it panicked the request may have run.
     answer.await.unwrap_or_else(|_| Refusal::Broken.response())
--- a/node/src/serve/generation/run.rs
+++ b/node/src/serve/generation/run.rs
@@ -114,6 +114,7 @@
         let kind = handle.clone().map_or(CallKind::Run, CallKind::RunFromKv);
         let request = self.runner_request(id, kind, placed.class, fetch);
         let begun = self.attempts().execution.begin();
+        self.request.progress.note_call(id);
         if let Some(permit) = &mut placed.permit {
             permit.note_sent();
         }
@@ -138,6 +139,7 @@
                 };
                 arrival.waive();
                 self.attempts().execution.disprove(begun, proof);
+                self.request.progress.note_not_run(id);
                 if let Some(cache) = cache {
                     cache.rearm(handle);
                 }
@@ -151,6 +153,7 @@
         let verdict = classify(answer.head.status, &answer.head.headers, id, &self.request.id);
         if let Some(proof) = Proof::of_verdict(&verdict) {
             self.attempts().execution.disprove(begun, proof);
+            self.request.progress.note_not_run(id);
             reservation.count_unanswered(Some(proof));
             let replaced = proof == Proof::OtherInstance;
             reservation.conclude(if replaced { Outcome::Gone } else { Outcome::Failed });
--- a/node/src/serve/generation/task.rs
+++ b/node/src/serve/generation/task.rs
@@ -21,8 +21,9 @@
 use super::run::RunStep;
 use super::{Generation, MAX_CALLS, MIN_TIME_LEFT, StopCause, millis, probe, version_text};
 use crate::serve::execution::promises_not_run;
+use crate::serve::in_progress::InProgress;
 use crate::serve::quarantine;
-use crate::serve::request::{End, InProgress};
+use crate::serve::request::End;
 use crate::serve::response::{Refusal, forward_response, full_body};
 
 /// Why a request is moved to another runner.
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -116,6 +116,8 @@
     pub lines_dropped: IntCounter,
     /// Requests in progress.
     pub in_progress: IntGauge,
+    /// Requests that were still in progress at a step of the stop, by step and state.
+    pub stop_requests: IntCounterVec,
     /// The version of the configuration in force.
     pub configuration_version: IntGauge,
     /// The era of the store.
@@ -405,6 +407,11 @@
             ),
             lines_dropped: m.counter("sardinepick_log_lines_dropped_total", "Log lines dropped"),
             in_progress: m.gauge("sardinepick_under_way", "Requests under way"),
+            stop_requests: m.counters(
+                "sardinepick_stop_requests_total",
+                "Requests that were still in progress at a step of the node's stop, by their state",
+                &["step", "state"],
+            ),
             configuration_version: m
                 .gauge("sardinepick_configuration_version", "Version of the configuration"),
             store_era: m.gauge("sardinepick_store_era", "Era of the store"),
--- a/node/src/serve/mod.rs
+++ b/node/src/serve/mod.rs
@@ -17,6 +17,7 @@
 pub mod generation;
 pub mod heartbeat;
 pub mod idle;
+pub mod in_progress;
 pub mod intake;
 pub mod join;
 mod kind_watch;
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -24,9 +24,10 @@
 use crate::holding::Hold;
 use crate::serve::connection::{Answer, ReadError, SendError};
 use crate::serve::execution::{Execution, Proof, promises_not_run};
+use crate::serve::in_progress::InProgress;
 use crate::serve::payment::Payment;
 use crate::serve::quarantine::{self, Admission};
-use crate::serve::request::{End, InProgress, Request};
+use crate::serve::request::{End, Request};
 use crate::serve::reservation::{Reservation, Step};
 use crate::serve::response::{Body, Refusal, Whole, forward_response};
 use crate::serve::shared::Shared;
@@ -196,6 +197,7 @@
                     failed = Some((head, body));
                 }
                 CallResult::NotRun(proof) => {
+                    self.request.progress.note_not_run(&choice.runner);
                     self.arrivals += u32::from(proof.has_arrived());
                     if proof.has_arrived() {
                         self.rejecting.push(choice.runner.clone());
@@ -314,6 +316,7 @@
         let runner_timeout = Duration::from_secs_f64(mean * TIMEOUT_FACTOR).max(objective / 2);
         let mut limit = if last { left } else { left.min(runner_timeout) };
         let begun = self.execution.begin();
+        request.progress.note_call(id);
         let hold = Arc::new(self.shared.holding.begin(request.holder(Purpose::Answer)));
         let (result, next) = {
             let target = reservation.target(address);
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -32,6 +32,7 @@
 use crate::account::CheckResult;
 use crate::caller_connection::{RequestBody, Source};
 use crate::holding::Hold;
+use crate::serve::in_progress::Progress;
 use crate::serve::response::{Body, Refusal};
 use crate::serve::resumption::Resumption;
 use crate::serve::shared::Shared;
@@ -84,6 +85,8 @@
     pub waited: Duration,
     /// The configuration that it is handled with.
     pub configuration: Arc<Configuration>,
+    /// Records how it advances.
+    pub progress: Progress,
 }
 
 impl Request {
@@ -178,6 +181,8 @@
     let arrived = shared.clock.now();
     let (head, body) = request.into_parts();
     let caller_headers = caller::read_headers(&head.headers);
+    let id = caller_headers.id.clone().unwrap_or_default();
+    let in_progress = shared.in_progress.begin(arrived, id);
     let refuse = |refusal: Refusal| {
         let id = caller_headers.id.as_deref().unwrap_or_default();
         let version = shared.configuration.load().as_ref().map(|c| c.version).unwrap_or_default();
@@ -199,6 +204,7 @@
     let allowed = caller_headers.deadline.map_or(route.timeout, |d| d.min(route.timeout));
     let waited = shared.clock.now().saturating_duration_since(arrived);
     let left = allowed.saturating_sub(waited);
+    in_progress.progress().note_admitted(&route.name, arrived + allowed);
     let source = body.source();
     let max_bytes = configuration.limits.body;
     let hold = shared.holding.begin(holder(account.as_ref(), source, &route, Purpose::Body));
@@ -275,9 +281,10 @@
         deadline: arrived + allowed,
         route,
         configuration,
+        progress: in_progress.progress().clone(),
     };
     shared.note_request(&request.service);
-    let in_progress = InProgress::new(shared);
+    request.progress.note_read();
     if request.engine.is_some() || request.route.kind.is_stream() {
         generation::handle(shared, request, in_progress).await
     } else {
@@ -473,19 +480,3 @@
     let class = Class::of(route.rank).index();
     Holder { owner, connection: source.connection, purpose, class }
 }
-
-/// Counts a request as in progress until dropped.
-pub struct InProgress(Arc<Shared>);
-
-impl InProgress {
-    fn new(shared: &Arc<Shared>) -> Self {
-        shared.metrics.in_progress.inc();
-        Self(shared.clone())
-    }
-}
-
-impl Drop for InProgress {
-    fn drop(&mut self) {
-        self.0.metrics.in_progress.dec();
-    }
-}
--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -15,6 +15,7 @@
 use crate::caller_connection::Closing;
 use crate::connector::probe;
 use crate::serve::dial::{Dial, Tcp};
+use crate::serve::in_progress::{Open, Report, Step};
 use crate::serve::listener::{self, Port};
 use crate::serve::metrics::Metrics;
 use crate::serve::settings::Settings;
@@ -204,14 +205,20 @@
         let shared = self.shared;
         let grace = shared.settings.grace;
         let began = Instant::now();
+        let open = shared.metrics.caller_connections.with_label_values(&[Port::Front.name()]);
+        let report = Report::new(&shared.in_progress, &shared.metrics, shared.clock.now());
+        let note = |step| {
+            let relays = shared.relay_server.open_count();
+            report.note(step, Open { connections: open.get(), relays }, shared.clock.now());
+        };
         let in_progress = || u64::try_from(shared.metrics.in_progress.get()).unwrap_or(0);
         log::info!(node:% = shared.me.id, under_way = in_progress(); "leaving");
         shared.standing.send_replace(Standing::Leaving);
         shared.heartbeat_now.notify_one();
         sleep_until(began + grace.mul_f64(CLOSE_AFTER)).await;
         self.closing.send_replace(true);
+        note(Step::Close);
         // A response that is complete here may still be on its way into the caller's socket.
-        let open = shared.metrics.caller_connections.with_label_values(&[Port::Front.name()]);
         let end = began + grace.mul_f64(ABORT_AFTER);
         while Instant::now() < end {
             sleep(STOP_CHECK_PERIOD).await;
@@ -220,10 +227,16 @@
                 break;
             }
         }
+        note(Step::Abort);
         self.count_sender.close(began + grace.mul_f64(EXIT_AFTER)).await;
+        note(Step::Exit);
         // A connection that is still open waits for its response, or for the rest of it.
         let cut = in_progress().max(u64::try_from(open.get()).unwrap_or(0));
-        log::info!(node:% = shared.me.id, cut = cut; "stopped");
+        log::info!(
+            node:% = shared.me.id, cut = cut, connections = open.get(),
+            relays = shared.relay_server.open_count(),
+            took_ms = began.elapsed().as_millis() as u64; "stopped"
+        );
         cut
     }
 }
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -51,6 +51,7 @@
 use crate::serve::copy::Copies;
 use crate::serve::crash::Detector;
 use crate::serve::dial::Dial;
+use crate::serve::in_progress;
 use crate::serve::metrics::Metrics;
 use crate::serve::quarantine::QuarantineState;
 use crate::serve::register_replica::RegisterReplica;
@@ -138,6 +139,8 @@
     pub holding: Holding,
     /// Forwards connections of other nodes to runners.
     pub relay_server: relay::Server,
+    /// The requests in progress.
+    pub in_progress: in_progress::Table,
     register: Arc<Mutex<Register>>,
     roster: Arc<Mutex<Roster>>,
     register_replica: Mutex<RegisterReplica>,
@@ -265,6 +268,7 @@
             dispatcher,
             connector,
             relay_server,
+            in_progress: in_progress::Table::new(metrics.in_progress.clone()),
             holding,
             standing,
             era_tracker,
