serve: a stopping node accepts only requests that it can serve whole

Callers saw a connection that closed without a complete response around a planned stop: streams with status 200 after a part of their events, plain requests without any response.

Cause: the end of a stopping node was known to run.rs alone. A request got its deadline from its caller and its route, so a node with 4.3 s left accepted streams of 6 s and cut them at 0.96 of the grace period; a request without a response head ended with the process.

Change: a schedule of the stop (lib fleet::shutdown), known to everything that promises a time. Service ends at 0.93 of the grace period, which is the latest deadline of any request, also for calls to runners, admission, queues, prefill and retries. A request is accepted if its deadline is within the service, or if twice the longest time of recent requests of its route is; streams by such an estimate only while callers may have the address from a look-up. Others are refused at once as `stopping`, not run. What is open at the end of service and has no response head gets 503 or 504. How long look-ups may be cached and when the listener closes follow from the grace period: nothing changes at 8 s; at 4 s they are 0.5 and 1.68 s.

--- a/lib/src/fleet/admission.rs
+++ b/lib/src/fleet/admission.rs
@@ -85,6 +85,8 @@
     NodeFull,
     /// Its account has more work waiting than its share gets done in time.
     Share,
+    /// The node stops before the answer is complete.
+    Stopping,
 }
 
 /// The fraction of the objective that the predicted time to the first answer may take. The rest
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -39,6 +39,7 @@
 pub mod runner;
 pub mod scheduler;
 pub mod share;
+pub mod shutdown;
 pub mod stream_binding;
 pub mod suspect;
 pub mod timeout;
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod scale;
 pub mod serve;
 pub mod settings;
+pub mod shutdown;
 pub mod store;
 pub mod stream_binding;
 pub mod sweep;
--- a/node/src/serve/generation/mod.rs
+++ b/node/src/serve/generation/mod.rs
@@ -96,6 +96,8 @@
     Calls,
     /// The node has no space for its answer.
     NodeFull,
+    /// The node stops.
+    Stopping,
 }
 
 /// A generation request and its attempts, shared by the calls made for it.
@@ -127,9 +129,16 @@
         route.kind.may_repeat() && self.attempts().execution.runs() < route.max_attempts
     }
 
-    /// The refusal of a request whose deadline has passed.
+    /// The refusal of a request whose deadline has passed, or that the node has not served before
+    /// it stops.
     fn deadline_refusal(&self) -> Refusal {
-        if self.attempts().execution.may_have_run() { Refusal::Late } else { Refusal::Expired }
+        if self.attempts().execution.may_have_run() {
+            return Refusal::Late;
+        }
+        if self.shared.shutdown.is_service_over() {
+            return self.request.refusal(&self.shared, Reason::Stopping);
+        }
+        Refusal::Expired
     }
 
     /// The refusal of a request that is not tried again.
--- a/node/src/serve/generation/task.rs
+++ b/node/src/serve/generation/task.rs
@@ -109,6 +109,7 @@
             step = next_of(self.successor.as_mut()) => Wake::Successor(step),
             alive = result_of(self.probe.as_mut()) => Wake::Probed(alive),
             () = sleep(timer) => Wake::Timer,
+            () = self.generation.shared.shutdown.service_ended() => Wake::Timer,
         };
         match wake {
             Wake::CallerLeft => Some(Err(None)),
@@ -139,7 +140,9 @@
     }
 
     fn out_of_time(&self) -> (Refusal, StopCause) {
-        (self.generation.deadline_refusal(), StopCause::Deadline)
+        let is_stopping = self.generation.shared.shutdown.is_service_over();
+        let cause = if is_stopping { StopCause::Stopping } else { StopCause::Deadline };
+        (self.generation.deadline_refusal(), cause)
     }
 
     /// Whether the request may have another attempt.
--- a/node/src/serve/in_progress.rs
+++ b/node/src/serve/in_progress.rs
@@ -38,7 +38,9 @@
 pub enum Step {
     /// The node has closed its listener.
     Close,
-    /// The node no longer waits for requests in progress.
+    /// Service is about to end: the requests that are left are refused, or their streams cut.
+    ServiceEnd,
+    /// The node no longer waits for responses to be sent.
     Abort,
     /// The process exits.
     Exit,
--- a/node/src/serve/listener.rs
+++ b/node/src/serve/listener.rs
@@ -21,9 +21,6 @@
 use crate::serve::shared::Shared;
 use crate::serve::{quarantine, request};
 
-/// How long callers may cache a look-up answer. Some cache it three times as long. They must have
-/// dropped a stopping node early enough for it to finish their last requests.
-const LOOKUP_TTL: Duration = Duration::from_secs(1);
 /// The maximum number of addresses in a look-up answer (platform protocol).
 const MAX_ADDRESSES: usize = 64;
 /// The pause after a failed `accept`: without free file descriptors, each attempt fails at once.
@@ -188,7 +185,7 @@
         log::info!(host:% = lookup.host; "no ready node for look-up");
         return empty(StatusCode::SERVICE_UNAVAILABLE);
     }
-    json(lookup_response(&addresses, LOOKUP_TTL.min(shared.settings.max_lookup_ttl)))
+    json(lookup_response(&addresses, shared.settings.lookup_ttl()))
 }
 
 /// The node's state, for operators.
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -78,7 +78,11 @@
         register: RegisterVersion::default(),
         next: None,
     };
-    let end = task.run().await;
+    let end = tokio::select! {
+        end = task.run() => Some(end),
+        () = shared.shutdown.service_ended() => None,
+    };
+    let end = end.unwrap_or_else(|| Err(task.final_refusal(Reason::Stopping)));
     if task.is_trial && !task.execution.may_have_run() && task.crashes == 0 {
         quarantine::return_trial(shared, &request.fingerprint);
     }
@@ -234,7 +238,10 @@
     /// Returns the refusal of a request that is not tried again, which says whether it may have run.
     fn final_refusal(&self, reason: Reason) -> Refusal {
         if self.execution.may_have_run() {
-            return if reason == Reason::Late { Refusal::Late } else { Refusal::Broken };
+            return match reason {
+                Reason::Late | Reason::Stopping => Refusal::Late,
+                _ => Refusal::Broken,
+            };
         }
         self.request.refusal(self.shared, reason)
     }
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -21,6 +21,7 @@
 use sardinepick_lib::fleet::register_version::RegisterVersion;
 use sardinepick_lib::fleet::route::{Configuration, Route};
 use sardinepick_lib::fleet::runner::Closed;
+use sardinepick_lib::fleet::shutdown::Claim;
 use sardinepick_lib::fleet::stream_binding::StreamKey;
 use sardinepick_lib::fleet::version::Version;
 use sardinepick_lib::id::{AccountId, ServiceId};
@@ -37,6 +38,7 @@
 use crate::serve::resumption::Resumption;
 use crate::serve::shared::Shared;
 use crate::serve::{generation, plain, store_watch};
+use crate::shutdown::Shutdown;
 
 /// When a caller should retry at a node that has no configuration yet.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -79,6 +81,8 @@
     pub arrived: Instant,
     /// Its deadline: the caller's, or the route's timeout if that is shorter.
     pub deadline: Instant,
+    /// Whether the node stops before that.
+    pub shutdown: Arc<Shutdown>,
     /// Its size relative to the mean of its route.
     pub size: f64,
     /// The estimated time that its caller has waited since the first attempt.
@@ -90,9 +94,9 @@
 }
 
 impl Request {
-    /// Returns the time left until its deadline.
+    /// Returns the time left until its deadline, or until the end of service of a stopping node.
     pub fn time_left(&self, now: Instant) -> Duration {
-        self.deadline.saturating_duration_since(now)
+        self.shutdown.limit(self.deadline).saturating_duration_since(now)
     }
 
     /// Returns what its holdings for a purpose belong to.
@@ -135,6 +139,11 @@
     pub fn log_end(&self, shared: &Shared, end: &End<'_>) {
         let now = shared.clock.now();
         let took = now.saturating_duration_since(self.arrived);
+        if end.outcome == "answered" {
+            shared.note_duration(&self.route.name, took);
+        } else {
+            shared.shutdown.note_unserved();
+        }
         let labels = [self.route.name.as_str(), self.route.kind.into(), end.outcome, end.reason];
         shared.metrics.requests.with_label_values(&labels).inc();
         log::info!(
@@ -178,6 +187,16 @@
 
 /// Handles a caller's request.
 pub async fn handle(shared: &Arc<Shared>, request: http::Request<RequestBody>) -> Response<Body> {
+    tokio::select! {
+        response = respond(shared, request) => response,
+        () = shared.shutdown.response_due() => {
+            log::warn!("no response at the end of service");
+            Refusal::Late.response()
+        }
+    }
+}
+
+async fn respond(shared: &Arc<Shared>, request: http::Request<RequestBody>) -> Response<Body> {
     let arrived = shared.clock.now();
     let (head, body) = request.into_parts();
     let caller_headers = caller::read_headers(&head.headers);
@@ -205,21 +224,29 @@
     let waited = shared.clock.now().saturating_duration_since(arrived);
     let left = allowed.saturating_sub(waited);
     in_progress.progress().note_admitted(&route.name, arrived + allowed);
+    let claim = Claim {
+        allowed: left,
+        longest: shared.longest_duration(&route.name),
+        is_stream: route.kind.is_stream(),
+    };
+    if !shared.shutdown.accepts(&claim) {
+        return refuse(stopping(shared, &route, left));
+    }
     let source = body.source();
     let max_bytes = configuration.limits.body;
     let hold = shared.holding.begin(holder(account.as_ref(), source, &route, Purpose::Body));
-    let body = if shared.holding.is_bounded() {
-        match shared.holding.admit() {
-            Ok(()) => {
-                let is_stream = route.kind.is_stream();
-                let buffers = if is_stream { hold.stream_buffers() } else { Size::ZERO };
-                let more = REQUEST_SIZE.plus(buffers);
-                read_held_body(body, max_bytes, left, &hold, more).await
-            }
-            Err(full) => Err(full.into()),
+    let reading = async {
+        if !shared.holding.is_bounded() {
+            return read_body(body, max_bytes, left).await.map_err(Unread::Refused);
         }
-    } else {
-        read_body(body, max_bytes, left).await.map_err(Unread::Refused)
+        shared.holding.admit()?;
+        let is_stream = route.kind.is_stream();
+        let buffers = if is_stream { hold.stream_buffers() } else { Size::ZERO };
+        read_held_body(body, max_bytes, left, &hold, REQUEST_SIZE.plus(buffers)).await
+    };
+    let body = tokio::select! {
+        body = reading => body,
+        () = shared.shutdown.service_ended() => Err(stopping(shared, &route, left).into()),
     };
     let body = match body {
         Ok(body) => body,
@@ -279,6 +306,7 @@
         source,
         arrived,
         deadline: arrived + allowed,
+        shutdown: shared.shutdown.clone(),
         route,
         configuration,
         progress: in_progress.progress().clone(),
@@ -292,6 +320,12 @@
     }
 }
 
+/// The refusal of a request that this node would not serve whole before it stops.
+fn stopping(shared: &Shared, route: &Route, left: Duration) -> Refusal {
+    let terms = Terms::new(route, left, Wait::default(), 1.0);
+    Refusal::NotRun(Reason::Stopping, terms.retry_delay(0.0, &mut *shared.rng()))
+}
+
 /// What an admitted request is handled with.
 struct Admitted {
     configuration: Arc<Configuration>,
--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -7,10 +7,11 @@
 
 use sardinepick_lib::clock::Clock;
 use sardinepick_lib::fleet::roster::Standing;
+use sardinepick_lib::fleet::shutdown::Schedule;
 use thiserror::Error;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep};
 
 use crate::caller_connection::Closing;
 use crate::connector::probe;
@@ -45,15 +46,6 @@
     count_sender: CountSender,
 }
 
-/// The fraction of the grace period after which a stopping node closes its connections. By then no
-/// caller connects to it any more that respects the look-up validity, even three times over, and
-/// more than half of the grace period is left for the last requests.
-const CLOSE_AFTER: f64 = 0.42;
-/// The fraction of the grace period after which the node aborts requests in progress.
-const ABORT_AFTER: f64 = 0.96;
-/// The fraction of the grace period after which the node exits although its usage counts are not
-/// acknowledged.
-const EXIT_AFTER: f64 = 0.98;
 /// How often a stopping node checks for requests in progress.
 const STOP_CHECK_PERIOD: Duration = Duration::from_millis(20);
 
@@ -197,45 +189,53 @@
         }
     }
 
-    /// Stops gracefully: removes the node from look-ups, keeps serving requests that still arrive,
-    /// closes connections as they become idle, and returns when no request is in progress, all
-    /// connections are closed and none is forwarded, or the grace period is over. Returns the number
-    /// of aborted requests.
+    /// Stops gracefully: removes the node from look-ups, keeps serving requests that still arrive and
+    /// fit into the grace period, closes connections as they become idle, and returns when no request
+    /// is in progress, all connections are closed and none is forwarded, or the grace period is over.
+    /// Returns the number of aborted requests.
     pub async fn stop(self) -> u64 {
         let shared = self.shared;
-        let grace = shared.settings.grace;
-        let began = Instant::now();
+        let clock = shared.clock.clone();
+        let (grace, lookup_ttl) = (shared.settings.grace, shared.settings.lookup_ttl());
+        let schedule = Schedule::new(clock.now(), grace, lookup_ttl);
         let open = shared.metrics.caller_connections.with_label_values(&[Port::Front.name()]);
-        let report = Report::new(&shared.in_progress, &shared.metrics, shared.clock.now());
+        let report = Report::new(&shared.in_progress, &shared.metrics, schedule.began());
         let note = |step| {
             let relays = shared.relay_server.open_count();
-            report.note(step, Open { connections: open.get(), relays }, shared.clock.now());
+            report.note(step, Open { connections: open.get(), relays }, clock.now());
         };
         let in_progress = || u64::try_from(shared.metrics.in_progress.get()).unwrap_or(0);
         log::info!(node:% = shared.me.id, under_way = in_progress(); "leaving");
+        shared.shutdown.begin(schedule);
         shared.standing.send_replace(Standing::Leaving);
         shared.heartbeat_now.notify_one();
-        sleep_until(began + grace.mul_f64(CLOSE_AFTER)).await;
+        sleep(schedule.close().saturating_duration_since(clock.now())).await;
         self.closing.send_replace(true);
         note(Step::Close);
         // A response that is complete here may still be on its way into the caller's socket.
-        let end = began + grace.mul_f64(ABORT_AFTER);
-        while Instant::now() < end {
-            sleep(STOP_CHECK_PERIOD).await;
-            let is_served = in_progress() == 0 && open.get() == 0;
-            if is_served && shared.relay_server.open_count() == 0 {
-                break;
+        let is_served =
+            || in_progress() == 0 && open.get() == 0 && shared.relay_server.open_count() == 0;
+        // The requests that end with the service are still in progress shortly before it.
+        for (end, step) in [
+            (schedule.service_end() - STOP_CHECK_PERIOD, Step::ServiceEnd),
+            (schedule.abort(), Step::Abort),
+        ] {
+            while clock.now() < end && !is_served() {
+                sleep(STOP_CHECK_PERIOD.min(end.saturating_duration_since(clock.now()))).await;
             }
+            note(step);
         }
-        note(Step::Abort);
-        self.count_sender.close(began + grace.mul_f64(EXIT_AFTER)).await;
+        let left = schedule.exit().saturating_duration_since(clock.now());
+        self.count_sender.close(Instant::now() + left).await;
         note(Step::Exit);
         // A connection that is still open waits for its response, or for the rest of it.
-        let cut = in_progress().max(u64::try_from(open.get()).unwrap_or(0));
+        let left = in_progress().max(u64::try_from(open.get()).unwrap_or(0));
+        let cut = shared.shutdown.aborted() + left;
+        let took = clock.now().saturating_duration_since(schedule.began());
         log::info!(
             node:% = shared.me.id, cut = cut, connections = open.get(),
             relays = shared.relay_server.open_count(),
-            took_ms = began.elapsed().as_millis() as u64; "stopped"
+            took_ms = took.as_millis() as u64; "stopped"
         );
         cut
     }
--- a/node/src/serve/settings.rs
+++ b/node/src/serve/settings.rs
@@ -9,6 +9,7 @@
 use sardinepick_lib::decimal;
 use sardinepick_lib::fleet::budget::Bounds;
 use sardinepick_lib::fleet::holding::{Rate, Resources, Size};
+use sardinepick_lib::fleet::shutdown;
 use sardinepick_lib::id::{DataCentre, NodeId};
 use sardinepick_lib::scale::need::Policy;
 
@@ -114,6 +115,11 @@
 }
 
 impl Settings {
+    /// How long callers may cache a look-up answer.
+    pub fn lookup_ttl(&self) -> Duration {
+        shutdown::lookup_ttl(self.grace, self.max_lookup_ttl)
+    }
+
     /// The seeds other than this node.
     pub fn other_seeds(&self) -> impl Iterator<Item = SocketAddr> {
         self.seeds.iter().copied().filter(|seed| *seed != self.peer)
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -21,6 +21,7 @@
 use sardinepick_lib::fleet::roster::{Contact, Record, Roster, Standing, Status};
 use sardinepick_lib::fleet::route::{Configuration, Limits};
 use sardinepick_lib::fleet::runner::Tag;
+use sardinepick_lib::fleet::shutdown::Durations;
 use sardinepick_lib::fleet::watch_role::{ELECTED, MAX_CANDIDATES, Role, SUBJECT};
 use sardinepick_lib::hash::stable_hash;
 use sardinepick_lib::id::{Incarnation, ServiceId};
@@ -59,6 +60,7 @@
 use crate::serve::settings::Settings;
 use crate::serve::store::Client;
 use crate::serve::transfer::Queue;
+use crate::shutdown::Shutdown;
 use crate::stream_binding::StreamBindings;
 use crate::usage::Usage;
 
@@ -67,6 +69,7 @@
 struct RouteStats {
     sizes: MeanSize,
     deadlines: Deadlines,
+    durations: Durations,
 }
 
 /// The shared state.
@@ -93,6 +96,8 @@
     pub freshness: Tracker,
     /// Whether this node is starting, ready or leaving.
     pub standing: watch::Sender<Standing>,
+    /// Whether this node stops, and when.
+    pub shutdown: Arc<Shutdown>,
     /// Whether this node has completed its membership view, or has found no other node.
     pub membership_settled: watch::Sender<bool>,
     /// Signals that other nodes have a newer register.
@@ -271,6 +276,7 @@
             in_progress: in_progress::Table::new(metrics.in_progress.clone()),
             holding,
             standing,
+            shutdown: Arc::new(Shutdown::new(clock.clone())),
             era_tracker,
             store,
             freshness,
@@ -506,6 +512,17 @@
         self.with_route_stats(route, |stats| stats.deadlines.note(deadline))
     }
 
+    /// Records the time that a request on a route took until its response was complete.
+    pub fn note_duration(&self, route: &SmolStr, took: Duration) {
+        let now = self.clock.now();
+        self.with_route_stats(route, |stats| stats.durations.note(took, now));
+    }
+
+    /// The longest time that a recent request on a route took.
+    pub fn longest_duration(&self, route: &SmolStr) -> Option<Duration> {
+        self.with_route_stats(route, |stats| stats.durations.longest())
+    }
+
     fn with_route_stats<T>(&self, route: &SmolStr, change: impl FnOnce(&mut RouteStats) -> T) -> T {
         let mut stats = lock(&self.route_stats);
         // Routes come and go with configurations; dropped statistics are soon rebuilt.
