tests: streams joined from two versions after the loss of all nodes (known red)

A stream is joined from two versions when all nodes are killed, the runners of its version leave before a node is back, and its caller takes it up more than ten seconds later.

The model draws a loss of all nodes in each schedule, as the runners of all versions but one leave, with callers that wait for as long as the route's timeout (5, 14 or 25 s) and retry what is refused.

Two tests of three real nodes begin twelve streams of two versions, kill all nodes, start them again, and take each stream up at once and ten seconds later, within a deadline of 20 s.

--- a/lib/tests/stream_binding_model/main.rs
+++ b/lib/tests/stream_binding_model/main.rs
@@ -17,9 +17,17 @@
 
 /// The violations of all schedules, and their sums.
 fn explore(variant: Variant, schedules: u64) -> (Vec<String>, Stats) {
+    play((0..schedules).map(|seed| (seed, World::new(variant, seed))))
+}
+
+/// As [`explore`], with a loss of all nodes in each schedule.
+fn explore_loss(variant: Variant, schedules: u64) -> (Vec<String>, Stats) {
+    play((0..schedules).map(|seed| (seed, World::with_loss(variant, seed))))
+}
+
+fn play(worlds: impl Iterator<Item = (u64, World)>) -> (Vec<String>, Stats) {
     let (mut violations, mut sums) = (Vec::new(), Stats::default());
-    for seed in 0..schedules {
-        let mut world = World::new(variant, seed);
+    for (seed, mut world) in worlds {
         world.play();
         sums.add(&world.stats);
         violations.extend(world.violations.iter().map(|found| format!("schedule {seed}: {found}")));
@@ -40,6 +48,15 @@
     assert!(sums.went_on * 10 > sums.taken_up * 8, "most go on: {sums:?}");
 }
 
+/// Guards against a stream that another version continues after all nodes were lost, with all
+/// bindings, and the runners of its version have left before a node was back.
+#[test]
+fn streams_after_loss_of_all_nodes_one_version() {
+    let (violations, sums) = explore_loss(Variant::None, SCHEDULES);
+    assert!(violations.is_empty(), "{} violations, first: {}", violations.len(), violations[0]);
+    assert!(sums.orphaned > SCHEDULES && sums.from_history > 0, "{sums:?}");
+}
+
 /// Guards against a binding that is lost with the node that began the stream.
 #[test]
 fn streams_known_to_own_node_only_caught() {
--- a/lib/tests/stream_binding_model/world.rs
+++ b/lib/tests/stream_binding_model/world.rs
@@ -18,6 +18,8 @@
 const TICK_MS: u64 = 250;
 /// The deadline of callers, from their first attempt.
 const DEADLINE_MS: u64 = 5_000;
+/// The timeouts of routes in schedules with a loss of all nodes. Some callers wait for as long.
+const LOSS_TIMEOUTS_MS: [u64; 3] = [DEADLINE_MS, 14_000, 25_000];
 /// How long a dead node is still believed to be ready.
 const DETECTION_MS: u64 = 1_500;
 /// How long a node waits for replies in all.
@@ -49,6 +51,8 @@
     pub from_history: u64,
     /// Those that were refused because their version was not known.
     pub unknown: u64,
+    /// Those that began before the last loss of all nodes, whose version had left by then.
+    pub orphaned: u64,
 }
 
 impl Stats {
@@ -58,6 +62,7 @@
         self.went_on += other.went_on;
         self.from_history += other.from_history;
         self.unknown += other.unknown;
+        self.orphaned += other.orphaned;
     }
 }
 
@@ -81,6 +86,8 @@
     /// The version of its events so far.
     version: Option<Version>,
     began: u64,
+    /// The deadline of its caller, since it began.
+    deadline: u64,
     tries: u32,
 }
 
@@ -99,6 +106,7 @@
     Fresh(usize),
     Cut,
     Heal,
+    Loss,
 }
 
 /// A schedule in progress.
@@ -116,6 +124,14 @@
     versions: Vec<Version>,
     cut: BTreeSet<(usize, usize)>,
     loss: f64,
+    /// The timeout of the route.
+    timeout: u64,
+    /// The share of callers whose deadline is the route's timeout.
+    patient: f64,
+    /// Whether callers take a stream up again that was refused.
+    retries_refused: bool,
+    /// When all nodes were lost.
+    lost_at: u64,
     /// Until when a node was cut off, frozen or behind.
     disturbed_until: u64,
     streams: u64,
@@ -163,6 +179,10 @@
             versions,
             cut: BTreeSet::new(),
             loss,
+            timeout: DEADLINE_MS,
+            patient: 0.0,
+            retries_refused: false,
+            lost_at: 0,
             disturbed_until: 0,
             streams: 0,
             stats: Stats::default(),
@@ -192,6 +212,20 @@
         world
     }
 
+    /// Draws a schedule in which all nodes are lost at least once, each time as the runners of all
+    /// versions but one leave, and in which callers wait for longer.
+    pub fn with_loss(variant: Variant, seed: u64) -> Self {
+        let mut world = Self::new(variant, seed);
+        world.timeout = LOSS_TIMEOUTS_MS[world.rng.random_range(0..LOSS_TIMEOUTS_MS.len())];
+        world.patient = world.rng.random_range(0.1..1.0);
+        world.retries_refused = true;
+        for _ in 0..world.rng.random_range(1..=2) {
+            let at = world.rng.random_range(2_000..END_MS / 2);
+            world.at(at, Event::Loss);
+        }
+        world
+    }
+
     fn at(&mut self, at: u64, event: Event) {
         self.order += 1;
         self.queue.push(Reverse((at, self.order, self.events.len())));
@@ -255,6 +289,7 @@
                 self.at(until, Event::Heal);
             }
             Event::Heal => self.cut.clear(),
+            Event::Loss => self.lose(),
         }
     }
 
@@ -387,7 +422,9 @@
         self.streams += 1;
         let name = format!("r{}", self.streams);
         let key = StreamKey::new(None, &name);
-        let stream = Stream { name, key, version: None, began: self.now, tries: 0 };
+        let is_patient = self.patient > 0.0 && self.rng.random_bool(self.patient);
+        let deadline = if is_patient { self.timeout } else { DEADLINE_MS };
+        let stream = Stream { name, key, version: None, began: self.now, deadline, tries: 0 };
         let Some(node) = self.any_node() else { return };
         let Some(placed) = self.any_version(node) else { return };
         // A run that brings no event may be followed by one of another version.
@@ -410,7 +447,7 @@
         }
         stream.version = Some(runs.clone());
         let version = if self.variant == Variant::BoundAtPlacement { placed } else { runs };
-        let (now, until) = (self.instant(self.now), self.instant(stream.began + DEADLINE_MS));
+        let (now, until) = (self.instant(self.now), self.instant(stream.began + stream.deadline));
         let binding = Binding { service: service(), version };
         let bound = Bound { stream: stream.key, binding, since: now, until };
         let (_, is_shared) = self.nodes[node].bindings.bind(bound.clone(), now);
@@ -431,11 +468,13 @@
     }
 
     fn take_up(&mut self, stream: Stream) {
-        if self.now + REPLY_MS >= stream.began + DEADLINE_MS {
+        if self.now + REPLY_MS >= stream.began + stream.deadline {
             return;
         }
         let Some(node) = self.any_node() else { return };
         self.stats.taken_up += 1;
+        let has_left = stream.version.as_ref().is_some_and(|v| !self.view(node).contains(v));
+        self.stats.orphaned += u64::from(stream.began < self.lost_at && has_left);
         let (found, promised) = self.find(node, &stream);
         let version = match (found, self.variant) {
             (Some(version), _) => version,
@@ -449,6 +488,9 @@
                     let told = format!("{} at {}: a binding was not found", stream.name, self.now);
                     self.violations.push(told);
                 }
+                if self.retries_refused {
+                    self.after(100..3_000, Event::TakeUp { stream });
+                }
                 return;
             }
         };
@@ -462,7 +504,8 @@
     fn find(&mut self, node: usize, stream: &Stream) -> (Option<Version>, bool) {
         let (service, now) = (service(), self.instant(self.now));
         self.observe(node);
-        let horizon = self.nodes[node].bindings.horizon(&service);
+        let left = Duration::from_millis((stream.began + stream.deadline).saturating_sub(self.now));
+        let horizon = self.nodes[node].bindings.horizon(&service).max(left);
         let known = self.nodes[node].bindings.find(stream.key, Some(&service), horizon, now);
         if self.variant == Variant::NoHistory
             && let Known::Unbound(_) = known
@@ -530,10 +573,24 @@
         let first = self.rng.random_range(0..self.nodes.len());
         let count = ((self.nodes.len() as f64 * share).ceil() as usize).min(self.nodes.len());
         for at in (0..count).map(|n| (first + n) % self.nodes.len()).collect::<Vec<_>>() {
-            if self.nodes[at].alive {
-                (self.nodes[at].alive, self.nodes[at].died_at) = (false, self.now);
-                self.after(500..1_500, Event::Restart(at));
-            }
+            self.kill_node(at);
+        }
+    }
+
+    /// Kills all nodes, and takes all versions but one away before any node is back.
+    fn lose(&mut self) {
+        for at in 0..self.nodes.len() {
+            self.kill_node(at);
+        }
+        self.lost_at = self.now;
+        let only = self.versions[self.rng.random_range(0..self.versions.len())].clone();
+        self.registered.push((self.now, [only].into_iter().collect()));
+    }
+
+    fn kill_node(&mut self, at: usize) {
+        if self.nodes[at].alive {
+            (self.nodes[at].alive, self.nodes[at].died_at) = (false, self.now);
+            self.after(500..1_500, Event::Restart(at));
         }
     }
 
--- a/node/tests/stream_versions.rs
+++ b/node/tests/stream_versions.rs
@@ -1,7 +1,8 @@
 //! Streams while runners of several software versions serve side by side: all events of a stream
 //! come from runners of one version.
 
-use std::time::Duration;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use http::StatusCode;
 use sardinepick_lib::fleet::budget::Bounds;
@@ -67,15 +68,23 @@
     }
 }
 
-async fn send(front: std::net::SocketAddr, id: &str, headers: &[(&str, &str)]) -> Reply {
+async fn send(front: SocketAddr, id: &str, headers: &[(&str, &str)]) -> Reply {
+    send_within(front, id, headers, DEADLINE).await
+}
+
+async fn send_within(
+    front: SocketAddr,
+    id: &str,
+    headers: &[(&str, &str)],
+    deadline: Duration,
+) -> Reply {
     let headers: Vec<(&str, &str)> = GENERATION.iter().chain(headers).copied().collect();
-    let spec =
-        RequestSpec { headers: &headers, deadline: DEADLINE, ..RequestSpec::new("/count/a", id) };
+    let spec = RequestSpec { headers: &headers, deadline, ..RequestSpec::new("/count/a", id) };
     Caller::default().send(front, &spec).await
 }
 
 /// Takes up a stream that broke off.
-async fn take_up(front: std::net::SocketAddr, id: &str, first: &str, events: u64) -> Reply {
+async fn take_up(front: SocketAddr, id: &str, first: &str, events: u64) -> Reply {
     send(front, id, &[("resumes", first), ("last-event-id", &events.to_string())]).await
 }
 
@@ -154,11 +163,15 @@
 }
 
 async fn wait_ready(set: &Deployment, nodes: &[KillableNode]) {
+    wait_ready_with(nodes, set.runners.len()).await;
+}
+
+async fn wait_ready_with(nodes: &[KillableNode], runners: usize) {
     wait_until("all nodes are ready", async || {
         nodes.iter().all(|node| {
             node.shared.is_ready()
                 && node.shared.roster().ready_contacts().len() + 1 >= nodes.len()
-                && node.shared.register().runners().count() == set.runners.len()
+                && node.shared.register().runners().count() == runners
         })
     })
     .await;
@@ -231,3 +244,84 @@
     let set = with_nodes(runners(&["v1"], 2, 0).await, 2).await;
     take_up_elsewhere(&set, 0, 1).await;
 }
+
+/// A stream that broke off before all nodes were killed.
+struct Orphan {
+    id: String,
+    began: Instant,
+    events: u64,
+}
+
+/// Begins streams of both versions that break off, kills all nodes, takes the runners of `leaving`
+/// away and starts the nodes again.
+async fn lose_all_nodes(leaving: &[&str]) -> (Deployment, Vec<KillableNode>, Vec<Orphan>) {
+    let set = runners(&["v1", "v2"], 2, 0).await;
+    let mut nodes = start_nodes(&set, &ranked_names(3), &[]).await;
+    wait_ready(&set, &nodes).await;
+    break_off(&set.runners);
+    let mut orphans = Vec::new();
+    for n in 0..STREAMS {
+        let (id, began) = (format!("r{n}"), Instant::now());
+        let cut = send(nodes[n % nodes.len()].shared.me.front, &id, &[]).await;
+        orphans.push(Orphan { id, began, events: events(&cut) });
+    }
+    recover(&set.runners);
+    let all: Vec<&str> = orphans.iter().map(|orphan| orphan.id.as_str()).collect();
+    assert_eq!(versions(&set.runners, &all), ["v1", "v2"], "streams of both versions began");
+    nodes.iter_mut().for_each(KillableNode::kill);
+    let mut left = set.runners.len();
+    for runner in set.runners.iter().filter(|runner| leaving.contains(&runner.version())) {
+        runner.kill();
+        set.store.remove("servers", &runner.id);
+        left -= 1;
+    }
+    let nodes = start_nodes(&set, &ranked_names(3), &[]).await;
+    wait_ready_with(&nodes, left).await;
+    (set, nodes, orphans)
+}
+
+/// Takes streams up once, and checks that each is refused or goes on at its version.
+async fn take_up_orphans(
+    set: &Deployment,
+    nodes: &[KillableNode],
+    orphans: &[Orphan],
+    suffix: &str,
+) {
+    for (n, orphan) in orphans.iter().enumerate() {
+        let next = format!("{}-{suffix}", orphan.id);
+        let last = orphan.events.to_string();
+        let headers = [("resumes", orphan.id.as_str()), ("last-event-id", &last)];
+        let left = DEADLINE.saturating_sub(orphan.began.elapsed());
+        let front = nodes[n % nodes.len()].shared.me.front;
+        let reply = send_within(front, &next, &headers, left).await;
+        if reply.status == Some(StatusCode::SERVICE_UNAVAILABLE) {
+            assert_eq!(set.run_count(&next), 0, "{next} was refused and ran");
+        } else {
+            assert_rest(&set.runners, &[&orphan.id, &next], &reply, orphan.events);
+        }
+    }
+}
+
+/// The time after which nodes that were started take the only version that they have seen for the
+/// only one, where callers have short deadlines.
+const SHORTEST_HORIZON: Duration = Duration::from_secs(10);
+
+/// Guards against a stream that another version continues after the loss of all nodes, while both
+/// versions serve.
+#[tokio::test]
+async fn stream_taken_up_after_loss_of_all_nodes_not_joined() {
+    let (set, nodes, orphans) = lose_all_nodes(&[]).await;
+    take_up_orphans(&set, &nodes, &orphans, "early").await;
+    sleep(SHORTEST_HORIZON).await;
+    take_up_orphans(&set, &nodes, &orphans, "late").await;
+}
+
+/// Guards against nodes that, after the loss of all, take the only version that they have seen for
+/// the only one although a stream may be older than they are.
+#[tokio::test]
+async fn stream_of_departed_version_after_loss_of_all_nodes_not_joined() {
+    let (set, nodes, orphans) = lose_all_nodes(&["v1"]).await;
+    take_up_orphans(&set, &nodes, &orphans, "early").await;
+    sleep(SHORTEST_HORIZON).await;
+    take_up_orphans(&set, &nodes, &orphans, "late").await;
+}
