stream_binding: horizon covers the route's timeout

Callers that took a stream up more than ten seconds after all nodes had been killed could get the rest of its text from another version.

Cause: without a binding, a stream goes on at the only version that the nodes have seen since before it can have begun. How long that is came from the deadlines seen in first events and from what the caller has left. Nodes that have just been started have seen none, and what is left says nothing of the time before; ten seconds remained, though callers may wait for longer.

Change: the route's timeout, which every node knows, counts as a deadline of its callers: for what is asked, and for when a node need not share the bindings of its streams.

Callers whose deadline is longer than both ten seconds and the route's timeout are not covered, unless a deadline as long has been seen since the start.

--- a/lib/src/fleet/stream_binding/bindings.rs
+++ b/lib/src/fleet/stream_binding/bindings.rs
@@ -66,13 +66,15 @@
         self.memory.is_empty()
     }
 
-    /// Records that a stream of this node is bound from now on. Returns whether to send the binding
-    /// to other nodes now.
-    pub fn bind(&mut self, bound: Bound, now: Instant) -> (Added, bool) {
+    /// Records that a stream of this node is bound from now on. Streams of its route can be taken
+    /// up for `lifetime` after they began, or longer if its own deadline is later. Returns whether
+    /// to send the binding to other nodes now.
+    pub fn bind(&mut self, bound: Bound, lifetime: Duration, now: Instant) -> (Added, bool) {
         let bound = Bound { until: bound.until.min(now + MAX_LIFETIME), ..bound };
         let Binding { service, version } = &bound.binding;
         self.history.note(service, version, now);
-        self.history.note_deadline(service, bound.until.saturating_duration_since(now));
+        let left = bound.until.saturating_duration_since(now);
+        self.history.note_deadline(service, left.max(lifetime));
         let is_shared = !self.history.is_conclusive(service, now);
         let added = self.remember(bound.clone(), now);
         if !is_shared {
--- a/lib/src/fleet/stream_binding/history.rs
+++ b/lib/src/fleet/stream_binding/history.rs
@@ -74,10 +74,16 @@
 
 impl Service {
     fn horizon(&self) -> Duration {
-        MIN_HORIZON.max(self.longest + MIN_HORIZON / 2)
+        horizon_of(self.longest)
     }
 }
 
+/// The age from which streams are taken to have ended that can be taken up for `lifetime` after
+/// they began.
+pub fn horizon_of(lifetime: Duration) -> Duration {
+    MIN_HORIZON.max(lifetime.saturating_add(MIN_HORIZON / 2))
+}
+
 /// The versions that a node has seen.
 #[derive(Clone, Debug, Default)]
 pub struct History {
--- a/lib/src/fleet/stream_binding/mod.rs
+++ b/lib/src/fleet/stream_binding/mod.rs
@@ -24,7 +24,7 @@
 pub mod memory;
 
 pub use self::bindings::{Bindings, Bound, Known};
-pub use self::history::{Seen, Versions};
+pub use self::history::{Seen, Versions, horizon_of};
 
 /// The number of nodes that are told of a stream's binding.
 pub const HOLDERS: usize = 2;
--- a/lib/tests/stream_binding_model/world.rs
+++ b/lib/tests/stream_binding_model/world.rs
@@ -8,7 +8,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use sardinepick_lib::fleet::stream_binding::history::NEW_VERSION_DELAY;
 use sardinepick_lib::fleet::stream_binding::{
-    Binding, Bindings, Bound, Evidence, Known, StreamKey, holders, nodes_to_ask,
+    Binding, Bindings, Bound, Evidence, Known, StreamKey, holders, horizon_of, nodes_to_ask,
 };
 use sardinepick_lib::fleet::version::Version;
 use sardinepick_lib::id::{Incarnation, NodeId, ServiceId};
@@ -450,7 +450,8 @@
         let (now, until) = (self.instant(self.now), self.instant(stream.began + stream.deadline));
         let binding = Binding { service: service(), version };
         let bound = Bound { stream: stream.key, binding, since: now, until };
-        let (_, is_shared) = self.nodes[node].bindings.bind(bound.clone(), now);
+        let lifetime = Duration::from_millis(self.timeout);
+        let (_, is_shared) = self.nodes[node].bindings.bind(bound.clone(), lifetime, now);
         if is_shared {
             self.share(node, &bound);
         }
@@ -504,8 +505,9 @@
     fn find(&mut self, node: usize, stream: &Stream) -> (Option<Version>, bool) {
         let (service, now) = (service(), self.instant(self.now));
         self.observe(node);
-        let left = Duration::from_millis((stream.began + stream.deadline).saturating_sub(self.now));
-        let horizon = self.nodes[node].bindings.horizon(&service).max(left);
+        let left = (stream.began + stream.deadline).saturating_sub(self.now);
+        let lifetime = Duration::from_millis(left.max(self.timeout));
+        let horizon = self.nodes[node].bindings.horizon(&service).max(horizon_of(lifetime));
         let known = self.nodes[node].bindings.find(stream.key, Some(&service), horizon, now);
         if self.variant == Variant::NoHistory
             && let Known::Unbound(_) = known
--- a/node/src/serve/generation/mod.rs
+++ b/node/src/serve/generation/mod.rs
@@ -167,9 +167,9 @@
         if is_first {
             let request = &self.request;
             let binding = Binding { service: request.service.clone(), version: version.clone() };
-            let lifetime = request.caller_headers.deadline.unwrap_or(request.route.timeout);
-            let bindings = &self.shared.stream_bindings;
-            bindings.bind(request.stream, binding, request.arrived + lifetime);
+            let timeout = request.route.timeout;
+            let until = request.arrived + request.caller_headers.deadline.unwrap_or(timeout);
+            self.shared.stream_bindings.bind(request.stream, binding, until, timeout);
         }
         true
     }
--- a/node/src/serve/resumption.rs
+++ b/node/src/serve/resumption.rs
@@ -50,7 +50,9 @@
             [target] => Some(&target.service),
             _ => None,
         };
-        let found = bindings.find(self.stream(), only_service, self.left).await;
+        // Deadlines seen before a restart are not known; callers may wait for the route's timeout.
+        let lifetime = self.left.max(self.route.timeout);
+        let found = bindings.find(self.stream(), only_service, lifetime).await;
         let (source, age) = match &found {
             Found::Bound(_, source, age) => ((*source).into(), *age),
             Found::Only(_) => ("history", Duration::ZERO),
--- a/node/src/stream_binding/mod.rs
+++ b/node/src/stream_binding/mod.rs
@@ -18,7 +18,8 @@
 use sardinepick_lib::fleet::roster::{Contact, Roster};
 use sardinepick_lib::fleet::stream_binding::memory::Added;
 use sardinepick_lib::fleet::stream_binding::{
-    Binding, Bindings, Bound, Evidence, HOLDERS, Known, StreamKey, holders, nodes_to_ask,
+    Binding, Bindings, Bound, Evidence, HOLDERS, Known, StreamKey, holders, horizon_of,
+    nodes_to_ask,
 };
 use sardinepick_lib::fleet::version::Version;
 use sardinepick_lib::id::{NodeId, ServiceId};
@@ -117,11 +118,12 @@
         lock(&self.bindings).observe(versions, now);
     }
 
-    /// Records that a stream is bound from now on, until `until`.
-    pub fn bind(&self, stream: StreamKey, binding: Binding, until: Instant) {
+    /// Records that a stream is bound from now on, until `until`. Streams of its route can be taken
+    /// up for `lifetime` after they began.
+    pub fn bind(&self, stream: StreamKey, binding: Binding, until: Instant, lifetime: Duration) {
         let now = self.clock.now();
         let bound = Bound { stream, binding, since: now, until };
-        let (added, is_shared) = lock(&self.bindings).bind(bound.clone(), now);
+        let (added, is_shared) = lock(&self.bindings).bind(bound.clone(), lifetime, now);
         self.note_added(added, &bound);
         if is_shared {
             self.share(&bound, now);
@@ -187,18 +189,19 @@
     }
 
     /// Finds out what a stream is bound to. `service` is the service that it belongs to if it has
-    /// no binding; `None` if there are several. It can be taken up for `left` at most.
+    /// no binding; `None` if there are several. Streams of its route can be taken up for `lifetime`
+    /// after they began.
     pub async fn find(
         &self,
         stream: StreamKey,
         service: Option<&ServiceId>,
-        left: Duration,
+        lifetime: Duration,
     ) -> Found {
         self.observe();
         let (known, horizon) = {
             let bindings = lock(&self.bindings);
             let horizon = service.map(|service| bindings.horizon(service)).unwrap_or_default();
-            let horizon = horizon.max(left);
+            let horizon = horizon.max(horizon_of(lifetime));
             (bindings.find(stream, service, horizon, self.clock.now()), horizon)
         };
         let own = match known {
