stream_binding: history begins with the first runner

A node that has been started while the store is away may take one version for the only one right after it has read the register for the first time.

Cause: observations of a register that had not been read counted as time in which all versions had been seen. Ten seconds later the history was taken for whole, and of the versions that the first reading brought, one counted at once and the others 0.8 s later.

Change: nothing is recorded of a register without runners, so all versions of the first reading count at once, and the time begins there.

history_before_first_runner_not_covered failed before: one version and a whole history instead of several and none. Found by reading; no stream was seen that was joined this way.

--- a/lib/src/fleet/stream_binding/history.rs
+++ b/lib/src/fleet/stream_binding/history.rs
@@ -94,12 +94,16 @@
 
 impl History {
     /// Records that the node has a register of runners at `now`, and the versions of the runners
-    /// in it.
+    /// in it. Without runners nothing is recorded: the register may not have been read yet.
     pub fn observe<'a>(
         &mut self,
         runners: impl Iterator<Item = (&'a ServiceId, &'a Version)>,
         now: Instant,
     ) {
+        let mut runners = runners.peekable();
+        if runners.peek().is_none() {
+            return;
+        }
         let since = match self.observed {
             Some((since, last)) if now.saturating_duration_since(last) <= MAX_GAP => since,
             Some(_) | None => now,
--- a/lib/tests/stream_binding.rs
+++ b/lib/tests/stream_binding.rs
@@ -136,6 +136,17 @@
     assert_eq!(seen, Versions::Several, "callers wait longer");
 }
 
+/// Guards against a node that has not read the register yet, as while the store is away, and takes
+/// that time for one in which it has seen all versions.
+#[test]
+fn history_before_first_runner_not_covered() {
+    let (mut history, began) = (History::default(), Instant::now());
+    observe(&mut history, began, 0..20, &[]);
+    observe(&mut history, began, 20..21, &["v1", "v2"]);
+    let seen_at = |at| history.seen(&service(), Duration::ZERO, began + SECOND * at);
+    assert_eq!(seen_at(20), Seen { versions: Versions::Several, covers: false });
+}
+
 /// Guards against a node that was suspended and takes its history for whole.
 #[test]
 fn history_after_gap_not_conclusive() {
