fleet: survivors of a large loss search for each other

Cause: a node sends heartbeats to eight others. Those that are left may share no edge. A node that hears nobody reports none as silent, so it went on sending to failed nodes for good. It read the store's list of nodes at its start alone, and wrote no entry there if it took failed nodes for present, so it did not meet new nodes at other addresses either.

Change: hearing less than half of the watched nodes for 0.6 s is a belief of its own. Such a node probes all nodes that it knows, six every 0.2 s around a ring of hashed ids, all seeds once a second, and joins again through the store, writing its entry before it reads those of others. Nodes that are heard replace unheard watchers meanwhile. Members that leave two probes unanswered while others are heard are reported. The search ends once enough watched nodes are heard and no more members leave probes unanswered than are heard.

--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -38,6 +38,7 @@
 pub mod route;
 pub mod runner;
 pub mod scheduler;
+pub mod search;
 pub mod share;
 pub mod shutdown;
 pub mod stream_binding;
--- a/lib/src/fleet/roster.rs
+++ b/lib/src/fleet/roster.rs
@@ -9,6 +9,9 @@
 //! that lost updates are repaired.
 //!
 //! With up to eight other nodes, all are watchers of each other.
+//!
+//! A node that hears too few others searches for them ([`super::search`]), and sends heartbeats also
+//! to those that it finds.
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -20,6 +23,7 @@
 
 use super::digest::Differences;
 use super::register_version::RegisterVersion;
+use super::search::{Search, WIDTH};
 use crate::hash::stable_hash;
 use crate::id::{ConfigVersion, DataCentre, Incarnation, NodeId};
 
@@ -132,6 +136,13 @@
     probed_at: Option<Instant>,
 }
 
+impl Member {
+    /// Whether a heartbeat has arrived recently.
+    fn is_heard(&self, now: Instant) -> bool {
+        self.last_heard.is_some_and(|at| now.saturating_duration_since(at) <= PROBE_AFTER)
+    }
+}
+
 /// The other nodes, and this node's own record.
 #[derive(Clone, Debug)]
 pub struct Roster {
@@ -140,7 +151,10 @@
     /// Records to pass on, each in one heartbeat: a node receives an update from eight others, so
     /// it rarely misses one.
     updates: VecDeque<Record>,
-    watchers: SmallVec<[SocketAddr; WATCHERS]>,
+    /// The watchers.
+    chosen: SmallVec<[SocketAddr; WATCHERS]>,
+    /// The nodes to which this node sends heartbeats.
+    targets: SmallVec<[SocketAddr; WATCHERS]>,
     /// When the watchers were computed, and whether nodes have joined or left since.
     watched_at: Option<Instant>,
     changed: bool,
@@ -149,17 +163,26 @@
     last_heard: Option<Instant>,
     /// The nodes whose lists differ from this node's.
     differences: Differences,
+    search: Search,
+}
+
+/// The hash of a node's id by which watchers are chosen, and nodes searched for.
+fn place(record: &Record) -> u64 {
+    stable_hash(0, record.contact.id.as_str().as_bytes())
 }
 
 impl Roster {
     /// Creates the roster of a node that knows no other.
     pub fn new(me: Contact) -> Self {
         let standing = Standing::Starting;
+        let me = Record { contact: me, standing, served: true, serial: 1, silent: false };
         Self {
-            me: Record { contact: me, standing, served: true, serial: 1, silent: false },
+            search: Search::new(place(&me)),
+            me,
             members: HashMap::new(),
             updates: VecDeque::new(),
-            watchers: SmallVec::new(),
+            chosen: SmallVec::new(),
+            targets: SmallVec::new(),
             watched_at: None,
             changed: true,
             last_tick: None,
@@ -315,11 +338,16 @@
 
     /// The addresses to which this node sends heartbeats.
     pub fn watchers(&self) -> &[SocketAddr] {
-        &self.watchers
+        &self.targets
+    }
+
+    /// Whether this node searches for others, as it hears too few.
+    pub fn is_searching(&self) -> bool {
+        self.search.is_active()
     }
 
-    /// Checks the watched nodes. Returns the addresses to probe; nodes that have not answered their
-    /// probes are reported as silent.
+    /// Checks the watched nodes. Returns the addresses to probe, those of a search included; nodes
+    /// that have not answered their probes are reported as silent.
     pub fn tick(&mut self, now: Instant) -> Vec<SocketAddr> {
         let stalled = self.last_tick.is_some_and(|at| now > at + STALL_THRESHOLD);
         self.last_tick = Some(now);
@@ -352,21 +380,93 @@
                 silent.push(Record { silent: true, ..member.record.clone() });
             }
         }
+        self.update_search(stalled, isolated, now);
+        if !stalled && !isolated {
+            silent.extend(self.unanswered(now));
+        }
+        to_probe.extend(self.search(now));
         for record in silent {
             self.apply_record(&record, now);
         }
+        self.targets = self.choose_targets(now);
         to_probe
     }
 
+    /// Begins or ends the search.
+    fn update_search(&mut self, stalled: bool, isolated: bool, now: Instant) {
+        let watched = || self.present().filter(|m| m.watched.is_some());
+        let heard = watched().filter(|m| m.is_heard(now)).count();
+        let mut hears_too_few = isolated || 2 * heard < watched().count();
+        if self.search.is_active() {
+            // The watched nodes may just have been reported, and others not been chosen yet. The
+            // search goes on while more nodes fail to answer it than are heard.
+            let silent = self.present().filter(|m| {
+                let is_over = m.probed_at.is_some_and(|at| now > at + PROBE_INTERVAL);
+                m.watched.is_none() && is_over
+            });
+            hears_too_few |= self.changed || silent.count() > self.heard(now);
+        }
+        if self.search.note(hears_too_few && !stalled, now) {
+            for member in self.members.values_mut().filter(|m| m.watched.is_none()) {
+                (member.probes, member.probed_at) = (0, None);
+            }
+        }
+    }
+
+    /// Returns the addresses that the search probes now.
+    fn search(&mut self, now: Instant) -> SmallVec<[SocketAddr; WIDTH]> {
+        let unheard = self.members.values().filter(|m| !m.is_heard(now));
+        let places = self.search.next(unheard.map(|m| place(&m.record)), now);
+        let mut to_probe = SmallVec::new();
+        for member in self.members.values_mut() {
+            if !places.contains(&place(&member.record)) {
+                continue;
+            }
+            to_probe.push(member.record.contact.peer);
+            // The probes of watched nodes are counted separately.
+            if member.watched.is_none() && member.probes < PROBES {
+                member.probes += 1;
+                member.probed_at = Some(now);
+            }
+        }
+        to_probe
+    }
+
+    /// The present nodes that have not answered the probes of the search, as silent.
+    fn unanswered(&self, now: Instant) -> Vec<Record> {
+        let is_unanswered = |m: &&Member| {
+            let is_over = m.probed_at.is_some_and(|at| now > at + PROBE_AFTER);
+            m.watched.is_none() && m.probes >= PROBES && is_over
+        };
+        let unanswered = self.present().filter(is_unanswered);
+        unanswered.map(|m| Record { silent: true, ..m.record.clone() }).collect()
+    }
+
+    /// The watchers; while this node searches, the nodes that it hears replace those that it does
+    /// not, so that nodes that have found each other do not lose each other again.
+    fn choose_targets(&self, now: Instant) -> SmallVec<[SocketAddr; WATCHERS]> {
+        if !self.search.is_active() {
+            return self.chosen.clone();
+        }
+        let mut heard: Vec<&Member> = self.members.values().filter(|m| m.is_heard(now)).collect();
+        let is_chosen = |m: &Member| self.chosen.contains(&m.record.contact.peer);
+        heard.sort_unstable_by_key(|m| std::cmp::Reverse((is_chosen(m), m.last_heard)));
+        let heard = heard.iter().map(|m| m.record.contact.peer);
+        let mut targets: SmallVec<[SocketAddr; WATCHERS]> = heard.take(WATCHERS).collect();
+        let unheard = self.chosen.iter().filter(|peer| !targets.contains(peer));
+        let unheard: SmallVec<[SocketAddr; WATCHERS]> = unheard.copied().collect();
+        targets.extend(unheard.into_iter().take(WATCHERS - targets.len()));
+        targets
+    }
+
     /// Computes the watchers of this node and the nodes it watches.
     fn choose_watchers(&mut self, now: Instant) {
         self.changed = false;
         self.watched_at = Some(now);
-        let key = |record: &Record| stable_hash(0, record.contact.id.as_str().as_bytes());
         let present = self.members.values().filter(|m| !m.record.silent);
         let mut nodes: Vec<(u64, SocketAddr)> =
-            present.map(|m| (key(&m.record), m.record.contact.peer)).collect();
-        let me = key(&self.me);
+            present.map(|m| (place(&m.record), m.record.contact.peer)).collect();
+        let me = place(&self.me);
         let weight = |of: u64, watcher: u64| stable_hash(of, &watcher.to_le_bytes());
         // The number of other nodes that precede this one among the watchers of a node.
         let before = |of: u64| {
@@ -375,17 +475,16 @@
             others.filter(|(node, _)| weight(of, *node) > mine).take(WATCHERS).count()
         };
         for member in self.members.values_mut() {
-            let watches = !member.record.silent && before(key(&member.record)) < WATCHERS;
+            let watches = !member.record.silent && before(place(&member.record)) < WATCHERS;
             member.watched = watches.then(|| member.watched.unwrap_or(now));
         }
         nodes.sort_unstable_by_key(|(node, _)| std::cmp::Reverse(weight(me, *node)));
-        self.watchers = nodes.iter().take(WATCHERS).map(|(_, peer)| *peer).collect();
+        self.chosen = nodes.iter().take(WATCHERS).map(|(_, peer)| *peer).collect();
     }
 
     /// The number of other nodes from which this node has received a heartbeat recently.
     pub fn heard(&self, now: Instant) -> usize {
-        let is_recent = |at: Instant| now.saturating_duration_since(at) <= PROBE_AFTER;
-        self.members.values().filter(|m| m.last_heard.is_some_and(is_recent)).count()
+        self.members.values().filter(|m| m.is_heard(now)).count()
     }
 
     /// The number of other nodes ever known.
--- a/lib/tests/roster.rs
+++ b/lib/tests/roster.rs
@@ -330,6 +330,77 @@
     });
 }
 
+/// Kills all of `count` nodes but those in `left`, which must hear others within `meeting`, and have
+/// reported all failed nodes `reporting` later.
+fn lose_most(count: usize, left: &[usize], meeting: Duration, reporting: Duration) {
+    let mut fleet = Fleet::new(count);
+    fleet.run(MS * 1_000);
+    for other in (0..count).filter(|other| !left.contains(other)) {
+        fleet.nodes[other] = None;
+    }
+    fleet.sent.iter_mut().for_each(|sent| *sent = 0);
+    let lost = fleet.now;
+    let heard = |fleet: &Fleet| fleet.present().all(|node| node.heard(fleet.now) > 0);
+    // Heartbeats of failed nodes are recent until then.
+    let before = PROBE_AFTER + MS * 50;
+    fleet.run(before);
+    fleet.until(meeting - before, heard);
+    let rate = |fleet: &Fleet| {
+        let most = fleet.sent.iter().max().copied().unwrap_or_default();
+        most as f64 / (fleet.now - lost).as_secs_f64()
+    };
+    let heartbeats = WATCHERS as f64 / HEARTBEAT_PERIOD.as_secs_f64();
+    assert!(rate(&fleet) <= 2.2 * heartbeats, "{count} nodes: {} a second", rate(&fleet));
+    let is_complete = |node: &Roster| node.ids().count() + 1 == left.len();
+    fleet.until(reporting, |fleet| fleet.present().all(is_complete));
+    // Reports are passed on besides.
+    assert!(rate(&fleet) <= 2.5 * heartbeats, "{count} nodes: {} a second", rate(&fleet));
+    fleet.run(MS * 1_000);
+    for _ in 0..20 {
+        fleet.run(MS * 100);
+        assert!(heard(&fleet), "{count} nodes: they lose each other again");
+        assert!(fleet.present().all(|node| !node.is_searching() && is_complete(node)));
+    }
+}
+
+/// Guards against survivors that find each other late, that keep failed nodes as present, or whose
+/// search costs more than the heartbeats twice over.
+#[test]
+fn is_searching_most_nodes_lost_failed_reported() {
+    for first in 0..5 {
+        lose_most(10, &[first, first + 4], MS * 2_500, MS * 3_000);
+        lose_most(67, &[first, first + 5], MS * 3_000, MS * 8_000);
+        let seven: Vec<usize> = (0..7).map(|at| first + 5 * at).collect();
+        lose_most(67, &seven, MS * 3_000, MS * 8_000);
+    }
+}
+
+/// Guards against a search whose time grows beyond the bound with the number of nodes.
+#[test]
+fn is_searching_most_of_550_nodes_lost_failed_reported() {
+    for left in [vec![1, 6], vec![2, 302], vec![0, 100, 200, 300, 400]] {
+        lose_most(550, &left, MS * 12_000, MS * 42_000);
+    }
+}
+
+/// Guards against a search while enough nodes are heard, and one that does not end.
+#[test]
+fn is_searching_few_lost_no_search() {
+    let mut fleet = Fleet::new(60);
+    fleet.run(MS * 1_000);
+    fleet.nodes[7] = None;
+    for _ in 0..30 {
+        fleet.run(MS * 100);
+        assert!(fleet.present().all(|node| !node.is_searching()));
+    }
+    fleet.cut = (0..10).collect();
+    fleet.run(MS * 3_000);
+    assert!(fleet.nodes[3].as_ref().is_some_and(Roster::is_searching));
+    fleet.cut.clear();
+    fleet.run(MS * 3_000);
+    assert!(fleet.present().all(|node| !node.is_searching() && node.ids().count() == 58));
+}
+
 /// After a stall of its own, a node reported all others as silent.
 #[test]
 fn tick_own_stall_nobody_reported() {
--- a/node/src/serve/heartbeat.rs
+++ b/node/src/serve/heartbeat.rs
@@ -188,16 +188,19 @@
     }
 }
 
-/// Contacts one node that is not known to be up, or a seed. This rejoins two parts of a fleet that
-/// were partitioned from each other.
+/// Contacts one node that is not known to be up, or a seed; all seeds while this node searches for
+/// others. This rejoins two parts of a fleet that were partitioned from each other.
 async fn contact_lost_node(shared: &Shared, socket: &UdpSocket) {
-    let target = {
+    let seeds = shared.settings.other_seeds();
+    let targets: Vec<SocketAddr> = {
         let roster = shared.roster();
-        roster.silent_addresses().chain(shared.settings.other_seeds()).choose(&mut *shared.rng())
+        if roster.is_searching() {
+            seeds.collect()
+        } else {
+            roster.silent_addresses().chain(seeds).choose(&mut *shared.rng()).into_iter().collect()
+        }
     };
-    if let Some(target) = target {
-        request_heartbeats(shared, socket, &[target]).await;
-    }
+    request_heartbeats(shared, socket, &targets).await;
 }
 
 /// Asks nodes for a heartbeat.
--- a/node/src/serve/join.rs
+++ b/node/src/serve/join.rs
@@ -3,7 +3,12 @@
 //! A starting node calls its seeds. Only if none answers it reads the platform's store, where the
 //! few nodes that watch the store have written their addresses. So a start usually costs no store
 //! call, and two otherwise.
+//!
+//! A node that hears too few others later joins again through the store: those that it knows may be
+//! gone, and others may have come at addresses that it does not know. It writes its own entry before
+//! it reads the others', so of two nodes that do so at least one finds the other.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +17,7 @@
 use rand::RngExt as _;
 use rand::seq::SliceRandom as _;
 use sardinepick_lib::fleet::outage::pause;
+use sardinepick_lib::fleet::roster::Contact;
 use sardinepick_platform::discovery::{NODE_KIND, decode_node, encode_node};
 use sardinepick_wire::beat::{decode_nodes, decode_parts, encode_nodes};
 use thiserror::Error;
@@ -34,6 +40,12 @@
 /// How many nodes from the store are asked. Some of the nodes with an entry there may be gone.
 const MAX_ASKED: usize = 8;
 
+/// How often a node checks whether it must join again.
+const REJOIN_CHECK_PERIOD: Duration = Duration::from_millis(200);
+/// The pause after the first attempt to join again, and the longest pause; it doubles with each
+/// attempt. If all of 550 nodes are cut off from each other, that is 140 store calls a second.
+const REJOIN_PAUSES: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(8));
+
 /// Why member lists could not be exchanged.
 #[derive(Debug, Error)]
 pub enum JoinError {
@@ -80,11 +92,36 @@
     Ok(roster.known())
 }
 
-/// Joins the cluster: returns once another node has answered.
+/// Joins the cluster, and joins it again whenever this node hears too few others, until the process
+/// ends.
 pub async fn join(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    join_first(&shared, &socket).await;
     let mut failures = 0;
     loop {
-        let found = ask_seeds(&shared, &socket).await || ask_listed(&shared).await;
+        sleep(REJOIN_CHECK_PERIOD).await;
+        if !shared.roster().is_searching() {
+            failures = 0;
+            continue;
+        }
+        rejoin(&shared).await;
+        failures += 1;
+        let draw: f64 = shared.rng().random();
+        sleep(rejoin_pause(failures, draw)).await;
+    }
+}
+
+/// The pause after `attempts` attempts to join again. It is randomized by `draw`, from 0 to 1, as
+/// nodes that are cut off from each other all call the store.
+fn rejoin_pause(attempts: u32, draw: f64) -> Duration {
+    let pause = REJOIN_PAUSES.0 * 2u32.saturating_pow(attempts.saturating_sub(1));
+    pause.min(REJOIN_PAUSES.1).mul_f64(0.5 + draw)
+}
+
+/// Returns once another node has answered.
+async fn join_first(shared: &Arc<Shared>, socket: &UdpSocket) {
+    let mut failures = 0;
+    loop {
+        let found = ask_seeds(shared, socket).await || ask_listed(shared).await;
         if found {
             // If all nodes start together, the first one that answers knows few others.
             sleep(SETTLE_TIME).await;
@@ -157,28 +194,57 @@
 }
 
 async fn try_ask_listed(shared: &Shared) -> Result<bool, StoreError> {
+    let listed = read_entries(shared).await?;
+    let mut peers: Vec<SocketAddr> = listed.iter().map(|contact| contact.peer).collect();
+    for contact in listed {
+        shared.roster().add_unheard(contact, shared.clock.now());
+    }
+    peers.shuffle(&mut *shared.rng());
+    peers.truncate(MAX_ASKED);
+    if ask_any(shared, &peers).await {
+        return Ok(true);
+    }
+    write_entry(shared).await?;
+    Ok(false)
+}
+
+/// Reads one page of the entries of other nodes.
+async fn read_entries(shared: &Shared) -> Result<Vec<Contact>, StoreError> {
     let objects = shared.store.first_page(Purpose::Nodes, NODE_KIND).await?;
-    let mut peers = Vec::new();
+    let mut contacts = Vec::new();
     for object in &objects {
         match decode_node(&object.name, &object.content) {
             Ok(contact) if contact.id == shared.me.id => {}
-            Ok(contact) => {
-                peers.push(contact.peer);
-                shared.roster().add_unheard(contact, shared.clock.now());
-            }
+            Ok(contact) => contacts.push(contact),
             Err(error) => {
                 shared.metrics.invalid_objects.with_label_values(&["node", error.reason()]).inc();
                 log::warn!(node:% = object.name, error:% = error; "invalid node entry");
             }
         }
     }
-    peers.shuffle(&mut *shared.rng());
-    peers.truncate(MAX_ASKED);
-    if ask_any(shared, &peers).await {
-        return Ok(true);
+    Ok(contacts)
+}
+
+/// Joins again through the store.
+async fn rejoin(shared: &Shared) {
+    log::info!(heard = shared.roster().heard(shared.clock.now()); "joining again through the store");
+    if let Err(error) = try_rejoin(shared).await {
+        log::info!(error:% = error; "cannot join again through the store");
     }
+}
+
+async fn try_rejoin(shared: &Shared) -> Result<(), StoreError> {
     write_entry(shared).await?;
-    Ok(false)
+    let mut peers: Vec<SocketAddr> =
+        read_entries(shared).await?.iter().map(|contact| contact.peer).collect();
+    // The search probes the known addresses.
+    let known: HashSet<SocketAddr> =
+        shared.roster().members().map(|(record, _)| record.contact.peer).collect();
+    peers.retain(|peer| !known.contains(peer));
+    peers.shuffle(&mut *shared.rng());
+    peers.truncate(MAX_ASKED);
+    ask_any(shared, &peers).await;
+    Ok(())
 }
 
 /// Writes this node's address to the store, for nodes that cannot reach any other.
--- a/node/tests/store_watch.rs
+++ b/node/tests/store_watch.rs
@@ -1,5 +1,6 @@
 //! Nodes that rely on other nodes to watch the store, while these fail in various ways.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,8 +8,10 @@
 use sardinepick_lib::id::{ConfigVersion, NodeId};
 use sardinepick_node::serve::shared::Shared;
 use sardinepick_testutils::cluster::wait_until;
-use sardinepick_testutils::fleet::deployment::{Deployment, configuration};
-use sardinepick_testutils::fleet::killable_node::{KillableNode, ranked_names, start_nodes};
+use sardinepick_testutils::fleet::deployment::{Deployment, MAX_SEEDS, configuration};
+use sardinepick_testutils::fleet::killable_node::{
+    KillableNode, peer_addresses, ranked_names, start_nodes,
+};
 use sardinepick_testutils::fleet::network::Fault;
 use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::time::{Instant, sleep};
@@ -70,6 +73,35 @@
     assert_follows(&set, &last.shared, 2, "all others were killed").await;
 }
 
+/// Guards against a node that never meets those that replace all others at new addresses: the nodes
+/// and seeds that it knows are gone, and the new ones do not know it.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_others_replaced_last_meets_new_nodes() {
+    /// The time in which the system must have recovered from the loss of nodes.
+    const MEETING: Duration = Duration::from_secs(12);
+    let _permit = permit().await;
+    let set = Deployment::new().await.with_plain(2).await;
+    let names = ranked_names(2 * NODES);
+    let (old, new) = names.split_at(NODES);
+    let mut nodes = start_ranked(&set, old).await;
+    let last = nodes.pop().expect("there are nodes");
+    let seeds: Vec<SocketAddr> = peer_addresses(&nodes).into_iter().take(MAX_SEEDS).collect();
+    nodes.iter_mut().for_each(KillableNode::kill);
+    let lost = Instant::now();
+    sleep(Duration::from_secs(1)).await;
+    let new = start_nodes(&set, &new[1..], &seeds).await;
+    let others = |node: &KillableNode| node.shared.roster().heard(node.shared.clock.now());
+    let knows_new = || {
+        let roster = last.shared.roster();
+        let ready = roster.ready_contacts();
+        new.iter().all(|node| ready.iter().any(|contact| contact.id == node.shared.me.id))
+    };
+    while !(others(&last) >= new.len() && knows_new()) {
+        assert!(lost.elapsed() < MEETING, "heard {} nodes", others(&last));
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// Guards against nodes of which none watches the store, as each ranks behind too many nodes that
 /// it takes for present.
 #[tokio::test(flavor = "multi_thread")]
