testutils: soak and tests of requests sent while a node stops

The soak of kept connections excused every cut from 3.33 s after SIGTERM on, whenever the request was sent and whether or not a runner had it, and any stream that was still open 2.4 s after its beginning, also one that was held beyond its deadline.

The fake runners record until when they worked on each request. A request crosses a close only if no runner had it.

--- a/node/tests/soak.rs
+++ b/node/tests/soak.rs
@@ -1,6 +1,7 @@
 //! Short soak tests with fixed seeds. Each seed that ever violated an invariant is kept here, with the
 //! cause.
 
+use std::ops::Range;
 use std::path::Path;
 use std::time::Duration;
 
@@ -8,6 +9,13 @@
 use sardinepick_testutils::fleet::soak::{SoakOptions, run};
 use sardinepick_testutils::fleet::{crash_soak, drain_soak, kept_soak};
 
+/// The seeds that `SARDINEPICK_SOAK_SEEDS` sets, or else the default ones.
+fn seeds(default: Range<u64>) -> Range<u64> {
+    let Ok(seeds) = std::env::var("SARDINEPICK_SOAK_SEEDS") else { return default };
+    let (from, to) = seeds.split_once("..").expect("a range of seeds");
+    from.parse().expect("a seed")..to.parse().expect("a seed")
+}
+
 /// Seed 1 is arbitrary. Seed 2 reported streams that ran twice, because a hanging test runner counted
 /// prefill as a run.
 const SEEDS: [u64; 2] = [1, 2];
@@ -74,17 +82,20 @@
     assert!(report.outcomes.get("answered").copied().unwrap_or(0) > 0, "no request was served");
 }
 
-/// Callers keep connections while runners fall silent for a time, configurations change, and nodes get
-/// SIGHUP and SIGTERM.
+/// Callers keep connections while runners are slow or fall silent for a time, configurations change,
+/// and nodes get SIGHUP and SIGTERM. `SARDINEPICK_SOAK_SEEDS` sets other seeds, such as `10..60`.
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_with_kept_connections_keeps_invariants() {
-    let duration = Duration::from_secs(15);
-    let plan = SoakOptions { seed: 1, duration, nodes: 3, callers: 24, restore_backups: false };
-    let exe = Path::new(env!("CARGO_BIN_EXE_sardinepickd"));
-    let report = kept_soak::run(exe, plan).await.expect("free addresses");
-    println!("{report}");
-    assert!(report.violations.is_empty(), "{report}");
-    assert!(report.outcomes.get("answered").copied().unwrap_or(0) > 0, "no request was served");
+    for seed in seeds(1..2) {
+        let duration = Duration::from_secs(15);
+        let plan = SoakOptions { seed, duration, nodes: 3, callers: 64, restore_backups: false };
+        let exe = Path::new(env!("CARGO_BIN_EXE_sardinepickd"));
+        let report = kept_soak::run(exe, plan).await.expect("free addresses");
+        println!("seed {seed}: {report}");
+        assert!(report.violations.is_empty(), "seed {seed}: {report}");
+        let answered = report.outcomes.get("answered").copied().unwrap_or(0);
+        assert!(answered > 0, "no request was served");
+    }
 }
 
 async fn assert_spoilt_responses_keep_invariants(seed: u64, disturbance: Disturbance) {
@@ -102,9 +113,7 @@
 /// stopped. `SARDINEPICK_SOAK_SEEDS` sets other seeds, such as `10..60`.
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_with_spoilt_responses_keeps_invariants() {
-    let seeds = std::env::var("SARDINEPICK_SOAK_SEEDS").unwrap_or_else(|_| "1..2".to_owned());
-    let (from, to) = seeds.split_once("..").expect("a range of seeds");
-    for seed in from.parse().expect("a seed")..to.parse().expect("a seed") {
+    for seed in seeds(1..2) {
         for disturbance in [Disturbance::Responses, Disturbance::ResponsesAndNodes] {
             assert_spoilt_responses_keep_invariants(seed, disturbance).await;
         }
--- a/testutils/src/fleet/mod.rs
+++ b/testutils/src/fleet/mod.rs
@@ -23,5 +23,6 @@
 pub mod signal;
 pub mod soak;
 pub mod spoiler;
+pub mod stop;
 pub mod store;
 pub mod traffic;
--- a/testutils/src/fleet/raw_caller.rs
+++ b/testutils/src/fleet/raw_caller.rs
@@ -147,9 +147,21 @@
     /// # Panics
     /// The node does not accept the connection.
     pub async fn connect_with_buffer(address: SocketAddr, buffer_bytes: u32) -> Self {
-        let socket = TcpSocket::new_v4().expect("a socket");
-        socket.set_recv_buffer_size(buffer_bytes).expect("a valid buffer size");
-        Self::new(socket.connect(address).await.expect("the node accepts connections"))
+        let caller = Self::try_connect_with_buffer(address, buffer_bytes).await;
+        caller.expect("the node accepts connections")
+    }
+
+    /// As [`RawCaller::connect_with_buffer`], to a node that may not accept connections.
+    ///
+    /// # Errors
+    /// It does not accept the connection.
+    pub async fn try_connect_with_buffer(
+        address: SocketAddr,
+        buffer_bytes: u32,
+    ) -> io::Result<Self> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_recv_buffer_size(buffer_bytes)?;
+        Ok(Self::new(socket.connect(address).await?))
     }
 
     fn new(stream: TcpStream) -> Self {
--- a/testutils/src/fleet/runner/mod.rs
+++ b/testutils/src/fleet/runner/mod.rs
@@ -90,6 +90,8 @@
     next_handle: u64,
     freed_handles: u64,
     running: u64,
+    /// When the last work on each request ended, by request id; `None` while it goes on.
+    work: HashMap<String, Option<Instant>>,
     stage: Option<String>,
     accepted_orders: u64,
     entry_state: &'static str,
@@ -315,6 +317,17 @@
         lock(&self.inner).running
     }
 
+    /// Whether it has worked on a request with this id.
+    pub fn has_worked_on(&self, id: &str) -> bool {
+        lock(&self.inner).work.contains_key(id)
+    }
+
+    /// Whether it worked on a request with this id at some time after `since`.
+    pub fn worked_on_since(&self, id: &str, since: Instant) -> bool {
+        let inner = lock(&self.inner);
+        inner.work.get(id).is_some_and(|ended| ended.is_none_or(|ended| ended > since))
+    }
+
     /// The number of KV cache handles that wait to be fetched, and of those that were freed.
     pub fn handles(&self) -> (usize, u64) {
         let inner = lock(&self.inner);
--- a/testutils/src/fleet/runner/work.rs
+++ b/testutils/src/fleet/runner/work.rs
@@ -81,23 +81,30 @@
 }
 
 /// Counts a request as in flight until it is dropped.
-pub(super) struct Running(Arc<Mutex<Inner>>);
+pub(super) struct Running {
+    inner: Arc<Mutex<Inner>>,
+    id: String,
+}
 
 impl Running {
-    fn new(inner: &Arc<Mutex<Inner>>) -> Self {
-        lock(inner).running += 1;
-        Self(inner.clone())
+    fn new(inner: &Arc<Mutex<Inner>>, id: &str) -> Self {
+        let mut state = lock(inner);
+        state.running += 1;
+        state.work.insert(id.to_owned(), None);
+        Self { inner: inner.clone(), id: id.to_owned() }
     }
 
     /// Waits while the runner is silent.
     pub(super) async fn wait_while_silent(&self) {
-        wait_while_silent(&self.0).await;
+        wait_while_silent(&self.inner).await;
     }
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
-        lock(&self.0).running -= 1;
+        let mut state = lock(&self.inner);
+        state.running -= 1;
+        state.work.insert(std::mem::take(&mut self.id), Some(Instant::now()));
     }
 }
 
@@ -173,7 +180,7 @@
         if faults.refuse {
             return Ok(self.refuse_not_run(request, StatusCode::SERVICE_UNAVAILABLE));
         }
-        let running = Running::new(&self.inner);
+        let running = Running::new(&self.inner, &request.id);
         let prefill_only = text(&request.headers, "stage").as_deref() == Some("prefill");
         if faults.hang {
             // Prefill alone does not count as a run, even if it never finishes.
--- a/testutils/src/fleet/soak.rs
+++ b/testutils/src/fleet/soak.rs
@@ -90,7 +90,7 @@
 const GENERATION_HEADERS: [(&str, &str); 3] =
     [("model", "m"), ("token-count", "1460,80"), ("prompt-prefix", "5c1e:800,91bd:410,e440:250")];
 /// The headers of a request to a path, in addition to its id and deadline.
-pub(super) fn request_headers(path: &str) -> &'static [(&'static str, &'static str)] {
+pub fn request_headers(path: &str) -> &'static [(&'static str, &'static str)] {
     let generates = path.starts_with("/count") || path.starts_with("/tally");
     if generates { &GENERATION_HEADERS } else { &[] }
 }
@@ -156,11 +156,20 @@
         "[node]\nname = {name}\ndata_centre = {DEFAULT_DATA_CENTRE}\nfront = {front}\nready = {ready}\n\
          lookup = {lookup}\npeer = {peer}\nmetrics = {metrics}\nseeds = {}\n\
          [store]\naddress = {store}\n[retry]\nallowance = 50\nwindow_s = 0.5\n\
-         [stop]\ngrace_s = 4\n[log]\nlevel = info\n",
+         [stop]\ngrace_s = {DEFAULT_GRACE_S}\n[log]\nlevel = info\n",
         seeds.join(",")
     )
 }
 
+/// The grace period in the settings of nodes unless a test sets another, in seconds.
+const DEFAULT_GRACE_S: u64 = 4;
+
+/// A settings file of [`node_settings`] with another grace period.
+pub fn with_grace(ini: &str, grace: Duration) -> String {
+    let line = |seconds| format!("grace_s = {seconds}\n");
+    ini.replace(&line(DEFAULT_GRACE_S), &line(grace.as_secs()))
+}
+
 /// The settings files of nodes at free addresses, and their addresses for callers. The first three are
 /// the seeds of those after them.
 pub(super) fn plan_nodes(count: usize, store: SocketAddr) -> Vec<(String, SocketAddr)> {
