tests: connections that wait to be accepted as a listener closes, known red

Connections that the system has established, and that the node has not accepted when it closes its listener, are reset; one that has just been accepted is closed unread.

--- a/node/tests/stop_connections.rs
+++ b/node/tests/stop_connections.rs
@@ -143,6 +143,30 @@
     assert_eq!((reply.status, reply.is_complete()), (404, true));
 }
 
+/// Guards against connections that are reset because the node closes its listener before it has accepted
+/// them.
+#[tokio::test]
+async fn connections_waiting_at_close_served() {
+    const WAITING: usize = 20;
+    let set = deployment().await;
+    let node = Process::start(&set).await;
+    let began = Instant::now();
+    node.daemon.terminate();
+    sleep_until(began + BEFORE_CLOSE).await;
+    node.daemon.pause();
+    let mut callers = Vec::new();
+    for n in 0..WAITING {
+        let mut caller = RawCaller::connect(node.front).await;
+        assert!(caller.write(&RawRequest::new("/board/a", &format!("r{n}")).bytes()).await);
+        callers.push(caller);
+    }
+    sleep_until(began + AFTER_CLOSE).await;
+    node.daemon.resume();
+    for (n, caller) in callers.iter_mut().enumerate() {
+        assert_answered(&caller.read_reply(GRACE - AFTER_CLOSE).await, &format!("r{n}"));
+    }
+}
+
 /// Writes a part of a request before the node closes its idle connections, and the rest after it.
 async fn send_across_close(request: &RawRequest<'_>, first_bytes: usize) -> RawReply {
     let set = deployment().await;
