connector: idle connections through a peer that leaves are not used

What callers would see: a node that reaches a runner only through a peer sends new requests over idle connections through that peer after the peer has begun to stop.

Cause: an idle connection through a peer did not record the peer, and any one was taken while the direct path is closed. A leaving peer refuses only new connections. The idle ones also kept its count of forwarded connections above zero, so that its stop always lasted until the abort.

Evidence: a node cut from its only runner, with an idle connection through one peer and another peer that is ready; the first one stops (grace period 2 s).

Change: a connection records its peer. One is taken only while the roster says that the peer is ready, as when peers are asked for a new connection; others are dropped. The periodic clean-up (250 ms) closes them too, so that a peer without requests under way can end. Direct connections take no further lock. KillableNode can stop gracefully and then end as a process does.

--- a/lib/src/fleet/roster.rs
+++ b/lib/src/fleet/roster.rs
@@ -543,6 +543,12 @@
         ready.map(|m| &m.record.contact).collect()
     }
 
+    /// Whether a node is present and accepts callers.
+    pub fn is_ready(&self, id: &NodeId) -> bool {
+        let member = self.members.get(id).filter(|m| !m.record.silent);
+        member.is_some_and(|m| m.record.standing == Standing::Ready)
+    }
+
     /// The present nodes with a newer register than `mine`.
     pub fn with_newer_register(
         &self,
--- a/node/src/connector/attempt.rs
+++ b/node/src/connector/attempt.rs
@@ -156,7 +156,9 @@
                 reachability.note_outcome(address, outcome, now);
             }
         });
-        connections.establish(address, Way::Relayed, stream).await
+        let mut link = connections.establish(address, Way::Relayed, stream).await?;
+        link.peer = self.peer.map(|peer| peer.id);
+        Ok(link)
     }
 
     fn give_up(mut self, dial: &Dial) -> SendError {
--- a/node/src/connector/mod.rs
+++ b/node/src/connector/mod.rs
@@ -142,10 +142,14 @@
         self.handles.relays.close_idle(|peer| peers.contains(peer));
     }
 
-    /// Closes the idle connections through peers to runners that are reached directly.
+    /// Closes the idle connections through peers to runners that are reached directly, and those
+    /// through peers that are not ready: they delay the stop of a peer that leaves.
     fn close_unused_relays(&self) {
         let connections = &self.handles.connections;
-        connections.close_idle_relayed(|address| self.path(*address) == Path::Closed);
+        let roster = lock(&self.handles.roster);
+        connections.close_idle_relayed(|address, link| {
+            is_peer_ready(&roster, link) && self.path(*address) == Path::Closed
+        });
     }
 
     fn now(&self) -> Instant {
@@ -175,7 +179,8 @@
     }
 
     /// Takes an idle connection to a runner. Direct ones may be dead unless the path is open;
-    /// connections through peers are used only while it is closed.
+    /// connections through peers are used only while it is closed. One through a peer that leaves
+    /// would be cut when the peer ends.
     fn take_idle(&self, address: SocketAddr, key: CallKey) -> Option<Link> {
         let connections = &self.handles.connections;
         match self.path(address) {
@@ -183,7 +188,12 @@
                 self.reachability().may_reuse(address, since, self.now())
             }),
             Path::Unverified => None,
-            Path::Closed => connections.take_idle(address, Way::Relayed, Some(key), |_| true),
+            Path::Closed => loop {
+                let link = connections.take_idle(address, Way::Relayed, Some(key), |_| true)?;
+                if is_peer_ready(&lock(&self.handles.roster), &link) {
+                    return Some(link);
+                }
+            },
         }
     }
 
@@ -201,3 +211,8 @@
         chosen.into_iter().filter_map(peer).collect()
     }
 }
+
+/// Whether the peer that a connection was made through accepts connections.
+fn is_peer_ready(roster: &Roster, link: &Link) -> bool {
+    link.peer.as_ref().is_some_and(|peer| roster.is_ready(peer))
+}
--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -452,9 +452,9 @@
         self.idle.retain(|other, _| *other != address);
     }
 
-    /// Closes the idle connections through peers to addresses that are not `wanted`.
-    pub fn close_idle_relayed(&self, wanted: impl Fn(&SocketAddr) -> bool) {
-        self.idle.retain(|address, way| way == Way::Direct || wanted(address));
+    /// Closes the idle connections through peers that are not `wanted`.
+    pub fn close_idle_relayed(&self, wanted: impl Fn(&SocketAddr, &Link) -> bool) {
+        self.idle.retain(|address, link| link.way == Way::Direct || wanted(address, link));
     }
 
     /// Checks whether a process listens at an address.
--- a/node/src/serve/idle.rs
+++ b/node/src/serve/idle.rs
@@ -12,6 +12,7 @@
 use hyper::client::conn::http1::SendRequest;
 use sardinepick_lib::clock::Clock;
 use sardinepick_lib::hash::stable_hash;
+use sardinepick_lib::id::NodeId;
 use sardinepick_platform::runner::request_id;
 use smallvec::SmallVec;
 
@@ -72,6 +73,8 @@
     pub(super) sender: SendRequest<Full<Bytes>>,
     /// How it was made.
     pub way: Way,
+    /// The peer that it was made through.
+    pub peer: Option<NodeId>,
     /// The call that it carries, or carried last.
     pub ordinal: Ordinal,
     /// The calls that were answered last.
@@ -81,7 +84,7 @@
 impl Link {
     pub(super) fn new(sender: SendRequest<Full<Bytes>>, way: Way, connection: u64) -> Self {
         let ordinal = Ordinal { connection, call: 0 };
-        Self { sender, way, ordinal, answered: SmallVec::new() }
+        Self { sender, way, peer: None, ordinal, answered: SmallVec::new() }
     }
 
     /// Records that a call is sent.
@@ -160,7 +163,10 @@
     }
 
     /// Closes the connections that are not `wanted`.
-    pub(super) fn retain(&self, wanted: impl Fn(&SocketAddr, Way) -> bool) {
-        lock(&self.idle).retain(|(address, way), _| wanted(address, *way));
+    pub(super) fn retain(&self, wanted: impl Fn(&SocketAddr, &Link) -> bool) {
+        lock(&self.idle).retain(|(address, _), queue| {
+            queue.retain(|idle| wanted(address, &idle.link));
+            !queue.is_empty()
+        });
     }
 }
--- a/node/tests/relay.rs
+++ b/node/tests/relay.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::StatusCode;
 use sardinepick_lib::clock::System;
 use sardinepick_lib::fleet::roster::Standing;
 use sardinepick_lib::fleet::runner::Runner;
@@ -13,13 +14,17 @@
 use sardinepick_node::serve::dial::Tcp;
 use sardinepick_node::serve::metrics::Metrics;
 use sardinepick_testutils::cluster::{any_address, wait_until};
+use sardinepick_testutils::fleet::caller::RequestSpec;
 use sardinepick_testutils::fleet::deployment::{DEFAULT_DATA_CENTRE, Deployment, PLAIN_SERVICE};
 use sardinepick_testutils::fleet::killable_node::KillableNode;
+use sardinepick_testutils::fleet::network::Fault;
+use sardinepick_testutils::fleet::runner::Faults;
 use serde_json::json;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Builder;
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::service::Routes;
@@ -97,6 +102,52 @@
     }
 }
 
+/// A deployment with one node that is cut from its only runner, and two peers that reach the runner.
+/// The node has an idle connection through the first of them, which has been told to stop.
+struct Leaving {
+    deployment: Deployment,
+    /// The metrics of the first peer.
+    metrics: Metrics,
+    /// The stop of the first peer. It ends with the number of aborted requests.
+    stopping: JoinHandle<u64>,
+    other: KillableNode,
+}
+
+impl Leaving {
+    async fn new() -> Self {
+        let set = Deployment::new().await.with_plain(1).await.with_nodes(1).await;
+        let cut = set.nodes[0].shared.clone();
+        let leaving = start_peer(&set, "edge-leaving").await;
+        set.set_network_fault(&[0], &set.runners, Fault::Refuse);
+        wait_until("a request is served through the peer", async || {
+            set.send(0, &RequestSpec::new("/board/a", "cut")).await;
+            leaving.shared.metrics.relays.get() > 0
+        })
+        .await;
+        let other = start_peer(&set, "edge-other").await;
+        let (id, metrics) = (leaving.shared.me.id.clone(), leaving.shared.metrics.clone());
+        let stopping = tokio::spawn(leaving.stop());
+        wait_until("the node knows that the peer leaves", async || {
+            cut.roster().ready_contacts().iter().all(|contact| contact.id != id)
+        })
+        .await;
+        Self { deployment: set, metrics, stopping, other }
+    }
+}
+
+/// Starts a node, and waits until it is ready and the first node knows that.
+async fn start_peer(set: &Deployment, name: &str) -> KillableNode {
+    let seeds = vec![set.nodes[0].shared.me.peer];
+    let peer = KillableNode::start(set.settings(name, seeds)).await.expect("free addresses");
+    wait_until("the peer is ready", async || {
+        let roster = set.nodes[0].shared.roster();
+        peer.shared.is_ready()
+            && roster.ready_contacts().iter().any(|contact| contact.id == peer.shared.me.id)
+    })
+    .await;
+    peer
+}
+
 fn pattern(length: usize) -> Vec<u8> {
     (0..length).map(|at| (at % 251) as u8).collect()
 }
@@ -204,6 +255,39 @@
     assert!(matches!(opened, Err(relay::Error::Refused { .. })), "{opened:?}");
 }
 
+/// Guards against a request over an idle connection through a peer that leaves: it is cut when the
+/// peer ends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn idle_connection_through_leaving_peer_not_used() {
+    /// Longer than the peer's grace period.
+    const RESPONSE_DELAY: Duration = Duration::from_millis(2_200);
+    let Leaving { deployment, metrics, stopping, other } = Leaving::new().await;
+    let faults = Faults { response_delay: RESPONSE_DELAY, ..Faults::default() };
+    deployment.runners[0].set_faults(faults);
+    let forwarded = metrics.relay_bytes.with_label_values(&["to_runner"]);
+    let before = forwarded.get();
+    let reply = deployment.send(0, &RequestSpec::new("/eggs/a", "late")).await;
+    assert_eq!(reply.status, Some(StatusCode::OK));
+    assert_eq!(forwarded.get(), before, "the peer that leaves has forwarded the request");
+    assert!(other.shared.metrics.relays.get() > 0);
+    assert_eq!(stopping.await.expect("no panic"), 0, "requests were cut");
+}
+
+/// Guards against a node whose stop lasts its whole grace period because of idle connections.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn idle_connections_through_leaving_peer_closed() {
+    /// Half of the peer's grace period.
+    const MAX_CLOSE: Duration = Duration::from_secs(1);
+    let Leaving { deployment: _deployment, metrics, stopping, other: _other } =
+        Leaving::new().await;
+    let known = Instant::now();
+    wait_until("no connection is forwarded", async || metrics.relays.get() == 0).await;
+    let took = known.elapsed();
+    println!("closed after {took:?}");
+    assert!(took < MAX_CLOSE, "closed after {took:?}");
+    assert_eq!(stopping.await.expect("no panic"), 0, "requests were cut");
+}
+
 /// Guards against a node that runs out of file descriptors because it forwards for all others.
 #[tokio::test]
 async fn excess_relays_refused() {
--- a/testutils/src/fleet/killable_node.rs
+++ b/testutils/src/fleet/killable_node.rs
@@ -32,7 +32,8 @@
     /// The runtime of all of its tasks; `None` once it is shut down.
     runtime: Option<Runtime>,
     drops_datagrams: Arc<AtomicBool>,
-    _running: Running,
+    /// `None` once the node stops.
+    running: Option<Running>,
 }
 
 impl KillableNode {
@@ -58,7 +59,7 @@
         });
         let running = node.await.expect("the node starts");
         let shared = running.shared.clone();
-        Ok(Self { shared, runtime: Some(runtime), drops_datagrams, _running: running })
+        Ok(Self { shared, runtime: Some(runtime), drops_datagrams, running: Some(running) })
     }
 
     /// Drops all datagrams to the node from now on, or none.
@@ -66,6 +67,17 @@
         self.drops_datagrams.store(drops, Ordering::Relaxed);
     }
 
+    /// Stops the node gracefully, and then ends its tasks as the exit of its process does. Returns
+    /// the number of aborted requests.
+    ///
+    /// # Panics
+    /// The node is killed already.
+    pub async fn stop(mut self) -> u64 {
+        let running = self.running.take().expect("the node runs");
+        let stopping = self.runtime.as_ref().expect("the node runs").spawn(running.stop());
+        stopping.await.expect("no panic")
+    }
+
     /// Ends all tasks of the node and closes its sockets.
     pub fn kill(&mut self) {
         if let Some(runtime) = self.runtime.take() {
