serve: log why proposals end, what suspect calls knew, and how ends are seen

quarantine changes names rivals and the ends counted here; suspect request sent is a line for each call of a request under which runners have ended; each check of a broken call's runner leaves a line with its result and duration. Two counters: sardinepick_crash_checks_total, sardinepick_suspect_calls_total.

--- a/lib/src/fleet/quarantine/mod.rs
+++ b/lib/src/fleet/quarantine/mod.rs
@@ -161,6 +161,16 @@
         entry.unexplained_ends(&others) >= QUARANTINE_ENDS
     }
 
+    /// The other requests under which at least as many of the same runners have ended.
+    pub fn rivals(&self, request: &Fingerprint) -> Vec<Fingerprint> {
+        let Some(entry) = self.get(request) else { return Vec::new() };
+        let is_rival = |other: &&Entry| {
+            let shares = other.ends.iter().any(|end| entry.ends.contains(end));
+            other.request != *request && shares && other.ends.len() >= entry.ends.len()
+        };
+        self.entries().filter(is_rival).map(|other| other.request).collect()
+    }
+
     /// Moves a request to a state that this node has decided. Returns `None` if it is in that state
     /// already or was not proposed.
     pub fn set(&mut self, request: &Fingerprint, stage: Stage, now: Instant) -> Option<Entry> {
--- a/node/src/serve/crash.rs
+++ b/node/src/serve/crash.rs
@@ -12,6 +12,7 @@
 use sardinepick_lib::fleet::reachability::Path;
 use sardinepick_lib::fleet::runner::Tag;
 use sardinepick_lib::fleet::suspect::RunProgress;
+use strum::IntoStaticStr;
 use tokio::sync::OnceCell;
 use tokio::time::sleep;
 
@@ -30,10 +31,10 @@
 
 /// The incarnations of runners that are known to have crashed.
 #[derive(Debug, Default)]
-pub struct Detector(Mutex<HashMap<Tag, Arc<OnceCell<bool>>>>);
+pub struct Detector(Mutex<HashMap<Tag, Arc<OnceCell<Check>>>>);
 
 impl Detector {
-    fn cell(&self, incarnation: Tag) -> Arc<OnceCell<bool>> {
+    fn cell(&self, incarnation: Tag) -> Arc<OnceCell<Check>> {
         let mut cells = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         if cells.len() >= MAX_REMEMBERED && !cells.contains_key(&incarnation) {
             // Evicted incarnations are probed again.
@@ -42,27 +43,43 @@
         cells.entry(incarnation).or_default().clone()
     }
 
-    async fn has_crashed(&self, shared: &Shared, incarnation: Tag, address: SocketAddr) -> bool {
+    async fn check(&self, shared: &Shared, incarnation: Tag, address: SocketAddr) -> Check {
         let cell = self.cell(incarnation);
-        let crashed = *cell.get_or_init(|| is_refused(shared, address)).await;
-        if !crashed {
+        let check = *cell.get_or_init(|| probe(shared, address)).await;
+        if check != Check::Refused {
             // It may still end later.
             self.0.lock().unwrap_or_else(PoisonError::into_inner).remove(&incarnation);
         }
-        crashed
+        check
     }
 }
 
-async fn is_refused(shared: &Shared, address: SocketAddr) -> bool {
+/// What a check of the runner of a broken call has found.
+#[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+enum Check {
+    /// Its address refuses connections: the process has ended.
+    Refused,
+    /// Its address accepts connections.
+    Accepted,
+    /// The probe got no reply.
+    Unknown,
+    /// The network refuses connections to the address.
+    PathClosed,
+    /// It was leaving, or its entry has been removed.
+    Leaving,
+}
+
+async fn probe(shared: &Shared, address: SocketAddr) -> Check {
     for attempt in 1..=MAX_PROBES {
         match shared.connections.probe(address).await {
-            Probe::Refused => return true,
-            Probe::Unknown => return false,
+            Probe::Refused => return Check::Refused,
+            Probe::Unknown => return Check::Unknown,
             Probe::Accepted if attempt < MAX_PROBES => sleep(PROBE_PAUSE).await,
             Probe::Accepted => {}
         }
     }
-    false
+    Check::Accepted
 }
 
 /// Checks whether the runner of a broken call has crashed, and returns the incarnation that has.
@@ -73,20 +90,30 @@
     request: &Request,
     progress: RunProgress,
 ) -> Option<Tag> {
-    let (incarnation, address) = reservation
+    let broken = shared.clock.now();
+    let target = reservation
         .with_runner(|r| (!r.is_leaving()).then(|| (r.entry.tag(), r.entry.address)))
-        .flatten()?;
-    // A network that refuses connections looks like a runner that has ended.
-    if shared.connector.path(address) == Path::Closed
-        || !shared.crashes.has_crashed(shared, incarnation, address).await
-    {
-        return None;
-    }
-    shared.metrics.runner_crashes.inc();
+        .flatten();
+    let check = match target {
+        None => Check::Leaving,
+        // A network that refuses connections looks like a runner that has ended.
+        Some((_, address)) if shared.connector.path(address) == Path::Closed => Check::PathClosed,
+        Some((incarnation, address)) => shared.crashes.check(shared, incarnation, address).await,
+    };
+    let label: &'static str = check.into();
+    shared.metrics.crash_checks.with_label_values(&[label]).inc();
+    let message = match check {
+        Check::Refused => "runner ended under a request",
+        _ => "runner of a broken call has not ended",
+    };
+    let took = shared.clock.now().saturating_duration_since(broken);
     log::info!(
         request:% = request.id, fingerprint:% = request.fingerprint,
-        parts:% = request.part_list(), runner:% = reservation.runner(), events = progress.events, begun = progress.begun,
-        held_ms = reservation.held().as_millis() as u64; "runner ended under a request"
+        parts:% = request.part_list(), runner:% = reservation.runner(), check = label,
+        check_ms = took.as_millis() as u64, events = progress.events, begun = progress.begun,
+        held_ms = reservation.held().as_millis() as u64; "{message}"
     );
+    let (incarnation, _) = target.filter(|_| check == Check::Refused)?;
+    shared.metrics.runner_crashes.inc();
     Some(incarnation)
 }
--- a/node/src/serve/generation/prefill.rs
+++ b/node/src/serve/generation/prefill.rs
@@ -18,6 +18,7 @@
 use super::attempts::Arrival;
 use super::{Generation, MAX_ANSWER_BYTES, millis};
 use crate::serve::connection::{Answer, Incomplete, SendError};
+use crate::serve::quarantine;
 use crate::serve::reservation::{Reservation, Step};
 use crate::serve::shared::Shared;
 
@@ -85,6 +86,7 @@
             attempts.prefills += 1;
             attempts.prefills == 1
         };
+        quarantine::note_call(&self.shared, &self.request, id, "prefill");
         let arrival = Arrival::of_prefill(self, payment);
         let request_id = &self.request.id;
         let prefill = async {
--- a/node/src/serve/generation/run.rs
+++ b/node/src/serve/generation/run.rs
@@ -28,6 +28,7 @@
 use crate::serve::connection::{Answer, Lease};
 use crate::serve::execution::Proof;
 use crate::serve::intake::{Space, UNRESERVED_BYTES};
+use crate::serve::quarantine;
 use crate::serve::reservation::{Reservation, Step};
 use crate::serve::shared::Shared;
 
@@ -116,6 +117,7 @@
         let request = self.runner_request(id, kind, placed.class, fetch);
         let begun = self.attempts().execution.begin();
         self.request.progress.note_call(id);
+        quarantine::note_call(&self.shared, &self.request, id, "run");
         if let Some(permit) = &mut placed.permit {
             permit.note_sent();
         }
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -48,6 +48,10 @@
     pub stream_bindings_shared: IntCounterVec,
     /// Calls during which a runner crashed.
     pub runner_crashes: IntCounter,
+    /// Checks of runners whose calls broke, by result.
+    pub crash_checks: IntCounterVec,
+    /// Calls of requests under which runners have ended, by the stage of the request.
+    pub suspect_calls: IntCounterVec,
     /// Quarantined requests by event.
     pub quarantine: IntCounterVec,
     /// Changes of the quarantine entries of prompt parts, by stage and cause.
@@ -259,6 +263,16 @@
             ),
             runner_crashes: m
                 .counter("sardinepick_runner_ends_total", "Calls under which a runner ended"),
+            crash_checks: m.counters(
+                "sardinepick_crash_checks_total",
+                "Checks of runners whose calls broke, by what they found",
+                &["check"],
+            ),
+            suspect_calls: m.counters(
+                "sardinepick_suspect_calls_total",
+                "Calls of requests under which runners have ended, by the stage of the request",
+                &["stage"],
+            ),
             quarantine: m.counters(
                 "sardinepick_quarantine_total",
                 "Requests that are not run, by what becomes of them",
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -328,6 +328,7 @@
         let mut limit = if last { left } else { left.min(runner_timeout) };
         let begun = self.execution.begin();
         request.progress.note_call(id);
+        quarantine::note_call(self.shared, request, id, "plain");
         let hold = Arc::new(self.shared.holding.begin(request.holder(Purpose::Answer)));
         let (result, next) = {
             let target = reservation.target(address);
--- a/node/src/serve/quarantine/mod.rs
+++ b/node/src/serve/quarantine/mod.rs
@@ -9,6 +9,7 @@
 use sardinepick_lib::fleet::fingerprint::Fingerprint;
 use sardinepick_lib::fleet::quarantine::{Disposition, Entry, Quarantine, Stage};
 use sardinepick_lib::fleet::suspect::{QUARANTINE_ENDS, Suspects};
+use sardinepick_lib::id::RunnerId;
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
@@ -26,6 +27,10 @@
 /// How often entries are checked for expiry otherwise.
 const EXPIRY_POLL: Duration = Duration::from_secs(1);
 
+/// The maximum number of rivals whose fingerprints are logged, and the digits of each.
+const MAX_SHOWN_RIVALS: usize = 8;
+const SHORT_FINGERPRINT: usize = 8;
+
 #[derive(Debug, Default)]
 struct State {
     suspects: Suspects,
@@ -190,15 +195,46 @@
 
 fn note_stage(shared: &Shared, entry: &Entry, why: &str) {
     let stage: &'static str = entry.stage.into();
+    let (rivals, here) = {
+        let state = shared.quarantine.state();
+        let here = state.suspects.get(&entry.request).map_or(0, |s| s.ends().len());
+        (state.quarantine.rivals(&entry.request), here)
+    };
+    let shown: Vec<String> = rivals.iter().take(MAX_SHOWN_RIVALS).map(short).collect();
     log::info!(
         fingerprint:% = entry.request, stage = stage, serial = entry.serial,
-        ends = entry.ends.len(), begun = entry.begun, why = why; "quarantine changes"
+        ends = entry.ends.len(), begun = entry.begun, ends_here = here, why = why,
+        rivals = rivals.len(), rival_fingerprints:% = shown.join(" "); "quarantine changes"
     );
     shared.metrics.quarantine.with_label_values(&[stage]).inc();
     // Wakes requests that wait for a decision.
     shared.quarantine.changed.send_replace(());
 }
 
+/// The first digits of a fingerprint, enough to find it in the log.
+fn short(request: &Fingerprint) -> String {
+    request.to_string().chars().take(SHORT_FINGERPRINT).collect()
+}
+
+/// Logs a call of a request under which runners have ended, immediately before it is sent.
+pub fn note_call(shared: &Shared, request: &Request, runner: &RunnerId, step: &'static str) {
+    let (ends, entry) = {
+        let state = shared.quarantine.state();
+        let ends = state.suspects.get(&request.fingerprint).map_or(0, |s| s.ends().len());
+        (ends, state.quarantine.get(&request.fingerprint).map(|e| (e.stage, e.serial)))
+    };
+    if ends == 0 && entry.is_none() {
+        return;
+    }
+    let stage = entry.map_or("none", |(stage, _)| stage.into());
+    shared.metrics.suspect_calls.with_label_values(&[stage]).inc();
+    log::info!(
+        request:% = request.id, fingerprint:% = request.fingerprint, runner:% = runner, step = step,
+        ends_here = ends, stage = stage, serial = entry.map_or(0, |(_, serial)| serial);
+        "suspect request sent"
+    );
+}
+
 /// Decides proposals and expires old entries until the process ends.
 pub async fn run(shared: Arc<Shared>) {
     let mut changed = shared.quarantine.changed.subscribe();
