tests: requests that crash runners beside sound ones (known red)

A service with one runner gets a request that crashes it and one or five sound ones at the same moment, again and again, until the crashing one is refused. The stand-in no longer delays a request on which it crashes: a sound one must be in progress when it ends.

A request that runs freely after its third crash is shown by decide_tie_next_end_decides of lib/tests/quarantine.rs, which asserts that.

--- a/testutils/src/fleet/runner/work.rs
+++ b/testutils/src/fleet/runner/work.rs
@@ -189,7 +189,10 @@
             sleep(Duration::from_secs(60)).await;
             return Err(Aborted);
         }
-        sleep(faults.response_delay).await;
+        let crashes = !prefill_only && self.crashes(|trigger| trigger.matches(&request));
+        if !crashes {
+            sleep(faults.response_delay).await;
+        }
         if prefill_only {
             if self.crashes(|trigger| trigger.crashes_prefill(&request)) {
                 lock(&self.inner).received.push(request);
@@ -203,7 +206,6 @@
         }
         request.ran = true;
         let (id, from) = (request.id.clone(), text(&request.headers, "last-event-id"));
-        let crashes = self.crashes(|trigger| trigger.matches(&request));
         lock(&self.inner).received.push(request);
         if crashes {
             return Ok(self.crash(&id).await);
