platform: objects of the store are read one by one

An operator of a system like ours reported that one odd entry of another writer made the nodes that read the list stop following it.

Cause: a page of a listing, and the events of a watch, were parsed as a whole. A metadata.revision that is no 64-bit number, a name that is a number or occurs twice, an object without metadata, or null made all objects unreadable for all nodes, and a watch never got past it.

Change: objects are parsed one by one; those that cannot be read are passed over, counted and logged.

Not tried with real processes, nor for other kinds' own contents.

--- a/node/src/serve/store.rs
+++ b/node/src/serve/store.rs
@@ -163,6 +163,7 @@
             let page: Page = self.call(purpose, request, CALL_TIMEOUT, store::read_page).await?;
             let first = *as_of.get_or_insert(page.as_of);
             self.check_era(purpose, first, page.as_of.era)?;
+            self.note_unreadable(purpose, page.unreadable);
             objects.extend(page.objects);
             match page.next {
                 Some(next) => after = Some(next),
@@ -182,6 +183,7 @@
     ) -> Result<Vec<Object>, StoreError> {
         let request = store::list(self.address, kind, None);
         let page: Page = self.call(purpose, request, CALL_TIMEOUT, store::read_page).await?;
+        self.note_unreadable(purpose, page.unreadable);
         Ok(page.objects)
     }
 
@@ -201,9 +203,19 @@
         let limit = wait + WATCH_SLACK;
         let changes = self.call(purpose, request, limit, store::read_changes).await?;
         self.check_era(purpose, from, changes.as_of.era)?;
+        self.note_unreadable(purpose, changes.unreadable);
         Ok(changes)
     }
 
+    /// Counts objects that were passed over in an answer.
+    fn note_unreadable(&self, purpose: Purpose, count: usize) {
+        if count > 0 {
+            let labels = [purpose.into(), "unreadable"];
+            self.metrics.invalid_objects.with_label_values(&labels).inc_by(count as u64);
+            log::warn!(purpose:% = purpose, objects = count; "unreadable objects passed over");
+        }
+    }
+
     /// Checks that an answer of `era` continues from `was`: another era assigns the same revisions
     /// again.
     fn check_era(&self, purpose: Purpose, was: Point, era: Era) -> Result<(), StoreError> {
