quarantine: a request whose runs had all started stands out

A tie costs one more runner. The comparison asked for two more started runs than a rival has, which made ties of requests that are none: a run of what crashes its runner has started at each end.

--- a/lib/src/fleet/quarantine/entry.rs
+++ b/lib/src/fleet/quarantine/entry.rs
@@ -79,10 +79,14 @@
     }
 
     /// Whether the evidence against the request is stronger than against another one, if `ends` of
-    /// its ends count. A difference of one run that had started may come from a single report.
+    /// its ends count: there are more, or as many and only its own runs had all started.
     pub(super) fn is_stronger_than(&self, other: &Entry, ends: usize) -> bool {
         let others = other.ends.len();
-        ends > others || ends == others && self.begun > other.begun.saturating_add(1)
+        ends > others || ends == others && self.has_always_begun() && !other.has_always_begun()
+    }
+
+    fn has_always_begun(&self) -> bool {
+        self.begun as usize >= self.ends.len()
     }
 
     /// What the request has in common with those that cannot be told apart from it: the first of the
