part_quarantine: nodes of an earlier version do not block trials

A node that knows no groups answers a request for a group's permit with free. That was taken for busy, so that restricted requests would not run at all while such a node is the one that grants. Found in reading; there is no test with two versions.

--- a/node/src/part_quarantine/admission.rs
+++ b/node/src/part_quarantine/admission.rs
@@ -223,8 +223,12 @@
     /// is in progress.
     pub async fn acquire_group(self: &Arc<Self>, group: Subject) -> Option<Permit> {
         let wanted = Wanted { subject: group, covered: false, group: true };
-        let (node, Answer::Granted(number)) = self.acquire_one(wanted).await else { return None };
-        let granted = [(group, node, number)].into_iter().collect();
+        let granted = match self.acquire_one(wanted).await {
+            (node, Answer::Granted(number)) => [(group, node, number)].into_iter().collect(),
+            // A node of an earlier version knows no groups.
+            (_, Answer::Free) => SmallVec::new(),
+            (_, Answer::Busy | Answer::Refused) => return None,
+        };
         Some(Permit { quarantine: self.clone(), granted, trials: SmallVec::new() })
     }
 
