--- a/node/src/serve/quarantine/mod.rs
+++ b/node/src/serve/quarantine/mod.rs
@@ -172,8 +172,8 @@
     shared.quarantine.state().quarantine.return_trial(request);
 }
 
-/// Records that a runner answered a request completely and without an error of its own, which clears the request if it is proposed
-/// for quarantine or quarantined.
+/// Records that a runner answered a request completely and without an error of its own, which clears
+/// the request if it is proposed, restricted or confirmed.
 pub fn note_answered(shared: &Shared, request: &Fingerprint) {
     let now = shared.clock.now();
     let objects = shared.quarantine.state().quarantine.note_answered(*request, now);
