tests: crowds of hostile callers against processes, known red

Callers saw a node that ended for lack of memory while other callers sent large bodies and stopped before their end.

The tests start nodes as processes with the settings that the platform makes of platform/node.ini, for a VM of 64 MB and 1,024 descriptors, and check that the process lives, stays within that memory (resident and received but unread bytes) and those descriptors, answers an ordinary request beside the crowd and one after it. The daemon without a platform has two tests of its own, for a VM of 160 MB.

--- a/testutils/src/fleet/mod.rs
+++ b/testutils/src/fleet/mod.rs
@@ -25,4 +25,5 @@
 pub mod spoiler;
 pub mod stop;
 pub mod store;
+pub mod template;
 pub mod traffic;
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod cluster;
+pub mod crowd;
 pub mod engine;
 pub mod fleet;
 pub mod invariant;
--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -1,5 +1,6 @@
 //! Nodes as child processes.
 
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -9,6 +10,9 @@
 
 use crate::cluster::NodeOptions;
 
+/// The state of a listening socket in `/proc/net/tcp`.
+const LISTENING: &str = "0A";
+
 /// A `sardinepickd` process.
 #[derive(Debug)]
 pub struct Daemon {
@@ -153,6 +157,33 @@
         self.child.try_wait().ok().flatten().map(|status| status.code())
     }
 
+    /// The number of open descriptors; 0 if the process has ended.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
+    }
+
+    /// The bytes that its sockets at these addresses have received and it has not read.
+    pub fn unread(&self, addresses: &[SocketAddr]) -> u64 {
+        let path = format!("/proc/{}/net/tcp", self.child.id());
+        let table = std::fs::read_to_string(path).unwrap_or_default();
+        let local = |address: &SocketAddr| match address.ip() {
+            IpAddr::V4(ip) => {
+                format!("{:08X}:{:04X}", u32::from_ne_bytes(ip.octets()), address.port())
+            }
+            IpAddr::V6(_) => String::new(),
+        };
+        let local: Vec<String> = addresses.iter().map(local).collect();
+        let unread = |line: &str| {
+            let mut fields = line.split_whitespace().skip(1);
+            let (address, state) = (fields.next()?, fields.nth(1)?);
+            let (_, received) = fields.next()?.split_once(':')?;
+            // For a listener the column is the length of its queue.
+            let counts = state != LISTENING && local.iter().any(|local| local == address);
+            u64::from_str_radix(received, 16).ok().filter(|_| counts)
+        };
+        table.lines().filter_map(unread).sum()
+    }
+
     /// The resource usage so far.
     pub fn usage(&self) -> Usage {
         let read = |file: &str| {
