holding: bounds are in force on every node

Callers saw a node that ended for lack of memory under many large bodies: of a VM of 64 MB, a crowd of 24 to 32 bodies of 4 MB took 127 to 182 MB, 6 bodies of 1 MB in chunks of one byte 102 and 108, 700 half heads 91, 1,000 idle connections 97.

Cause: the ledger of held bytes counts only if the settings have a section [limits], and platform/node.ini did not pass on limits.memoryMb, maxFds and linkMbps. Without it request.rs read bodies another way, which kept each piece as it had arrived, without a bound on their number.

So each node reads bodies, answers and streams in one way; read_body without a holding, the answer without one, and the buffer sizes of unbounded nodes are gone.

--- a/lib/src/fleet/holding/bounds.rs
+++ b/lib/src/fleet/holding/bounds.rs
@@ -15,6 +15,14 @@
     pub link: Rate,
 }
 
+impl Default for Resources {
+    /// Those of a node whose settings do not state them.
+    fn default() -> Self {
+        let (memory, link) = (Size::of_megabytes(512.0), Rate::of_megabits(1_000.0));
+        Self { memory, descriptors: 8_192, link }
+    }
+}
+
 /// The fraction of the memory that a node may use (requirement).
 const USABLE_MEMORY: f64 = 0.8;
 /// The memory of a node that holds nothing: code, configuration, register, roster and log buffer.
--- a/node/src/holding/hold.rs
+++ b/node/src/holding/hold.rs
@@ -72,13 +72,15 @@
     Shed,
 }
 
-struct Bounded {
+/// A holding. All that it holds is released when it is dropped.
+pub struct Hold {
+    content: Arc<Content>,
     shared: Arc<Shared>,
     number: Number,
     purpose: Purpose,
 }
 
-impl Bounded {
+impl Hold {
     /// Counts and logs that a holding ends for lack of space.
     fn note_no_space(&self, cause: Cause, size: Size, paused: Duration) {
         let metrics = &self.shared.metrics;
@@ -91,19 +93,6 @@
             paused_ms = paused.as_millis() as u64; "no space to hold"
         );
     }
-}
-
-/// A holding. All that it holds is released when it is dropped.
-pub struct Hold {
-    content: Arc<Content>,
-    bounded: Option<Bounded>,
-}
-
-impl Hold {
-    /// A holding of a node without bounds.
-    pub(super) fn unbounded() -> Self {
-        Self { content: Arc::default(), bounded: None }
-    }
 
     pub(super) fn new(
         shared: Arc<Shared>,
@@ -111,24 +100,17 @@
         purpose: Purpose,
         content: Arc<Content>,
     ) -> Self {
-        Self { content, bounded: Some(Bounded { shared, number, purpose }) }
-    }
-
-    /// Whether there are bounds.
-    pub fn is_bounded(&self) -> bool {
-        self.bounded.is_some()
+        Self { content, shared, number, purpose }
     }
 
     /// Whether a body of `size` can be held at all.
     pub fn fits(&self, size: Size) -> bool {
-        let fits = |b: &Bounded| lock(&b.shared.state).ledger.fits(size);
-        self.bounded.as_ref().is_none_or(fits)
+        lock(&self.shared.state).ledger.fits(size)
     }
 
     /// What a stream takes apart from its unread events.
     pub fn stream_buffers(&self) -> Size {
-        let buffers = |b: &Bounded| lock(&b.shared.state).ledger.bounds().stream_buffers;
-        self.bounded.as_ref().map(buffers).unwrap_or_default()
+        lock(&self.shared.state).ledger.bounds().stream_buffers
     }
 
     /// Waits until a body of `size` may be read, at most for the part of the time `left` that a
@@ -137,8 +119,7 @@
     /// # Errors
     /// There is no space in that time, or it is not to be expected.
     pub async fn begin_body(&self, size: Size, left: Duration) -> Result<(), Full> {
-        let Some(bounded) = &self.bounded else { return Ok(()) };
-        let Bounded { shared, number, .. } = bounded;
+        let Self { shared, number, .. } = self;
         let (began, limit) = (shared.clock.now(), body_wait(left));
         loop {
             let now = shared.clock.now();
@@ -159,8 +140,7 @@
     /// # Errors
     /// There is no space for it, or it has been shed.
     pub async fn grow(&self, size: Size) -> Result<(), Cause> {
-        let Some(bounded) = &self.bounded else { return Ok(()) };
-        let Bounded { shared, number, purpose } = bounded;
+        let Self { shared, number, purpose, .. } = self;
         let began = shared.clock.now();
         let mut pause = None;
         loop {
@@ -178,7 +158,7 @@
                 Growth::Shed(cause) => {
                     // What was shed for others has been counted.
                     if !self.is_shed() {
-                        bounded.note_no_space(cause, size, paused);
+                        self.note_no_space(cause, size, paused);
                     }
                     return Err(cause);
                 }
@@ -207,7 +187,7 @@
     /// # Errors
     /// There is none.
     pub fn try_grow(&self, size: Size) -> Result<(), Cause> {
-        let Some(Bounded { shared, number, .. }) = &self.bounded else { return Ok(()) };
+        let Self { shared, number, .. } = self;
         let now = shared.clock.now();
         let growth = shared.change(|state| state.ledger.grow(*number, size, Duration::MAX, now));
         match growth {
@@ -222,15 +202,13 @@
 
     /// Counts bytes that are held in any case.
     pub fn count(&self, size: Size) {
-        if let Some(Bounded { shared, number, .. }) = &self.bounded {
-            shared.change(|state| state.ledger.count(*number, size));
-        }
+        self.shared.change(|state| state.ledger.count(self.number, size));
     }
 
     /// Releases bytes that the reader has taken. Without any it records that the content is not
     /// stalled.
     pub fn take(&self, size: Size) {
-        let Some(Bounded { shared, number, .. }) = &self.bounded else { return };
+        let Self { shared, number, .. } = self;
         let now = shared.clock.now();
         shared.change(|state| state.ledger.take(*number, size, now));
         self.content.taken.notify_one();
@@ -276,7 +254,7 @@
 
 impl Drop for Hold {
     fn drop(&mut self) {
-        let Some(Bounded { shared, number, .. }) = &self.bounded else { return };
+        let Self { shared, number, .. } = self;
         let now = shared.clock.now();
         shared.change(|state| {
             state.ledger.end(*number, now);
--- a/node/src/holding/mod.rs
+++ b/node/src/holding/mod.rs
@@ -1,7 +1,7 @@
 //! Held bytes of a node: what it may hold for callers and other nodes, and what waits.
 //!
 //! Bytes are counted in a [`Ledger`] before they are read. A [`Hold`] releases what it holds when it
-//! is dropped. Without limits in the settings nothing is counted, and nothing waits.
+//! is dropped.
 
 mod hold;
 
@@ -43,8 +43,8 @@
 }
 
 /// What a node holds.
-#[derive(Clone, Default)]
-pub struct Holding(Option<Arc<Shared>>);
+#[derive(Clone)]
+pub struct Holding(Arc<Shared>);
 
 /// One of the callers' connections that may be open, until it is dropped.
 pub struct ConnectionPermit {
@@ -52,9 +52,8 @@
 }
 
 impl Holding {
-    /// The holdings of a node with these resources; without them there are no bounds.
-    pub fn new(resources: Option<Resources>, clock: &Arc<dyn Clock>, metrics: &Metrics) -> Self {
-        let Some(resources) = resources else { return Self(None) };
+    /// The holdings of a node with these resources.
+    pub fn new(resources: Resources, clock: &Arc<dyn Clock>, metrics: &Metrics) -> Self {
         let bounds = Bounds::of(resources);
         let gauge = |purpose: Purpose| {
             (purpose, metrics.held_bytes.with_label_values(&[<&str>::from(purpose)]))
@@ -65,25 +64,19 @@
             connections = bounds.connections, link_waiting:% = bounds.link_full;
             "held bytes are bounded"
         );
-        Self(Some(Arc::new(Shared {
+        Self(Arc::new(Shared {
             connections: Arc::new(Semaphore::new(bounds.connections as usize)),
             state: Mutex::new(State { ledger: Ledger::new(bounds), contents: HashMap::new() }),
             clock: clock.clone(),
             metrics: metrics.clone(),
             held: Purpose::iter().map(gauge).collect(),
-        })))
-    }
-
-    /// Whether there are bounds.
-    pub fn is_bounded(&self) -> bool {
-        self.0.is_some()
+        }))
     }
 
     /// Waits until another connection of a caller may be accepted.
     pub async fn connection(&self) -> ConnectionPermit {
-        let Some(shared) = &self.0 else { return ConnectionPermit { _permit: None } };
         // The semaphore is never closed.
-        ConnectionPermit { _permit: shared.connections.clone().acquire_owned().await.ok() }
+        ConnectionPermit { _permit: self.0.connections.clone().acquire_owned().await.ok() }
     }
 
     /// Whether new work is accepted.
@@ -91,14 +84,14 @@
     /// # Errors
     /// The node is full.
     pub fn admit(&self) -> Result<(), Full> {
-        let Some(shared) = &self.0 else { return Ok(()) };
+        let shared = &self.0;
         let admitted = lock(&shared.state).ledger.admit(shared.clock.now());
         admitted.inspect_err(|full| shared.note_refused(full.cause))
     }
 
     /// Begins a holding without any bytes.
     pub fn begin(&self, holder: Holder) -> Hold {
-        let Some(shared) = &self.0 else { return Hold::unbounded() };
+        let shared = &self.0;
         let content = Arc::new(Content::default());
         let purpose = holder.purpose;
         let mut state = lock(&shared.state);
--- a/node/src/relay/client.rs
+++ b/node/src/relay/client.rs
@@ -76,17 +76,16 @@
 
 impl Client {
     /// Creates a client for the node `me`, whose connections to peers `dial` opens.
-    pub fn new(me: NodeId, dial: Arc<dyn Dial>, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
-        let holding = Holding::default();
+    pub fn new(
+        me: NodeId,
+        dial: Arc<dyn Dial>,
+        holding: Holding,
+        clock: Arc<dyn Clock>,
+        metrics: Metrics,
+    ) -> Self {
         Self { me, dial, peers: Mutex::default(), holding, clock, metrics }
     }
 
-    /// Counts the connections through peers in what the node holds.
-    #[must_use]
-    pub fn with_holding(self, holding: Holding) -> Self {
-        Self { holding, ..self }
-    }
-
     /// Connects to a runner through `peer`, within `limit`.
     ///
     /// # Errors
--- a/node/src/relay/server.rs
+++ b/node/src/relay/server.rs
@@ -112,7 +112,7 @@
 /// One of the connections that may be open, until it is dropped.
 struct Slot {
     _permit: OwnedSemaphorePermit,
-    _hold: Option<Hold>,
+    _hold: Hold,
     metrics: Metrics,
 }
 
@@ -129,20 +129,14 @@
         reachability: Arc<Mutex<Reachability>>,
         dial: Arc<dyn Dial>,
         standing: watch::Receiver<Standing>,
+        holding: Holding,
         clock: Arc<dyn Clock>,
         metrics: Metrics,
     ) -> Self {
         let slots = Arc::new(Semaphore::new(MAX_RELAYS));
-        let holding = Holding::default();
         Self { register, reachability, dial, standing, slots, holding, clock, metrics }
     }
 
-    /// Counts the forwarded connections in what the node holds.
-    #[must_use]
-    pub fn with_holding(self, holding: Holding) -> Self {
-        Self { holding, ..self }
-    }
-
     /// The number of connections that are open.
     pub fn open_count(&self) -> usize {
         MAX_RELAYS.saturating_sub(self.slots.available_permits())
@@ -196,16 +190,13 @@
         connected.map_err(|source| Refusal::Unreachable { address, source })
     }
 
-    /// Counts a connection in what the node holds; `None` if that is not bounded.
-    fn hold(&self, open: &RelayOpen) -> Result<Option<Hold>, Refusal> {
-        if !self.holding.is_bounded() {
-            return Ok(None);
-        }
+    /// Counts a connection in what the node holds.
+    fn hold(&self, open: &RelayOpen) -> Result<Hold, Refusal> {
         let node = open.node.parse::<NodeId>();
         let node = node.map_err(|error| Refusal::Malformed(error.to_string()))?;
         let hold = self.holding.begin(holder(node));
         hold.try_grow(RELAY_SIZE).map_err(|_| Refusal::Full)?;
-        Ok(Some(hold))
+        Ok(hold)
     }
 
     fn acquire_slot(&self, open: &RelayOpen) -> Result<Slot, Refusal> {
--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -149,9 +149,7 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 /// The read buffer of a connection. By itself it would grow to 400 KB. The head of an answer must fit
 /// into it.
-const READ_BUFFER: usize = 64 << 10;
-/// The read buffer of a connection on a node with limits. The head of an answer must fit into it.
-const SMALL_READ_BUFFER: usize = 16 << 10;
+const READ_BUFFER: usize = 16 << 10;
 /// The number of informational responses after which a call is given up.
 const MAX_INFORMATIONAL: usize = 32;
 /// The largest body that is read only so that its connection can be reused: that of a rejection or
@@ -171,8 +169,6 @@
     metrics: Metrics,
     /// Space for large answers.
     pub intake: Intake,
-    /// The size of the read buffer of a connection.
-    read_buffer: usize,
 }
 
 /// An answer whose body has not been read yet.
@@ -337,13 +333,7 @@
     /// Creates an empty pool, whose connections `dial` opens.
     pub fn new(dial: Arc<dyn Dial>, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
         let (idle, made) = (Pool::new(clock), AtomicU64::new(0));
-        Self { idle, made, dial, metrics, intake: Intake::default(), read_buffer: READ_BUFFER }
-    }
-
-    /// Limits the read buffers of connections further: the ledger of held bytes does not count them.
-    #[must_use]
-    pub fn with_small_buffers(self) -> Self {
-        Self { read_buffer: SMALL_READ_BUFFER, ..self }
+        Self { idle, made, dial, metrics, intake: Intake::default() }
     }
 
     /// Sends a request over a direct connection and waits for the head of its answer. `key`
@@ -512,7 +502,7 @@
             SendError::Connect { peer: address, detail, has_timed_out: false }
         };
         let mut builder = Builder::new();
-        builder.max_buf_size(self.read_buffer);
+        builder.max_buf_size(READ_BUFFER);
         let handshake = builder.handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(failed)?;
         tokio::spawn(async move {
--- a/node/src/serve/generation/admit.rs
+++ b/node/src/serve/generation/admit.rs
@@ -99,10 +99,7 @@
             let decision = self.decide(step.clone()).await;
             let waits = matches!(&decision, Some(Decision::Late(_) | Decision::RateLimited(_)));
             let waited = self.now().saturating_duration_since(began);
-            let may_wait = self.shared.holding.is_bounded()
-                && has_begun
-                && waited < MAX_ROOM_WAIT
-                && self.time_left() > MIN_TIME_LEFT;
+            let may_wait = has_begun && waited < MAX_ROOM_WAIT && self.time_left() > MIN_TIME_LEFT;
             if !waits || !may_wait {
                 return decision;
             }
--- a/node/src/serve/generation/caller.rs
+++ b/node/src/serve/generation/caller.rs
@@ -17,10 +17,8 @@
 use crate::serve::in_progress::Progress;
 use crate::serve::response::{Body, Cut, forward_response, full_body};
 
-/// How many events are buffered for a slow caller before backpressure reaches the runner.
-const EVENT_BUFFER: usize = 64;
-/// How many events are buffered where their bytes are bounded.
-const BOUNDED_EVENT_BUFFER: usize = 16_384;
+/// How many events are buffered for a slow caller; their bytes are bounded by the holding.
+const EVENT_BUFFER: usize = 16_384;
 /// What an event takes of a node's memory apart from its bytes.
 const EVENT_SIZE: Size = Size(64);
 
@@ -94,8 +92,7 @@
         let Caller::Waiting(_, progress) = self else { return };
         let progress = progress.clone();
         let hold = Arc::new(hold());
-        let buffer = if hold.is_bounded() { BOUNDED_EVENT_BUFFER } else { EVENT_BUFFER };
-        let (events, receiver) = mpsc::channel(buffer);
+        let (events, receiver) = mpsc::channel(EVENT_BUFFER);
         self.respond(forward_response(head, body_of(receiver, hold.clone(), progress)));
         *self = Caller::Streaming(events, hold);
     }
--- a/node/src/serve/listener.rs
+++ b/node/src/serve/listener.rs
@@ -26,7 +26,7 @@
 /// The pause after a failed `accept`: without free file descriptors, each attempt fails at once.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// The send buffer of a caller's connection on a node with bounds; the kernel doubles it. By itself
+/// The send buffer of a caller's connection; the kernel doubles it. By itself
 /// it grows to several megabytes. This is enough for 200 Mbit/s at a round trip of 5 ms.
 const SEND_BUFFER_BYTES: usize = 64 << 10;
 
@@ -64,18 +64,16 @@
         closing: closing.clone(),
     };
     // Only callers can exhaust the descriptors; the other listeners carry control traffic.
-    let holding = if port == Port::Front { shared.holding.clone() } else { Holding::default() };
+    let holding = (port == Port::Front).then(|| shared.holding.clone());
     loop {
         let accepted = tokio::select! {
             () = closing.wait() => return,
-            accepted = accept(&holding, &listener) => accepted,
+            accepted = accept(holding.as_ref(), &listener) => accepted,
         };
         match accepted {
             Ok((stream, permit)) => {
                 send_at_once(&stream);
-                if holding.is_bounded() {
-                    limit_send_buffer(&stream);
-                }
+                limit_send_buffer(&stream);
                 let (shared, context) = (shared.clone(), context.clone());
                 tokio::spawn(async move {
                     let handler = |request| handle(&shared, port, request);
@@ -94,10 +92,13 @@
 /// Accepts a connection as soon as another one may be open. Until then callers wait in the queue of
 /// the listener.
 async fn accept(
-    holding: &Holding,
+    holding: Option<&Holding>,
     listener: &TcpListener,
-) -> io::Result<(TcpStream, ConnectionPermit)> {
-    let permit = holding.connection().await;
+) -> io::Result<(TcpStream, Option<ConnectionPermit>)> {
+    let permit = match holding {
+        Some(holding) => Some(holding.connection().await),
+        None => None,
+    };
     let (stream, _) = listener.accept().await?;
     Ok((stream, permit))
 }
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -516,10 +516,6 @@
 
 /// Reads a whole response, as far as the node has space for it.
 async fn read_whole(answer: Answer, hold: &Arc<Hold>) -> Result<(Parts, Whole), ReadError> {
-    if !hold.is_bounded() {
-        let (head, body) = answer.read(MAX_RESPONSE_BYTES).await?;
-        return Ok((head, Whole::Free(body)));
-    }
     let (head, size) = answer.read_into(hold, MAX_RESPONSE_BYTES).await?;
-    Ok((head, Whole::Held(hold.clone(), size)))
+    Ok((head, Whole::new(hold.clone(), size)))
 }
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Response, Uri, header};
-use http_body_util::{BodyExt as _, Limited};
+use http_body_util::BodyExt as _;
 use rand::RngExt as _;
 use sardinepick_lib::account::directory::{Account, Identity, identify};
 use sardinepick_lib::fleet::admission::{Reason, Terms, Wait};
@@ -250,13 +250,10 @@
     let max_bytes = configuration.limits.body;
     let hold = shared.holding.begin(holder(account.as_ref(), source, &route, Purpose::Body));
     let reading = async {
-        if !shared.holding.is_bounded() {
-            return read_body(body, max_bytes, left).await.map_err(Unread::Refused);
-        }
         shared.holding.admit()?;
         let is_stream = route.kind.is_stream();
         let buffers = if is_stream { hold.stream_buffers() } else { Size::ZERO };
-        read_held_body(body, max_bytes, left, &hold, REQUEST_SIZE.plus(buffers)).await
+        read_body(body, max_bytes, left, &hold, REQUEST_SIZE.plus(buffers)).await
     };
     let body = tokio::select! {
         biased;
@@ -442,19 +439,6 @@
     }
 }
 
-async fn read_body(body: RequestBody, max_bytes: usize, limit: Duration) -> Result<Bytes, Refusal> {
-    use hyper::body::Body as _;
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(Refusal::TooLarge);
-    }
-    match timeout(limit, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Refusal::TooLarge),
-        Ok(Err(_)) => Err(Refusal::Malformed),
-        Err(_) => Err(Refusal::Expired),
-    }
-}
-
 /// Why a body was not read. The request has not run.
 enum Unread {
     /// The request is refused.
@@ -483,9 +467,9 @@
 /// then it has waited for the longest pause.
 const UNREAD_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Reads a body like [`read_body`]. It waits in the socket until there is space for it and for what
-/// its request takes apart from it.
-async fn read_held_body(
+/// Reads a body. It waits in the socket until there is space for it and for what its request takes
+/// apart from it.
+async fn read_body(
     body: RequestBody,
     max_bytes: usize,
     limit: Duration,
--- a/node/src/serve/response.rs
+++ b/node/src/serve/response.rs
@@ -33,21 +33,21 @@
     Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
-/// A whole answer of a runner.
-pub enum Whole {
-    /// Without bounds on what the node holds.
-    Free(Bytes),
-    /// Of this size, counted in what the node holds until it has been sent.
-    Held(Arc<Hold>, Size),
+/// A whole answer of a runner, counted in what the node holds until it has been sent.
+pub struct Whole {
+    hold: Arc<Hold>,
+    size: Size,
 }
 
 impl Whole {
+    /// An answer of this size, whose bytes are in the holding.
+    pub fn new(hold: Arc<Hold>, size: Size) -> Self {
+        Self { hold, size }
+    }
+
     /// Returns it as the body of a response.
     pub fn into_body(self) -> Body {
-        match self {
-            Whole::Free(bytes) => full_body(bytes),
-            Whole::Held(hold, size) => HeldBody::new(hold, size).boxed_unsync(),
-        }
+        HeldBody::new(self.hold, self.size).boxed_unsync()
     }
 }
 
--- a/node/src/serve/scheduler.rs
+++ b/node/src/serve/scheduler.rs
@@ -365,7 +365,7 @@
     decide_among(shared, query, engine, Plans::Any, knowledge)
 }
 
-/// Places a request. Only nodes with limits are bound by the memory of runners.
+/// Places a request within the memory of runners.
 fn decide_among(
     shared: &Shared,
     query: &Query,
@@ -374,15 +374,13 @@
     knowledge: Knowledge,
 ) -> Decision {
     let now = shared.clock.now();
-    let is_bounded = shared.holding.is_bounded();
-    let nodes: Vec<NodeId> = if is_bounded && knowledge == Knowledge::Own {
+    let nodes: Vec<NodeId> = if knowledge == Knowledge::Own {
         shared.roster().ids().cloned().collect()
     } else {
         Vec::new()
     };
     let share = |runner: &RunnerId| share(runner, &shared.me.id, nodes.iter());
     let room = match knowledge {
-        _ if !is_bounded => Room::Preferred,
         Knowledge::Whole => Room::Known,
         Knowledge::Own => Room::Share(&share),
     };
--- a/node/src/serve/settings.rs
+++ b/node/src/serve/settings.rs
@@ -55,8 +55,8 @@
     pub runner_model: bool,
     /// How the required number of runners is determined.
     pub capacity_policy: Policy,
-    /// What the node has, from which the bounds of what it holds are derived; `None` for no bounds.
-    pub limits: Option<Resources>,
+    /// What the node has, from which the bounds of what it holds are derived.
+    pub limits: Resources,
     /// Whether the capacity of pools is shared fairly among client accounts.
     pub fair_shares: bool,
     /// The least severe level that is logged.
@@ -147,7 +147,7 @@
 /// Reads the section `[limits]`, whose keys belong together.
 fn limits(r: &mut Reader<'_>) -> Option<Resources> {
     if LIMIT_KEYS.iter().all(|key| !r.has("limits", key)) {
-        return None;
+        return Some(Resources::default());
     }
     let [memory, descriptors, link] =
         LIMIT_KEYS.map(|key| r.required("limits", key, AMOUNT_FORM, amount));
@@ -202,7 +202,7 @@
         usage_window,
         runner_model: runner_model.unwrap_or(false),
         capacity_policy: capacity_policy.unwrap_or_default(),
-        limits,
+        limits: limits?,
         fair_shares: fair_shares.unwrap_or(false),
         log_level: log_level.unwrap_or(LevelFilter::Info),
         log_format: log_format.unwrap_or(LogFormat::Json),
--- a/node/src/serve/shared.rs
+++ b/node/src/serve/shared.rs
@@ -183,10 +183,7 @@
         };
         let seed = stable_hash(incarnation.0, settings.name.as_str().as_bytes());
         let holding = Holding::new(settings.limits, &clock, &metrics);
-        let mut connections = Connections::new(dial.clone(), clock.clone(), metrics.clone());
-        if holding.is_bounded() {
-            connections = connections.with_small_buffers();
-        }
+        let connections = Connections::new(dial.clone(), clock.clone(), metrics.clone());
         let connections = Arc::new(connections);
         let era_tracker = Arc::new(EraTracker::new(clock.clone(), metrics.clone()));
         let store =
@@ -230,8 +227,13 @@
         let reachability: Arc<Mutex<Reachability>> = Arc::default();
         let handles = connector::Handles {
             connections: connections.clone(),
-            relays: relay::Client::new(me.id.clone(), dial.clone(), clock.clone(), metrics.clone())
-                .with_holding(holding.clone()),
+            relays: relay::Client::new(
+                me.id.clone(),
+                dial.clone(),
+                holding.clone(),
+                clock.clone(),
+                metrics.clone(),
+            ),
             reachability: reachability.clone(),
             roster: roster.clone(),
             clock: clock.clone(),
@@ -262,10 +264,10 @@
             reachability,
             dial,
             standing.subscribe(),
+            holding.clone(),
             clock.clone(),
             metrics.clone(),
-        )
-        .with_holding(holding.clone());
+        );
         Self {
             limiter,
             stream_bindings: Arc::new(stream_bindings),
--- a/node/tests/holding.rs
+++ b/node/tests/holding.rs
@@ -95,12 +95,12 @@
     let text =
         format!("{NODE_INI}[limits]\nmemory_mb = 160\ndescriptors = 4100\nlink_mbps = 10.0\n");
     let settings = Settings::parse("node.ini", &text).expect("valid settings");
-    let limits = settings.limits.expect("limits");
+    let limits = settings.limits;
     assert_eq!(limits.memory, Size(160 << 20));
     assert_eq!((limits.descriptors, limits.link), (4_100, Rate::of_megabits(10.0)));
     for rest in ["", "[limits]\n"] {
         let settings = Settings::parse("node.ini", &format!("{NODE_INI}{rest}"));
-        assert_eq!(settings.expect("valid settings").limits, None);
+        assert_eq!(settings.expect("valid settings").limits, Resources::default());
     }
 }
 
--- a/node/tests/relay.rs
+++ b/node/tests/relay.rs
@@ -6,10 +6,12 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use sardinepick_lib::clock::System;
+use sardinepick_lib::clock::{Clock, System};
+use sardinepick_lib::fleet::holding::Resources;
 use sardinepick_lib::fleet::roster::Standing;
 use sardinepick_lib::fleet::runner::Runner;
 use sardinepick_lib::id::RunnerId;
+use sardinepick_node::holding::Holding;
 use sardinepick_node::relay::{self, CHUNK_BYTES, Client, MAX_RELAYS, WINDOW_BYTES};
 use sardinepick_node::serve::dial::Tcp;
 use sardinepick_node::serve::metrics::Metrics;
@@ -39,7 +41,9 @@
 
 fn client() -> Client {
     let me = "edge-cut".parse().expect("a name");
-    Client::new(me, Arc::new(Tcp), Arc::new(System), Metrics::default())
+    let (clock, metrics): (Arc<dyn Clock>, _) = (Arc::new(System), Metrics::default());
+    let holding = Holding::new(Resources::default(), &clock, &metrics);
+    Client::new(me, Arc::new(Tcp), holding, clock, metrics)
 }
 
 fn runner() -> RunnerId {
--- a/testutils/src/fleet/deployment.rs
+++ b/testutils/src/fleet/deployment.rs
@@ -62,7 +62,7 @@
     /// Whether nodes predict by the runner model.
     pub runner_model: bool,
     /// The limits in the settings of nodes.
-    pub limits: Option<Resources>,
+    pub limits: Resources,
     /// Whether nodes share capacity fairly among client accounts.
     pub fair_shares: bool,
     /// The network between nodes and runners.
@@ -153,7 +153,7 @@
         usage_window: None,
         runner_model: false,
         capacity_policy: Policy::default(),
-        limits: None,
+        limits: Resources::default(),
         fair_shares: false,
         log_level: LevelFilter::Info,
         log_format: LogFormat::Json,
@@ -181,7 +181,7 @@
             platform,
             budget,
             runner_model: false,
-            limits: None,
+            limits: Resources::default(),
             fair_shares: false,
             network,
         }
@@ -209,7 +209,7 @@
 
     /// Sets the limits of nodes that are started later.
     pub fn with_limits(self, limits: Resources) -> Self {
-        Self { limits: Some(limits), ..self }
+        Self { limits, ..self }
     }
 
     /// Sets whether nodes that are started later share capacity fairly among client accounts.
