caller_connection: idle connections do not keep space for a request

Callers saw a node that ended for lack of memory under idle connections alone: 1,500 of them took 105 MB, 70 KB each (release build).

Cause: hyper keeps the future of the request in progress in place in each connection, and that of a request's handler takes some 58 KB.

--- a/node/src/caller_connection/mod.rs
+++ b/node/src/caller_connection/mod.rs
@@ -88,9 +88,10 @@
     let service = service_fn(|request: Request<Incoming>| {
         let exchange = activity.begin(request_id(request.headers()).unwrap_or_default());
         let request = request.map(|body| RequestBody::new(body, exchange.clone(), source));
-        let response = handler(request);
+        // hyper keeps space for the future of a request in each connection, also in idle ones.
+        let response = Box::pin(or_broken(handler(request)));
         async move {
-            let response = or_broken(response).await;
+            let response = response.await;
             Ok::<_, Infallible>(response.map(|body| ResponseBody::new(body, exchange)))
         }
     });
