holding: stalled bodies yield, growing bodies do not wait for each other

Callers saw 503 for small requests beside a crowd of bodies that did not move, and for seconds after it, and no body of the crowd ended either.

Causes: a body kept its space until its deadline whether it moved or not; bodies of unknown length held what they had while they waited for more, so that what one gave up the others took; a small request needed the same level and the same owner's part as the crowd.

A body that has received less than 1 KB in a second is shed when others need its space, the longest stalled first, then the largest; it is refused as not run. A growing body takes the space of growing bodies that arrived later at once, so the first always ends. Small requests have a level of their own (0.7), without the owner's part and without waiting for large ones. Space for unknown lengths is allocated as counted, from 8 KB on, and what is missing for an owner's part is freed at once, not by a fixed step.

--- a/lib/src/fleet/holding/ledger.rs
+++ b/lib/src/fleet/holding/ledger.rs
@@ -103,8 +103,11 @@
 mod level {
     /// New bodies.
     pub const NEW_BODY: f64 = 0.5;
-    /// Bodies of unknown length that are being read.
+    /// Bodies of unknown length that are being read, and bodies larger than all new ones together
+    /// may be.
     pub const BODY: f64 = 0.6;
+    /// New requests that are small.
+    pub const SMALL_BODY: f64 = 0.7;
     /// Relayed connections.
     pub const TRANSFER: f64 = 0.7;
     /// Streams beyond their part ([`Bounds::stream`](super::Bounds)).
@@ -117,6 +120,11 @@
     pub const SMALL_STREAM: f64 = 1.0;
 }
 
+/// The size of a new request that counts as small: a body of some kilobytes with the buffers of its
+/// stream. It is not bounded by its owner's part, so that an owner of large bodies is still served.
+const SMALL_BODY: Size = Size(112 << 10);
+/// What a body must receive to count as moving.
+const MIN_PROGRESS: Size = Size(1 << 10);
 /// The held bytes of a stream that counts as small: more than a reader that keeps up leaves unread
 /// between two events.
 const SMALL_STREAM: Size = Size(32 << 10);
@@ -136,8 +144,6 @@
 /// The interval at which the causes of stalls are compared: readers that stalled within the same
 /// second are equally slow, and the largest holding decides.
 const STALL_STEP: Duration = Duration::from_secs(1);
-/// The maximum number of bodies that wait for space. More are refused at once.
-const MAX_WAITING: usize = 256;
 /// The longest time for which a body waits for space: callers of the shortest streams wait two
 /// seconds without receiving anything.
 const MAX_BODY_WAIT: Duration = Duration::from_secs(2);
@@ -158,6 +164,30 @@
     /// When its reader last took something; when it was begun if it has not yet.
     progressed: Instant,
     is_shed: bool,
+    /// Whether it is a body that has not been read to its end.
+    is_reading: bool,
+    /// Whether it is a body whose space grows while it is read.
+    is_growing: bool,
+    /// What it has received since `progressed`.
+    received: Size,
+}
+
+impl Holding {
+    /// How long its reader, or the sender of its body, has not moved.
+    fn stall(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.progressed)
+    }
+}
+
+/// What may be shed for a holding.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Victims {
+    /// Bodies whose senders have stalled.
+    StalledBodies,
+    /// Those, and answers and streams whose readers have stalled.
+    Stalled,
+    /// Those, and bodies that grow and arrived later.
+    OrLaterBodies,
 }
 
 /// How long a body waits for space at most, if the request has `left` until its deadline.
@@ -243,7 +273,15 @@
     pub fn begin(&mut self, holder: Holder, now: Instant) -> Number {
         self.last += 1;
         let number = Number(self.last);
-        let holding = Holding { holder, size: Size::ZERO, progressed: now, is_shed: false };
+        let holding = Holding {
+            holder,
+            size: Size::ZERO,
+            progressed: now,
+            is_shed: false,
+            is_reading: false,
+            is_growing: false,
+            received: Size::ZERO,
+        };
         self.holdings.insert(number, holding);
         number
     }
@@ -264,7 +302,7 @@
             let after = self.bounds.link.time(waits_for_link.less(self.bounds.link_resume));
             return Err(Full { cause: Cause::Link, after: clamp(after) });
         }
-        if self.waiting.len() >= MAX_WAITING {
+        if self.waiting.len() >= self.bounds.waiting as usize {
             let after = self.time_to_release(self.waiting.values().copied().sum(), now);
             return Err(Full { cause: Cause::Waiting, after });
         }
@@ -272,39 +310,121 @@
     }
 
     /// Lets a new body of `size` be read, or wait in its socket: it then asks again, in the order of
-    /// arrival. Bodies that wait only because of their owner let others pass.
+    /// arrival. Bodies that wait only because of their owner let others pass, and small ones do not
+    /// wait for large ones.
     ///
     /// # Errors
     /// It waits.
     pub fn begin_body(&mut self, number: Number, size: Size, now: Instant) -> Result<(), Full> {
-        let is_behind = self.waiting.range(..number).any(|(other, size)| {
-            self.refusal(*other, *size, level::NEW_BODY) != Some(Cause::Owner)
+        let is_small = |size: Size| size <= SMALL_BODY;
+        let is_behind = self.waiting.range(..number).any(|(other, waiting)| {
+            is_small(*waiting) == is_small(size)
+                && self.body_refusal(*other, *waiting) != Some(Cause::Owner)
         });
-        let refusal = self.refusal(number, size, level::NEW_BODY);
+        let refusal = self.body_refusal(number, size);
         if let Some(cause) = refusal.or(is_behind.then_some(Cause::Memory)) {
             self.waiting.insert(number, size);
-            let ahead: Size = self.waiting.range(..=number).map(|(_, size)| *size).sum();
-            let free = self.bounds.total.fraction(level::NEW_BODY).less(self.total);
+            let ahead = self.waiting.range(..=number).map(|(_, size)| *size);
+            let ahead: Size = ahead.filter(|ahead| is_small(*ahead) == is_small(size)).sum();
+            let free = self.bounds.total.fraction(self.body_level(size)).less(self.total);
             return Err(Full { cause, after: self.time_to_release(ahead.less(free), now) });
         }
         self.waiting.remove(&number);
         self.add(number, size);
+        if let Some(holding) = self.holdings.get_mut(&number) {
+            (holding.is_reading, holding.progressed) = (true, now);
+        }
         Ok(())
     }
 
+    /// Records that a body has no known length, so that its space grows while it is read.
+    pub fn expect_growth(&mut self, number: Number) {
+        if let Some(holding) = self.holdings.get_mut(&number) {
+            holding.is_growing = true;
+        }
+    }
+
+    /// Chooses which stalled bodies are shed for a new body of `size` that waits.
+    pub fn shed_for_body(&mut self, number: Number, size: Size, now: Instant) -> Vec<Number> {
+        let Some(cause) = self.body_refusal(number, size) else { return Vec::new() };
+        let missing = self.missing(number, size, cause, self.body_level(size));
+        self.shed(number, missing, cause, Victims::StalledBodies, now)
+    }
+
+    /// Records that `size` of a body has been received.
+    pub fn note_received(&mut self, number: Number, size: Size, now: Instant) {
+        let Some(holding) = self.holdings.get_mut(&number) else { return };
+        holding.received = holding.received.plus(size);
+        if holding.received >= MIN_PROGRESS {
+            (holding.received, holding.progressed) = (Size::ZERO, now);
+        }
+    }
+
+    /// Records that a body has been read to its end. It is not shed any more.
+    pub fn note_body_read(&mut self, number: Number) {
+        if let Some(holding) = self.holdings.get_mut(&number) {
+            holding.is_reading = false;
+        }
+    }
+
     /// Whether a body of `size` could be held if the node held nothing else.
     pub fn fits(&self, size: Size) -> bool {
-        size <= self.bounds.total.fraction(level::NEW_BODY)
+        size <= self.bounds.total.fraction(level::BODY)
+    }
+
+    /// The fill level up to which new bodies of this size may fill the node.
+    fn body_level(&self, size: Size) -> f64 {
+        if size <= SMALL_BODY {
+            level::SMALL_BODY
+        } else if size <= self.bounds.total.fraction(level::NEW_BODY) {
+            level::NEW_BODY
+        } else {
+            level::BODY
+        }
+    }
+
+    /// Why a new body may not be read now.
+    fn body_refusal(&self, number: Number, size: Size) -> Option<Cause> {
+        let level = self.body_level(size);
+        if size <= SMALL_BODY {
+            return self.is_full(size, level).then_some(Cause::Memory);
+        }
+        self.refusal(number, size, level)
+    }
+
+    /// What has to become free so that a holding can grow by `size` up to a fill level: for all to
+    /// be below the level, or for its owner to keep within its part of what is free then.
+    fn missing(&self, number: Number, size: Size, cause: Cause, level: f64) -> Size {
+        let (limit, after) = (self.bounds.total.fraction(level), self.total.plus(size));
+        let is_body = self.holdings.get(&number).is_some_and(|h| h.holder.purpose == Purpose::Body);
+        let held = self.holdings.get(&number).map(|h| self.of_owner(&h.holder.owner));
+        let held = held.unwrap_or_default().plus(size);
+        // With `x` freed of the owner's: held - x = factor * (limit - after + x).
+        let over = held.plus(after.fraction(OWNER_FACTOR)).less(limit.fraction(OWNER_FACTOR));
+        let (by_total, by_owner) = (after.less(limit), over.fraction(1.0 / (1.0 + OWNER_FACTOR)));
+        match cause {
+            Cause::Owner => by_owner.max(size),
+            // What is shed for a body is the space of later ones, which take it back otherwise.
+            _ if is_body => by_total.max(by_owner),
+            Cause::Memory | Cause::Link | Cause::Waiting => by_total,
+        }
     }
 
     /// Lets a holding grow by `size`, which has not been read yet. `paused` is how long it has been
     /// paused for these bytes.
     pub fn grow(&mut self, number: Number, size: Size, paused: Duration, now: Instant) -> Growth {
-        let Some(holding) = self.holdings.get(&number) else { return Growth::Shed(Cause::Memory) };
+        let Some(holding) = self.holdings.get_mut(&number) else {
+            return Growth::Shed(Cause::Memory);
+        };
         if holding.is_shed {
             return Growth::Shed(Cause::Memory);
         }
+        if holding.is_reading {
+            // It is not its sender that does not move.
+            holding.progressed = now;
+        }
         let (purpose, after) = (holding.holder.purpose, holding.size.plus(size));
+        let is_body = purpose == Purpose::Body;
         let is_small = purpose == Purpose::Stream && after <= SMALL_STREAM;
         let is_large = purpose == Purpose::Stream && after > self.bounds.stream;
         let level = match purpose {
@@ -338,15 +458,16 @@
             }
             Some(cause) if left.is_zero() => Growth::Shed(cause),
             // A large stream takes no space of others; it is the one to be shed.
-            Some(_) if is_large || !is_small && paused < SHED_AFTER => {
+            Some(_) if is_large || !is_small && !is_body && paused < SHED_AFTER => {
                 Growth::Pause { wait: left, shed: Vec::new() }
             }
             Some(cause) => {
-                let missing = match cause {
-                    Cause::Owner => size,
-                    _ => self.total.plus(size).less(self.bounds.total.fraction(level)),
+                let missing = self.missing(number, size, cause, level);
+                let victims = match purpose {
+                    Purpose::Body => Victims::OrLaterBodies,
+                    Purpose::Answer | Purpose::Stream | Purpose::Transfer => Victims::Stalled,
                 };
-                Growth::Pause { wait: left, shed: self.shed(number, missing, cause, now) }
+                Growth::Pause { wait: left, shed: self.shed(number, missing, cause, victims, now) }
             }
         }
     }
@@ -388,22 +509,43 @@
         self.holdings.remove(&number);
     }
 
+    /// The number of bodies that are being read and have stalled.
+    pub fn stalled_bodies(&self, now: Instant) -> usize {
+        let is_stalled = |h: &&Holding| h.is_reading && h.stall(now) >= MIN_STALL;
+        self.holdings.values().filter(is_stalled).count()
+    }
+
     /// Whether a holding is to be shed.
     pub fn is_shed(&self, number: Number) -> bool {
         self.holdings.get(&number).is_some_and(|holding| holding.is_shed)
     }
 
-    /// Chooses what is shed so that `missing` bytes become free for a holding: the slowest readers,
-    /// then the largest holdings, then the least urgent. If only its owner has no space, only what
-    /// is the owner's is shed.
-    fn shed(&mut self, number: Number, missing: Size, cause: Cause, now: Instant) -> Vec<Number> {
+    /// Chooses what is shed so that `missing` bytes become free for a holding: what has stalled for
+    /// the longest, then the largest holdings, then the least urgent. If only its owner has no space,
+    /// only what is the owner's is shed.
+    ///
+    /// Bodies that grow hold what they have while they wait for more. The one that arrived first
+    /// may take the space of later ones, so that they do not all wait for each other.
+    fn shed(
+        &mut self,
+        number: Number,
+        missing: Size,
+        cause: Cause,
+        victims: Victims,
+        now: Instant,
+    ) -> Vec<Number> {
         let is_early =
             self.shed_at.is_some_and(|at| now.saturating_duration_since(at) < SHED_INTERVAL);
         let owner = self.holdings.get(&number).map(|h| h.holder.owner.clone());
         let Some(owner) = owner.filter(|_| !is_early) else { return Vec::new() };
         self.shed_at = Some(now);
         let eligible = |holding: &&Holding| {
-            matches!(holding.holder.purpose, Purpose::Answer | Purpose::Stream)
+            let is_eligible = match holding.holder.purpose {
+                Purpose::Body => holding.is_reading,
+                Purpose::Answer | Purpose::Stream => victims != Victims::StalledBodies,
+                Purpose::Transfer => false,
+            };
+            is_eligible
                 && holding.size > Size::ZERO
                 && (cause != Cause::Owner || holding.holder.owner == owner)
         };
@@ -411,10 +553,12 @@
         let candidates = candidates.filter(|(_, holding)| eligible(holding));
         let (mut freed, mut found) = (Size::ZERO, Vec::new());
         for (other, holding) in candidates {
-            let stall = now.saturating_duration_since(holding.progressed);
+            let stall = holding.stall(now);
+            let is_later =
+                victims == Victims::OrLaterBodies && holding.is_growing && *other > number;
             if holding.is_shed {
                 freed = freed.plus(holding.size);
-            } else if stall >= MIN_STALL {
+            } else if stall >= MIN_STALL || is_later {
                 let steps = stall.as_millis() / STALL_STEP.as_millis();
                 found.push((steps, holding.size, holding.holder.class, *other));
             }
--- a/node/src/holding/hold.rs
+++ b/node/src/holding/hold.rs
@@ -123,7 +123,14 @@
         let (began, limit) = (shared.clock.now(), body_wait(left));
         loop {
             let now = shared.clock.now();
-            let begun = shared.change(|state| state.ledger.begin_body(*number, size, now));
+            let begun = shared.change(|state| {
+                let begun = state.ledger.begin_body(*number, size, now);
+                if begun.is_err() {
+                    let stalled = state.ledger.shed_for_body(*number, size, now);
+                    shared.shed(state, &stalled);
+                }
+                begun
+            });
             let Err(full) = begun else { return Ok(()) };
             let waited = now.saturating_duration_since(began);
             if waited + full.after > limit {
@@ -200,6 +207,22 @@
         }
     }
 
+    /// Records that the body has no known length.
+    pub fn expect_growth(&self) {
+        lock(&self.shared.state).ledger.expect_growth(self.number);
+    }
+
+    /// Records that `size` of a body has been received.
+    pub fn note_received(&self, size: Size) {
+        let now = self.shared.clock.now();
+        lock(&self.shared.state).ledger.note_received(self.number, size, now);
+    }
+
+    /// Records that the body has been read to its end.
+    pub fn note_body_read(&self) {
+        lock(&self.shared.state).ledger.note_body_read(self.number);
+    }
+
     /// Counts bytes that are held in any case.
     pub fn count(&self, size: Size) {
         self.shared.change(|state| state.ledger.count(self.number, size));
--- a/node/src/holding/mod.rs
+++ b/node/src/holding/mod.rs
@@ -96,7 +96,7 @@
         let purpose = holder.purpose;
         let mut state = lock(&shared.state);
         let number = state.ledger.begin(holder, shared.clock.now());
-        if matches!(purpose, Purpose::Answer | Purpose::Stream) {
+        if purpose != Purpose::Transfer {
             state.contents.insert(number, (purpose, content.clone()));
         }
         Hold::new(shared.clone(), number, purpose, content)
@@ -129,7 +129,7 @@
             self.metrics.holding_sheds.with_label_values(&[<&str>::from(*purpose)]).inc();
             log::info!(
                 purpose:% = purpose, size:% = size, total:% = state.ledger.total();
-                "slow reader shed"
+                "slow peer shed"
             );
             state.ledger.clear(*number, self.clock.now());
         }
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Response, Uri, header};
 use http_body_util::BodyExt as _;
@@ -330,9 +330,9 @@
     shared.note_request(&request.service);
     request.progress.note_read();
     if request.engine.is_some() || request.route.kind.is_stream() {
-        generation::handle(shared, request, in_progress).await
+        Box::pin(generation::handle(shared, request, in_progress)).await
     } else {
-        plain::handle(shared, &request, in_progress).await
+        Box::pin(plain::handle(shared, &request, in_progress)).await
     }
 }
 
@@ -459,10 +459,12 @@
     }
 }
 
-/// What a request takes of a node's memory apart from its body.
-const REQUEST_SIZE: Size = Size(4 << 10);
-/// The steps in which space is reserved for a body of unknown length.
-const BODY_STEP: usize = 64 << 10;
+/// What a request takes of a node's memory apart from its body: its task, and the copies of its head.
+const REQUEST_SIZE: Size = Size(16 << 10);
+/// The space reserved for a body of unknown length before any of it has been read.
+const FIRST_BODY_STEP: usize = 8 << 10;
+/// The largest step by which space grows for a body of unknown length.
+const MAX_BODY_STEP: usize = 256 << 10;
 /// The retry delay of a request whose body of unknown length found no space while it was read: by
 /// then it has waited for the longest pause.
 const UNREAD_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -481,10 +483,13 @@
         return Err(Refusal::TooLarge.into());
     }
     let length = body.size_hint().exact().map(|length| length as usize);
-    let size = Size::from(length.unwrap_or(BODY_STEP)).plus(more);
+    let size = Size::from(length.unwrap_or(FIRST_BODY_STEP)).plus(more);
     if !hold.fits(size) {
         return Err(Refusal::TooLarge.into());
     }
+    if length.is_none() {
+        hold.expect_growth();
+    }
     let began = tokio::time::Instant::now();
     hold.begin_body(size, limit).await?;
     let left = limit.saturating_sub(began.elapsed());
@@ -499,9 +504,16 @@
     length: Option<usize>,
     hold: &Hold,
 ) -> Result<Bytes, Unread> {
-    let mut reserved = length.unwrap_or(BODY_STEP);
-    let mut whole = BytesMut::with_capacity(reserved);
-    while let Some(frame) = body.frame().await {
+    let mut reserved = length.unwrap_or(FIRST_BODY_STEP);
+    // Unlike BytesMut, a vector allocates no more than is reserved for it.
+    let mut whole = Vec::with_capacity(reserved);
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = hold.shed() => return Err(Unread::Full(UNREAD_RETRY_AFTER)),
+            frame = body.frame() => frame,
+        };
+        let Some(frame) = frame else { break };
         let frame = frame.map_err(|_| Refusal::Malformed)?;
         // Trailers are ignored.
         let Ok(data) = frame.into_data() else { continue };
@@ -509,13 +521,17 @@
             return Err(Refusal::TooLarge.into());
         }
         while whole.len() + data.len() > reserved {
-            let grown = hold.grow(Size::from(BODY_STEP)).await;
+            let step = (reserved / 2).clamp(FIRST_BODY_STEP, MAX_BODY_STEP);
+            let grown = hold.grow(Size::from(step)).await;
             grown.map_err(|_| Unread::Full(UNREAD_RETRY_AFTER))?;
-            reserved += BODY_STEP;
+            reserved += step;
+            whole.reserve_exact(reserved - whole.len());
         }
+        hold.note_received(Size::from(data.len()));
         whole.extend_from_slice(&data);
     }
-    Ok(whole.freeze())
+    hold.note_body_read();
+    Ok(whole.into())
 }
 
 /// Returns what a holding of a request belongs to.
--- a/node/tests/endless_responses.rs
+++ b/node/tests/endless_responses.rs
@@ -21,6 +21,8 @@
 const CLOSED_WITHIN: Duration = Duration::from_secs(1);
 /// The number of calls that read answers without end at the same time.
 const CALLS: usize = 128;
+/// The limits of the smallest VM.
+const SMALL_VM: &str = "[limits]\nmemory_mb = 160\ndescriptors = 4100\nlink_mbps = 1000\n";
 /// What a process may take of the memory of the smallest VM, 160 MB.
 const MAX_PROCESS_KB: u64 = 128 << 10;
 /// The largest event of a stream.
@@ -185,6 +187,7 @@
         let _spoilers = set.spoil(CALLS, endless_body).await;
         let addresses = [(); 5].map(|()| free_address(own_ip()));
         let ini = node_settings("edge-0", &addresses, set.store.address(), &[]);
+        let ini = format!("{ini}{SMALL_VM}");
         let node = Daemon::serve(Path::new(env!("CARGO_BIN_EXE_sardinepickd")), &ini);
         wait_until("the node uses the runner", async || {
             let reply = set.caller.send(addresses[0], &RequestSpec::new(path, "first")).await;
