caller_connection: full listeners close idle connections, all have bounds

Callers waited for seconds behind idle connections that filled a node, and a node ended for lack of memory under connections to its look-up, readiness, metrics and peer ports, which had no bound (94 of 64 MB with 1,200 half heads).

Each listener has a table of its connections. When it is full, the caller with the most connections loses the one that has been idle or without progress for the longest, at least a second; connections with a request in progress stay. A connection counts with its read buffer, more than once if heads may be larger than 16 KB. Receive buffers are bounded, as send buffers are, and the read buffer has the size of a head. Connections of other nodes are bounded by a fourth of the descriptors, and end if they send nothing for 5 s at first.

--- a/lib/src/fleet/caller_connection/close.rs
+++ b/lib/src/fleet/caller_connection/close.rs
@@ -29,6 +29,8 @@
     NotReading,
     /// The node stops.
     Stopping,
+    /// Another connection needed its place.
+    Evicted,
 }
 
 /// What to do with a connection now.
@@ -46,6 +48,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Close {
     is_requested: bool,
+    is_evicted: bool,
     expired: Option<(State, Instant)>,
     begun: Option<Cause>,
 }
@@ -56,6 +59,12 @@
         self.is_requested = true;
     }
 
+    /// Records that the connection is to close now unless a request is in progress.
+    pub fn evict(&mut self, state: State) -> bool {
+        self.is_evicted = state.since().is_some();
+        self.is_evicted
+    }
+
     /// Whether the connection is to close as soon as it is idle.
     pub fn is_requested(&self) -> bool {
         self.is_requested
@@ -69,6 +78,10 @@
     /// Decides what to do with a connection in `state`.
     pub fn poll(&mut self, state: State, limits: Limits, now: Instant) -> Action {
         let is_expired = self.has_expired(state, limits, now);
+        if self.is_evicted && state.since().is_some() {
+            self.begun = Some(Cause::Evicted);
+            return Action::Drop;
+        }
         let (cause, action) = match state {
             State::Blocked(_) if is_expired => (Cause::NotReading, Action::Drop),
             State::ReadingHead(_) if is_expired => (Cause::HeadTimeout, Action::Drop),
--- a/lib/src/fleet/caller_connection/mod.rs
+++ b/lib/src/fleet/caller_connection/mod.rs
@@ -4,6 +4,7 @@
 //! first byte of the next one has not been read, and all bytes of the last response have been sent.
 
 mod close;
+pub mod eviction;
 mod progress;
 
 pub use self::close::{Action, Cause, Close};
--- a/lib/src/fleet/caller_connection/progress.rs
+++ b/lib/src/fleet/caller_connection/progress.rs
@@ -20,6 +20,14 @@
 }
 
 impl State {
+    /// Since when there has been no progress; `None` while a request is in progress.
+    pub fn since(self) -> Option<Instant> {
+        match self {
+            State::Idle(since) | State::ReadingHead(since) | State::Blocked(since) => Some(since),
+            State::Busy => None,
+        }
+    }
+
     /// When the state has lasted as long as `limits` allow; `None` if it has no limit.
     pub fn expires_at(self, limits: Limits) -> Option<Instant> {
         match self {
--- a/node/src/caller_connection/mod.rs
+++ b/node/src/caller_connection/mod.rs
@@ -8,6 +8,7 @@
 mod activity;
 mod body;
 mod io;
+mod table;
 
 use std::convert::Infallible;
 use std::future::Future;
@@ -33,6 +34,7 @@
 use tokio::time::sleep;
 
 pub use self::body::{RequestBody, Source};
+pub use self::table::{Slot, Table};
 
 use self::activity::Activity;
 use self::body::ResponseBody;
@@ -43,6 +45,9 @@
 /// The minimum read buffer for the head of a request; hyper accepts no smaller one.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 << 10;
 
+/// What the read buffer has beyond the maximum size of a head.
+const HEAD_MARGIN_BYTES: usize = 1 << 10;
+
 /// Signals connections to close: once it is true, each connection closes as soon as it is idle.
 #[derive(Clone, Debug)]
 pub struct Closing(watch::Receiver<bool>);
@@ -74,17 +79,27 @@
     pub limits: watch::Receiver<Limits>,
     /// Signals that connections are to close.
     pub closing: Closing,
+    /// The maximum size of a head; `None` for that of the limits in force.
+    pub max_head: Option<usize>,
+}
+
+impl Context {
+    /// The maximum size of the read buffer of a connection that is opened now.
+    pub fn head_buffer(&self) -> usize {
+        let head = self.max_head.unwrap_or_else(|| self.limits.borrow().head);
+        head.max(MIN_HEAD_BUFFER_BYTES)
+    }
 }
 
 /// Serves a connection until it ends. Each request is passed to `handler`.
-pub async fn serve<F, R>(context: Context, stream: TcpStream, handler: F)
+pub async fn serve<F, R>(context: Context, stream: TcpStream, slot: Slot, handler: F)
 where
     F: Fn(Request<RequestBody>) -> R,
     R: Future<Output = Response<Body>>,
 {
     let _open = OpenConnection::new(&context);
     let source = source(&stream);
-    let activity = Arc::new(Activity::new(context.clock.clone()));
+    let activity = slot.activity.clone();
     let service = service_fn(|request: Request<Incoming>| {
         let exchange = activity.begin(request_id(request.headers()).unwrap_or_default());
         let request = request.map(|body| RequestBody::new(body, exchange.clone(), source));
@@ -95,7 +110,8 @@
             Ok::<_, Infallible>(response.map(|body| ResponseBody::new(body, exchange)))
         }
     });
-    let head_bytes = context.limits.borrow().head.max(MIN_HEAD_BUFFER_BYTES) * 2;
+    // A head of the largest size must fit in with the first bytes of its body.
+    let head_bytes = context.head_buffer() + HEAD_MARGIN_BYTES;
     let mut builder = http1::Builder::new();
     // The timer of hyper is set once for a connection and also ends a half read head.
     builder.header_read_timeout(None).max_buf_size(head_bytes);
@@ -116,6 +132,11 @@
             biased;
             result = connection.as_mut() => break result,
             () = closing.wait(), if !close.is_requested() => close.request(),
+            () = slot.evicted() => {
+                if !close.evict(activity.state()) {
+                    slot.keep();
+                }
+            }
             Ok(()) = limits.changed() => {}
             () = sleep(close.next_check(state, in_force, now)) => {}
         }
--- a/node/src/holding/mod.rs
+++ b/node/src/holding/mod.rs
@@ -14,7 +14,6 @@
 use sardinepick_lib::fleet::holding::ledger::{Cause, Number};
 use sardinepick_lib::fleet::holding::{Bounds, Full, Holder, Ledger, Purpose, Resources};
 use strum::IntoEnumIterator as _;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use self::hold::Content;
 use crate::lock::lock;
@@ -35,7 +34,6 @@
 /// What a bounded node shares among its holdings.
 struct Shared {
     state: Mutex<State>,
-    connections: Arc<Semaphore>,
     clock: Arc<dyn Clock>,
     metrics: Metrics,
     /// The gauges of held bytes.
@@ -46,11 +44,6 @@
 #[derive(Clone)]
 pub struct Holding(Arc<Shared>);
 
-/// One of the callers' connections that may be open, until it is dropped.
-pub struct ConnectionPermit {
-    _permit: Option<OwnedSemaphorePermit>,
-}
-
 impl Holding {
     /// The holdings of a node with these resources.
     pub fn new(resources: Resources, clock: &Arc<dyn Clock>, metrics: &Metrics) -> Self {
@@ -65,7 +58,6 @@
             "held bytes are bounded"
         );
         Self(Arc::new(Shared {
-            connections: Arc::new(Semaphore::new(bounds.connections as usize)),
             state: Mutex::new(State { ledger: Ledger::new(bounds), contents: HashMap::new() }),
             clock: clock.clone(),
             metrics: metrics.clone(),
@@ -73,10 +65,9 @@
         }))
     }
 
-    /// Waits until another connection of a caller may be accepted.
-    pub async fn connection(&self) -> ConnectionPermit {
-        // The semaphore is never closed.
-        ConnectionPermit { _permit: self.0.connections.clone().acquire_owned().await.ok() }
+    /// The bounds.
+    pub fn bounds(&self) -> Bounds {
+        *lock(&self.0.state).ledger.bounds()
     }
 
     /// Whether new work is accepted.
--- a/node/src/serve/listener.rs
+++ b/node/src/serve/listener.rs
@@ -7,6 +7,7 @@
 
 use http::{Method, Request, Response, StatusCode, header};
 use sardinepick_lib::account::directory::{Account, Directory};
+use sardinepick_lib::fleet::holding::Bounds;
 use sardinepick_lib::fleet::reachability::Path;
 use sardinepick_lib::fleet::roster::Standing;
 use sardinepick_lib::id::Window;
@@ -15,8 +16,7 @@
 use strum::IntoStaticStr;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::caller_connection::{self, Closing, Context, RequestBody};
-use crate::holding::{ConnectionPermit, Holding};
+use crate::caller_connection::{self, Closing, Context, RequestBody, Slot, Table};
 use crate::serve::response::{Body, Refusal, empty, full_body, json};
 use crate::serve::shared::Shared;
 use crate::serve::{quarantine, request};
@@ -30,6 +30,12 @@
 /// it grows to several megabytes. This is enough for 200 Mbit/s at a round trip of 5 ms.
 const SEND_BUFFER_BYTES: usize = 64 << 10;
 
+/// The receive buffer of a caller's connection; the kernel doubles it. By itself it grows to several
+/// megabytes.
+const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
+/// The maximum number of connections of each listener for the platform and operators.
+const CONTROL_CONNECTIONS: u32 = 64;
+
 /// The path prefix for releasing quarantined requests, followed by the fingerprint.
 const QUARANTINE_PREFIX: &str = "/quarantine/";
 
@@ -62,23 +68,29 @@
         metrics: shared.metrics.clone(),
         limits: shared.limits.subscribe(),
         closing: closing.clone(),
+        max_head: (port != Port::Front).then_some(Bounds::CONTROL_HEAD),
+    };
+    let bounds = shared.holding.bounds();
+    let limit = match port {
+        Port::Front => bounds.connections,
+        Port::Lookup => bounds.lookups,
+        Port::Ready | Port::Metrics => CONTROL_CONNECTIONS,
     };
-    // Only callers can exhaust the descriptors; the other listeners carry control traffic.
-    let holding = (port == Port::Front).then(|| shared.holding.clone());
+    let table = Table::new(limit, shared.clock.clone());
+    limit_receive_buffer(&listener);
     loop {
         let accepted = tokio::select! {
             () = closing.wait() => return,
-            accepted = accept(holding.as_ref(), &listener) => accepted,
+            accepted = accept(&table, &context, &listener) => accepted,
         };
         match accepted {
-            Ok((stream, permit)) => {
+            Ok((stream, slot)) => {
                 send_at_once(&stream);
                 limit_send_buffer(&stream);
                 let (shared, context) = (shared.clone(), context.clone());
                 tokio::spawn(async move {
                     let handler = |request| handle(&shared, port, request);
-                    caller_connection::serve(context, stream, handler).await;
-                    drop(permit);
+                    caller_connection::serve(context, stream, slot, handler).await;
                 });
             }
             Err(error) => {
@@ -89,18 +101,27 @@
     }
 }
 
-/// Accepts a connection as soon as another one may be open. Until then callers wait in the queue of
-/// the listener.
+/// Accepts a connection, and waits until another one may be open. Until then further callers wait in
+/// the queue of the listener.
 async fn accept(
-    holding: Option<&Holding>,
+    table: &Table,
+    context: &Context,
     listener: &TcpListener,
-) -> io::Result<(TcpStream, Option<ConnectionPermit>)> {
-    let permit = match holding {
-        Some(holding) => Some(holding.connection().await),
-        None => None,
+) -> io::Result<(TcpStream, Slot)> {
+    let (stream, peer) = listener.accept().await?;
+    let weight = match context.max_head {
+        Some(_) => 1,
+        None => context.head_buffer().div_ceil(Bounds::CONNECTION_HEAD),
     };
-    let (stream, _) = listener.accept().await?;
-    Ok((stream, permit))
+    let slot = table.open(peer.ip(), u32::try_from(weight).unwrap_or(u32::MAX)).await;
+    Ok((stream, slot))
+}
+
+/// Limits what the kernel holds of what has not been read. Accepted connections inherit it.
+fn limit_receive_buffer(listener: &TcpListener) {
+    if let Err(error) = SockRef::from(listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+        log::debug!(error:% = error; "cannot set the receive buffer size");
+    }
 }
 
 /// Limits what the kernel holds for a caller that does not read: the ledger does not count it.
--- a/node/src/serve/mod.rs
+++ b/node/src/serve/mod.rs
@@ -27,6 +27,7 @@
 pub mod order;
 pub mod payment;
 pub mod peer;
+pub mod peer_listener;
 pub mod pending;
 pub mod plain;
 pub mod quarantine;
--- a/node/src/serve/peer.rs
+++ b/node/src/serve/peer.rs
@@ -27,12 +27,12 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 use tokio_stream::wrappers::ReceiverStream;
-use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status, Streaming};
 
 use crate::relay;
 use crate::serve::copy;
 use crate::serve::heartbeat::apply_records;
+use crate::serve::peer_listener;
 use crate::serve::quarantine;
 use crate::serve::register_replica::{Difference, Doubt};
 use crate::serve::rpc::{self, Failures, Reply, RpcError};
@@ -310,6 +310,7 @@
 
 /// Serves other nodes until the process ends.
 pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    let limit = shared.holding.bounds().peers;
     let service = FleetServer::new(Service { shared });
     let server = tonic::transport::Server::builder()
         .initial_stream_window_size(relay::WINDOW_BYTES)
@@ -318,7 +319,7 @@
         .http2_keepalive_interval(Some(KEEP_ALIVE_INTERVAL))
         .http2_keepalive_timeout(Some(KEEP_ALIVE_TIMEOUT))
         .add_service(service)
-        .serve_with_incoming(TcpIncoming::from(listener).with_nodelay(Some(true)));
+        .serve_with_incoming(peer_listener::incoming(listener, limit));
     if let Err(error) = server.await {
         log::error!(error:% = error; "serving other nodes");
     }
