front: request bodies have a bounded space

Clients of a daemon without a platform saw it grow without a bound: 200 bodies of 1 MB took 240 of 160 MB, six bodies of 1 MB in chunks of one byte 211, also before it was known whose they were.

Cause: body.rs kept each piece as it had arrived, and nothing bounded the number of bodies.

A body is copied into one buffer, and reserves its space before it is read, 64 MB for the node ([limits] body_space), a fourth of it for small ones. One of unknown length reserves the largest size once it is larger than 64 KB, so bodies do not wait for each other. Without space in 2 s it is refused as not run (503 node_full).

--- a/node/src/front/completions.rs
+++ b/node/src/front/completions.rs
@@ -17,7 +17,7 @@
 use tokio_stream::wrappers::ReceiverStream;
 
 use super::error::ApiError;
-use super::{Context, HandlerResult, account, body};
+use super::{Context, HandlerResult, account};
 use crate::completion::{self, CompletionRequest, PartReceiver, ResponsePart};
 use crate::node::Node;
 
@@ -172,7 +172,7 @@
     let (head, content) = request.into_parts();
     let account = account::authenticate(&snapshot, &head.headers)?;
     let settings = &node.settings;
-    let bytes = body::read(content, settings.max_body, settings.body_timeout).await?;
+    let bytes = node.bodies.read(content, settings.max_body, settings.body_timeout).await?;
     let parsed = read(&bytes)?;
     let service: Name = parsed.model.parse().map_err(|_| {
         ApiError::not_found("model", format!("there is no model {:?}", parsed.model))
--- a/node/src/front/listener.rs
+++ b/node/src/front/listener.rs
@@ -18,7 +18,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::error::ApiError;
-use super::{body, completions, plain};
+use super::{completions, plain};
 use crate::node::Node;
 
 /// The maximum number of headers in a request.
@@ -138,7 +138,7 @@
 ) -> Result<Response<Body>, ApiError> {
     let (mut head, content) = request.into_parts();
     let settings = &node.settings;
-    let bytes = body::read(content, settings.max_body, settings.body_timeout).await?;
+    let bytes = node.bodies.read(content, settings.max_body, settings.body_timeout).await?;
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
     let uri: Uri = format!("http://{}{path}", api.address)
         .parse()
--- a/node/src/front/plain.rs
+++ b/node/src/front/plain.rs
@@ -27,9 +27,9 @@
 use smol_str::{SmolStr, format_smolstr};
 use tokio::time::timeout;
 
+use super::account;
 use super::completions::{request_id, requested_deadline};
 use super::error::ApiError;
-use super::{account, body};
 use crate::claims::{self, ClaimError, Grant, RequestKey};
 use crate::completion::{
     Cause, DEFAULT_RETRY_AFTER, MAX_ATTEMPTS, RequestError, priority_and_deadline,
@@ -104,7 +104,7 @@
     let service = snapshot.service(&name).filter(|s| s.form == Form::Plain).cloned();
     let service = service.ok_or_else(missing)?;
     let settings = &node.settings;
-    let bytes = body::read(content, settings.max_body, settings.body_timeout).await?;
+    let bytes = node.bodies.read(content, settings.max_body, settings.body_timeout).await?;
     let key = idempotency_key(&account, &service, &head, &bytes)?;
     let call = Call {
         id: request_id(&node, &head.headers)?,
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -23,6 +23,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::authority::Authority;
+use crate::front::body::Space;
 use crate::front::plain;
 use crate::metrics::Metrics;
 use crate::peer::client::Peers;
@@ -52,6 +53,8 @@
     pub peers: Peers,
     /// The configuration in force. A request loads it once and uses it until it ends.
     pub config: ArcSwap<Snapshot>,
+    /// The space for request bodies.
+    pub bodies: Space,
     /// The table of key owners.
     pub table: ArcSwap<Table>,
     /// The node that last announced a newer table.
@@ -105,6 +108,7 @@
             stop: watch::channel(false).0,
             socket: OnceLock::new(),
             config: ArcSwap::default(),
+            bodies: Space::new(settings.body_space.max(settings.max_body * 2)),
             table: ArcSwap::default(),
             newer_table: NewerTable::default(),
             authority: Authority::default(),
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -89,6 +89,8 @@
     pub bootstrap_key: Option<Digest>,
     /// The maximum size of a request body in bytes.
     pub max_body: usize,
+    /// The space for all request bodies of this node in bytes; twice the largest body at least.
+    pub body_space: usize,
     /// The maximum number of queued requests per service at this node.
     pub queue: usize,
     /// The timeout for receiving a request body.
@@ -119,7 +121,7 @@
     ("node", &["name", "data_centre", "front", "peer", "seeds"]),
     ("platform", &["address", "timeout", "list_period"]),
     ("administration", &["bootstrap_key"]),
-    ("limits", &["max_body", "queue", "body_timeout", "validity", "shutdown_limit"]),
+    ("limits", &["max_body", "body_space", "queue", "body_timeout", "validity", "shutdown_limit"]),
     ("upstream", &["load_period", "stall_timeout", "connect_timeout", "lease_ttl", "lease_margin"]),
     ("log", &["level", "format"]),
 ];
@@ -127,6 +129,7 @@
 pub(crate) const NAME_FORM: &str = "a name of a-z, 0-9, '-', '_' and '.'";
 pub(crate) const ADDRESS_FORM: &str = "an IP address and port such as 10.0.0.7:8000";
 pub(crate) const DURATION_FORM: &str = "a time such as 500ms, 30s or 5m";
+const BODY_SPACE_FORM: &str = "a number of bytes from 1048576 to 17179869184";
 const BODY_BYTES_FORM: &str = "a number of bytes from 1024 to 67108864";
 const QUEUE_FORM: &str = "a whole number from 1 to 1000000";
 pub(crate) const LEVEL_FORM: &str = "off, error, warn, info, debug or trace";
@@ -271,6 +274,8 @@
 }
 
 const MIN_BODY_BYTES: usize = 1024;
+const MIN_BODY_SPACE_BYTES: usize = 1 << 20;
+const MAX_BODY_SPACE_BYTES: usize = 16 << 30;
 const MAX_BODY_BYTES: usize = 64 << 20;
 const MAX_QUEUE: usize = 1_000_000;
 
@@ -306,6 +311,9 @@
     let max_body = r.optional("limits", "max_body", BODY_BYTES_FORM, |t| {
         within(t, MIN_BODY_BYTES, MAX_BODY_BYTES)
     });
+    let body_space = r.optional("limits", "body_space", BODY_SPACE_FORM, |t| {
+        within(t, MIN_BODY_SPACE_BYTES, MAX_BODY_SPACE_BYTES)
+    });
     let queue = r.optional("limits", "queue", QUEUE_FORM, |t| within(t, 1, MAX_QUEUE));
     let body_timeout = r.duration("limits", "body_timeout", Duration::from_secs(20));
     let validity = r.duration("limits", "validity", sardinepick_lib::directory::VALIDITY);
@@ -328,6 +336,7 @@
         seeds: seeds.unwrap_or_default(),
         bootstrap_key,
         max_body: max_body.unwrap_or(1 << 20),
+        body_space: body_space.unwrap_or(64 << 20),
         queue: queue.unwrap_or(10_000),
         body_timeout,
         validity,
