holding: say whose bytes are shed, and how many bodies have stalled

Operators saw that something was shed, but not whose, and nothing of bodies that occupy space without moving. The line 'slow peer shed' has the owner, 'held bytes are bounded' all bounds, and the metrics a gauge sardinepick_stalled_bodies. No behaviour changes.

--- a/lib/src/fleet/holding/ledger.rs
+++ b/lib/src/fleet/holding/ledger.rs
@@ -1,6 +1,7 @@
 //! The held bytes of a node, and the decisions that depend on them.
 
 use std::collections::{BTreeMap, HashMap};
+use std::fmt;
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
@@ -36,6 +37,16 @@
     Node(NodeId),
 }
 
+impl fmt::Display for Owner {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Owner::Account(id) => write!(f, "account {id}"),
+            Owner::Caller(address) => write!(f, "caller {address}"),
+            Owner::Node(id) => write!(f, "node {id}"),
+        }
+    }
+}
+
 /// A connection, by a number that is unique within the process.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
 pub struct Connection(pub u64);
@@ -264,6 +275,11 @@
         self.holdings.get(&number).map(|holding| holding.size).unwrap_or_default()
     }
 
+    /// Whom a holding is for.
+    pub fn owner(&self, number: Number) -> Option<&Owner> {
+        self.holdings.get(&number).map(|holding| &holding.holder.owner)
+    }
+
     /// The number of bodies that wait for space.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
--- a/lib/tests/holding_crowd.rs
+++ b/lib/tests/holding_crowd.rs
@@ -152,7 +152,8 @@
         if next > body.reserved {
             match self.ledger.grow(body.number, Size(STEP), body.paused, self.now) {
                 Growth::Held => {
-                    (body.reserved, body.paused) = (body.reserved + STEP, Duration::ZERO)
+                    body.reserved += STEP;
+                    body.paused = Duration::ZERO;
                 }
                 Growth::Pause { shed, .. } if shed.is_empty() => body.paused += TICK,
                 Growth::Pause { shed, .. } => {
--- a/node/src/holding/mod.rs
+++ b/node/src/holding/mod.rs
@@ -54,7 +54,8 @@
         log::info!(
             memory:% = resources.memory, descriptors = resources.descriptors,
             link_mbps:% = resources.link, held:% = bounds.total, stream:% = bounds.stream,
-            connections = bounds.connections, link_waiting:% = bounds.link_full;
+            connections = bounds.connections, lookups = bounds.lookups, peers = bounds.peers,
+            waiting = bounds.waiting, link_waiting:% = bounds.link_full;
             "held bytes are bounded"
         );
         Self(Arc::new(Shared {
@@ -65,6 +66,12 @@
         }))
     }
 
+    /// Updates the gauges that are not kept up to date with each change.
+    pub fn update_gauges(&self) {
+        let stalled = lock(&self.0.state).ledger.stalled_bodies(self.0.clock.now());
+        self.0.metrics.stalled_bodies.set(i64::try_from(stalled).unwrap_or(i64::MAX));
+    }
+
     /// The bounds.
     pub fn bounds(&self) -> Bounds {
         *lock(&self.0.state).ledger.bounds()
@@ -115,11 +122,12 @@
     fn shed(&self, state: &mut State, numbers: &[Number]) {
         for number in numbers {
             let size = state.ledger.of_holding(*number);
+            let owner = state.ledger.owner(*number).map(ToString::to_string).unwrap_or_default();
             let Some((purpose, content)) = state.contents.get(number) else { continue };
             content.shed();
             self.metrics.holding_sheds.with_label_values(&[<&str>::from(*purpose)]).inc();
             log::info!(
-                purpose:% = purpose, size:% = size, total:% = state.ledger.total();
+                purpose:% = purpose, owner = owner, size:% = size, total:% = state.ledger.total();
                 "slow peer shed"
             );
             state.ledger.clear(*number, self.clock.now());
--- a/node/src/serve/listener.rs
+++ b/node/src/serve/listener.rs
@@ -150,6 +150,7 @@
         }
         Port::Lookup if request.uri().path() == LOOKUP_PATH => lookup(shared, &request),
         Port::Metrics if request.uri().path() == "/metrics" => {
+            shared.holding.update_gauges();
             Response::new(full_body(shared.metrics.text()))
         }
         Port::Metrics if request.uri().path() == "/state" => json(state(shared)),
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -62,6 +62,8 @@
     pub held_bytes: IntGaugeVec,
     /// Request bodies that wait for space.
     pub waiting_bodies: IntGauge,
+    /// Request bodies that are being read and have stalled, as of the last reading of the metrics.
+    pub stalled_bodies: IntGauge,
     /// Requests refused because the node is full, by cause.
     pub holding_refusals: IntCounterVec,
     /// Answers and streams that were cut to release memory, by purpose.
@@ -305,6 +307,8 @@
             ),
             waiting_bodies: m
                 .gauge("sardinepick_waiting_bodies", "Request bodies that wait for memory"),
+            stalled_bodies: m
+                .gauge("sardinepick_stalled_bodies", "Request bodies whose senders have stalled"),
             holding_refusals: m.counters(
                 "sardinepick_holding_refusals_total",
                 "Requests and relays refused because the node is full, by cause",
