--- a/lib/tests/caller_connection.rs
+++ b/lib/tests/caller_connection.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use sardinepick_lib::fleet::caller_connection::eviction::{Candidate, MIN_EVICTION_AGE, choose};
 use sardinepick_lib::fleet::caller_connection::{Action, Cause, Close, Progress, State};
 use sardinepick_lib::fleet::route::Limits;
 
@@ -114,3 +115,28 @@
     assert_eq!(settle(&mut close, &progress, LIMITS, start + seconds(30)), Action::Drop);
     assert_eq!(close.cause(), Cause::NotReading);
 }
+
+fn candidate(number: u64, host: u8, state: Option<State>) -> Candidate {
+    Candidate { number, address: [10, 0, 0, host].into(), state }
+}
+
+/// Guards against a listener that is full and closes connections in use, those of callers with few,
+/// or young ones while older ones are idle.
+#[test]
+fn choose_idlest_of_caller_with_most() {
+    let now = Instant::now() + Duration::from_secs(60);
+    let ago = |seconds| now - Duration::from_secs(seconds);
+    let open = [
+        candidate(1, 1, Some(State::Idle(ago(50)))),
+        candidate(2, 2, Some(State::Busy)),
+        candidate(3, 2, Some(State::Idle(ago(5)))),
+        candidate(4, 2, Some(State::ReadingHead(ago(9)))),
+        candidate(5, 2, None),
+        candidate(6, 2, Some(State::Blocked(ago(7)))),
+    ];
+    assert_eq!(choose(&open, now), Some(4));
+    assert_eq!(choose(&open[..2], now), Some(1));
+    assert_eq!(choose(&open[1..2], now), None);
+    let young = candidate(7, 1, Some(State::Idle(now - MIN_EVICTION_AGE / 2)));
+    assert_eq!(choose(&[young], now), None);
+}
--- a/node/src/caller_connection/mod.rs
+++ b/node/src/caller_connection/mod.rs
@@ -45,8 +45,9 @@
 /// The minimum read buffer for the head of a request; hyper accepts no smaller one.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 << 10;
 
-/// What the read buffer has beyond the maximum size of a head.
-const HEAD_MARGIN_BYTES: usize = 1 << 10;
+/// What the read buffer has beyond the maximum size of the headers: the request line, and the first
+/// bytes of the body.
+const HEAD_MARGIN_BYTES: usize = 4 << 10;
 
 /// Signals connections to close: once it is true, each connection closes as soon as it is idle.
 #[derive(Clone, Debug)]
@@ -110,7 +111,6 @@
             Ok::<_, Infallible>(response.map(|body| ResponseBody::new(body, exchange)))
         }
     });
-    // A head of the largest size must fit in with the first bytes of its body.
     let head_bytes = context.head_buffer() + HEAD_MARGIN_BYTES;
     let mut builder = http1::Builder::new();
     // The timer of hyper is set once for a connection and also ends a half read head.
