caller_connection: one connection is evicted at a time, with a line

Waiting for the place of an evicted connection chose a further one every 50 ms until the first had ended. Operators saw evictions in a metric only; 'connection evicted' names the caller and the number of open connections.

--- a/lib/src/fleet/caller_connection/eviction.rs
+++ b/lib/src/fleet/caller_connection/eviction.rs
@@ -16,8 +16,8 @@
     pub number: u64,
     /// The address of its caller.
     pub address: IpAddr,
-    /// What it is doing; `None` if it is being closed already.
-    pub state: Option<State>,
+    /// What it is doing.
+    pub state: State,
 }
 
 /// Chooses the connection that is closed: of the caller with the most connections, the one that has
@@ -29,7 +29,7 @@
         *counts.entry(candidate.address).or_default() += 1;
     }
     let age = |candidate: &Candidate| {
-        let since = candidate.state?.since()?;
+        let since = candidate.state.since()?;
         let age = now.saturating_duration_since(since);
         (age >= MIN_EVICTION_AGE).then_some(age)
     };
--- a/node/src/caller_connection/table.rs
+++ b/node/src/caller_connection/table.rs
@@ -93,15 +93,20 @@
         Some(Slot { table: self.clone(), number, evicted, activity })
     }
 
+    /// Chooses a connection and signals it, unless one that was chosen has not ended yet.
     fn evict(&self, state: &mut State) {
+        if state.open.values().any(|entry| entry.is_evicted) {
+            return;
+        }
         let candidate = |(number, entry): (&u64, &Entry)| Candidate {
             number: *number,
             address: entry.address,
-            state: (!entry.is_evicted).then(|| entry.activity.state()),
+            state: entry.activity.state(),
         };
         let candidates: Vec<Candidate> = state.open.iter().map(candidate).collect();
         let chosen = choose(&candidates, self.0.clock.now());
         if let Some(entry) = chosen.and_then(|number| state.open.get_mut(&number)) {
+            log::info!(caller:% = entry.address, open = candidates.len(); "connection evicted");
             entry.is_evicted = true;
             entry.evicted.notify_one();
         }
--- a/node/src/serve/listener.rs
+++ b/node/src/serve/listener.rs
@@ -26,8 +26,8 @@
 /// The pause after a failed `accept`: without free file descriptors, each attempt fails at once.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// The send buffer of a caller's connection; the kernel doubles it. By itself
-/// it grows to several megabytes. This is enough for 200 Mbit/s at a round trip of 5 ms.
+/// The send buffer of a caller's connection; the kernel doubles it. By itself it grows to several
+/// megabytes. This is enough for 200 Mbit/s at a round trip of 5 ms.
 const SEND_BUFFER_BYTES: usize = 64 << 10;
 
 /// The receive buffer of a caller's connection; the kernel doubles it. By itself it grows to several
