listener: a stopping node accepts the connections that wait in its queue

Callers that connected to a node shortly before it closed its listener had their connection reset, or closed without an answer, and had to try again.

Causes: - The queue of the listener was dropped with it. - The process exits once no connection is open, and it looked before the connections of the queue counted as open. - A connection that had been accepted and waited for a free place in the table was dropped at the close. - A connection that has just been accepted is idle until its first bytes have been seen, and was closed for it.

The listener now takes the queue on when it closes, the stop waits for that, and the table counts a connection from the moment it is opened. An idle connection is closed 200 ms after its last use at the earliest.

The window between the last accept and the close of the socket remains.

--- a/lib/src/fleet/caller_connection/close.rs
+++ b/lib/src/fleet/caller_connection/close.rs
@@ -9,6 +9,9 @@
 
 /// How often a connection that is to close is checked for the end of a half read head.
 const CLOSE_CHECK_PERIOD: Duration = Duration::from_millis(20);
+/// How long an idle connection that is to close is kept: the request of a caller that has just
+/// connected, or just read a response, may be on its way.
+const CLOSE_DELAY: Duration = Duration::from_millis(200);
 /// How long an expired connection is kept, so that bytes that have arrived meanwhile are read: a
 /// process that was paused sees its timers before its sockets.
 const RECHECK_DELAY: Duration = Duration::from_millis(2);
@@ -85,9 +88,10 @@
         let (cause, action) = match state {
             State::Blocked(_) if is_expired => (Cause::NotReading, Action::Drop),
             State::ReadingHead(_) if is_expired => (Cause::HeadTimeout, Action::Drop),
-            State::Idle(_) | State::Busy if self.is_requested => {
+            State::Idle(since) if self.is_requested && now >= since + CLOSE_DELAY => {
                 (Cause::Stopping, Action::Shutdown)
             }
+            State::Busy if self.is_requested => (Cause::Stopping, Action::Shutdown),
             State::Idle(_) if is_expired => (Cause::IdleTimeout, Action::Shutdown),
             State::Blocked(_) | State::ReadingHead(_) | State::Idle(_) | State::Busy => {
                 return Action::Wait;
--- a/lib/tests/caller_connection.rs
+++ b/lib/tests/caller_connection.rs
@@ -59,6 +59,26 @@
     assert_eq!(close.cause(), Cause::HeadTimeout);
 }
 
+/// Guards against a request that is lost because its connection is closed before it has arrived.
+#[test]
+fn close_requested_after_connect_waits_for_request() {
+    let start = Instant::now();
+    let (mut progress, mut close) = (Progress::new(start), Close::default());
+    close.request();
+    assert_eq!(close.poll(progress.state(), LIMITS, start + RECHECK), Action::Wait);
+    progress.note_read(start + 2 * RECHECK);
+    assert_eq!(close.poll(progress.state(), LIMITS, start + 3 * RECHECK), Action::Wait);
+}
+
+#[test]
+fn close_requested_without_request_ends() {
+    let start = Instant::now();
+    let (progress, mut close) = (Progress::new(start), Close::default());
+    close.request();
+    assert_eq!(close.poll(progress.state(), LIMITS, start + seconds(1)), Action::Shutdown);
+    assert_eq!(close.cause(), Cause::Stopping);
+}
+
 #[test]
 fn close_requested_once() {
     let start = Instant::now();
--- a/node/src/caller_connection/mod.rs
+++ b/node/src/caller_connection/mod.rs
@@ -23,7 +23,6 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use prometheus::IntGauge;
 use sardinepick_lib::clock::Clock;
 use sardinepick_lib::fleet::caller_connection::{Action, Cause, Close};
 use sardinepick_lib::fleet::holding::ledger::Connection;
@@ -98,7 +97,6 @@
     F: Fn(Request<RequestBody>) -> R,
     R: Future<Output = Response<Body>>,
 {
-    let _open = OpenConnection::new(&context);
     let source = source(&stream);
     let activity = slot.activity.clone();
     let service = service_fn(|request: Request<Incoming>| {
@@ -155,23 +153,6 @@
     Source { connection, address }
 }
 
-/// Counts a connection as open until dropped.
-struct OpenConnection(IntGauge);
-
-impl OpenConnection {
-    fn new(context: &Context) -> Self {
-        let gauge = context.metrics.caller_connections.with_label_values(&[context.port]);
-        gauge.inc();
-        Self(gauge)
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.dec();
-    }
-}
-
 /// Returns the response of a handler, or one that promises nothing if the handler panics: the
 /// connection would close without a response.
 async fn or_broken(response: impl Future<Output = Response<Body>>) -> Response<Body> {
--- a/node/src/caller_connection/table.rs
+++ b/node/src/caller_connection/table.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use prometheus::IntGauge;
 use sardinepick_lib::clock::Clock;
 use sardinepick_lib::fleet::caller_connection::eviction::{Candidate, choose};
 use tokio::sync::Notify;
@@ -36,6 +37,7 @@
     state: Mutex<State>,
     freed: Notify,
     clock: Arc<dyn Clock>,
+    count: IntGauge,
 }
 
 /// The open connections of a listener.
@@ -51,10 +53,10 @@
 }
 
 impl Table {
-    /// A table for connections of up to this weight together.
-    pub fn new(limit: u32, clock: Arc<dyn Clock>) -> Self {
+    /// A table for connections of up to this weight together, whose number `count` shows.
+    pub fn new(limit: u32, clock: Arc<dyn Clock>, count: IntGauge) -> Self {
         let (state, freed) = (Mutex::default(), Notify::new());
-        Self(Arc::new(Shared { limit, state, freed, clock }))
+        Self(Arc::new(Shared { limit, state, freed, clock, count }))
     }
 
     /// Opens a connection. If there are too many, another one is closed, or one ends, first.
@@ -90,6 +92,7 @@
             is_evicted: false,
         };
         state.open.insert(number, entry);
+        self.0.count.inc();
         Some(Slot { table: self.clone(), number, evicted, activity })
     }
 
@@ -133,6 +136,7 @@
         let mut state = lock(&shared.state);
         if let Some(entry) = state.open.remove(&self.number) {
             state.used = state.used.saturating_sub(entry.weight);
+            shared.count.dec();
         }
         drop(state);
         shared.freed.notify_one();
--- a/node/src/serve/listener.rs
+++ b/node/src/serve/listener.rs
@@ -1,7 +1,7 @@
 //! The HTTP listeners: for callers, for the platform's readiness checks, for look-ups, and for
 //! metrics and state.
 
-use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,10 +16,10 @@
 use strum::IntoStaticStr;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::caller_connection::{self, Closing, Context, RequestBody, Slot, Table};
+use crate::caller_connection::{self, Closing, Context, RequestBody, Table};
 use crate::serve::response::{Body, Refusal, empty, full_body, json};
 use crate::serve::shared::Shared;
-use crate::serve::{quarantine, request};
+use crate::serve::{accept_queue, quarantine, request};
 
 /// The maximum number of addresses in a look-up answer (platform protocol).
 const MAX_ADDRESSES: usize = 64;
@@ -60,61 +60,73 @@
     }
 }
 
-/// Accepts connections until `closing`.
+/// Accepts connections until `closing`, and then those that the system has established.
 pub async fn run(shared: Arc<Shared>, port: Port, listener: TcpListener, mut closing: Closing) {
-    let context = Context {
-        port: port.name(),
-        clock: shared.clock.clone(),
-        metrics: shared.metrics.clone(),
-        limits: shared.limits.subscribe(),
-        closing: closing.clone(),
-        max_head: (port != Port::Front).then_some(Bounds::CONTROL_HEAD),
-    };
-    let bounds = shared.holding.bounds();
-    let limit = match port {
-        Port::Front => bounds.connections,
-        Port::Lookup => bounds.lookups,
-        Port::Ready | Port::Metrics => CONTROL_CONNECTIONS,
-    };
-    let table = Table::new(limit, shared.clock.clone());
+    let acceptor = Acceptor::new(shared, port, closing.clone());
     limit_receive_buffer(&listener);
     loop {
         let accepted = tokio::select! {
-            () = closing.wait() => return,
-            accepted = accept(&table, &context, &listener) => accepted,
+            () = closing.wait() => break,
+            accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, slot)) => {
-                send_at_once(&stream);
-                limit_send_buffer(&stream);
-                let (shared, context) = (shared.clone(), context.clone());
-                tokio::spawn(async move {
-                    let handler = |request| handle(&shared, port, request);
-                    caller_connection::serve(context, stream, slot, handler).await;
-                });
-            }
+            Ok((stream, peer)) => acceptor.open(stream, peer).await,
             Err(error) => {
                 log::warn!(error:% = error; "cannot accept connection");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
+    for (stream, peer) in accept_queue::close(listener) {
+        acceptor.open(stream, peer).await;
+    }
 }
 
-/// Accepts a connection, and waits until another one may be open. Until then further callers wait in
-/// the queue of the listener.
-async fn accept(
-    table: &Table,
-    context: &Context,
-    listener: &TcpListener,
-) -> io::Result<(TcpStream, Slot)> {
-    let (stream, peer) = listener.accept().await?;
-    let weight = match context.max_head {
-        Some(_) => 1,
-        None => context.head_buffer().div_ceil(Bounds::CONNECTION_HEAD),
-    };
-    let slot = table.open(peer.ip(), u32::try_from(weight).unwrap_or(u32::MAX)).await;
-    Ok((stream, slot))
+/// Serves the connections of a listener.
+struct Acceptor {
+    shared: Arc<Shared>,
+    port: Port,
+    context: Context,
+    table: Table,
+}
+
+impl Acceptor {
+    fn new(shared: Arc<Shared>, port: Port, closing: Closing) -> Self {
+        let context = Context {
+            port: port.name(),
+            clock: shared.clock.clone(),
+            metrics: shared.metrics.clone(),
+            limits: shared.limits.subscribe(),
+            closing,
+            max_head: (port != Port::Front).then_some(Bounds::CONTROL_HEAD),
+        };
+        let bounds = shared.holding.bounds();
+        let limit = match port {
+            Port::Front => bounds.connections,
+            Port::Lookup => bounds.lookups,
+            Port::Ready | Port::Metrics => CONTROL_CONNECTIONS,
+        };
+        let open = shared.metrics.caller_connections.with_label_values(&[port.name()]);
+        let table = Table::new(limit, shared.clock.clone(), open);
+        Self { shared, port, context, table }
+    }
+
+    /// Waits until another connection may be open, and serves it. Until then further callers wait in
+    /// the queue of the listener.
+    async fn open(&self, stream: TcpStream, peer: SocketAddr) {
+        let weight = match self.context.max_head {
+            Some(_) => 1,
+            None => self.context.head_buffer().div_ceil(Bounds::CONNECTION_HEAD),
+        };
+        let slot = self.table.open(peer.ip(), u32::try_from(weight).unwrap_or(u32::MAX)).await;
+        send_at_once(&stream);
+        limit_send_buffer(&stream);
+        let (shared, context, port) = (self.shared.clone(), self.context.clone(), self.port);
+        tokio::spawn(async move {
+            let handler = |request| handle(&shared, port, request);
+            caller_connection::serve(context, stream, slot, handler).await;
+        });
+    }
 }
 
 /// Limits what the kernel holds of what has not been read. Accepted connections inherit it.
--- a/node/src/serve/run.rs
+++ b/node/src/serve/run.rs
@@ -11,7 +11,8 @@
 use thiserror::Error;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::caller_connection::Closing;
 use crate::connector::probe;
@@ -43,6 +44,8 @@
     /// The state shared by its tasks.
     pub shared: Arc<Shared>,
     closing: watch::Sender<bool>,
+    /// Ends once the listener for callers is closed and the connections that waited are open.
+    front: JoinHandle<()>,
     count_sender: CountSender,
 }
 
@@ -125,7 +128,6 @@
     dial: Arc<dyn Dial>,
 ) -> Running {
     let ports = [
-        (Port::Front, sockets.front),
         (Port::Ready, sockets.ready),
         (Port::Lookup, sockets.lookup),
         (Port::Metrics, sockets.metrics),
@@ -137,10 +139,13 @@
     shared.stream_bindings.set_socket(socket.clone());
     shared.part_quarantine.set_socket(socket.clone());
     let (closing, always_open) = (watch::Sender::new(false), watch::Sender::new(false));
+    let spawn_listener = |port, listener, switch| {
+        tokio::spawn(listener::run(shared.clone(), port, listener, Closing::of(switch)))
+    };
+    let front = spawn_listener(Port::Front, sockets.front, &closing);
     for (port, listener) in ports {
         // The platform checks readiness until the process ends.
-        let switch = if port == Port::Front { &closing } else { &always_open };
-        tokio::spawn(listener::run(shared.clone(), port, listener, Closing::of(switch)));
+        spawn_listener(port, listener, &always_open);
     }
     tokio::spawn(peer::serve(shared.clone(), sockets.peers));
     tokio::spawn(peer::fetch_updates(shared.clone()));
@@ -171,7 +176,7 @@
         node:% = shared.me.id, data_centre:% = shared.me.data_centre, front:% = shared.me.front,
         peer:% = shared.me.peer, version = env!("CARGO_PKG_VERSION"); "started"
     );
-    Running { shared, closing, count_sender }
+    Running { shared, closing, front, count_sender }
 }
 
 impl Running {
@@ -211,6 +216,12 @@
         shared.heartbeat_now.notify_one();
         sleep(schedule.close().saturating_duration_since(clock.now())).await;
         self.closing.send_replace(true);
+        let left = schedule.service_end().saturating_duration_since(clock.now());
+        match timeout(left, self.front).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => log::error!(error:% = error; "listener failed"),
+            Err(_) => log::warn!("connections of the listener left at the end of service"),
+        }
         note(Step::Close);
         // A response that is complete here may still be on its way into the caller's socket.
         let is_served =
--- a/node/tests/stop_connections.rs
+++ b/node/tests/stop_connections.rs
@@ -170,6 +170,35 @@
     }
 }
 
+/// Guards against connections that are established and reset while the node closes its listener.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_opened_across_close_answered() {
+    const CALLERS: usize = 8;
+    let set = deployment().await;
+    let node = Process::start(&set).await;
+    let began = Instant::now();
+    node.daemon.terminate();
+    sleep_until(began + BEFORE_CLOSE).await;
+    let front = node.front;
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| {
+            tokio::spawn(async move {
+                for n in 0.. {
+                    // Refused once the listener is closed.
+                    let Ok(mut connection) = RawCaller::try_connect(front).await else { return };
+                    let id = format!("r{caller}-{n}");
+                    let request = RawRequest::new("/board/a", &id);
+                    let reply = connection.send(&request, GRACE).await;
+                    assert!(reply.is_complete(), "{id}: {:?}, status {}", reply.end, reply.status);
+                }
+            })
+        })
+        .collect();
+    for caller in callers {
+        caller.await.expect("all connections are answered");
+    }
+}
+
 /// Writes a part of a request before the node closes its idle connections, and the rest after it.
 async fn send_across_close(request: &RawRequest<'_>, first_bytes: usize) -> RawReply {
     let set = deployment().await;
