holding: the choice of what is shed in a module of its own

Holders, fill levels and the choice of what is shed move to files of their own; the space that is missing is derived where it is used, from what may be shed instead of from the purpose again. A body that is read has one state instead of two flags and a count.

No decision changes: the tests of holding, holding_crowd, hostile_callers and node's holding pass as before.

--- a/lib/src/fleet/holding/ledger.rs
+++ b/lib/src/fleet/holding/ledger.rs
@@ -1,68 +1,18 @@
 //! The held bytes of a node, and the decisions that depend on them.
 
+mod shed;
+
 use std::collections::{BTreeMap, HashMap};
-use std::fmt;
-use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
-use strum::{Display, EnumCount, EnumIter, IntoStaticStr};
+use strum::{Display, EnumCount as _, IntoStaticStr};
 
+use self::shed::{Lack, Victims};
 use super::bounds::Bounds;
+use super::holder::{Connection, Holder, Owner, Purpose};
+use super::level;
 use super::meter::Meter;
 use super::unit::{Rate, Size};
-use crate::id::{AccountId, NodeId};
-
-/// What bytes are held for.
-#[derive(Clone, Copy, Debug, Display, EnumCount, EnumIter, Eq, Hash, IntoStaticStr, PartialEq)]
-#[strum(serialize_all = "snake_case")]
-pub enum Purpose {
-    /// The body of a request, until the request has ended.
-    Body,
-    /// A whole answer, until it has been sent.
-    Answer,
-    /// Events of a stream that its caller has not read.
-    Stream,
-    /// A connection relayed between nodes.
-    Transfer,
-}
-
-/// Whom bytes are held for.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-pub enum Owner {
-    /// A client account.
-    Account(AccountId),
-    /// A caller without an account, by its address.
-    Caller(IpAddr),
-    /// Another node.
-    Node(NodeId),
-}
-
-impl fmt::Display for Owner {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Owner::Account(id) => write!(f, "account {id}"),
-            Owner::Caller(address) => write!(f, "caller {address}"),
-            Owner::Node(id) => write!(f, "node {id}"),
-        }
-    }
-}
-
-/// A connection, by a number that is unique within the process.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
-pub struct Connection(pub u64);
-
-/// What a holding belongs to.
-#[derive(Clone, Debug)]
-pub struct Holder {
-    /// Whom it is for.
-    pub owner: Owner,
-    /// The connection that it arrived on or is sent on.
-    pub connection: Connection,
-    /// Its purpose.
-    pub purpose: Purpose,
-    /// The index of its class: less urgent requests have a higher one.
-    pub class: usize,
-}
 
 /// The number of a holding.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -107,30 +57,6 @@
     Shed(Cause),
 }
 
-/// The fill level, as a fraction of all held bytes, up to which each purpose may fill the node.
-/// What is nearer to its end may fill it further, so that work that has begun can end: new bodies
-/// wait first, then bodies that are half read, relays, whole answers, and last the events of a
-/// stream that runs.
-mod level {
-    /// New bodies.
-    pub const NEW_BODY: f64 = 0.5;
-    /// Bodies of unknown length that are being read, and bodies larger than all new ones together
-    /// may be.
-    pub const BODY: f64 = 0.6;
-    /// New requests that are small.
-    pub const SMALL_BODY: f64 = 0.7;
-    /// Relayed connections.
-    pub const TRANSFER: f64 = 0.7;
-    /// Streams beyond their part ([`Bounds::stream`](super::Bounds)).
-    pub const LARGE_STREAM: f64 = 0.7;
-    /// Whole answers.
-    pub const ANSWER: f64 = 0.85;
-    /// Streams within their part.
-    pub const STREAM: f64 = 0.9;
-    /// The first events of a stream, which readers that keep up need.
-    pub const SMALL_STREAM: f64 = 1.0;
-}
-
 /// The size of a new request that counts as small: a body of some kilobytes with the buffers of its
 /// stream. It is not bounded by its owner's part, so that an owner of large bodies is still served.
 const SMALL_BODY: Size = Size(112 << 10);
@@ -149,19 +75,11 @@
 /// How long a holding pauses before others are shed for it: what slow readers take in that time may
 /// suffice.
 const SHED_AFTER: Duration = Duration::from_millis(800);
-/// How long a reader must have taken nothing to be shed. Readers that are merely slower than their
-/// runner take something more often.
-const MIN_STALL: Duration = Duration::from_secs(1);
-/// The interval at which the causes of stalls are compared: readers that stalled within the same
-/// second are equally slow, and the largest holding decides.
-const STALL_STEP: Duration = Duration::from_secs(1);
 /// The longest time for which a body waits for space: callers of the shortest streams wait two
 /// seconds without receiving anything.
 const MAX_BODY_WAIT: Duration = Duration::from_secs(2);
 /// The fraction of its remaining time for which a request may wait for space.
 const BODY_WAIT_FRACTION: f64 = 1.0 / 3.0;
-/// The minimum time between two choices of what is shed, each of which compares all holdings.
-const SHED_INTERVAL: Duration = Duration::from_millis(20);
 /// The shortest and longest predicted time until there is space.
 const AFTER_RANGE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(10));
 /// The fraction of the link rate from which the link counts as saturated. Below it, what waits to
@@ -175,12 +93,10 @@
     /// When its reader last took something; when it was begun if it has not yet.
     progressed: Instant,
     is_shed: bool,
-    /// Whether it is a body that has not been read to its end.
-    is_reading: bool,
     /// Whether it is a body whose space grows while it is read.
     is_growing: bool,
-    /// What it has received since `progressed`.
-    received: Size,
+    /// While it is a body that is being read: what has been received since `progressed`.
+    reading: Option<Size>,
 }
 
 impl Holding {
@@ -190,17 +106,6 @@
     }
 }
 
-/// What may be shed for a holding.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Victims {
-    /// Bodies whose senders have stalled.
-    StalledBodies,
-    /// Those, and answers and streams whose readers have stalled.
-    Stalled,
-    /// Those, and bodies that grow and arrived later.
-    OrLaterBodies,
-}
-
 /// How long a body waits for space at most, if the request has `left` until its deadline.
 pub fn body_wait(left: Duration) -> Duration {
     left.mul_f64(BODY_WAIT_FRACTION).min(MAX_BODY_WAIT)
@@ -294,9 +199,8 @@
             size: Size::ZERO,
             progressed: now,
             is_shed: false,
-            is_reading: false,
             is_growing: false,
-            received: Size::ZERO,
+            reading: None,
         };
         self.holdings.insert(number, holding);
         number
@@ -348,7 +252,7 @@
         self.waiting.remove(&number);
         self.add(number, size);
         if let Some(holding) = self.holdings.get_mut(&number) {
-            (holding.is_reading, holding.progressed) = (true, now);
+            (holding.reading, holding.progressed) = (Some(Size::ZERO), now);
         }
         Ok(())
     }
@@ -360,26 +264,20 @@
         }
     }
 
-    /// Chooses which stalled bodies are shed for a new body of `size` that waits.
-    pub fn shed_for_body(&mut self, number: Number, size: Size, now: Instant) -> Vec<Number> {
-        let Some(cause) = self.body_refusal(number, size) else { return Vec::new() };
-        let missing = self.missing(number, size, cause, self.body_level(size));
-        self.shed(number, missing, cause, Victims::StalledBodies, now)
-    }
-
     /// Records that `size` of a body has been received.
     pub fn note_received(&mut self, number: Number, size: Size, now: Instant) {
         let Some(holding) = self.holdings.get_mut(&number) else { return };
-        holding.received = holding.received.plus(size);
-        if holding.received >= MIN_PROGRESS {
-            (holding.received, holding.progressed) = (Size::ZERO, now);
+        let Some(received) = &mut holding.reading else { return };
+        *received = received.plus(size);
+        if *received >= MIN_PROGRESS {
+            (*received, holding.progressed) = (Size::ZERO, now);
         }
     }
 
     /// Records that a body has been read to its end. It is not shed any more.
     pub fn note_body_read(&mut self, number: Number) {
         if let Some(holding) = self.holdings.get_mut(&number) {
-            holding.is_reading = false;
+            holding.reading = None;
         }
     }
 
@@ -408,24 +306,6 @@
         self.refusal(number, size, level)
     }
 
-    /// What has to become free so that a holding can grow by `size` up to a fill level: for all to
-    /// be below the level, or for its owner to keep within its part of what is free then.
-    fn missing(&self, number: Number, size: Size, cause: Cause, level: f64) -> Size {
-        let (limit, after) = (self.bounds.total.fraction(level), self.total.plus(size));
-        let is_body = self.holdings.get(&number).is_some_and(|h| h.holder.purpose == Purpose::Body);
-        let held = self.holdings.get(&number).map(|h| self.of_owner(&h.holder.owner));
-        let held = held.unwrap_or_default().plus(size);
-        // With `x` freed of the owner's: held - x = factor * (limit - after + x).
-        let over = held.plus(after.fraction(OWNER_FACTOR)).less(limit.fraction(OWNER_FACTOR));
-        let (by_total, by_owner) = (after.less(limit), over.fraction(1.0 / (1.0 + OWNER_FACTOR)));
-        match cause {
-            Cause::Owner => by_owner.max(size),
-            // What is shed for a body is the space of later ones, which take it back otherwise.
-            _ if is_body => by_total.max(by_owner),
-            Cause::Memory | Cause::Link | Cause::Waiting => by_total,
-        }
-    }
-
     /// Lets a holding grow by `size`, which has not been read yet. `paused` is how long it has been
     /// paused for these bytes.
     pub fn grow(&mut self, number: Number, size: Size, paused: Duration, now: Instant) -> Growth {
@@ -435,7 +315,7 @@
         if holding.is_shed {
             return Growth::Shed(Cause::Memory);
         }
-        if holding.is_reading {
+        if holding.reading.is_some() {
             // It is not its sender that does not move.
             holding.progressed = now;
         }
@@ -478,12 +358,12 @@
                 Growth::Pause { wait: left, shed: Vec::new() }
             }
             Some(cause) => {
-                let missing = self.missing(number, size, cause, level);
                 let victims = match purpose {
-                    Purpose::Body => Victims::OrLaterBodies,
+                    Purpose::Body => Victims::StalledOrLaterBodies,
                     Purpose::Answer | Purpose::Stream | Purpose::Transfer => Victims::Stalled,
                 };
-                Growth::Pause { wait: left, shed: self.shed(number, missing, cause, victims, now) }
+                let lack = Lack { size, level, cause };
+                Growth::Pause { wait: left, shed: self.shed(number, lack, victims, now) }
             }
         }
     }
@@ -525,75 +405,6 @@
         self.holdings.remove(&number);
     }
 
-    /// The number of bodies that are being read and have stalled.
-    pub fn stalled_bodies(&self, now: Instant) -> usize {
-        let is_stalled = |h: &&Holding| h.is_reading && h.stall(now) >= MIN_STALL;
-        self.holdings.values().filter(is_stalled).count()
-    }
-
-    /// Whether a holding is to be shed.
-    pub fn is_shed(&self, number: Number) -> bool {
-        self.holdings.get(&number).is_some_and(|holding| holding.is_shed)
-    }
-
-    /// Chooses what is shed so that `missing` bytes become free for a holding: what has stalled for
-    /// the longest, then the largest holdings, then the least urgent. If only its owner has no space,
-    /// only what is the owner's is shed.
-    ///
-    /// Bodies that grow hold what they have while they wait for more. The one that arrived first
-    /// may take the space of later ones, so that they do not all wait for each other.
-    fn shed(
-        &mut self,
-        number: Number,
-        missing: Size,
-        cause: Cause,
-        victims: Victims,
-        now: Instant,
-    ) -> Vec<Number> {
-        let is_early =
-            self.shed_at.is_some_and(|at| now.saturating_duration_since(at) < SHED_INTERVAL);
-        let owner = self.holdings.get(&number).map(|h| h.holder.owner.clone());
-        let Some(owner) = owner.filter(|_| !is_early) else { return Vec::new() };
-        self.shed_at = Some(now);
-        let eligible = |holding: &&Holding| {
-            let is_eligible = match holding.holder.purpose {
-                Purpose::Body => holding.is_reading,
-                Purpose::Answer | Purpose::Stream => victims != Victims::StalledBodies,
-                Purpose::Transfer => false,
-            };
-            is_eligible
-                && holding.size > Size::ZERO
-                && (cause != Cause::Owner || holding.holder.owner == owner)
-        };
-        let candidates = self.holdings.iter().filter(|(other, _)| **other != number);
-        let candidates = candidates.filter(|(_, holding)| eligible(holding));
-        let (mut freed, mut found) = (Size::ZERO, Vec::new());
-        for (other, holding) in candidates {
-            let stall = holding.stall(now);
-            let is_later =
-                victims == Victims::OrLaterBodies && holding.is_growing && *other > number;
-            if holding.is_shed {
-                freed = freed.plus(holding.size);
-            } else if stall >= MIN_STALL || is_later {
-                let steps = stall.as_millis() / STALL_STEP.as_millis();
-                found.push((steps, holding.size, holding.holder.class, *other));
-            }
-        }
-        found.sort_unstable_by(|a, b| b.cmp(a));
-        let mut shed = Vec::new();
-        for (_, held, _, other) in found {
-            if freed >= missing {
-                break;
-            }
-            freed = freed.plus(held);
-            shed.push(other);
-            if let Some(holding) = self.holdings.get_mut(&other) {
-                holding.is_shed = true;
-            }
-        }
-        shed
-    }
-
     fn is_full(&self, size: Size, level: f64) -> bool {
         self.total.plus(size) > self.bounds.total.fraction(level)
     }
--- a/lib/src/fleet/holding/mod.rs
+++ b/lib/src/fleet/holding/mod.rs
@@ -6,11 +6,14 @@
 //! socket.
 
 pub mod bounds;
+pub mod holder;
 pub mod ledger;
+mod level;
 pub mod meter;
 pub mod runner;
 pub mod unit;
 
 pub use self::bounds::{Bounds, Resources};
-pub use self::ledger::{Full, Growth, Holder, Ledger, Owner, Purpose};
+pub use self::holder::{Connection, Holder, Owner, Purpose};
+pub use self::ledger::{Full, Growth, Ledger};
 pub use self::unit::{Rate, Size};
--- a/lib/tests/holding.rs
+++ b/lib/tests/holding.rs
@@ -2,7 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use sardinepick_lib::fleet::holding::ledger::{Cause, Connection, MAX_PAUSE, Number};
+use sardinepick_lib::fleet::holding::Connection;
+use sardinepick_lib::fleet::holding::ledger::{Cause, MAX_PAUSE, Number};
 use sardinepick_lib::fleet::holding::runner::share;
 use sardinepick_lib::fleet::holding::{
     Bounds, Growth, Holder, Ledger, Owner, Purpose, Rate, Resources, Size,
--- a/lib/tests/holding_crowd.rs
+++ b/lib/tests/holding_crowd.rs
@@ -5,9 +5,9 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
-use sardinepick_lib::fleet::holding::ledger::{Connection, Number, body_wait};
+use sardinepick_lib::fleet::holding::ledger::{Number, body_wait};
 use sardinepick_lib::fleet::holding::{
-    Bounds, Growth, Holder, Ledger, Owner, Purpose, Rate, Resources, Size,
+    Bounds, Connection, Growth, Holder, Ledger, Owner, Purpose, Rate, Resources, Size,
 };
 
 const TICK: Duration = Duration::from_millis(20);
--- a/node/src/caller_connection/body.rs
+++ b/node/src/caller_connection/body.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use sardinepick_lib::fleet::holding::ledger::Connection;
+use sardinepick_lib::fleet::holding::Connection;
 use tokio::time::timeout;
 
 use super::activity::Exchange;
--- a/node/src/caller_connection/mod.rs
+++ b/node/src/caller_connection/mod.rs
@@ -25,7 +25,7 @@
 use hyper_util::rt::TokioIo;
 use sardinepick_lib::clock::Clock;
 use sardinepick_lib::fleet::caller_connection::{Action, Cause, Close};
-use sardinepick_lib::fleet::holding::ledger::Connection;
+use sardinepick_lib::fleet::holding::Connection;
 use sardinepick_lib::fleet::route::Limits;
 use sardinepick_platform::caller::request_id;
 use tokio::net::TcpStream;
--- a/node/src/relay/mod.rs
+++ b/node/src/relay/mod.rs
@@ -11,8 +11,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use sardinepick_lib::fleet::holding::ledger::Connection;
-use sardinepick_lib::fleet::holding::{Holder, Owner, Purpose, Size};
+use sardinepick_lib::fleet::holding::{Connection, Holder, Owner, Purpose, Size};
 use sardinepick_lib::id::NodeId;
 use thiserror::Error;
 use tonic::{Code, Status};
