connector: a peer that is slow to connect is still awaited when the next is asked

A node that is cut from all runners served far less than the others on a slow machine: 503 after 0.5 to 1 s, although each peer would have connected.

Trace of a run on half of a core: 448 of 450 connects through peers that failed ended as "no answer within 90ms". After that time the connect through the first peer was dropped for one through the second, which was dropped 90 ms later, with time of the attempt left.

The next peer is now asked as well, and each has until the end of the attempt. A peer that has not answered when the next is asked still counts as failed until it does, so that other attempts ask others first. The model of reachability does the same.

--- a/lib/src/fleet/reachability/dial.rs
+++ b/lib/src/fleet/reachability/dial.rs
@@ -7,8 +7,8 @@
 /// How long a direct connect may take before a peer is asked as well: ten round trips between data
 /// centres.
 pub const RELAY_DELAY: Duration = Duration::from_millis(60);
-/// How long a peer may take before the next one is asked.
-pub const RELAY_TIMEOUT: Duration = Duration::from_millis(90);
+/// How long a peer may take before the next one is asked as well.
+pub const NEXT_RELAY_DELAY: Duration = Duration::from_millis(90);
 /// How long a peer tries to connect. Its refusal arrives before the next peer is asked.
 pub const RELAY_CONNECT_TIMEOUT: Duration = Duration::from_millis(75);
 /// The maximum number of peers that are asked in one attempt.
@@ -19,7 +19,7 @@
 pub enum Action {
     /// Connect directly.
     Direct,
-    /// Ask the next peer, and drop the connect through the one before.
+    /// Ask the next peer as well.
     Relay,
     /// Wait for a connect to end, but no longer than until this time.
     Wait(Instant),
@@ -66,10 +66,12 @@
     started: Instant,
     deadline: Instant,
     direct: Connect,
-    relay: Connect,
+    /// When the last peer was asked.
+    relay_asked: Option<Instant>,
+    /// The number of peers that have been asked and have not answered.
+    relays_pending: usize,
     /// The number of peers that may still be asked.
     relays_left: usize,
-    was_relay_asked: bool,
 }
 
 impl Dial {
@@ -81,9 +83,9 @@
             started: now,
             deadline: now + timeout,
             direct: Connect::NotStarted,
-            relay: Connect::NotStarted,
+            relay_asked: None,
+            relays_pending: 0,
             relays_left: relays.min(MAX_RELAYS),
-            was_relay_asked: false,
         }
     }
 
@@ -100,14 +102,14 @@
         }
         let relay_due = self.relay_due();
         if relay_due.is_some_and(|due| now >= due) {
-            self.relay = Connect::Pending { since: now };
+            self.relay_asked = Some(now);
+            self.relays_pending += 1;
             self.relays_left -= 1;
-            self.was_relay_asked = true;
             return Action::Relay;
         }
-        let is_pending = |connect| matches!(connect, Connect::Pending { .. });
+        let is_pending = matches!(self.direct, Connect::Pending { .. }) || self.relays_pending > 0;
         let due = direct_due.into_iter().chain(relay_due).min();
-        if due.is_none() && !is_pending(self.direct) && !is_pending(self.relay) {
+        if due.is_none() && !is_pending {
             return Action::GiveUp;
         }
         Action::Wait(due.map_or(self.deadline, |due| due.min(self.deadline)))
@@ -118,11 +120,11 @@
         if self.direct != Connect::NotStarted {
             return None;
         }
-        match (self.path, self.relay) {
+        match (self.path, self.relay_asked) {
             (Path::Open | Path::Unverified, _) => Some(self.started),
             (Path::Closed, _) if self.relays_left > 0 => None,
-            (Path::Closed, Connect::Pending { since }) => Some(since + RELAY_TIMEOUT),
-            (Path::Closed, Connect::NotStarted | Connect::Failed { .. }) => Some(self.started),
+            (Path::Closed, Some(at)) if self.relays_pending > 0 => Some(at + NEXT_RELAY_DELAY),
+            (Path::Closed, _) => Some(self.started),
         }
     }
 
@@ -130,22 +132,27 @@
     fn relay_due(&self) -> Option<Instant> {
         let has_direct_failed = matches!(self.direct, Connect::Failed { .. });
         let is_direct_awaited = self.path != Path::Closed && !has_direct_failed;
-        match self.relay {
+        match self.relay_asked {
             _ if self.relays_left == 0 => None,
-            Connect::NotStarted if is_direct_awaited => Some(self.started + RELAY_DELAY),
-            Connect::NotStarted | Connect::Failed { .. } => Some(self.started),
-            Connect::Pending { since } => Some(since + RELAY_TIMEOUT),
+            None if is_direct_awaited => Some(self.started + RELAY_DELAY),
+            Some(at) if self.relays_pending > 0 => Some(at + NEXT_RELAY_DELAY),
+            None | Some(_) => Some(self.started),
         }
     }
 
+    /// The time that is left for the attempt.
+    pub fn left(&self, now: Instant) -> Duration {
+        self.deadline.saturating_duration_since(now)
+    }
+
     /// Records that the direct connect has failed.
     pub fn note_direct_failed(&mut self) {
         self.direct.fail();
     }
 
-    /// Records that the connect through the peer that was asked last has failed.
+    /// Records that the connect through one of the peers has failed.
     pub fn note_relay_failed(&mut self) {
-        self.relay.fail();
+        self.relays_pending = self.relays_pending.saturating_sub(1);
     }
 
     /// What it says that the connect through a peer has succeeded first.
@@ -167,7 +174,7 @@
     /// What it says that the attempt was given up; `None` if no peer was asked, so that all that is
     /// known is that the direct connect has failed.
     pub fn gave_up(&self) -> Option<Outcome> {
-        let was_tried = self.was_relay_asked && self.direct != Connect::NotStarted;
+        let was_tried = self.relay_asked.is_some() && self.direct != Connect::NotStarted;
         was_tried.then_some(Outcome::Unreachable { since: self.started })
     }
 }
--- a/lib/src/fleet/reachability/mod.rs
+++ b/lib/src/fleet/reachability/mod.rs
@@ -19,7 +19,7 @@
 use smallvec::SmallVec;
 
 pub use self::dial::{
-    Action, Dial, MAX_RELAYS, Outcome, RELAY_CONNECT_TIMEOUT, RELAY_DELAY, RELAY_TIMEOUT,
+    Action, Dial, MAX_RELAYS, NEXT_RELAY_DELAY, Outcome, RELAY_CONNECT_TIMEOUT, RELAY_DELAY,
 };
 use self::isolation::Isolation;
 use self::path::DirectPath;
--- a/lib/tests/reachability.rs
+++ b/lib/tests/reachability.rs
@@ -6,7 +6,8 @@
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
 use sardinepick_lib::fleet::reachability::{
-    Action, Dial, MAX_RELAYS, Outcome, PROBE_PERIOD, Path, RELAY_DELAY, RELAY_TIMEOUT, Reachability,
+    Action, Dial, MAX_RELAYS, NEXT_RELAY_DELAY, Outcome, PROBE_PERIOD, Path, RELAY_DELAY,
+    Reachability,
 };
 use sardinepick_lib::id::NodeId;
 
@@ -45,7 +46,7 @@
     let now = Instant::now();
     for path in [Path::Open, Path::Unverified] {
         let mut dial = dial(path, 5, Action::Direct, now);
-        let second = now + RELAY_DELAY + RELAY_TIMEOUT;
+        let second = now + RELAY_DELAY + NEXT_RELAY_DELAY;
         assert_eq!(dial.poll(now + RELAY_DELAY), Action::Relay);
         assert_eq!(dial.poll(now + RELAY_DELAY), Action::Wait(second));
         assert_eq!(dial.poll(second), Action::Relay);
@@ -98,7 +99,7 @@
 fn dial_closed_path_asks_peer_first() {
     let now = Instant::now();
     let mut dial = dial(Path::Closed, 2, Action::Relay, now);
-    assert_eq!(dial.poll(now), Action::Wait(now + RELAY_TIMEOUT));
+    assert_eq!(dial.poll(now), Action::Wait(now + NEXT_RELAY_DELAY));
     assert_eq!(dial.relayed(now + ms(3)), None);
     dial.note_relay_failed();
     assert_eq!(dial.poll(now + ms(3)), Action::Relay);
@@ -107,19 +108,36 @@
     assert_eq!(dial.poll(now + ms(5)), Action::Wait(now + CONNECT_TIMEOUT));
 }
 
+/// Guards against giving up a peer that connects, but later than the next one is asked.
+#[test]
+fn dial_closed_path_slow_peer_awaited() {
+    let now = Instant::now();
+    let mut dial = dial(Path::Closed, 2, Action::Relay, now);
+    let second = now + NEXT_RELAY_DELAY;
+    assert_eq!(dial.poll(second), Action::Relay);
+    dial.note_relay_failed();
+    let direct = second + NEXT_RELAY_DELAY;
+    assert_eq!(dial.poll(second + ms(1)), Action::Wait(direct));
+    assert_eq!(dial.poll(direct), Action::Direct);
+    dial.note_direct_failed();
+    assert_eq!(dial.poll(direct + ms(1)), Action::Wait(now + CONNECT_TIMEOUT));
+    dial.note_relay_failed();
+    assert_eq!(dial.poll(direct + ms(2)), Action::GiveUp);
+}
+
 /// Guards against peers that do not answer using up the whole timeout.
 #[test]
 fn dial_closed_path_silent_peers_connects_directly() {
     let now = Instant::now();
     let mut dial = dial(Path::Closed, 2, Action::Relay, now);
-    assert_eq!(dial.poll(now + RELAY_TIMEOUT), Action::Relay);
-    assert_eq!(dial.poll(now + RELAY_TIMEOUT), Action::Wait(now + RELAY_TIMEOUT * 2));
-    assert_eq!(dial.poll(now + RELAY_TIMEOUT * 2), Action::Direct);
+    assert_eq!(dial.poll(now + NEXT_RELAY_DELAY), Action::Relay);
+    assert_eq!(dial.poll(now + NEXT_RELAY_DELAY), Action::Wait(now + NEXT_RELAY_DELAY * 2));
+    assert_eq!(dial.poll(now + NEXT_RELAY_DELAY * 2), Action::Direct);
     // The peer is still awaited, and says little of a direct connect that has only begun.
-    assert_eq!(dial.relayed(now + RELAY_TIMEOUT * 2 + ms(5)), None);
+    assert_eq!(dial.relayed(now + NEXT_RELAY_DELAY * 2 + ms(5)), None);
     dial.note_direct_failed();
     let deadline = now + CONNECT_TIMEOUT;
-    assert_eq!(dial.poll(now + RELAY_TIMEOUT * 2 + ms(5)), Action::Wait(deadline));
+    assert_eq!(dial.poll(now + NEXT_RELAY_DELAY * 2 + ms(5)), Action::Wait(deadline));
 }
 
 #[test]
--- a/lib/tests/reachability_model/dispatch.rs
+++ b/lib/tests/reachability_model/dispatch.rs
@@ -7,7 +7,7 @@
 use sardinepick_lib::fleet::reachability::{Action, Dial, Outcome, Path};
 
 use crate::connection::Connection;
-use crate::request::{Connect, Dialing, Kind, Request, SILENCE, State};
+use crate::request::{Connect, Dialing, Kind, Request, SILENCE, Started, State};
 use crate::site::{Answers, Link, ticks};
 use crate::world::{Node, Policy, World, address};
 
@@ -68,8 +68,8 @@
         let peers = self.relays(node, runner, now);
         let dial = Dial::new(path, peers.len(), CONNECT_TIMEOUT, self.at(now));
         self.stats.dials += 1;
-        let (direct, relay) = (None, None);
-        let dialing = Dialing { dial, runner, generation, direct, relay, peers };
+        let (direct, relays) = (None, Vec::new());
+        let dialing = Dialing { dial, runner, generation, direct, relays, peers };
         request.state = State::Dialing(Box::new(dialing));
     }
 
@@ -158,13 +158,13 @@
         }
     }
 
-    /// Asks the next peer, and drops the connect through the one before.
+    /// Asks the next peer. The ones before count as failed until they answer.
     fn ask_next(&mut self, node: usize, dialing: &mut Dialing, now: usize) {
-        if let Some(overdue) = dialing.relay.take() {
+        for overdue in &dialing.relays {
             self.note_relay_failed(node, &overdue.connection, now);
         }
         let peer = dialing.peers.pop_front().expect("the dial knows their number");
-        dialing.relay = Some(self.ask(node, peer, dialing.runner, now));
+        dialing.relays.push(self.ask(node, peer, dialing.runner, now));
     }
 
     /// Records that a peer has failed, and drops the idle connections through it.
@@ -196,15 +196,16 @@
             dialing.dial.note_direct_failed();
             self.nodes[node].reachability.note_direct_failed(address(runner), at);
         }
-        let started = dialing.relay?;
-        let connect = started.ended(now)?;
-        if connect == Connect::Connected {
-            self.note_relayed(node, dialing, started.connection, now);
-            return Some(started.connection);
+        let ended = dialing.relays.extract_if(.., |started| started.ended(now).is_some());
+        let ended: Vec<Started> = ended.collect();
+        for started in ended {
+            if started.connect == Connect::Connected {
+                self.note_relayed(node, dialing, started.connection, now);
+                return Some(started.connection);
+            }
+            dialing.dial.note_relay_failed();
+            self.note_relay_failed(node, &started.connection, now);
         }
-        dialing.relay = None;
-        dialing.dial.note_relay_failed();
-        self.note_relay_failed(node, &started.connection, now);
         None
     }
 
--- a/lib/tests/reachability_model/request.rs
+++ b/lib/tests/reachability_model/request.rs
@@ -49,7 +49,7 @@
     pub runner: usize,
     pub generation: u32,
     pub direct: Option<Started>,
-    pub relay: Option<Started>,
+    pub relays: Vec<Started>,
     /// The peers that have not been asked yet.
     pub peers: VecDeque<usize>,
 }
--- a/node/src/connector/attempt.rs
+++ b/node/src/connector/attempt.rs
@@ -1,9 +1,12 @@
 //! One attempt to connect to a runner.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use futures_util::future::BoxFuture;
-use sardinepick_lib::fleet::reachability::{Action, Dial, MAX_RELAYS, Outcome, RELAY_TIMEOUT};
+use futures_util::stream::{FuturesUnordered, StreamExt as _};
+use sardinepick_lib::fleet::reachability::{Action, Dial, MAX_RELAYS, Outcome};
+use sardinepick_lib::id::NodeId;
 use smallvec::SmallVec;
 use tokio::time::sleep;
 
@@ -12,16 +15,22 @@
 use crate::serve::connection::{CONNECT_TIMEOUT, Link, SendError, Way};
 use crate::serve::dial::{Failure, Stream};
 
-type Connecting<'a, E> = Option<BoxFuture<'a, Result<Box<dyn Stream>, E>>>;
+type Connecting<'a, E> = BoxFuture<'a, Result<Box<dyn Stream>, E>>;
+
+/// How a connect through a peer ended.
+struct Relayed {
+    peer: Peer,
+    result: Result<Box<dyn Stream>, relay::Error>,
+}
 
 /// The connects of one attempt that are in progress.
 struct Attempt<'a> {
     connector: &'a Connector,
     destination: Destination<'a>,
-    direct: Connecting<'a, std::io::Error>,
-    relay: Connecting<'a, relay::Error>,
-    /// The peer that was asked last.
-    peer: Option<Peer>,
+    direct: Option<Connecting<'a, std::io::Error>>,
+    relays: FuturesUnordered<BoxFuture<'a, Relayed>>,
+    /// The peers that have been asked and have not answered.
+    awaited: SmallVec<[NodeId; MAX_RELAYS]>,
     /// The peers that have not been asked; `None` until one is needed.
     peers: Option<SmallVec<[Peer; MAX_RELAYS]>>,
     was_peer_asked: bool,
@@ -32,7 +41,7 @@
 /// What has happened while an attempt waited.
 enum Event {
     Direct(Result<Box<dyn Stream>, std::io::Error>),
-    Relay(Result<Box<dyn Stream>, relay::Error>),
+    Relay(Relayed),
     Timer,
 }
 
@@ -49,7 +58,7 @@
                     continue;
                 }
                 Action::Relay => {
-                    if !attempt.ask_next_peer() {
+                    if !attempt.ask_next_peer(dial.left(self.now())) {
                         dial.note_relay_failed();
                     }
                     continue;
@@ -61,7 +70,7 @@
             let event = tokio::select! {
                 biased;
                 connected = ended(&mut attempt.direct) => Event::Direct(connected),
-                connected = ended(&mut attempt.relay) => Event::Relay(connected),
+                Some(relayed) = attempt.relays.next() => Event::Relay(relayed),
                 () = sleep(wait) => Event::Timer,
             };
             match event {
@@ -71,9 +80,13 @@
                     attempt.errors.push(error.to_string());
                     dial.note_direct_failed();
                 }
-                Event::Relay(Ok(stream)) => return attempt.use_relay(&dial, stream).await,
-                Event::Relay(Err(error)) => {
-                    attempt.note_peer_failed(Some(&error));
+                Event::Relay(Relayed { peer, result: Ok(stream) }) => {
+                    return attempt.use_relay(&dial, peer, stream).await;
+                }
+                Event::Relay(Relayed { peer, result: Err(error) }) => {
+                    attempt.errors.push(error.to_string());
+                    attempt.awaited.retain(|id| *id != peer.id);
+                    attempt.note_peer_failed(&peer.id);
                     dial.note_relay_failed();
                 }
                 Event::Timer => {}
@@ -84,9 +97,9 @@
 
 impl<'a> Attempt<'a> {
     fn new(connector: &'a Connector, destination: Destination<'a>) -> Self {
-        let (direct, relay, peer, peers) = Default::default();
-        let (was_peer_asked, errors) = Default::default();
-        Self { connector, destination, direct, relay, peer, peers, was_peer_asked, errors }
+        let (direct, relays, awaited) = Default::default();
+        let (peers, was_peer_asked, errors) = Default::default();
+        Self { connector, destination, direct, relays, awaited, peers, was_peer_asked, errors }
     }
 
     fn address(&self) -> SocketAddr {
@@ -98,39 +111,33 @@
         self.direct = Some(Box::pin(connections.dial(address, CONNECT_TIMEOUT)));
     }
 
-    /// Asks the next peer instead of the one before; false if there is none.
-    fn ask_next_peer(&mut self) -> bool {
-        if self.relay.is_some() {
-            self.note_peer_failed(None);
-        }
+    /// Asks the next peer to connect within `limit`; false if there is none. The peers before count
+    /// as failed until they answer, so that other attempts ask others first.
+    fn ask_next_peer(&mut self, limit: Duration) -> bool {
+        self.note_awaited_peers_failed();
         let (connector, Destination { runner, address }) = (self.connector, self.destination);
         let peers = self.peers.get_or_insert_with(|| connector.choose_peers(address));
         if peers.is_empty() {
             return false;
         }
         let peer = peers.remove(0);
-        let peer_address = peer.address;
-        self.peer = Some(peer);
+        self.awaited.push(peer.id.clone());
         self.was_peer_asked = true;
-        self.relay = Some(Box::pin(async move {
+        self.relays.push(Box::pin(async move {
             let relays = &connector.handles.relays;
-            let stream = relays.open(peer_address, runner, address, RELAY_TIMEOUT).await?;
-            Ok(Box::new(stream) as Box<dyn Stream>)
+            let opened = relays.open(peer.address, runner, address, limit).await;
+            Relayed { peer, result: opened.map(|stream| Box::new(stream) as Box<dyn Stream>) }
         }));
         true
     }
 
-    /// Records that the peer that was asked last has not connected; without an error if it has not
-    /// answered.
-    fn note_peer_failed(&mut self, error: Option<&relay::Error>) {
-        self.relay = None;
-        if let Some(error) = error {
-            self.errors.push(error.to_string());
-        }
-        if let Some(peer) = self.peer.take() {
-            let (address, now) = (self.address(), self.connector.now());
-            self.connector.reachability().note_relay_failed(&peer.id, address, now);
-        }
+    fn note_awaited_peers_failed(&self) {
+        self.awaited.iter().for_each(|peer| self.note_peer_failed(peer));
+    }
+
+    fn note_peer_failed(&self, peer: &NodeId) {
+        let (address, now) = (self.address(), self.connector.now());
+        self.connector.reachability().note_relay_failed(peer, address, now);
     }
 
     async fn use_direct(self, stream: Box<dyn Stream>) -> Result<Link, SendError> {
@@ -141,7 +148,12 @@
         self.connector.handles.connections.establish(address, Way::Direct, stream).await
     }
 
-    async fn use_relay(self, dial: &Dial, stream: Box<dyn Stream>) -> Result<Link, SendError> {
+    async fn use_relay(
+        self,
+        dial: &Dial,
+        peer: Peer,
+        stream: Box<dyn Stream>,
+    ) -> Result<Link, SendError> {
         let (address, now) = (self.address(), self.connector.now());
         let outcome = dial.relayed(now);
         let connections = &self.connector.handles.connections;
@@ -149,15 +161,13 @@
             connections.note_connect_failed(address, Failure::Timeout);
         }
         self.connector.update(|reachability| {
-            if let Some(peer) = &self.peer {
-                reachability.note_relayed(&peer.id, address, now);
-            }
+            reachability.note_relayed(&peer.id, address, now);
             if let Some(outcome) = outcome {
                 reachability.note_outcome(address, outcome, now);
             }
         });
         let mut link = connections.establish(address, Way::Relayed, stream).await?;
-        link.peer = self.peer.map(|peer| peer.id);
+        link.peer = Some(peer.id);
         Ok(link)
     }
 
@@ -167,9 +177,7 @@
             let connections = &self.connector.handles.connections;
             connections.note_connect_failed(self.address(), Failure::Timeout);
         }
-        if self.relay.is_some() {
-            self.note_peer_failed(None);
-        }
+        self.note_awaited_peers_failed();
         let (address, now) = (self.address(), self.connector.now());
         let outcome = dial.gave_up().filter(|_| self.was_peer_asked);
         let timed_out = dial.timed_out(now);
@@ -188,7 +196,7 @@
 }
 
 /// Waits for the end of a connect; forever if none is in progress.
-async fn ended<E>(connecting: &mut Connecting<'_, E>) -> Result<Box<dyn Stream>, E> {
+async fn ended<E>(connecting: &mut Option<Connecting<'_, E>>) -> Result<Box<dyn Stream>, E> {
     match connecting {
         Some(connecting) => connecting.await,
         None => std::future::pending().await,
