usage: a window whose report was answered is not reported again after a failed write

The platform got reports of windows twice, from the same holder, when the store was away for some seconds.

A window is taken off the ledger in memory when the platform has answered, and in the store only when the next window is settled. If that write failed, or the lease was lost for a moment, the holder read the ledger again, and reported what it still had. The counts were the same.

The holder now remembers the windows that it has reported last, and takes them off a ledger that it reads.

--- a/lib/src/usage/ledger.rs
+++ b/lib/src/usage/ledger.rs
@@ -9,6 +9,8 @@
 //! continues. Any other node skips all windows that had ended by then, because a second, different
 //! total for a window would be wrong.
 
+use std::collections::VecDeque;
+
 use serde::{Deserialize, Serialize};
 
 use super::window::Counts;
@@ -81,3 +83,23 @@
         self.waiting.retain(|settled| settled.window != window);
     }
 }
+
+/// The windows that this process has reported last. The ledger in the store has each until the next
+/// window is settled.
+#[derive(Clone, Debug, Default)]
+pub struct Reported(VecDeque<Window>);
+
+impl Reported {
+    /// Records that the platform has answered the report of a window.
+    pub fn note(&mut self, window: Window) {
+        if self.0.len() >= MAX_WAITING {
+            self.0.pop_front();
+        }
+        self.0.push_back(window);
+    }
+
+    /// Removes the reported windows from a ledger that has been read.
+    pub fn remove_from(&self, ledger: &mut Ledger) {
+        self.0.iter().for_each(|window| ledger.mark_reported(*window));
+    }
+}
--- a/node/src/usage/report.rs
+++ b/node/src/usage/report.rs
@@ -7,7 +7,7 @@
 use sardinepick_lib::history::{Era, Point};
 use sardinepick_lib::id::Window;
 use sardinepick_lib::usage::collection::Verdict;
-use sardinepick_lib::usage::ledger::{Ledger, Settled};
+use sardinepick_lib::usage::ledger::{Ledger, Reported, Settled};
 use sardinepick_lib::usage::tally::RETAINED_WINDOWS;
 use sardinepick_lib::usage::window::Windows;
 use sardinepick_platform::duty::{Reply, USAGE_KIND, report_usage};
@@ -79,7 +79,7 @@
     /// Reports until the process ends.
     pub async fn run(self) {
         let Some(windows) = self.usage.windows else { return };
-        let mut loaded = None;
+        let (mut loaded, mut reported) = (None, Reported::default());
         let mut retry_at: Option<Instant> = None;
         loop {
             sleep(CHECK_PERIOD).await;
@@ -90,7 +90,7 @@
                 continue;
             }
             if loaded.is_none() {
-                loaded = self.read(windows).await;
+                loaded = self.read(windows, &reported).await;
             }
             let Some(ledger) = &mut loaded else { continue };
             if ledger.era != self.era_tracker.era()
@@ -109,7 +109,7 @@
             if retry_at.is_some_and(|until| self.clock.now() < until) {
                 continue;
             }
-            retry_at = self.report(windows, &mut ledger.ledger).await;
+            retry_at = self.report(windows, &mut ledger.ledger, &mut reported).await;
         }
     }
 
@@ -119,7 +119,7 @@
 
     /// Reads the ledger; `None` if the store fails. A ledger that cannot be decoded does not tell
     /// which windows were reported, so windows that ended before are not reported.
-    async fn read(&self, windows: Windows) -> Option<LoadedLedger> {
+    async fn read(&self, windows: Windows, reported: &Reported) -> Option<LoadedLedger> {
         let object = match self.store.get(Purpose::Usage, USAGE_KIND, LEDGER).await {
             Ok(object) => object,
             Err(error) => {
@@ -144,6 +144,7 @@
             );
             Ledger::starting_at(current.next())
         });
+        reported.remove_from(&mut ledger);
         log::info!(
             next:% = ledger.next, waiting = ledger.waiting.len(), revision:% = object.at;
             "settled usage read"
@@ -263,7 +264,12 @@
     }
 
     /// Reports the oldest settled window. Returns when to retry if the report failed.
-    async fn report(&self, windows: Windows, ledger: &mut Ledger) -> Option<Instant> {
+    async fn report(
+        &self,
+        windows: Windows,
+        ledger: &mut Ledger,
+        reported: &mut Reported,
+    ) -> Option<Instant> {
         let Settled { window, counts } = ledger.due()?.clone();
         let late = self.estimated_time().saturating_sub(windows.end(window));
         let outcome = self
@@ -279,12 +285,14 @@
                 );
                 self.record_outcome(window, "reported");
                 ledger.mark_reported(window);
+                reported.note(window);
                 None
             }
             Outcome::Replied(Reply::Refused) => {
                 log::error!(window:% = window, accounts = accounts; "usage report rejected by the platform");
                 self.record_outcome(window, "refused");
                 ledger.mark_reported(window);
+                reported.note(window);
                 None
             }
             Outcome::Replied(Reply::Busy | Reply::Unavailable)
--- a/node/tests/duties_copy.rs
+++ b/node/tests/duties_copy.rs
@@ -1,4 +1,4 @@
-//! The duties that one node at a time carries out, when the store is restored from a copy.
+//! The duties that one node at a time carries out, when the store is away or restored from a copy.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -7,11 +7,15 @@
 use sardinepick_testutils::fleet::deployment::Deployment;
 use sardinepick_testutils::fleet::platform::Platform;
 use sardinepick_testutils::fleet::store::Fault;
+use tokio::time::sleep;
 
 const WINDOW: Duration = Duration::from_millis(500);
 const CALL_GAP: Duration = Duration::from_millis(300);
 /// How many windows are reported between the copy and the restore.
 const LOST_WINDOWS: usize = 4;
+const OUTAGES: usize = 3;
+/// How long the store is away: some windows end meanwhile.
+const OUTAGE: Duration = Duration::from_millis(1_600);
 
 async fn deployment(nodes: usize) -> Deployment {
     let set = Deployment::new().await.with_platform(WINDOW).await;
@@ -63,6 +67,22 @@
     assert_eq!(reports.len() as u64, span, "a window was skipped");
 }
 
+/// Guards against windows that a holder reports again because the ledger that it reads after a failed
+/// write still has them.
+#[tokio::test]
+async fn usage_reported_once_across_store_outage() {
+    let set = deployment(1).await;
+    wait_reports(&set, 1).await;
+    for _ in 0..OUTAGES {
+        let before = reports(&set).len();
+        set.store.set_fault(Fault::Busy);
+        sleep(OUTAGE).await;
+        set.store.set_fault(Fault::None);
+        wait_reports(&set, before + LOST_WINDOWS).await;
+    }
+    assert_reported_once(&set);
+}
+
 /// Guards against windows that a new holder, which only knows the restored copy, reports again.
 #[tokio::test]
 async fn usage_not_reported_twice_by_new_holder() {
