front: the rest of a refused body is read and discarded

A client of the daemon without a platform could lose a refusal: the answer to a body over the limit was sent at once, the connection was closed with unread bytes and so reset, and the client failed on its next write. Since bodies are counted before they are read the refusal comes earlier, which made it likelier; a body refused for its key had the same fate before.

Bodies of the platform's callers are discarded since long. Both listeners now use the same function: 8 MB and 10 s at most, 1 s without bytes.

--- a/node/src/caller_connection/body.rs
+++ b/node/src/caller_connection/body.rs
@@ -4,28 +4,18 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use sardinepick_lib::fleet::holding::Connection;
-use tokio::time::timeout;
 
 use super::activity::Exchange;
+use crate::discard::discard;
 use crate::serve::response;
 
-/// How long the rest of a body may pause after its request has been answered.
-const DISCARD_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
-/// How long the rest of a body is read after its request has been answered.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(10);
-/// How much of the rest of a body is read after its request has been answered.
-const MAX_DISCARDED_BYTES: usize = 8 << 20;
-
 /// The body of a request.
 ///
-/// If it is dropped before its end, the rest is read and discarded. Closing a socket with unread
-/// bytes resets the connection, and the caller may lose the response.
+/// If it is dropped before its end, the rest is read and discarded.
 pub struct RequestBody {
     body: Option<Incoming>,
     exchange: Arc<Exchange>,
@@ -83,30 +73,13 @@
 impl Drop for RequestBody {
     fn drop(&mut self) {
         if let Some(body) = self.body.take().filter(|body| !body.is_end_stream()) {
-            tokio::spawn(discard(body, self.exchange.clone()));
-        }
-    }
-}
-
-/// Reads the rest of a body, within limits.
-async fn discard(mut body: Incoming, exchange: Arc<Exchange>) {
-    let mut discarded = 0;
-    let read = async {
-        while discarded <= MAX_DISCARDED_BYTES {
-            match timeout(DISCARD_IDLE_TIMEOUT, body.frame()).await {
-                Ok(Some(Ok(frame))) => discarded += frame.data_ref().map_or(0, Bytes::len),
-                Ok(Some(Err(error))) => {
-                    log::debug!(error:% = error; "rest of a request body not read");
-                    return;
+            let exchange = self.exchange.clone();
+            tokio::spawn(async move {
+                if discard(body).await {
+                    exchange.note_body_read();
                 }
-                Ok(None) => return exchange.note_body_read(),
-                Err(_) => break,
-            }
+            });
         }
-        log::debug!(bytes = discarded; "rest of a request body not read");
-    };
-    if timeout(DISCARD_TIMEOUT, read).await.is_err() {
-        log::debug!("rest of a request body not read in time");
     }
 }
 
--- a/node/src/front/body.rs
+++ b/node/src/front/body.rs
@@ -6,12 +6,13 @@
 use bytes::Bytes;
 use http::StatusCode;
 use http_body_util::BodyExt as _;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use smol_str::SmolStr;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
 
 use super::error::ApiError;
+use crate::discard::discard;
 
 /// The largest body that counts as small, in bytes.
 const SMALL_BYTES: usize = 64 << 10;
@@ -24,6 +25,33 @@
 /// The retry delay of a request whose body found no space.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// The body of a request. If it is dropped before its end, the rest is read and discarded.
+#[derive(Debug)]
+pub struct RequestBody(Option<Incoming>);
+
+impl RequestBody {
+    /// Wraps a body.
+    pub fn new(body: Incoming) -> Self {
+        Self(Some(body))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.0.as_ref().map(Body::size_hint).unwrap_or_default()
+    }
+
+    async fn frame(&mut self) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+        self.0.as_mut()?.frame().await
+    }
+}
+
+impl Drop for RequestBody {
+    fn drop(&mut self) {
+        if let Some(body) = self.0.take().filter(|body| !body.is_end_stream()) {
+            tokio::spawn(discard(body));
+        }
+    }
+}
+
 /// The space of a node for request bodies. Small ones have a part of their own.
 #[derive(Debug)]
 pub struct Space {
@@ -62,7 +90,7 @@
     /// The body is too large, too slow or interrupted, or there is no space for it.
     pub async fn read(
         &self,
-        mut body: Incoming,
+        mut body: RequestBody,
         max_bytes: usize,
         limit: Duration,
     ) -> Result<Bytes, ApiError> {
--- a/node/src/front/completions.rs
+++ b/node/src/front/completions.rs
@@ -8,7 +8,7 @@
 use futures_util::{StreamExt as _, stream};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::StreamBody;
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use sardinepick_lib::config::object::Form;
 use sardinepick_lib::hash::stable_hash;
 use sardinepick_lib::id::Name;
@@ -16,6 +16,7 @@
 use smol_str::{SmolStr, format_smolstr};
 use tokio_stream::wrappers::ReceiverStream;
 
+use super::body::RequestBody;
 use super::error::ApiError;
 use super::{Context, HandlerResult, account};
 use crate::completion::{self, CompletionRequest, PartReceiver, ResponsePart};
@@ -77,7 +78,7 @@
 }
 
 /// Handles a completion request.
-pub async fn create_completion(node: &Arc<Node>, request: Request<Incoming>) -> Response<Body> {
+pub async fn create_completion(node: &Arc<Node>, request: Request<RequestBody>) -> Response<Body> {
     let read = |bytes: &[u8]| {
         let body: CompletionBody = parse(bytes)?;
         Ok(ParsedRequest {
@@ -94,7 +95,7 @@
 /// Handles a chat completion request.
 pub async fn create_chat_completion(
     node: &Arc<Node>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<Body> {
     let read = |bytes: &[u8]| {
         let body: ChatBody = parse(bytes)?;
@@ -154,7 +155,7 @@
 
 async fn handle(
     node: &Arc<Node>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     read: impl Fn(&[u8]) -> Result<ParsedRequest, ApiError>,
 ) -> Response<Body> {
     match try_handle(node, request, read).await {
@@ -165,7 +166,7 @@
 
 async fn try_handle(
     node: &Arc<Node>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     read: impl Fn(&[u8]) -> Result<ParsedRequest, ApiError>,
 ) -> Result<Response<Body>, ApiError> {
     let snapshot = node.config.load_full();
--- a/node/src/front/listener.rs
+++ b/node/src/front/listener.rs
@@ -17,6 +17,7 @@
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
 
+use super::body::RequestBody;
 use super::error::ApiError;
 use super::{completions, plain};
 use crate::node::Node;
@@ -99,8 +100,9 @@
         log::debug!(error:% = error; "failed to set TCP_NODELAY on a client connection");
     }
     let (node, api) = (node.clone(), api.clone());
-    let service = service_fn(move |request| {
+    let service = service_fn(move |request: Request<Incoming>| {
         let (node, api) = (node.clone(), api.clone());
+        let request = request.map(RequestBody::new);
         async move { Ok::<_, std::convert::Infallible>(route(&node, &api, request).await) }
     });
     let builder = connection_builder();
@@ -113,7 +115,7 @@
     });
 }
 
-async fn route(node: &Arc<Node>, api: &ApiClient, request: Request<Incoming>) -> Response<Body> {
+async fn route(node: &Arc<Node>, api: &ApiClient, request: Request<RequestBody>) -> Response<Body> {
     let path = request.uri().path();
     if path.starts_with(plain::PREFIX) {
         return plain::handle(node, request).await;
@@ -134,7 +136,7 @@
 async fn forward_to_api(
     node: &Node,
     api: &ApiClient,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Response<Body>, ApiError> {
     let (mut head, content) = request.into_parts();
     let settings = &node.settings;
--- a/node/src/front/plain.rs
+++ b/node/src/front/plain.rs
@@ -11,7 +11,6 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -28,6 +27,7 @@
 use tokio::time::timeout;
 
 use super::account;
+use super::body::RequestBody;
 use super::completions::{request_id, requested_deadline};
 use super::error::ApiError;
 use crate::claims::{self, ClaimError, Grant, RequestKey};
@@ -79,7 +79,7 @@
 }
 
 /// Handles a request to a plain service.
-pub async fn handle(node: &Arc<Node>, request: Request<Incoming>) -> Response<Body> {
+pub async fn handle(node: &Arc<Node>, request: Request<RequestBody>) -> Response<Body> {
     match try_handle(node.clone(), request).await {
         Ok(response) => response,
         Err(error) => error.response(),
@@ -91,7 +91,7 @@
 
 async fn try_handle(
     node: Arc<Node>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Response<Body>, ApiError> {
     let snapshot = node.config.load_full();
     let (head, content) = request.into_parts();
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod completion;
 pub mod configuration;
 pub mod connector;
+mod discard;
 pub mod dispatch;
 pub mod drain;
 pub mod dump;
