front: bodies of unknown length allocate no more than is reserved for them

A vector that grows by itself may allocate up to twice the size of the body, of which the largest size was reserved. Found when reading.

--- a/node/src/front/body.rs
+++ b/node/src/front/body.rs
@@ -115,6 +115,8 @@
                 }
                 if bytes.len() + data.len() > first && space[1].is_none() {
                     space[1] = Some(reserve(&self.large, max_bytes - first).await?);
+                    // A vector that grows by itself may allocate twice as much.
+                    bytes.reserve_exact(max_bytes - bytes.len());
                 }
                 bytes.extend_from_slice(&data);
             }
