serve: one loop accepts connections

The listener of other nodes repeated the loop that accepts connections, its pause after an error and the setting of TCP_NODELAY from the HTTP listeners. accept.rs, which already closes a listener, now has them for both. A stop during the pause after a failed accept no longer waits for its end.

Behaviour is otherwise the same.

--- a/node/src/serve/listener.rs
+++ b/node/src/serve/listener.rs
@@ -3,7 +3,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use http::{Method, Request, Response, StatusCode, header};
 use sardinepick_lib::account::directory::{Account, Directory};
@@ -19,13 +18,10 @@
 use crate::caller_connection::{self, Closing, Context, RequestBody, Table};
 use crate::serve::response::{Body, Refusal, empty, full_body, json};
 use crate::serve::shared::Shared;
-use crate::serve::{accept_queue, quarantine, request};
+use crate::serve::{accept, quarantine, request};
 
 /// The maximum number of addresses in a look-up answer (platform protocol).
 const MAX_ADDRESSES: usize = 64;
-/// The pause after a failed `accept`: without free file descriptors, each attempt fails at once.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// The send buffer of a caller's connection; the kernel doubles it. By itself it grows to several
 /// megabytes. This is enough for 200 Mbit/s at a round trip of 5 ms.
 const SEND_BUFFER_BYTES: usize = 64 << 10;
@@ -65,19 +61,13 @@
     let acceptor = Acceptor::new(shared, port, closing.clone());
     limit_receive_buffer(&listener);
     loop {
-        let accepted = tokio::select! {
+        let (stream, peer) = tokio::select! {
             () = closing.wait() => break,
-            accepted = listener.accept() => accepted,
+            accepted = accept::next(&listener) => accepted,
         };
-        match accepted {
-            Ok((stream, peer)) => acceptor.open(stream, peer).await,
-            Err(error) => {
-                log::warn!(error:% = error; "cannot accept connection");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        acceptor.open(stream, peer).await;
     }
-    for (stream, peer) in accept_queue::close(listener) {
+    for (stream, peer) in accept::close(listener) {
         acceptor.open(stream, peer).await;
     }
 }
@@ -119,7 +109,6 @@
             None => self.context.head_buffer().div_ceil(Bounds::CONNECTION_HEAD),
         };
         let slot = self.table.open(peer.ip(), u32::try_from(weight).unwrap_or(u32::MAX)).await;
-        send_at_once(&stream);
         limit_send_buffer(&stream);
         let (shared, context, port) = (self.shared.clone(), self.context.clone(), self.port);
         tokio::spawn(async move {
@@ -143,16 +132,6 @@
     }
 }
 
-/// Configures a connection to send small writes at once.
-///
-/// The kernel's timeout for unacknowledged data is not set: it also ends the connection of a caller
-/// that does not read for as long, and a response has its request's deadline.
-fn send_at_once(stream: &TcpStream) {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!(error:% = error; "cannot set TCP_NODELAY");
-    }
-}
-
 async fn handle(shared: &Arc<Shared>, port: Port, request: Request<RequestBody>) -> Response<Body> {
     let mut response = match port {
         Port::Front => request::handle(shared, request).await,
--- a/node/src/serve/mod.rs
+++ b/node/src/serve/mod.rs
@@ -4,7 +4,7 @@
 //! its load with the other nodes, and serves requests: it routes and admits them, chooses runners,
 //! and returns a complete response or an accurate refusal.
 
-mod accept_queue;
+mod accept;
 pub mod cache_query;
 pub mod compression;
 pub mod connection;
--- a/node/src/serve/peer_listener.rs
+++ b/node/src/serve/peer_listener.rs
@@ -13,11 +13,11 @@
 use tokio::time::{Sleep, sleep};
 use tonic::transport::server::{Connected, TcpConnectInfo};
 
+use crate::serve::accept;
+
 /// How long a new connection may send nothing: a node sends its preface at once. HTTP/2's own pings
 /// begin only after that.
 const FIRST_BYTES_TIMEOUT: Duration = Duration::from_secs(5);
-/// The pause after a failed `accept`.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// A connection of another node.
 pub struct Connection {
@@ -36,29 +36,13 @@
     unfold((listener, slots), async |(listener, slots)| {
         // The semaphore is never closed.
         let permit = slots.clone().acquire_owned().await.ok();
-        let connection = accept(&listener, permit).await;
+        let (stream, _) = accept::next(&listener).await;
+        let timeout = Some(Box::pin(sleep(FIRST_BYTES_TIMEOUT)));
+        let connection = Connection { stream, timeout, _permit: permit };
         Some((Ok(connection), (listener, slots)))
     })
 }
 
-async fn accept(listener: &TcpListener, permit: Option<OwnedSemaphorePermit>) -> Connection {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                if let Err(error) = stream.set_nodelay(true) {
-                    log::debug!(error:% = error; "cannot set TCP_NODELAY");
-                }
-                let timeout = Some(Box::pin(sleep(FIRST_BYTES_TIMEOUT)));
-                return Connection { stream, timeout, _permit: permit };
-            }
-            Err(error) => {
-                log::warn!(error:% = error; "cannot accept connection");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-}
-
 impl Connected for Connection {
     type ConnectInfo = TcpConnectInfo;
 
