request: the ledger learns of received bytes a kilobyte at a time

Each piece of a body took the lock that all requests share, and read the clock: four million times for a body of 4 MB in chunks of one byte. The ledger counts a body as moving only once a kilobyte has come, so the reader now sums up to that. The moments at which a body counts as moving are the same.

Found when reading; the gain has not been measured.

--- a/lib/src/fleet/holding/ledger.rs
+++ b/lib/src/fleet/holding/ledger.rs
@@ -61,7 +61,7 @@
 /// stream. It is not bounded by its owner's part, so that an owner of large bodies is still served.
 const SMALL_BODY: Size = Size(112 << 10);
 /// What a body must receive to count as moving.
-const MIN_PROGRESS: Size = Size(1 << 10);
+pub const MIN_PROGRESS: Size = Size(1 << 10);
 /// The held bytes of a stream that counts as small: more than a reader that keeps up leaves unread
 /// between two events.
 const SMALL_STREAM: Size = Size(32 << 10);
--- a/node/src/serve/request.rs
+++ b/node/src/serve/request.rs
@@ -13,6 +13,7 @@
 use sardinepick_lib::fleet::admission::{Reason, Terms, Wait};
 use sardinepick_lib::fleet::engine::Engine;
 use sardinepick_lib::fleet::fingerprint::Fingerprint;
+use sardinepick_lib::fleet::holding::ledger::MIN_PROGRESS;
 use sardinepick_lib::fleet::holding::{Full, Holder, Owner, Purpose, Size};
 use sardinepick_lib::fleet::load::Class;
 use sardinepick_lib::fleet::part;
@@ -507,6 +508,7 @@
     let mut reserved = length.unwrap_or(FIRST_BODY_STEP);
     // Unlike BytesMut, a vector allocates no more than is reserved for it.
     let mut whole = Vec::with_capacity(reserved);
+    let mut unnoted = Size::ZERO;
     loop {
         let frame = tokio::select! {
             biased;
@@ -527,7 +529,11 @@
             reserved += step;
             whole.reserve_exact(reserved - whole.len());
         }
-        hold.note_received(Size::from(data.len()));
+        unnoted = unnoted.plus(Size::from(data.len()));
+        // Chunks may be of one byte, and the ledger is shared by all requests.
+        if unnoted >= MIN_PROGRESS {
+            hold.note_received(std::mem::take(&mut unnoted));
+        }
         whole.extend_from_slice(&data);
     }
     hold.note_body_read();
