--- a/node/src/caller_connection/activity.rs
+++ b/node/src/caller_connection/activity.rs
@@ -1,6 +1,8 @@
 //! The progress of a connection, shared by its socket, its requests and its timer.
 
+use std::io;
 use std::sync::{Arc, Mutex};
+use std::task::Poll;
 use std::time::Duration;
 
 use sardinepick_lib::clock::Clock;
@@ -8,6 +10,7 @@
 use smol_str::SmolStr;
 
 use crate::lock::lock;
+use crate::observed::Observer;
 
 /// The activity of one connection.
 pub(super) struct Activity {
@@ -32,21 +35,6 @@
         progress.unanswered(self.clock.now()).map(|(request, waited)| (request.clone(), waited))
     }
 
-    /// Records that bytes have been read.
-    pub fn note_read(&self) {
-        lock(&self.progress).note_read(self.clock.now());
-    }
-
-    /// Records that bytes have been sent.
-    pub fn note_sent(&self) {
-        lock(&self.progress).note_sent(self.clock.now());
-    }
-
-    /// Records that bytes wait until the caller reads earlier ones.
-    pub fn note_blocked(&self) {
-        lock(&self.progress).note_blocked(self.clock.now());
-    }
-
     /// Records that the head of a request has been read.
     pub fn begin(self: &Arc<Self>, request: SmolStr) -> Arc<Exchange> {
         let number = lock(&self.progress).begin(request, self.clock.now());
@@ -54,6 +42,24 @@
     }
 }
 
+impl Observer for Arc<Activity> {
+    fn note_read(&mut self, bytes: usize) {
+        if bytes > 0 {
+            lock(&self.progress).note_read(self.clock.now());
+        }
+    }
+
+    fn note_write(&mut self, written: &Poll<io::Result<usize>>) {
+        let now = self.clock.now();
+        match written {
+            Poll::Ready(Ok(_)) => lock(&self.progress).note_sent(now),
+            Poll::Ready(Err(_)) => {}
+            // The bytes wait until the caller reads earlier ones.
+            Poll::Pending => lock(&self.progress).note_blocked(now),
+        }
+    }
+}
+
 /// A request in progress, until the last reference is dropped.
 pub(super) struct Exchange {
     activity: Arc<Activity>,
--- a/node/src/caller_connection/mod.rs
+++ b/node/src/caller_connection/mod.rs
@@ -7,7 +7,6 @@
 
 mod activity;
 mod body;
-mod io;
 mod table;
 
 use std::convert::Infallible;
@@ -37,7 +36,7 @@
 
 use self::activity::Activity;
 use self::body::ResponseBody;
-use self::io::Watched;
+use crate::observed::Observed;
 use crate::serve::metrics::Metrics;
 use crate::serve::response::{Body, Refusal};
 
@@ -113,7 +112,7 @@
     let mut builder = http1::Builder::new();
     // The timer of hyper is set once for a connection and also ends a half read head.
     builder.header_read_timeout(None).max_buf_size(head_bytes);
-    let io = TokioIo::new(Watched::new(stream, activity.clone()));
+    let io = TokioIo::new(Observed::new(stream, activity.clone()));
     let mut connection = std::pin::pin!(builder.serve_connection(io, service));
     let (mut limits, mut closing) = (context.limits.clone(), context.closing.clone());
     let mut close = Close::default();
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod node;
+mod observed;
 pub mod part_quarantine;
 pub mod peer;
 pub mod plain_wait;
--- a/node/src/caller_connection/io.rs
+++ b/node/src/observed.rs
@@ -1,59 +1,64 @@
-//! A caller's socket, whose reads and writes are recorded.
+//! A socket whose reads and writes are observed.
 
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use super::activity::Activity;
+/// Sees the reads and writes of a socket.
+pub trait Observer: Unpin {
+    /// Notes that bytes have been read, or the end.
+    fn note_read(&mut self, bytes: usize);
 
-/// A socket that records when bytes are read and sent, and whether some wait to be sent.
-pub(super) struct Watched {
-    stream: TcpStream,
-    activity: Arc<Activity>,
+    /// Decides on a read for which no bytes have arrived: to wait, or to fail.
+    fn poll_silent(&mut self, _context: &mut Context<'_>) -> Poll<io::Error> {
+        Poll::Pending
+    }
+
+    /// Notes the result of a write.
+    fn note_write(&mut self, _written: &Poll<io::Result<usize>>) {}
 }
 
-impl Watched {
-    /// Wraps a socket.
-    pub fn new(stream: TcpStream, activity: Arc<Activity>) -> Self {
-        Self { stream, activity }
-    }
+/// An observed socket.
+#[derive(Debug)]
+pub struct Observed<O> {
+    /// The socket.
+    pub stream: TcpStream,
+    observer: O,
+}
 
-    fn note_write(&self, written: &Poll<io::Result<usize>>) {
-        match written {
-            Poll::Ready(Ok(_)) => self.activity.note_sent(),
-            Poll::Ready(Err(_)) => {}
-            Poll::Pending => self.activity.note_blocked(),
-        }
+impl<O> Observed<O> {
+    /// Wraps a socket.
+    pub fn new(stream: TcpStream, observer: O) -> Self {
+        Self { stream, observer }
     }
 }
 
-impl AsyncRead for Watched {
+impl<O: Observer> AsyncRead for Observed<O> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        if buffer.filled().len() > before {
-            self.activity.note_read();
+        if Pin::new(&mut self.stream).poll_read(context, buffer)?.is_pending() {
+            return Poll::Ready(Err(ready!(self.observer.poll_silent(context))));
         }
+        self.observer.note_read(buffer.filled().len() - before);
         Poll::Ready(Ok(()))
     }
 }
 
-impl AsyncWrite for Watched {
+impl<O: Observer> AsyncWrite for Observed<O> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.note_write(&written);
+        self.observer.note_write(&written);
         written
     }
 
@@ -63,7 +68,7 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
-        self.note_write(&written);
+        self.observer.note_write(&written);
         written
     }
 
