connection: an answer whose transfer coding is not chunked is malformed

Callers got a complete 200 with the sizes of the chunks in its body when the runner's Transfer-Encoding was anything but chunked: chunkex, identity, 'chunked, identity', an empty value, a second line with another value. Streams too, and through a peer.

Cause: the HTTP client reads a body whose last transfer coding is not chunked to the end of the connection, as RFC 9112 allows for codings that a recipient knows. No other coding is undone here, so where such a body ends is not known, and what is read may not be the runner's body. 'gzip, chunked' and a repeated 'chunked' were read as if the other coding were not there; with a length beside the coding, the two may contradict each other.

Change: the head of each answer that comes over Connections (plain requests, streams, health checks, orders, the store, duties, and all of these through a peer) is checked where merged heads are. Only chunked, once, alone and without a length is accepted. A malformed answer is a broken call: its request may have run, so it is answered 502 or tried again where its route allows that, and the connection is closed. sardinepick_malformed_answers_total counts them by reason; 'call failed' names the reason.

--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod era_tracker;
 pub mod explain;
 pub mod fair_share;
+pub mod framing;
 pub mod freshness;
 pub mod front;
 pub mod gather;
--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -32,6 +32,7 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use crate::framing::{self, Malformed};
 use crate::holding::Hold;
 use crate::limit::Denied;
 use crate::serve::delivery::Delivery;
@@ -79,6 +80,16 @@
         /// The runner.
         runner: RunnerId,
     },
+    /// The response is malformed. The request may have run.
+    #[error("malformed response from {peer} ({ordinal}): {malformed}")]
+    Malformed {
+        /// The remote address.
+        peer: SocketAddr,
+        /// The call that it answers.
+        ordinal: Ordinal,
+        /// What is wrong.
+        malformed: Malformed,
+    },
     /// The connection broke after something may have been sent.
     #[error("connection to {peer} broke ({ordinal}): {detail}")]
     Broken {
@@ -99,7 +110,7 @@
             SendError::Unsent { .. } => Some(Proof::Returned),
             SendError::RateLimited { .. } => Some(Proof::RateLimited),
             SendError::Leaving { .. } => Some(Proof::Leaving),
-            SendError::Broken { .. } => None,
+            SendError::Malformed { .. } | SendError::Broken { .. } => None,
         }
     }
 
@@ -399,6 +410,10 @@
             let detail = detail.to_owned();
             Err(SendError::Broken { peer: address, ordinal: link.ordinal, detail })
         };
+        if let Err(malformed) = framing::check(&head) {
+            self.metrics.malformed_answers.with_label_values(&[malformed.label()]).inc();
+            return Err(SendError::Malformed { peer: address, ordinal: link.ordinal, malformed });
+        }
         let reason = head.extensions.get::<ReasonPhrase>();
         if is_merged(reason.map_or(b"", ReasonPhrase::as_bytes), &head.headers) {
             self.metrics.foreign_answers.with_label_values(&["merged"]).inc();
--- a/node/src/serve/metrics.rs
+++ b/node/src/serve/metrics.rs
@@ -24,6 +24,8 @@
     pub unanswered_calls: IntCounterVec,
     /// Answers that did not name the request of their call, by kind.
     pub foreign_answers: IntCounterVec,
+    /// Malformed answers, by what is wrong.
+    pub malformed_answers: IntCounterVec,
     /// Generations by plan.
     pub plans: IntCounterVec,
     /// Permits for requests to rate-limited runners, by outcome and by which node decided.
@@ -232,6 +234,11 @@
                 "Answers that did not name the request of their call",
                 &["kind"],
             ),
+            malformed_answers: m.counters(
+                "sardinepick_malformed_answers_total",
+                "Answers that are malformed or end where they should not, by reason",
+                &["reason"],
+            ),
             permits: m.counters(
                 "sardinepick_permits_total",
                 "Permits to send to runners with a rate limit, by what came of them and who decided",
--- /dev/null
+++ b/node/tests/malformed_responses.rs
@@ -0,0 +1,323 @@
+//! Runners whose responses are malformed HTTP, or end in a way that leaves open whether they are whole.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use bytes::Bytes;
+use http::StatusCode;
+use sardinepick_testutils::cluster::wait_until;
+use sardinepick_testutils::fleet::caller::{Reply, RequestSpec};
+use sardinepick_testutils::fleet::deployment::{Deployment, configuration};
+use sardinepick_testutils::fleet::network::Fault;
+use sardinepick_testutils::fleet::runner::event;
+use sardinepick_testutils::fleet::spoiler::{End, Raw, Spoil, Spoiler};
+use serde_json::json;
+
+const BODY: &str = "twelve bytes";
+const CLOSE: &str = "connection: close\r\n";
+/// How often a request is sent until it reaches the runner, which a node avoids after a failure.
+const MAX_TRIES: usize = 50;
+const UPLOAD_BYTES: usize = 4 << 20;
+
+/// A response, and the body of its runner.
+#[derive(Clone, Debug)]
+struct Case {
+    name: String,
+    response: String,
+    body: String,
+    end: End,
+}
+
+/// The paths of one kind.
+#[derive(Clone, Copy, Debug)]
+enum Kind {
+    Plain,
+    Stream,
+}
+
+impl Kind {
+    fn paths(self) -> [&'static str; 2] {
+        match self {
+            Kind::Plain => ["/eggs/a", "/board/a"],
+            Kind::Stream => ["/tally/a", "/count/a"],
+        }
+    }
+
+    fn body(self) -> String {
+        match self {
+            Kind::Plain => BODY.to_owned(),
+            Kind::Stream => (1..=3).map(event).collect(),
+        }
+    }
+
+    fn content_type(self) -> &'static str {
+        match self {
+            Kind::Plain => "",
+            Kind::Stream => "content-type: text/event-stream\r\n",
+        }
+    }
+
+    /// A case whose head has a status line and these further fields.
+    fn case(self, name: &str, status_line: &str, fields: &str, content: &str, end: End) -> Case {
+        let content_type = self.content_type();
+        let named = "request-id: {id}\r\nresponse-signature: s\r\n";
+        Case {
+            name: name.to_owned(),
+            response: format!("{status_line}\r\n{named}{content_type}{fields}\r\n{content}"),
+            body: self.body(),
+            end,
+        }
+    }
+
+    /// A case whose head begins as that of a success.
+    fn success(self, fields: &str, content: &str, end: End) -> Case {
+        self.case(fields.trim_end(), "HTTP/1.1 200 OK", fields, content, end)
+    }
+
+    /// The body in one chunk.
+    fn chunked(self) -> String {
+        let body = self.body();
+        format!("{:x}\r\n{body}\r\n0\r\n\r\n", body.len())
+    }
+
+    /// The body in a chunk for each of its lines.
+    fn chunked_by_line(self) -> String {
+        let body = self.body();
+        let chunks = body.split_inclusive('\n').map(|l| format!("{:x}\r\n{l}\r\n", l.len()));
+        format!("{}0\r\n\r\n", chunks.collect::<String>())
+    }
+
+    fn length_field(self) -> String {
+        format!("content-length: {}\r\n", self.body().len())
+    }
+}
+
+/// Responses from whose heads the end of the body cannot be told.
+fn unknown_framing(kind: Kind) -> Vec<Case> {
+    let codings = [
+        "transfer-encoding: chunkex\r\n",
+        "transfer-encoding: xhunked\r\n",
+        "transfer-encoding: chunke\r\n",
+        "transfer-encoding: identity\r\n",
+        "transfer-encoding: chunked, identity\r\n",
+        "transfer-encoding: chunked, chunked\r\n",
+        "transfer-encoding: gzip, chunked\r\n",
+        "transfer-encoding: \r\n",
+        "transfer-encoding: \"chunked\"\r\n",
+        "transfer-encoding: chunked;q=1\r\n",
+        "transfer-encoding: chunked\r\ntransfer-encoding: identity\r\n",
+        "transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n",
+    ];
+    let codings = codings.map(|field| kind.success(field, &kind.chunked(), End::Close));
+    let both = format!("{}transfer-encoding: chunked\r\n", kind.length_field());
+    let lengths = ["1x", "-12", "+12", "", "0x0c", "1 2", "12;", "99999999999999999999999"];
+    let lengths = lengths.map(|value| {
+        kind.success(&format!("content-length: {value}\r\n"), &kind.body(), End::Close)
+    });
+    let two = format!("{}content-length: 11\r\n", kind.length_field());
+    let cases = codings.into_iter().chain(lengths);
+    let both = kind.success(&both, &kind.chunked(), End::Close);
+    cases.chain([both, kind.success(&two, &kind.body(), End::Close)]).collect()
+}
+
+/// Responses with a line in the head that is no field.
+fn malformed_fields(kind: Kind) -> Vec<Case> {
+    let lines = [
+        "x y: z",
+        "x\u{1}y: z",
+        "x\0y: z",
+        "x\u{7f}y: z",
+        "x\u{e9}y: z",
+        "x(y): z",
+        "x : z",
+        "x\t: z",
+        "no colon",
+        " x: z",
+        ": z",
+        "x: y\r\n z",
+        "x: y\r\n\tz",
+        "x: y\u{1}z",
+        "x: y\rz",
+        "x: y\0z",
+    ];
+    let length = kind.length_field();
+    let case = |line: &str| {
+        let fields = format!("{line}\r\n{length}");
+        let case = kind.success(&fields, &kind.body(), End::Close);
+        Case { name: format!("{line:?}"), ..case }
+    };
+    lines.map(case).into()
+}
+
+/// Responses as sound runners send them.
+fn sound(kind: Kind) -> Vec<Case> {
+    let (length, body) = (kind.length_field(), kind.body());
+    let coding = "transfer-encoding: chunked\r\n";
+    let coded = |content: &str, name: &str| Case {
+        name: name.to_owned(),
+        ..kind.success(coding, content, End::Keep)
+    };
+    let copy = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\ncontent-length: 2\r\n\r\nok";
+    let ok = "HTTP/1.1 200 OK";
+    let informational = format!("HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n{ok}");
+    vec![
+        kind.success(&length, &body, End::Keep),
+        kind.success(&format!("{CLOSE}{length}"), &body, End::Close),
+        kind.success(&format!("{length}{length}"), &body, End::Keep),
+        kind.success(&format!("content-length: 0{}\r\n", body.len()), &body, End::Keep),
+        kind.success(&format!("x: \u{e9}\r\n{length}"), &body, End::Keep),
+        kind.success("", &body, End::Close),
+        kind.success(CLOSE, &body, End::Close),
+        kind.case("HTTP/1.0", "HTTP/1.0 200 OK", "", &body, End::Close),
+        kind.case("HTTP/1.0 with a length", "HTTP/1.0 200 OK", &length, &body, End::Close),
+        kind.case("no reason", "HTTP/1.1 200 ", &length, &body, End::Keep),
+        kind.case("informational response", &informational, &length, &body, End::Keep),
+        kind.success("Transfer-Encoding: Chunked\r\n", &kind.chunked(), End::Keep),
+        coded(&kind.chunked_by_line(), "many chunks"),
+        coded(&format!("{:x};x=y\r\n{body}\r\n0\r\n\r\n", body.len()), "chunk extension"),
+        coded(&format!("{:x}\r\n{body}\r\n0\r\nx: y\r\n\r\n", body.len()), "trailer"),
+        kind.case("second response", ok, &length, &format!("{body}{copy}"), End::Keep),
+        kind.case(
+            "second response, closed",
+            ok,
+            &format!("{CLOSE}{length}"),
+            &format!("{body}{copy}"),
+            End::Close,
+        ),
+        coded(&format!("{}{copy}", kind.chunked()), "second response after chunks"),
+    ]
+}
+
+/// A deployment with one runner, some of whose responses are replaced.
+struct Setup {
+    set: Deployment,
+    spoiler: Spoiler,
+    next: Arc<Mutex<Option<Raw>>>,
+    sent: usize,
+}
+
+impl Setup {
+    async fn direct(kind: Kind) -> Self {
+        Self::new(kind, 1).await
+    }
+
+    /// The first node reaches the runner through another one.
+    async fn relayed(kind: Kind) -> Self {
+        let setup = Self::new(kind, 2).await;
+        let node = setup.set.nodes[0].shared.me.id.clone();
+        setup.set.network.set(node.as_str(), setup.spoiler.address, Fault::Refuse);
+        wait_until("the runner is reached through the other node", async || {
+            setup.set.send(0, &RequestSpec::new(kind.paths()[1], "p")).await;
+            setup.set.nodes[0].shared.connector.closed() == 1
+        })
+        .await;
+        setup
+    }
+
+    async fn new(kind: Kind, nodes: usize) -> Self {
+        let set = Deployment::new().await;
+        let mut config = configuration(2);
+        config["limits"]["maxBodyBytes"] = json!(2 * UPLOAD_BYTES);
+        set.store.put("config", "main", &config);
+        let set = match kind {
+            Kind::Plain => set.with_plain(1).await,
+            Kind::Stream => set.with_engines(0, 1).await,
+        };
+        let set = set.with_nodes(nodes).await;
+        let next = Arc::new(Mutex::new(None::<Raw>));
+        let taken = next.clone();
+        let choice = move |_| {
+            let next = taken.clone();
+            move |id: &str| {
+                let mut next = next.lock().unwrap_or_else(PoisonError::into_inner);
+                if !id.starts_with("case") {
+                    return Spoil::None;
+                }
+                next.take().map_or(Spoil::None, Spoil::Replace)
+            }
+        };
+        let spoiler = set.spoil(64, choice).await.remove(0);
+        Self { set, spoiler, next, sent: 0 }
+    }
+
+    /// Sends a request that gets a response of the runner.
+    async fn send(&mut self, path: &str, body: Bytes, raw: Raw) -> Reply {
+        let before = self.spoiler.spoilt();
+        for _ in 0..MAX_TRIES {
+            *self.next.lock().unwrap_or_else(PoisonError::into_inner) = Some(raw);
+            let id = format!("case-{}", self.sent);
+            self.sent += 1;
+            let spec = RequestSpec { body: body.clone(), ..RequestSpec::new(path, &id) };
+            let reply = self.set.send(0, &spec).await;
+            // A sound response restores the health of the runner.
+            self.set.send(0, &RequestSpec::new(path, &format!("next-{id}"))).await;
+            if self.spoiler.spoilt() > before {
+                return reply;
+            }
+        }
+        panic!("the runner was not used");
+    }
+
+    async fn send_case(&mut self, path: &str, case: &Case) -> Reply {
+        let raw = Raw { bytes: case.response.clone().leak(), end: case.end };
+        self.send(path, Bytes::from_static(b"a brief"), raw).await
+    }
+}
+
+/// What is wrong with the reply to a request with a malformed response.
+fn broken_fault(reply: &Reply) -> Option<String> {
+    let is_refused = reply.status == Some(StatusCode::BAD_GATEWAY) && reply.complete;
+    (!is_refused).then(|| format!("{:?}, complete {}", reply.status, reply.complete))
+}
+
+fn sound_fault(reply: &Reply, case: &Case) -> Option<String> {
+    let is_whole = reply.status == Some(StatusCode::OK) && reply.complete;
+    (!is_whole || reply.text() != case.body)
+        .then(|| format!("{:?}, complete {}, {:?}", reply.status, reply.complete, reply.text()))
+}
+
+/// Sends each case on each path of its kind, directly and through a peer, and asserts that `fault`
+/// finds nothing.
+async fn check(
+    cases: impl Fn(Kind) -> Vec<Case>,
+    kinds: &[Kind],
+    fault: impl Fn(&Reply, &Case) -> Option<String>,
+) {
+    let mut faults = Vec::new();
+    for kind in kinds {
+        for relayed in [false, true] {
+            let mut setup =
+                if relayed { Setup::relayed(*kind).await } else { Setup::direct(*kind).await };
+            for case in cases(*kind) {
+                for path in kind.paths() {
+                    let reply = setup.send_case(path, &case).await;
+                    if let Some(fault) = fault(&reply, &case) {
+                        let name = &case.name;
+                        faults.push(format!("{path}, relayed {relayed}, {name:?}: {fault}"));
+                    }
+                }
+            }
+        }
+    }
+    assert!(faults.is_empty(), "{} replies are wrong:\n{}", faults.len(), faults.join("\n"));
+}
+
+const BOTH: [Kind; 2] = [Kind::Plain, Kind::Stream];
+
+/// Guards against a body of unknown bounds that is read to the end of the connection, with the sizes
+/// of its chunks.
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_framing_not_complete() {
+    check(unknown_framing, &BOTH, |reply, _| broken_fault(reply)).await;
+}
+
+/// Guards against a line of a head that is no field and is forwarded or ends the head.
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_fields_refused() {
+    check(malformed_fields, &BOTH, |reply, _| broken_fault(reply)).await;
+}
+
+/// Guards against checks that refuse responses of sound runners.
+#[tokio::test(flavor = "multi_thread")]
+async fn sound_responses_served() {
+    check(sound, &BOTH, sound_fault).await;
+}
--- a/testutils/src/fleet/spoiler.rs
+++ b/testutils/src/fleet/spoiler.rs
@@ -1,5 +1,5 @@
 //! A loopback TCP proxy in front of a runner that spoils responses: it repeats, cuts, delays or
-//! replaces them, sends bytes without end, or resets the connection.
+//! replaces them, sends other bytes, sends bytes without end, or resets the connection.
 //!
 //! It has slots of its own, and rejects requests while they are taken.
 
@@ -21,6 +21,26 @@
 /// Small, so that what the other side has not read is not counted as sent.
 const SEND_BUFFER_BYTES: usize = 64 << 10;
 
+/// Bytes that take the place of a response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Raw {
+    /// The bytes. In them `{id}` stands for the id of the request.
+    pub bytes: &'static str,
+    /// What happens to the connection after them.
+    pub end: End,
+}
+
+/// What happens to a connection after a response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum End {
+    /// It stays open.
+    Keep,
+    /// It is closed.
+    Close,
+    /// It is reset after this long. The response is sent before the body of the request is read.
+    ResetUnread(Duration),
+}
+
 /// What happens to one response.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Spoil {
@@ -62,6 +82,8 @@
     EndlessInformational,
     /// Bytes without end that are not HTTP.
     EndlessGarbage,
+    /// Other bytes are sent instead, and the request does not reach the runner.
+    Replace(Raw),
 }
 
 /// Chooses what happens to the response to a request, which is given by its id; the id is empty for
@@ -169,12 +191,19 @@
         client.set_nodelay(true)?;
         SockRef::from(&client).set_send_buffer_size(SEND_BUFFER_BYTES)?;
         let (mut unread, mut copies) = (Vec::new(), Vec::<Copy>::new());
-        while let Some(request) = read_request(&mut client, &mut unread).await? {
+        while let Some(head) = read_head(&mut client, &mut unread).await? {
+            let spoil = (lock(&self.choice))(&head.id);
+            if let Spoil::Replace(Raw { bytes, end: End::ResetUnread(after) }) = spoil {
+                self.spoilt.fetch_add(1, Ordering::Relaxed);
+                client.write_all(&replacement(bytes, &head.id)).await?;
+                sleep(after).await;
+                return reset(&client);
+            }
+            let Some(request) = read_body(&mut client, &mut unread, head).await? else { break };
             for copy in copies.extract_if(.., |copy| copy.after == 0) {
                 client.write_all(&copy.bytes).await?;
             }
             copies.iter_mut().for_each(|copy| copy.after -= 1);
-            let spoil = (lock(&self.choice))(&request.id);
             self.spoilt.fetch_add(u64::from(spoil != Spoil::None), Ordering::Relaxed);
             let slot = self.slots.try_acquire();
             let response = match spoil {
@@ -199,6 +228,14 @@
                     let head = rejection(&request.id, "transfer-encoding: chunked\r\n");
                     return self.send_slowly(&mut client, &head, interval).await;
                 }
+                Spoil::Replace(raw) => {
+                    let response = replacement(raw.bytes, &request.id);
+                    client.write_all(&response).await?;
+                    if raw.end == End::Close {
+                        return Ok(());
+                    }
+                    response
+                }
                 Spoil::Reject => self.reject(&mut client, &request).await?,
                 _ if slot.is_err() && !request.id.is_empty() => {
                     self.reject(&mut client, &request).await?
@@ -377,30 +414,58 @@
     }
 }
 
-/// Reads one request; `None` if the connection has ended.
-async fn read_request(client: &mut TcpStream, unread: &mut Vec<u8>) -> io::Result<Option<Message>> {
-    let mut chunk = vec![0; CHUNK_BYTES];
-    loop {
-        if let Some(head) = head_length(unread) {
-            let text = String::from_utf8_lossy(&unread[..head]).to_lowercase();
-            let header = |name: &str| {
-                let mut lines = text.lines().filter_map(|line| line.split_once(": "));
-                lines.find(|(n, _)| *n == name).map(|(_, value)| value.to_owned())
-            };
-            let body = header("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
-            if unread.len() >= head + body {
-                let id = header("request-id").unwrap_or_default();
-                let is_prefill = header("stage").is_some_and(|stage| stage == "prefill");
-                let bytes = unread.drain(..head + body).collect();
-                return Ok(Some(Message { bytes, head, id, is_prefill }));
-            }
+fn replacement(bytes: &str, id: &str) -> Vec<u8> {
+    bytes.replace("{id}", id).into_bytes()
+}
+
+/// The head of a request as it was read.
+struct Head {
+    length: usize,
+    body: usize,
+    id: String,
+    is_prefill: bool,
+}
+
+/// Reads the head of a request; `None` if the connection has ended.
+async fn read_head(client: &mut TcpStream, unread: &mut Vec<u8>) -> io::Result<Option<Head>> {
+    let length = loop {
+        match head_length(unread) {
+            Some(length) => break length,
+            None if read_more(client, unread).await? => {}
+            None => return Ok(None),
         }
-        let length = client.read(&mut chunk).await?;
-        if length == 0 {
+    };
+    let text = String::from_utf8_lossy(&unread[..length]).to_lowercase();
+    let header = |name: &str| {
+        let mut lines = text.lines().filter_map(|line| line.split_once(": "));
+        lines.find(|(n, _)| *n == name).map(|(_, value)| value.to_owned())
+    };
+    let body = header("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
+    let id = header("request-id").unwrap_or_default();
+    let is_prefill = header("stage").is_some_and(|stage| stage == "prefill");
+    Ok(Some(Head { length, body, id, is_prefill }))
+}
+
+/// Reads the body of a request; `None` if the connection has ended.
+async fn read_body(
+    client: &mut TcpStream,
+    unread: &mut Vec<u8>,
+    head: Head,
+) -> io::Result<Option<Message>> {
+    let Head { length, body, id, is_prefill } = head;
+    while unread.len() < length + body {
+        if !read_more(client, unread).await? {
             return Ok(None);
         }
-        unread.extend_from_slice(&chunk[..length]);
     }
+    let bytes = unread.drain(..length + body).collect();
+    Ok(Some(Message { bytes, head: length, id, is_prefill }))
+}
+
+/// Returns false at the end of the connection.
+async fn read_more(client: &mut TcpStream, unread: &mut Vec<u8>) -> io::Result<bool> {
+    unread.reserve(CHUNK_BYTES);
+    Ok(client.read_buf(unread).await? > 0)
 }
 
 fn lock<T: ?Sized>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
