connection: an answer whose status contradicts its head is malformed

Callers got a status of 600 or 999 as the runner's, a 101 that they had not asked for as a complete answer, and a complete, empty 204, 205 or 304 where the runner had sent a length and a body. A status whose digits are spoilt looks like that.

Cause: the HTTP client accepts any three digits as a status, ends HTTP on the connection at 101, and takes 204 and 304 as empty whatever the head says; the node forwarded them.

Change: the check of heads refuses these as malformed: no status of five classes, a switch of protocols (Upgrade is not forwarded, so nobody asks for one), a length above 0 or a coding with 204, 205 or 304. A 304 to a conditional request may have the length of the body that it leaves out (RFC 9110, section 8.6).

The other rows were answered 502 before as well: 000, 099, 20, 2000, 2x0, no status, versions 0.9, 1.2 and 2.0, control bytes in the reason. not_modified_with_length_conditional_request_forwarded keeps the 304 of a sound runner.

--- a/node/src/framing/mod.rs
+++ b/node/src/framing/mod.rs
@@ -3,15 +3,28 @@
 //! The HTTP client accepts some heads that do not: it reads a body with a transfer coding that it
 //! does not know to the end of the connection, and forwards any status of three digits.
 
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::header::{CONTENT_LENGTH, IF_MODIFIED_SINCE, IF_NONE_MATCH, TRANSFER_ENCODING};
 use http::response::Parts;
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use strum::IntoStaticStr;
 use thiserror::Error;
 
+/// The least number that is no status code (RFC 9110, section 15).
+const STATUS_END: u16 = 600;
+
 /// Why a response is malformed.
 #[derive(Clone, Copy, Debug, Eq, Error, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
 pub enum Malformed {
+    /// A status code of no class.
+    #[error("status code of no class")]
+    Status,
+    /// The protocol of the connection is switched, which no request asks for.
+    #[error("switch to another protocol")]
+    ProtocolSwitch,
+    /// A body with a status that has none.
+    #[error("a body with a status that has none")]
+    UnexpectedBody,
     /// A transfer coding other than `chunked` alone, which cannot be undone here.
     #[error("transfer coding other than chunked")]
     TransferCoding,
@@ -27,11 +40,28 @@
     }
 }
 
-/// Checks the head of a response.
+/// Returns whether the response to a request may be 304. That one may have the length of the body
+/// that it leaves out.
+pub fn is_conditional<B>(request: &Request<B>) -> bool {
+    [IF_NONE_MATCH, IF_MODIFIED_SINCE].iter().any(|name| request.headers().contains_key(name))
+}
+
+/// Checks the head of the response to a request, which may be conditional.
 ///
 /// # Errors
 /// The head does not tell where the body ends, or contradicts itself.
-pub fn check(head: &Parts) -> Result<(), Malformed> {
+pub fn check(head: &Parts, is_conditional: bool) -> Result<(), Malformed> {
+    match head.status {
+        StatusCode::SWITCHING_PROTOCOLS => return Err(Malformed::ProtocolSwitch),
+        StatusCode::NOT_MODIFIED if is_conditional => {}
+        StatusCode::NO_CONTENT | StatusCode::RESET_CONTENT | StatusCode::NOT_MODIFIED
+            if announces_body(&head.headers) =>
+        {
+            return Err(Malformed::UnexpectedBody);
+        }
+        status if status.as_u16() >= STATUS_END => return Err(Malformed::Status),
+        _ => {}
+    }
     let mut codings = head.headers.get_all(TRANSFER_ENCODING).iter();
     if let Some(coding) = codings.next() {
         if codings.next().is_some() || !coding.as_bytes().eq_ignore_ascii_case(b"chunked") {
@@ -43,3 +73,9 @@
     }
     Ok(())
 }
+
+fn announces_body(headers: &HeaderMap) -> bool {
+    let is_empty = |length: &HeaderValue| length.as_bytes().iter().all(|digit| *digit == b'0');
+    headers.contains_key(TRANSFER_ENCODING)
+        || headers.get_all(CONTENT_LENGTH).iter().any(|length| !is_empty(length))
+}
--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -382,9 +382,10 @@
     ) -> Result<Answer, SendError> {
         let mut request = request.map(Full::new);
         let informational = Informational::watch(&mut request);
+        let is_conditional = framing::is_conditional(&request);
         while let Some(mut link) = take_idle() {
             match exchange(address, &mut link, request, delivery, &informational).await {
-                Ok(response) => return self.answer(address, link, key, response),
+                Ok(response) => return self.answer(address, link, key, is_conditional, response),
                 // It is retried on the next connection.
                 Err(Failed::Unsent(unsent)) => request = *unsent,
                 Err(Failed::Sent(error)) => return Err(error),
@@ -392,7 +393,7 @@
         }
         let mut link = connect.await?;
         match exchange(address, &mut link, request, delivery, &informational).await {
-            Ok(response) => self.answer(address, link, key, response),
+            Ok(response) => self.answer(address, link, key, is_conditional, response),
             Err(Failed::Unsent(_)) => Err(SendError::Unsent { peer: address }),
             Err(Failed::Sent(error)) => Err(error),
         }
@@ -403,6 +404,7 @@
         address: SocketAddr,
         mut link: Link,
         key: Option<CallKey>,
+        is_conditional: bool,
         response: Response<Incoming>,
     ) -> Result<Answer, SendError> {
         let (head, body) = response.into_parts();
@@ -410,7 +412,7 @@
             let detail = detail.to_owned();
             Err(SendError::Broken { peer: address, ordinal: link.ordinal, detail })
         };
-        if let Err(malformed) = framing::check(&head) {
+        if let Err(malformed) = framing::check(&head, is_conditional) {
             self.metrics.malformed_answers.with_label_values(&[malformed.label()]).inc();
             return Err(SendError::Malformed { peer: address, ordinal: link.ordinal, malformed });
         }
--- a/node/tests/malformed_responses.rs
+++ b/node/tests/malformed_responses.rs
@@ -2,7 +2,6 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use bytes::Bytes;
 use http::StatusCode;
 use sardinepick_testutils::cluster::wait_until;
 use sardinepick_testutils::fleet::caller::{Reply, RequestSpec};
@@ -119,6 +118,36 @@
     cases.chain([both, kind.success(&two, &kind.body(), End::Close)]).collect()
 }
 
+/// Responses whose status is none, or contradicts the rest of the head.
+fn wrong_status(kind: Kind) -> Vec<Case> {
+    let length = kind.length_field();
+    let lines = [
+        "HTTP/1.1 000 OK",
+        "HTTP/1.1 099 OK",
+        "HTTP/1.1 20 OK",
+        "HTTP/1.1 2000 OK",
+        "HTTP/1.1 2x0 OK",
+        "HTTP/1.1",
+        "HTTP/1.1 600 OK",
+        "HTTP/1.1 999 OK",
+        "HTTP/1.1 101 Switching Protocols",
+        "HTTP/0.9 200 OK",
+        "HTTP/1.2 200 OK",
+        "HTTP/2.0 200 OK",
+        "HTTX/1.1 200 OK",
+        "HTTP/1.1 200 O\u{1}K",
+        "HTTP/1.1 204 No Content",
+        "HTTP/1.1 205 Reset Content",
+        "HTTP/1.1 304 Not Modified",
+    ];
+    let mut cases: Vec<Case> =
+        lines.map(|line| kind.case(line, line, &length, &kind.body(), End::Close)).into();
+    let coding = "transfer-encoding: chunked\r\n";
+    let line = "HTTP/1.1 204 No Content";
+    cases.push(kind.case("204 chunked", line, coding, &kind.chunked(), End::Close));
+    cases
+}
+
 /// Responses with a line in the head that is no field.
 fn malformed_fields(kind: Kind) -> Vec<Case> {
     let lines = [
@@ -239,17 +268,16 @@
         Self { set, spoiler, next, sent: 0 }
     }
 
-    /// Sends a request that gets a response of the runner.
-    async fn send(&mut self, path: &str, body: Bytes, raw: Raw) -> Reply {
+    /// Sends a request, with an id of its own, that gets a response of the runner.
+    async fn send(&mut self, request: &RequestSpec<'_>, raw: Raw) -> Reply {
         let before = self.spoiler.spoilt();
         for _ in 0..MAX_TRIES {
             *self.next.lock().unwrap_or_else(PoisonError::into_inner) = Some(raw);
             let id = format!("case-{}", self.sent);
             self.sent += 1;
-            let spec = RequestSpec { body: body.clone(), ..RequestSpec::new(path, &id) };
-            let reply = self.set.send(0, &spec).await;
+            let reply = self.set.send(0, &RequestSpec { id: &id, ..request.clone() }).await;
             // A sound response restores the health of the runner.
-            self.set.send(0, &RequestSpec::new(path, &format!("next-{id}"))).await;
+            self.set.send(0, &RequestSpec::new(request.path, &format!("next-{id}"))).await;
             if self.spoiler.spoilt() > before {
                 return reply;
             }
@@ -259,7 +287,7 @@
 
     async fn send_case(&mut self, path: &str, case: &Case) -> Reply {
         let raw = Raw { bytes: case.response.clone().leak(), end: case.end };
-        self.send(path, Bytes::from_static(b"a brief"), raw).await
+        self.send(&RequestSpec::new(path, ""), raw).await
     }
 }
 
@@ -310,6 +338,26 @@
     check(unknown_framing, &BOTH, |reply, _| broken_fault(reply)).await;
 }
 
+/// Guards against a status that is none, or that contradicts the head, and is forwarded.
+#[tokio::test(flavor = "multi_thread")]
+async fn wrong_status_refused() {
+    check(wrong_status, &BOTH, |reply, _| broken_fault(reply)).await;
+}
+
+/// Guards against checks that refuse the 304 of a sound runner, which may have the length of the body
+/// that it leaves out.
+#[tokio::test]
+async fn not_modified_with_length_conditional_request_forwarded() {
+    let mut setup = Setup::direct(Kind::Plain).await;
+    let length = Kind::Plain.length_field();
+    let case = Kind::Plain.case("304", "HTTP/1.1 304 Not Modified", &length, "", End::Keep);
+    let raw = Raw { bytes: case.response.leak(), end: case.end };
+    let headers = [("if-none-match", "\"x\"")];
+    let spec = RequestSpec { headers: &headers, ..RequestSpec::new("/board/a", "") };
+    let reply = setup.send(&spec, raw).await;
+    assert_eq!((reply.status, reply.complete), (Some(StatusCode::NOT_MODIFIED), true));
+}
+
 /// Guards against a line of a head that is no field and is forwarded or ends the head.
 #[tokio::test(flavor = "multi_thread")]
 async fn malformed_fields_refused() {
