dial: a read after a failed write does not see the end of the connection

A runner answered a long upload at once with a 200 that had no length and reset the connection while the upload was still being written. The caller got what had arrived as a complete answer.

Cause: the kernel reports a reset once. If the write of the upload gets the report, the next read of the same socket returns 0, which is the end of a body without a length. Through a peer, the peer's write got the report and its read saw an end, which it passed on as one.

Change: the sockets that a node opens (to runners, the store and peers; a peer's socket to a runner is one of them) remember that a write has failed, and fail the read that would return 0 with the same kind of error. A peer then passes on a reset.

Evidence: reset_during_upload_not_complete and reset_during_upload_through_peer_not_complete: 48 uploads of 4 MB in each round on both plain routes, with resets 0 to 100 ms after the answer.

--- a/node/src/serve/dial.rs
+++ b/node/src/serve/dial.rs
@@ -10,6 +10,7 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 
+use crate::observed::{Observed, WriteFailure};
 use crate::serve::connection::prepare;
 
 /// A connection: bytes in both directions.
@@ -62,7 +63,7 @@
             let stream = TcpStream::connect(address).await?;
             prepare(&stream);
             discard_unsent_on_close(&stream);
-            Ok(Box::new(stream) as Box<dyn Stream>)
+            Ok(Box::new(Observed::new(stream, WriteFailure::default())) as Box<dyn Stream>)
         }
         .boxed()
     }
--- a/node/tests/malformed_responses.rs
+++ b/node/tests/malformed_responses.rs
@@ -1,7 +1,9 @@
 //! Runners whose responses are malformed HTTP, or end in a way that leaves open whether they are whole.
 
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
+use bytes::Bytes;
 use http::StatusCode;
 use sardinepick_testutils::cluster::wait_until;
 use sardinepick_testutils::fleet::caller::{Reply, RequestSpec};
@@ -369,3 +371,39 @@
 async fn sound_responses_served() {
     check(sound, &BOTH, sound_fault).await;
 }
+
+/// Sends uploads whose runner answers at once and resets the connection, and asserts that none gets a
+/// complete success.
+async fn check_resets(mut setup: Setup, fields: &str) {
+    let mut faults = Vec::new();
+    for delay in [0, 1, 2, 5, 10, 20, 50, 100] {
+        let end = End::ResetUnread(Duration::from_millis(delay));
+        for path in Kind::Plain.paths() {
+            for round in 0..3 {
+                let case = Kind::Plain.success(fields, BODY, end);
+                let raw = Raw { bytes: case.response.leak(), end };
+                let upload = Bytes::from(vec![b'u'; UPLOAD_BYTES]);
+                let spec = RequestSpec { body: upload, ..RequestSpec::new(path, "") };
+                let reply = setup.send(&spec, raw).await;
+                if reply.status == Some(StatusCode::OK) && reply.complete {
+                    faults.push(format!("{path}, {delay} ms, round {round}"));
+                }
+            }
+        }
+    }
+    assert!(faults.is_empty(), "{} complete:\n{}", faults.len(), faults.join("\n"));
+}
+
+/// Guards against a body without a length that seems to be whole though its connection was reset while
+/// the request was written: the reset is reported to the write alone.
+#[tokio::test(flavor = "multi_thread")]
+async fn reset_during_upload_not_complete() {
+    check_resets(Setup::direct(Kind::Plain).await, "").await;
+    check_resets(Setup::direct(Kind::Plain).await, CLOSE).await;
+}
+
+/// Guards against the same on connections through another node.
+#[tokio::test(flavor = "multi_thread")]
+async fn reset_during_upload_through_peer_not_complete() {
+    check_resets(Setup::relayed(Kind::Plain).await, "").await;
+}
