answers: what follows a body is checked before it counts as whole

A caller got a complete 200 with 0, 1, 2 or 11 bytes of a body of 12 when the digits of the runner's Content-Length were spoilt, though the other bytes had come in the same segment.

Cause: the end of a body was believed by its length alone. The HTTP client finds the rest once the connection would be idle, and closes it; that came after the body had been passed on.

Change: the body of an answer ends only once its connection is idle with nothing left to read, or has ended. The task of the connection hands over what the HTTP client had read beyond the answer. A connection carries one request at a time, so such bytes mean that the body was longer than the head said, and the answer is malformed: 502, another attempt where the route allows one, or a stream that is broken off. Bytes that begin a response are the exception: a runner may send a second one, which belongs to no request. If the request itself is still being written, its end is awaited for 10 ms.

Not covered: a shorter length whose rest arrives later than the end that it tells, or not at all; the rest of an answer that ends before its request has been written.

--- a/node/src/framing/mod.rs
+++ b/node/src/framing/mod.rs
@@ -12,6 +12,8 @@
 /// The least number that is no status code (RFC 9110, section 15).
 const STATUS_END: u16 = 600;
 
+const RESPONSE_START: &[u8] = b"HTTP/1.";
+
 /// Why a response is malformed.
 #[derive(Clone, Copy, Debug, Eq, Error, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
@@ -31,6 +33,9 @@
     /// A length and a transfer coding.
     #[error("both a length and a transfer coding")]
     AmbiguousLength,
+    /// Bytes that are no response follow the body.
+    #[error("the body goes on behind its end")]
+    TrailingBytes,
 }
 
 impl Malformed {
@@ -74,6 +79,18 @@
     Ok(())
 }
 
+/// Checks what follows a body at once. A runner may send a second response, which belongs to no
+/// request and does not affect the first.
+///
+/// # Errors
+/// The bytes are no response: the body was longer than its head or its chunks said.
+pub fn check_rest(rest: &[u8]) -> Result<(), Malformed> {
+    if rest.is_empty() || rest.starts_with(RESPONSE_START) {
+        return Ok(());
+    }
+    Err(Malformed::TrailingBytes)
+}
+
 fn announces_body(headers: &HeaderMap) -> bool {
     let is_empty = |length: &HeaderValue| length.as_bytes().iter().all(|digit| *digit == b'0');
     headers.contains_key(TRANSFER_ENCODING)
--- /dev/null
+++ b/node/src/serve/answer_body.rs
@@ -0,0 +1,96 @@
+//! The body of an answer, which ends only once what follows it is known.
+
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+
+use crate::framing::{self, Malformed};
+use crate::serve::connection::Lease;
+
+/// Why a body is not whole.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The connection broke.
+    #[error(transparent)]
+    Connection(#[from] hyper::Error),
+    /// The body does not end where the head says.
+    #[error(transparent)]
+    Malformed(#[from] Malformed),
+}
+
+/// How far a body has been read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Progress {
+    /// Its content follows.
+    Content,
+    /// What follows it is awaited.
+    Rest,
+    /// It is whole.
+    Whole,
+}
+
+/// The body of an answer, and the connection that it comes over.
+pub struct Body {
+    content: Incoming,
+    progress: Progress,
+    lease: Option<Lease>,
+}
+
+impl Body {
+    pub(super) fn new(content: Incoming, lease: Lease) -> Self {
+        Self { content, progress: Progress::Content, lease: Some(lease) }
+    }
+
+    /// Whether the head says that there is no content.
+    pub fn is_empty(&self) -> bool {
+        self.content.is_end_stream()
+    }
+
+    /// Returns the connection to the pool, once the body has been read to its end.
+    pub fn return_connection(&mut self) {
+        if let Some(lease) = self.lease.take() {
+            lease.return_to_pool();
+        }
+    }
+
+    /// Closes the connection if the body is malformed.
+    fn check(&mut self, checked: Result<(), Malformed>) -> Result<(), Error> {
+        if let (Err(malformed), Some(lease)) = (checked, &self.lease) {
+            lease.note_malformed(malformed);
+            self.lease = None;
+        }
+        checked.map_err(Error::from)
+    }
+}
+
+impl HttpBody for Body {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        if self.progress == Progress::Content {
+            let frame = ready!(Pin::new(&mut self.content).poll_frame(context)).transpose()?;
+            if let Some(frame) = frame {
+                return Poll::Ready(Some(Ok(frame)));
+            }
+            self.progress = Progress::Rest;
+        }
+        if self.progress == Progress::Whole {
+            return Poll::Ready(None);
+        }
+        let Some(lease) = &mut self.lease else { return Poll::Ready(None) };
+        let rest = ready!(lease.poll_rest(context));
+        self.check(framing::check_rest(&rest))?;
+        self.progress = Progress::Whole;
+        Poll::Ready(None)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.content.size_hint()
+    }
+}
--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -6,11 +6,13 @@
 //! expected, the id tells it apart; so a connection that has answered a call recently is not reused
 //! for the same call.
 
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -28,13 +30,15 @@
 use sardinepick_platform::answer::{answered_id, is_merged, keep_alive};
 use socket2::SockRef;
 use thiserror::Error;
+use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{Sleep, sleep, timeout};
 
 use crate::framing::{self, Malformed};
 use crate::holding::Hold;
 use crate::limit::Denied;
+use crate::serve::answer_body;
 use crate::serve::delivery::Delivery;
 use crate::serve::dial::{Dial, Failure, Stream};
 use crate::serve::execution::Proof;
@@ -168,6 +172,9 @@
 const MAX_DISCARDED_BYTES: usize = 16 << 10;
 /// How long such a body may take.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long the end of an answer waits for that of its request, without which what follows the
+/// answer is not known: a runner may answer before it has read a request.
+const END_TIMEOUT: Duration = Duration::from_millis(10);
 /// The timeout of a probe: many times the round trip between data centres.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -187,9 +194,11 @@
     /// Its head.
     pub head: Parts,
     /// Its body.
-    pub body: Incoming,
-    /// The connection that it came over.
-    pub lease: Lease,
+    pub body: answer_body::Body,
+    way: Way,
+    ordinal: Ordinal,
+    address: SocketAddr,
+    intake: Intake,
 }
 
 /// The body of an answer is truncated.
@@ -211,12 +220,12 @@
 impl Answer {
     /// The way of the connection that it came over.
     pub fn way(&self) -> Way {
-        self.lease.link.way
+        self.way
     }
 
     /// The call that it answers.
     pub fn ordinal(&self) -> Ordinal {
-        self.lease.link.ordinal
+        self.ordinal
     }
 
     /// Reads the whole body, up to `max_bytes`, and returns the connection to the pool. A large body
@@ -224,21 +233,20 @@
     ///
     /// # Errors
     /// The body is truncated or larger.
-    pub async fn read(self, max_bytes: usize) -> Result<(Parts, Bytes), Incomplete> {
+    pub async fn read(mut self, max_bytes: usize) -> Result<(Parts, Bytes), Incomplete> {
         let length = self.body.size_hint().exact().and_then(|length| length.try_into().ok());
-        let (mut body, mut whole) = (Limited::new(self.body, max_bytes), BytesMut::new());
+        let (mut body, mut whole) = (Limited::new(&mut self.body, max_bytes), BytesMut::new());
         let mut space = None;
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|error| Incomplete(error.to_string()))?;
             // Trailers are ignored.
             let Ok(data) = frame.into_data() else { continue };
             if space.is_none() && whole.len() + data.len() > UNRESERVED_BYTES {
-                let intake = &self.lease.connections.intake;
-                space = Some(intake.reserve(length.unwrap_or(max_bytes)).await);
+                space = Some(self.intake.reserve(length.unwrap_or(max_bytes)).await);
             }
             whole.extend_from_slice(&data);
         }
-        self.lease.return_to_pool();
+        self.body.return_connection();
         Ok((self.head, whole.freeze()))
     }
 
@@ -248,11 +256,11 @@
     /// # Errors
     /// The body is truncated or larger, or nothing was received for too long.
     pub async fn read_with_idle_timeout(
-        self,
+        mut self,
         max_bytes: usize,
         idle_timeout: Duration,
     ) -> Result<(Parts, Bytes), Incomplete> {
-        let (mut body, mut whole) = (Limited::new(self.body, max_bytes), BytesMut::new());
+        let (mut body, mut whole) = (Limited::new(&mut self.body, max_bytes), BytesMut::new());
         loop {
             let frame = timeout(idle_timeout, body.frame()).await;
             let frame = frame.map_err(|_| Incomplete(format!("no data for {idle_timeout:?}")))?;
@@ -263,7 +271,7 @@
                 whole.extend_from_slice(&data);
             }
         }
-        self.lease.return_to_pool();
+        self.body.return_connection();
         Ok((self.head, whole.freeze()))
     }
 
@@ -273,7 +281,7 @@
     /// # Errors
     /// The body is truncated or larger, or there is no space for it.
     pub async fn read_into(
-        self,
+        mut self,
         hold: &Hold,
         max_bytes: usize,
     ) -> Result<(Parts, Size), ReadError> {
@@ -281,7 +289,7 @@
         if let Some(length) = known {
             hold.grow(Size(length)).await.map_err(ReadError::Full)?;
         }
-        let (mut body, mut size) = (Limited::new(self.body, max_bytes), Size::ZERO);
+        let (mut body, mut size) = (Limited::new(&mut self.body, max_bytes), Size::ZERO);
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|error| Incomplete(error.to_string()))?;
             // Trailers are ignored.
@@ -294,18 +302,18 @@
             hold.push(Bytes::copy_from_slice(&data));
             hold.take(Size::ZERO);
         }
-        self.lease.return_to_pool();
+        self.body.return_connection();
         Ok((self.head, size))
     }
 
     /// Drops the body without waiting for it. A short one is read, so that the connection can be
     /// reused; if it is truncated, large or slow, the connection is closed.
-    pub fn discard(self) {
-        if self.body.is_end_stream() {
-            self.lease.return_to_pool();
+    pub fn discard(mut self) {
+        if self.body.is_empty() {
+            self.body.return_connection();
             return;
         }
-        let (peer, ordinal) = (self.lease.address, self.ordinal());
+        let (peer, ordinal) = (self.address, self.ordinal());
         if self.body.size_hint().lower() > MAX_DISCARDED_BYTES as u64 {
             log::info!(peer:% = peer, over:% = ordinal; "connection closed: large body not used");
             return;
@@ -330,9 +338,31 @@
     address: SocketAddr,
     link: Link,
     idle_timeout: Option<Duration>,
+    /// How long what follows the answer is still awaited, once that has to be awaited.
+    patience: Option<Pin<Box<Sleep>>>,
 }
 
 impl Lease {
+    /// Waits for what follows an answer at once. Nothing does if the connection is idle then.
+    pub(super) fn poll_rest(&mut self, context: &mut Context<'_>) -> Poll<Bytes> {
+        let is_idle = self.link.sender.poll_ready(context);
+        if let Poll::Ready(Ok(())) = is_idle {
+            return Poll::Ready(Bytes::new());
+        }
+        if is_idle.is_ready()
+            && let Poll::Ready(rest) = Pin::new(&mut self.link.rest).poll(context)
+        {
+            return Poll::Ready(rest.unwrap_or_default());
+        }
+        let patience = self.patience.get_or_insert_with(|| Box::pin(sleep(END_TIMEOUT)));
+        patience.as_mut().poll(context).map(|()| Bytes::new())
+    }
+
+    /// Counts a malformed answer.
+    pub(super) fn note_malformed(&self, malformed: Malformed) {
+        self.connections.note_malformed(malformed);
+    }
+
     /// Returns the connection to the pool, once the whole answer has been read.
     pub fn return_to_pool(self) {
         let Some(keep) = self.idle_timeout.and_then(|t| t.checked_sub(IDLE_MARGIN)) else { return };
@@ -413,7 +443,7 @@
             Err(SendError::Broken { peer: address, ordinal: link.ordinal, detail })
         };
         if let Err(malformed) = framing::check(&head, is_conditional) {
-            self.metrics.malformed_answers.with_label_values(&[malformed.label()]).inc();
+            self.note_malformed(malformed);
             return Err(SendError::Malformed { peer: address, ordinal: link.ordinal, malformed });
         }
         let reason = head.extensions.get::<ReasonPhrase>();
@@ -432,8 +462,15 @@
             link.note_answered(key);
         }
         let idle_timeout = keep_alive(&head.headers, DEFAULT_IDLE_TIMEOUT);
-        let lease = Lease { connections: self.clone(), address, link, idle_timeout };
-        Ok(Answer { head, body, lease })
+        let (way, ordinal, intake) = (link.way, link.ordinal, self.intake.clone());
+        let lease =
+            Lease { connections: self.clone(), address, link, idle_timeout, patience: None };
+        let body = answer_body::Body::new(body, lease);
+        Ok(Answer { head, body, way, ordinal, address, intake })
+    }
+
+    fn note_malformed(&self, malformed: Malformed) {
+        self.metrics.malformed_answers.with_label_values(&[malformed.label()]).inc();
     }
 
     /// Takes the connection that has been idle longest, if `may_reuse` permits that for the time
@@ -522,13 +559,21 @@
         builder.max_buf_size(READ_BUFFER);
         let handshake = builder.handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(failed)?;
+        let (rest_sender, rest) = oneshot::channel();
         tokio::spawn(async move {
-            if let Err(error) = connection.await {
+            let mut connection = connection;
+            if let Err(error) = poll_fn(|context| connection.poll_without_shutdown(context)).await {
                 log::debug!(peer:% = address, error:% = error; "connection closed");
             }
+            let hyper::client::conn::http1::Parts { io, read_buf, .. } = connection.into_parts();
+            // Nobody waits for it if the connection was idle.
+            let _ = rest_sender.send(read_buf);
+            if let Err(error) = io.into_inner().shutdown().await {
+                log::debug!(peer:% = address, error:% = error; "connection not shut down");
+            }
         });
         let connection = self.made.fetch_add(1, Ordering::Relaxed) + 1;
-        Ok(Link::new(sender, way, connection))
+        Ok(Link::new(sender, rest, way, connection))
     }
 }
 
--- a/node/src/serve/generation/run.rs
+++ b/node/src/serve/generation/run.rs
@@ -6,7 +6,6 @@
 use http::header::CONTENT_LENGTH;
 use http::response::Parts;
 use http_body_util::BodyExt as _;
-use hyper::body::Incoming;
 use sardinepick_lib::fleet::cache::Progress;
 use sardinepick_lib::fleet::event::{Event, MAX_EVENT_BYTES, Splitter};
 use sardinepick_lib::fleet::health::Outcome;
@@ -25,7 +24,8 @@
 use super::{Generation, MAX_ANSWER_BYTES};
 use crate::fair_share::StreamMeter;
 use crate::part_quarantine;
-use crate::serve::connection::{Answer, Lease};
+use crate::serve::answer_body::Body;
+use crate::serve::connection::Answer;
 use crate::serve::execution::Proof;
 use crate::serve::intake::{Space, UNRESERVED_BYTES};
 use crate::serve::quarantine::{self, Trial};
@@ -247,8 +247,7 @@
     /// The head of the response, without the length of the body: the caller may receive events of
     /// several runs.
     pub head: Parts,
-    body: Incoming,
-    lease: Option<Lease>,
+    body: Body,
     splitter: Splitter,
     /// Space for a large event.
     space: Option<Space>,
@@ -277,7 +276,7 @@
         is_whole: bool,
         version: Version,
     ) -> Self {
-        let Answer { mut head, body, lease } = answer;
+        let Answer { mut head, body, .. } = answer;
         head.headers.remove(CONTENT_LENGTH);
         let received_before = generation.attempts().received();
         Self {
@@ -285,7 +284,6 @@
             reservation,
             head,
             body,
-            lease: Some(lease),
             splitter: Splitter::default(),
             space: None,
             is_whole,
@@ -393,9 +391,7 @@
             self.log_broken("ended within an event");
             return RunStep::Broken { begun: true };
         }
-        if let Some(lease) = self.lease.take() {
-            lease.return_to_pool();
-        }
+        self.body.return_connection();
         self.reservation.conclude(Outcome::Answered);
         if self.events < PROGRESS_EVENTS {
             self.note_progress();
--- a/node/src/serve/idle.rs
+++ b/node/src/serve/idle.rs
@@ -15,6 +15,7 @@
 use sardinepick_lib::id::NodeId;
 use sardinepick_platform::runner::request_id;
 use smallvec::SmallVec;
+use tokio::sync::oneshot;
 
 use crate::lock::lock;
 
@@ -77,14 +78,21 @@
     pub peer: Option<NodeId>,
     /// The call that it carries, or carried last.
     pub ordinal: Ordinal,
+    /// What had been read of the connection beyond its answers, once it has ended.
+    pub(super) rest: oneshot::Receiver<Bytes>,
     /// The calls that were answered last.
     answered: SmallVec<[CallKey; MAX_ANSWERED]>,
 }
 
 impl Link {
-    pub(super) fn new(sender: SendRequest<Full<Bytes>>, way: Way, connection: u64) -> Self {
+    pub(super) fn new(
+        sender: SendRequest<Full<Bytes>>,
+        rest: oneshot::Receiver<Bytes>,
+        way: Way,
+        connection: u64,
+    ) -> Self {
         let ordinal = Ordinal { connection, call: 0 };
-        Self { sender, way, peer: None, ordinal, answered: SmallVec::new() }
+        Self { sender, way, peer: None, ordinal, rest, answered: SmallVec::new() }
     }
 
     /// Records that a call is sent.
