answers: trailer fields must have been announced

A caller got a stream as complete, without any event, when the size of its chunk was spoilt to 0.

Cause: what follows a chunk of size 0 is read as trailer fields, and the lines of events ('id: 1') look like fields. Trailer fields were ignored.

Change: trailer fields that the head does not announce in Trailer make the answer malformed. No request asks for trailers (TE is not forwarded), so a sound runner that sends some announces them (RFC 9110, section 6.6.2).

Evidence: malformed_chunks_not_complete.

--- a/node/src/framing/mod.rs
+++ b/node/src/framing/mod.rs
@@ -5,7 +5,7 @@
 
 use http::header::{CONTENT_LENGTH, IF_MODIFIED_SINCE, IF_NONE_MATCH, TRANSFER_ENCODING};
 use http::response::Parts;
-use http::{HeaderMap, HeaderValue, Request, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
 use strum::IntoStaticStr;
 use thiserror::Error;
 
@@ -33,6 +33,10 @@
     /// A length and a transfer coding.
     #[error("both a length and a transfer coding")]
     AmbiguousLength,
+    /// A trailer field that the head does not announce. In what looks like one, the rest of a body
+    /// may be lost whose chunk has a wrong size.
+    #[error("a trailer field that was not announced")]
+    UnannouncedTrailer,
     /// Bytes that are no response follow the body.
     #[error("the body goes on behind its end")]
     TrailingBytes,
@@ -79,6 +83,19 @@
     Ok(())
 }
 
+/// Checks the trailer fields behind a chunked body against the values of `Trailer` in its head.
+///
+/// # Errors
+/// One of them is not announced.
+pub fn check_trailers(announced: &[HeaderValue], trailers: &HeaderMap) -> Result<(), Malformed> {
+    let lists = || announced.iter().filter_map(|value| value.to_str().ok());
+    let is_announced = |field: &HeaderName| {
+        let mut names = lists().flat_map(|list| list.split(','));
+        names.any(|name| name.trim().eq_ignore_ascii_case(field.as_str()))
+    };
+    if trailers.keys().all(is_announced) { Ok(()) } else { Err(Malformed::UnannouncedTrailer) }
+}
+
 /// Checks what follows a body at once. A runner may send a second response, which belongs to no
 /// request and does not affect the first.
 ///
--- a/node/src/serve/answer_body.rs
+++ b/node/src/serve/answer_body.rs
@@ -4,6 +4,9 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
+use http::HeaderValue;
+use http::header::TRAILER;
+use http::response::Parts;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 
 use crate::framing::{self, Malformed};
@@ -35,12 +38,15 @@
 pub struct Body {
     content: Incoming,
     progress: Progress,
+    /// The values of `Trailer` in the head.
+    announced: Vec<HeaderValue>,
     lease: Option<Lease>,
 }
 
 impl Body {
-    pub(super) fn new(content: Incoming, lease: Lease) -> Self {
-        Self { content, progress: Progress::Content, lease: Some(lease) }
+    pub(super) fn new(head: &Parts, content: Incoming, lease: Lease) -> Self {
+        let announced = head.headers.get_all(TRAILER).iter().cloned().collect();
+        Self { content, progress: Progress::Content, announced, lease: Some(lease) }
     }
 
     /// Whether the head says that there is no content.
@@ -75,6 +81,10 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         if self.progress == Progress::Content {
             let frame = ready!(Pin::new(&mut self.content).poll_frame(context)).transpose()?;
+            if let Some(trailers) = frame.as_ref().and_then(Frame::trailers_ref) {
+                let checked = framing::check_trailers(&self.announced, trailers);
+                self.check(checked)?;
+            }
             if let Some(frame) = frame {
                 return Poll::Ready(Some(Ok(frame)));
             }
--- a/node/tests/malformed_responses.rs
+++ b/node/tests/malformed_responses.rs
@@ -132,6 +132,30 @@
     cases
 }
 
+/// Chunked responses whose chunks are malformed.
+fn malformed_chunks(kind: Kind) -> Vec<Case> {
+    let (body, length) = (kind.body(), kind.body().len());
+    let chunks = [
+        format!("x\r\n{body}\r\n0\r\n\r\n"),
+        format!("-{length:x}\r\n{body}\r\n0\r\n\r\n"),
+        format!("{:x}\r\n{body}\r\n0\r\n\r\n", length + 1),
+        format!("{:x}\r\n{body}\r\n0\r\n\r\n", length - 1),
+        format!("ffffffffffffffffff\r\n{body}\r\n0\r\n\r\n"),
+        format!("\r\n{body}\r\n0\r\n\r\n"),
+        format!("0\r\n{body}\r\n0\r\n\r\n"),
+        format!("{length:x}\r\n{body}\r\n"),
+        format!("{length:x}\r\n{body}\r\n0\r\n"),
+        format!("{length:x}\r\n{body}\r\n0\r\nno field\r\n\r\n"),
+        format!("{length:x}\r\n{body}\r\n0\r\nx: y\r\n\r\n"),
+    ];
+    let fields = "transfer-encoding: chunked\r\n";
+    let case = |content: &String| Case {
+        name: format!("{content:?}"),
+        ..kind.success(fields, content, End::Close)
+    };
+    chunks.iter().map(case).collect()
+}
+
 /// Responses whose status is none, or contradicts the rest of the head.
 fn wrong_status(kind: Kind) -> Vec<Case> {
     let length = kind.length_field();
@@ -370,6 +394,13 @@
     check(wrong_length, &[Kind::Stream], |reply, _| cut_fault(reply)).await;
 }
 
+/// Guards against a body with a malformed chunk that seems to be whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_chunks_not_complete() {
+    check(malformed_chunks, &[Kind::Plain], |reply, _| broken_fault(reply)).await;
+    check(malformed_chunks, &[Kind::Stream], |reply, _| cut_fault(reply)).await;
+}
+
 /// Guards against a status that is none, or that contradicts the head, and is forwarded.
 #[tokio::test(flavor = "multi_thread")]
 async fn wrong_status_refused() {
