answers: a body that begins with its own framing is malformed

Callers got a complete 200 with the sizes of chunks in its body when the name of the runner's Transfer-Encoding was spoilt, or the line was missing, and the connection was closed; and one with the rest of the head in its body when an empty line came before Content-Length.

Cause: without a field that frames it, a body ends with its connection. Sound runners send such bodies, so the head alone does not tell.

Change: a body that ends with its connection is scanned as it is read. It is malformed if it is a whole chunked body up to its last chunk, or if it begins with field lines up to an empty line, among them Content-Length, Transfer-Encoding, Connection or Keep-Alive. The first line of an event stream is never a number, so there the first size is enough, before any event is forwarded. httparse, which the HTTP client uses, reads sizes and fields.

Weighed: to refuse an HTTP/1.1 answer without framing that does not announce its close, if its runner has sent lengths before. That would refuse sound answers of runners that mix both.

Not covered: a plain chunked body whose framing is lost and that is cut before its last chunk.

--- a/node/src/framing/mod.rs
+++ b/node/src/framing/mod.rs
@@ -3,6 +3,8 @@
 //! The HTTP client accepts some heads that do not: it reads a body with a transfer coding that it
 //! does not know to the end of the connection, and forwards any status of three digits.
 
+pub mod remnant;
+
 use http::header::{CONTENT_LENGTH, IF_MODIFIED_SINCE, IF_NONE_MATCH, TRANSFER_ENCODING};
 use http::response::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
@@ -33,6 +35,9 @@
     /// A length and a transfer coding.
     #[error("both a length and a transfer coding")]
     AmbiguousLength,
+    /// A body that ends with its connection and begins with what belongs to its framing.
+    #[error("the body begins with a part of the head or with the size of a chunk")]
+    LostFraming,
     /// A trailer field that the head does not announce. In what looks like one, the rest of a body
     /// may be lost whose chunk has a wrong size.
     #[error("a trailer field that was not announced")]
@@ -108,6 +113,11 @@
     Err(Malformed::TrailingBytes)
 }
 
+/// Returns whether a body ends with its connection.
+pub fn ends_with_connection(head: &Parts) -> bool {
+    ![CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| head.headers.contains_key(name))
+}
+
 fn announces_body(headers: &HeaderMap) -> bool {
     let is_empty = |length: &HeaderValue| length.as_bytes().iter().all(|digit| *digit == b'0');
     headers.contains_key(TRANSFER_ENCODING)
--- a/node/src/serve/answer_body.rs
+++ b/node/src/serve/answer_body.rs
@@ -8,7 +8,9 @@
 use http::header::TRAILER;
 use http::response::Parts;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use sardinepick_platform::answer::is_stream;
 
+use crate::framing::remnant::Scan;
 use crate::framing::{self, Malformed};
 use crate::serve::connection::Lease;
 
@@ -40,13 +42,16 @@
     progress: Progress,
     /// The values of `Trailer` in the head.
     announced: Vec<HeaderValue>,
+    /// Looks for lost framing if the body ends with the connection.
+    scan: Option<Scan>,
     lease: Option<Lease>,
 }
 
 impl Body {
     pub(super) fn new(head: &Parts, content: Incoming, lease: Lease) -> Self {
         let announced = head.headers.get_all(TRAILER).iter().cloned().collect();
-        Self { content, progress: Progress::Content, announced, lease: Some(lease) }
+        let scan = framing::ends_with_connection(head).then(|| Scan::new(is_stream(&head.headers)));
+        Self { content, progress: Progress::Content, announced, scan, lease: Some(lease) }
     }
 
     /// Whether the head says that there is no content.
@@ -85,9 +90,17 @@
                 let checked = framing::check_trailers(&self.announced, trailers);
                 self.check(checked)?;
             }
+            if let (Some(scan), Some(data)) =
+                (&mut self.scan, frame.as_ref().and_then(Frame::data_ref))
+            {
+                let checked = scan.push(data);
+                self.check(checked)?;
+            }
             if let Some(frame) = frame {
                 return Poll::Ready(Some(Ok(frame)));
             }
+            let checked = self.scan.as_ref().map_or(Ok(()), Scan::finish);
+            self.check(checked)?;
             self.progress = Progress::Rest;
         }
         if self.progress == Progress::Whole {
--- a/node/tests/malformed_responses.rs
+++ b/node/tests/malformed_responses.rs
@@ -120,6 +120,27 @@
     cases.chain([both, kind.success(&two, &kind.body(), End::Close)]).collect()
 }
 
+/// Responses whose field that frames the body is lost, so that the end of the connection seems to
+/// end it.
+fn lost_framing(kind: Kind) -> Vec<Case> {
+    let mut cases = Vec::new();
+    for content in [kind.chunked(), kind.chunked_by_line()] {
+        for fields in ["", CLOSE, "transfer-encodinx: chunked\r\n", "ransfer-encoding: chunked\r\n"]
+        {
+            cases.push(kind.success(fields, &content, End::Close));
+        }
+    }
+    let empty_lines = [
+        format!("\r\n{}", kind.length_field()),
+        format!("\r\n{CLOSE}{}", kind.length_field()),
+        format!("{CLOSE}\r\nserver: x\r\n{}date: y\r\n", kind.length_field()),
+    ];
+    cases.extend(empty_lines.map(|fields| kind.success(&fields, &kind.body(), End::Close)));
+    let coded = "\r\ntransfer-encoding: chunked\r\n";
+    cases.push(kind.success(coded, &kind.chunked(), End::Close));
+    cases
+}
+
 /// Responses that go on at once where their length says that they end.
 fn wrong_length(kind: Kind) -> Vec<Case> {
     let mut cases = Vec::new();
@@ -387,6 +408,12 @@
     check(unknown_framing, &BOTH, |reply, _| broken_fault(reply)).await;
 }
 
+/// Guards against the rest of a head, or the sizes of chunks, that are read as a part of the body.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_framing_not_complete() {
+    check(lost_framing, &BOTH, |reply, _| broken_fault(reply)).await;
+}
+
 /// Guards against a body that is cut where a wrong length ends it.
 #[tokio::test(flavor = "multi_thread")]
 async fn wrong_length_not_complete() {
