platform: the success of a run is signed

Callers got a complete 200 without Response-Signature when the runner's line with it was spoilt in its name, or missing. Without it a 2xx does not count as the runner's.

Cause: the signature was forwarded like any field, and nothing looked whether it was there.

Change: the answer to a run that is a success without a signature is not used, like an answer to another request: 502, or another attempt where the route allows one. 'success without a signature' is logged and counted as unsigned in sardinepick_malformed_answers_total. Prefills, health checks and orders have none, as before.

--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -27,7 +27,7 @@
 use sardinepick_lib::fleet::holding::Size;
 use sardinepick_lib::fleet::holding::ledger::Cause;
 use sardinepick_lib::id::RunnerId;
-use sardinepick_platform::answer::{answered_id, is_merged, keep_alive};
+use sardinepick_platform::answer::{Verdict, answered_id, is_merged, keep_alive};
 use socket2::SockRef;
 use thiserror::Error;
 use tokio::io::AsyncWriteExt as _;
@@ -469,6 +469,15 @@
         Ok(Answer { head, body, way, ordinal, address, intake })
     }
 
+    /// Counts an answer that is not used by its verdict, and returns the reason for logs.
+    pub fn note_unusable(&self, verdict: &Verdict) -> &'static str {
+        if *verdict == Verdict::Unsigned {
+            self.metrics.malformed_answers.with_label_values(&["unsigned"]).inc();
+            return "success without a signature";
+        }
+        "answer to another request"
+    }
+
     fn note_malformed(&self, malformed: Malformed) {
         self.metrics.malformed_answers.with_label_values(&[malformed.label()]).inc();
     }
--- a/node/src/serve/execution.rs
+++ b/node/src/serve/execution.rs
@@ -38,7 +38,7 @@
         match verdict {
             Verdict::OtherInstance => Some(Proof::OtherInstance),
             Verdict::NotRun => Some(Proof::Rejected),
-            Verdict::Ran | Verdict::Mismatched => None,
+            Verdict::Ran | Verdict::Mismatched | Verdict::Unsigned => None,
         }
     }
 
--- a/node/src/serve/generation/run.rs
+++ b/node/src/serve/generation/run.rs
@@ -15,7 +15,7 @@
 use sardinepick_lib::fleet::scheduler::Observation;
 use sardinepick_lib::fleet::version::Version;
 use sardinepick_lib::id::{RunnerId, ServiceId};
-use sardinepick_platform::answer::{Verdict, classify, is_stream};
+use sardinepick_platform::answer::{Verdict, classify_run, is_stream};
 use sardinepick_platform::runner::CallKind;
 
 use super::attempt::{Failure, Placed, Prepared};
@@ -160,7 +160,7 @@
             }
         };
         drop(arrival);
-        let verdict = classify(answer.head.status, &answer.head.headers, id, &self.request.id);
+        let verdict = classify_run(answer.head.status, &answer.head.headers, id, &self.request.id);
         if let Some(proof) = Proof::of_verdict(&verdict) {
             if let Some(trial) = &mut placed.trial {
                 trial.note_not_run();
@@ -193,13 +193,13 @@
                 Ok((run, first))
             }
             Verdict::Ran => Err(self.read_plain(&mut reservation, answer, is_trial).await),
-            Verdict::Mismatched | Verdict::NotRun | Verdict::OtherInstance => {
+            Verdict::Unsigned | Verdict::Mismatched | Verdict::NotRun | Verdict::OtherInstance => {
                 reservation.conclude(Outcome::Broken);
                 reservation.count_unanswered(None);
+                let reason = self.shared.connections.note_unusable(&verdict);
                 log::warn!(
                     request:% = self.request.id, runner:% = id,
-                    status = answer.head.status.as_u16(), over:% = answer.ordinal();
-                    "answer to another request"
+                    status = answer.head.status.as_u16(), over:% = answer.ordinal(); "{reason}"
                 );
                 Err(Failure::Broken)
             }
--- a/node/src/serve/plain.rs
+++ b/node/src/serve/plain.rs
@@ -16,7 +16,7 @@
 use sardinepick_lib::fleet::register_version::RegisterVersion;
 use sardinepick_lib::fleet::suspect::{QUARANTINE_ENDS, RunProgress};
 use sardinepick_lib::id::RunnerId;
-use sardinepick_platform::answer::{Verdict, classify};
+use sardinepick_platform::answer::{Verdict, classify_run};
 use sardinepick_platform::runner::{Call, CallKind, request as call_request};
 use smallvec::SmallVec;
 use tokio::time::timeout;
@@ -474,7 +474,7 @@
         hold: &Arc<Hold>,
     ) -> Result<CallResult, SendError> {
         let request = self.request;
-        let verdict = classify(answer.head.status, &answer.head.headers, id, &request.id);
+        let verdict = classify_run(answer.head.status, &answer.head.headers, id, &request.id);
         if let Some(proof) = Proof::of_verdict(&verdict) {
             if proof == Proof::OtherInstance {
                 let now = self.shared.clock.now();
@@ -487,10 +487,11 @@
             answer.discard();
             return Ok(CallResult::NotRun(proof));
         }
-        if verdict == Verdict::Mismatched {
+        if matches!(verdict, Verdict::Mismatched | Verdict::Unsigned) {
+            let reason = self.shared.connections.note_unusable(&verdict);
             log::warn!(
                 request:% = request.id, runner:% = id, status = answer.head.status.as_u16(),
-                over:% = answer.ordinal(); "answer to another request"
+                over:% = answer.ordinal(); "{reason}"
             );
             return Ok(CallResult::MaybeRun);
         }
--- a/node/tests/malformed_responses.rs
+++ b/node/tests/malformed_responses.rs
@@ -207,6 +207,18 @@
     cases
 }
 
+/// Successes without the field by which their runner proves that they are its own.
+fn unsigned(kind: Kind) -> Vec<Case> {
+    let signed = kind.success(&kind.length_field(), &kind.body(), End::Keep);
+    let fields = ["", "response-signatur: s\r\n", "response-signaturf: s\r\n"];
+    let case = |field: &str| Case {
+        name: field.to_owned(),
+        response: signed.response.replace("response-signature: s\r\n", field),
+        ..signed.clone()
+    };
+    fields.map(case).into()
+}
+
 /// Responses with a line in the head that is no field.
 fn malformed_fields(kind: Kind) -> Vec<Case> {
     let lines = [
@@ -454,6 +466,12 @@
     check(malformed_fields, &BOTH, |reply, _| broken_fault(reply)).await;
 }
 
+/// Guards against successes without a signature that are forwarded.
+#[tokio::test(flavor = "multi_thread")]
+async fn unsigned_success_refused() {
+    check(unsigned, &BOTH, |reply, _| broken_fault(reply)).await;
+}
+
 /// Guards against checks that refuse responses of sound runners.
 #[tokio::test(flavor = "multi_thread")]
 async fn sound_responses_served() {
