store, cli: the length of a response is bounded

A response without end was kept whole by a node that does not run on the users' platform, if it came from its platform, and by the command line, if it came from a node; the latter has no time limit either.

Cause: both collected a body without a limit.

Change: 16 MB at most; a longer response counts as lost.

Elsewhere bodies are bounded already: answers of runners and of the store by their callers' limits and the ledger (endless_responses), queries of engines and plain services by limits of their own, messages of peers by the codec.

--- a/cli/src/client.rs
+++ b/cli/src/client.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::{Method, Request, StatusCode, header};
-use http_body_util::{BodyExt as _, Full};
+use http_body_util::{BodyExt as _, Full, Limited};
 use hyper_util::client::legacy::Client as Http;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -129,6 +129,8 @@
     http: Http<HttpConnector, Full<Bytes>>,
 }
 
+/// The longest body of a response, in bytes.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// The timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -164,7 +166,7 @@
             }
         })?;
         let status = response.status();
-        let body = response.into_body().collect().await;
+        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
         let body = body
             .map_err(|e| ClientError::ConnectionLost { node, detail: e.to_string() })?
             .to_bytes();
--- a/node/src/store.rs
+++ b/node/src/store.rs
@@ -6,7 +6,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt as _, Full};
+use http_body_util::{BodyExt as _, Full, Limited};
 use prometheus::IntCounterVec;
 use sardinepick_lib::history::Point;
 use sardinepick_lib::member::Vm;
@@ -17,6 +17,9 @@
 
 use crate::http_client::Client;
 
+/// The longest body of a response, in bytes.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
+
 /// An operation of the platform's API.
 #[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
@@ -196,6 +199,7 @@
                 }
             })?;
             let (parts, body) = response.into_parts();
+            let body = Limited::new(body, MAX_RESPONSE_BYTES);
             let body = body.collect().await.map_err(|error| lost(error.to_string()))?;
             Ok((Response::from_parts(parts, ()), body.to_bytes()))
         };
