--- a/node/src/framing/body.rs
+++ b/node/src/framing/body.rs
@@ -38,7 +38,8 @@
     /// Creates the body of a response with this head.
     pub fn new(head: &Parts, content: Incoming) -> Self {
         let announced = head.headers.get_all(TRAILER).iter().cloned().collect();
-        let scan = ends_with_connection(head).then(|| Scan::new(is_stream(&head.headers)));
+        let scan =
+            ends_with_connection(head).then(|| Scan::new(&head.headers, is_stream(&head.headers)));
         Self { content, announced, scan }
     }
 
--- a/node/src/framing/remnant.rs
+++ b/node/src/framing/remnant.rs
@@ -3,6 +3,7 @@
 //! If the field that frames a body is lost, or an empty line ends the head before it, the body seems
 //! to end with its connection, and to begin with the size of a chunk or with the rest of the head.
 
+use http::{HeaderMap, HeaderName, header};
 use httparse::{EMPTY_HEADER, Status, parse_chunk_size, parse_headers};
 
 use super::Malformed;
@@ -13,9 +14,14 @@
 const MAX_HEAD: usize = 4 << 10;
 const MAX_FIELDS: usize = 64;
 const LINE_END: &[u8] = b"\r\n";
-/// Fields that concern the connection or the bounds of the body.
-const FRAMING_FIELDS: [&str; 4] =
-    ["connection", "content-length", "keep-alive", "transfer-encoding"];
+/// Fields that concern the connection or the body.
+const HEAD_FIELDS: [HeaderName; 5] = [
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::CONTENT_TYPE,
+    HeaderName::from_static("keep-alive"),
+    header::TRANSFER_ENCODING,
+];
 
 /// Follows a body that ends with its connection.
 #[derive(Debug)]
@@ -28,7 +34,11 @@
 /// The rest of a head.
 #[derive(Debug)]
 enum Head {
-    Unknown(Vec<u8>),
+    Unknown {
+        bytes: Vec<u8>,
+        /// The fields that the head of the response does not have.
+        missing: Vec<HeaderName>,
+    },
     Absent,
 }
 
@@ -46,10 +56,13 @@
 }
 
 impl Scan {
-    /// Begins a body. The first line of an event stream is no number.
-    pub fn new(is_event_stream: bool) -> Self {
-        let chunks = Chunks::Size(Vec::new());
-        Self { head: Head::Unknown(Vec::new()), chunks, is_event_stream }
+    /// Begins the body of a response with these headers. The first line of an event stream is no
+    /// number.
+    pub fn new(headers: &HeaderMap, is_event_stream: bool) -> Self {
+        let is_missing = |name: &HeaderName| !headers.contains_key(name);
+        let missing = HEAD_FIELDS.into_iter().filter(is_missing).collect();
+        let head = Head::Unknown { bytes: Vec::new(), missing };
+        Self { head, chunks: Chunks::Size(Vec::new()), is_event_stream }
     }
 
     /// Adds the next part of the body.
@@ -76,15 +89,13 @@
 
 impl Head {
     fn push(&mut self, data: &[u8]) -> Result<(), Malformed> {
-        let Head::Unknown(bytes) = self else { return Ok(()) };
+        let Head::Unknown { bytes, missing } = self else { return Ok(()) };
         bytes.extend_from_slice(&data[..data.len().min(MAX_HEAD - bytes.len())]);
         let mut fields = [EMPTY_HEADER; MAX_FIELDS];
         let is_complete = match parse_headers(bytes, &mut fields) {
             Ok(Status::Complete((_, fields))) => {
-                let is_framing = |name: &str| {
-                    FRAMING_FIELDS.iter().any(|framing| framing.eq_ignore_ascii_case(name))
-                };
-                if fields.iter().any(|field| is_framing(field.name)) {
+                let is_rest_of_head = |field: &str| missing.iter().any(|name| is_rest(field, name));
+                if fields.iter().any(|field| is_rest_of_head(field.name)) {
                     return Err(Malformed::LostFraming);
                 }
                 true
@@ -99,6 +110,12 @@
     }
 }
 
+/// Whether a field has this name, or its first byte has been spoilt to an empty line.
+fn is_rest(field: &str, name: &HeaderName) -> bool {
+    let name = name.as_str();
+    field.eq_ignore_ascii_case(name) || field.eq_ignore_ascii_case(&name[1..])
+}
+
 impl Chunks {
     /// Returns whether the data has completed the size of a chunk.
     fn push(&mut self, mut data: &[u8]) -> bool {
