connection: the end of a connection does not wait to be shut down

By reading: since the task of a connection hands over what was read beyond its answers, it also shuts down connections that have failed. Through a peer that waits for room while the runner does not read, and the connection, its slot at the peer and its runner's work would have stayed until then. It is tried once now; a connection that is dropped is closed at once.

--- a/node/src/serve/connection.rs
+++ b/node/src/serve/connection.rs
@@ -16,6 +16,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use futures_util::FutureExt as _;
 use http::response::Parts;
 use http::{HeaderMap, Request, Response};
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -574,10 +575,11 @@
             if let Err(error) = poll_fn(|context| connection.poll_without_shutdown(context)).await {
                 log::debug!(peer:% = address, error:% = error; "connection closed");
             }
-            let hyper::client::conn::http1::Parts { io, read_buf, .. } = connection.into_parts();
+            let ended = connection.into_parts();
             // Nobody waits for it if the connection was idle.
-            let _ = rest_sender.send(read_buf);
-            if let Err(error) = io.into_inner().shutdown().await {
+            let _ = rest_sender.send(ended.read_buf);
+            // If that would block, the connection is closed without it.
+            if let Some(Err(error)) = ended.io.into_inner().shutdown().now_or_never() {
                 log::debug!(peer:% = address, error:% = error; "connection not shut down");
             }
         });
