--- a/node/src/serve/mod.rs
+++ b/node/src/serve/mod.rs
@@ -5,6 +5,7 @@
 //! and returns a complete response or an accurate refusal.
 
 mod accept;
+pub mod answer;
 pub mod answer_body;
 pub mod cache_query;
 pub mod compression;
